Thin path: one request from end to end through separate processes

Cause: nothing existed. The whole path comes first, so that every later part has a place: serve, a pushed folder, an engine call streamed and a plain call, through four hosts, fake engines, plain services and platform.

Change: messages and frames between hosts (messenger), the ports to the platform (storer) and to backend servers (forwarder), a dispatcher per cell, the roster, the configuration's follower, the entry, the command line, the fakes, the demo.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+# Targets for everything; `make` alone lists them.
+LINT := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
+
+.PHONY: help build demo test check fmt lint unit matrix
+
+help: ## list the targets
+	@grep -hE '^[a-z-]+:.*## ' $(MAKEFILE_LIST) | sed -E 's/:.*## /\t/' | expand -t 16
+
+build: ## build the programs into bin/
+	go build -o bin/ . ./cmd/faker
+
+demo: build ## run the whole path on loopback, kill a host half way, judge
+	./scripts/demo.sh bin
+
+test: check unit ## all tests and checks
+
+check: ## formatter, linter and module files
+	go mod tidy -diff
+	go vet ./...
+	go run $(LINT) fmt --diff
+	go run $(LINT) run
+
+fmt: ## format the sources
+	go run $(LINT) fmt
+
+unit: build ## all Go tests
+	go test -count=1 ./...
--- /dev/null
+++ b/commander/command.go
@@ -0,0 +1,92 @@
+// Package commander is the command line of cicadawood: one file a command, all
+// of them in one table.
+package commander
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+)
+
+// Exit codes.
+const (
+	ExitOK       = 0
+	ExitFailed   = 1 // the command could not do its work
+	ExitUsage    = 2 // the call or a settings file is wrong
+	ExitConflict = 3 // another operator's change stands in the way
+)
+
+// command is one command of the program.
+type command struct {
+	use   string
+	short string
+	args  cobra.PositionalArgs
+	flags func(*cobra.Command)
+	run   func(ctx context.Context, c *cobra.Command, args []string) error
+}
+
+// commands is every command, in the order of the help page.
+var commands = []command{cmdServe, cmdCheck, cmdPush, cmdStatus, cmdDump, cmdDrain, cmdVersion}
+
+// exitError carries an exit code.
+type exitError struct {
+	code int
+	err  error
+}
+
+func (e exitError) Error() string { return e.err.Error() }
+func (e exitError) Unwrap() error { return e.err }
+
+func usage(err error) error {
+	if err == nil {
+		return nil
+	}
+	return exitError{code: ExitUsage, err: err}
+}
+
+// Main runs the command line and returns the exit code.
+func Main(args []string, stdout, stderr io.Writer) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	root := newRoot()
+	root.SetArgs(args)
+	root.SetOut(stdout)
+	root.SetErr(stderr)
+	err := root.ExecuteContext(ctx)
+	if err == nil {
+		return ExitOK
+	}
+	fmt.Fprintln(stderr, "cicadawood: "+err.Error())
+	var e exitError
+	if errors.As(err, &e) {
+		return e.code
+	}
+	return ExitFailed
+}
+
+func newRoot() *cobra.Command {
+	root := &cobra.Command{
+		Use:           "cicadawood",
+		Short:         "A router for language-model traffic with service levels and priorities",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.PersistentFlags().String("platform", os.Getenv("CICADAWOOD_PLATFORM"), "base URL of the platform (or CICADAWOOD_PLATFORM)")
+	root.PersistentFlags().Bool("json", false, "print JSON")
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usage(err) })
+	for _, k := range commands {
+		c := &cobra.Command{Use: k.use, Short: k.short, Args: func(c *cobra.Command, args []string) error { return usage(k.args(c, args)) }}
+		c.RunE = func(c *cobra.Command, args []string) error { return k.run(c.Context(), c, args) }
+		if k.flags != nil {
+			k.flags(c)
+		}
+		root.AddCommand(c)
+	}
+	return root
+}
--- /dev/null
+++ b/commander/platform.go
@@ -0,0 +1,21 @@
+package commander
+
+import (
+	"errors"
+
+	"github.com/spf13/cobra"
+
+	"github.com/cicadawood/cicadawood/storer"
+)
+
+var errNoPlatform = errors.New("no platform: give --platform or set CICADAWOOD_PLATFORM")
+
+// openStore is the Object API that the flags name, and its clean-up.
+func openStore(c *cobra.Command) (*storer.Client, func(), error) {
+	base, err := c.Flags().GetString("platform")
+	if err != nil || base == "" {
+		return nil, nil, usage(errNoPlatform)
+	}
+	store, clean := storer.NewClient(base)
+	return store, clean, nil
+}
--- /dev/null
+++ b/driver/caller.go
@@ -0,0 +1,125 @@
+package driver
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+)
+
+const maxTries = 4
+
+// caller makes one request as a careful client does: a connection that breaks
+// is tried again through another host, a hold with the same key.
+type caller struct {
+	client *http.Client
+	hosts  []string
+	key    string
+	kind   kind
+	id     string
+	start  int
+}
+
+// verdict is how one answer ended.
+type verdict string
+
+const (
+	whole   verdict = "whole"
+	refused verdict = "refused" // certainly not run
+	unknown verdict = "unknown" // may have run, and the caller was told so
+	lost    verdict = "lost"    // no true final outcome
+)
+
+// result is the final outcome of one request.
+type result struct {
+	kind    kind
+	id      string
+	verdict verdict
+	took    time.Duration
+	first   time.Duration
+	tokens  int
+	wasted  int // tokens of answers that broke off
+}
+
+func (c caller) call(ctx context.Context) result {
+	started := time.Now()
+	r := result{kind: c.kind, id: c.id, verdict: lost}
+	for try := range maxTries {
+		again := c.try(ctx, c.hosts[(c.start+try)%len(c.hosts)], started, &r)
+		if !again {
+			break
+		}
+	}
+	r.took = time.Since(started)
+	return r
+}
+
+// try sends the request once and says whether to try another host.
+func (c caller) try(ctx context.Context, host string, started time.Time, r *result) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+host+c.kind.path, strings.NewReader(c.body()))
+	if err != nil {
+		return false
+	}
+	// A hold carries its key, so that sending it again is safe.
+	req.Header.Set("Idempotency-Key", c.id)
+	req.Header.Set("Authorization", "Bearer "+c.key)
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("Cicadawood-Class", c.kind.class)
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return true
+	}
+	defer resp.Body.Close()
+	r.first = time.Since(started)
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		r.wasted += strings.Count(string(body), "content")
+		return true
+	}
+	r.verdict = c.judge(resp, string(body))
+	if r.verdict == whole {
+		r.tokens = strings.Count(string(body), `"content"`)
+		return false
+	}
+	if r.verdict == lost {
+		r.wasted += strings.Count(string(body), `"content"`)
+		return true
+	}
+	return false
+}
+
+func (c caller) body() string {
+	if !c.kind.engine {
+		return fmt.Sprintf(`{"id":%q,"class":%q}`, c.id, c.kind.class)
+	}
+	return fmt.Sprintf(`{"model":"cicada-lm","stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"request %s"}]}`, c.kind.tokens, c.id)
+}
+
+// judge tells what an answer that arrived says.
+func (c caller) judge(resp *http.Response, body string) verdict {
+	if resp.StatusCode < 300 {
+		if c.kind.engine && !strings.HasSuffix(strings.TrimSpace(body), "data: [DONE]") {
+			return lost
+		}
+		return whole
+	}
+	var e struct {
+		Error struct {
+			Run string `json:"run"`
+		} `json:"error"`
+	}
+	if err := json.Unmarshal([]byte(body), &e); err != nil {
+		return lost
+	}
+	switch e.Error.Run {
+	case "no":
+		return refused
+	case "unknown":
+		return unknown
+	default:
+		return lost
+	}
+}
--- /dev/null
+++ b/driver/report.go
@@ -0,0 +1,99 @@
+package driver
+
+import (
+	"fmt"
+	"io"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Report is what became of a Traffic.
+type Report struct {
+	mu      sync.Mutex
+	results []result
+	doubled int
+	untrue  int // told "not run" although it ran
+}
+
+func newReport() *Report { return &Report{} }
+
+func (r *Report) add(x result) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.results = append(r.results, x)
+}
+
+// judge compares the outcomes with how often each operation ran.
+func (r *Report) judge(ran map[string]int) {
+	for _, x := range r.results {
+		if !x.kind.once {
+			continue
+		}
+		if ran[x.id] > 1 {
+			r.doubled++
+		}
+		if x.verdict == refused && ran[x.id] > 0 {
+			r.untrue++
+		}
+	}
+}
+
+// Good says that no request was lost or doubled, and no "not run" was untrue.
+func (r *Report) Good() bool { return r.count(lost) == 0 && r.doubled == 0 && r.untrue == 0 }
+
+func (r *Report) count(v verdict) int {
+	n := 0
+	for _, x := range r.results {
+		if x.verdict == v {
+			n++
+		}
+	}
+	return n
+}
+
+// Print writes a table by class and the closing line.
+func (r *Report) Print(out io.Writer) {
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "class\tsent\tanswered\trefused\tunknown\tattainment\twasted tokens\tp50\tp99\t")
+	for _, k := range mix {
+		r.row(w, k)
+	}
+	_ = w.Flush()
+	if r.untrue > 0 {
+		fmt.Fprintf(out, "told not run, but ran: %d\n", r.untrue)
+	}
+	fmt.Fprintf(out, "demo: sent=%d whole=%d refused=%d unknown=%d lost=%d doubled=%d\n",
+		len(r.results), r.count(whole), r.count(refused), r.count(unknown), r.count(lost), r.doubled)
+}
+
+func (r *Report) row(w io.Writer, k kind) {
+	h := hdrhistogram.New(1, int64(2*time.Minute/time.Microsecond), 3)
+	sent, answered, shed, unsure, met, wasted := 0, 0, 0, 0, 0, 0
+	for _, x := range r.results {
+		if x.kind.class != k.class {
+			continue
+		}
+		sent++
+		wasted += x.wasted
+		switch x.verdict {
+		case whole:
+			answered++
+			_ = h.RecordValue(x.took.Microseconds())
+			if x.took <= k.target {
+				met++
+			}
+		case refused:
+			shed++
+		case unknown:
+			unsure++
+		}
+	}
+	at := func(q float64) time.Duration {
+		return (time.Duration(h.ValueAtQuantile(q)) * time.Microsecond).Round(time.Millisecond)
+	}
+	fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%.1f%%\t%d\t%s\t%s\t\n", k.class, sent, answered, shed, unsure,
+		100*float64(met)/float64(max(sent, 1)), wasted, at(50), at(99))
+}
--- /dev/null
+++ b/loader/document.go
@@ -0,0 +1,173 @@
+// Package loader reads the settings: one host's file, and the operators' folder
+// of small files, both JSON with comments. It is strict: unknown fields,
+// duplicates and dangling names are errors with file, line and reason.
+package loader
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"reflect"
+	"strings"
+	"time"
+
+	"github.com/tailscale/hujson"
+)
+
+// Problem is one fault in a settings file.
+type Problem struct {
+	File   string `json:"file"`
+	Line   int    `json:"line"`
+	Field  string `json:"field,omitempty"`
+	Reason string `json:"reason"`
+}
+
+// Error implements error as file:line: field: reason.
+func (p Problem) Error() string {
+	where := p.File
+	if p.Line > 0 {
+		where = fmt.Sprintf("%s:%d", p.File, p.Line)
+	}
+	if p.Field == "" {
+		return where + ": " + p.Reason
+	}
+	return where + ": " + p.Field + ": " + p.Reason
+}
+
+// Duration is a time.Duration written as in "1.5s".
+type Duration time.Duration
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (d *Duration) UnmarshalJSON(b []byte) error {
+	var s string
+	if err := json.Unmarshal(b, &s); err != nil {
+		return &json.UnmarshalTypeError{Value: string(b), Type: reflect.TypeFor[Duration]()}
+	}
+	v, err := time.ParseDuration(s)
+	if err != nil {
+		return fmt.Errorf("%q is not a duration such as \"1.5s\"", s)
+	}
+	*d = Duration(v)
+	return nil
+}
+
+// MarshalJSON implements json.Marshaler.
+func (d Duration) MarshalJSON() ([]byte, error) { return json.Marshal(time.Duration(d).String()) }
+
+// Std is the duration as the standard library has it.
+func (d Duration) Std() time.Duration { return time.Duration(d) }
+
+// document is one parsed file that can still tell the line of each field.
+type document struct {
+	file  string
+	text  []byte
+	tree  hujson.Value
+	plain []byte // standard JSON, each byte at its offset in text
+}
+
+func newDocument(file string, text []byte) (*document, error) {
+	tree, err := hujson.Parse(bytes.Clone(text))
+	if err != nil {
+		return nil, Problem{File: file, Line: lineOfMessage(err), Reason: strings.TrimPrefix(err.Error(), "hujson: ")}
+	}
+	d := &document{file: file, text: text, tree: tree}
+	if err := d.unique(&d.tree, ""); err != nil {
+		return nil, err
+	}
+	plain := tree.Clone()
+	plain.Standardize()
+	d.plain = plain.Pack()
+	return d, nil
+}
+
+// lineOfMessage reads the line out of hujson's message, which is its only form.
+func lineOfMessage(err error) int {
+	var line int
+	for e := err; e != nil; e = errors.Unwrap(e) {
+		if i := strings.Index(e.Error(), "line "); i >= 0 {
+			_, _ = fmt.Sscanf(e.Error()[i:], "line %d", &line)
+		}
+	}
+	return line
+}
+
+// unique refuses an object that names a field twice: JSON would silently take
+// the later one.
+func (d *document) unique(v *hujson.Value, path string) error {
+	switch t := v.Value.(type) {
+	case *hujson.Object:
+		seen := map[string]bool{}
+		for i := range t.Members {
+			m := &t.Members[i]
+			name := m.Name.Value.(hujson.Literal).String()
+			field := join(path, name)
+			if seen[name] {
+				return d.problem(m.Name.StartOffset, field, "given twice")
+			}
+			seen[name] = true
+			if err := d.unique(&m.Value, field); err != nil {
+				return err
+			}
+		}
+	case *hujson.Array:
+		for i := range t.Elements {
+			if err := d.unique(&t.Elements[i], fmt.Sprintf("%s/%d", path, i)); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// decode fills v and turns the decoder's faults into problems.
+func (d *document) decode(v any) error {
+	dec := json.NewDecoder(bytes.NewReader(d.plain))
+	dec.DisallowUnknownFields()
+	err := dec.Decode(v)
+	if err == nil {
+		return nil
+	}
+	var typed *json.UnmarshalTypeError
+	if errors.As(err, &typed) {
+		return d.problem(int(typed.Offset), typed.Field, fmt.Sprintf("%s does not fit here", typed.Value))
+	}
+	reason := strings.TrimPrefix(err.Error(), "json: ")
+	if name, ok := strings.CutPrefix(reason, "unknown field "); ok {
+		field := strings.Trim(name, `"`)
+		return d.problem(d.offsetOfName(field), field, "unknown field")
+	}
+	return d.problem(int(dec.InputOffset()), "", reason)
+}
+
+func (d *document) offsetOfName(name string) int {
+	return max(0, bytes.Index(d.text, []byte(`"`+name+`"`)))
+}
+
+// at is the line of the field at a path such as "services/x/workers/0".
+func (d *document) at(path ...string) int {
+	pointer := ""
+	for _, p := range path {
+		pointer += "/" + strings.NewReplacer("~", "~0", "/", "~1").Replace(p)
+	}
+	v := d.tree.Find(pointer)
+	if v == nil {
+		return 0
+	}
+	return d.line(v.StartOffset)
+}
+
+func (d *document) line(offset int) int {
+	return 1 + bytes.Count(d.text[:min(offset, len(d.text))], []byte("\n"))
+}
+
+func (d *document) problem(offset int, field, reason string) Problem {
+	return Problem{File: d.file, Line: d.line(offset), Field: field, Reason: reason}
+}
+
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "/" + name
+}
--- /dev/null
+++ b/messenger/message.go
@@ -0,0 +1,147 @@
+// Package messenger carries typed messages between hosts: msgpack bodies in
+// length-prefixed frames over TCP.
+//
+// A frame is a 4-byte big-endian length and a msgpack envelope. Every envelope
+// carries its sender, the sender's incarnation, a sequence number, and the
+// configuration generation the sender has in force.
+package messenger
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// Message is one of the message types of this package.
+type Message interface{ kind() string }
+
+// Ask asks a cell's dispatcher for a worker. An Ask that is repeated with the
+// same Request changes nothing.
+type Ask struct {
+	Request      string        `msgpack:"request"`
+	Cell         string        `msgpack:"cell"`
+	Class        string        `msgpack:"class"`
+	Organisation string        `msgpack:"org"`
+	Prompt       int           `msgpack:"prompt"` // tokens, estimated by the entry
+	Output       int           `msgpack:"output"` // most tokens the caller allows; 0 where none was given
+	Deadline     time.Duration `msgpack:"deadline"`
+	Waited       time.Duration `msgpack:"waited"`
+	Prefix       uint64        `msgpack:"prefix"` // hash of organisation and prompt prefix; 0 for none
+	Exclude      []string      `msgpack:"exclude"`
+}
+
+// Grant gives a waiting request one place on a worker.
+type Grant struct {
+	Request string `msgpack:"request"`
+	Cell    string `msgpack:"cell"`
+	Worker  string `msgpack:"worker"`
+	Epoch   uint64 `msgpack:"epoch"`
+	Fence   uint64 `msgpack:"fence"`
+}
+
+// Refuse is the final answer to an Ask: it was not run, come back after After.
+type Refuse struct {
+	Request string        `msgpack:"request"`
+	Cell    string        `msgpack:"cell"`
+	Reason  string        `msgpack:"reason"`
+	After   time.Duration `msgpack:"after"`
+}
+
+// Preempt asks the entry to stop a request in flight and to ask again.
+type Preempt struct {
+	Request string `msgpack:"request"`
+	Cell    string `msgpack:"cell"`
+}
+
+// Progress corrects the estimate of a request in flight.
+type Progress struct {
+	Request string `msgpack:"request"`
+	Cell    string `msgpack:"cell"`
+	Tokens  int    `msgpack:"tokens"`
+}
+
+// Done gives a place back.
+type Done struct {
+	Request string        `msgpack:"request"`
+	Cell    string        `msgpack:"cell"`
+	Worker  string        `msgpack:"worker"`
+	Tokens  int           `msgpack:"tokens"`
+	First   time.Duration `msgpack:"first"` // to the first byte; 0 where none came
+	Failed  bool          `msgpack:"failed"`
+}
+
+// Cancel withdraws an Ask whose caller has gone.
+type Cancel struct {
+	Request string `msgpack:"request"`
+	Cell    string `msgpack:"cell"`
+}
+
+// Claim tells a new dispatcher of a grant in use that an earlier one gave.
+type Claim struct {
+	Ask    Ask    `msgpack:"ask"`
+	Worker string `msgpack:"worker"`
+	Tokens int    `msgpack:"tokens"`
+}
+
+// Moved answers a message for a cell that the receiver does not dispatch.
+type Moved struct {
+	Request string `msgpack:"request"`
+	Cell    string `msgpack:"cell"`
+	Owner   string `msgpack:"owner"`
+}
+
+func (Ask) kind() string      { return "ask" }
+func (Grant) kind() string    { return "grant" }
+func (Refuse) kind() string   { return "refuse" }
+func (Preempt) kind() string  { return "preempt" }
+func (Progress) kind() string { return "progress" }
+func (Done) kind() string     { return "done" }
+func (Cancel) kind() string   { return "cancel" }
+func (Claim) kind() string    { return "claim" }
+func (Moved) kind() string    { return "moved" }
+
+// Envelope is one frame's content.
+type Envelope struct {
+	From        string `msgpack:"from"`
+	Incarnation uint64 `msgpack:"inc"`
+	Sequence    uint64 `msgpack:"seq"`
+	Generation  uint64 `msgpack:"gen"`
+	Ack         uint64 `msgpack:"ack"`
+	Kind        string `msgpack:"kind"`
+	Body        []byte `msgpack:"body"`
+}
+
+// Message decodes the envelope's body.
+func (e Envelope) Message() (Message, error) {
+	switch e.Kind {
+	case "ask":
+		return decode[Ask](e)
+	case "grant":
+		return decode[Grant](e)
+	case "refuse":
+		return decode[Refuse](e)
+	case "preempt":
+		return decode[Preempt](e)
+	case "progress":
+		return decode[Progress](e)
+	case "done":
+		return decode[Done](e)
+	case "cancel":
+		return decode[Cancel](e)
+	case "claim":
+		return decode[Claim](e)
+	case "moved":
+		return decode[Moved](e)
+	default:
+		return nil, fmt.Errorf("%w: kind %q", ErrFrame, e.Kind)
+	}
+}
+
+func decode[M Message](e Envelope) (Message, error) {
+	var m M
+	if err := msgpack.Unmarshal(e.Body, &m); err != nil {
+		return nil, fmt.Errorf("%w: %s: %v", ErrFrame, e.Kind, err)
+	}
+	return m, nil
+}
--- /dev/null
+++ b/runner/admin.go
@@ -0,0 +1,25 @@
+package runner
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/gorilla/mux"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+// admin is the operators' HTTP interface of a host.
+func (h *Host) admin(registry *prometheus.Registry) http.Handler {
+	r := mux.NewRouter()
+	r.Handle("/metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
+	r.HandleFunc("/state", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(h.State())
+	}).Methods(http.MethodGet)
+	r.HandleFunc("/drain", func(w http.ResponseWriter, _ *http.Request) {
+		h.Drain()
+		w.WriteHeader(http.StatusAccepted)
+	}).Methods(http.MethodPost)
+	return r
+}
--- /dev/null
+++ b/runner/control.go
@@ -0,0 +1,284 @@
+package runner
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/cicadawood/cicadawood/dispatcher"
+	"github.com/cicadawood/cicadawood/loader"
+	"github.com/cicadawood/cicadawood/messenger"
+	"github.com/cicadawood/cicadawood/registrar"
+	"github.com/cicadawood/cicadawood/server"
+)
+
+const (
+	tickEvery    = 20 * time.Millisecond
+	eventBacklog = 8192
+)
+
+// sender is the port to other hosts.
+type sender interface {
+	Send(address string, m messenger.Message) error
+	SetGeneration(g uint64)
+}
+
+// call is one request of this host's entry, from its ask to its done.
+type call struct {
+	ask       messenger.Ask
+	owner     string // host that dispatches its cell
+	reply     chan<- placeReply
+	worker    string // "" while it waits
+	preempted chan struct{}
+}
+
+// control owns all control state of a host. Only its run goroutine touches the
+// fields below events.
+type control struct {
+	self   string
+	epoch  uint64
+	sender sender
+	log    *zap.Logger
+	events chan event
+
+	roster     registrar.Roster
+	folder     *loader.Folder
+	generation uint64
+	cells      map[string]dispatcher.Cell
+	byService  map[string][]string
+	owned      map[string]*dispatcher.Dispatcher
+	calls      map[string]*call
+}
+
+func newControl(self string, epoch uint64, s sender, log *zap.Logger) *control {
+	return &control{
+		self: self, epoch: epoch, sender: s, log: log, events: make(chan event, eventBacklog),
+		cells: map[string]dispatcher.Cell{}, byService: map[string][]string{},
+		owned: map[string]*dispatcher.Dispatcher{}, calls: map[string]*call{},
+	}
+}
+
+// run takes events until ctx ends.
+func (c *control) run(ctx context.Context) {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			for _, d := range c.owned {
+				c.emit(now, d.Tick(now))
+			}
+		case e := <-c.events:
+			c.take(time.Now(), e)
+		}
+	}
+}
+
+func (c *control) take(now time.Time, e event) {
+	switch e := e.(type) {
+	case frameArrived:
+		c.deliver(now, e.from, e.message)
+	case placeAsked:
+		c.ask(now, e)
+	case placeLeft:
+		c.leave(now, e.request)
+	case placeDone:
+		c.done(now, e)
+	case folderChanged:
+		c.configure(now, e)
+	case rosterChanged:
+		c.enroll(now, e.roster)
+	case stateAsked:
+		e.reply <- c.state()
+	}
+}
+
+// deliver takes a message from a host, this one included.
+func (c *control) deliver(now time.Time, from string, m messenger.Message) {
+	switch m := m.(type) {
+	case messenger.Ask:
+		c.dispatch(now, m.Cell, from, m)
+	case messenger.Done:
+		c.dispatch(now, m.Cell, from, m)
+	case messenger.Cancel:
+		c.dispatch(now, m.Cell, from, m)
+	case messenger.Claim:
+		c.dispatch(now, m.Ask.Cell, from, m)
+	case messenger.Progress:
+		c.dispatch(now, m.Cell, from, m)
+	case messenger.Grant:
+		c.granted(now, m)
+	case messenger.Refuse:
+		c.refused(m)
+	case messenger.Preempt:
+		c.preempted(m)
+	case messenger.Moved:
+	}
+}
+
+// dispatch hands a message to this host's dispatcher of a cell. A host that is
+// asked dispatches, also where its roster names another: two dispatchers may
+// overfill a worker for a moment, but break no promise.
+func (c *control) dispatch(now time.Time, cell, from string, m messenger.Message) {
+	d := c.owned[cell]
+	if d == nil {
+		known, ok := c.cells[cell]
+		if !ok {
+			return
+		}
+		d = dispatcher.New(known, c.epoch, c.folder.Classes)
+		c.owned[cell] = d
+	}
+	c.emit(now, d.Handle(now, from, m))
+}
+
+// emit sends what a dispatcher decided.
+func (c *control) emit(now time.Time, out []dispatcher.Output) {
+	for _, o := range out {
+		c.send(now, o.To, o.Message)
+	}
+}
+
+func (c *control) send(now time.Time, host string, m messenger.Message) {
+	if host == c.self {
+		c.deliver(now, c.self, m)
+		return
+	}
+	h, ok := c.roster.Find(host)
+	if !ok {
+		return
+	}
+	if err := c.sender.Send(h.Control, m); err != nil {
+		c.log.Warn("send", zap.String("host", host), zap.Error(err))
+	}
+}
+
+func (c *control) ask(now time.Time, e placeAsked) {
+	cells := c.byService[e.service]
+	if len(cells) == 0 {
+		e.reply <- placeReply{refusal: &server.Refusal{Reason: "no_workers", After: time.Second}}
+		return
+	}
+	e.ask.Cell = cells[int(now.UnixNano()/int64(time.Microsecond))%len(cells)]
+	k := &call{ask: e.ask, reply: e.reply, preempted: make(chan struct{})}
+	c.calls[e.ask.Request] = k
+	c.register(now, k)
+}
+
+// register tells the present owner of the call's cell about the call.
+func (c *control) register(now time.Time, k *call) {
+	owner, ok := c.roster.Owner(k.ask.Cell)
+	if !ok {
+		return
+	}
+	k.owner = owner.Name
+	if k.worker != "" {
+		c.send(now, k.owner, messenger.Claim{Ask: k.ask, Worker: k.worker})
+		return
+	}
+	c.send(now, k.owner, k.ask)
+}
+
+func (c *control) granted(now time.Time, g messenger.Grant) {
+	k := c.calls[g.Request]
+	if k == nil {
+		// The caller went away while the grant travelled: give it back.
+		owner, _ := c.roster.Owner(g.Cell)
+		c.send(now, owner.Name, messenger.Done{Request: g.Request, Cell: g.Cell, Worker: g.Worker})
+		return
+	}
+	worker, ok := c.worker(g.Cell, g.Worker)
+	if !ok || k.worker != "" {
+		return
+	}
+	k.worker = g.Worker
+	k.reply <- placeReply{place: server.Place{Request: g.Request, Cell: g.Cell, Worker: worker, Fence: g.Fence, Preempted: k.preempted}}
+}
+
+func (c *control) worker(cell, name string) (loader.Worker, bool) {
+	for _, w := range c.cells[cell].Workers {
+		if w.Name == name {
+			return w, true
+		}
+	}
+	return loader.Worker{}, false
+}
+
+func (c *control) refused(m messenger.Refuse) {
+	k := c.calls[m.Request]
+	if k == nil || k.worker != "" {
+		return
+	}
+	delete(c.calls, m.Request)
+	k.reply <- placeReply{refusal: &server.Refusal{Reason: m.Reason, After: m.After}}
+}
+
+func (c *control) preempted(m messenger.Preempt) {
+	if k := c.calls[m.Request]; k != nil && k.worker != "" {
+		close(k.preempted)
+		k.preempted = make(chan struct{})
+	}
+}
+
+func (c *control) leave(now time.Time, request string) {
+	k := c.calls[request]
+	if k == nil {
+		return
+	}
+	delete(c.calls, request)
+	c.send(now, k.owner, messenger.Cancel{Request: request, Cell: k.ask.Cell})
+}
+
+func (c *control) done(now time.Time, e placeDone) {
+	k := c.calls[e.place.Request]
+	if k == nil {
+		return
+	}
+	delete(c.calls, e.place.Request)
+	c.send(now, k.owner, messenger.Done{
+		Request: e.place.Request, Cell: e.place.Cell, Worker: e.place.Worker.Name,
+		Tokens: e.use.Tokens, First: e.use.First, Failed: e.use.Failed,
+	})
+}
+
+func (c *control) configure(now time.Time, e folderChanged) {
+	c.folder, c.generation = e.folder, e.generation
+	c.sender.SetGeneration(e.generation)
+	c.cells, c.byService = map[string]dispatcher.Cell{}, map[string][]string{}
+	for name, s := range e.folder.Services {
+		for _, cell := range dispatcher.CellsOf(name, s) {
+			c.cells[cell.Name] = cell
+			c.byService[name] = append(c.byService[name], cell.Name)
+		}
+	}
+	for name, d := range c.owned {
+		if cell, ok := c.cells[name]; ok {
+			d.Configure(cell, e.folder.Classes)
+			c.emit(now, d.Tick(now))
+		}
+	}
+}
+
+// enroll takes a new roster: what hosts that are gone held is taken back, and
+// calls whose cell has a new owner are registered there.
+func (c *control) enroll(now time.Time, r registrar.Roster) {
+	old := c.roster
+	c.roster = r
+	for _, h := range old.Hosts() {
+		if n, ok := r.Find(h.Name); ok && n.Incarnation == h.Incarnation {
+			continue
+		}
+		c.log.Info("host lost", zap.String("host", h.Name))
+		for _, d := range c.owned {
+			c.emit(now, d.Lost(now, h.Name))
+		}
+	}
+	for _, k := range c.calls {
+		if owner, ok := r.Owner(k.ask.Cell); ok && owner.Name != k.owner {
+			c.register(now, k)
+		}
+	}
+}
--- /dev/null
+++ b/runner/state.go
@@ -0,0 +1,32 @@
+package runner
+
+import (
+	"github.com/cicadawood/cicadawood/dispatcher"
+	"github.com/cicadawood/cicadawood/registrar"
+)
+
+// State is a host's whole control state, for operators.
+type State struct {
+	Name       string             `json:"name"`
+	Zone       string             `json:"zone"`
+	Ready      bool               `json:"ready"`
+	Leaving    bool               `json:"leaving"`
+	Generation uint64             `json:"generation"`
+	Inflight   int64              `json:"inflight"`
+	Roles      []string           `json:"roles"`
+	Roster     []registrar.Record `json:"roster"`
+	Cells      []dispatcher.State `json:"cells"`
+	Calls      map[string]string  `json:"calls"` // worker by request, "" while it waits
+}
+
+func (c *control) state() State {
+	s := State{Name: c.self, Generation: c.generation, Roles: []string{"entry"}, Roster: c.roster.Hosts(), Cells: []dispatcher.State{}, Calls: map[string]string{}}
+	for name, d := range c.owned {
+		s.Cells = append(s.Cells, d.State())
+		s.Roles = append(s.Roles, "dispatcher:"+name)
+	}
+	for id, k := range c.calls {
+		s.Calls[id] = k.worker
+	}
+	return s
+}
--- /dev/null
+++ b/server/port.go
@@ -0,0 +1,56 @@
+// Package server is the entry role: it reads callers' requests, checks them,
+// gets them a place on a backend server, and answers.
+package server
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/cicadawood/cicadawood/loader"
+	"github.com/cicadawood/cicadawood/messenger"
+)
+
+// ErrGone says that the caller went away while its request waited.
+var ErrGone = errors.New("caller went away")
+
+// Refusal is the final answer to a request that got no place: it was not run.
+type Refusal struct {
+	Reason string
+	After  time.Duration // when to come back
+}
+
+// Error implements error.
+func (r Refusal) Error() string { return "refused: " + r.Reason }
+
+// Place is one place on a worker, held until Release.
+type Place struct {
+	Request string
+	Cell    string
+	Worker  loader.Worker
+	Fence   uint64
+	// Preempted is closed when a higher tier needs the place.
+	Preempted <-chan struct{}
+}
+
+// Use is what a request used of its place.
+type Use struct {
+	Tokens int
+	First  time.Duration // to the first byte; 0 where none came
+	Failed bool          // the worker failed it
+}
+
+// Allocator hands out places on workers.
+type Allocator interface {
+	// Acquire waits for a place in one of the service's cells. Its error is a
+	// Refusal, or ErrGone when ctx ends first.
+	Acquire(ctx context.Context, service string, a messenger.Ask) (Place, error)
+	// Release gives a place back. Every Place is released once.
+	Release(p Place, u Use)
+}
+
+// Configuration is what the server reads of the settings in force.
+type Configuration interface {
+	// Folder is the configuration in force and its generation; nil before the first.
+	Folder() (*loader.Folder, uint64)
+}
