Fault matrix and scenarios: real processes driven by testscript files

Cause: the promises need one declared matrix, and proofs with real processes that an operator can read.

Change: scripter (own testscript commands: start, kill, freeze, thaw, term, platform, fault, link, leave, push, call, expect, ran...), scenarios/, cmd/matrix with the table of cells that can't occur. A scenario without a verdict counts as failed.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 	@grep -hE '^[a-z-]+:.*## ' $(MAKEFILE_LIST) | sed -E 's/:.*## /\t/' | expand -t 16
 
 build: ## build the programs into bin/
-	go build -o bin/ . ./cmd/faker
+	go build -o bin/ . ./cmd/...
 
 demo: build ## run the whole path on loopback, kill a host half way, judge
 	./scripts/demo.sh bin
@@ -23,5 +23,8 @@
 fmt: ## format the sources
 	go run $(LINT) fmt
 
+matrix: build ## the fault matrix: specs and scenarios
+	./scripts/matrix.sh bin
+
 unit: build ## all Go tests
 	go test -count=1 ./...
--- /dev/null
+++ b/cmd/matrix/main.go
@@ -0,0 +1,215 @@
+// Command matrix reads what the test runs reported and prints the fault matrix:
+// which cells and pairs are proved, which are not, and which can't occur.
+//
+// Usage: matrix SCENARIOS-DIR SCENARIOS-LOG REPORT.json...
+//
+// SCENARIOS-LOG is the output of `go test -v` on the scenarios; the reports are
+// ginkgo's. It exits with 1 when a spec or a scenario failed, and with 0 when
+// cells are only unproved: those it lists.
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io/fs"
+	"maps"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+
+	"github.com/onsi/ginkgo/v2/types"
+
+	"github.com/cicadawood/cicadawood/prover"
+)
+
+func main() {
+	if len(os.Args) < 3 {
+		fmt.Fprintln(os.Stderr, "usage: matrix SCENARIOS-DIR SCENARIOS-LOG REPORT.json...")
+		os.Exit(2)
+	}
+	m := matrix{proved: map[string]int{}}
+	if err := m.read(os.Args[1], os.Args[2], os.Args[3:]); err != nil {
+		fmt.Fprintln(os.Stderr, "matrix: "+err.Error())
+		os.Exit(1)
+	}
+	m.print()
+	if m.failed > 0 {
+		os.Exit(1)
+	}
+}
+
+// matrix is what the reports proved.
+type matrix struct {
+	proved    map[string]int // specs and scenarios by label
+	scenarios int
+	failed    int
+	failures  []string
+}
+
+func (m *matrix) read(dir, log string, reports []string) error {
+	for _, r := range reports {
+		if err := m.report(r); err != nil {
+			return err
+		}
+	}
+	return m.readScenarios(dir, log)
+}
+
+// report takes one ginkgo report.
+func (m *matrix) report(path string) error {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	var suites []types.Report
+	if err := json.Unmarshal(text, &suites); err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	for _, s := range suites {
+		for _, spec := range s.SpecReports {
+			m.spec(spec)
+		}
+	}
+	return nil
+}
+
+func (m *matrix) spec(s types.SpecReport) {
+	switch {
+	case s.State.Is(types.SpecStateFailureStates):
+		m.failed++
+		m.failures = append(m.failures, s.FullText())
+	case s.State == types.SpecStatePassed:
+		for _, l := range s.Labels() {
+			m.proved[l]++
+		}
+	}
+}
+
+var (
+	verdictPattern = regexp.MustCompile(`^\s*--- (PASS|FAIL): TestScenarios/([^/ ]+)/([^/ ]+) `)
+	cellsPattern   = regexp.MustCompile(`(?m)^# cells: (.*)$`)
+)
+
+// readScenarios takes the verdicts of `go test -v` and the cells that each
+// passed scenario names in its head.
+func (m *matrix) readScenarios(dir, log string) error {
+	f, err := os.Open(log)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	seen := map[string]bool{}
+	for lines := bufio.NewScanner(f); lines.Scan(); {
+		v := verdictPattern.FindStringSubmatch(lines.Text())
+		if v == nil {
+			continue
+		}
+		name := v[2] + "/" + v[3]
+		seen[name] = true
+		m.scenarios++
+		if v[1] == "FAIL" {
+			m.failed++
+			m.failures = append(m.failures, "scenario "+name)
+			continue
+		}
+		if err := m.cellsOf(filepath.Join(dir, name+".txtar")); err != nil {
+			return err
+		}
+	}
+	return m.missing(dir, seen)
+}
+
+// missing counts a scenario without a verdict as failed.
+func (m *matrix) missing(dir string, seen map[string]bool) error {
+	return filepath.WalkDir(dir, func(path string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() || !strings.HasSuffix(path, ".txtar") {
+			return err
+		}
+		name, err := filepath.Rel(dir, strings.TrimSuffix(path, ".txtar"))
+		if err == nil && !seen[name] {
+			m.failed++
+			m.failures = append(m.failures, "scenario "+name+" has no verdict")
+		}
+		return err
+	})
+}
+
+func (m *matrix) cellsOf(path string) error {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	for _, line := range cellsPattern.FindAllStringSubmatch(string(text), -1) {
+		for _, c := range strings.Fields(line[1]) {
+			step, fault, _ := strings.Cut(c, "/")
+			m.proved[prover.Cell(prover.Step(step), prover.Fault(fault))]++
+		}
+	}
+	return nil
+}
+
+func (m *matrix) print() {
+	m.table()
+	cells := prover.Cells()
+	var unproved []string
+	for _, c := range cells {
+		if m.proved[c] == 0 {
+			unproved = append(unproved, strings.TrimPrefix(c, "cell:"))
+		}
+	}
+	pairs := 0
+	for l := range m.proved {
+		if prover.IsPair(l) {
+			pairs++
+		}
+	}
+	m.strays(cells)
+	fmt.Printf("not proved: %s\n", strings.Join(unproved, " "))
+	for _, f := range m.failures {
+		fmt.Println("failed: " + f)
+	}
+	fmt.Printf("matrix: steps=%d faults=%d cells=%d pairs=%d scenarios=%d failed=%d unproved=%d\n",
+		len(prover.Steps()), len(prover.Faults()), len(cells), pairs, m.scenarios, m.failed, len(unproved))
+}
+
+// table prints the number of proofs in each cell; - can't occur.
+func (m *matrix) table() {
+	fmt.Printf("%-10s", "")
+	for _, f := range prover.Faults() {
+		fmt.Printf("%10s", f)
+	}
+	fmt.Println()
+	for _, s := range prover.Steps() {
+		fmt.Printf("%-10s", s)
+		for _, f := range prover.Faults() {
+			cell := "-"
+			if prover.Impossible(s, f) == "" {
+				cell = fmt.Sprint(m.proved[prover.Cell(s, f)])
+			}
+			fmt.Printf("%10s", cell)
+		}
+		fmt.Println()
+	}
+	fmt.Println("cells marked - can't occur:")
+	for _, f := range prover.Faults() {
+		for _, s := range prover.Steps() {
+			if why := prover.Impossible(s, f); why != "" {
+				fmt.Printf("  %s: %s\n", f, why)
+				break
+			}
+		}
+	}
+}
+
+// strays tells of labels that name a cell said to be impossible: either the
+// label or the table is wrong.
+func (m *matrix) strays(cells []string) {
+	for _, l := range slices.Sorted(maps.Keys(m.proved)) {
+		if prover.IsCell(l) && !slices.Contains(cells, l) {
+			fmt.Printf("proved, but said to be impossible: %s\n", l)
+		}
+	}
+}
--- /dev/null
+++ b/prover/cells.go
@@ -0,0 +1,58 @@
+package prover
+
+import "slices"
+
+// reach is where a fault can occur, and why it can't elsewhere.
+type reach struct {
+	fault  Fault
+	steps  []Step
+	reason string // why it can't occur at the other steps
+}
+
+var (
+	requestSteps = Steps()[:11]
+	configSteps  = Steps()[11:15]
+	hostSteps    = Steps()[15:]
+	storeSteps   = []Step{Intent, Outcome, Pushed, Written, Watched, InForce, Renewed, Taken, HandedOver, Draining}
+)
+
+// reaches is the whole table, one line a fault.
+var reaches = []reach{
+	{Kill, Steps(), ""},
+	{Freeze, Steps(), ""},
+	{CutOne, slices.Concat(requestSteps, configSteps[:3], hostSteps[:4]), "what is in force, or has left, needs no connection"},
+	{CutBoth, slices.Concat(requestSteps, configSteps[:3], hostSteps[:4]), "what is in force, or has left, needs no connection"},
+	{Silence, slices.Concat(requestSteps, configSteps[:3], hostSteps[:4]), "what is in force, or has left, needs no connection"},
+	{Slow, slices.Concat(requestSteps, hostSteps[:4]), "a slow push or watch is the store's slowness: see storeslow"},
+	{LostReply, []Step{Intent, Outcome, Pushed, Renewed, Taken, HandedOver, Draining}, "the step writes nothing to the store"},
+	{StoreDown, storeSteps, "the step does not use the store"},
+	{StoreSlow, storeSteps, "the step does not use the store"},
+	{WatchGap, []Step{Watched, InForce, Renewed, Taken, HandedOver, Draining}, "the step follows from no watch"},
+	{LateList, []Step{Granted, Sent, Draining}, "the host list decides only which worker gets a new request, and which is leaving"},
+	{Reorder, []Step{Received, Queued, Asked, Granted, Intent, Sent, Answered, Outcome, Acked, Watched, Renewed, Taken, HandedOver, Draining}, "the step is reached by no frame between hosts, or by an ordered stream of one connection"},
+	{Crossed, []Step{First, Mid, Answered, Acked}, "only an answer can belong to another request"},
+	{Race, configSteps, "operators race each other in pushes only"},
+}
+
+// Cells is every step and fault that can meet, as Cell labels in order.
+func Cells() []string {
+	var out []string
+	for _, s := range Steps() {
+		for _, r := range reaches {
+			if slices.Contains(r.steps, s) {
+				out = append(out, Cell(s, r.fault))
+			}
+		}
+	}
+	return out
+}
+
+// Impossible is why a fault can't occur at a step; "" where it can.
+func Impossible(s Step, f Fault) string {
+	for _, r := range reaches {
+		if r.fault == f && !slices.Contains(r.steps, s) {
+			return r.reason
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/scripter/look_test.go
@@ -0,0 +1,177 @@
+package scripter_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/cicadawood/cicadawood/runner"
+)
+
+// cmdPush is `[!] push DIR [FLAG...]`: the folder with its $NAMEs filled in.
+func cmdPush(ts *testscript.TestScript, neg bool, args []string) {
+	w := worldOf(ts)
+	from := ts.MkAbs(args[0])
+	to := filepath.Join(w.dir, "pushed-"+filepath.Base(from))
+	ts.Check(os.MkdirAll(to, 0o700))
+	entries, err := os.ReadDir(from)
+	ts.Check(err)
+	for _, e := range entries {
+		text, err := os.ReadFile(filepath.Join(from, e.Name()))
+		ts.Check(err)
+		ts.Check(os.WriteFile(filepath.Join(to, e.Name()), []byte(w.expand(string(text))), 0o600))
+	}
+	w.operate(ts, neg, append([]string{"push", to}, args[1:]...))
+}
+
+// cmdOperate is `[!] operate COMMAND [ARG...]`: the command line, $NAMEs filled in.
+func cmdOperate(ts *testscript.TestScript, neg bool, args []string) {
+	worldOf(ts).operate(ts, neg, args)
+}
+
+func (w *world) operate(ts *testscript.TestScript, neg bool, args []string) {
+	for i, a := range args {
+		args[i] = w.expand(a)
+	}
+	c := exec.Command(filepath.Join(ts.Getenv("BIN"), "cicadawood"), args...)
+	c.Env = append(os.Environ(), "CICADAWOOD_PLATFORM=http://"+w.addresses["platform"])
+	c.Dir = w.dir
+	out, err := c.CombinedOutput()
+	ts.Logf("%s", out)
+	if (err != nil) != neg {
+		ts.Fatalf("cicadawood %s: %v", strings.Join(args, " "), err)
+	}
+}
+
+// cmdReady is `[!] ready HOST...`: waits until the balancer would be told so.
+func cmdReady(ts *testscript.TestScript, neg bool, args []string) {
+	for _, name := range args {
+		eventually(ts, func() error {
+			resp, err := http.Get("http://" + worldOf(ts).addresses[name] + "/readyz")
+			if err != nil {
+				return err
+			}
+			_ = resp.Body.Close()
+			if (resp.StatusCode != http.StatusOK) != neg {
+				return fmt.Errorf("%s: /readyz is %s", name, resp.Status)
+			}
+			return nil
+		})
+	}
+}
+
+func (w *world) state(name string) (runner.State, error) {
+	var s runner.State
+	resp, err := http.Get("http://" + w.addresses[name+"_admin"] + "/state")
+	if err != nil {
+		return s, err
+	}
+	defer resp.Body.Close()
+	return s, json.NewDecoder(resp.Body).Decode(&s)
+}
+
+// cmdRoster is `roster HOST N`: waits until the host knows N hosts that are not leaving.
+func cmdRoster(ts *testscript.TestScript, _ bool, args []string) {
+	want, err := strconv.Atoi(args[1])
+	ts.Check(err)
+	eventually(ts, func() error {
+		s, err := worldOf(ts).state(args[0])
+		if err != nil {
+			return err
+		}
+		n := 0
+		for _, h := range s.Roster {
+			if !h.Leaving {
+				n++
+			}
+		}
+		if n != want {
+			return fmt.Errorf("%s knows %d hosts, not %d", args[0], n, want)
+		}
+		return nil
+	})
+}
+
+// cmdForce is `force HOST HOST2...`: waits until every host has the same
+// generation in force as the first, and remembers the highest seen: a host that
+// goes back fails.
+func cmdForce(ts *testscript.TestScript, _ bool, args []string) {
+	w := worldOf(ts)
+	eventually(ts, func() error {
+		first, err := w.state(args[0])
+		if err != nil {
+			return err
+		}
+		for _, name := range args[1:] {
+			s, err := w.state(name)
+			if err != nil {
+				return err
+			}
+			if s.Generation != first.Generation || s.Generation == 0 {
+				return fmt.Errorf("%s has generation %d, %s has %d", name, s.Generation, args[0], first.Generation)
+			}
+		}
+		return nil
+	})
+}
+
+// cmdClass is `[!] class HOST CLASS`: waits until a configuration with (without)
+// that class is in force on the host, seen by a call of that class.
+func cmdClass(ts *testscript.TestScript, neg bool, args []string) {
+	w := worldOf(ts)
+	eventually(ts, func() error {
+		req, err := http.NewRequest(http.MethodPost, "http://"+w.addresses[args[0]]+"/services/app/probe", nil)
+		if err != nil {
+			return err
+		}
+		req.Header.Set("Authorization", "Bearer demo-key")
+		req.Header.Set("Cicadawood-Class", args[1])
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			return err
+		}
+		_ = resp.Body.Close()
+		if (resp.StatusCode == http.StatusForbidden) != neg {
+			return fmt.Errorf("class %s on %s: %s", args[1], args[0], resp.Status)
+		}
+		return nil
+	})
+}
+
+// cmdRan is `ran KEY N [or M] SERVICE...`: waits until the services together ran
+// the key at least N times, and fails when it was more.
+func cmdRan(ts *testscript.TestScript, _ bool, args []string) {
+	w := worldOf(ts)
+	want, err := strconv.Atoi(args[1])
+	ts.Check(err)
+	eventually(ts, func() error {
+		total := 0
+		for _, name := range args[2:] {
+			resp, err := http.Get("http://" + w.addresses[name] + "/counts")
+			if err != nil {
+				return err
+			}
+			counts := map[string]int{}
+			err = json.NewDecoder(resp.Body).Decode(&counts)
+			_ = resp.Body.Close()
+			if err != nil {
+				return err
+			}
+			total += counts[args[0]]
+		}
+		if total > want {
+			ts.Fatalf("key %s ran %d times, not %d", args[0], total, want)
+		}
+		if total < want {
+			return fmt.Errorf("key %s ran %d times, not %d", args[0], total, want)
+		}
+		return nil
+	})
+}
--- /dev/null
+++ b/scripter/scripter_test.go
@@ -0,0 +1,63 @@
+// Package scripter_test runs the scenarios: real processes on loopback, driven by
+// files in a small test language, one folder a promise. The commands are the
+// entries of the table below; CONTRIBUTING.md explains them.
+package scripter_test
+
+import (
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+var commands = map[string]func(*testscript.TestScript, bool, []string){
+	"start":     cmdStart,
+	"kill":      cmdSignal(syscall.SIGKILL),
+	"freeze":    cmdSignal(syscall.SIGSTOP),
+	"thaw":      cmdSignal(syscall.SIGCONT),
+	"term":      cmdSignal(syscall.SIGTERM),
+	"gone":      cmdGone,
+	"platform":  cmdPlatform,
+	"fault":     cmdFault,
+	"link":      cmdLink,
+	"leave":     cmdLeave,
+	"push":      cmdPush,
+	"operate":   cmdOperate,
+	"ready":     cmdReady,
+	"roster":    cmdRoster,
+	"force":     cmdForce,
+	"class":     cmdClass,
+	"call":      cmdCall,
+	"streaming": cmdStreaming,
+	"expect":    cmdExpect,
+	"same":      cmdSame,
+	"ran":       cmdRan,
+}
+
+func TestScenarios(t *testing.T) {
+	bin, err := filepath.Abs("../bin")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := os.Stat(filepath.Join(bin, "cicadawood")); err != nil {
+		t.Fatalf("make build first: %v", err)
+	}
+	folders, err := filepath.Glob("../scenarios/*")
+	if err != nil || len(folders) == 0 {
+		t.Fatalf("no scenarios: %v", err)
+	}
+	for _, folder := range folders {
+		t.Run(filepath.Base(folder), func(t *testing.T) {
+			t.Parallel()
+			testscript.Run(t, testscript.Params{Dir: folder, Cmds: commands, RequireExplicitExec: true, Setup: func(e *testscript.Env) error {
+				e.Setenv("BIN", bin)
+				w := newWorld(e.WorkDir)
+				e.Values[worldKey{}] = w
+				e.Defer(w.close)
+				return nil
+			}})
+		})
+	}
+}
