--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Targets for everything; `make` alone lists them.
 LINT := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 
-.PHONY: help build demo test check fmt lint unit matrix
+.PHONY: help build demo test check fmt matrix unit bench-path bench-slopes
 
 help: ## list the targets
 	@grep -hE '^[a-z-]+:.*## ' $(MAKEFILE_LIST) | sed -E 's/:.*## /\t/' | expand -t 16
@@ -28,3 +28,6 @@
 
 unit: build ## all Go tests
 	go test -count=1 ./...
+
+bench-path: build ## what a host adds to a call, side by side with none
+	./scripts/bench-path.sh bin
--- a/cmd/faker/main.go
+++ b/cmd/faker/main.go
@@ -23,7 +23,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	root := &cobra.Command{Use: "faker", Short: "Stand-ins for tests and the demo", SilenceUsage: true}
-	root.AddCommand(platformCommand(), engineCommand(), serviceCommand(), linkCommand(), trafficCommand())
+	root.AddCommand(platformCommand(), engineCommand(), serviceCommand(), linkCommand(), trafficCommand(), pathCommand())
 	if err := root.ExecuteContext(ctx); err != nil {
 		os.Exit(1)
 	}
@@ -50,9 +50,15 @@
 }
 
 func engineCommand() *cobra.Command {
-	return &cobra.Command{Use: "engine NAME ADDRESS", Args: cobra.ExactArgs(2), Short: "A fake model engine", RunE: func(c *cobra.Command, args []string) error {
-		return serve(c.Context(), args[1], faker.NewEngine(args[0], faker.DefaultModel(), &faker.Counter{}).Handler())
+	m := faker.DefaultModel()
+	c := &cobra.Command{Use: "engine NAME ADDRESS", Args: cobra.ExactArgs(2), Short: "A fake model engine", RunE: func(c *cobra.Command, args []string) error {
+		return serve(c.Context(), args[1], faker.NewEngine(args[0], m, &faker.Counter{}).Handler())
 	}}
+	c.Flags().DurationVar(&m.Step, "step", m.Step, "one batch step")
+	c.Flags().DurationVar(&m.Sequence, "sequence", m.Sequence, "added to a step by each sequence")
+	c.Flags().DurationVar(&m.Prefill, "prefill", m.Prefill, "added to a step by each prompt token")
+	c.Flags().IntVar(&m.Slots, "slots", m.Slots, "sequences in a batch")
+	return c
 }
 
 func serviceCommand() *cobra.Command {
@@ -101,3 +107,20 @@
 	c.Flags().StringVar(&t.Key, "key", "", "API key")
 	return c
 }
+
+func pathCommand() *cobra.Command {
+	var p driver.Path
+	c := &cobra.Command{Use: "path", Args: cobra.NoArgs, Short: "Measure what a host adds to a call", RunE: func(c *cobra.Command, _ []string) error {
+		return p.Run(c.Context(), c.OutOrStdout())
+	}}
+	c.Flags().StringVar(&p.Host, "host", "", "address of the host")
+	c.Flags().StringVar(&p.Engine, "engine", "", "address of the engine")
+	c.Flags().StringVar(&p.Key, "key", "", "API key")
+	c.Flags().IntVar(&p.Process, "process", 0, "process id of the host")
+	c.Flags().IntVar(&p.Rounds, "rounds", 7, "rounds of each way")
+	c.Flags().IntVar(&p.Calls, "calls", 300, "calls a round")
+	c.Flags().IntVar(&p.Workers, "workers", 32, "calls at once when throughput is measured")
+	c.Flags().IntVar(&p.Tokens, "tokens", 32, "tokens a call at most")
+	c.Flags().IntVar(&p.Streams, "streams", 0, "streams to hold open when memory is measured")
+	return c
+}
--- /dev/null
+++ b/driver/path.go
@@ -0,0 +1,251 @@
+package driver
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// openAtOnce bounds the streams that wait for their first token together.
+const openAtOnce = 3000
+
+// Path measures what a host adds to a call: the same calls through the host and
+// directly to the engine, in turns, in one run.
+type Path struct {
+	Host    string // IP:port of the host's entry
+	Engine  string // IP:port of the engine
+	Key     string // API key
+	Process int    // process id of the host
+	Rounds  int    // of each way
+	Calls   int    // a round
+	Workers int    // calls at once in the throughput part
+	Tokens  int    // at most, a call
+	Streams int    // open at once in the memory part; 0 leaves it out
+}
+
+// way is one of the two paths, and what its rounds measured.
+type way struct {
+	name    string
+	address string
+	first   []float64 // p50 to the first token of each round, ms
+	first99 []float64
+	whole   []float64
+	whole99 []float64
+	rate    []float64 // requests a second
+	tokens  []float64 // tokens a second
+	core    []float64 // processor seconds of the host a second
+}
+
+// Run measures and prints.
+func (p Path) Run(ctx context.Context, out io.Writer) error {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: p.Workers + 4}}
+	ways := []*way{{name: "direct", address: p.Engine}, {name: "host", address: p.Host}}
+	for range p.Rounds {
+		for _, w := range ways {
+			if err := p.latency(ctx, client, w); err != nil {
+				return err
+			}
+			if err := p.throughput(ctx, client, w); err != nil {
+				return err
+			}
+		}
+	}
+	if p.Rounds > 0 {
+		p.print(out, ways)
+	}
+	if p.Streams == 0 {
+		return nil
+	}
+	return p.memory(ctx, out)
+}
+
+// latency runs a round of calls one after the other.
+func (p Path) latency(ctx context.Context, client *http.Client, w *way) error {
+	first, whole := newHistogram(), newHistogram()
+	for i := range p.Calls {
+		f, all, _, err := p.call(ctx, client, w.address, p.Tokens, fmt.Sprint(i))
+		if err != nil {
+			return err
+		}
+		_ = first.RecordValue(f.Nanoseconds())
+		_ = whole.RecordValue(all.Nanoseconds())
+	}
+	w.first = append(w.first, milliseconds(first, 50))
+	w.first99 = append(w.first99, milliseconds(first, 99))
+	w.whole = append(w.whole, milliseconds(whole, 50))
+	w.whole99 = append(w.whole99, milliseconds(whole, 99))
+	return nil
+}
+
+// throughput runs a round of calls from many workers at once.
+func (p Path) throughput(ctx context.Context, client *http.Client, w *way) error {
+	before, _, err := usage(p.Process)
+	if err != nil {
+		return err
+	}
+	started := time.Now()
+	var left, tokens atomic.Int64
+	left.Store(int64(p.Calls * 4))
+	var failed atomic.Value
+	var tasks sync.WaitGroup
+	for range p.Workers {
+		tasks.Go(func() {
+			for left.Add(-1) >= 0 {
+				_, _, n, err := p.call(ctx, client, w.address, p.Tokens, "load")
+				if err != nil {
+					failed.Store(err)
+					return
+				}
+				tokens.Add(int64(n))
+			}
+		})
+	}
+	tasks.Wait()
+	if err, ok := failed.Load().(error); ok {
+		return err
+	}
+	took := time.Since(started).Seconds()
+	after, _, err := usage(p.Process)
+	if err != nil {
+		return err
+	}
+	w.rate = append(w.rate, float64(p.Calls*4)/took)
+	w.tokens = append(w.tokens, float64(tokens.Load())/took)
+	w.core = append(w.core, (after-before)/took)
+	return nil
+}
+
+// call makes one streamed call and returns the time to its first event, to its
+// end, and its tokens.
+func (p Path) call(ctx context.Context, client *http.Client, address string, tokens int, id string) (first, whole time.Duration, n int, err error) {
+	started := time.Now()
+	resp, err := p.open(ctx, client, address, tokens, id)
+	if err != nil {
+		return 0, 0, 0, err
+	}
+	defer resp.Body.Close()
+	lines := bufio.NewScanner(resp.Body)
+	last := ""
+	for lines.Scan() {
+		if lines.Text() == "" {
+			continue
+		}
+		if first == 0 {
+			first = time.Since(started)
+		}
+		if strings.Contains(lines.Text(), `"content"`) {
+			n++
+		}
+		last = lines.Text()
+	}
+	if last != "data: [DONE]" {
+		return 0, 0, 0, fmt.Errorf("%s: answer of status %s ended with %q", address, resp.Status, last)
+	}
+	return first, time.Since(started), n, nil
+}
+
+func (p Path) open(ctx context.Context, client *http.Client, address string, tokens int, id string) (*http.Response, error) {
+	body := fmt.Sprintf(`{"model":"cicada-lm","stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"hello"}]}`, tokens)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/chat/completions", strings.NewReader(body))
+	if err != nil {
+		return nil, fmt.Errorf("call %s: %w", address, err)
+	}
+	req.Header.Set("Authorization", "Bearer "+p.Key)
+	req.Header.Set("X-Request-Id", id)
+	resp, err := client.Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("call %s: %w", address, err)
+	}
+	return resp, nil
+}
+
+// memory opens many streams and reads the host's memory before and after.
+func (p Path) memory(ctx context.Context, out io.Writer) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	_, before, err := usage(p.Process)
+	if err != nil {
+		return err
+	}
+	client := &http.Client{Transport: &http.Transport{MaxConnsPerHost: 0, DisableKeepAlives: true}}
+	var opened, refused atomic.Int64
+	var tasks sync.WaitGroup
+	gate := make(chan struct{}, openAtOnce)
+	for range p.Streams {
+		gate <- struct{}{}
+		tasks.Go(func() {
+			defer func() { <-gate }()
+			resp, err := p.open(ctx, client, p.Host, 4096, "open")
+			if err != nil || resp.StatusCode != http.StatusOK {
+				refused.Add(1)
+				return
+			}
+			opened.Add(1)
+			context.AfterFunc(ctx, func() { _ = resp.Body.Close() })
+			go func() { _, _ = io.Copy(io.Discard, resp.Body) }()
+		})
+	}
+	tasks.Wait()
+	_, after, err := usage(p.Process)
+	if err != nil {
+		return err
+	}
+	n := max(opened.Load(), 1)
+	fmt.Fprintf(out, "open streams: %d (%d refused); host memory %.0f MB before, %.0f MB with them: %.1f KB a stream\n",
+		opened.Load(), refused.Load(), before/1e6, after/1e6, (after-before)/float64(n)/1e3)
+	return nil
+}
+
+func (p Path) print(out io.Writer, ways []*way) {
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintf(w, "median of %d rounds (lowest to highest)\tdirect\thost\thost-direct\thost/direct\t\n", p.Rounds)
+	d, h := ways[0], ways[1]
+	row := func(name string, a, b []float64) {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%.3f\t%.2f\t\n", name, spread(a), spread(b), median(b)-median(a), median(b)/median(a))
+	}
+	row("first token p50, ms", d.first, h.first)
+	row("first token p99, ms", d.first99, h.first99)
+	row("whole answer p50, ms", d.whole, h.whole)
+	row("whole answer p99, ms", d.whole99, h.whole99)
+	row("requests a second", d.rate, h.rate)
+	row("tokens a second", d.tokens, h.tokens)
+	fmt.Fprintf(w, "host's cores in use\t\t%s\t\t\t\n", spread(h.core))
+	fmt.Fprintf(w, "requests a second a core\t\t%s\t\t\t\n", spread(ratio(h.rate, h.core)))
+	fmt.Fprintf(w, "tokens a second a core\t\t%s\t\t\t\n", spread(ratio(h.tokens, h.core)))
+	_ = w.Flush()
+}
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1000, time.Minute.Nanoseconds(), 3)
+}
+
+func milliseconds(h *hdrhistogram.Histogram, q float64) float64 {
+	return float64(h.ValueAtQuantile(q)) / 1e6
+}
+
+func ratio(a, b []float64) []float64 {
+	out := make([]float64, len(a))
+	for i := range a {
+		out[i] = a[i] / b[i]
+	}
+	return out
+}
+
+func median(v []float64) float64 {
+	s := slices.Sorted(slices.Values(v))
+	return s[len(s)/2]
+}
+
+func spread(v []float64) string {
+	return fmt.Sprintf("%.3g (%.3g-%.3g)", median(v), slices.Min(v), slices.Max(v))
+}
