Messenger: acknowledge frames and replace silent connections

Cause: a connection between hosts that went silent for good swallowed frames without an error, and a frame written before a break was lost. Frames are numbered; the receiver acknowledges them (cumulative, delayed) on the other direction of the same connection and drops doubles by sender, incarnation and sequence. Unacknowledged beyond the bound: a new connection, a resend. Ruled out: acknowledgements as messages on the peer's own connection (one silent connection would then hide the other), gap checks (a forgotten peer's sequence goes on, so gaps are normal).

--- a/messenger/frame.go
+++ b/messenger/frame.go
@@ -12,38 +12,68 @@
 // MaxFrame is the largest frame, in bytes, that is written or read.
 const MaxFrame = 1 << 20
 
+const (
+	headLength = 4 // bytes before a frame's body
+	ackLength  = 8 // bytes of an acknowledgement
+)
+
 // ErrFrame says that a frame can't be read: the connection is of no more use.
 var ErrFrame = errors.New("bad frame")
 
-func writeFrame(w io.Writer, e Envelope) (int, error) {
-	body, err := msgpack.Marshal(e)
+// hello opens a connection: who sends on it.
+type hello struct {
+	_msgpack    struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
+	Name        string
+	Incarnation uint64
+}
+
+// welcome answers a hello: who receives, and the last sequence it has from the
+// sender's incarnation.
+type welcome struct {
+	_msgpack    struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
+	Incarnation uint64
+	Received    uint64
+}
+
+// parcel is one message on the wire. Its sender is known from the hello.
+type parcel struct {
+	_msgpack   struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
+	Sequence   uint64
+	Generation uint64
+	Kind       string
+	Body       []byte
+}
+
+// writeFrame writes v as one frame and returns the bytes written.
+func writeFrame(w io.Writer, v any) (int, error) {
+	body, err := msgpack.Marshal(v)
 	if err != nil {
 		return 0, fmt.Errorf("%w: %v", ErrFrame, err)
 	}
 	if len(body) > MaxFrame {
 		return 0, fmt.Errorf("%w: %d bytes", ErrFrame, len(body))
 	}
-	buf := make([]byte, 4, 4+len(body))
+	buf := make([]byte, headLength, headLength+len(body))
 	binary.BigEndian.PutUint32(buf, uint32(len(body)))
 	return w.Write(append(buf, body...))
 }
 
-func readFrame(r io.Reader) (Envelope, error) {
-	var head [4]byte
+// readFrame reads one frame into v and returns the bytes read.
+func readFrame(r io.Reader, v any) (int, error) {
+	var head [headLength]byte
 	if _, err := io.ReadFull(r, head[:]); err != nil {
-		return Envelope{}, err
+		return 0, err
 	}
 	n := binary.BigEndian.Uint32(head[:])
 	if n > MaxFrame {
-		return Envelope{}, fmt.Errorf("%w: %d bytes", ErrFrame, n)
+		return 0, fmt.Errorf("%w: %d bytes", ErrFrame, n)
 	}
 	body := make([]byte, n)
 	if _, err := io.ReadFull(r, body); err != nil {
-		return Envelope{}, err
+		return 0, err
 	}
-	var e Envelope
-	if err := msgpack.Unmarshal(body, &e); err != nil {
-		return Envelope{}, fmt.Errorf("%w: %v", ErrFrame, err)
+	if err := msgpack.Unmarshal(body, v); err != nil {
+		return 0, fmt.Errorf("%w: %v", ErrFrame, err)
 	}
-	return e, nil
+	return headLength + int(n), nil
 }
--- /dev/null
+++ b/messenger/inbox.go
@@ -0,0 +1,190 @@
+package messenger
+
+import (
+	"bufio"
+	"encoding/binary"
+	"net"
+	"sync"
+	"time"
+)
+
+const (
+	ackEvery   = 64   // frames, acknowledged at once
+	maxSenders = 4096 // whose last sequence is remembered
+)
+
+// inbox is the receiving side of one sender, by its name. The lock is held
+// while the handler runs, so that frames of an old and of a new connection
+// can't overtake each other.
+type inbox struct {
+	mu          sync.Mutex
+	incarnation uint64
+	last        uint64 // sequence
+	conn        net.Conn
+}
+
+// accepts says whether a frame is new. Failure: a frame is resent on a new
+// connection although the old one had delivered it; its sequence is not above
+// the last one taken from that incarnation.
+func (i *inbox) accepts(sequence uint64) bool { return sequence > i.last }
+
+// attach makes conn the sender's only connection. It refuses an incarnation
+// older than the one known: a process that has been replaced.
+func (i *inbox) attach(h hello, conn net.Conn) (received uint64, ok bool) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if h.Incarnation < i.incarnation {
+		return 0, false
+	}
+	if h.Incarnation > i.incarnation {
+		i.incarnation, i.last = h.Incarnation, 0
+	}
+	if i.conn != nil {
+		_ = i.conn.Close()
+	}
+	i.conn = conn
+	return i.last, true
+}
+
+func (i *inbox) detach(conn net.Conn) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.conn == conn {
+		i.conn = nil
+	}
+}
+
+// inbox returns the sender's inbox. Over maxSenders, one without a connection
+// is forgotten: hosts are replaced for months under new names.
+func (m *Messenger) inbox(name string) *inbox {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if i := m.inboxes[name]; i != nil {
+		return i
+	}
+	if len(m.inboxes) >= maxSenders {
+		for n, i := range m.inboxes {
+			if i.mu.TryLock() {
+				idle := i.conn == nil
+				i.mu.Unlock()
+				if idle {
+					delete(m.inboxes, n)
+					break
+				}
+			}
+		}
+	}
+	i := &inbox{}
+	m.inboxes[name] = i
+	return i
+}
+
+// read takes one connection's frames.
+func (m *Messenger) read(conn net.Conn) {
+	defer m.tasks.Done()
+	defer m.drop(conn)
+	r := bufio.NewReader(conn)
+	var h hello
+	_ = conn.SetDeadline(time.Now().Add(2 * m.config.Silence))
+	n, err := readFrame(r, &h)
+	m.received.Add(uint64(n))
+	if err != nil {
+		return
+	}
+	i := m.inbox(h.Name)
+	received, ok := i.attach(h, conn)
+	if !ok {
+		return
+	}
+	defer i.detach(conn)
+	n, err = writeFrame(conn, welcome{Incarnation: m.config.Incarnation, Received: received})
+	m.sent.Add(uint64(n))
+	if err != nil {
+		return
+	}
+	_ = conn.SetDeadline(time.Time{})
+	a := &acker{m: m, conn: conn}
+	defer a.stop()
+	for m.take(i, h, conn, r, a) {
+	}
+}
+
+// take reads one frame and hands it on; false ends the connection.
+func (m *Messenger) take(i *inbox, h hello, conn net.Conn, r *bufio.Reader, a *acker) bool {
+	var p parcel
+	_ = conn.SetReadDeadline(time.Now().Add(2 * m.config.Idle))
+	n, err := readFrame(r, &p)
+	m.received.Add(uint64(n))
+	if err != nil {
+		return false
+	}
+	e := Envelope{From: h.Name, Incarnation: h.Incarnation, Sequence: p.Sequence, Generation: p.Generation, Kind: p.Kind, Body: p.Body}
+	msg, err := e.Message()
+	if err != nil {
+		return false
+	}
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.conn != conn {
+		return false
+	}
+	if i.accepts(p.Sequence) {
+		i.last = p.Sequence
+		m.handler(e, msg)
+	} else {
+		m.duplicates.Add(1)
+	}
+	a.add(i.last)
+	return true
+}
+
+// acker acknowledges a connection's frames: cumulative, and delayed so that
+// many frames share one acknowledgement.
+type acker struct {
+	m    *Messenger
+	conn net.Conn
+
+	mu    sync.Mutex
+	last  uint64
+	count int
+	timer *time.Timer
+}
+
+func (a *acker) add(sequence uint64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.last = sequence
+	a.count++
+	switch {
+	case a.count >= ackEvery:
+		a.write()
+	case a.count == 1 && a.timer == nil:
+		a.timer = time.AfterFunc(a.m.config.Delay, a.flush)
+	case a.count == 1:
+		a.timer.Reset(a.m.config.Delay)
+	}
+}
+
+func (a *acker) flush() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.count > 0 {
+		a.write()
+	}
+}
+
+func (a *acker) write() {
+	a.count = 0
+	b := binary.BigEndian.AppendUint64(nil, a.last)
+	_ = a.conn.SetWriteDeadline(time.Now().Add(a.m.config.Silence))
+	n, _ := a.conn.Write(b)
+	a.m.sent.Add(uint64(n))
+}
+
+func (a *acker) stop() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.timer != nil {
+		a.timer.Stop()
+	}
+}
--- a/messenger/message.go
+++ b/messenger/message.go
@@ -1,9 +1,11 @@
 // Package messenger carries typed messages between hosts: msgpack bodies in
 // length-prefixed frames over TCP.
 //
-// A frame is a 4-byte big-endian length and a msgpack envelope. Every envelope
-// carries its sender, the sender's incarnation, a sequence number, and the
-// configuration generation the sender has in force.
+// A connection carries one sender's frames one way and their acknowledgements
+// the other. It opens with a hello (name, incarnation) and a welcome (the
+// receiver's incarnation, the last sequence it has). A frame is a 4-byte
+// big-endian length and a msgpack array: sequence, configuration generation of
+// the sender, kind, body. An acknowledgement is the last sequence, 8 bytes big-endian.
 package messenger
 
 import (
@@ -101,15 +103,14 @@
 func (Claim) kind() string    { return "claim" }
 func (Moved) kind() string    { return "moved" }
 
-// Envelope is one frame's content.
+// Envelope is one frame's content, with its sender.
 type Envelope struct {
-	From        string `msgpack:"from"`
-	Incarnation uint64 `msgpack:"inc"`
-	Sequence    uint64 `msgpack:"seq"`
-	Generation  uint64 `msgpack:"gen"`
-	Ack         uint64 `msgpack:"ack"`
-	Kind        string `msgpack:"kind"`
-	Body        []byte `msgpack:"body"`
+	From        string
+	Incarnation uint64 // of the sender's messenger
+	Sequence    uint64
+	Generation  uint64 // of the configuration that the sender has in force
+	Kind        string
+	Body        []byte
 }
 
 // Message decodes the envelope's body.
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -1,7 +1,6 @@
 package messenger
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -13,55 +12,59 @@
 	"github.com/vmihailenco/msgpack/v5"
 )
 
-const (
-	queueLength  = 4096
-	dialTimeout  = time.Second
-	writeTimeout = 2 * time.Second
-	retryPause   = 50 * time.Millisecond
-)
-
 // ErrFull says that a peer takes messages more slowly than they are sent: the
 // message was dropped, so that a slow peer can't hold this host's memory.
 var ErrFull = errors.New("peer's queue is full")
 
+// ErrClosed says that the messenger has ended.
+var ErrClosed = errors.New("messenger is closed")
+
 // Handler gets every message that arrives, in order for each sender.
 type Handler func(e Envelope, m Message)
 
-// Messenger sends messages to other hosts and receives theirs.
+// Messenger sends messages to other hosts and receives theirs. While both ends
+// live and reach each other within Config.Hold, each message arrives once and
+// in order, whatever happens to connections.
 type Messenger struct {
-	self        string
-	incarnation uint64
-	generation  atomic.Uint64
-	sent        atomic.Uint64 // bytes
-	received    atomic.Uint64 // bytes
-	handler     Handler
-	listener    net.Listener
-	ctx         context.Context
-	stop        context.CancelFunc
-	tasks       sync.WaitGroup
-
-	mu    sync.Mutex
-	peers map[string]*peer // by address
-	conns map[net.Conn]bool
+	config     Config
+	generation atomic.Uint64
+	sequence   atomic.Uint64 // of the last message to any peer, so that a peer can be forgotten
+	sent       atomic.Uint64
+	received   atomic.Uint64
+	resent     atomic.Uint64
+	replaced   atomic.Uint64
+	dropped    atomic.Uint64
+	duplicates atomic.Uint64
+	handler    Handler
+	listener   net.Listener
+	ctx        context.Context
+	stop       context.CancelFunc
+	tasks      sync.WaitGroup
+
+	mu      sync.Mutex
+	closed  bool
+	peers   map[string]*peer  // by address
+	inboxes map[string]*inbox // by sender's name
+	conns   map[net.Conn]bool
 }
 
-// peer is the sending side towards one address.
-type peer struct {
-	address string
-	queue   chan Message
+// New listens on address with default settings and returns the messenger and
+// its clean-up.
+func New(self string, incarnation uint64, address string, h Handler) (*Messenger, func(), error) {
+	return Open(Config{Name: self, Incarnation: incarnation, Address: address}, h)
 }
 
-// New listens on address and returns the messenger and its clean-up.
-// The handler runs on a reader's goroutine and must not block for long.
-func New(self string, incarnation uint64, address string, h Handler) (*Messenger, func(), error) {
-	l, err := net.Listen("tcp", address)
+// Open listens and returns the messenger and its clean-up. The handler runs on
+// a reader's goroutine and must not block for long.
+func Open(c Config, h Handler) (*Messenger, func(), error) {
+	l, err := net.Listen("tcp", c.Address)
 	if err != nil {
 		return nil, nil, fmt.Errorf("listen for hosts: %w", err)
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	m := &Messenger{
-		self: self, incarnation: incarnation, handler: h, listener: l, ctx: ctx, stop: stop,
-		peers: map[string]*peer{}, conns: map[net.Conn]bool{},
+		config: c.withDefaults(), handler: h, listener: l, ctx: ctx, stop: stop,
+		peers: map[string]*peer{}, inboxes: map[string]*inbox{}, conns: map[net.Conn]bool{},
 	}
 	m.tasks.Add(1)
 	go m.accept()
@@ -77,87 +80,85 @@
 // Traffic is the bytes sent and received so far.
 func (m *Messenger) Traffic() (sent, received uint64) { return m.sent.Load(), m.received.Load() }
 
-// Send queues a message for the host at address. It never blocks.
-func (m *Messenger) Send(address string, msg Message) error {
-	select {
-	case m.peer(address).queue <- msg:
-		return nil
-	default:
-		return fmt.Errorf("send to %s: %w", address, ErrFull)
+// Counts is what the messenger has done so far.
+func (m *Messenger) Counts() Counts {
+	return Counts{
+		Sent: m.sent.Load(), Received: m.received.Load(), Resent: m.resent.Load(),
+		Replaced: m.replaced.Load(), Dropped: m.dropped.Load(), Duplicates: m.duplicates.Load(),
 	}
 }
 
-func (m *Messenger) peer(address string) *peer {
+// Send queues a message for the host at address. It never blocks.
+func (m *Messenger) Send(address string, msg Message) error {
+	body, err := msgpack.Marshal(msg)
+	if err != nil {
+		return fmt.Errorf("%w: %v", ErrFrame, err)
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.closed {
+		return fmt.Errorf("send to %s: %w", address, ErrClosed)
+	}
 	p := m.peers[address]
 	if p == nil {
-		p = &peer{address: address, queue: make(chan Message, queueLength)}
+		p = newPeer(m, address)
 		m.peers[address] = p
 		m.tasks.Add(1)
-		go m.send(p)
+		defer func() { go p.run() }()
 	}
-	return p
+	return p.add(msg.kind(), body)
 }
 
-// send owns the outgoing connection of one peer.
-func (m *Messenger) send(p *peer) {
-	defer m.tasks.Done()
-	var conn net.Conn
-	var sequence uint64
-	defer func() {
-		if conn != nil {
-			_ = conn.Close()
-		}
-	}()
-	for {
+// Renew replaces the connection to address, so that what is sent next is tried
+// on a new one.
+func (m *Messenger) Renew(address string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if p := m.peers[address]; p != nil {
+		poke(p.renew)
+	}
+}
+
+// Flush waits until every peer that can be reached has acknowledged what was
+// sent to it, or ctx ends.
+func (m *Messenger) Flush(ctx context.Context) {
+	ticker := time.NewTicker(m.config.Delay)
+	defer ticker.Stop()
+	for m.pending() {
 		select {
-		case <-m.ctx.Done():
+		case <-ctx.Done():
 			return
-		case msg := <-p.queue:
-			sequence++
-			conn = m.deliver(p, conn, msg, sequence)
+		case <-ticker.C:
 		}
 	}
 }
 
-// deliver writes one message, on a new connection where the old one fails, and
-// returns the connection to go on with.
-func (m *Messenger) deliver(p *peer, conn net.Conn, msg Message, sequence uint64) net.Conn {
-	body, err := msgpack.Marshal(msg)
-	if err != nil {
-		return conn
-	}
-	e := Envelope{From: m.self, Incarnation: m.incarnation, Sequence: sequence, Generation: m.generation.Load(), Kind: msg.kind(), Body: body}
-	for m.ctx.Err() == nil {
-		if conn == nil {
-			if conn, err = m.dial(p.address); err != nil {
-				return nil
-			}
-		}
-		_ = conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-		n, err := writeFrame(conn, e)
-		m.sent.Add(uint64(n))
-		if err == nil {
-			return conn
+func (m *Messenger) pending() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, p := range m.peers {
+		p.mu.Lock()
+		waiting := len(p.outbox.items) > 0 && (p.reachable || !p.known)
+		p.mu.Unlock()
+		if waiting {
+			return true
 		}
-		_ = conn.Close()
-		conn = nil
 	}
-	return conn
+	return false
 }
 
-func (m *Messenger) dial(address string) (net.Conn, error) {
-	d := net.Dialer{Timeout: dialTimeout}
-	conn, err := d.DialContext(m.ctx, "tcp", address)
-	if err == nil {
-		return conn, nil
-	}
-	select {
-	case <-m.ctx.Done():
-	case <-time.After(retryPause):
+// forget removes a peer that nothing is waiting for, and says whether it did.
+// Its goroutine then ends: hosts are replaced for months under new addresses.
+func (m *Messenger) forget(p *peer) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.outbox.items) > 0 {
+		return false
 	}
-	return nil, err
+	delete(m.peers, p.address)
+	return true
 }
 
 func (m *Messenger) accept() {
@@ -167,41 +168,37 @@
 		if err != nil {
 			return
 		}
-		m.mu.Lock()
-		m.conns[conn] = true
-		m.mu.Unlock()
-		m.tasks.Add(1)
-		go m.read(conn)
+		if m.keep(conn) {
+			m.tasks.Add(1)
+			go m.read(conn)
+		}
 	}
 }
 
-func (m *Messenger) read(conn net.Conn) {
-	defer m.tasks.Done()
-	defer func() {
-		m.mu.Lock()
-		delete(m.conns, conn)
-		m.mu.Unlock()
+// keep remembers an open connection for close; false where that has begun.
+func (m *Messenger) keep(conn net.Conn) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.closed {
 		_ = conn.Close()
-	}()
-	r := bufio.NewReader(conn)
-	for {
-		e, err := readFrame(r)
-		if err != nil {
-			return
-		}
-		m.received.Add(uint64(len(e.Body)))
-		msg, err := e.Message()
-		if err != nil {
-			return
-		}
-		m.handler(e, msg)
+		return false
 	}
+	m.conns[conn] = true
+	return true
+}
+
+func (m *Messenger) drop(conn net.Conn) {
+	m.mu.Lock()
+	delete(m.conns, conn)
+	m.mu.Unlock()
+	_ = conn.Close()
 }
 
 func (m *Messenger) close() {
 	m.stop()
 	_ = m.listener.Close()
 	m.mu.Lock()
+	m.closed = true
 	for c := range m.conns {
 		_ = c.Close()
 	}
