--- a/commander/cmd_serve.go
+++ b/commander/cmd_serve.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 
 	zaplogfmt "github.com/jsternberg/zap-logfmt"
 	"github.com/spf13/cobra"
@@ -34,7 +36,7 @@
 			return usage(fmt.Errorf("--level: %w", err))
 		}
 		log := newLogger(level).With(zap.String("host", settings.Name))
-		return runner.Run(ctx, settings, log)
+		return runner.RunUntil(ctx, again(ctx), settings, log)
 	},
 }
 
@@ -45,3 +47,15 @@
 	config.EncodeDuration = zapcore.StringDurationEncoder
 	return zap.New(zapcore.NewCore(zaplogfmt.NewEncoder(config), zapcore.Lock(os.Stderr), level))
 }
+
+// again is closed at the second signal to stop, which ends a graceful shutdown.
+func again(ctx context.Context) <-chan struct{} {
+	hurry := make(chan struct{})
+	context.AfterFunc(ctx, func() {
+		signals := make(chan os.Signal, 1)
+		signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+		<-signals
+		close(hurry)
+	})
+	return hurry
+}
--- a/faker/platform.go
+++ b/faker/platform.go
@@ -20,6 +20,9 @@
 // Platform is a fake of the platform's Object API: versions, conditional
 // updates, lists and watches, with faults on demand.
 type Platform struct {
+	// Hosts is the host list.
+	Hosts HostList
+
 	mu       sync.Mutex
 	revision uint64
 	objects  map[string]object
@@ -74,6 +77,8 @@
 	m.HandleFunc("GET /objects/{key...}", p.guard(p.get))
 	m.HandleFunc("PUT /objects/{key...}", p.guard(p.put))
 	m.HandleFunc("DELETE /objects/{key...}", p.guard(p.delete))
+	m.HandleFunc("GET /hosts", p.guard(p.Hosts.get))
+	m.HandleFunc("PUT /hosts", p.Hosts.put)
 	m.HandleFunc("POST /faults", p.setFaults)
 	m.HandleFunc("GET /calls", func(w http.ResponseWriter, _ *http.Request) {
 		reads, writes := p.Calls()
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -58,6 +58,7 @@
 type Forwarder struct {
 	http    *http.Client
 	silence time.Duration
+	report  func(address string) // of refusals; may be nil
 }
 
 // New returns a forwarder that gives up on a connection after silence without a
@@ -90,6 +91,7 @@
 		return nil, failure(err)
 	}
 	if resp.Header.Get(HeaderRun) == "no" && resp.StatusCode >= 500 {
+		f.refused(address)
 		_ = resp.Body.Close()
 		cancel(nil)
 		return nil, fmt.Errorf("%w: backend server answered %s", ErrNotRun, resp.Status)
--- a/loader/host.go
+++ b/loader/host.go
@@ -29,7 +29,9 @@
 	Read    Duration `json:"read"`    // for a caller to send its request
 	Stall   Duration `json:"stall"`   // for a caller to take a piece of its answer
 	Silence Duration `json:"silence"` // on a connection to a backend server or host, before it is replaced
-	Lease   Duration `json:"lease"`   // of this host's record
+	Lease   Duration `json:"lease"`   // of this host in the Object API
+	Beat    Duration `json:"beat"`    // between heartbeats to other hosts
+	Link    Duration `json:"link"`    // without an acknowledgement on a connection between hosts, before it is replaced
 	Drain   Duration `json:"drain"`   // for requests in flight to end after SIGTERM
 	Settle  Duration `json:"settle"`  // for the balancer to notice unreadiness
 }
@@ -55,7 +57,9 @@
 	set(&l.Read, 10*time.Second)
 	set(&l.Stall, 10*time.Second)
 	set(&l.Silence, 2*time.Second)
-	set(&l.Lease, 5*time.Second)
+	set(&l.Lease, 20*time.Second)
+	set(&l.Beat, 250*time.Millisecond)
+	set(&l.Link, 500*time.Millisecond)
 	set(&l.Drain, 60*time.Second)
 	set(&l.Settle, 3*time.Second)
 	return l
--- /dev/null
+++ b/messenger/member.go
@@ -0,0 +1,92 @@
+package messenger
+
+// Beat is a heartbeat: the sender, in this incarnation, was alive when it left.
+type Beat struct {
+	_msgpack    struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
+	Incarnation uint64
+	Digest      uint64 // of the sender's roster
+	Reply       bool   // answers a Probe: the receiver's incarnation counts as alive here
+}
+
+// Probe asks for a Beat at once.
+type Probe struct {
+	_msgpack    struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
+	Incarnation uint64
+	Digest      uint64
+}
+
+// Suspect tells the other observers of a host that the sender hears it no more.
+type Suspect struct {
+	_msgpack    struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
+	Host        string
+	Incarnation uint64
+}
+
+// Vouch refutes a Suspect: the sender hears the host itself.
+type Vouch struct {
+	_msgpack    struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
+	Host        string
+	Incarnation uint64
+}
+
+// Fact is what is known of one host. Of two facts the one with the higher
+// incarnation holds, then the one with the higher status.
+type Fact struct {
+	_msgpack    struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
+	Name        string
+	Zone        string
+	Region      string
+	Control     string
+	Admin       string
+	Incarnation uint64
+	Status      uint8
+}
+
+// News passes facts on.
+type News struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
+	Facts    []Fact
+	Whole    bool // all that the sender knows: answer with what it lacks
+}
+
+// Sync asks for all facts.
+type Sync struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
+}
+
+// Away tells a dispatcher that a backend server answered a call with "not run".
+type Away struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
+	Address  string
+}
+
+func (Away) kind() string    { return "away" }
+func (Beat) kind() string    { return "beat" }
+func (Probe) kind() string   { return "probe" }
+func (Suspect) kind() string { return "suspect" }
+func (Vouch) kind() string   { return "vouch" }
+func (News) kind() string    { return "news" }
+func (Sync) kind() string    { return "sync" }
+
+// decodeMember decodes the messages of this file; ok is false for others.
+func decodeMember(e Envelope) (m Message, ok bool, err error) {
+	switch e.Kind {
+	case "away":
+		m, err = decode[Away](e)
+	case "beat":
+		m, err = decode[Beat](e)
+	case "probe":
+		m, err = decode[Probe](e)
+	case "suspect":
+		m, err = decode[Suspect](e)
+	case "vouch":
+		m, err = decode[Vouch](e)
+	case "news":
+		m, err = decode[News](e)
+	case "sync":
+		m, err = decode[Sync](e)
+	default:
+		return nil, false, nil
+	}
+	return m, true, err
+}
--- a/messenger/message.go
+++ b/messenger/message.go
@@ -135,6 +135,9 @@
 	case "moved":
 		return decode[Moved](e)
 	default:
+		if m, ok, err := decodeMember(e); ok {
+			return m, err
+		}
 		return nil, fmt.Errorf("%w: kind %q", ErrFrame, e.Kind)
 	}
 }
--- /dev/null
+++ b/registrar/follow.go
@@ -0,0 +1,84 @@
+package registrar
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/cicadawood/cicadawood/storer"
+)
+
+// Prefix is where host records live in the Object API. They change only when a
+// host joins, leaves or rejoins, so a watch of all of them stays quiet.
+const Prefix = "hosts/"
+
+const (
+	watchWait  = 20 * time.Second
+	relistWait = 60 * time.Second // at most between two lists, against changes that a watch lost
+	retryWait  = 500 * time.Millisecond
+)
+
+// follow reads all records, then watches them, and starts anew where the watch
+// has a gap.
+func (r *Registrar) follow(ctx context.Context) {
+	for ctx.Err() == nil {
+		objects, revision, err := r.config.Store.List(ctx, Prefix)
+		if err == nil {
+			r.stored(objects)
+			err = r.watch(ctx, revision)
+		}
+		if err != nil && ctx.Err() == nil {
+			r.config.Log.Warn("roster", zap.Error(err))
+			wait(ctx, jitter(retryWait))
+		}
+	}
+}
+
+// watch takes changes until it is time to list again.
+func (r *Registrar) watch(ctx context.Context, after uint64) error {
+	until := time.Now().Add(jitter(relistWait))
+	for ctx.Err() == nil && time.Now().Before(until) {
+		objects, revision, err := r.config.Store.Watch(ctx, Prefix, after, watchWait)
+		if err != nil {
+			return err
+		}
+		r.stored(objects)
+		after = revision
+	}
+	return nil
+}
+
+func (r *Registrar) stored(objects []storer.Object) {
+	var records []Record
+	for _, o := range objects {
+		if h, ok := recordOf(o); ok && !o.Deleted {
+			records = append(records, h)
+		}
+	}
+	if len(records) > 0 {
+		r.post(func(now time.Time) []Output { return r.members.Stored(now, records) })
+	}
+}
+
+func recordOf(o storer.Object) (Record, bool) {
+	var h Record
+	err := json.Unmarshal(o.Value, &h)
+	h.Parted = false
+	return h, err == nil && h.Name != "" && Prefix+h.Name == o.Key
+}
+
+// jitter is d with a random half taken or added, so that a fleet does not come
+// back to the store in one instant.
+func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d) }
+
+func wait(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/registrar/members.go
@@ -0,0 +1,336 @@
+package registrar
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cicadawood/cicadawood/messenger"
+)
+
+// Statuses of a host in a messenger.Fact.
+const (
+	alive uint8 = iota
+	leaving
+	gone // dead or left; final for the incarnation
+)
+
+// Bounds in heartbeat intervals.
+const (
+	suspectBeats = 3   // unheard before a host is suspected
+	confirmBeats = 1.5 // for a suspicion to be refuted
+	doubtBeats   = 4   // for a host that was paused to hear whether it still counts
+	voteBeats    = 8   // that another observer's suspicion counts
+	syncBeats    = 4   // least between two Syncs
+	mismatches   = 2   // beats with another digest before a Sync
+	remoteEvery  = 4   // beats between those to another region
+	partnerTurns = 240 // beats with one partner in another region
+)
+
+// tombstoneAge is how long a host that is gone is remembered.
+const tombstoneAge = time.Hour
+
+// leaseVoter is the vote of a lapsed lease in the Object API.
+const leaseVoter = "\x00lease"
+
+// Output is what Members decides. It is one of the types below.
+type Output interface{ output() }
+
+// Send sends a message to a host, on a new connection where Fresh.
+type Send struct {
+	To      Record
+	Message messenger.Message
+	Fresh   bool
+}
+
+// Changed is a new roster.
+type Changed struct{ Roster Roster }
+
+// Suspected says that this host began to suspect another.
+type Suspected struct{ Host Record }
+
+// Doubted asks whether a host's lease has lapsed: no second observer decides.
+type Doubted struct{ Host Record }
+
+// Died says that this host concluded that another is dead.
+type Died struct{ Host Record }
+
+// Rejoined says that this host was declared dead and is back under a new incarnation.
+type Rejoined struct{ Self Record }
+
+// Superseded says that another process runs under this host's name.
+type Superseded struct{ Self Record }
+
+func (Send) output()       {}
+func (Changed) output()    {}
+func (Suspected) output()  {}
+func (Doubted) output()    {}
+func (Died) output()       {}
+func (Rejoined) output()   {}
+func (Superseded) output() {}
+
+// member is one host, this one included.
+type member struct {
+	fact      messenger.Fact
+	direct    time.Time // last heard by this host itself
+	heard     time.Time // last heard, or vouched for
+	suspected time.Time // zero where it is not
+	since     time.Time // of the fact
+	votes     map[string]time.Time
+	unreached bool // the messenger gets no connection
+	parted    bool // counts as out of reach
+	mismatch  int  // beats with another digest than ours
+}
+
+// Members decides who is alive, as one host sees it. It is pure: time comes in
+// as an argument and what is to be done comes out. It is not safe for
+// concurrent use.
+type Members struct {
+	beat     time.Duration
+	self     *member
+	members  map[string]*member // this host included
+	roster   Roster
+	ring     ring
+	digest   uint64
+	ticked   time.Time
+	synced   time.Time
+	doubt    time.Time // since when this host does not know whether it still counts
+	outcast  bool      // declared dead, not yet back
+	replaced bool      // another process has the name
+	ended    bool
+	turn     int
+	out      []Output
+}
+
+// NewMembers returns the members as a host that knows only itself sees them.
+func NewMembers(now time.Time, self Record, beat time.Duration) *Members {
+	m := &Members{beat: beat, members: map[string]*member{}, ticked: now}
+	m.self = &member{fact: factOf(self), since: now}
+	m.members[self.Name] = m.self
+	m.rebuild(now)
+	return m
+}
+
+func factOf(r Record) messenger.Fact {
+	f := messenger.Fact{Name: r.Name, Zone: r.Zone, Region: r.Region, Control: r.Control, Admin: r.Admin, Incarnation: r.Incarnation}
+	if r.Leaving {
+		f.Status = leaving
+	}
+	return f
+}
+
+func (m *member) record() Record {
+	f := m.fact
+	return Record{Name: f.Name, Zone: f.Zone, Region: f.Region, Control: f.Control, Admin: f.Admin, Incarnation: f.Incarnation, Leaving: f.Status == leaving, Parted: m.parted}
+}
+
+// Roster is the hosts that count as alive. A host that was declared dead, or
+// does not know whether it was, is not on its own roster: it takes no role.
+func (m *Members) Roster() Roster { return m.roster }
+
+// Self is this host's record.
+func (m *Members) Self() Record { return m.self.record() }
+
+// after is a number of heartbeat intervals.
+func (m *Members) after(beats float64) time.Duration {
+	return time.Duration(beats * float64(m.beat))
+}
+
+// flush returns what was decided.
+func (m *Members) flush() []Output {
+	out := m.out
+	m.out = nil
+	return out
+}
+
+func (m *Members) send(to string, msg messenger.Message) {
+	if x := m.members[to]; x != nil && x != m.self {
+		m.out = append(m.out, Send{To: x.record(), Message: msg})
+	}
+}
+
+// Leave marks this host as leaving: it takes no new roles.
+func (m *Members) Leave(now time.Time) []Output {
+	m.own(now, leaving)
+	return m.flush()
+}
+
+// Left takes this host out of the roster, for good.
+func (m *Members) Left(now time.Time) []Output {
+	m.ended = true
+	m.own(now, gone)
+	return m.flush()
+}
+
+func (m *Members) own(now time.Time, status uint8) {
+	m.self.fact.Status, m.self.since = status, now
+	m.spread("", []messenger.Fact{m.self.fact})
+	m.rebuild(now)
+}
+
+// Reach takes the messenger's outcome for a host. Failure: two hosts lose each
+// other while the rest hear both, so neither is dead; it shows as a dispatcher
+// that an entry can't reach. The entry then goes to the next host in order.
+func (m *Members) Reach(now time.Time, host string, reachable bool) []Output {
+	if x := m.members[host]; x != nil && x != m.self && x.unreached == reachable {
+		x.unreached = !reachable
+		m.part(now)
+	}
+	return m.flush()
+}
+
+// Stored takes the records of the Object API: all of them, or those changed.
+// What is missing in the store is no proof of death.
+func (m *Members) Stored(now time.Time, records []Record) []Output {
+	var facts []messenger.Fact
+	for _, r := range records {
+		facts = append(facts, factOf(r))
+	}
+	m.merge(now, "", facts)
+	return m.flush()
+}
+
+// Lapsed takes that a host's lease in the Object API has lapsed, or is gone.
+// It is one vote: peers that hear the host outvote it.
+func (m *Members) Lapsed(now time.Time, host string, incarnation uint64) []Output {
+	if x := m.members[host]; x != nil && x.fact.Incarnation == incarnation && !x.suspected.IsZero() {
+		x.vote(now, leaseVoter)
+	}
+	return m.flush()
+}
+
+func (m *member) vote(now time.Time, by string) {
+	if m.votes == nil {
+		m.votes = map[string]time.Time{}
+	}
+	m.votes[by] = now
+}
+
+func (m *member) trust(now time.Time) {
+	m.heard, m.suspected, m.votes = now, time.Time{}, nil
+}
+
+// newer says whether fact a holds against b.
+func newer(a, b messenger.Fact) bool {
+	return cmp.Or(cmp.Compare(a.Incarnation, b.Incarnation), cmp.Compare(a.Status, b.Status)) > 0
+}
+
+// merge takes facts from a host, or from the store (""), and passes on what is
+// new. Facts only ever grow, so hosts that hear each other converge whatever
+// the order in which facts reach them.
+func (m *Members) merge(now time.Time, from string, facts []messenger.Fact) {
+	var fresh []messenger.Fact
+	for _, f := range facts {
+		switch x := m.members[f.Name]; {
+		case x == m.self:
+			m.told(now, f)
+		case x == nil && f.Status == gone: // else tombstones would go round for ever
+		case x == nil:
+			m.members[f.Name] = &member{fact: f, heard: now, since: now}
+			fresh = append(fresh, f)
+		case newer(f, x.fact):
+			if f.Control == "" { // a bare death notice
+				f.Zone, f.Region, f.Control, f.Admin = x.fact.Zone, x.fact.Region, x.fact.Control, x.fact.Admin
+			}
+			if f.Incarnation > x.fact.Incarnation {
+				x.trust(now)
+			}
+			x.fact, x.since = f, now
+			fresh = append(fresh, f)
+		}
+	}
+	if len(fresh) > 0 {
+		m.rebuild(now)
+		m.spread(from, fresh)
+	}
+}
+
+// told takes what others say of this host. Failure: this host was frozen, others
+// declared it dead and took its roles; it shows as a fact "gone" of its present
+// incarnation. That is final, so it comes back as a new one.
+func (m *Members) told(now time.Time, f messenger.Fact) {
+	switch {
+	case m.ended || m.replaced || !newer(f, m.self.fact):
+		return
+	case f.Incarnation > m.self.fact.Incarnation:
+		m.replaced = true
+		m.out = append(m.out, Superseded{Self: m.self.record()})
+		m.rebuild(now)
+	case f.Status == gone:
+		m.rejoin(now)
+	}
+}
+
+func (m *Members) rejoin(now time.Time) {
+	m.outcast = true
+	m.rebuild(now) // others know of roles lost before they hear of the new incarnation
+	m.self.fact.Incarnation = max(m.self.fact.Incarnation+1, uint64(now.UnixNano()))
+	m.self.since = now
+	m.outcast, m.doubt = false, time.Time{}
+	m.rebuild(now)
+	m.spread("", []messenger.Fact{m.self.fact})
+	m.out = append(m.out, Rejoined{Self: m.self.record()})
+}
+
+// names is the hosts that are not gone, this one excluded, in order.
+func (m *Members) names() []string {
+	var names []string
+	for _, h := range m.roster.hosts {
+		if h.Name != m.self.fact.Name {
+			names = append(names, h.Name)
+		}
+	}
+	return names
+}
+
+// rebuild renews what follows from the facts.
+func (m *Members) rebuild(now time.Time) {
+	var all, counted []Record
+	for name, x := range m.members {
+		if x.fact.Status == gone {
+			if x != m.self && now.Sub(x.since) > tombstoneAge {
+				delete(m.members, name)
+			}
+			continue
+		}
+		all = append(all, x.record())
+		if x != m.self || m.counts() {
+			counted = append(counted, x.record())
+		}
+	}
+	digest := NewRoster(all...).Digest()
+	if digest != m.digest {
+		m.digest = digest
+		before := m.ring.observers[m.self.fact.Name]
+		m.ring = newRing(all)
+		m.introduce(before)
+	}
+	r := NewRoster(counted...)
+	if !slices.Equal(r.hosts, m.roster.hosts) {
+		m.roster = r
+		m.out = append(m.out, Changed{Roster: r})
+	}
+}
+
+func (m *Members) counts() bool { return !m.outcast && !m.replaced && m.doubt.IsZero() }
+
+// introduce sends this host's fact to observers that are new: they may know
+// nothing of it yet, and could not answer its heartbeats.
+func (m *Members) introduce(before []string) {
+	for _, o := range m.ring.observers[m.self.fact.Name] {
+		if !slices.Contains(before, o) {
+			m.send(o, messenger.News{Facts: []messenger.Fact{m.self.fact}})
+		}
+	}
+}
+
+// sortedMembers is every member in name order, so that decisions come out the
+// same each time.
+func (m *Members) sortedMembers() []*member {
+	var out []*member
+	for _, name := range slices.Sorted(maps.Keys(m.members)) {
+		out = append(out, m.members[name])
+	}
+	return out
+}
--- /dev/null
+++ b/registrar/recorder.go
@@ -0,0 +1,202 @@
+package registrar
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/cicadawood/cicadawood/storer"
+)
+
+// LeasePrefix is where leases live in the Object API. They are apart from the
+// records and nobody watches them: else every renewal would wake every host.
+const LeasePrefix = "leases/"
+
+const removeTimeout = time.Second
+
+// recorder writes this host's record and lease, and removes those of the dead.
+type recorder struct {
+	store storer.Store
+	lease time.Duration
+	log   *zap.Logger
+	wake  chan struct{}
+
+	mu   sync.Mutex
+	self Record // to be stored; a zero Record stores nothing
+	dead map[string]uint64
+}
+
+func newRecorder(s storer.Store, self Record, lease time.Duration, log *zap.Logger) *recorder {
+	return &recorder{store: s, lease: lease, log: log, wake: make(chan struct{}, 1), self: self, dead: map[string]uint64{}}
+}
+
+// write has the record stored soon.
+func (c *recorder) write(self Record) {
+	c.mu.Lock()
+	c.self = self
+	c.mu.Unlock()
+	c.poke()
+}
+
+// bury has a dead host's record and lease removed soon.
+func (c *recorder) bury(h Record) {
+	c.mu.Lock()
+	c.dead[h.Name] = h.Incarnation
+	c.mu.Unlock()
+	c.poke()
+}
+
+func (c *recorder) poke() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// run keeps the store in step until ctx ends: half a lease between renewals.
+func (c *recorder) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause := c.lease/4 + jitter(c.lease/4)
+		if err := c.pass(ctx); err != nil && ctx.Err() == nil {
+			c.log.Warn("renew", zap.Error(err))
+			pause = jitter(retryWait)
+		}
+		t := time.NewTimer(pause)
+		select {
+		case <-ctx.Done():
+		case <-t.C:
+		case <-c.wake:
+		}
+		t.Stop()
+	}
+}
+
+// pass does all that is due. Every step may be done again: a write whose reply
+// was lost is settled by the next pass, which reads before it writes.
+func (c *recorder) pass(ctx context.Context) error {
+	c.mu.Lock()
+	self := c.self
+	dead := make(map[string]uint64, len(c.dead))
+	for name, incarnation := range c.dead {
+		dead[name] = incarnation
+	}
+	c.mu.Unlock()
+	if self.Name != "" {
+		if err := c.renew(ctx, self); err != nil {
+			return err
+		}
+	}
+	for name, incarnation := range dead {
+		if err := c.removeDead(ctx, name, incarnation); err != nil {
+			return err
+		}
+		c.mu.Lock()
+		if c.dead[name] == incarnation {
+			delete(c.dead, name)
+		}
+		c.mu.Unlock()
+	}
+	return nil
+}
+
+// renew writes the lease, and the record where the store has another. Failure:
+// a process that was frozen while its name was given to a new one must not
+// overwrite the new one's record; the condition on what was read prevents it.
+func (c *recorder) renew(ctx context.Context, self Record) error {
+	o, err := c.store.Get(ctx, Prefix+self.Name)
+	if err != nil && !errors.Is(err, storer.ErrNotFound) {
+		return fmt.Errorf("read record: %w", err)
+	}
+	stored, _ := recordOf(o)
+	if stored.Incarnation > self.Incarnation {
+		c.log.Warn("record has a newer incarnation", zap.Uint64("incarnation", stored.Incarnation))
+		return nil
+	}
+	self.Parted = false
+	if stored != self {
+		value, err := json.Marshal(self)
+		if err != nil {
+			return fmt.Errorf("write record: %w", err)
+		}
+		if _, err := c.store.Put(ctx, Prefix+self.Name, value, storer.Condition{Match: o.Version, Absent: o.Version == 0}); err != nil {
+			return fmt.Errorf("write record: %w", err)
+		}
+	}
+	lease, err := json.Marshal(struct {
+		Incarnation uint64 `json:"incarnation"`
+	}{self.Incarnation})
+	if err != nil {
+		return fmt.Errorf("renew lease: %w", err)
+	}
+	if _, err := c.store.Put(ctx, LeasePrefix+self.Name, lease, storer.Condition{}); err != nil {
+		return fmt.Errorf("renew lease: %w", err)
+	}
+	return nil
+}
+
+// removeDead removes the record and lease of an incarnation that is gone, and
+// nothing of a newer one.
+func (c *recorder) removeDead(ctx context.Context, name string, incarnation uint64) error {
+	for _, prefix := range []string{Prefix, LeasePrefix} {
+		o, err := c.store.Get(ctx, prefix+name)
+		if errors.Is(err, storer.ErrNotFound) {
+			continue
+		}
+		if err != nil {
+			return fmt.Errorf("remove %s: %w", name, err)
+		}
+		var v struct {
+			Incarnation uint64 `json:"incarnation"`
+		}
+		if err := json.Unmarshal(o.Value, &v); err == nil && v.Incarnation > incarnation {
+			continue
+		}
+		err = c.store.Delete(ctx, prefix+name, storer.Condition{Match: o.Version})
+		if err != nil && !errors.Is(err, storer.ErrNotFound) && !errors.Is(err, storer.ErrConflict) {
+			return fmt.Errorf("remove %s: %w", name, err)
+		}
+	}
+	return nil
+}
+
+// remove takes this host's own record and lease away, at its end.
+func (c *recorder) remove() {
+	ctx, cancel := context.WithTimeout(context.Background(), removeTimeout)
+	defer cancel()
+	if c.self.Name == "" {
+		return
+	}
+	if err := c.removeDead(ctx, c.self.Name, c.self.Incarnation); err != nil {
+		c.log.Warn("remove record", zap.Error(err))
+	}
+}
+
+// lapsed watches a host's lease for as long as a lease runs, by this host's own
+// clock, and says whether it was gone or never renewed. While the store can't be
+// read it says nothing: an outage must kill nobody.
+func (c *recorder) lapsed(ctx context.Context, name string) bool {
+	var version uint64
+	var since time.Time
+	for ctx.Err() == nil {
+		o, err := c.store.Get(ctx, LeasePrefix+name)
+		switch {
+		case errors.Is(err, storer.ErrNotFound):
+			return true
+		case err != nil:
+			return false
+		case since.IsZero():
+			version, since = o.Version, time.Now()
+		case o.Version != version:
+			return false
+		case time.Since(since) >= c.lease:
+			return true
+		}
+		wait(ctx, c.lease/4)
+	}
+	return false
+}
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -1,153 +1,209 @@
-// Package registrar keeps the roster: which hosts are there, and which of them
-// owns a role. Ownership follows from the roster by rendezvous hashing, so no
-// host is set aside and no vote is taken.
 package registrar
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
-	"fmt"
-	"slices"
-	"strings"
+	"sync"
+	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
+	"github.com/cicadawood/cicadawood/messenger"
 	"github.com/cicadawood/cicadawood/storer"
 )
 
-// Prefix is where host records live in the Object API.
-const Prefix = "hosts/"
-
-// Record is one host as the others see it.
-type Record struct {
-	Name        string `json:"name"`
-	Zone        string `json:"zone"`
-	Region      string `json:"region"`
-	Control     string `json:"control"`
-	Admin       string `json:"admin"`
-	Incarnation uint64 `json:"incarnation"`
-	Leaving     bool   `json:"leaving"`
-}
-
-// Roster is the hosts known to be alive, by name. It is never changed once made.
-type Roster struct{ hosts []Record }
+// inputBacklog is how many inputs wait for the registrar; what comes on top is
+// dropped, as heartbeats and news are repeated.
+const inputBacklog = 1024
 
-// NewRoster returns the roster of these hosts.
-func NewRoster(hosts ...Record) Roster {
-	hosts = slices.Clone(hosts)
-	slices.SortFunc(hosts, func(a, b Record) int { return strings.Compare(a.Name, b.Name) })
-	return Roster{hosts: hosts}
+// Transport is the port to other hosts.
+type Transport interface {
+	Send(address string, m messenger.Message) error
+	// Renew makes the next Send to address use a new connection.
+	Renew(address string)
 }
 
-// Hosts is every host of the roster, in name order.
-func (r Roster) Hosts() []Record { return slices.Clone(r.hosts) }
-
-// Find is the record of a host.
-func (r Roster) Find(name string) (Record, bool) {
-	i := slices.IndexFunc(r.hosts, func(h Record) bool { return h.Name == name })
-	if i < 0 {
-		return Record{}, false
-	}
-	return r.hosts[i], true
+// Config is what a Registrar is made with.
+type Config struct {
+	Self      Record
+	Beat      time.Duration // between heartbeats
+	Lease     time.Duration // of this host's lease in the Object API
+	Store     storer.Store
+	Transport Transport
+	Log       *zap.Logger
+	// Notify is called with each new roster. It must not block for long.
+	Notify func(Roster)
 }
 
-// Owner is the host that owns a role: the highest rendezvous weight among the
-// hosts that are not leaving.
-func (r Roster) Owner(role string) (Record, bool) {
-	var best Record
-	var weight uint64
-	for _, h := range r.hosts {
-		if w := xxhash.Sum64String(role + "\x00" + h.Name); !h.Leaving && (best.Name == "" || w > weight) {
-			best, weight = h, w
-		}
-	}
-	return best, best.Name != ""
+// Counts is what a Registrar has seen so far.
+type Counts struct {
+	Alive      int    `json:"alive"`
+	Parted     int    `json:"parted"`
+	Suspicions uint64 `json:"suspicions"`
+	Deaths     uint64 `json:"deaths"` // concluded by this host
+	Rejoins    uint64 `json:"rejoins"`
 }
 
-// Registrar renews this host's record and follows the others'.
+// Registrar runs Members: one goroutine owns them, others do the calls of the
+// Object API, so that a slow store never delays a heartbeat.
 type Registrar struct {
-	store  storer.Store
-	self   Record
-	lease  time.Duration
-	log    *zap.Logger
-	notify func(Roster)
-	leave  chan struct{}
+	config   Config
+	members  *Members
+	inputs   chan func(now time.Time) []Output
+	recorder *recorder
+	tasks    sync.WaitGroup
+	ended    chan struct{}
+
+	mu       sync.Mutex
+	roster   Roster
+	doubting map[string]bool // by host
+
+	suspicions, deaths, rejoins atomic.Uint64
 }
 
-// New returns a registrar; notify is called with each new roster.
-func New(s storer.Store, self Record, lease time.Duration, log *zap.Logger, notify func(Roster)) *Registrar {
-	return &Registrar{store: s, self: self, lease: lease, log: log, notify: notify, leave: make(chan struct{})}
-}
-
-// sighting is when a version of a record was first seen, by this host's clock.
-type sighting struct {
-	version uint64
-	at      time.Time
+// New returns a registrar that does nothing yet.
+func New(c Config) *Registrar {
+	r := &Registrar{
+		config: c, members: NewMembers(time.Now(), c.Self, c.Beat), inputs: make(chan func(time.Time) []Output, inputBacklog),
+		ended: make(chan struct{}), doubting: map[string]bool{},
+	}
+	r.recorder = newRecorder(c.Store, c.Self, c.Lease, c.Log)
+	return r
 }
 
-// Run renews and follows until ctx ends, then removes the record.
+// Run keeps the roster until ctx ends, then takes this host off it.
 func (r *Registrar) Run(ctx context.Context) {
-	defer r.remove()
-	seen := map[string]sighting{}
-	ticker := time.NewTicker(r.lease / 4)
+	defer close(r.ended)
+	inner, stop := context.WithCancel(ctx)
+	defer stop()
+	r.tasks.Go(func() { r.follow(inner) })
+	r.tasks.Go(func() { r.recorder.run(inner) })
+	r.act(inner, []Output{Changed{Roster: r.members.Roster()}})
+	ticker := time.NewTicker(r.config.Beat)
 	defer ticker.Stop()
-	for {
-		if err := r.renew(ctx); err != nil {
-			r.log.Warn("renew", zap.Error(err))
-		}
-		if err := r.read(ctx, seen, time.Now()); err != nil {
-			r.log.Warn("roster", zap.Error(err))
-		}
+	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
-			return
-		case <-r.leave:
-			r.self.Leaving, r.leave = true, nil
 		case <-ticker.C:
+			r.act(inner, r.members.Tick(time.Now()))
+		case in := <-r.inputs:
+			r.act(inner, in(time.Now()))
 		}
 	}
+	r.act(inner, r.members.Left(time.Now()))
+	stop()
+	r.tasks.Wait()
+	r.recorder.remove()
 }
 
-// Leave marks this host's record as leaving. It is called once.
-func (r *Registrar) Leave() { close(r.leave) }
+// Leave marks this host as leaving: it takes no new roles.
+func (r *Registrar) Leave() { r.post(r.membersLeave) }
+
+func (r *Registrar) membersLeave(now time.Time) []Output {
+	out := r.members.Leave(now)
+	r.recorder.write(r.members.Self())
+	return out
+}
 
-func (r *Registrar) renew(ctx context.Context) error {
-	value, err := json.Marshal(r.self)
-	if err != nil {
-		return fmt.Errorf("renew: %w", err)
+// Hear takes a message of another host. It says whether the message is one of
+// membership. It does not block.
+func (r *Registrar) Hear(from string, m messenger.Message) bool {
+	switch m.(type) {
+	case messenger.Beat, messenger.Probe, messenger.Suspect, messenger.Vouch, messenger.News, messenger.Sync:
+	default:
+		return false
 	}
-	if _, err := r.store.Put(ctx, Prefix+r.self.Name, value, storer.Condition{}); err != nil {
-		return fmt.Errorf("renew: %w", err)
+	select {
+	case r.inputs <- func(now time.Time) []Output { return r.members.Hear(now, from, m) }:
+	default:
 	}
-	return nil
+	return true
 }
 
-func (r *Registrar) read(ctx context.Context, seen map[string]sighting, now time.Time) error {
-	objects, _, err := r.store.List(ctx, Prefix)
-	if err != nil {
-		return fmt.Errorf("read roster: %w", err)
+// Reach takes the messenger's outcome for an address. It does not block.
+func (r *Registrar) Reach(address string, reachable bool) {
+	for _, h := range r.Roster().hosts {
+		if h.Control == address {
+			go r.post(func(now time.Time) []Output { return r.members.Reach(now, h.Name, reachable) })
+		}
 	}
-	var alive []Record
-	for _, o := range objects {
-		if s := seen[o.Key]; s.version != o.Version {
-			seen[o.Key] = sighting{version: o.Version, at: now}
+}
+
+// Roster is the present roster.
+func (r *Registrar) Roster() Roster {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.roster
+}
+
+// Counts is what the registrar has seen so far.
+func (r *Registrar) Counts() Counts {
+	c := Counts{Suspicions: r.suspicions.Load(), Deaths: r.deaths.Load(), Rejoins: r.rejoins.Load()}
+	for _, h := range r.Roster().hosts {
+		c.Alive++
+		if h.Parted {
+			c.Parted++
 		}
-		var h Record
-		if err := json.Unmarshal(o.Value, &h); err == nil && now.Sub(seen[o.Key].at) < r.lease {
-			alive = append(alive, h)
+	}
+	return c
+}
+
+func (r *Registrar) post(in func(time.Time) []Output) {
+	select {
+	case r.inputs <- in:
+	case <-r.ended:
+	}
+}
+
+// act does what was decided.
+func (r *Registrar) act(ctx context.Context, out []Output) {
+	for _, o := range out {
+		switch o := o.(type) {
+		case Send:
+			if o.Fresh {
+				r.config.Transport.Renew(o.To.Control)
+			}
+			_ = r.config.Transport.Send(o.To.Control, o.Message) // a full queue is counted there
+		case Changed:
+			r.mu.Lock()
+			r.roster = o.Roster
+			r.mu.Unlock()
+			r.config.Notify(o.Roster)
+		case Suspected:
+			r.suspicions.Add(1)
+			r.config.Log.Info("suspect", zap.String("peer", o.Host.Name), zap.Uint64("incarnation", o.Host.Incarnation))
+		case Doubted:
+			r.doubted(ctx, o.Host)
+		case Died:
+			r.deaths.Add(1)
+			r.config.Log.Warn("dead", zap.String("peer", o.Host.Name), zap.Uint64("incarnation", o.Host.Incarnation))
+			r.recorder.bury(o.Host)
+		case Rejoined:
+			r.rejoins.Add(1)
+			r.config.Log.Warn("rejoined", zap.Uint64("incarnation", o.Self.Incarnation))
+			r.recorder.write(o.Self)
+		case Superseded:
+			r.config.Log.Error("superseded", zap.Uint64("incarnation", o.Self.Incarnation))
+			r.recorder.write(Record{})
 		}
 	}
-	r.notify(NewRoster(alive...))
-	return nil
 }
 
-func (r *Registrar) remove() {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
-	if err := r.store.Delete(ctx, Prefix+r.self.Name, storer.Condition{}); err != nil && !errors.Is(err, storer.ErrNotFound) {
-		r.log.Warn("remove record", zap.Error(err))
+// doubted checks a suspect's lease, once at a time.
+func (r *Registrar) doubted(ctx context.Context, h Record) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.doubting[h.Name] {
+		return
 	}
+	r.doubting[h.Name] = true
+	r.tasks.Go(func() {
+		lapsed := r.recorder.lapsed(ctx, h.Name)
+		r.mu.Lock()
+		delete(r.doubting, h.Name)
+		r.mu.Unlock()
+		if lapsed {
+			r.post(func(now time.Time) []Output { return r.members.Lapsed(now, h.Name, h.Incarnation) })
+		}
+	})
 }
--- a/runner/allocator.go
+++ b/runner/allocator.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cicadawood/cicadawood/messenger"
 	"github.com/cicadawood/cicadawood/server"
@@ -10,18 +11,38 @@
 // Acquire implements server.Allocator.
 func (c *control) Acquire(ctx context.Context, service string, a messenger.Ask) (server.Place, error) {
 	reply := make(chan placeReply, 1)
-	c.events <- placeAsked{service: service, ask: a, reply: reply}
+	if !c.post(placeAsked{service: service, ask: a, reply: reply}) {
+		return server.Place{}, stopping()
+	}
 	select {
 	case r := <-reply:
 		if r.refusal != nil {
 			return server.Place{}, *r.refusal
 		}
 		return r.place, nil
+	case <-c.ended:
+		return server.Place{}, stopping()
 	case <-ctx.Done():
-		c.events <- placeLeft{request: a.Request}
+		c.post(placeLeft{request: a.Request})
 		return server.Place{}, server.ErrGone
 	}
 }
 
 // Release implements server.Allocator.
-func (c *control) Release(p server.Place, u server.Use) { c.events <- placeDone{place: p, use: u} }
+func (c *control) Release(p server.Place, u server.Use) { c.post(placeDone{place: p, use: u}) }
+
+// stopping refuses what comes after the control goroutine has ended.
+func stopping() server.Refusal {
+	return server.Refusal{Reason: "host_stopping", After: time.Second}
+}
+
+// post gives the control goroutine an event; false where it has ended. Without
+// that way out a request that outlives it would wait for ever.
+func (c *control) post(e event) bool {
+	select {
+	case c.events <- e:
+		return true
+	case <-c.ended:
+		return false
+	}
+}
--- a/runner/control.go
+++ b/runner/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -9,6 +10,7 @@
 	"github.com/cicadawood/cicadawood/dispatcher"
 	"github.com/cicadawood/cicadawood/loader"
 	"github.com/cicadawood/cicadawood/messenger"
+	"github.com/cicadawood/cicadawood/observer"
 	"github.com/cicadawood/cicadawood/registrar"
 	"github.com/cicadawood/cicadawood/server"
 )
@@ -41,26 +43,32 @@
 	sender sender
 	log    *zap.Logger
 	events chan event
+	ended  chan struct{} // closed when run has
 
-	roster     registrar.Roster
-	folder     *loader.Folder
-	generation uint64
-	cells      map[string]dispatcher.Cell
-	byService  map[string][]string
-	owned      map[string]*dispatcher.Dispatcher
-	calls      map[string]*call
+	incarnation uint64 // of this host in the roster; 0 before the first
+	roster      registrar.Roster
+	folder      *loader.Folder
+	generation  uint64
+	cells       map[string]dispatcher.Cell
+	byService   map[string][]string
+	owned       map[string]*dispatcher.Dispatcher
+	calls       map[string]*call
+	observer    observer.Observer
+	present     map[string]bool // by service/worker, as last told to the dispatchers
+	away        *atomic.Int64   // workers that get nothing new
 }
 
 func newControl(self string, epoch uint64, s sender, log *zap.Logger) *control {
 	return &control{
-		self: self, epoch: epoch, sender: s, log: log, events: make(chan event, eventBacklog),
+		self: self, epoch: epoch, sender: s, log: log, events: make(chan event, eventBacklog), ended: make(chan struct{}),
 		cells: map[string]dispatcher.Cell{}, byService: map[string][]string{},
-		owned: map[string]*dispatcher.Dispatcher{}, calls: map[string]*call{},
+		owned: map[string]*dispatcher.Dispatcher{}, calls: map[string]*call{}, present: map[string]bool{}, away: &atomic.Int64{},
 	}
 }
 
 // run takes events until ctx ends.
 func (c *control) run(ctx context.Context) {
+	defer close(c.ended)
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
 	for {
@@ -91,6 +99,8 @@
 		c.configure(now, e)
 	case rosterChanged:
 		c.enroll(now, e.roster)
+	case workersListed, workerReported, workerRefused, reportsWanted:
+		c.observe(now, e)
 	case stateAsked:
 		e.reply <- c.state()
 	}
@@ -115,6 +125,9 @@
 		c.refused(m)
 	case messenger.Preempt:
 		c.preempted(m)
+	case messenger.Away:
+		c.observer.Refused(now, m.Address)
+		c.observe(now, nil)
 	case messenger.Moved:
 	}
 }
@@ -129,7 +142,7 @@
 		if !ok {
 			return
 		}
-		d = dispatcher.New(known, c.epoch, c.folder.Classes)
+		d = dispatcher.New(c.filled(now, known), c.epoch, c.folder.Classes)
 		c.owned[cell] = d
 	}
 	c.emit(now, d.Handle(now, from, m))
@@ -152,7 +165,7 @@
 		return
 	}
 	if err := c.sender.Send(h.Control, m); err != nil {
-		c.log.Warn("send", zap.String("host", host), zap.Error(err))
+		c.log.Warn("send", zap.String("peer", host), zap.Error(err))
 	}
 }
 
@@ -247,8 +260,9 @@
 func (c *control) configure(now time.Time, e folderChanged) {
 	c.folder, c.generation = e.folder, e.generation
 	c.sender.SetGeneration(e.generation)
+	c.observer.Configure(e.folder.Services)
 	c.cells, c.byService = map[string]dispatcher.Cell{}, map[string][]string{}
-	for name, s := range e.folder.Services {
+	for name, s := range c.observer.Services() {
 		for _, cell := range dispatcher.CellsOf(name, s) {
 			c.cells[cell.Name] = cell
 			c.byService[name] = append(c.byService[name], cell.Name)
@@ -256,7 +270,7 @@
 	}
 	for name, d := range c.owned {
 		if cell, ok := c.cells[name]; ok {
-			d.Configure(cell, e.folder.Classes)
+			d.Configure(c.filled(now, cell), e.folder.Classes)
 			c.emit(now, d.Tick(now))
 		}
 	}
@@ -268,14 +282,15 @@
 	old := c.roster
 	c.roster = r
 	for _, h := range old.Hosts() {
-		if n, ok := r.Find(h.Name); ok && n.Incarnation == h.Incarnation {
+		if n, ok := r.Find(h.Name); h.Name == c.self || ok && n.Incarnation == h.Incarnation {
 			continue
 		}
-		c.log.Info("host lost", zap.String("host", h.Name))
+		c.log.Info("host lost", zap.String("peer", h.Name))
 		for _, d := range c.owned {
 			c.emit(now, d.Lost(now, h.Name))
 		}
 	}
+	c.rejoin(r)
 	for _, k := range c.calls {
 		if owner, ok := r.Owner(k.ask.Cell); ok && owner.Name != k.owner {
 			c.register(now, k)
--- a/runner/host.go
+++ b/runner/host.go
@@ -1,3 +1,5 @@
+// Package runner composes one host: its roles, its adapters, and the goroutine
+// that owns all control state.
 package runner
 
 import (
@@ -27,7 +29,10 @@
 	control   *control
 	follower  *publisher.Follower
 	registrar *registrar.Registrar
+	messenger *messenger.Messenger
 	server    *server.Server
+	observing *observing
+	registry  *prometheus.Registry
 	leaving   chan struct{}
 	once      sync.Once
 }
@@ -35,94 +40,114 @@
 // Run runs a host until ctx ends or it is drained, then shuts it down
 // gracefully.
 func Run(ctx context.Context, settings loader.Host, log *zap.Logger) error {
-	incarnation := uint64(time.Now().UnixNano())
+	return RunUntil(ctx, nil, settings, log)
+}
+
+// RunUntil is Run with a way to end a shutdown that takes too long: closing
+// hurry cuts what is still in flight, and the error says how much that was.
+func RunUntil(ctx context.Context, hurry <-chan struct{}, settings loader.Host, log *zap.Logger) error {
+	callers, err := net.Listen("tcp", settings.Listen)
+	if err != nil {
+		return fmt.Errorf("listen for callers: %w", err)
+	}
+	defer callers.Close()
+	operators, err := net.Listen("tcp", settings.Admin)
+	if err != nil {
+		return fmt.Errorf("listen for operators: %w", err)
+	}
+	defer operators.Close()
 	store, closeStore := storer.NewClient(settings.Platform)
 	defer closeStore()
 	forward, closeForward := forwarder.New(settings.Limits.Silence.Std())
 	defer closeForward()
 	h := &Host{settings: settings, log: log, leaving: make(chan struct{})}
-	h.control = newControl(settings.Name, incarnation, nil, log)
-	m, closeMessenger, err := messenger.New(settings.Name, incarnation, settings.Control, func(e messenger.Envelope, msg messenger.Message) {
-		h.control.events <- frameArrived{from: e.From, message: msg}
-	})
+	closeMessenger, err := h.compose(store, forward)
 	if err != nil {
 		return fmt.Errorf("start host: %w", err)
 	}
 	defer closeMessenger()
-	h.control.sender = m
-	registry := prometheus.NewRegistry()
-	h.follower = publisher.NewFollower(store, log, func(f *loader.Folder, g uint64) {
-		h.control.events <- folderChanged{folder: f, generation: g}
-		h.server.SetReady(true)
+	return h.run(ctx, hurry, callers, operators)
+}
+
+// compose makes the host's parts and joins them; nothing runs yet but the messenger.
+func (h *Host) compose(store storer.Store, forward *forwarder.Forwarder) (func(), error) {
+	s := h.settings
+	incarnation := uint64(time.Now().UnixNano())
+	h.control = newControl(s.Name, incarnation, nil, h.log)
+	h.observing = newObserving(h.control, s.Platform, h.log)
+	forward.OnRefused(h.observing.refused)
+	connected := make(chan struct{})
+	m, closeMessenger, err := messenger.Open(messenger.Config{
+		Name: s.Name, Incarnation: incarnation, Address: s.Control, Silence: s.Limits.Link.Std(),
+		Outcome: func(address string, reachable bool) {
+			<-connected
+			h.registrar.Reach(address, reachable)
+		},
+	}, func(e messenger.Envelope, msg messenger.Message) {
+		<-connected
+		h.receive(e, msg)
 	})
-	self := registrar.Record{
-		Name: settings.Name, Zone: settings.Zone, Region: settings.Region,
-		Control: settings.Control, Admin: settings.Admin, Incarnation: incarnation,
+	if err != nil {
+		return nil, err
 	}
-	h.registrar = registrar.New(store, self, settings.Limits.Lease.Std(), log, func(r registrar.Roster) {
-		h.control.events <- rosterChanged{roster: r}
+	h.messenger, h.control.sender = m, m
+	h.follower = publisher.NewFollower(store, h.log, func(f *loader.Folder, g uint64) {
+		h.control.post(folderChanged{folder: f, generation: g})
+		h.server.SetReady(true)
 	})
-	h.server = server.New(settings.Limits, h.follower, h.control, forward, log, server.NewMetrics(registry))
-	return h.run(ctx, registry)
+	h.registrar = registrar.New(registrar.Config{
+		Self: registrar.Record{
+			Name: s.Name, Zone: s.Zone, Region: s.Region, Control: s.Control, Admin: s.Admin, Incarnation: incarnation,
+		},
+		Beat: s.Limits.Beat.Std(), Lease: s.Limits.Lease.Std(), Store: store, Transport: m, Log: h.log,
+		Notify: func(r registrar.Roster) { h.control.post(rosterChanged{roster: r}) },
+	})
+	registry := prometheus.NewRegistry()
+	h.server = server.New(s.Limits, h.follower, h.control, forward, h.log, server.NewMetrics(registry))
+	h.registerMetrics(registry)
+	close(connected)
+	return closeMessenger, nil
 }
 
-// run starts the host's goroutines, waits for the end, and stops them in order.
-func (h *Host) run(ctx context.Context, registry *prometheus.Registry) error {
-	callers, err := net.Listen("tcp", h.settings.Listen)
-	if err != nil {
-		return fmt.Errorf("listen for callers: %w", err)
+// receive takes a frame of another host.
+func (h *Host) receive(e messenger.Envelope, msg messenger.Message) {
+	if h.registrar.Hear(e.From, msg) {
+		return
 	}
-	operators, err := net.Listen("tcp", h.settings.Admin)
-	if err != nil {
-		_ = callers.Close()
-		return fmt.Errorf("listen for operators: %w", err)
-	}
-	inner, stop := context.WithCancel(context.Background())
-	var tasks sync.WaitGroup
-	tasks.Go(func() { h.control.run(inner) })
-	tasks.Go(func() { h.follower.Run(inner) })
-	tasks.Go(func() { h.registrar.Run(inner) })
-	admin := &http.Server{Handler: h.admin(registry), ReadHeaderTimeout: time.Second}
+	h.control.post(frameArrived{from: e.From, message: msg})
+}
+
+// run starts the host's goroutines, waits for the end, and stops them in order.
+func (h *Host) run(ctx context.Context, hurry <-chan struct{}, callers, operators net.Listener) error {
+	roles, stopRoles := context.WithCancel(context.Background())
+	defer stopRoles()
+	member, leaveRoster := context.WithCancel(context.Background())
+	defer leaveRoster()
+	var tasks, membership sync.WaitGroup
+	tasks.Go(func() { h.control.run(roles) })
+	tasks.Go(func() { h.follower.Run(roles) })
+	tasks.Go(func() { h.observing.run(roles) })
+	membership.Go(func() { h.registrar.Run(member) })
+	admin := &http.Server{Handler: h.admin(h.registry), ReadHeaderTimeout: time.Second}
 	tasks.Go(func() { _ = admin.Serve(operators) })
 	failed := make(chan error, 1)
 	tasks.Go(func() { failed <- h.server.Serve(callers) })
-	h.log.Info("serving", zap.String("host", h.settings.Name), zap.String("zone", h.settings.Zone), zap.String("listen", h.settings.Listen))
+	h.log.Info("serving", zap.String("zone", h.settings.Zone), zap.String("listen", h.settings.Listen))
+	var err error
 	select {
 	case <-ctx.Done():
 	case <-h.leaving:
 	case err = <-failed:
 	}
 	if err == nil {
-		err = h.shutdown()
+		err = h.shutdown(hurry)
 	}
-	stop()
+	h.State() // the control goroutine has now sent what the last requests gave back
+	leaveRoster()
+	membership.Wait()
+	h.flush()
+	stopRoles()
 	_ = admin.Close()
 	tasks.Wait()
 	return err
 }
-
-// shutdown ends the host without cutting a request: unready first, then time
-// for the balancer to notice, then the requests in flight.
-func (h *Host) shutdown() error {
-	h.log.Info("leaving", zap.Int64("inflight", h.server.Calls()))
-	h.server.SetReady(false)
-	h.registrar.Leave()
-	time.Sleep(h.settings.Limits.Settle.Std())
-	ctx, cancel := context.WithTimeout(context.Background(), h.settings.Limits.Drain.Std())
-	defer cancel()
-	err := h.server.Shutdown(ctx)
-	h.log.Info("left", zap.Int64("cut", h.server.Calls()))
-	return err
-}
-
-// Drain begins a graceful shutdown.
-func (h *Host) Drain() { h.once.Do(func() { close(h.leaving) }) }
-
-// State is the host's whole state.
-func (h *Host) State() State {
-	reply := make(chan State, 1)
-	h.control.events <- stateAsked{reply: reply}
-	s := <-reply
-	s.Zone, s.Ready, s.Inflight = h.settings.Zone, h.server.Ready(), h.server.Calls()
-	return s
-}
--- a/runner/state.go
+++ b/runner/state.go
@@ -1,7 +1,11 @@
 package runner
 
 import (
+	"time"
+
 	"github.com/cicadawood/cicadawood/dispatcher"
+	"github.com/cicadawood/cicadawood/messenger"
+	"github.com/cicadawood/cicadawood/observer"
 	"github.com/cicadawood/cicadawood/registrar"
 )
 
@@ -17,10 +21,13 @@
 	Roster     []registrar.Record `json:"roster"`
 	Cells      []dispatcher.State `json:"cells"`
 	Calls      map[string]string  `json:"calls"` // worker by request, "" while it waits
+	Membership registrar.Counts   `json:"membership"`
+	Messenger  messenger.Counts   `json:"messenger"`
+	Workers    []observer.State   `json:"workers"`
 }
 
 func (c *control) state() State {
-	s := State{Name: c.self, Generation: c.generation, Roles: []string{"entry"}, Roster: c.roster.Hosts(), Cells: []dispatcher.State{}, Calls: map[string]string{}}
+	s := State{Name: c.self, Generation: c.generation, Roles: []string{"entry"}, Roster: c.roster.Hosts(), Cells: []dispatcher.State{}, Calls: map[string]string{}, Workers: c.observer.States(time.Now())}
 	for name, d := range c.owned {
 		s.Cells = append(s.Cells, d.State())
 		s.Roles = append(s.Roles, "dispatcher:"+name)
--- a/server/server.go
+++ b/server/server.go
@@ -32,6 +32,7 @@
 	log       *zap.Logger
 	metrics   *Metrics
 	ready     atomic.Bool
+	draining  atomic.Bool
 	calls     atomic.Int64
 	http      *http.Server
 }
@@ -39,7 +40,7 @@
 // New returns a server that does not listen yet.
 func New(l loader.Limits, c Configuration, a Allocator, f *forwarder.Forwarder, log *zap.Logger, m *Metrics) *Server {
 	s := &Server{limits: l, config: c, places: a, forwarder: f, log: log, metrics: m}
-	s.http = &http.Server{Handler: s.router(), ReadHeaderTimeout: l.Read.Std(), ReadTimeout: l.Read.Std(), MaxHeaderBytes: l.Header, IdleTimeout: time.Minute}
+	s.http = &http.Server{Handler: s.closing(s.router()), ReadHeaderTimeout: l.Read.Std(), ReadTimeout: l.Read.Std(), MaxHeaderBytes: l.Header, IdleTimeout: time.Minute}
 	return s
 }
 
@@ -63,7 +64,7 @@
 func (s *Server) SetReady(ready bool) { s.ready.Store(ready) }
 
 // Ready says what the platform's balancer is told.
-func (s *Server) Ready() bool { return s.ready.Load() }
+func (s *Server) Ready() bool { return s.ready.Load() && !s.Draining() }
 
 // Calls is the number of requests in flight.
 func (s *Server) Calls() int64 { return s.calls.Load() }
