--- /dev/null
+++ b/observer/observer_suite_test.go
@@ -0,0 +1,18 @@
+package observer_test
+
+import (
+	"flag"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestObserver(t *testing.T) {
+	RegisterFailHandler(Fail)
+	// A fixed seed: the same schedules, and the same verdict, every run.
+	if err := flag.Set("rapid.seed", "20261202"); err != nil {
+		t.Fatal(err)
+	}
+	RunSpecs(t, "observer")
+}
--- /dev/null
+++ b/runner/town_test.go
@@ -0,0 +1,252 @@
+package runner_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+
+	"github.com/cicadawood/cicadawood/commander"
+	"github.com/cicadawood/cicadawood/faker"
+	"github.com/cicadawood/cicadawood/loader"
+	"github.com/cicadawood/cicadawood/runner"
+)
+
+// key is the API key of the test's organisation.
+const key = "demo-key"
+
+// town is hosts, backend servers and a platform in this process, on loopback.
+type town struct {
+	platform *faker.Platform
+	url      string
+	engines  map[string]string // address by name
+	hosts    map[string]*host
+	mu       sync.Mutex
+}
+
+// host is one runner.Run.
+type host struct {
+	listen, admin string
+	term          func()
+	hurry         chan struct{}
+	done          chan error
+	logs          *observer.ObservedLogs
+}
+
+func newTown(engines ...string) *town { return newTownOf(faker.DefaultModel(), engines...) }
+
+func newTownOf(m faker.Model, engines ...string) *town {
+	t := &town{platform: faker.NewPlatform(), engines: map[string]string{}, hosts: map[string]*host{}}
+	t.url = serve(t.platform.Handler())
+	var workers []string
+	for _, e := range engines {
+		t.engines[e] = strings.TrimPrefix(serve(faker.NewEngine(e, m, &faker.Counter{}).Handler()), "http://")
+		workers = append(workers, fmt.Sprintf(`{"name": %q, "address": %q, "zone": "a", "slots": 16}`, e, t.engines[e]))
+	}
+	app := strings.TrimPrefix(serve(faker.NewService("app", 10*time.Millisecond, &faker.Counter{}).Handler()), "http://")
+	t.push(fmt.Sprintf(`{
+	"classes": {"quote": {"tier": 0, "whole": "10s"}, "chat": {"tier": 1, "whole": "20s"}},
+	"organisations": {"dock": {"keys": [%q], "classes": ["quote", "chat"]}},
+	"services": {
+		"lm": {"kind": "engine", "models": ["lm"], "hosts": true, "routes": [{"class": "chat"}], "workers": [%s]},
+		"app": {"kind": "plain", "routes": [{"class": "quote"}], "workers": [{"name": "app", "address": %q, "zone": "a", "slots": 32}]}}}`,
+		loader.HashKey(key), strings.Join(workers, ","), app))
+	return t
+}
+
+func serve(h http.Handler) string {
+	s := httptest.NewServer(h)
+	DeferCleanup(s.Close)
+	return s.URL
+}
+
+func (t *town) push(text string) {
+	dir := GinkgoT().TempDir()
+	Expect(os.WriteFile(filepath.Join(dir, "all.jsonc"), []byte(text), 0o600)).To(Succeed())
+	var out bytes.Buffer
+	Expect(commander.Main([]string{"push", dir, "--platform", t.url}, &out, &out)).To(Equal(commander.ExitOK), "%s", &out)
+}
+
+func freeAddress() string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// start runs a host until it is told to stop.
+func (t *town) start(name, zone string, change func(*loader.Host)) *host {
+	settings := loader.Host{Name: name, Zone: zone, Region: "r", Listen: freeAddress(), Control: freeAddress(), Admin: freeAddress(), Platform: t.url}
+	settings.Limits.Settle = loader.Duration(200 * time.Millisecond)
+	if change != nil {
+		change(&settings)
+	}
+	text, err := json.Marshal(settings)
+	Expect(err).NotTo(HaveOccurred())
+	settings, err = loader.ParseHost(name, text)
+	Expect(err).NotTo(HaveOccurred())
+	core, logs := observer.New(zapcore.InfoLevel)
+	ctx, term := context.WithCancel(context.Background())
+	h := &host{listen: settings.Listen, admin: settings.Admin, term: term, hurry: make(chan struct{}), done: make(chan error, 1), logs: logs}
+	t.mu.Lock()
+	t.hosts[name] = h
+	t.mu.Unlock()
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		h.done <- runner.RunUntil(ctx, h.hurry, settings, zap.New(core))
+	}()
+	DeferCleanup(func() {
+		term()
+		Eventually(ended).WithTimeout(30 * time.Second).Should(BeClosed())
+	})
+	return h
+}
+
+func (h *host) ready() bool {
+	resp, err := http.Get("http://" + h.listen + "/readyz")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+func (h *host) state() runner.State {
+	var s runner.State
+	resp, err := http.Get("http://" + h.admin + "/state")
+	if err != nil {
+		return s
+	}
+	defer resp.Body.Close()
+	_ = json.NewDecoder(resp.Body).Decode(&s)
+	return s
+}
+
+// settled says whether every host knows n hosts, none of them leaving.
+func (t *town) settled(n int) func() error {
+	return func() error {
+		for name, h := range t.hosts {
+			if len(h.done) > 0 {
+				continue
+			}
+			if s := h.state(); len(s.Roster) != n || !h.ready() {
+				return fmt.Errorf("%s: ready %v, roster %v", name, h.ready(), s.Roster)
+			}
+		}
+		return nil
+	}
+}
+
+// post sends one request and returns the status, the body and the connection's fate.
+func post(client *http.Client, address, path, body string) (status int, text string, closes bool, err error) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+address+path, strings.NewReader(body))
+	if err != nil {
+		return 0, "", false, err
+	}
+	req.Header.Set("Authorization", "Bearer "+key)
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0, "", false, err
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(b), resp.Close, err
+}
+
+const chatPath = "/v1/chat/completions"
+
+func chat(tokens int) string {
+	return fmt.Sprintf(`{"model":"lm","stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"hello"}]}`, tokens)
+}
+
+// balancer is the platform's: it sends callers to hosts that were ready lately.
+type balancer struct {
+	t    *town
+	mu   sync.Mutex
+	list []string
+}
+
+func (b *balancer) look() {
+	b.t.mu.Lock()
+	hosts := make([]*host, 0, len(b.t.hosts))
+	for _, h := range b.t.hosts {
+		hosts = append(hosts, h)
+	}
+	b.t.mu.Unlock()
+	var list []string
+	for _, h := range hosts {
+		if len(h.done) == 0 && h.ready() {
+			list = append(list, h.listen)
+		}
+	}
+	b.mu.Lock()
+	b.list = list
+	b.mu.Unlock()
+}
+
+func (b *balancer) pick(i int) string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.list[i%len(b.list)]
+}
+
+// traffic sends quotes and chats through the balancer until stop is closed, and
+// returns what went wrong, and how many were answered whole.
+func (b *balancer) traffic(stop <-chan struct{}) (bad []string, whole int) {
+	var callers sync.WaitGroup
+	var mu sync.Mutex
+	for c := range 6 {
+		callers.Go(func() {
+			transport := &http.Transport{}
+			defer transport.CloseIdleConnections()
+			client := &http.Client{Transport: transport}
+			for i := c; ; i++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				path, body := "/services/app/quote", "{}"
+				if c%2 == 0 {
+					path, body = chatPath, chat(15)
+				}
+				status, text, _, err := post(client, b.pick(i), path, body)
+				good := err == nil && status == http.StatusOK && (c%2 == 1 || strings.HasSuffix(strings.TrimSpace(text), "[DONE]"))
+				mu.Lock()
+				if good {
+					whole++
+				} else {
+					bad = append(bad, fmt.Sprintf("%s: %d %v %.200s", path, status, err, text))
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	looks := time.NewTicker(20 * time.Millisecond)
+	defer looks.Stop()
+	for {
+		select {
+		case <-stop:
+			callers.Wait()
+			return bad, whole
+		case <-looks.C:
+			b.look()
+		}
+	}
+}
--- a/server/drain.go
+++ b/server/drain.go
@@ -17,8 +17,33 @@
 func (s *Server) closing(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if s.Draining() {
-			w.Header().Set("Connection", "close")
+			w = &lastWriter{ResponseWriter: w}
 		}
 		next.ServeHTTP(w, r)
 	})
 }
+
+// lastWriter writes the last answer of a connection. It sets the header when the
+// head is written: before, headers of a backend server may replace it.
+type lastWriter struct {
+	http.ResponseWriter
+	headed bool
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (l *lastWriter) WriteHeader(status int) {
+	l.headed = true
+	l.Header().Set("Connection", "close")
+	l.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements io.Writer.
+func (l *lastWriter) Write(p []byte) (int, error) {
+	if !l.headed {
+		l.WriteHeader(http.StatusOK)
+	}
+	return l.ResponseWriter.Write(p)
+}
+
+// Unwrap lets http.ResponseController reach the connection.
+func (l *lastWriter) Unwrap() http.ResponseWriter { return l.ResponseWriter }
