--- a/commander/cmd_serve.go
+++ b/commander/cmd_serve.go
@@ -36,7 +36,7 @@
 			return usage(fmt.Errorf("--level: %w", err))
 		}
 		log := newLogger(level).With(zap.String("host", settings.Name))
-		return runner.RunUntil(ctx, again(ctx), settings, log)
+		return runner.RunUntil(ctx, again(), settings, log)
 	},
 }
 
@@ -48,14 +48,16 @@
 	return zap.New(zapcore.NewCore(zaplogfmt.NewEncoder(config), zapcore.Lock(os.Stderr), level))
 }
 
-// again is closed at the second signal to stop, which ends a graceful shutdown.
-func again(ctx context.Context) <-chan struct{} {
+// again is closed at the second signal to stop, which ends a graceful shutdown;
+// the first one begins it.
+func again() <-chan struct{} {
 	hurry := make(chan struct{})
-	context.AfterFunc(ctx, func() {
-		signals := make(chan os.Signal, 1)
-		signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		<-signals
 		<-signals
 		close(hurry)
-	})
+	}()
 	return hurry
 }
--- /dev/null
+++ b/registrar/registrar_test.go
@@ -0,0 +1,164 @@
+package registrar_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http/httptest"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"github.com/cicadawood/cicadawood/faker"
+	"github.com/cicadawood/cicadawood/messenger"
+	"github.com/cicadawood/cicadawood/prover"
+	"github.com/cicadawood/cicadawood/registrar"
+	"github.com/cicadawood/cicadawood/storer"
+)
+
+// wire joins registrars in this process by control address.
+type wire struct {
+	mu    sync.Mutex
+	hosts map[string]*registrar.Registrar
+}
+
+type end struct {
+	w    *wire
+	name string
+}
+
+func (e end) Renew(string) {}
+
+func (e end) Send(address string, m messenger.Message) error {
+	e.w.mu.Lock()
+	to := e.w.hosts[address]
+	e.w.mu.Unlock()
+	if to != nil {
+		to.Hear(e.name, m)
+	}
+	return nil
+}
+
+// join starts a registrar; the result ends it and waits until it has left.
+func (w *wire) join(store storer.Store, name string, incarnation uint64) (*registrar.Registrar, func()) {
+	r := registrar.New(registrar.Config{
+		Self: registrar.Record{Name: name, Zone: name, Control: name, Incarnation: incarnation},
+		Beat: 50 * time.Millisecond, Lease: time.Second, Store: store, Transport: end{w, name},
+		Log: zap.NewNop(), Notify: func(registrar.Roster) {},
+	})
+	w.mu.Lock()
+	w.hosts[name] = r
+	w.mu.Unlock()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		r.Run(ctx)
+	}()
+	stop := func() {
+		cancel()
+		<-done
+	}
+	DeferCleanup(stop)
+	return r, stop
+}
+
+func incarnations(r *registrar.Registrar) map[string]uint64 {
+	out := map[string]uint64{}
+	for _, h := range r.Roster().Hosts() {
+		out[h.Name] = h.Incarnation
+	}
+	return out
+}
+
+var _ = Describe("Registrar", func() {
+	var (
+		platform *faker.Platform
+		store    storer.Store
+		w        *wire
+	)
+
+	BeforeEach(func() {
+		platform = faker.NewPlatform()
+		server := httptest.NewServer(platform.Handler())
+		DeferCleanup(server.Close)
+		client, clean := storer.NewClient(server.URL)
+		DeferCleanup(clean)
+		store, w = client, &wire{hosts: map[string]*registrar.Registrar{}}
+	})
+
+	stored := func(name string) registrar.Record {
+		var r registrar.Record
+		if o, err := store.Get(context.Background(), registrar.Prefix+name); err == nil {
+			_ = json.Unmarshal(o.Value, &r)
+		}
+		return r
+	}
+
+	// Story: a host joins, leaves its record and goes while replies of the store are
+	// lost. A record that stays behind would make others look for a host that is not
+	// there; one that is missing would hide a host that is.
+	DescribeTable("keeps its record in step with itself",
+		func(faults faker.Faults) {
+			platform.SetFaults(faults)
+			a, leave := w.join(store, "a", 7)
+			b, _ := w.join(store, "b", 9)
+			Eventually(func() registrar.Record { return stored("a") }).WithTimeout(10 * time.Second).Should(HaveField("Incarnation", uint64(7)))
+			Eventually(func() map[string]uint64 { return incarnations(b) }).WithTimeout(10 * time.Second).Should(Equal(map[string]uint64{"a": 7, "b": 9}))
+			platform.SetFaults(faults)
+			a.Leave()
+			Eventually(func() bool { return stored("a").Leaving }).WithTimeout(10 * time.Second).Should(BeTrue())
+			leave()
+			Eventually(func() map[string]uint64 { return incarnations(b) }).Should(Equal(map[string]uint64{"b": 9}))
+			Expect(b.Counts().Deaths).To(BeZero())
+		},
+		Entry("alone", faker.Faults{}),
+		Entry("with replies lost", Label(prover.Cell(prover.Renewed, prover.LostReply), prover.Cell(prover.Taken, prover.LostReply), prover.Cell(prover.HandedOver, prover.LostReply)), faker.Faults{Lose: 3}),
+		Entry("with the store slow", faker.Faults{Delay: 100 * time.Millisecond}),
+	)
+
+	// Story: a process was frozen while its name was given to a new one. It comes
+	// back and renews: it must neither overwrite the new record nor count as it.
+	It("an old process does not overwrite the record of its successor", Label(
+		prover.Pair(prover.Renewed, prover.Freeze, prover.Renewed, prover.Kill)), func() {
+		value, err := json.Marshal(registrar.Record{Name: "a", Control: "elsewhere", Incarnation: 9})
+		Expect(err).NotTo(HaveOccurred())
+		_, err = store.Put(context.Background(), registrar.Prefix+"a", value, storer.Condition{})
+		Expect(err).NotTo(HaveOccurred())
+		old, _ := w.join(store, "a", 7)
+		Eventually(func() []registrar.Record { return old.Roster().Hosts() }).WithTimeout(5*time.Second).Should(BeEmpty(), "it takes no role")
+		Consistently(func() uint64 { return stored("a").Incarnation }).Should(BeEquivalentTo(9))
+	})
+
+	// Story: the platform is down for as long as one likes; leases lapse. Peers hear
+	// each other, so nobody is dead.
+	It("outlives an outage of the store", Label(prover.Cell(prover.Renewed, prover.StoreDown)), func() {
+		members := []string{"a", "b", "c", "d"}
+		all := map[string]uint64{}
+		for i, name := range members {
+			w.join(store, name, uint64(i+1))
+			all[name] = uint64(i + 1)
+		}
+		for _, name := range members {
+			Eventually(func() map[string]uint64 { return incarnations(w.hosts[name]) }).WithTimeout(5 * time.Second).Should(Equal(all))
+		}
+		platform.SetFaults(faker.Faults{Down: true})
+		Consistently(func() map[string]uint64 { return incarnations(w.hosts["a"]) }).WithTimeout(2 * time.Second).Should(Equal(all))
+	})
+
+	It("a new host does not believe in records that dead hosts left behind", func() {
+		for _, name := range []string{"x", "y"} {
+			value, err := json.Marshal(registrar.Record{Name: name, Control: name, Incarnation: 1})
+			Expect(err).NotTo(HaveOccurred())
+			_, err = store.Put(context.Background(), registrar.Prefix+name, value, storer.Condition{})
+			Expect(err).NotTo(HaveOccurred())
+		}
+		a, _ := w.join(store, "a", 7)
+		w.join(store, "b", 9)
+		Eventually(func() map[string]uint64 { return incarnations(a) }).WithTimeout(10 * time.Second).Should(Equal(map[string]uint64{"a": 7, "b": 9}))
+		Eventually(func() registrar.Record { return stored("x") }).WithTimeout(5 * time.Second).Should(BeZero())
+		Expect(stored("y")).To(BeZero())
+	})
+})
--- /dev/null
+++ b/runner/observing_test.go
@@ -0,0 +1,81 @@
+package runner_test
+
+import (
+	"net/http"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cicadawood/cicadawood/faker"
+	"github.com/cicadawood/cicadawood/prover"
+)
+
+var _ = Describe("A backend server that is leaving", func() {
+	// Story: a backend server is about to be replaced, and one source says so. A
+	// request sent there later would be cut with it. It must get nothing new within a
+	// few seconds, through any host, and keep what it has.
+	DescribeTable("gets nothing new",
+		func(say func(t *town)) {
+			t := newTown("lm1", "lm2")
+			t.platform.Hosts.Set([]faker.ListedHost{}, 0)
+			a, b := t.start("a", "z1", nil), t.start("b", "z2", nil)
+			Eventually(t.settled(2)).WithTimeout(10 * time.Second).Should(Succeed())
+			client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+			send := func(h *host) int {
+				status, _, _, err := post(client, h.listen, chatPath, chat(2))
+				Expect(err).NotTo(HaveOccurred())
+				return status
+			}
+			Eventually(func() int { send(a); return len(t.counters["lm1"].Counts()) }).WithTimeout(10 * time.Second).Should(BeNumerically(">", 0))
+			say(t)
+			gone := func() bool {
+				send(b) // a refusal is seen only by who sends
+				for _, h := range []*host{a, b} {
+					for _, w := range h.state().Workers {
+						if w.Name == "lm1" && !w.Present {
+							return true
+						}
+					}
+				}
+				return false
+			}
+			Eventually(gone).WithTimeout(10 * time.Second).Should(BeTrue())
+			before := len(t.counters["lm1"].Counts())
+			for range 10 {
+				Expect(send(a)).To(Equal(http.StatusOK))
+				Expect(send(b)).To(Equal(http.StatusOK))
+			}
+			Expect(t.counters["lm1"].Counts()).To(HaveLen(before))
+		},
+		Entry("by the host list", func(t *town) { t.list("lm1") }),
+		Entry("by its report and its refusal", func(t *town) { t.leave("lm1") }),
+		Entry("by its report and its refusal, with the platform down", Label(prover.Pair(prover.Granted, prover.StoreDown, prover.Granted, prover.LateList)), func(t *town) {
+			t.platform.SetFaults(faker.Faults{Down: true})
+			t.leave("lm1")
+		}),
+		Entry("by its report, with a host list that is late", Label(prover.Cell(prover.Granted, prover.LateList), prover.Cell(prover.Sent, prover.LateList)), func(t *town) {
+			t.list()
+			t.leave("lm1")
+		}),
+	)
+})
+
+// list sets the host list: both engines live, but for those that are leaving.
+func (t *town) list(leaving ...string) {
+	var hosts []faker.ListedHost
+	for name, address := range t.engines {
+		h := faker.ListedHost{Service: "lm", Name: name, Address: address, Zone: "a", Slots: 16}
+		for _, l := range leaving {
+			h.Leaving = h.Leaving || l == name
+		}
+		hosts = append(hosts, h)
+	}
+	t.platform.Hosts.Set(hosts, 0)
+}
+
+func (t *town) leave(engine string) {
+	resp, err := http.Post("http://"+t.engines[engine]+"/leave", "", nil)
+	Expect(err).NotTo(HaveOccurred())
+	_ = resp.Body.Close()
+}
--- a/runner/town_test.go
+++ b/runner/town_test.go
@@ -35,6 +35,7 @@
 	platform *faker.Platform
 	url      string
 	engines  map[string]string // address by name
+	counters map[string]*faker.Counter
 	hosts    map[string]*host
 	mu       sync.Mutex
 }
@@ -51,11 +52,12 @@
 func newTown(engines ...string) *town { return newTownOf(faker.DefaultModel(), engines...) }
 
 func newTownOf(m faker.Model, engines ...string) *town {
-	t := &town{platform: faker.NewPlatform(), engines: map[string]string{}, hosts: map[string]*host{}}
+	t := &town{platform: faker.NewPlatform(), engines: map[string]string{}, counters: map[string]*faker.Counter{}, hosts: map[string]*host{}}
 	t.url = serve(t.platform.Handler())
 	var workers []string
 	for _, e := range engines {
-		t.engines[e] = strings.TrimPrefix(serve(faker.NewEngine(e, m, &faker.Counter{}).Handler()), "http://")
+		t.counters[e] = &faker.Counter{}
+		t.engines[e] = strings.TrimPrefix(serve(faker.NewEngine(e, m, t.counters[e]).Handler()), "http://")
 		workers = append(workers, fmt.Sprintf(`{"name": %q, "address": %q, "zone": "a", "slots": 16}`, e, t.engines[e]))
 	}
 	app := strings.TrimPrefix(serve(faker.NewService("app", 10*time.Millisecond, &faker.Counter{}).Handler()), "http://")
