--- a/faker/engine.go
+++ b/faker/engine.go
@@ -1,44 +1,108 @@
 package faker
 
 import (
+	"cmp"
 	"encoding/json"
-	"fmt"
 	"io"
 	"net/http"
-	"strings"
+	"slices"
+	"strconv"
 	"sync"
 	"time"
 
 	"github.com/gorilla/mux"
 )
 
-const lengthMedian = 24 // tokens, where the caller names no limit
+const (
+	lengthMedian = 24   // tokens, where the caller names no limit
+	lengthMost   = 8192 // tokens of any answer
+	bodyMost     = 8 << 20
+)
 
 // Engine is a fake model engine with the OpenAI interface and continuous
-// batching: all sequences of a batch get a token each step.
+// batching: all sequences of a batch get a token each step. It honours
+// priorities, resumes a completion from the body's field "resume" (tokens the
+// caller has), and drops a sequence whose connection closes.
 type Engine struct {
-	name  string
-	model Model
-	calls *Counter
+	name   string
+	model  Model
+	calls  *Counter
+	faults *Failures
+
+	mu       sync.Mutex
+	waiting  []*sequence
+	batch    []*sequence
+	running  bool
+	leaving  bool
+	fencing  bool // refuses old fencing numbers
+	fence    uint64
+	prefixes prefixes
+	lag      time.Duration
+	reported time.Time
+	report   Load
+}
 
-	mu      sync.Mutex
-	waiting []*sequence
-	batch   []*sequence
-	running bool
-	leaving bool
+// Load is an engine's load report.
+type Load struct {
+	Running int  `json:"running"`
+	Waiting int  `json:"waiting"`
+	Leaving bool `json:"leaving"`
 }
 
-// sequence is one completion in the making.
+// sequence is one completion in the making; Engine.mu guards it.
 type sequence struct {
+	tier    int
 	prefill int
-	left    int
-	tokens  chan int // index of each token; closed at the end
-	gone    chan struct{}
+	made    int // tokens, those of an earlier try included
+	total   int
+	gone    bool
+	news    chan struct{} // holds one value when made grew
 }
 
 // NewEngine returns a fake engine.
 func NewEngine(name string, m Model, c *Counter) *Engine {
-	return &Engine{name: name, model: m, calls: c}
+	return &Engine{name: name, model: m, calls: c, faults: &Failures{}}
+}
+
+// Failures is the faults in force.
+func (e *Engine) Failures() *Failures { return e.faults }
+
+// SetFaults shares the faults of others, so that a plan hits their calls in the
+// order in which they come. It comes before the first call.
+func (e *Engine) SetFaults(f *Failures) { e.faults = f }
+
+// SetFencing sets whether old fencing numbers are refused.
+func (e *Engine) SetFencing(on bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.fencing = on
+}
+
+// SetSlow sets the factor on all times.
+func (e *Engine) SetSlow(factor float64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.model.Slow = factor
+}
+
+// SetLag sets how old a load report may be.
+func (e *Engine) SetLag(d time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.lag = d
+}
+
+// Busy is the number of sequences in the engine.
+func (e *Engine) Busy() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := 0
+	for _, s := range slices.Concat(e.batch, e.waiting) {
+		if !s.gone {
+			n++
+		}
+	}
+	return n
 }
 
 // Handler is the engine's HTTP interface.
@@ -48,18 +112,20 @@
 	r.HandleFunc("/v1/completions", e.complete).Methods(http.MethodPost)
 	r.HandleFunc("/load", e.load).Methods(http.MethodGet)
 	r.HandleFunc("/leave", e.leave).Methods(http.MethodPost)
+	r.Handle("/faults", e.faults).Methods(http.MethodPost)
+	r.HandleFunc("/slow/{factor}", e.slow).Methods(http.MethodPost)
 	return r
 }
 
-// load is the engine's load report.
+// load is the engine's load report, as old as its lag allows.
 func (e *Engine) load(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	_ = json.NewEncoder(w).Encode(struct {
-		Running int  `json:"running"`
-		Waiting int  `json:"waiting"`
-		Leaving bool `json:"leaving"`
-	}{len(e.batch), len(e.waiting), e.leaving})
+	if now := time.Now(); now.Sub(e.reported) >= e.lag {
+		e.reported = now
+		e.report = Load{len(e.batch), len(e.waiting), e.leaving}
+	}
+	_ = json.NewEncoder(w).Encode(e.report)
 }
 
 func (e *Engine) leave(w http.ResponseWriter, _ *http.Request) {
@@ -69,49 +135,89 @@
 	w.WriteHeader(http.StatusAccepted)
 }
 
+func (e *Engine) slow(w http.ResponseWriter, r *http.Request) {
+	factor, err := strconv.ParseFloat(mux.Vars(r)["factor"], 64)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	e.SetSlow(factor)
+	w.WriteHeader(http.StatusNoContent)
+}
+
 func (e *Engine) complete(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(r.Body)
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bodyMost))
 	if err != nil {
 		return
 	}
 	var c struct {
-		Model  string `json:"model"`
-		Stream bool   `json:"stream"`
-		Max    int    `json:"max_tokens"`
+		Model    string          `json:"model"`
+		Stream   bool            `json:"stream"`
+		Max      int             `json:"max_tokens"`
+		Min      int             `json:"min_tokens"`
+		Resume   int             `json:"resume"`
+		Messages json.RawMessage `json:"messages"`
 	}
 	if err := json.Unmarshal(body, &c); err != nil {
 		http.Error(w, `{"error":{"message":"bad json","type":"invalid_request_error"}}`, http.StatusBadRequest)
 		return
 	}
+	now := e.faults.next()
+	if now.refused() {
+		refuse(w, http.StatusServiceUnavailable, "refused")
+		return
+	}
+	tier, _ := strconv.Atoi(r.Header.Get("X-Priority"))
 	id := r.Header.Get("X-Request-Id")
-	s := &sequence{prefill: len(body) / 4, left: OutputLength(id, lengthMedian, c.Max), tokens: make(chan int, 4096), gone: make(chan struct{})}
-	if !e.enter(s) {
-		w.Header().Set("X-Run", "no")
-		http.Error(w, "leaving", http.StatusServiceUnavailable)
+	s := &sequence{tier: tier, prefill: len(body)/4 + c.Resume, made: c.Resume, total: max(c.Min, OutputLength(id, lengthMedian, cmp.Or(c.Max, lengthMost))), news: make(chan struct{}, 1)}
+	if status := e.enter(s, c.Messages, r.Header.Get("X-Fencing-Number")); status != 0 {
+		refuse(w, status, "not taken")
 		return
 	}
-	defer close(s.gone)
+	defer e.drop(s)
 	e.calls.Add(id)
-	w.Header().Set("X-Request-Id", id)
+	a := &answer{engine: e, sequence: s, w: w, r: r, id: id, model: c.Model, prompt: len(body) / 4, from: c.Resume, hits: now}
 	if c.Stream {
-		streamTokens(w, r, id, c.Model, s)
+		a.stream()
 		return
 	}
-	wholeAnswer(w, r, id, c.Model, len(body)/4, s)
+	a.whole()
+}
+
+// refuse says no, and that the call was not run.
+func refuse(w http.ResponseWriter, status int, why string) {
+	w.Header().Set("X-Run", "no")
+	http.Error(w, why, status)
 }
 
-func (e *Engine) enter(s *sequence) bool {
+// enter takes a sequence in, or returns the status to refuse it with.
+func (e *Engine) enter(s *sequence, prompt []byte, fence string) int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.leaving {
-		return false
+		return http.StatusServiceUnavailable
+	}
+	number, _ := strconv.ParseUint(fence, 10, 64)
+	if e.fencing && number < e.fence {
+		return http.StatusPreconditionFailed
+	}
+	e.fence = max(e.fence, number)
+	if e.prefixes.hit(prompt) {
+		s.prefill = 0
 	}
 	e.waiting = append(e.waiting, s)
+	slices.SortStableFunc(e.waiting, func(a, b *sequence) int { return cmp.Compare(a.tier, b.tier) })
 	if !e.running {
 		e.running = true
 		go e.run()
 	}
-	return true
+	return 0
+}
+
+func (e *Engine) drop(s *sequence) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s.gone = true
 }
 
 // run steps the batch while there is one.
@@ -129,6 +235,7 @@
 func (e *Engine) plan() (time.Duration, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.waiting = slices.DeleteFunc(e.waiting, func(s *sequence) bool { return s.gone })
 	prefill := 0
 	for len(e.batch) < e.model.Slots && len(e.waiting) > 0 {
 		s := e.waiting[0]
@@ -143,64 +250,27 @@
 	return e.model.StepTime(len(e.batch), prefill), true
 }
 
+// step gives every sequence of the batch a token. It waits for no reader: a
+// slow one finds the count further on when it looks again.
 func (e *Engine) step() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	kept := e.batch[:0]
-	for _, s := range e.batch {
-		select {
-		case <-s.gone:
-			continue
-		default:
+	e.batch = slices.DeleteFunc(e.batch, func(s *sequence) bool {
+		if s.gone {
+			return true
 		}
-		s.left--
-		s.tokens <- s.left
-		if s.left <= 0 {
-			close(s.tokens)
-			continue
-		}
-		kept = append(kept, s)
-	}
-	e.batch = kept
-}
-
-func streamTokens(w http.ResponseWriter, r *http.Request, id, model string, s *sequence) {
-	w.Header().Set("Content-Type", "text/event-stream")
-	control := http.NewResponseController(w)
-	n := 0
-	for {
+		s.made = min(s.made+1, s.total)
 		select {
-		case <-r.Context().Done():
-			return
-		case _, ok := <-s.tokens:
-			if !ok {
-				fmt.Fprintf(w, "data: {\"id\":%q,\"object\":\"chat.completion.chunk\",\"model\":%q,\"choices\":[{\"index\":0,\"delta\":{},\"finish_reason\":\"stop\"}],\"usage\":{\"completion_tokens\":%d}}\n\n", id, model, n)
-				fmt.Fprint(w, "data: [DONE]\n\n")
-				return
-			}
-			fmt.Fprintf(w, "data: {\"id\":%q,\"object\":\"chat.completion.chunk\",\"model\":%q,\"choices\":[{\"index\":0,\"delta\":{\"content\":\"t%d \"},\"finish_reason\":null}]}\n\n", id, model, n)
-			_ = control.Flush()
-			n++
+		case s.news <- struct{}{}:
+		default:
 		}
-	}
+		return s.made >= s.total
+	})
 }
 
-func wholeAnswer(w http.ResponseWriter, r *http.Request, id, model string, prompt int, s *sequence) {
-	var text strings.Builder
-	n := 0
-	for {
-		select {
-		case <-r.Context().Done():
-			return
-		case _, ok := <-s.tokens:
-			if ok {
-				fmt.Fprintf(&text, "t%d ", n)
-				n++
-				continue
-			}
-		}
-		break
-	}
-	w.Header().Set("Content-Type", "application/json")
-	fmt.Fprintf(w, `{"id":%q,"object":"chat.completion","model":%q,"choices":[{"index":0,"message":{"role":"assistant","content":%q},"finish_reason":"stop"}],"usage":{"prompt_tokens":%d,"completion_tokens":%d,"total_tokens":%d}}`, id, model, text.String(), prompt, n, prompt+n)
+// made is how many tokens a sequence has, of how many.
+func (e *Engine) made(s *sequence) (made, total int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return s.made, s.total
 }
--- a/faker/service.go
+++ b/faker/service.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -39,16 +41,27 @@
 
 // Service is a fake plain service: it takes a while and echoes.
 type Service struct {
-	name  string
-	took  time.Duration
-	calls *Counter
+	name   string
+	took   time.Duration
+	calls  *Counter
+	faults *Failures
 }
 
 // NewService returns a fake plain service whose calls take took.
 func NewService(name string, took time.Duration, c *Counter) *Service {
-	return &Service{name: name, took: took, calls: c}
+	return &Service{name: name, took: took, calls: c, faults: &Failures{}}
 }
 
+// Failures is the faults in force. A call that they hit has run, but for Refuse.
+func (s *Service) Failures() *Failures { return s.faults }
+
+// SetFaults shares the faults of others, so that a plan hits their calls in the
+// order in which they come.
+func (s *Service) SetFaults(f *Failures) { s.faults = f }
+
+// sizeMost bounds the padding that a caller asks for with ?size=BYTES.
+const sizeMost = 64 << 20
+
 // Handler is the service's HTTP interface. A call is counted under its
 // Idempotency-Key, or its request id where it has none.
 func (s *Service) Handler() http.Handler {
@@ -56,22 +69,33 @@
 	m.HandleFunc("GET /counts", func(w http.ResponseWriter, _ *http.Request) {
 		_ = json.NewEncoder(w).Encode(s.calls.Counts())
 	})
+	m.Handle("POST /faults", s.faults)
 	m.HandleFunc("/", s.call)
 	return m
 }
 
 func (s *Service) call(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(r.Body)
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bodyMost))
 	if err != nil {
 		return
 	}
+	now := s.faults.next()
+	if now.refused() {
+		refuse(w, http.StatusServiceUnavailable, "refused")
+		return
+	}
 	id := r.Header.Get("Idempotency-Key")
 	if id == "" {
 		id = r.Header.Get("X-Request-Id")
 	}
 	s.calls.Add(id)
 	time.Sleep(s.took)
-	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+	request, more := now.at(r.Context(), s.name, AtHead, r.Header.Get("X-Request-Id"))
+	if !more {
+		return
+	}
+	size, _ := strconv.Atoi(r.URL.Query().Get("size"))
+	w.Header().Set("X-Request-Id", request)
 	w.Header().Set("Content-Type", "application/json")
-	fmt.Fprintf(w, `{"service":%q,"method":%q,"path":%q,"bytes":%d}`, s.name, r.Method, r.URL.RequestURI(), len(body))
+	writeHalves(w, r, fmt.Sprintf(`{"service":%q,"method":%q,"path":%q,"request":%q,"bytes":%d,"pad":"%s"}`, s.name, r.Method, r.URL.RequestURI(), request, len(body), strings.Repeat("x", min(max(size, 0), sizeMost))), s.name, now)
 }
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -20,17 +20,27 @@
 	HeaderFence    = "X-Fencing-Number" // grows with every order of a cell
 	HeaderPriority = "X-Priority"       // the class's tier; 0 is the most urgent
 	HeaderRun      = "X-Run"            // "no" on an answer says that the call was not run
+	HeaderResumed  = "X-Resumed"        // the first token of a resumed stream
 )
 
+// RequestMark begins every request's id, so that an id can be told from one that
+// an engine made up.
+const RequestMark = "cw-"
+
 // Errors of a call.
 var (
 	// ErrNotRun says that the call certainly did not run.
 	ErrNotRun = errors.New("call was not run")
+	// ErrStale says that the backend server refused an old fencing number. It
+	// comes with ErrNotRun.
+	ErrStale = errors.New("fencing number is old")
 	// ErrUnknown says that the call may have run: its first byte may have left.
 	ErrUnknown = errors.New("call may have run")
-	// ErrCrossed says that the answer belongs to another request.
+	// ErrCrossed says that the answer belongs to another request. It comes with
+	// ErrUnknown.
 	ErrCrossed = errors.New("answer belongs to another request")
-	// ErrSilent says that a connection went silent for longer than allowed.
+	// ErrSilent says that a connection went silent for longer than allowed. It
+	// comes with ErrUnknown.
 	ErrSilent = errors.New("connection went silent")
 )
 
@@ -43,6 +53,9 @@
 	Request string
 	Fence   uint64
 	Tier    int
+	// First bounds the time to the first byte of the answer; 0 leaves that to
+	// the context. A queueing engine may be slow with it.
+	First time.Duration
 }
 
 // Answer is a backend server's answer; the caller closes its body.
@@ -52,25 +65,26 @@
 	Body   io.ReadCloser
 	// Length is the body's length, or -1 where the server did not say.
 	Length int64
+	// Framed says that the end of the body can be told from a cut. The body of a
+	// server that just closes the connection can't.
+	Framed bool
+
+	request string
+	body    *watched
+	lane    *lane
 }
 
 // Forwarder is the HTTP adapter for engines and plain services.
 type Forwarder struct {
-	http    *http.Client
 	silence time.Duration
+	lanes   lanes
 }
 
 // New returns a forwarder that gives up on a connection after silence without a
 // byte, and its clean-up.
 func New(silence time.Duration) (*Forwarder, func()) {
-	t := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
-		MaxIdleConnsPerHost: 256,
-		IdleConnTimeout:     30 * time.Second,
-		DisableCompression:  true,
-	}
-	f := &Forwarder{http: &http.Client{Transport: t, CheckRedirect: noRedirect}, silence: silence}
-	return f, t.CloseIdleConnections
+	f := &Forwarder{silence: silence}
+	return f, f.lanes.close
 }
 
 func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
@@ -84,23 +98,63 @@
 		return nil, fmt.Errorf("%w: %v", ErrNotRun, err)
 	}
 	fill(req, c)
-	resp, err := f.http.Do(req)
+	k := f.lanes.get(address)
+	sent := time.Now()
+	resp, err := k.send(ctx, req, c.First, cancel)
+	if err == nil {
+		err = check(resp, c.Request, k)
+	}
 	if err != nil {
 		cancel(nil)
-		return nil, failure(err)
+		return nil, err
 	}
-	if resp.Header.Get(HeaderRun) == "no" && resp.StatusCode >= 500 {
-		_ = resp.Body.Close()
-		cancel(nil)
-		return nil, fmt.Errorf("%w: backend server answered %s", ErrNotRun, resp.Status)
+	body := &watched{body: resp.Body, silence: f.silence, ctx: ctx, cancel: cancel, lane: k}
+	if c.First > 0 {
+		body.first = max(c.First-time.Since(sent), 0)
 	}
-	if id := resp.Header.Get(HeaderRequest); id != "" && id != c.Request {
+	body.timer = time.AfterFunc(time.Hour, func() { cancel(ErrSilent) })
+	body.timer.Stop()
+	return &Answer{
+		Status: resp.StatusCode, Header: resp.Header, Body: body, Length: resp.ContentLength,
+		Framed:  resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.ProtoMajor > 1,
+		request: c.Request, body: body, lane: k,
+	}, nil
+}
+
+// send waits for the answer's head for at most first.
+func (k *lane) send(ctx context.Context, req *http.Request, first time.Duration, cancel context.CancelCauseFunc) (*http.Response, error) {
+	if first > 0 {
+		timer := time.AfterFunc(first, func() { cancel(ErrSilent) })
+		defer timer.Stop()
+	}
+	resp, err := k.client.Do(req)
+	if err != nil {
+		return nil, k.failure(ctx, err)
+	}
+	return resp, nil
+}
+
+// check closes an answer that is a refusal, or another request's.
+func check(resp *http.Response, request string, k *lane) error {
+	var err error
+	switch id := resp.Header.Get(HeaderRequest); {
+	case resp.Header.Get(HeaderRun) == "no" && isStale(resp.StatusCode):
+		err = fmt.Errorf("%w: %w: backend server answered %s", ErrNotRun, ErrStale, resp.Status)
+	case resp.Header.Get(HeaderRun) == "no" && (resp.StatusCode >= 500 || resp.StatusCode == http.StatusTooManyRequests):
+		err = fmt.Errorf("%w: backend server answered %s", ErrNotRun, resp.Status)
+	case id != "" && id != request:
+		// The connection's answers are out of step: it is closed with the body.
+		k.transport.CloseIdleConnections()
+		err = fmt.Errorf("%w: %w: %s", ErrUnknown, ErrCrossed, id)
+	}
+	if err != nil {
 		_ = resp.Body.Close()
-		cancel(nil)
-		return nil, fmt.Errorf("%w: %s", ErrCrossed, id)
 	}
-	body := newWatched(ctx, resp.Body, f.silence, cancel)
-	return &Answer{Status: resp.StatusCode, Header: resp.Header, Body: body, Length: resp.ContentLength}, nil
+	return err
+}
+
+func isStale(status int) bool {
+	return status == http.StatusConflict || status == http.StatusPreconditionFailed
 }
 
 func fill(req *http.Request, c Call) {
@@ -118,11 +172,17 @@
 	req.Header.Set(HeaderPriority, strconv.Itoa(c.Tier))
 }
 
-// failure tells a call whose connection was never made from one that may have left.
-func failure(err error) error {
+// failure tells a call whose connection was never made from one that may have
+// left. After a silence the idle connections of the lane go too: what made one
+// silent has most likely forgotten them all, and the next try needs a new one.
+func (k *lane) failure(ctx context.Context, err error) error {
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
 		return fmt.Errorf("%w: %v", ErrNotRun, err)
 	}
+	if errors.Is(context.Cause(ctx), ErrSilent) {
+		k.transport.CloseIdleConnections()
+		return fmt.Errorf("%w: %w", ErrUnknown, ErrSilent)
+	}
 	return fmt.Errorf("%w: %v", ErrUnknown, err)
 }
--- a/loader/folder.go
+++ b/loader/folder.go
@@ -60,6 +60,7 @@
 	Hosts   bool     `json:"hosts"` // take workers from the platform's host list too
 	Cell    int      `json:"cell"`  // most workers under one dispatcher; 0 is all
 	Fencing bool     `json:"fencing"`
+	Resume  bool     `json:"resume"` // engines: a stream that broke can be resumed
 }
 
 // Folder is the merged configuration. A parsed Folder is never changed.
--- a/loader/host.go
+++ b/loader/host.go
@@ -24,7 +24,8 @@
 type Limits struct {
 	Body    int64    `json:"body"`    // bytes of a request's body
 	Header  int      `json:"header"`  // bytes of a request's headers
-	Answer  int64    `json:"answer"`  // bytes of an answer that is not streamed
+	Answer  int64    `json:"answer"`  // bytes of an answer that is held until it is whole; a larger one is passed on as it comes
+	Buffer  int64    `json:"buffer"`  // bytes of bodies and answers held at once
 	Calls   int      `json:"calls"`   // requests in flight
 	Read    Duration `json:"read"`    // for a caller to send its request
 	Stall   Duration `json:"stall"`   // for a caller to take a piece of its answer
@@ -49,6 +50,9 @@
 	if l.Answer == 0 {
 		l.Answer = 16 << 20
 	}
+	if l.Buffer == 0 {
+		l.Buffer = 512 << 20
+	}
 	if l.Calls == 0 {
 		l.Calls = 12000
 	}
--- a/messenger/message.go
+++ b/messenger/message.go
@@ -29,6 +29,7 @@
 	Waited       time.Duration `msgpack:"waited"`
 	Prefix       uint64        `msgpack:"prefix"` // hash of organisation and prompt prefix; 0 for none
 	Exclude      []string      `msgpack:"exclude"`
+	Fixed        bool          `msgpack:"fixed"` // can't be preempted: not to be repeated, or not resumable
 }
 
 // Grant gives a waiting request one place on a worker.
--- a/runner/allocator.go
+++ b/runner/allocator.go
@@ -23,5 +23,10 @@
 	}
 }
 
+// Progress implements server.Allocator.
+func (c *control) Progress(p server.Place, tokens int) {
+	c.events <- placeProgressed{place: p, tokens: tokens}
+}
+
 // Release implements server.Allocator.
 func (c *control) Release(p server.Place, u server.Use) { c.events <- placeDone{place: p, use: u} }
--- a/runner/control.go
+++ b/runner/control.go
@@ -87,6 +87,8 @@
 		c.leave(now, e.request)
 	case placeDone:
 		c.done(now, e)
+	case placeProgressed:
+		c.progressed(now, e)
 	case folderChanged:
 		c.configure(now, e)
 	case rosterChanged:
@@ -244,6 +246,12 @@
 	})
 }
 
+func (c *control) progressed(now time.Time, e placeProgressed) {
+	if k := c.calls[e.place.Request]; k != nil {
+		c.send(now, k.owner, messenger.Progress{Request: e.place.Request, Cell: e.place.Cell, Tokens: e.tokens})
+	}
+}
+
 func (c *control) configure(now time.Time, e folderChanged) {
 	c.folder, c.generation = e.folder, e.generation
 	c.sender.SetGeneration(e.generation)
--- a/runner/event.go
+++ b/runner/event.go
@@ -40,6 +40,12 @@
 	use   server.Use
 }
 
+// placeProgressed tells of a stream's tokens so far.
+type placeProgressed struct {
+	place  server.Place
+	tokens int
+}
+
 // folderChanged is a configuration that came in force.
 type folderChanged struct {
 	folder     *loader.Folder
@@ -52,10 +58,11 @@
 // stateAsked wants a copy of the control state.
 type stateAsked struct{ reply chan<- State }
 
-func (frameArrived) event()  {}
-func (placeAsked) event()    {}
-func (placeLeft) event()     {}
-func (placeDone) event()     {}
-func (folderChanged) event() {}
-func (rosterChanged) event() {}
-func (stateAsked) event()    {}
+func (frameArrived) event()    {}
+func (placeAsked) event()      {}
+func (placeLeft) event()       {}
+func (placeDone) event()       {}
+func (placeProgressed) event() {}
+func (folderChanged) event()   {}
+func (rosterChanged) event()   {}
+func (stateAsked) event()      {}
--- /dev/null
+++ b/server/harness_test.go
@@ -0,0 +1,346 @@
+package server_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"github.com/cicadawood/cicadawood/faker"
+	"github.com/cicadawood/cicadawood/forwarder"
+	"github.com/cicadawood/cicadawood/loader"
+	"github.com/cicadawood/cicadawood/messenger"
+	"github.com/cicadawood/cicadawood/server"
+)
+
+const (
+	tokens  = 12                     // of every answer
+	silence = 250 * time.Millisecond // bound on a connection's silence
+	key     = "quay"
+)
+
+// places is a server.Allocator over a list of workers, in turn.
+type places struct {
+	mu       sync.Mutex
+	workers  []loader.Worker
+	next     int
+	asks     []messenger.Ask
+	released []server.Use
+	preempt  chan struct{} // of the place handed out last
+	fence    uint64
+
+	hold    chan struct{}         // where not nil, Acquire waits for it
+	refusal func(n int) error     // by number of the ask, from 0
+	granted func(p *server.Place) // sees each place before it is handed out
+}
+
+func (p *places) Acquire(ctx context.Context, _ string, a messenger.Ask) (server.Place, error) {
+	p.mu.Lock()
+	n, hold := len(p.asks), p.hold
+	p.asks = append(p.asks, a)
+	p.mu.Unlock()
+	if hold != nil {
+		select {
+		case <-ctx.Done():
+			return server.Place{}, server.ErrGone
+		case <-hold:
+		}
+	}
+	if p.refusal != nil {
+		if err := p.refusal(n); err != nil {
+			return server.Place{}, err
+		}
+	}
+	if ctx.Err() != nil {
+		return server.Place{}, server.ErrGone
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for slices.Contains(a.Exclude, p.workers[p.next%len(p.workers)].Name) {
+		p.next++
+	}
+	w := p.workers[p.next%len(p.workers)]
+	p.next++
+	p.fence++
+	p.preempt = make(chan struct{})
+	place := server.Place{Request: a.Request, Cell: "lm/0", Worker: w, Fence: p.fence, Preempted: p.preempt}
+	if p.granted != nil {
+		p.granted(&place)
+	}
+	return place, nil
+}
+
+func (p *places) Progress(server.Place, int) {}
+
+func (p *places) Release(_ server.Place, u server.Use) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.released = append(p.released, u)
+}
+
+// counts is how many places were asked for and given back.
+func (p *places) counts() (asked, released int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.asks), len(p.released)
+}
+
+func (p *places) preemptLast() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	close(p.preempt)
+}
+
+type configuration struct{ folder *loader.Folder }
+
+func (c configuration) Folder() (*loader.Folder, uint64) { return c.folder, 1 }
+
+// stand is one entry before three workers, each behind a link that can fail.
+type stand struct {
+	places *places
+	faults *faker.Failures // shared by all workers
+	calls  *faker.Counter
+	links  map[string]*faker.Link
+	engine []*faker.Engine
+	server *server.Server
+	url    string
+	client *http.Client
+	clean  []func()
+}
+
+// options change a stand.
+type options struct {
+	resume  bool
+	limits  func(*loader.Limits)
+	limiter server.Limiter
+}
+
+func newStand(o options) *stand {
+	s := &stand{places: &places{}, faults: &faker.Failures{}, calls: &faker.Counter{}, links: map[string]*faker.Link{}}
+	f := s.folder(o)
+	limits := loader.Limits{
+		Body: 1 << 20, Header: 64 << 10, Answer: 1 << 20, Buffer: 64 << 20, Calls: 100,
+		Read: loader.Duration(silence), Stall: loader.Duration(2 * time.Second), Silence: loader.Duration(silence),
+	}
+	if o.limits != nil {
+		o.limits(&limits)
+	}
+	forward, closeForward := forwarder.New(silence)
+	s.clean = append(s.clean, closeForward)
+	s.server = server.New(limits, configuration{f}, s.places, forward, zap.NewNop(), server.NewMetrics(prometheus.NewRegistry()))
+	s.server.SetLimiter(o.limiter)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	go func() { _ = s.server.Serve(l) }()
+	s.url = "http://" + l.Addr().String()
+	s.client = &http.Client{Transport: &http.Transport{}}
+	s.clean = append(s.clean, s.client.CloseIdleConnections, func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_ = s.server.Shutdown(ctx)
+		_ = l.Close()
+	})
+	return s
+}
+
+func (s *stand) folder(o options) *loader.Folder {
+	f := &loader.Folder{
+		Classes: map[string]loader.Class{
+			"chat": {Tier: 1, First: loader.Duration(100 * time.Millisecond), Whole: loader.Duration(20 * time.Second)},
+			"hold": {Tier: 0, First: loader.Duration(100 * time.Millisecond), Whole: loader.Duration(20 * time.Second)},
+			"plan": {Tier: 2, Whole: loader.Duration(20 * time.Second)},
+		},
+		Organisations: map[string]loader.Organisation{"dock": {Keys: []string{loader.HashKey(key)}, Classes: []string{"chat", "hold", "plan"}}},
+	}
+	engines := loader.Service{Kind: loader.KindEngine, Models: []string{"lm"}, Routes: []loader.Route{{Class: "chat"}}, Resume: o.resume}
+	desk := loader.Service{Kind: loader.KindPlain, Routes: []loader.Route{{Path: "/holds", Class: "hold", Once: true}, {Path: "/", Class: "hold"}}}
+	for i := range 3 {
+		name := fmt.Sprintf("w%d", i)
+		e := faker.NewEngine(name, faker.Model{Step: time.Millisecond, Slots: 16}, s.calls)
+		e.SetFaults(s.faults)
+		s.engine = append(s.engine, e)
+		p := faker.NewService(name, 0, s.calls)
+		p.SetFaults(s.faults)
+		m := http.NewServeMux()
+		m.Handle("/v1/", e.Handler())
+		m.Handle("/", p.Handler())
+		w := loader.Worker{Name: name, Address: s.behindLink(name, m), Slots: 16}
+		engines.Workers, desk.Workers = append(engines.Workers, w), append(desk.Workers, w)
+	}
+	s.places.workers = engines.Workers
+	f.Services = map[string]loader.Service{"lm": engines, "desk": desk}
+	return f
+}
+
+func (s *stand) behindLink(name string, h http.Handler) string {
+	back := httptest.NewServer(h)
+	link, closeLink, err := faker.NewLink("127.0.0.1:0", back.Listener.Addr().String())
+	if err != nil {
+		panic(err)
+	}
+	s.links[name] = link
+	s.clean = append(s.clean, back.Close, back.CloseClientConnections, closeLink)
+	return link.Address()
+}
+
+func (s *stand) close() {
+	for _, f := range slices.Backward(s.clean) {
+		f()
+	}
+}
+
+// got is what a caller received.
+type got struct {
+	status int
+	header http.Header
+	id     string
+	tokens []string // text, in order
+	done   bool
+	code   string // of the error
+	run    string
+	after  time.Duration
+	broken bool // the connection broke off
+	body   string
+}
+
+// whole says that the caller has its own whole answer, each token once.
+func (g got) whole() error {
+	if !g.done || g.code != "" || g.broken {
+		return fmt.Errorf("status %d, done %t, code %q, broken %t, %d tokens", g.status, g.done, g.code, g.broken, len(g.tokens))
+	}
+	return g.exact(tokens)
+}
+
+// exact says that the first n tokens are there, in order, once, and none else.
+func (g got) exact(n int) error {
+	if len(g.tokens) != n {
+		return fmt.Errorf("%d tokens, not %d: %q", len(g.tokens), n, g.tokens)
+	}
+	for i, t := range g.tokens {
+		if t != faker.Token(g.id, i) {
+			return fmt.Errorf("token %d of %s is %q", i, g.id, t)
+		}
+	}
+	return nil
+}
+
+// marked says that what the caller has is a true beginning, and that it was told
+// that the rest is missing.
+func (g got) marked() error {
+	if g.done || (g.code == "" && !g.broken) {
+		return fmt.Errorf("broken, but not marked so: done %t, %d tokens", g.done, len(g.tokens))
+	}
+	return g.exact(len(g.tokens))
+}
+
+func completionBody(stream bool) string {
+	return fmt.Sprintf(`{"model":"lm","stream":%t,"max_tokens":%d,"min_tokens":%d,"messages":[{"role":"user","content":"trip"}]}`, stream, tokens, tokens)
+}
+
+// request is a caller's request.
+func (s *stand) request(ctx context.Context, path, body string) *http.Request {
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, s.url+path, strings.NewReader(body))
+	if err != nil {
+		panic(err)
+	}
+	r.Header.Set("Authorization", "Bearer "+key)
+	return r
+}
+
+func (s *stand) stream() got {
+	return s.send(s.request(context.Background(), "/v1/chat/completions", completionBody(true)))
+}
+
+func (s *stand) json() got {
+	return s.send(s.request(context.Background(), "/v1/chat/completions", completionBody(false)))
+}
+
+func (s *stand) send(r *http.Request) got {
+	resp, err := s.client.Do(r)
+	if err != nil {
+		return got{broken: true}
+	}
+	defer resp.Body.Close()
+	return read(resp)
+}
+
+// read takes an answer in as a client library would.
+func read(resp *http.Response) got {
+	g := got{status: resp.StatusCode, header: resp.Header, id: resp.Header.Get("X-Request-Id")}
+	if !strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
+		body, err := io.ReadAll(resp.Body)
+		g.broken, g.body = err != nil, string(body)
+		g.take(body)
+		g.done = err == nil && resp.StatusCode == http.StatusOK
+		return g
+	}
+	lines := bufio.NewScanner(resp.Body)
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		switch {
+		case !ok:
+		case data == "[DONE]":
+			g.done = true
+		default:
+			g.take([]byte(data))
+		}
+	}
+	g.broken = lines.Err() != nil
+	return g
+}
+
+// take reads one event, or the body of an answer that is not streamed.
+func (g *got) take(data []byte) {
+	var v struct {
+		Choices []struct {
+			Delta, Message struct{ Content string }
+		}
+		Error struct {
+			Code, Run string
+			After     int64 `json:"retry_after_ms"`
+		}
+	}
+	if err := json.Unmarshal(data, &v); err != nil {
+		return
+	}
+	for _, c := range v.Choices {
+		for _, t := range strings.SplitAfter(c.Delta.Content+c.Message.Content, " ") {
+			if t != "" {
+				g.tokens = append(g.tokens, t)
+			}
+		}
+	}
+	if v.Error.Code != "" {
+		g.code, g.run, g.after = v.Error.Code, v.Error.Run, time.Duration(v.Error.After)*time.Millisecond
+	}
+}
+
+// together runs n tasks, at most 64 at once, and joins their errors.
+func together(n int, task func(i int) error) error {
+	var tasks sync.WaitGroup
+	found := make([]error, n)
+	slots := make(chan struct{}, 64)
+	for i := range n {
+		tasks.Go(func() {
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			found[i] = task(i)
+		})
+	}
+	tasks.Wait()
+	return errors.Join(found...)
+}
--- /dev/null
+++ b/server/matrix_test.go
@@ -0,0 +1,196 @@
+package server_test
+
+import (
+	"fmt"
+	"sync/atomic"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cicadawood/cicadawood/faker"
+	"github.com/cicadawood/cicadawood/prover"
+)
+
+// points is where each step of a call lies in a worker's answer.
+var points = []struct {
+	step prover.Step
+	at   int
+}{
+	{prover.Sent, faker.AtHead},
+	{prover.First, 0},
+	{prover.Mid, 4},
+	{prover.Answered, faker.AtEnd},
+}
+
+// faults is how each fault shows at a worker.
+var faults = []prover.Fault{
+	prover.Kill, prover.Freeze, prover.CutOne, prover.CutBoth, prover.Silence, prover.Slow, prover.Reorder, prover.Crossed,
+}
+
+// fault makes a fault hit at a point; hit counts that it did.
+func (s *stand) fault(f prover.Fault, at int, hit *atomic.Int32) []faker.Fault {
+	x := faker.Fault{At: at, Kind: faker.Trip, Hook: func(string) { hit.Add(1) }}
+	link := func(m faker.Mode) {
+		x.Hook = func(worker string) {
+			hit.Add(1)
+			s.links[worker].Set(m, 0)
+		}
+	}
+	switch f {
+	case prover.Kill:
+		x.Kind = faker.Crash
+	case prover.Freeze: // and it returns when another has taken over
+		x.Kind, x.Delay = faker.Late, 4*silence
+	case prover.CutOne:
+		link(faker.Forward)
+	case prover.CutBoth:
+		link(faker.Cut)
+	case prover.Silence:
+		link(faker.SilentOpen)
+	case prover.Slow:
+		x.Kind, x.Delay = faker.Late, silence/5
+	case prover.Reorder: // the answer comes after the next try's has begun
+		x.Kind, x.Delay = faker.Late, 3*silence
+	case prover.Crossed:
+		x.Kind = faker.Crossed
+	}
+	return []faker.Fault{x}
+}
+
+// trouble is one cell of the matrix.
+type trouble struct {
+	step  prover.Step
+	at    int
+	fault prover.Fault
+}
+
+func troubles() []trouble {
+	var out []trouble
+	for _, f := range faults {
+		for _, p := range points {
+			out = append(out, trouble{p.step, p.at, f})
+		}
+	}
+	return out
+}
+
+// follows says that a second trouble can hit the same request: in the same try
+// where the first only slows it, else in the next, which after the last token
+// has none in its middle.
+func follows(a, b trouble) bool {
+	if a.fault == prover.Slow {
+		return order(b) > order(a)
+	}
+	return a.step != prover.Answered || b.step != prover.Mid
+}
+
+func order(t trouble) int {
+	for i, p := range points {
+		if p.step == t.step {
+			return i
+		}
+	}
+	return -1
+}
+
+// meet has a request meet a, then b, and returns what was wrong with its end.
+func meet(a, b trouble) error {
+	s := newStand(options{resume: true})
+	defer s.close()
+	var first, second atomic.Int32
+	x, y := s.fault(a.fault, a.at, &first), s.fault(b.fault, b.at, &second)
+	if a.fault == prover.Slow {
+		s.faults.Plan(append(x, y...))
+	} else {
+		s.faults.Plan(x, y)
+	}
+	err := s.stream().whole()
+	if err == nil && (first.Load() != 1 || second.Load() != 1) {
+		err = fmt.Errorf("hit %d and %d times", first.Load(), second.Load())
+	}
+	if err != nil {
+		return fmt.Errorf("%s/%s, then %s/%s: %w", a.step, a.fault, b.step, b.fault, err)
+	}
+	return nil
+}
+
+// A tour group's plan streams when the engine under it dies, freezes, or is cut
+// off, or a middlebox forgets the connection, or the engine answers with another
+// caller's tokens. The plan must come whole: each token once, in order, its own,
+// and the end mark only then.
+var _ = Describe("a stream that can be resumed", func() {
+	for _, t := range troubles() {
+		It(fmt.Sprintf("is whole after %s/%s", t.step, t.fault), Label(prover.Cell(t.step, t.fault)), func() {
+			s := newStand(options{resume: true})
+			defer s.close()
+			var hit atomic.Int32
+			s.faults.Plan(s.fault(t.fault, t.at, &hit))
+			Expect(s.stream().whole()).To(Succeed())
+			Expect(hit.Load()).To(BeEquivalentTo(1))
+			asked, released := s.places.counts()
+			Expect(released).To(Equal(asked), "every place is given back")
+		})
+	}
+
+	for _, f := range faults {
+		var pairs [][2]trouble
+		var labels []string
+		for _, a := range troubles() {
+			for _, b := range troubles() {
+				if a.fault == f && follows(a, b) {
+					pairs = append(pairs, [2]trouble{a, b})
+					labels = append(labels, prover.Pair(a.step, a.fault, b.step, b.fault))
+				}
+			}
+		}
+		It(fmt.Sprintf("is whole after %s and any second fault", f), Label(labels...), func() {
+			Expect(together(len(pairs), func(i int) error { return meet(pairs[i][0], pairs[i][1]) })).To(Succeed())
+		})
+	}
+})
+
+// The same faults, with an engine that can't resume, or an answer in one piece:
+// the caller gets its whole answer, or a true beginning marked as broken.
+var _ = Describe("an answer that can't be resumed", func() {
+	end := func(g got) error {
+		if g.done {
+			return g.whole()
+		}
+		return g.marked()
+	}
+	It("is whole or marked", func() {
+		all := troubles()
+		Expect(together(len(all), func(i int) error {
+			s := newStand(options{})
+			defer s.close()
+			var hit atomic.Int32
+			s.faults.Plan(s.fault(all[i].fault, all[i].at, &hit))
+			if err := end(s.stream()); err != nil {
+				return fmt.Errorf("stream, %s/%s: %w", all[i].step, all[i].fault, err)
+			}
+			return nil
+		})).To(Succeed())
+	})
+
+	It("comes whole in one piece when a connection breaks", func() {
+		Expect(together(8, func(i int) error {
+			s := newStand(options{})
+			defer s.close()
+			var hit atomic.Int32
+			f := []prover.Fault{prover.Kill, prover.CutBoth, prover.Crossed, prover.Slow}[i/2]
+			s.faults.Plan(s.fault(f, []int{faker.AtHead, faker.AtEnd}[i%2], &hit))
+			return s.json().whole()
+		})).To(Succeed())
+	})
+
+	It("ends at its deadline where a connection goes silent", func() {
+		s := newStand(options{})
+		defer s.close()
+		s.faults.Plan([]faker.Fault{{Kind: faker.Silent, At: faker.AtHead}})
+		r := s.request(GinkgoT().Context(), "/v1/chat/completions", completionBody(false))
+		r.Header.Set("Cicadawood-Deadline", fmt.Sprint((2 * silence).Milliseconds()))
+		g := s.send(r)
+		Expect(g.code).To(Equal("deadline"))
+		Expect(g.run).To(Equal("unknown"), "it was sent: it may have run")
+	})
+})
--- a/server/port.go
+++ b/server/port.go
@@ -45,10 +45,20 @@
 	// Acquire waits for a place in one of the service's cells. Its error is a
 	// Refusal, or ErrGone when ctx ends first.
 	Acquire(ctx context.Context, service string, a messenger.Ask) (Place, error)
+	// Progress tells how many tokens a request has had of its place so far.
+	Progress(p Place, tokens int)
 	// Release gives a place back. Every Place is released once.
 	Release(p Place, u Use)
 }
 
+// Limiter holds organisations to their limits.
+type Limiter interface {
+	// Admit charges one request of about tokens, or says when to come back.
+	Admit(organisation string, tokens int) (after time.Duration, ok bool)
+	// Settle charges tokens more, or fewer, than Admit was told.
+	Settle(organisation string, tokens int)
+}
+
 // Configuration is what the server reads of the settings in force.
 type Configuration interface {
 	// Folder is the configuration in force and its generation; nil before the first.
--- a/server/request.go
+++ b/server/request.go
@@ -1,12 +1,11 @@
 package server
 
 import (
+	"bytes"
 	"crypto/rand"
 	"encoding/hex"
 	"encoding/json"
-	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -15,6 +14,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/cicadawood/cicadawood/forwarder"
 	"github.com/cicadawood/cicadawood/loader"
 	"github.com/cicadawood/cicadawood/messenger"
 )
@@ -22,6 +22,7 @@
 const (
 	bytesPerToken = 4    // rough, for prompts
 	prefixLength  = 1024 // bytes of a prompt that decide its prefix hash
+	outputGuess   = 256  // tokens, where the caller names no limit
 )
 
 // request is one caller's request, checked.
@@ -31,73 +32,79 @@
 	service      string
 	class        string
 	tier         int
+	engine       bool
 	once         bool
 	stream       bool
+	usage        bool // the stream ends with a usage event
+	resumable    bool // the rest of a broken stream can be had
+	excluded     int  // workers that tries may exclude
 	body         []byte
 	started      time.Time
+	first        time.Duration // target
 	deadline     time.Duration
 	prompt       int
 	output       int
 	prefix       uint64
 }
 
-// ask is the request as its dispatcher sees it.
-func (q *request) ask() messenger.Ask {
+// ask is the request as its dispatcher sees it, for one place after the other.
+// Each has its own name there, so that what is still under way for an earlier
+// one can't be taken for it.
+func (q *request) ask(n int, exclude []string) messenger.Ask {
+	name := q.id
+	if n > 0 {
+		name = fmt.Sprintf("%s.%d", q.id, n)
+	}
 	return messenger.Ask{
-		Request: q.id, Class: q.class, Organisation: q.organisation, Prompt: q.prompt, Output: q.output,
+		Request: name, Class: q.class, Organisation: q.organisation, Prompt: q.prompt, Output: q.output,
 		Deadline: max(q.deadline-time.Since(q.started), 0), Waited: time.Since(q.started), Prefix: q.prefix,
+		Exclude: exclude, Fixed: q.once || q.engine && q.stream && !q.resumable,
 	}
 }
 
-func newID() string {
-	var b [12]byte
-	_, _ = rand.Read(b[:])
-	return hex.EncodeToString(b[:])
-}
-
-// organisationOf finds the organisation by the request's API key.
-func organisationOf(f *loader.Folder, r *http.Request) (string, bool) {
-	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-	if !ok || key == "" {
-		return "", false
+// estimate is the tokens a request is charged with before they are known.
+func (q *request) estimate() int {
+	if !q.engine {
+		return 0
 	}
-	hash := loader.HashKey(key)
-	for name, o := range f.Organisations {
-		if slices.Contains(o.Keys, hash) {
-			return name, true
-		}
+	if q.output == 0 {
+		return q.prompt + outputGuess
 	}
-	return "", false
+	return q.prompt + q.output
 }
 
-// readBody takes the whole body, bounded.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *failure) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	var large *http.MaxBytesError
-	switch {
-	case errors.As(err, &large):
-		return nil, &failure{status: http.StatusRequestEntityTooLarge, code: "body_too_large", message: fmt.Sprintf("the body is over %d bytes", limit), run: RunNo}
-	case err != nil:
-		return nil, &failure{status: http.StatusBadRequest, code: "body_unreadable", message: "the body did not arrive whole", run: RunNo}
+// used is the tokens a request turned out to cost.
+func (q *request) used(d *delivery) int {
+	tokens := max(d.tokens, d.usage)
+	if !q.engine || tokens == 0 {
+		return 0
 	}
-	return body, nil
+	return q.prompt + tokens
+}
+
+func newID() string {
+	var b [12]byte
+	_, _ = rand.Read(b[:])
+	return forwarder.RequestMark + hex.EncodeToString(b[:])
 }
 
 // chooseClass is the route's class, or the one the header asks for where the
 // organisation may use it.
 func (q *request) chooseClass(f *loader.Folder, route loader.Route, asked string) *failure {
 	q.class = route.Class
-	if asked != "" {
-		q.class = asked
+	if asked == "" {
+		asked = route.Class
 	}
 	allowed := f.Organisations[q.organisation].Classes
-	class, known := f.Classes[q.class]
-	if !known || !slices.Contains(allowed, q.class) {
-		return &failure{status: http.StatusForbidden, code: "class_not_allowed", message: fmt.Sprintf("class %q is not one of this organisation's: %s", q.class, strings.Join(allowed, ", ")), run: RunNo}
+	class, known := f.Classes[asked]
+	if !known || !slices.Contains(allowed, asked) {
+		return &failure{status: http.StatusForbidden, code: "class_not_allowed", message: fmt.Sprintf("class %q is not one of this organisation's: %s", asked, strings.Join(allowed, ", ")), run: RunNo}
 	}
+	// A name from a header goes no further until it is known: it labels metrics.
+	q.class = asked
 	q.tier = class.Tier
 	q.once = route.Once
-	q.deadline = class.Whole.Std()
+	q.first, q.deadline = class.First.Std(), class.Whole.Std()
 	return nil
 }
 
@@ -122,34 +129,52 @@
 	MaxComplete int             `json:"max_completion_tokens"`
 	Messages    json.RawMessage `json:"messages"`
 	Prompt      json.RawMessage `json:"prompt"`
+	Choices     int             `json:"n"`
+	Resume      json.RawMessage `json:"resume"`
+	Options     struct {
+		Usage bool `json:"include_usage"`
+	} `json:"stream_options"`
 }
 
 // takeCompletion reads an engine request's body and finds its service.
-func (q *request) takeCompletion(f *loader.Folder, body []byte) (loader.Route, *failure) {
+func (q *request) takeCompletion(x *index, body []byte) (loader.Route, *failure) {
+	bad := func(code, message string) (loader.Route, *failure) {
+		return loader.Route{}, &failure{status: http.StatusBadRequest, code: code, message: message, run: RunNo}
+	}
 	var c completion
 	if err := json.Unmarshal(body, &c); err != nil {
-		return loader.Route{}, &failure{status: http.StatusBadRequest, code: "bad_json", message: "the body is not a completion request: " + err.Error(), run: RunNo}
+		return bad("bad_json", "the body is not a completion request: "+err.Error())
 	}
 	if len(c.Messages) == 0 && len(c.Prompt) == 0 {
-		return loader.Route{}, &failure{status: http.StatusBadRequest, code: "no_prompt", message: "messages or prompt is missing", run: RunNo}
+		return bad("no_prompt", "messages or prompt is missing")
+	}
+	if len(c.Resume) > 0 {
+		return bad("resume", "resume is between the system and its engines")
 	}
 	text := append(slices.Clone(c.Messages), c.Prompt...)
-	q.body, q.stream = body, c.Stream
+	q.engine, q.body, q.stream, q.usage = true, body, c.Stream, c.Options.Usage
 	q.prompt = 1 + len(text)/bytesPerToken
 	q.output = max(c.MaxTokens, c.MaxComplete)
 	q.prefix = xxhash.Sum64String(q.organisation + "\x00" + string(text[:min(len(text), prefixLength)]))
-	for name, s := range f.Services {
-		if s.Kind != loader.KindEngine || !slices.Contains(s.Models, c.Model) {
-			continue
-		}
-		q.service = name
-		for _, r := range s.Routes {
-			if r.Model == "" || r.Model == c.Model {
-				return r, nil
-			}
-		}
+	t, ok := x.models[c.Model]
+	if !ok {
+		return loader.Route{}, &failure{status: http.StatusNotFound, code: "model_not_found", message: fmt.Sprintf("no model %q", c.Model), run: RunNo}
 	}
-	return loader.Route{}, &failure{status: http.StatusNotFound, code: "model_not_found", message: fmt.Sprintf("no model %q", c.Model), run: RunNo}
+	q.takeService(x.folder, t.service)
+	// Tokens of several choices come mixed: their number is no place to resume at.
+	q.resumable = q.resumable && c.Choices <= 1
+	return t.route, nil
+}
+
+func (q *request) takeService(f *loader.Folder, name string) {
+	s := f.Services[name]
+	q.service, q.excluded, q.resumable = name, excluded(s), s.Resume
+}
+
+// resumeAt is a completion request for the rest of its answer, after tokens.
+func resumeAt(body []byte, tokens int) []byte {
+	end := bytes.LastIndexByte(body, '}')
+	return fmt.Appendf(slices.Clone(body[:end]), `,"resume":%d}`, tokens)
 }
 
 // routeOf finds a plain service's route for a method and path.
--- a/server/server.go
+++ b/server/server.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"maps"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -18,11 +19,15 @@
 
 	"github.com/cicadawood/cicadawood/forwarder"
 	"github.com/cicadawood/cicadawood/loader"
+	"github.com/cicadawood/cicadawood/retrier"
 )
 
 // comeBack is what a caller is told where nothing better is known.
 const comeBack = time.Second
 
+// answered is the outcome of a request whose caller got its whole answer.
+const answered = "answered"
+
 // Server answers callers.
 type Server struct {
 	limits    loader.Limits
@@ -31,6 +36,10 @@
 	forwarder *forwarder.Forwarder
 	log       *zap.Logger
 	metrics   *Metrics
+	limiter   Limiter
+	budgets   retrier.Budgets
+	memory    memory
+	index     atomic.Pointer[index]
 	ready     atomic.Bool
 	calls     atomic.Int64
 	http      *http.Server
@@ -38,11 +47,15 @@
 
 // New returns a server that does not listen yet.
 func New(l loader.Limits, c Configuration, a Allocator, f *forwarder.Forwarder, log *zap.Logger, m *Metrics) *Server {
-	s := &Server{limits: l, config: c, places: a, forwarder: f, log: log, metrics: m}
+	s := &Server{limits: l, config: c, places: a, forwarder: f, log: log, metrics: m, memory: memory{limit: l.Buffer}}
 	s.http = &http.Server{Handler: s.router(), ReadHeaderTimeout: l.Read.Std(), ReadTimeout: l.Read.Std(), MaxHeaderBytes: l.Header, IdleTimeout: time.Minute}
 	return s
 }
 
+// SetLimiter sets who holds organisations to their limits. It comes before
+// Serve.
+func (s *Server) SetLimiter(l Limiter) { s.limiter = l }
+
 // Serve answers callers on l until Shutdown.
 func (s *Server) Serve(l net.Listener) error {
 	if err := s.http.Serve(l); !errors.Is(err, http.ErrServerClosed) {
@@ -88,9 +101,9 @@
 }
 
 func (s *Server) models(w http.ResponseWriter, r *http.Request) {
-	q, f, fail := s.open(r)
+	q, x, fail := s.open(r)
 	if fail != nil {
-		fail.write(w, "", q.id)
+		fail.write(w, q)
 		return
 	}
 	type model struct {
@@ -100,8 +113,8 @@
 		Owner   string `json:"owned_by"`
 	}
 	list := []model{}
-	for _, name := range slices.Sorted(maps.Keys(f.Services)) {
-		for _, m := range f.Services[name].Models {
+	for _, name := range slices.Sorted(maps.Keys(x.folder.Services)) {
+		for _, m := range x.folder.Services[name].Models {
 			list = append(list, model{ID: m, Object: "model", Owner: name})
 		}
 	}
@@ -113,132 +126,119 @@
 }
 
 // open starts a request: configuration, organisation.
-func (s *Server) open(r *http.Request) (*request, *loader.Folder, *failure) {
+func (s *Server) open(r *http.Request) (*request, *index, *failure) {
 	q := &request{id: newID(), started: time.Now()}
-	f, _ := s.config.Folder()
-	if f == nil {
-		return q, nil, &failure{status: http.StatusServiceUnavailable, code: "no_configuration", message: "no configuration is in force yet", run: RunNo, after: comeBack}
+	x := s.look()
+	if x == nil {
+		return q, &index{}, &failure{status: http.StatusServiceUnavailable, code: "no_configuration", message: "no configuration is in force yet", run: RunNo, after: comeBack}
 	}
-	name, ok := organisationOf(f, r)
+	name, ok := x.organisation(r)
 	if !ok {
-		return q, f, &failure{status: http.StatusUnauthorized, code: "invalid_api_key", message: "the API key is missing or unknown", run: RunNo}
+		return q, x, &failure{status: http.StatusUnauthorized, code: "invalid_api_key", message: "the API key is missing or unknown", run: RunNo}
 	}
 	q.organisation = name
-	return q, f, nil
+	return q, x, nil
 }
 
 func (s *Server) completion(w http.ResponseWriter, r *http.Request) {
-	q, f, fail := s.open(r)
+	h := hold{memory: &s.memory}
+	defer h.release()
+	q, x, fail := s.open(r)
 	if fail == nil {
-		fail = s.takeEngineCall(w, r, q, f)
+		fail = s.takeEngineCall(w, r, q, x, &h)
 	}
-	s.finish(w, r, q, fail, forwarder.Call{Method: r.Method, Path: r.URL.RequestURI(), Header: passed(r.Header)})
+	s.finish(w, r, q, x, fail, forwarder.Call{Method: r.Method, Path: r.URL.RequestURI(), Header: passed(r.Header)})
 }
 
-func (s *Server) takeEngineCall(w http.ResponseWriter, r *http.Request, q *request, f *loader.Folder) *failure {
-	body, fail := readBody(w, r, s.limits.Body)
+func (s *Server) takeEngineCall(w http.ResponseWriter, r *http.Request, q *request, x *index, h *hold) *failure {
+	body, fail := s.readBody(w, r, h)
 	if fail != nil {
 		return fail
 	}
-	route, fail := q.takeCompletion(f, body)
+	route, fail := q.takeCompletion(x, body)
 	if fail != nil {
 		return fail
 	}
-	if fail := q.chooseClass(f, route, r.Header.Get(HeaderClass)); fail != nil {
+	if fail := q.chooseClass(x.folder, route, r.Header.Get(HeaderClass)); fail != nil {
 		return fail
 	}
 	return q.takeDeadline(r.Header.Get(HeaderDeadline))
 }
 
 func (s *Server) plain(w http.ResponseWriter, r *http.Request) {
-	q, f, fail := s.open(r)
-	q.service = mux.Vars(r)["service"]
-	path := r.URL.EscapedPath()[len("/services/"+q.service):]
+	h := hold{memory: &s.memory}
+	defer h.release()
+	q, x, fail := s.open(r)
+	service := mux.Vars(r)["service"]
+	path := r.URL.EscapedPath()[len("/services/"+service):]
 	if fail == nil {
-		fail = s.takePlainCall(w, r, q, f, path)
+		fail = s.takePlainCall(w, r, q, x, service, path, &h)
 	}
 	if r.URL.RawQuery != "" {
 		path += "?" + r.URL.RawQuery
 	}
-	s.finish(w, r, q, fail, forwarder.Call{Method: r.Method, Path: path, Header: passed(r.Header)})
+	s.finish(w, r, q, x, fail, forwarder.Call{Method: r.Method, Path: path, Header: passed(r.Header)})
 }
 
-func (s *Server) takePlainCall(w http.ResponseWriter, r *http.Request, q *request, f *loader.Folder, path string) *failure {
-	service, ok := f.Services[q.service]
+func (s *Server) takePlainCall(w http.ResponseWriter, r *http.Request, q *request, x *index, name, path string, h *hold) *failure {
+	service, ok := x.folder.Services[name]
 	if !ok || service.Kind != loader.KindPlain {
-		return &failure{status: http.StatusNotFound, code: "service_not_found", message: fmt.Sprintf("no service %q", q.service), run: RunNo}
+		return &failure{status: http.StatusNotFound, code: "service_not_found", message: fmt.Sprintf("no service %q", name), run: RunNo}
 	}
+	q.takeService(x.folder, name)
 	route, ok := routeOf(service, r.Method, path)
 	if !ok {
 		return &failure{status: http.StatusNotFound, code: "route_not_found", message: "no route of this service matches", run: RunNo}
 	}
-	if fail := q.chooseClass(f, route, r.Header.Get(HeaderClass)); fail != nil {
+	if fail := q.chooseClass(x.folder, route, r.Header.Get(HeaderClass)); fail != nil {
 		return fail
 	}
 	if fail := q.takeDeadline(r.Header.Get(HeaderDeadline)); fail != nil {
 		return fail
 	}
-	body, fail := readBody(w, r, s.limits.Body)
+	body, fail := s.readBody(w, r, h)
 	q.body, q.prompt = body, 1
 	return fail
 }
 
 // finish runs a checked request, answers a refused one, and logs either.
-func (s *Server) finish(w http.ResponseWriter, r *http.Request, q *request, fail *failure, c forwarder.Call) {
-	s.calls.Add(1)
-	defer s.calls.Add(-1)
-	if fail == nil && s.calls.Load() > int64(s.limits.Calls) {
-		fail = &failure{status: http.StatusServiceUnavailable, code: "host_full", message: "this host has too many requests in flight", run: RunNo, after: comeBack}
-	}
+func (s *Server) finish(w http.ResponseWriter, r *http.Request, q *request, x *index, fail *failure, c forwarder.Call) {
+	d := newDelivery(w, q, s.limits.Stall.Std())
 	if fail == nil {
 		c.Body, c.Request, c.Tier = q.body, q.id, q.tier
-		fail = s.serve(r.Context(), w, q, c)
+		fail = s.admitted(r, q, x, d, c)
 	}
-	outcome := "answered"
+	outcome, abort := answered, false
 	if fail != nil {
 		outcome = fail.code
-		fail.write(w, q.class, q.id)
+		if fail.after > 0 {
+			fail.after = retrier.Jitter(fail.after, rand.Float64())
+		}
+		abort = d.fail(fail)
 	}
-	s.metrics.request(q.class, outcome, time.Since(q.started))
+	s.metrics.request(q, d, outcome)
 	s.log.Info("request", zap.String("request", q.id), zap.String("org", q.organisation), zap.String("service", q.service),
-		zap.String("class", q.class), zap.String("outcome", outcome), zap.Duration("took", time.Since(q.started)))
-}
-
-// serve gets the request a place and forwards it.
-func (s *Server) serve(ctx context.Context, w http.ResponseWriter, q *request, c forwarder.Call) *failure {
-	ctx, cancel := context.WithTimeout(ctx, q.deadline)
-	defer cancel()
-	p, err := s.places.Acquire(ctx, q.service, q.ask())
-	if err != nil {
-		return refused(err)
-	}
-	granted := time.Now()
-	c.Fence = p.Fence
-	use := Use{Failed: true}
-	defer func() { s.places.Release(p, use) }()
-	answer, err := s.forwarder.Do(ctx, p.Worker.Address, c)
-	if err != nil {
-		return broken(err)
-	}
-	defer answer.Body.Close()
-	use.First = time.Since(granted)
-	s.metrics.first(q.class, time.Since(q.started))
-	n, fail := s.reply(w, q, answer)
-	use.Tokens, use.Failed = int(n/bytesPerToken), fail != nil
-	return fail
-}
-
-func refused(err error) *failure {
-	var r Refusal
-	if errors.As(err, &r) {
-		return &failure{status: http.StatusServiceUnavailable, code: r.Reason, message: "the request was not run: " + r.Reason, run: RunNo, after: r.After}
+		zap.String("class", q.class), zap.String("outcome", outcome), zap.Int("tokens", d.tokens), zap.Duration("took", time.Since(q.started)))
+	if abort {
+		panic(http.ErrAbortHandler)
 	}
-	return &failure{status: http.StatusServiceUnavailable, code: "deadline", message: "the request was not run before its deadline", run: RunNo, after: comeBack}
 }
 
-func broken(err error) *failure {
-	if errors.Is(err, forwarder.ErrNotRun) {
-		return &failure{status: http.StatusServiceUnavailable, code: "worker_unreachable", message: "the request was not run", run: RunNo, after: comeBack}
+// admitted runs a request that the organisation's limits and the host's room
+// allow.
+func (s *Server) admitted(r *http.Request, q *request, x *index, d *delivery, c forwarder.Call) *failure {
+	release, fail := s.admit(q, x.lowest)
+	defer release()
+	if fail != nil {
+		return fail
+	}
+	if s.limiter != nil {
+		after, ok := s.limiter.Admit(q.organisation, q.estimate())
+		if !ok {
+			return &failure{status: http.StatusTooManyRequests, code: "rate_limited", message: "the organisation is over its limit", run: RunNo, after: after}
+		}
+		defer func() { s.limiter.Settle(q.organisation, q.used(d)-q.estimate()) }()
 	}
-	return &failure{status: http.StatusBadGateway, code: "answer_lost", message: "the answer was lost; the request may have run", run: RunUnknown, after: comeBack}
+	run := &run{server: s, q: q, delivery: d, call: c}
+	return run.serve(r.Context())
 }
