Limits over hosts, retry budgets, overload at the entry

An organisation's limits were not held at all; with one bucket on each host nine hosts would have let in nine limits.

One owner host per organisation (rendezvous) lends parts of the limit for 2 s to the entries that ask, by demand; an entry that hears nothing uses an even part. A new owner lends nothing until the loans of the one before are over. Ten per cent is kept for even parts while some host has no loan, so that traffic that moves is let in at once. Ruled out: even parts always (a ninth for a customer behind one host); lending it all to who comes first (one that comes later waits up to 3 s: seen red in 'let traffic that moves in at once', 3 of 9 requests let in).

Retries come out of budgets by organisation and service. A host that fills up refuses the lowest tier first; bytes of bodies and answers are bounded.

go test ./server ./limiter ./retrier: green, 90, 13 and 4 specs.

--- a/faker/engine.go
+++ b/faker/engine.go
@@ -35,6 +35,7 @@
 	running  bool
 	leaving  bool
 	fencing  bool // refuses old fencing numbers
+	deaf     bool // to resume
 	fence    uint64
 	prefixes prefixes
 	lag      time.Duration
@@ -78,6 +79,13 @@
 	e.fencing = on
 }
 
+// SetResume sets whether the engine can resume; one that can't begins again.
+func (e *Engine) SetResume(on bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.deaf = !on
+}
+
 // SetSlow sets the factor on all times.
 func (e *Engine) SetSlow(factor float64) {
 	e.mu.Lock()
@@ -162,6 +170,9 @@
 		http.Error(w, `{"error":{"message":"bad json","type":"invalid_request_error"}}`, http.StatusBadRequest)
 		return
 	}
+	if e.isDeaf() {
+		c.Resume = 0
+	}
 	now := e.faults.next()
 	if now.refused() {
 		refuse(w, http.StatusServiceUnavailable, "refused")
@@ -184,6 +195,12 @@
 	a.whole()
 }
 
+func (e *Engine) isDeaf() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.deaf
+}
+
 // refuse says no, and that the call was not run.
 func refuse(w http.ResponseWriter, status int, why string) {
 	w.Header().Set("X-Run", "no")
--- /dev/null
+++ b/limiter/limiter_test.go
@@ -0,0 +1,301 @@
+package limiter_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/cicadawood/cicadawood/limiter"
+	"github.com/cicadawood/cicadawood/prover"
+)
+
+const (
+	step = 10 * time.Millisecond
+	org  = "carrier"
+)
+
+// frame is a message under way.
+type frame struct {
+	at  time.Time
+	run func()
+}
+
+// world is hosts that share one organisation's limit, with messages that take
+// time or get lost, and an owner that can be lost.
+type world struct {
+	now      time.Time
+	limits   limiter.Rates
+	gates    []*limiter.Gate
+	lender   *limiter.Lender
+	since    time.Time
+	up       bool   // the owner is there
+	cut      []bool // hosts that can't reach it
+	frames   []frame
+	delay    time.Duration
+	admitted []int
+	refused  []int
+}
+
+func newWorld(hosts int, limit float64) *world {
+	w := &world{
+		now: time.Unix(1000, 0), limits: limiter.Rates{Requests: limit}, lender: &limiter.Lender{}, up: true,
+		cut: make([]bool, hosts), admitted: make([]int, hosts), refused: make([]int, hosts),
+	}
+	w.since = w.now.Add(-time.Hour)
+	for range hosts {
+		g := &limiter.Gate{}
+		g.Configure(w.limits, hosts)
+		w.gates = append(w.gates, g)
+	}
+	return w
+}
+
+// lose loses the owner; the next one begins with nothing.
+func (w *world) lose() {
+	w.lender, w.since = &limiter.Lender{}, w.now
+}
+
+// tick passes a step, with arrivals at each host.
+func (w *world) tick(arrivals []int) {
+	w.now = w.now.Add(step)
+	later := w.frames[:0]
+	due := []frame{}
+	for _, f := range w.frames {
+		if f.at.After(w.now) {
+			later = append(later, f)
+			continue
+		}
+		due = append(due, f)
+	}
+	w.frames = later
+	for _, f := range due {
+		f.run()
+	}
+	for i, g := range w.gates {
+		for range arrivals[i] {
+			if _, ok := g.Admit(w.now, 0); ok {
+				w.admitted[i]++
+			} else {
+				w.refused[i]++
+			}
+		}
+		w.ask(i, g)
+	}
+}
+
+// ask sends a host's ask to the owner, and the answer back.
+func (w *world) ask(i int, g *limiter.Gate) {
+	demand, sequence, due := g.Ask(w.now)
+	if !due || !w.up || w.cut[i] {
+		return
+	}
+	w.frames = append(w.frames, frame{at: w.now.Add(w.delay), run: func() {
+		loan, ok := w.lender.Lend(w.now, w.since, org, fmt.Sprint(i), len(w.gates), w.limits, demand)
+		if !ok || w.cut[i] {
+			return
+		}
+		w.frames = append(w.frames, frame{at: w.now.Add(w.delay), run: func() { g.Take(w.now, sequence, loan) }})
+	}})
+}
+
+// rate is the sum of what the hosts let in now.
+func (w *world) rate() float64 {
+	sum := 0.0
+	for _, g := range w.gates {
+		sum += g.Rates(w.now).Requests
+	}
+	return sum
+}
+
+func (w *world) total() int {
+	n := 0
+	for _, a := range w.admitted {
+		n += a
+	}
+	return n
+}
+
+// run passes time with the same arrivals at each step.
+func (w *world) run(d time.Duration, arrivals ...int) {
+	for range d / step {
+		w.tick(arrivals)
+	}
+}
+
+// A carrier's rostering desk sends a wave through every host. Each host knows
+// only its own part: without an owner, nine hosts would let in nine limits.
+var _ = Describe("limits over hosts", func() {
+	It("never add up to more than the bound, whatever is lost", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			hosts := rapid.IntRange(1, 9).Draw(t, "hosts")
+			limit := float64(rapid.IntRange(1, 300).Draw(t, "limit"))
+			w := newWorld(hosts, limit)
+			w.delay = time.Duration(rapid.IntRange(0, 30).Draw(t, "delay")) * step
+			arrivals := make([]int, hosts)
+			var ticks int
+			for range rapid.IntRange(1, 12).Draw(t, "phases") {
+				for i := range arrivals {
+					arrivals[i] = rapid.IntRange(0, 3).Draw(t, "arrivals")
+				}
+				switch rapid.IntRange(0, 5).Draw(t, "event") {
+				case 0:
+					w.lose()
+				case 1:
+					w.up = !w.up
+				case 2:
+					i := rapid.IntRange(0, hosts-1).Draw(t, "host")
+					w.cut[i] = !w.cut[i]
+				}
+				for range rapid.IntRange(1, 300).Draw(t, "steps") {
+					w.tick(arrivals)
+					ticks++
+					if r := w.rate(); r > 2*limit+1e-6 {
+						t.Fatalf("the hosts let in %.1f/s of %.1f", r, limit)
+					}
+				}
+			}
+			length := (time.Duration(ticks) * step).Seconds()
+			if most := 2*limit*length + max(limit, float64(hosts)); float64(w.total()) > most+1 {
+				t.Fatalf("let in %d in %.1fs, bound %.1f", w.total(), length, most)
+			}
+		})
+	})
+
+	It("add up to the limit while the owner is reached, and nothing is asked when idle", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			hosts := rapid.IntRange(1, 9).Draw(t, "hosts")
+			limit := float64(rapid.IntRange(hosts, 300).Draw(t, "limit"))
+			w := newWorld(hosts, limit)
+			arrivals := make([]int, hosts)
+			for range 8 {
+				for i := range arrivals {
+					arrivals[i] = rapid.IntRange(0, 4).Draw(t, "arrivals")
+				}
+				w.run(time.Second, arrivals...)
+			}
+			lent := 0.0
+			for i, g := range w.gates {
+				if arrivals[i] > 0 {
+					lent += g.Rates(w.now).Requests
+				}
+			}
+			if lent > limit+1e-6 {
+				t.Fatalf("loans of %.2f/s of %.1f", lent, limit)
+			}
+			w.run(limiter.Term, make([]int, hosts)...)
+			for _, g := range w.gates {
+				if _, _, due := g.Ask(w.now); due {
+					t.Fatalf("an idle entry asks")
+				}
+			}
+		})
+	})
+
+	DescribeTable("go where the traffic is",
+		func(hosts int, arrivals []int, least, most float64) {
+			const limit = 50.0
+			w := newWorld(hosts, limit)
+			w.delay = step
+			w.run(4*time.Second, arrivals...)
+			before := w.total()
+			w.run(20*time.Second, arrivals...)
+			Expect(float64(w.total()-before) / 20 / limit).To(And(BeNumerically(">=", least), BeNumerically("<=", most)))
+		},
+		Entry("all at one of nine hosts", 9, []int{3, 0, 0, 0, 0, 0, 0, 0, 0}, 0.85, 1.01),
+		Entry("alike at nine", 9, []int{1, 1, 1, 1, 1, 1, 1, 1, 1}, 0.9, 1.01),
+		Entry("much at one, little at the rest", 9, []int{4, 1, 1, 1, 1, 1, 1, 1, 1}, 0.85, 1.01),
+		Entry("one host alone", 1, []int{3}, 0.99, 1.01),
+	)
+
+	// The owner dies while a large customer is at its limit everywhere.
+	DescribeTable("stay within the bound when the owner is lost",
+		func(gone bool, least, most float64) {
+			w := newWorld(9, 90)
+			w.run(5*time.Second, 1, 1, 1, 1, 1, 1, 1, 1, 1)
+			w.up = !gone
+			w.lose()
+			before := w.total()
+			w.run(10*time.Second, 1, 1, 1, 1, 1, 1, 1, 1, 1)
+			Expect(float64(w.total()-before) / 10 / 90).To(And(BeNumerically(">=", least), BeNumerically("<=", most)))
+		},
+		Entry("and another takes over", Label(prover.Cell(prover.Received, prover.Kill)), false, 0.9, 1.2),
+		Entry("and none can be reached", Label(prover.Cell(prover.Received, prover.CutBoth)), true, 0.9, 1.2),
+	)
+
+	It("let traffic that moves in at once", func() {
+		w := newWorld(9, 90)
+		w.run(5*time.Second, 3, 0, 0, 0, 0, 0, 0, 0, 0)
+		w.run(time.Second, 0, 1, 0, 0, 0, 0, 0, 0, 0)
+		Expect(w.admitted[1]).To(BeNumerically(">=", 9), "a host's even part needn't wait for the loans of others")
+		w.run(4*time.Second, 0, 1, 0, 0, 0, 0, 0, 0, 0)
+		before := w.admitted[1]
+		w.run(5*time.Second, 0, 1, 0, 0, 0, 0, 0, 0, 0)
+		Expect(w.admitted[1] - before).To(BeNumerically(">=", 5*75))
+	})
+
+	It("cost a message pair a second for each active host", func() {
+		w := newWorld(1, 1000)
+		asks := 0
+		for range 1000 {
+			w.now = w.now.Add(step)
+			w.gates[0].Admit(w.now, 0)
+			if _, _, due := w.gates[0].Ask(w.now); due {
+				asks++
+			}
+		}
+		Expect(asks).To(BeNumerically("<=", 12))
+	})
+
+	It("charge tokens by estimate and correct them", func() {
+		g := &limiter.Gate{}
+		g.Configure(limiter.Rates{Tokens: 100}, 1)
+		now := time.Unix(1000, 0)
+		_, ok := g.Admit(now, 500)
+		Expect(ok).To(BeTrue(), "more than a burst, but there was room")
+		after, ok := g.Admit(now, 1)
+		Expect(ok).To(BeFalse())
+		Expect(after).To(BeNumerically("~", 4010*time.Millisecond, 10*time.Millisecond), "when the debt of 400 is paid")
+		g.Settle(-450)
+		_, ok = g.Admit(now, 1)
+		Expect(ok).To(BeTrue())
+	})
+
+	It("take no answer to an earlier ask", Label(prover.Cell(prover.Received, prover.Reorder)), func() {
+		g := &limiter.Gate{}
+		g.Configure(limiter.Rates{Requests: 100}, 10)
+		now := time.Unix(1000, 0)
+		g.Admit(now, 0)
+		_, first, _ := g.Ask(now)
+		g.Admit(now, 0)
+		_, second, due := g.Ask(now.Add(time.Second))
+		Expect(due).To(BeTrue())
+		g.Take(now.Add(time.Second), second, limiter.Rates{Requests: 20})
+		g.Take(now.Add(time.Second), first, limiter.Rates{Requests: 90})
+		Expect(g.Rates(now.Add(time.Second)).Requests).To(Equal(20.0))
+		Expect(g.Rates(now.Add(time.Second+limiter.Term)).Requests).To(Equal(10.0), "over: the even part again")
+	})
+})
+
+var _ = Describe("Gates", func() {
+	It("forgets what is idle, and follows the settings", func() {
+		var g limiter.Gates
+		now := time.Unix(1000, 0)
+		_, ok := g.Admit(now, org, 1)
+		Expect(ok).To(BeTrue(), "no limit is set")
+		g.Configure(map[string]limiter.Rates{org: {Requests: 1}})
+		g.SetHosts(1)
+		_, ok = g.Admit(now, org, 0)
+		Expect(ok).To(BeTrue())
+		_, ok = g.Admit(now, org, 0)
+		Expect(ok).To(BeFalse())
+		Expect(g.Asks(now)).To(HaveLen(1))
+		Expect(g.Asks(now.Add(time.Minute))).To(BeEmpty())
+		Expect(g.Rates(now)).To(BeEmpty())
+		g.Admit(now, org, 0)
+		g.Configure(nil)
+		Expect(g.Rates(now)).To(BeEmpty())
+	})
+})
--- a/messenger/message.go
+++ b/messenger/message.go
@@ -134,6 +134,10 @@
 		return decode[Claim](e)
 	case "moved":
 		return decode[Moved](e)
+	case "borrow":
+		return decode[Borrow](e)
+	case "lend":
+		return decode[Lend](e)
 	default:
 		return nil, fmt.Errorf("%w: kind %q", ErrFrame, e.Kind)
 	}
--- a/runner/control.go
+++ b/runner/control.go
@@ -49,6 +49,7 @@
 	byService  map[string][]string
 	owned      map[string]*dispatcher.Dispatcher
 	calls      map[string]*call
+	limiting   limiting
 }
 
 func newControl(self string, epoch uint64, s sender, log *zap.Logger) *control {
@@ -71,6 +72,7 @@
 			for _, d := range c.owned {
 				c.emit(now, d.Tick(now))
 			}
+			c.borrow(now)
 		case e := <-c.events:
 			c.take(time.Now(), e)
 		}
@@ -117,6 +119,10 @@
 		c.refused(m)
 	case messenger.Preempt:
 		c.preempted(m)
+	case messenger.Borrow:
+		c.lend(now, from, m)
+	case messenger.Lend:
+		c.lent(now, m)
 	case messenger.Moved:
 	}
 }
@@ -255,6 +261,7 @@
 func (c *control) configure(now time.Time, e folderChanged) {
 	c.folder, c.generation = e.folder, e.generation
 	c.sender.SetGeneration(e.generation)
+	c.limiting.configure(e.folder)
 	c.cells, c.byService = map[string]dispatcher.Cell{}, map[string][]string{}
 	for name, s := range e.folder.Services {
 		for _, cell := range dispatcher.CellsOf(name, s) {
@@ -275,6 +282,7 @@
 func (c *control) enroll(now time.Time, r registrar.Roster) {
 	old := c.roster
 	c.roster = r
+	c.limiting.enroll(now, old, r)
 	for _, h := range old.Hosts() {
 		if n, ok := r.Find(h.Name); ok && n.Incarnation == h.Incarnation {
 			continue
--- a/runner/host.go
+++ b/runner/host.go
@@ -63,6 +63,7 @@
 		h.control.events <- rosterChanged{roster: r}
 	})
 	h.server = server.New(settings.Limits, h.follower, h.control, forward, log, server.NewMetrics(registry))
+	h.server.SetLimiter(limits{&h.control.limiting.gates})
 	return h.run(ctx, registry)
 }
 
--- a/runner/state.go
+++ b/runner/state.go
@@ -1,22 +1,26 @@
 package runner
 
 import (
+	"time"
+
 	"github.com/cicadawood/cicadawood/dispatcher"
+	"github.com/cicadawood/cicadawood/limiter"
 	"github.com/cicadawood/cicadawood/registrar"
 )
 
 // State is a host's whole control state, for operators.
 type State struct {
-	Name       string             `json:"name"`
-	Zone       string             `json:"zone"`
-	Ready      bool               `json:"ready"`
-	Leaving    bool               `json:"leaving"`
-	Generation uint64             `json:"generation"`
-	Inflight   int64              `json:"inflight"`
-	Roles      []string           `json:"roles"`
-	Roster     []registrar.Record `json:"roster"`
-	Cells      []dispatcher.State `json:"cells"`
-	Calls      map[string]string  `json:"calls"` // worker by request, "" while it waits
+	Name       string                   `json:"name"`
+	Zone       string                   `json:"zone"`
+	Ready      bool                     `json:"ready"`
+	Leaving    bool                     `json:"leaving"`
+	Generation uint64                   `json:"generation"`
+	Inflight   int64                    `json:"inflight"`
+	Roles      []string                 `json:"roles"`
+	Roster     []registrar.Record       `json:"roster"`
+	Cells      []dispatcher.State       `json:"cells"`
+	Calls      map[string]string        `json:"calls"`  // worker by request, "" while it waits
+	Limits     map[string]limiter.Rates `json:"limits"` // what limited organisations may use here, a second
 }
 
 func (c *control) state() State {
@@ -25,6 +29,7 @@
 		s.Cells = append(s.Cells, d.State())
 		s.Roles = append(s.Roles, "dispatcher:"+name)
 	}
+	s.Limits = c.limiting.gates.Rates(time.Now())
 	for id, k := range c.calls {
 		s.Calls[id] = k.worker
 	}
--- /dev/null
+++ b/server/caller_test.go
@@ -0,0 +1,282 @@
+package server_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cicadawood/cicadawood/faker"
+	"github.com/cicadawood/cicadawood/loader"
+	"github.com/cicadawood/cicadawood/prover"
+)
+
+// strict is a server.Limiter that lets n requests in.
+type strict struct {
+	mu      sync.Mutex
+	left    int
+	settled []int
+}
+
+func (l *strict) Admit(string, int) (time.Duration, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.left--
+	return 10 * time.Second, l.left >= 0
+}
+
+func (l *strict) Settle(_ string, tokens int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.settled = append(l.settled, tokens)
+}
+
+var _ = Describe("a request that can't be taken", func() {
+	DescribeTable("is refused with a code, and not run",
+		func(change func(r *http.Request), status int, code string) {
+			s := newStand(options{resume: true, limits: func(l *loader.Limits) { l.Body = 4096 }})
+			defer s.close()
+			r := s.request(context.Background(), "/v1/chat/completions", completionBody(true))
+			change(r)
+			g := s.send(r)
+			Expect(g.status).To(Equal(status))
+			Expect(g.code).To(Equal(code))
+			Expect(g.run).To(Equal("no"))
+			Expect(g.header.Get("Cicadawood-Run")).To(Equal("no"))
+			Expect(g.id).NotTo(BeEmpty())
+			Expect(s.places.asks).To(BeEmpty())
+		},
+		Entry("without a key", func(r *http.Request) { r.Header.Del("Authorization") }, 401, "invalid_api_key"),
+		Entry("with a wrong key", func(r *http.Request) { r.Header.Set("Authorization", "Bearer x") }, 401, "invalid_api_key"),
+		Entry("of a class that is not there", func(r *http.Request) { r.Header.Set("Cicadawood-Class", "vip") }, 403, "class_not_allowed"),
+		Entry("with a bad deadline", func(r *http.Request) { r.Header.Set("Cicadawood-Deadline", "-1") }, 400, "bad_deadline"),
+		Entry("that is not JSON", body(`{"model":`), 400, "bad_json"),
+		Entry("without a prompt", body(`{"model":"lm"}`), 400, "no_prompt"),
+		Entry("of a model that is not there", body(`{"model":"x","prompt":"y"}`), 404, "model_not_found"),
+		Entry("that would resume by itself", body(`{"model":"lm","prompt":"y","resume":3}`), 400, "resume"),
+		Entry("that is too large", body(strings.Repeat(" ", 5000)), 413, "body_too_large"),
+	)
+
+	It("is told when to come back by its limits", func() {
+		l := &strict{left: 1}
+		s := newStand(options{limiter: l})
+		defer s.close()
+		Expect(s.stream().whole()).To(Succeed())
+		g := s.stream()
+		Expect(g.status).To(Equal(429))
+		Expect(g.code).To(Equal("rate_limited"))
+		Expect(g.run).To(Equal("no"))
+		Expect(g.header.Get("Cicadawood-Class")).To(Equal("chat"))
+		Expect(g.after).To(And(BeNumerically(">=", 10*time.Second), BeNumerically("<=", 15*time.Second)))
+		Expect(l.settled).To(HaveLen(1))
+		Expect(l.settled[0]).To(BeZero(), "the limit named by the caller was reached: the estimate was right")
+	})
+})
+
+func body(text string) func(r *http.Request) {
+	return func(r *http.Request) {
+		r.Body, r.ContentLength = io.NopCloser(strings.NewReader(text)), int64(len(text))
+	}
+}
+
+// A ferry arrives and every passenger chats. The host fills; a quote must still
+// get in, and trip plans are the first that don't.
+var _ = Describe("a host that is nearly full", func() {
+	It("refuses the lowest tier first, and keeps places for the most urgent", func() {
+		s := newStand(options{limits: func(l *loader.Limits) { l.Calls = 10 }})
+		defer s.close()
+		s.places.hold = make(chan struct{})
+		ctx, leave := context.WithCancel(context.Background())
+		var callers sync.WaitGroup
+		begin := func(class string) {
+			r := s.request(ctx, "/v1/chat/completions", completionBody(true))
+			r.Header.Set("Cicadawood-Class", class)
+			callers.Go(func() { s.send(r) })
+		}
+		fill := func(class string, to int) {
+			for n := int(s.server.Calls()); n < to; n++ {
+				begin(class)
+				Eventually(s.server.Calls).Should(BeEquivalentTo(n + 1))
+			}
+		}
+		refused := func(class string) string {
+			r := s.request(ctx, "/v1/chat/completions", completionBody(true))
+			r.Header.Set("Cicadawood-Class", class)
+			return s.send(r).code
+		}
+		fill("plan", 8)
+		Expect(refused("plan")).To(Equal("host_full"))
+		fill("chat", 9)
+		Expect(refused("chat")).To(Equal("host_full"))
+		fill("hold", 10)
+		Expect(refused("hold")).To(Equal("host_full"))
+		leave()
+		callers.Wait()
+		Eventually(s.server.Calls).Should(BeZero())
+	})
+
+	It("bounds the bytes that it holds", func() {
+		s := newStand(options{limits: func(l *loader.Limits) { l.Buffer = 100 << 10 }})
+		defer s.close()
+		s.places.hold = make(chan struct{})
+		ctx, leave := context.WithCancel(context.Background())
+		big := func() *http.Request { return s.request(ctx, "/services/desk/log", strings.Repeat("x", 60<<10)) }
+		var caller sync.WaitGroup
+		caller.Go(func() { s.send(big()) })
+		Eventually(s.server.Calls).Should(BeEquivalentTo(1))
+		Expect(s.send(big()).code).To(Equal("host_full"))
+		leave()
+		caller.Wait()
+		Eventually(s.server.Calls).Should(BeZero())
+		close(s.places.hold)
+		ctx = context.Background()
+		Expect(s.send(big()).status).To(Equal(http.StatusOK), "and gives them back")
+	})
+
+	// A caller sends its head and half of its body, and then nothing: cut off, gone
+	// silent, or slow on purpose.
+	It("gives up a caller that does not send its request", Label(prover.Cell(prover.Received, prover.Silence), prover.Cell(prover.Received, prover.Slow), prover.Cell(prover.Received, prover.Freeze), prover.Cell(prover.Received, prover.CutOne)), func() {
+		s := newStand(options{})
+		defer s.close()
+		conn, err := net.Dial("tcp", strings.TrimPrefix(s.url, "http://"))
+		Expect(err).NotTo(HaveOccurred())
+		defer conn.Close()
+		fmt.Fprintf(conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: 100\r\n\r\n{", key)
+		_ = conn.SetReadDeadline(time.Now().Add(20 * time.Second))
+		answer, err := io.ReadAll(conn)
+		Expect(err).NotTo(HaveOccurred(), "the host closes the connection")
+		Expect(string(answer)).To(ContainSubstring("body_unreadable"))
+		Expect(string(answer)).To(ContainSubstring(`"run":"no"`))
+		Expect(s.places.asks).To(BeEmpty())
+	})
+})
+
+var _ = Describe("an answer in one piece", func() {
+	// The application answers part of a fare quote and dies. Half a quote with a
+	// clean end would be taken for a whole one.
+	DescribeTable("that breaks off is tried elsewhere",
+		func(fault faker.Fault) {
+			s := newStand(options{})
+			defer s.close()
+			s.faults.Plan([]faker.Fault{fault})
+			g := s.send(s.request(context.Background(), "/services/desk/quotes", "{}"))
+			Expect(g.status).To(Equal(http.StatusOK))
+			Expect(g.body).To(ContainSubstring(g.id))
+			Expect(g.body).To(HaveSuffix("}"))
+			Expect(s.places.asks).To(HaveLen(2))
+		},
+		Entry("before its head", faker.Fault{Kind: faker.Crash, At: faker.AtHead}),
+		Entry("half way", faker.Fault{Kind: faker.Crash, At: faker.AtEnd}),
+		Entry("short of its length", faker.Fault{Kind: faker.Short, At: faker.AtEnd}),
+		Entry("crossed", faker.Fault{Kind: faker.Crossed, At: faker.AtHead}),
+		Entry("refused", faker.Fault{Kind: faker.Refuse}),
+	)
+
+	DescribeTable("of a call that must not be repeated is told as it is",
+		func(fault faker.Fault, code, run string, ran int) {
+			s := newStand(options{})
+			defer s.close()
+			s.faults.Plan([]faker.Fault{fault})
+			g := s.send(s.request(context.Background(), "/services/desk/holds", "{}"))
+			Expect(g.code).To(Equal(code))
+			Expect(g.run).To(Equal(run))
+			Expect(s.places.asks).To(HaveLen(1))
+			Expect(s.calls.Counts()).To(HaveLen(ran))
+		},
+		Entry("lost", faker.Fault{Kind: faker.Crash, At: faker.AtHead}, "answer_lost", "unknown", 1),
+		Entry("cut", faker.Fault{Kind: faker.Crash, At: faker.AtEnd}, "answer_lost", "unknown", 1),
+		Entry("crossed", faker.Fault{Kind: faker.Crossed, At: faker.AtHead}, "answer_lost", "unknown", 1),
+		Entry("refused", faker.Fault{Kind: faker.Refuse}, "worker_unreachable", "no", 0),
+	)
+
+	It("that is too large to hold is passed on, and reset where it breaks", func() {
+		s := newStand(options{limits: func(l *loader.Limits) { l.Answer = 64 << 10 }})
+		defer s.close()
+		large := func() got {
+			return s.send(s.request(context.Background(), "/services/desk/log?size=1000000", ""))
+		}
+		g := large()
+		Expect(g.broken).To(BeFalse())
+		Expect(len(g.body)).To(BeNumerically(">", 1000000))
+		s.faults.Plan([]faker.Fault{{Kind: faker.Crash, At: faker.AtEnd}})
+		g = large()
+		Expect(g.broken).To(BeTrue(), "never a clean end")
+		Expect(s.places.asks).To(HaveLen(2), "nor a second time from its start")
+	})
+
+	It("whose end can't be told from a cut is not passed", func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		defer l.Close()
+		go func() {
+			for {
+				conn, err := l.Accept()
+				if err != nil {
+					return
+				}
+				_, _ = conn.Read(make([]byte, 64<<10))
+				fmt.Fprint(conn, "HTTP/1.0 200 OK\r\n\r\n{\"fare\":1")
+				_ = conn.Close()
+			}
+		}()
+		s := newStand(options{})
+		defer s.close()
+		s.places.workers = []loader.Worker{{Name: "old", Address: l.Addr().String(), Slots: 1}}
+		g := s.send(s.request(context.Background(), "/services/desk/holds", "{}"))
+		Expect(g.code).To(Equal("answer_lost"))
+	})
+})
+
+var _ = Describe("a stream", func() {
+	It("that lacks only its end mark gets it", Label(prover.Cell(prover.Acked, prover.CutBoth)), func() {
+		s := newStand(options{})
+		defer s.close()
+		s.faults.Plan([]faker.Fault{{Kind: faker.Crash, At: faker.AtMark}})
+		Expect(s.stream().whole()).To(Succeed(), "the engine said why it ends: nothing is missing")
+		Expect(s.places.asks).To(HaveLen(1))
+	})
+
+	It("that ends cleanly before its end is not whole", func() {
+		s := newStand(options{})
+		defer s.close()
+		s.faults.Plan([]faker.Fault{{Kind: faker.Short, At: 5}})
+		g := s.stream()
+		Expect(g.marked()).To(Succeed())
+		Expect(g.exact(5)).To(Succeed())
+		Expect(g.code).To(Equal("answer_lost"))
+		Expect(g.run).To(Equal("unknown"))
+	})
+
+	// The settings say that engines resume, but this one begins again.
+	It("of an engine that can't resume is not doubled", func() {
+		s := newStand(options{resume: true})
+		defer s.close()
+		s.engine[1].SetResume(false)
+		s.faults.Plan([]faker.Fault{{Kind: faker.Crash, At: 5}})
+		Expect(s.stream().whole()).To(Succeed())
+		Expect(s.places.released).To(HaveLen(3), "the second engine began again and was left")
+		Expect(s.places.released[1].Failed).To(BeTrue())
+	})
+
+	// All engines are down. Each request may be tried a few times, all together
+	// only as often as the budgets say.
+	It("is not retried beyond the budgets", func() {
+		s := newStand(options{resume: true})
+		defer s.close()
+		s.faults.Set(faker.Fault{Kind: faker.Refuse})
+		for range 40 {
+			g := s.stream()
+			Expect(g.code).To(Equal("worker_unreachable"))
+			Expect(g.run).To(Equal("no"))
+			Expect(g.after).To(BeNumerically(">=", time.Second))
+		}
+		Expect(len(s.places.asks)-40).To(BeNumerically("<=", 30+8+10), "burst, a fifth of the first tries, and the floor")
+	})
+})
