--- a/messenger/message.go
+++ b/messenger/message.go
@@ -31,6 +31,7 @@
 	Waited       time.Duration `msgpack:"waited"`
 	Prefix       uint64        `msgpack:"prefix"` // hash of organisation and prompt prefix; 0 for none
 	Exclude      []string      `msgpack:"exclude"`
+	Fixed        bool          `msgpack:"fixed"` // can't be preempted: not to be repeated, or not resumable
 }
 
 // Grant gives a waiting request one place on a worker.
@@ -134,6 +135,10 @@
 		return decode[Claim](e)
 	case "moved":
 		return decode[Moved](e)
+	case "borrow":
+		return decode[Borrow](e)
+	case "lend":
+		return decode[Lend](e)
 	default:
 		if m, ok, err := decodeMember(e); ok {
 			return m, err
--- a/runner/control.go
+++ b/runner/control.go
@@ -56,6 +56,7 @@
 	observer    observer.Observer
 	present     map[string]bool // by service/worker, as last told to the dispatchers
 	away        *atomic.Int64   // workers that get nothing new
+	limiting    limiting
 }
 
 func newControl(self string, epoch uint64, s sender, log *zap.Logger) *control {
@@ -79,6 +80,7 @@
 			for _, d := range c.owned {
 				c.emit(now, d.Tick(now))
 			}
+			c.borrow(now)
 		case e := <-c.events:
 			c.take(time.Now(), e)
 		}
@@ -95,6 +97,8 @@
 		c.leave(now, e.request)
 	case placeDone:
 		c.done(now, e)
+	case placeProgressed:
+		c.progressed(now, e)
 	case folderChanged:
 		c.configure(now, e)
 	case rosterChanged:
@@ -128,6 +132,10 @@
 	case messenger.Away:
 		c.observer.Refused(now, m.Address)
 		c.observe(now, nil)
+	case messenger.Borrow:
+		c.lend(now, from, m)
+	case messenger.Lend:
+		c.lent(now, m)
 	case messenger.Moved:
 	}
 }
@@ -257,10 +265,17 @@
 	})
 }
 
+func (c *control) progressed(now time.Time, e placeProgressed) {
+	if k := c.calls[e.place.Request]; k != nil {
+		c.send(now, k.owner, messenger.Progress{Request: e.place.Request, Cell: e.place.Cell, Tokens: e.tokens})
+	}
+}
+
 func (c *control) configure(now time.Time, e folderChanged) {
 	c.folder, c.generation = e.folder, e.generation
 	c.sender.SetGeneration(e.generation)
 	c.observer.Configure(e.folder.Services)
+	c.limiting.configure(e.folder)
 	c.cells, c.byService = map[string]dispatcher.Cell{}, map[string][]string{}
 	for name, s := range c.observer.Services() {
 		for _, cell := range dispatcher.CellsOf(name, s) {
@@ -281,6 +296,7 @@
 func (c *control) enroll(now time.Time, r registrar.Roster) {
 	old := c.roster
 	c.roster = r
+	c.limiting.enroll(now, old, r)
 	for _, h := range old.Hosts() {
 		if n, ok := r.Find(h.Name); h.Name == c.self || ok && n.Incarnation == h.Incarnation {
 			continue
--- a/runner/host.go
+++ b/runner/host.go
@@ -104,6 +104,7 @@
 	})
 	registry := prometheus.NewRegistry()
 	h.server = server.New(s.Limits, h.follower, h.control, forward, h.log, server.NewMetrics(registry))
+	h.server.SetLimiter(limits{&h.control.limiting.gates})
 	h.registerMetrics(registry)
 	close(connected)
 	return closeMessenger, nil
--- a/runner/state.go
+++ b/runner/state.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/cicadawood/cicadawood/dispatcher"
+	"github.com/cicadawood/cicadawood/limiter"
 	"github.com/cicadawood/cicadawood/messenger"
 	"github.com/cicadawood/cicadawood/observer"
 	"github.com/cicadawood/cicadawood/registrar"
@@ -24,6 +25,8 @@
 	Membership registrar.Counts   `json:"membership"`
 	Messenger  messenger.Counts   `json:"messenger"`
 	Workers    []observer.State   `json:"workers"`
+
+	Limits map[string]limiter.Rates `json:"limits"` // what limited organisations may use here, a second
 }
 
 func (c *control) state() State {
@@ -32,6 +35,7 @@
 		s.Cells = append(s.Cells, d.State())
 		s.Roles = append(s.Roles, "dispatcher:"+name)
 	}
+	s.Limits = c.limiting.gates.Rates(time.Now())
 	for id, k := range c.calls {
 		s.Calls[id] = k.worker
 	}
