Check the folder strictly, all problems at once

The decoder stopped at the first unknown field, matched names in any case and took null for an absent field, so an operator met one problem per run and some mistakes not at all. A walk over the parsed tree against the Go types now reports every problem with file, line, path and reason, with the nearest known name.

--- a/loader/document.go
+++ b/loader/document.go
@@ -72,9 +72,6 @@
 		return nil, Problem{File: file, Line: lineOfMessage(err), Reason: strings.TrimPrefix(err.Error(), "hujson: ")}
 	}
 	d := &document{file: file, text: text, tree: tree}
-	if err := d.unique(&d.tree, ""); err != nil {
-		return nil, err
-	}
 	plain := tree.Clone()
 	plain.Standardize()
 	d.plain = plain.Pack()
@@ -92,56 +89,23 @@
 	return line
 }
 
-// unique refuses an object that names a field twice: JSON would silently take
-// the later one.
-func (d *document) unique(v *hujson.Value, path string) error {
-	switch t := v.Value.(type) {
-	case *hujson.Object:
-		seen := map[string]bool{}
-		for i := range t.Members {
-			m := &t.Members[i]
-			name := m.Name.Value.(hujson.Literal).String()
-			field := join(path, name)
-			if seen[name] {
-				return d.problem(m.Name.StartOffset, field, "given twice")
-			}
-			seen[name] = true
-			if err := d.unique(&m.Value, field); err != nil {
-				return err
-			}
-		}
-	case *hujson.Array:
-		for i := range t.Elements {
-			if err := d.unique(&t.Elements[i], fmt.Sprintf("%s/%d", path, i)); err != nil {
-				return err
-			}
-		}
-	}
-	return nil
-}
-
-// decode fills v and turns the decoder's faults into problems.
+// decode checks the whole document against v's type, then fills v. The error
+// joins every Problem found.
 func (d *document) decode(v any) error {
-	dec := json.NewDecoder(bytes.NewReader(d.plain))
-	dec.DisallowUnknownFields()
-	err := dec.Decode(v)
+	w := walker{document: d}
+	w.check(&d.tree, reflect.TypeOf(v).Elem(), "")
+	if len(w.problems) > 0 {
+		return errors.Join(w.problems...)
+	}
+	err := json.Unmarshal(d.plain, v)
 	if err == nil {
 		return nil
 	}
 	var typed *json.UnmarshalTypeError
 	if errors.As(err, &typed) {
-		return d.problem(int(typed.Offset), typed.Field, fmt.Sprintf("%s does not fit here", typed.Value))
-	}
-	reason := strings.TrimPrefix(err.Error(), "json: ")
-	if name, ok := strings.CutPrefix(reason, "unknown field "); ok {
-		field := strings.Trim(name, `"`)
-		return d.problem(d.offsetOfName(field), field, "unknown field")
+		return d.problem(int(typed.Offset), strings.ReplaceAll(typed.Field, ".", "/"), typed.Value+" does not fit here")
 	}
-	return d.problem(int(dec.InputOffset()), "", reason)
-}
-
-func (d *document) offsetOfName(name string) int {
-	return max(0, bytes.Index(d.text, []byte(`"`+name+`"`)))
+	return d.problem(0, "", strings.TrimPrefix(err.Error(), "json: "))
 }
 
 // at is the line of the field at a path such as "services/x/workers/0".
--- a/loader/host.go
+++ b/loader/host.go
@@ -1,9 +1,14 @@
 package loader
 
 import (
+	"errors"
 	"fmt"
 	"net/netip"
+	"net/url"
 	"os"
+	"reflect"
+	"strconv"
+	"strings"
 	"time"
 )
 
@@ -16,7 +21,10 @@
 	Control  string `json:"control"`  // other hosts, IP:port
 	Admin    string `json:"admin"`    // operators: state, metrics, drain; IP:port
 	Platform string `json:"platform"` // base URL of the Object API
-	Limits   Limits `json:"limits"`
+	// Peers is control addresses, IP:port, of other hosts: where a host that
+	// starts while the platform is down asks for the configuration and the roster.
+	Peers  []string `json:"peers"`
+	Limits Limits   `json:"limits"`
 }
 
 // Limits bound what callers and faults can cost a host. Zero fields take the
@@ -32,6 +40,7 @@
 	Lease   Duration `json:"lease"`   // of this host's record
 	Drain   Duration `json:"drain"`   // for requests in flight to end after SIGTERM
 	Settle  Duration `json:"settle"`  // for the balancer to notice unreadiness
+	Confirm Duration `json:"confirm"` // without word of the configuration from platform or peer, before unready
 }
 
 func (l Limits) withDefaults() Limits {
@@ -58,6 +67,7 @@
 	set(&l.Lease, 5*time.Second)
 	set(&l.Drain, 60*time.Second)
 	set(&l.Settle, 3*time.Second)
+	set(&l.Confirm, 10*time.Second)
 	return l
 }
 
@@ -80,16 +90,54 @@
 	if err := d.decode(&h); err != nil {
 		return Host{}, err
 	}
-	for _, f := range []struct{ name, value string }{{"name", h.Name}, {"zone", h.Zone}, {"platform", h.Platform}} {
-		if f.value == "" {
-			return Host{}, Problem{File: file, Line: 1, Field: f.name, Reason: "missing"}
+	if err := errors.Join(h.problems(d)...); err != nil {
+		return Host{}, err
+	}
+	h.Limits = h.Limits.withDefaults()
+	return h, nil
+}
+
+// problems is everything wrong with the values of h, which d gave.
+func (h Host) problems(d *document) []error {
+	var found []error
+	fault := func(reason string, path ...string) {
+		line := max(1, d.at(path...))
+		found = append(found, Problem{File: d.file, Line: line, Field: strings.Join(path, "/"), Reason: reason})
+	}
+	for _, f := range []struct{ name, value string }{{"name", h.Name}, {"zone", h.Zone}} {
+		if !validName(f.value) {
+			fault("missing, or not a name", f.name)
 		}
 	}
+	if u, err := url.Parse(h.Platform); err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+		fault("missing, or not a URL such as http://192.0.2.1:7000", "platform")
+	}
+	seen := map[string]string{}
 	for _, f := range []struct{ name, value string }{{"listen", h.Listen}, {"control", h.Control}, {"admin", h.Admin}} {
-		if _, err := netip.ParseAddrPort(f.value); err != nil {
-			return Host{}, Problem{File: file, Line: d.at(f.name), Field: f.name, Reason: fmt.Sprintf("%q is not IP:port", f.value)}
+		if a, err := netip.ParseAddrPort(f.value); err != nil {
+			fault(fmt.Sprintf("%q is not IP:port", f.value), f.name)
+		} else if other := seen[f.value]; other != "" && a.Port() != 0 {
+			fault("is the address of "+other+" already", f.name)
 		}
+		seen[f.value] = f.name
 	}
-	h.Limits = h.Limits.withDefaults()
-	return h, nil
+	for i, p := range h.Peers {
+		if _, err := netip.ParseAddrPort(p); err != nil {
+			fault(fmt.Sprintf("%q is not IP:port", p), "peers", strconv.Itoa(i))
+		}
+	}
+	return append(found, h.Limits.problems(d)...)
+}
+
+// problems refuses negative limits: zero stands for the default.
+func (l Limits) problems(d *document) []error {
+	var found []error
+	v := reflect.ValueOf(l)
+	for _, f := range reflect.VisibleFields(v.Type()) {
+		name := f.Tag.Get("json")
+		if v.FieldByIndex(f.Index).CanInt() && v.FieldByIndex(f.Index).Int() < 0 {
+			found = append(found, Problem{File: d.file, Line: d.at("limits", name), Field: "limits/" + name, Reason: "must not be negative"})
+		}
+	}
+	return found
 }
--- /dev/null
+++ b/loader/schema.go
@@ -0,0 +1,198 @@
+package loader
+
+import (
+	"fmt"
+	"reflect"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/tailscale/hujson"
+)
+
+// walker compares a parsed file with the Go type it is to fill, and collects
+// everything that does not fit. The standard decoder would stop at the first
+// fault, take names in any case, and take null for an absent field.
+type walker struct {
+	document *document
+	problems []error
+}
+
+func (w *walker) fault(offset int, field, reason string) {
+	w.problems = append(w.problems, w.document.problem(offset, field, reason))
+}
+
+// check walks v, which is to become a t.
+func (w *walker) check(v *hujson.Value, t reflect.Type, path string) {
+	switch {
+	case t == reflect.TypeFor[Duration]():
+		w.duration(v, path)
+	case t.Kind() == reflect.Struct:
+		w.fields(v, t, path)
+	case t.Kind() == reflect.Map:
+		w.entries(v, t, path)
+	case t.Kind() == reflect.Slice:
+		w.elements(v, t, path)
+	default:
+		w.scalar(v, t, path)
+	}
+}
+
+func (w *walker) fields(v *hujson.Value, t reflect.Type, path string) {
+	known := fieldsOf(t)
+	w.members(v, path, func(name string, m *hujson.ObjectMember) {
+		f, ok := known[name]
+		if !ok {
+			w.fault(m.Name.StartOffset, join(path, name), "unknown field"+suggest(name, known))
+			return
+		}
+		w.check(&m.Value, f, join(path, name))
+	})
+}
+
+func (w *walker) entries(v *hujson.Value, t reflect.Type, path string) {
+	w.members(v, path, func(name string, m *hujson.ObjectMember) {
+		if !validName(name) {
+			w.fault(m.Name.StartOffset, join(path, name), "is not a name: 1 to 64 letters, digits, dots, dashes or underscores, the first a letter or digit")
+		}
+		w.check(&m.Value, t.Elem(), join(path, name))
+	})
+}
+
+// members calls do for each member of an object, once for each name.
+func (w *walker) members(v *hujson.Value, path string, do func(string, *hujson.ObjectMember)) {
+	o, ok := v.Value.(*hujson.Object)
+	if !ok {
+		w.mismatch(v, path, "an object")
+		return
+	}
+	seen := map[string]bool{}
+	for i := range o.Members {
+		m := &o.Members[i]
+		name := m.Name.Value.(hujson.Literal).String()
+		if seen[name] {
+			w.fault(m.Name.StartOffset, join(path, name), "given twice")
+			continue
+		}
+		seen[name] = true
+		do(name, m)
+	}
+}
+
+func (w *walker) elements(v *hujson.Value, t reflect.Type, path string) {
+	a, ok := v.Value.(*hujson.Array)
+	if !ok {
+		w.mismatch(v, path, "a list")
+		return
+	}
+	for i := range a.Elements {
+		w.check(&a.Elements[i], t.Elem(), fmt.Sprintf("%s/%d", path, i))
+	}
+}
+
+func (w *walker) duration(v *hujson.Value, path string) {
+	l, ok := v.Value.(hujson.Literal)
+	if !ok || l.Kind() != '"' {
+		w.mismatch(v, path, `a duration such as "1.5s"`)
+		return
+	}
+	if _, err := time.ParseDuration(l.String()); err != nil {
+		w.fault(v.StartOffset, path, fmt.Sprintf("%q is not a duration such as \"1.5s\"", l.String()))
+	}
+}
+
+func (w *walker) scalar(v *hujson.Value, t reflect.Type, path string) {
+	l, ok := v.Value.(hujson.Literal)
+	switch t.Kind() {
+	case reflect.String:
+		if !ok || l.Kind() != '"' {
+			w.mismatch(v, path, "a string")
+		}
+	case reflect.Bool:
+		if !ok || (l.Kind() != 't' && l.Kind() != 'f') {
+			w.mismatch(v, path, "true or false")
+		}
+	case reflect.Float64:
+		if _, err := strconv.ParseFloat(string(l), 64); !ok || err != nil {
+			w.mismatch(v, path, "a number within range")
+		}
+	default:
+		if _, err := strconv.ParseInt(string(l), 10, t.Bits()); !ok || err != nil {
+			w.mismatch(v, path, "a whole number within range")
+		}
+	}
+}
+
+func (w *walker) mismatch(v *hujson.Value, path, want string) {
+	w.fault(v.StartOffset, path, "is not "+want)
+}
+
+// fieldsOf is the type of each field of a struct by its JSON name.
+func fieldsOf(t reflect.Type) map[string]reflect.Type {
+	fields := map[string]reflect.Type{}
+	for _, f := range reflect.VisibleFields(t) {
+		if name, _, _ := strings.Cut(f.Tag.Get("json"), ","); name != "" {
+			fields[name] = f.Type
+		}
+	}
+	return fields
+}
+
+const longestName = 64
+
+// validName says whether a name can stand in a URL's path and on a log line.
+func validName(s string) bool {
+	if s == "" || len(s) > longestName {
+		return false
+	}
+	for i, r := range s {
+		alphanumeric := r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9'
+		if !alphanumeric && (i == 0 || !strings.ContainsRune("._-", r)) {
+			return false
+		}
+	}
+	return true
+}
+
+// suggest is the nearest known name, where one is near: "; did you mean NAME?".
+func suggest[T any](name string, known map[string]T) string {
+	best, distance := "", nearBy(name)+1
+	for k := range known {
+		if d := edits(name, k); d < distance || (d == distance && k < best) {
+			best, distance = k, d
+		}
+	}
+	if best == "" {
+		return ""
+	}
+	return fmt.Sprintf("; did you mean %q?", best)
+}
+
+// nearBy is how many edits a mistyped name may be away from the one meant.
+func nearBy(name string) int {
+	if len(name) < 4 {
+		return 1
+	}
+	return max(2, len(name)/3)
+}
+
+// edits is the Levenshtein distance between two names, in bytes.
+func edits(a, b string) int {
+	row := make([]int, len(b)+1)
+	for j := range row {
+		row[j] = j
+	}
+	for i := range len(a) {
+		last := slices.Clone(row)
+		row[0] = i + 1
+		for j := range len(b) {
+			cost := 1
+			if a[i] == b[j] {
+				cost = 0
+			}
+			row[j+1] = min(row[j]+1, last[j+1]+1, last[j]+cost)
+		}
+	}
+	return row[len(b)]
+}
