Rebase pushes, settle lost replies, and follow the head through outages

Cause: a push replaced the whole head from whatever it had just read, so two operators undid each other's changes; a lost reply was reported as a failure; a host whose watch went silent, or that started in an outage, served old settings. Change: the folder remembers its generation and hashes (.generation); a push is rebased by file or refused with the files that clash; its nonce follows from base and content and is kept in the object, so a repeat lands once. A pure Tracker decides what is in force from platform, polls and peers; frames carry the generation; Fetch/Fetched bring it from a peer in an outage. Ruled out: generation = the store's version (a platform restored from a backup would hand out numbers that hosts already have in force).

--- a/commander/cmd_push.go
+++ b/commander/cmd_push.go
@@ -2,13 +2,12 @@
 
 import (
 	"context"
-	"crypto/rand"
+	"encoding/json"
 	"errors"
 	"fmt"
 
 	"github.com/spf13/cobra"
 
-	"github.com/cicadawood/cicadawood/loader"
 	"github.com/cicadawood/cicadawood/publisher"
 )
 
@@ -17,31 +16,78 @@
 	use:   "push DIR",
 	short: "Check a folder and put it in force on every host",
 	args:  cobra.ExactArgs(1),
+	flags: func(c *cobra.Command) {
+		c.Flags().Bool("restore", false, "replace the whole head where the platform went back to an older one than DIR was pulled at")
+	},
 	run: func(ctx context.Context, c *cobra.Command, args []string) error {
-		files, err := loader.ReadFiles(args[0])
+		checkout, err := openChecked(args[0])
 		if err != nil {
-			return usage(err)
-		}
-		if _, err := files.Parse(); err != nil {
-			return usage(err)
+			return err
 		}
 		store, clean, err := openStore(c)
 		if err != nil {
 			return err
 		}
 		defer clean()
-		head, err := publisher.Read(ctx, store)
+		restore, err := c.Flags().GetBool("restore")
 		if err != nil {
-			return err
-		}
-		g, err := publisher.Push(ctx, store, files, head.Generation, rand.Text())
-		if errors.Is(err, publisher.ErrRaced) {
-			return exitError{code: ExitConflict, err: err}
+			return usage(err)
 		}
+		pusher := publisher.Pusher{Store: store}
+		r, err := pusher.Push(ctx, publisher.Change{Files: checkout.Files(), Base: checkout.Base(), Restore: restore})
 		if err != nil {
-			return err
+			return pushFailed(err)
+		}
+		if err := checkout.Landed(r.Head); err != nil {
+			return fmt.Errorf("generation %d has landed, but: %w", r.Generation, err)
 		}
-		fmt.Fprintf(c.OutOrStdout(), "generation %d\n", g)
-		return nil
+		return printPush(c, r)
 	},
 }
+
+// openChecked opens a folder and checks it by itself.
+func openChecked(dir string) (*publisher.Checkout, error) {
+	checkout, err := publisher.OpenCheckout(dir)
+	if err != nil {
+		return nil, usage(err)
+	}
+	_, err = checkout.Files().Parse()
+	return checkout, usage(err)
+}
+
+// pushFailed gives an error of a push its exit code.
+func pushFailed(err error) error {
+	var clash *publisher.ClashError
+	switch {
+	case errors.As(err, &clash), errors.Is(err, publisher.ErrRaced), errors.Is(err, publisher.ErrRestored), errors.Is(err, publisher.ErrMerged):
+		return exitError{code: ExitConflict, err: err}
+	case errors.Is(err, publisher.ErrUnsettled):
+		return exitError{code: ExitUnsettled, err: err}
+	case errors.Is(err, publisher.ErrTooLarge):
+		return usage(err)
+	}
+	return err
+}
+
+func printPush(c *cobra.Command, r publisher.Result) error {
+	if asJSON, _ := c.Flags().GetBool("json"); asJSON {
+		return json.NewEncoder(c.OutOrStdout()).Encode(struct {
+			Generation uint64 `json:"generation"`
+			Head       uint64 `json:"head"`
+			Rebased    bool   `json:"rebased"`
+			Repeated   bool   `json:"repeated"`
+		}{r.Generation, r.Head.Generation, r.Rebased, r.Repeated})
+	}
+	note := ""
+	if r.Rebased {
+		note += ", rebased: the folder has the other changes now"
+	}
+	if r.Repeated {
+		note += ", was there already"
+	}
+	if r.Head.Generation != r.Generation {
+		note += fmt.Sprintf("; the head is %d by now", r.Head.Generation)
+	}
+	fmt.Fprintf(c.OutOrStdout(), "generation %d%s\n", r.Generation, note)
+	return nil
+}
--- a/commander/cmd_status.go
+++ b/commander/cmd_status.go
@@ -4,50 +4,171 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"strings"
 	"text/tabwriter"
 
 	"github.com/spf13/cobra"
+	"golang.org/x/sync/errgroup"
 
+	"github.com/cicadawood/cicadawood/publisher"
 	"github.com/cicadawood/cicadawood/registrar"
 	"github.com/cicadawood/cicadawood/runner"
 )
 
+// fetchedAtOnce bounds the hosts that status asks at the same time.
+const fetchedAtOnce = 32
+
 // cmdStatus is `cicadawood status`.
 var cmdStatus = command{
-	use:   "status",
+	use:   "status [ADDRESS]",
 	short: "Show every host: zone, generation in force, roles, ready or leaving",
-	args:  cobra.NoArgs,
-	run: func(ctx context.Context, c *cobra.Command, _ []string) error {
-		store, clean, err := openStore(c)
+	long: `Show every host: zone, generation in force, roles, ready or leaving.
+
+The hosts come from the platform, or, with the admin address of one host, from
+that host's roster: also while the platform is down.`,
+	args: cobra.MaximumNArgs(1),
+	run: func(ctx context.Context, c *cobra.Command, args []string) error {
+		o := overview{Hosts: []hostStatus{}}
+		records, err := o.gather(ctx, c, args)
 		if err != nil {
 			return err
 		}
-		defer clean()
-		objects, _, err := store.List(ctx, registrar.Prefix)
-		if err != nil {
-			return fmt.Errorf("read roster: %w", err)
-		}
-		states := []runner.State{}
-		for _, o := range objects {
-			var h registrar.Record
-			if err := json.Unmarshal(o.Value, &h); err != nil {
-				return fmt.Errorf("read record %s: %w", o.Key, err)
-			}
-			s, err := fetchState(ctx, h.Admin)
-			if err != nil {
-				s = runner.State{Name: h.Name, Zone: h.Zone, Roles: []string{"unreachable"}}
-			}
-			states = append(states, s)
+		o.Hosts = askAll(ctx, records)
+		for i := range o.Hosts {
+			o.Hosts[i].Notes = notes(o.Hosts[i], o.Head)
 		}
 		if asJSON, _ := c.Flags().GetBool("json"); asJSON {
-			return json.NewEncoder(c.OutOrStdout()).Encode(states)
+			return json.NewEncoder(c.OutOrStdout()).Encode(o)
 		}
-		w := tabwriter.NewWriter(c.OutOrStdout(), 0, 4, 2, ' ', 0)
-		fmt.Fprintln(w, "HOST\tZONE\tGENERATION\tREADY\tLEAVING\tINFLIGHT\tROLES")
-		for _, s := range states {
-			fmt.Fprintf(w, "%s\t%s\t%d\t%t\t%t\t%d\t%s\n", s.Name, s.Zone, s.Generation, s.Ready, s.Leaving, s.Inflight, strings.Join(s.Roles, " "))
-		}
-		return w.Flush()
+		return o.print(c.OutOrStdout())
 	},
 }
+
+// overview is what status shows.
+type overview struct {
+	Head  uint64       `json:"head"` // generation in the platform; 0 where it can't be read
+	Hosts []hostStatus `json:"hosts"`
+}
+
+// hostStatus is one host in an overview.
+type hostStatus struct {
+	Name       string   `json:"name"`
+	Zone       string   `json:"zone"`
+	Reachable  bool     `json:"reachable"`
+	Ready      bool     `json:"ready"`
+	Leaving    bool     `json:"leaving"`
+	Generation uint64   `json:"generation"`
+	Inflight   int64    `json:"inflight"`
+	Roles      []string `json:"roles"`
+	Notes      []string `json:"notes"`
+
+	configuration publisher.Status
+}
+
+// gather reads the head and the roster.
+func (o *overview) gather(ctx context.Context, c *cobra.Command, args []string) ([]registrar.Record, error) {
+	if len(args) == 1 {
+		if head, err := readHead(ctx, c); err == nil {
+			o.Head = head.Generation
+		}
+		s, err := fetchState(ctx, args[0])
+		return s.Roster, err
+	}
+	store, clean, err := openStore(c)
+	if err != nil {
+		return nil, err
+	}
+	defer clean()
+	head, err := publisher.Read(ctx, store)
+	if err != nil {
+		return nil, fmt.Errorf("%w; give a host's admin address to ask the hosts alone", err)
+	}
+	o.Head = head.Generation
+	objects, _, err := store.List(ctx, registrar.Prefix)
+	if err != nil {
+		return nil, fmt.Errorf("read roster: %w", err)
+	}
+	var records []registrar.Record
+	for _, b := range objects {
+		var h registrar.Record
+		if err := json.Unmarshal(b.Value, &h); err != nil {
+			return nil, fmt.Errorf("read record %s: %w", b.Key, err)
+		}
+		records = append(records, h)
+	}
+	return records, nil
+}
+
+func askAll(ctx context.Context, records []registrar.Record) []hostStatus {
+	hosts := make([]hostStatus, len(records))
+	var g errgroup.Group
+	g.SetLimit(fetchedAtOnce)
+	for i, r := range records {
+		g.Go(func() error {
+			hosts[i] = hostStatus{Name: r.Name, Zone: r.Zone, Leaving: r.Leaving, Roles: []string{}}
+			if s, err := fetchState(ctx, r.Admin); err == nil {
+				hosts[i] = statusOf(s)
+			}
+			return nil
+		})
+	}
+	_ = g.Wait()
+	return hosts
+}
+
+func statusOf(s runner.State) hostStatus {
+	return hostStatus{
+		Name: s.Name, Zone: s.Zone, Reachable: true, Ready: s.Ready, Leaving: s.Leaving,
+		Generation: s.Configuration.Generation, Inflight: s.Inflight, Roles: s.Roles, configuration: s.Configuration,
+	}
+}
+
+// notes is what an operator should look at.
+func notes(h hostStatus, head uint64) []string {
+	list := []string{}
+	note := func(when bool, format string, args ...any) {
+		if when {
+			list = append(list, fmt.Sprintf(format, args...))
+		}
+	}
+	if !h.Reachable {
+		return append(list, "unreachable")
+	}
+	k := h.configuration
+	note(h.Generation < max(head, k.Newer), "behind")
+	note(head != 0 && h.Generation > head, "ahead of the platform")
+	note(k.Reason != "", "refused generation %d: %s", k.Rejected, firstLine(k.Reason))
+	note(!k.Platform, "platform can't be read")
+	return list
+}
+
+func firstLine(s string) string {
+	line, _, _ := strings.Cut(s, "\n")
+	return line
+}
+
+func (o overview) print(out io.Writer) error {
+	if o.Head == 0 {
+		fmt.Fprintln(out, "head: none that can be read")
+	} else {
+		fmt.Fprintf(out, "head: generation %d\n", o.Head)
+	}
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(w, "HOST\tZONE\tGENERATION\tSTATE\tINFLIGHT\tROLES\tNOTES")
+	for _, h := range o.Hosts {
+		fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%d\t%s\t%s\n", h.Name, h.Zone, h.Generation, h.state(), h.Inflight, strings.Join(h.Roles, " "), strings.Join(h.Notes, "; "))
+	}
+	return w.Flush()
+}
+
+func (h hostStatus) state() string {
+	switch {
+	case h.Leaving:
+		return "leaving"
+	case h.Ready:
+		return "ready"
+	default:
+		return "unready"
+	}
+}
--- a/commander/command.go
+++ b/commander/command.go
@@ -20,19 +20,23 @@
 	ExitFailed   = 1 // the command could not do its work
 	ExitUsage    = 2 // the call or a settings file is wrong
 	ExitConflict = 3 // another operator's change stands in the way
+	ExitDiffers  = 4 // diff found differences
+	// ExitUnsettled is a push that may have landed: push again.
+	ExitUnsettled = 5
 )
 
 // command is one command of the program.
 type command struct {
 	use   string
 	short string
+	long  string // "" is short
 	args  cobra.PositionalArgs
 	flags func(*cobra.Command)
 	run   func(ctx context.Context, c *cobra.Command, args []string) error
 }
 
 // commands is every command, in the order of the help page.
-var commands = []command{cmdServe, cmdCheck, cmdPush, cmdStatus, cmdDump, cmdDrain, cmdVersion}
+var commands = []command{cmdServe, cmdCheck, cmdDiff, cmdPull, cmdPush, cmdKey, cmdStatus, cmdDump, cmdDrain, cmdVersion}
 
 // exitError carries an exit code.
 type exitError struct {
@@ -81,7 +85,7 @@
 	root.PersistentFlags().Bool("json", false, "print JSON")
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usage(err) })
 	for _, k := range commands {
-		c := &cobra.Command{Use: k.use, Short: k.short, Args: func(c *cobra.Command, args []string) error { return usage(k.args(c, args)) }}
+		c := &cobra.Command{Use: k.use, Short: k.short, Long: k.long, Args: func(c *cobra.Command, args []string) error { return usage(k.args(c, args)) }}
 		c.RunE = func(c *cobra.Command, args []string) error { return k.run(c.Context(), c, args) }
 		if k.flags != nil {
 			k.flags(c)
--- a/faker/platform.go
+++ b/faker/platform.go
@@ -123,6 +123,10 @@
 		return
 	}
 	w.Header().Set("ETag", etag(o.version))
+	if r.Header.Get("If-None-Match") == etag(o.version) {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
 	_, _ = w.Write(o.value)
 }
 
--- a/messenger/message.go
+++ b/messenger/message.go
@@ -133,6 +133,10 @@
 		return decode[Claim](e)
 	case "moved":
 		return decode[Moved](e)
+	case kindFetch:
+		return decode[Fetch](e)
+	case kindFetched:
+		return decode[Fetched](e)
 	default:
 		return nil, fmt.Errorf("%w: kind %q", ErrFrame, e.Kind)
 	}
--- a/publisher/follower.go
+++ b/publisher/follower.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"errors"
+	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -12,69 +15,244 @@
 )
 
 const (
-	watchWait  = 20 * time.Second
-	retryPause = 200 * time.Millisecond
+	// watchWait is how long one watch waits. At 360 hosts that is 12 reads/s.
+	watchWait    = 30 * time.Second
+	watchRetry   = 500 * time.Millisecond
+	watchRetries = 4 // doublings of watchRetry
+	tickEvery    = 250 * time.Millisecond
+	inputBacklog = 256
 )
 
+// Actions is what a follower does to the rest of its host. The functions run on
+// the follower's goroutine and must not block for long.
+type Actions struct {
+	Enforce func(*loader.Folder, uint64) // a configuration comes in force
+	// Ask asks a peer by name, or a few of them for "", for a head newer than
+	// have; what comes back goes to Follower.Received.
+	Ask   func(peer string, have uint64)
+	Ready func(bool) // towards the platform's balancer
+}
+
 // Follower keeps the configuration in force on one host. It never goes back.
 type Follower struct {
-	store  storer.Store
-	log    *zap.Logger
-	notify func(*loader.Folder, uint64)
+	store   storer.Store
+	log     *zap.Logger
+	actions Actions
+	inputs  chan Input
+	tracker *Tracker // owned by Run's goroutine
+
+	force     atomic.Pointer[Enforce]
+	status    atomic.Pointer[Status]
+	confirmed atomic.Pointer[sighting] // the last frame with the generation in force
+
+	mu      sync.Mutex
+	version uint64 // of the platform's object that was read last
+}
 
-	mu         sync.Mutex
-	folder     *loader.Folder
+// sighting is a frame from a peer that has the generation in force.
+type sighting struct {
 	generation uint64
+	at         time.Time
 }
 
-// NewFollower returns a follower; notify is called with each configuration that
-// comes in force.
-func NewFollower(s storer.Store, log *zap.Logger, notify func(*loader.Folder, uint64)) *Follower {
-	return &Follower{store: s, log: log, notify: notify}
+// NewFollower returns a follower that does nothing before Run.
+func NewFollower(s storer.Store, t Timing, log *zap.Logger, a Actions) *Follower {
+	return &Follower{
+		store: s, log: log, actions: a, inputs: make(chan Input, inputBacklog),
+		tracker: NewTracker(t, rand.Float64, time.Now()),
+	}
 }
 
 // Folder is the configuration in force and its generation; nil before the first.
 func (f *Follower) Folder() (*loader.Folder, uint64) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.folder, f.generation
+	e := f.force.Load()
+	if e == nil {
+		return nil, 0
+	}
+	return e.Folder, e.Head.Generation
+}
+
+// Head is the head in force; the zero Head before the first.
+func (f *Follower) Head() Head {
+	if e := f.force.Load(); e != nil {
+		return e.Head
+	}
+	return Head{}
+}
+
+// Status is the follower's state, a quarter of a second old at most.
+func (f *Follower) Status() Status {
+	if s := f.status.Load(); s != nil {
+		return *s
+	}
+	return Status{}
+}
+
+// Confirmed takes the generation that a frame from another host carries. It is
+// called for each frame, from any goroutine, and never blocks: where the
+// generation is the one in force, which is the rule, it only notes the time.
+func (f *Follower) Confirmed(peer string, generation uint64, now time.Time) {
+	if generation == f.Head().Generation {
+		f.confirmed.Store(&sighting{generation: generation, at: now})
+		return
+	}
+	f.offer(PeerSeen{Peer: peer, Generation: generation})
+}
+
+// Received takes a packed head that another host sent; empty where it has none.
+func (f *Follower) Received(peer string, packed []byte) {
+	if len(packed) == 0 {
+		f.offer(PeerAnswered{Peer: peer})
+		return
+	}
+	h, err := Unpack(packed)
+	if err != nil {
+		f.log.Warn("configuration of a peer", zap.String("peer", peer), zap.Error(err))
+		return
+	}
+	f.offer(PeerAnswered{Peer: peer, Head: h})
+}
+
+// offer drops what comes faster than it is taken: peers repeat it.
+func (f *Follower) offer(i Input) {
+	select {
+	case f.inputs <- i:
+	default:
+	}
 }
 
 // Run follows the head until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
-	var after uint64
-	for ctx.Err() == nil {
-		head, err := Read(ctx, f.store)
-		if err == nil && head.Generation > 0 {
-			f.take(head)
+	var tasks sync.WaitGroup
+	defer tasks.Wait()
+	tasks.Go(func() { f.watch(ctx) })
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case i := <-f.inputs:
+			f.handle(ctx, &tasks, i)
+		case <-ticker.C:
+			f.handle(ctx, &tasks, Tick{})
 		}
-		if err == nil {
-			_, after, err = f.store.Watch(ctx, Key, max(after, head.Generation), watchWait)
-		}
-		if err != nil {
-			after = 0
-			f.log.Warn("follow", zap.Error(err))
-			pause(ctx, retryPause)
+	}
+}
+
+func (f *Follower) handle(ctx context.Context, tasks *sync.WaitGroup, i Input) {
+	now := time.Now()
+	if seen := f.confirmed.Swap(nil); seen != nil {
+		f.act(ctx, tasks, f.tracker.Handle(seen.at, PeerSeen{Generation: seen.generation}))
+	}
+	f.act(ctx, tasks, f.tracker.Handle(now, i))
+	s := f.tracker.Status(now)
+	f.status.Store(&s)
+}
+
+func (f *Follower) act(ctx context.Context, tasks *sync.WaitGroup, out []Output) {
+	for _, o := range out {
+		switch o := o.(type) {
+		case ReadPlatform:
+			tasks.Go(func() { f.read(ctx) })
+		case AskPeer:
+			f.actions.Ask(o.Peer, o.Have)
+		case Enforce:
+			f.force.Store(&o)
+			f.log.Info("configuration in force", zap.Uint64("generation", o.Head.Generation), zap.Int("bytes", len(o.Head.packed)))
+			f.actions.Enforce(o.Folder, o.Head.Generation)
+		case SetReady:
+			f.actions.Ready(o.Ready)
+		case Report:
+			f.log.Warn("configuration", zap.String("event", o.Event), zap.Uint64("generation", o.Generation), zap.Error(o.Err))
 		}
 	}
 }
 
-// take puts a head in force unless it is older than the one that is.
-func (f *Follower) take(h Head) {
-	folder, err := h.Files.Parse()
-	if err != nil {
-		f.log.Error("configuration", zap.Uint64("generation", h.Generation), zap.Error(err))
+// Checker is a Store that can tell cheaply whether an object changed.
+type Checker interface {
+	// Changed reads an object unless it still has the version have; false then.
+	Changed(ctx context.Context, key string, have uint64) (storer.Object, bool, error)
+}
+
+// read is the poll behind the watch: a watch can go silent or miss a change
+// without any error, and would hide it for good.
+func (f *Follower) read(ctx context.Context) {
+	c, ok := f.store.(Checker)
+	if !ok {
+		o, err := f.store.Get(ctx, Key)
+		f.learn(ctx, o, err)
 		return
 	}
 	f.mu.Lock()
-	if h.Generation <= f.generation {
-		f.mu.Unlock()
+	have := f.version
+	f.mu.Unlock()
+	o, changed, err := c.Changed(ctx, Key, have)
+	if err == nil && !changed {
+		f.put(ctx, HeadUnchanged{})
+		return
+	}
+	f.learn(ctx, o, err)
+}
+
+// learn turns a read of the platform into an input.
+func (f *Follower) learn(ctx context.Context, o storer.Object, err error) {
+	if errors.Is(err, storer.ErrNotFound) {
+		f.put(ctx, HeadRead{})
+		return
+	}
+	if err != nil {
+		f.put(ctx, HeadFailed{Err: err})
+		return
+	}
+	h, err := headOf(o)
+	if err != nil {
+		f.put(ctx, HeadBad{Err: err})
 		return
 	}
-	f.folder, f.generation = folder, h.Generation
+	f.mu.Lock()
+	f.version = o.Version
 	f.mu.Unlock()
-	f.log.Info("configuration", zap.Uint64("generation", h.Generation))
-	f.notify(folder, h.Generation)
+	f.put(ctx, HeadRead{Head: h})
+}
+
+func (f *Follower) put(ctx context.Context, i Input) {
+	select {
+	case f.inputs <- i:
+	case <-ctx.Done():
+	}
+}
+
+// watch follows the platform's changes: a list, then watches from its revision.
+// Any error starts over with a list, so that what happened in between shows.
+func (f *Follower) watch(ctx context.Context) {
+	failures := 0
+	for ctx.Err() == nil {
+		objects, revision, err := f.store.List(ctx, Key)
+		for err == nil {
+			failures = 0
+			f.latest(ctx, objects)
+			objects, revision, err = f.store.Watch(ctx, Key, revision, watchWait)
+		}
+		if errors.Is(err, storer.ErrConflict) && failures == 0 {
+			failures++
+			continue // a gap: the revision is forgotten
+		}
+		f.log.Debug("watch configuration", zap.Error(err))
+		wait := watchRetry << min(failures, watchRetries)
+		pause(ctx, wait-time.Duration(rand.Float64()*float64(wait)/2))
+		failures++
+	}
+}
+
+// latest takes the last event of the head, if there is one.
+func (f *Follower) latest(ctx context.Context, objects []storer.Object) {
+	for i := len(objects) - 1; i >= 0; i-- {
+		if o := objects[i]; o.Key == Key && !o.Deleted {
+			f.learn(ctx, o, nil)
+			return
+		}
+	}
 }
 
 func pause(ctx context.Context, d time.Duration) {
--- /dev/null
+++ b/publisher/push_test.go
@@ -0,0 +1,269 @@
+package publisher_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/cicadawood/cicadawood/loader"
+	"github.com/cicadawood/cicadawood/prover"
+	"github.com/cicadawood/cicadawood/publisher"
+)
+
+var _ = Describe("Push", func() {
+	var (
+		store    *fakeStore
+		ann, ben *operator
+	)
+	BeforeEach(func() {
+		store = &fakeStore{}
+		first := &operator{store: store, files: loader.Files{}}
+		first.edit("hold", 0).edit("chat", 1)
+		_, err := first.push(100)
+		Expect(err).NotTo(HaveOccurred())
+		ann, ben = newOperator(store), newOperator(store)
+	})
+
+	// Two operators push at the same moment. Ann's write meets Ben's, which came
+	// first. A plain write would silently undo what Ben was told is in force.
+	It("lands both of two racing pushes that touch other files", Label(prover.Cell(prover.Pushed, prover.Race), prover.Cell(prover.Written, prover.Race)), func() {
+		store.before = func() {
+			_, err := ben.edit("plan", 2).push(101)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		r, err := ann.edit("quote", 0).push(101)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(r.Rebased).To(BeTrue())
+		Expect(store.head().Files).To(And(HaveKey("plan.json"), HaveKey("quote.json"), HaveLen(4)))
+		Expect(store.written).To(Equal([]uint64{100, 101, 102}))
+		Expect(ann.files).To(HaveKey("plan.json"), "her folder must not remove Ben's file with her next push")
+	})
+
+	It("refuses a push whose file was changed meanwhile, and names it", Label(prover.Cell(prover.Pushed, prover.Race)), func() {
+		store.before = func() {
+			_, err := ben.edit("hold", 2).push(101)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		_, err := ann.edit("hold", 3).edit("quote", 0).push(101)
+		var clash *publisher.ClashError
+		Expect(errors.As(err, &clash)).To(BeTrue())
+		Expect(*clash).To(Equal(publisher.ClashError{Files: []string{"hold.json"}, Generation: 101}))
+		Expect(store.head().Files["hold.json"]).To(Equal(class("hold", 2)))
+	})
+
+	It("refuses changes that only check apart", func() {
+		_, err := ben.edit("plan", 2).push(101)
+		Expect(err).NotTo(HaveOccurred())
+		ann.files["z.json"] = class("plan", 1)
+		_, err = ann.push(102)
+		Expect(err).To(MatchError(publisher.ErrMerged))
+		Expect(err).To(MatchError(ContainSubstring("z.json:1: classes/plan: defined already")))
+	})
+
+	It("takes the same change on both sides for no clash", func() {
+		_, err := ben.edit("hold", 2).push(101)
+		Expect(err).NotTo(HaveOccurred())
+		r, err := ann.edit("hold", 2).push(102)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(r.Generation).To(Equal(uint64(101)))
+	})
+
+	// The write took effect and its reply was lost. Ann is told "failed", pushes
+	// again and meets her own change as a clash; or is told "landed" when it did not.
+	DescribeTable("settles a write whose reply was lost",
+		func(fate outcome) {
+			store.fates = []outcome{fate}
+			r, err := ann.edit("quote", 0).push(101)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(store.written).To(Equal([]uint64{100, 101}))
+			Expect(r.Generation).To(Equal(uint64(101)))
+			Expect(store.head().Files).To(HaveKeyWithValue("quote.json", class("quote", 0)))
+		},
+		Entry("that landed", Label(prover.Cell(prover.Written, prover.LostReply)), lost),
+		Entry("that never landed", Label(prover.Cell(prover.Pushed, prover.LostReply)), dropped),
+		Entry("that arrives after the second try", Label(prover.Cell(prover.Written, prover.Reorder), prover.Pair(prover.Written, prover.LostReply, prover.Written, prover.Reorder)), late),
+	)
+
+	// As above, but before Ann reads back, Ben changes the very same file on top.
+	It("knows its own write under a later push of the same file", Label(prover.Pair(prover.Written, prover.LostReply, prover.Written, prover.Race)), func() {
+		lostThenRaced := &racing{fakeStore: store, race: func() {
+			_, err := newOperator(store).edit("quote", 2).push(102)
+			Expect(err).NotTo(HaveOccurred())
+		}}
+		store.fates = []outcome{lost}
+		p := publisher.Pusher{Store: lostThenRaced}
+		r, err := p.Push(context.Background(), publisher.Change{Files: ann.edit("quote", 0).files, Base: ann.base})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(r.Generation).To(Equal(store.written[1]))
+		Expect(r.Head.Files["quote.json"]).To(Equal(class("quote", 2)))
+	})
+
+	// The write is in doubt and the store goes down, so that nobody can read back.
+	// Ann must be told so; her second try must land the change once, not twice.
+	DescribeTable("says that it can't be settled, and lands once when repeated",
+		func(fate outcome) {
+			store.fates = []outcome{fate}
+			down := &racing{fakeStore: store, race: func() { store.down = true }}
+			p := publisher.Pusher{Store: down, Pause: ann.pause}
+			change := publisher.Change{Files: ann.edit("quote", 0).files, Base: ann.base}
+			_, err := p.Push(context.Background(), change)
+			Expect(err).To(MatchError(publisher.ErrUnsettled))
+			store.down = false
+			_, err = newOperator(store).edit("plan", 2).push(150)
+			Expect(err).NotTo(HaveOccurred())
+			_, err = p.Push(context.Background(), change)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(store.written).To(HaveLen(3))
+			Expect(store.head().Files).To(HaveLen(4))
+		},
+		Entry("when it landed", Label(prover.Pair(prover.Written, prover.LostReply, prover.Written, prover.StoreDown), prover.Cell(prover.Written, prover.StoreSlow)), lost),
+		Entry("when it did not", Label(prover.Pair(prover.Pushed, prover.LostReply, prover.Written, prover.StoreDown)), dropped),
+	)
+
+	It("says that nothing landed while the store is down", Label(prover.Cell(prover.Pushed, prover.StoreDown), prover.Cell(prover.Written, prover.StoreDown)), func() {
+		ann.edit("quote", 0)
+		store.before = func() { store.down = true }
+		_, err := ann.push(101)
+		Expect(err).To(And(MatchError(publisher.ErrUnreadable), MatchError(ContainSubstring("nothing landed"))))
+		_, err = ann.push(101)
+		Expect(err).To(MatchError(publisher.ErrUnreadable))
+		Expect(store.written).To(HaveLen(1))
+	})
+
+	// The operator's process dies after the write, before the folder remembers it,
+	// or freezes between reading and writing while Ben pushes. Run again, it must
+	// neither clash with itself nor undo Ben's push.
+	It("lands once when its process was killed or frozen", Label(prover.Cell(prover.Written, prover.Kill), prover.Cell(prover.Pushed, prover.Kill), prover.Cell(prover.Written, prover.Freeze), prover.Pair(prover.Written, prover.Kill, prover.Pushed, prover.Race)), func() {
+		base, files := ann.base, maps.Clone(ann.edit("hold", 3).files)
+		_, err := ann.push(101)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = newOperator(store).edit("hold", 4).push(102)
+		Expect(err).NotTo(HaveOccurred())
+		again := &operator{store: store, base: base, files: files}
+		r, err := again.push(103)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(r.Repeated).To(BeTrue())
+		Expect(r.Generation).To(Equal(uint64(101)))
+		Expect(store.written).To(Equal([]uint64{100, 101, 102}))
+	})
+
+	It("makes the next generation newer than all before a restored backup", func() {
+		old, version := store.value, store.version
+		for i := range 3 {
+			_, err := ann.edit("quote", i).push(int64(200 + i))
+			Expect(err).NotTo(HaveOccurred())
+		}
+		store.value, store.version = old, version
+		_, err := ann.edit("quote", 5).push(210)
+		Expect(err).To(MatchError(publisher.ErrRestored))
+		p := publisher.Pusher{Store: store}
+		r, err := p.Push(context.Background(), publisher.Change{Files: ann.files, Base: ann.base, Restore: true})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(r.Generation).To(BeNumerically(">", 202))
+		Expect(store.head().Files).To(Equal(ann.files))
+	})
+
+	It("refuses a folder that is too large, with the file to blame", func() {
+		big := make([]byte, publisher.MaxObject*2)
+		g := rand.New(rand.NewPCG(1, 1))
+		for i := range big {
+			big[i] = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789+-"[g.IntN(64)]
+		}
+		ann.files["big.json"] = "{ // " + string(big) + "\n}"
+		_, err := ann.push(101)
+		Expect(err).To(And(MatchError(publisher.ErrTooLarge), MatchError(ContainSubstring("big.json"))))
+	})
+
+	It("gives up after a bounded number of lost races", func() {
+		n := 0
+		store.before = nil
+		always := &racing{fakeStore: store, always: true, race: func() {
+			n++
+			_, err := newOperator(store).edit(fmt.Sprintf("c%d", n), 1).push(int64(200 + n))
+			Expect(err).NotTo(HaveOccurred())
+		}}
+		_, err := publisher.Pusher{Store: always}.Push(context.Background(), publisher.Change{Files: ann.edit("quote", 0).files, Base: ann.base})
+		Expect(err).To(MatchError(publisher.ErrRaced))
+		Expect(n).To(Equal(16))
+	})
+})
+
+// TestRacingOperators lets operators push at random, with lost, dropped and late
+// writes and pushes between each other's read and write. Every push that was
+// accepted must be in every later head, unless a later push touched its file.
+func TestRacingOperators(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := &fakeStore{}
+		operators := make([]*operator, 3)
+		for i := range operators {
+			operators[i] = &operator{store: s, files: loader.Files{}}
+		}
+		var accepted []acceptance
+		var act func(depth int)
+		act = func(depth int) {
+			o := operators[rapid.IntRange(0, 2).Draw(t, "operator")]
+			name := string(rune('a' + rapid.IntRange(0, 3).Draw(t, "file")))
+			if rapid.IntRange(0, 3).Draw(t, "pull") == 0 && !s.down {
+				o.landed(s.head())
+			}
+			o.edit(name, rapid.IntRange(0, 5).Draw(t, "tier"))
+			touched := map[string]string{}
+			for _, f := range o.base.Touched(o.files) {
+				touched[f] = o.files[f]
+			}
+			s.fates = append(s.fates, outcome(rapid.IntRange(0, 4).Draw(t, "fate")))
+			if depth < 2 && rapid.Bool().Draw(t, "race") {
+				s.before = func() { act(depth + 1) }
+			}
+			outer := s.touching
+			s.touching = touched
+			if r, err := o.push(100); err == nil && !r.Repeated {
+				accepted = append(accepted, acceptance{generation: r.Generation, touched: touched})
+			}
+			s.touching = outer
+		}
+		for range rapid.IntRange(1, 12).Draw(t, "pushes") {
+			act(0)
+		}
+		checkAccepted(t, s, accepted)
+	})
+}
+
+// acceptance is one push that its operator was told has landed.
+type acceptance struct {
+	generation uint64
+	touched    map[string]string // text by file
+}
+
+func checkAccepted(t *rapid.T, s *fakeStore, accepted []acceptance) {
+	for i := 1; i < len(s.heads); i++ {
+		if s.written[i] <= s.written[i-1] {
+			t.Fatalf("generations not in order: %v", s.written)
+		}
+		for name, text := range s.heads[i-1] {
+			if _, ok := s.touched[i][name]; !ok && s.heads[i][name] != text {
+				t.Fatalf("%s of generation %d is gone in %d, which did not touch it", name, s.written[i-1], s.written[i])
+			}
+		}
+	}
+	for _, a := range accepted {
+		at := slices.Index(s.written, a.generation)
+		if at < 0 {
+			t.Fatalf("generation %d was accepted and is in no head: %v", a.generation, s.written)
+		}
+		for name, text := range a.touched {
+			if s.heads[at][name] != text {
+				t.Fatalf("%s is not in generation %d, which was accepted with it", name, a.generation)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/publisher/tracker.go
@@ -0,0 +1,380 @@
+package publisher
+
+import (
+	"time"
+
+	"github.com/cicadawood/cicadawood/loader"
+)
+
+// Timing is how long a Tracker waits for what. Zero fields take the defaults of
+// withDefaults.
+type Timing struct {
+	Confirm time.Duration // without word from platform or peer, before unready
+	Poll    time.Duration // between reads of the platform, behind the watch
+	Gather  time.Duration // a fresh host waits that long for the highest generation
+	Fetch   time.Duration // for one source to answer, before the next is asked
+}
+
+const (
+	defaultConfirm = 10 * time.Second
+	defaultGather  = time.Second
+	defaultFetch   = time.Second
+	// firstRetry is the pause after the first failed read; it doubles with each
+	// failure up to Timing.Poll.
+	firstRetry = 500 * time.Millisecond
+)
+
+func (t Timing) withDefaults() Timing {
+	if t.Confirm == 0 {
+		t.Confirm = defaultConfirm
+	}
+	if t.Poll == 0 {
+		t.Poll = t.Confirm / 2
+	}
+	if t.Gather == 0 {
+		t.Gather = defaultGather
+	}
+	if t.Fetch == 0 {
+		t.Fetch = defaultFetch
+	}
+	return t
+}
+
+// Input is what a Tracker learns.
+type Input interface{ input() }
+
+// HeadRead is the platform's head; the zero Head where nothing was pushed yet.
+type HeadRead struct{ Head Head }
+
+// HeadUnchanged is the platform's word that the head is still the one read last.
+type HeadUnchanged struct{}
+
+// HeadBad is a platform's head that can't be read as one.
+type HeadBad struct{ Err error }
+
+// HeadFailed is a read of the platform that failed.
+type HeadFailed struct{ Err error }
+
+// PeerSeen is a frame from another host, which carries its generation.
+type PeerSeen struct {
+	Peer       string
+	Generation uint64
+}
+
+// PeerAnswered is a head that another host sent.
+type PeerAnswered struct {
+	Peer string
+	Head Head
+}
+
+// Tick is the passing of time.
+type Tick struct{}
+
+func (HeadRead) input()      {}
+func (HeadUnchanged) input() {}
+func (HeadBad) input()       {}
+func (HeadFailed) input()    {}
+func (PeerSeen) input()      {}
+func (PeerAnswered) input()  {}
+func (Tick) input()          {}
+
+// Output is what a Tracker wants done.
+type Output interface{ output() }
+
+// ReadPlatform wants the platform read; one of the Head inputs answers it.
+type ReadPlatform struct{}
+
+// AskPeer wants a peer's head; Peer "" stands for a few of them.
+type AskPeer struct {
+	Peer string
+	Have uint64
+}
+
+// Enforce puts a configuration in force.
+type Enforce struct {
+	Head   Head
+	Folder *loader.Folder
+}
+
+// SetReady tells the platform's balancer.
+type SetReady struct{ Ready bool }
+
+// Report is a line for the log.
+type Report struct {
+	Event      string
+	Generation uint64
+	Err        error
+}
+
+func (ReadPlatform) output() {}
+func (AskPeer) output()      {}
+func (Enforce) output()      {}
+func (SetReady) output()     {}
+func (Report) output()       {}
+
+// Tracker decides, on one host, which configuration is in force. It never goes
+// back to an older generation. It does no I/O and reads no clock.
+type Tracker struct {
+	timing  Timing
+	jitter  func() float64 // in [0, 1)
+	started time.Time
+
+	force      Head // in force
+	generation uint64
+	best       Head // of a fresh host, before anything is in force
+	bestFolder *loader.Folder
+
+	platform  bool      // it answered last time
+	answered  bool      // the platform ever did
+	peered    bool      // a peer ever sent its head
+	reading   time.Time // since when a read is under way; zero where none is
+	nextRead  time.Time
+	failures  int
+	confirmed time.Time // last word that nothing newer is known
+	ready     bool
+
+	wanted   PeerSeen  // the newest generation that a peer told of
+	toldAt   time.Time // when a peer last did
+	askedAt  time.Time // when a peer was last asked
+	rejected uint64    // newest generation that could not be used
+	refusal  error
+	wentBack bool // the platform holds an older generation; reported once
+}
+
+// NewTracker returns the tracker of a host that starts now.
+func NewTracker(t Timing, jitter func() float64, now time.Time) *Tracker {
+	return &Tracker{timing: t.withDefaults(), jitter: jitter, started: now, nextRead: now}
+}
+
+// Handle takes one input and returns what is to be done, in order.
+func (t *Tracker) Handle(now time.Time, i Input) []Output {
+	var out []Output
+	switch i := i.(type) {
+	case HeadRead:
+		t.platformAnswered(now)
+		out = t.platformHead(now, i.Head)
+	case HeadUnchanged:
+		t.platformAnswered(now)
+		t.confirm(now)
+	case HeadBad:
+		t.platformAnswered(now)
+		t.confirm(now)
+		out = t.reject(0, i.Err)
+	case HeadFailed:
+		out = t.readFailed(now, i.Err)
+	case PeerSeen:
+		out = t.peerSeen(now, i)
+	case PeerAnswered:
+		t.peered = true
+		if i.Head.Generation == t.generation {
+			t.confirm(now)
+		}
+		out = t.offer(now, i.Head)
+	case Tick:
+		out = t.tick(now)
+	}
+	out = append(out, t.settle(now)...)
+	return append(out, t.readiness(now)...)
+}
+
+// platformAnswered notes that the platform is up; the next read is a poll.
+func (t *Tracker) platformAnswered(now time.Time) {
+	t.platform, t.answered, t.failures, t.reading = true, true, 0, time.Time{}
+	t.nextRead = now.Add(t.spread(t.timing.Poll))
+}
+
+// spread takes up to a fifth off a wait, so that hosts do not go in step.
+func (t *Tracker) spread(d time.Duration) time.Duration {
+	return d - time.Duration(t.jitter()*0.2*float64(d))
+}
+
+// platformHead takes what the platform holds. A platform that was restored from
+// an old backup holds an older generation than hosts do: to follow it would
+// silently bring back a configuration that operators replaced. It is reported
+// and kept out; the next push is newer than both.
+func (t *Tracker) platformHead(now time.Time, h Head) []Output {
+	var out []Output
+	back := h.Generation < t.generation
+	if back && !t.wentBack {
+		out = append(out, Report{Event: "platform went back; keeping the newer configuration", Generation: h.Generation})
+	}
+	t.wentBack = back
+	if h.Generation <= t.generation {
+		t.confirm(now)
+		if t.rejected <= t.generation {
+			t.refusal = nil
+		}
+	}
+	return append(out, t.offer(now, h)...)
+}
+
+// offer takes a head from the platform or a peer.
+func (t *Tracker) offer(now time.Time, h Head) []Output {
+	if h.Generation <= t.generation {
+		// Never back: frames, answers and watch events may arrive late, twice or
+		// in another order, and sources may be behind.
+		return nil
+	}
+	folder, err := h.Files.Parse()
+	if err != nil {
+		t.confirm(now)
+		return t.reject(h.Generation, err)
+	}
+	if t.generation == 0 {
+		if h.Generation > t.best.Generation {
+			t.best, t.bestFolder = h, folder
+		}
+		return nil
+	}
+	return t.enforce(now, h, folder)
+}
+
+func (t *Tracker) enforce(now time.Time, h Head, f *loader.Folder) []Output {
+	t.force, t.generation = h, h.Generation
+	if t.rejected <= t.generation {
+		t.rejected, t.refusal = 0, nil
+	}
+	t.confirmed = now
+	return []Output{Enforce{Head: h, Folder: f}}
+}
+
+// confirm notes a word that nothing newer is to be had. While peers tell of a
+// newer generation that this host can't get, no such word counts. What nobody
+// tells of any more is given up: its only holders are gone.
+func (t *Tracker) confirm(now time.Time) {
+	if now.Sub(t.toldAt) >= t.timing.Confirm {
+		t.wanted = PeerSeen{}
+	}
+	if t.wanted.Generation <= max(t.generation, t.rejected) && now.After(t.confirmed) {
+		t.confirmed = now
+	}
+}
+
+// reject keeps the configuration in force in place of one that can't be used.
+func (t *Tracker) reject(generation uint64, err error) []Output {
+	known := t.refusal != nil && t.rejected == max(t.rejected, generation)
+	t.rejected, t.refusal = max(t.rejected, generation), err
+	if known {
+		return nil
+	}
+	return []Output{Report{Event: "configuration can't be used; keeping the last good one", Generation: generation, Err: err}}
+}
+
+func (t *Tracker) readFailed(now time.Time, err error) []Output {
+	first := t.platform || !t.answered && t.failures == 0
+	t.platform, t.reading = false, time.Time{}
+	wait := t.timing.Poll
+	if t.failures < 8 {
+		wait = min(wait, firstRetry<<t.failures)
+	}
+	t.failures++
+	t.nextRead = now.Add(t.spread(wait))
+	var out []Output
+	if first {
+		out = append(out, Report{Event: "platform can't be read", Generation: t.generation, Err: err})
+	}
+	return append(out, t.fetch(now)...)
+}
+
+func (t *Tracker) peerSeen(now time.Time, p PeerSeen) []Output {
+	switch {
+	case p.Generation == t.generation:
+		t.confirm(now)
+		return nil
+	case p.Generation < t.generation || p.Generation <= t.rejected:
+		return nil
+	case p.Generation >= t.wanted.Generation:
+		t.wanted, t.toldAt = p, now
+	}
+	if t.platform && t.reading.IsZero() && now.Sub(t.askedAt) >= t.timing.Fetch {
+		t.reading, t.askedAt = now, now
+		return []Output{ReadPlatform{}}
+	}
+	return t.fetch(now)
+}
+
+// fetch asks a peer for the newer generation that it told of. In an outage of
+// the platform that is the only way; where the platform answers, but slowly or
+// with an older head, it is the second.
+func (t *Tracker) fetch(now time.Time) []Output {
+	wait := t.timing.Fetch
+	if !t.platform {
+		wait /= 4
+	}
+	if t.wanted.Generation <= max(t.generation, t.best.Generation, t.rejected) || now.Sub(t.askedAt) < wait {
+		return nil
+	}
+	t.askedAt = now
+	return []Output{AskPeer{Peer: t.wanted.Peer, Have: t.generation}}
+}
+
+func (t *Tracker) tick(now time.Time) []Output {
+	var out []Output
+	if t.reading.IsZero() && !now.Before(t.nextRead) {
+		t.reading = now
+		out = append(out, ReadPlatform{})
+	}
+	if t.generation == 0 && now.Sub(t.askedAt) >= t.timing.Fetch {
+		t.askedAt = now
+		out = append(out, AskPeer{})
+	}
+	return append(out, t.fetch(now)...)
+}
+
+// settle puts a fresh host's first configuration in force: the highest that
+// platform and peers hold, once both answered or the time for it is over. The
+// first answer alone may be an older one, which hosts have long replaced.
+func (t *Tracker) settle(now time.Time) []Output {
+	if t.generation > 0 || t.best.Generation == 0 {
+		return nil
+	}
+	complete := t.answered && t.peered && t.best.Generation >= t.wanted.Generation
+	if !complete && now.Sub(t.started) < t.timing.Gather {
+		return nil
+	}
+	h, f := t.best, t.bestFolder
+	t.best, t.bestFolder = Head{}, nil
+	return t.enforce(now, h, f)
+}
+
+// readiness turns a host unready that could confirm its generation with nobody
+// for too long: it may serve a configuration that was replaced long ago. A
+// platform outage alone turns none, as peers confirm each other.
+func (t *Tracker) readiness(now time.Time) []Output {
+	ready := t.generation > 0 && now.Sub(t.confirmed) < t.timing.Confirm
+	if ready == t.ready {
+		return nil
+	}
+	t.ready = ready
+	out := []Output{SetReady{Ready: ready}}
+	if !ready {
+		out = append(out, Report{Event: "configuration unconfirmed; unready", Generation: t.generation})
+	}
+	return out
+}
+
+// Status is a follower's state, for operators.
+type Status struct {
+	Generation uint64 `json:"generation"` // in force; 0 for none
+	Newer      uint64 `json:"newer"`      // that a peer told of and that is not in force; 0 for none
+	Rejected   uint64 `json:"rejected"`   // that can't be used; 0 for none
+	Reason     string `json:"reason"`     // why not
+	Platform   bool   `json:"platform"`   // it answered last time
+	Confirmed  string `json:"confirmed"`  // how long ago
+	Size       int    `json:"size"`       // bytes packed
+}
+
+// Status is the tracker's state.
+func (t *Tracker) Status(now time.Time) Status {
+	s := Status{Generation: t.generation, Rejected: t.rejected, Platform: t.platform, Size: len(t.force.packed)}
+	if t.wanted.Generation > t.generation {
+		s.Newer = t.wanted.Generation
+	}
+	if t.refusal != nil {
+		s.Reason = t.refusal.Error()
+	}
+	if !t.confirmed.IsZero() {
+		s.Confirmed = now.Sub(t.confirmed).Round(time.Millisecond).String()
+	}
+	return s
+}
--- a/runner/host.go
+++ b/runner/host.go
@@ -25,7 +25,7 @@
 	settings  loader.Host
 	log       *zap.Logger
 	control   *control
-	follower  *publisher.Follower
+	following *following
 	registrar *registrar.Registrar
 	server    *server.Server
 	leaving   chan struct{}
@@ -42,27 +42,32 @@
 	defer closeForward()
 	h := &Host{settings: settings, log: log, leaving: make(chan struct{})}
 	h.control = newControl(settings.Name, incarnation, nil, log)
+	h.following = &following{settings: settings, log: log, notify: func(ready bool) { h.server.SetReady(ready) }}
+	timing := publisher.Timing{Confirm: settings.Limits.Confirm.Std()}
+	h.following.Follower = publisher.NewFollower(store, timing, log, h.following.actions(func(f *loader.Folder, g uint64) {
+		h.control.events <- folderChanged{folder: f, generation: g}
+	}))
 	m, closeMessenger, err := messenger.New(settings.Name, incarnation, settings.Control, func(e messenger.Envelope, msg messenger.Message) {
-		h.control.events <- frameArrived{from: e.From, message: msg}
+		if !h.following.take(e, msg) {
+			h.control.events <- frameArrived{from: e.From, message: msg}
+		}
 	})
 	if err != nil {
 		return fmt.Errorf("start host: %w", err)
 	}
 	defer closeMessenger()
 	h.control.sender = m
+	h.following.connect(m)
 	registry := prometheus.NewRegistry()
-	h.follower = publisher.NewFollower(store, log, func(f *loader.Folder, g uint64) {
-		h.control.events <- folderChanged{folder: f, generation: g}
-		h.server.SetReady(true)
-	})
 	self := registrar.Record{
 		Name: settings.Name, Zone: settings.Zone, Region: settings.Region,
 		Control: settings.Control, Admin: settings.Admin, Incarnation: incarnation,
 	}
 	h.registrar = registrar.New(store, self, settings.Limits.Lease.Std(), log, func(r registrar.Roster) {
+		h.following.enroll(r)
 		h.control.events <- rosterChanged{roster: r}
 	})
-	h.server = server.New(settings.Limits, h.follower, h.control, forward, log, server.NewMetrics(registry))
+	h.server = server.New(settings.Limits, h.following, h.control, forward, log, server.NewMetrics(registry))
 	return h.run(ctx, registry)
 }
 
@@ -80,7 +85,7 @@
 	inner, stop := context.WithCancel(context.Background())
 	var tasks sync.WaitGroup
 	tasks.Go(func() { h.control.run(inner) })
-	tasks.Go(func() { h.follower.Run(inner) })
+	tasks.Go(func() { h.following.Run(inner) })
 	tasks.Go(func() { h.registrar.Run(inner) })
 	admin := &http.Server{Handler: h.admin(registry), ReadHeaderTimeout: time.Second}
 	tasks.Go(func() { _ = admin.Serve(operators) })
@@ -105,7 +110,7 @@
 // for the balancer to notice, then the requests in flight.
 func (h *Host) shutdown() error {
 	h.log.Info("leaving", zap.Int64("inflight", h.server.Calls()))
-	h.server.SetReady(false)
+	h.following.leave()
 	h.registrar.Leave()
 	time.Sleep(h.settings.Limits.Settle.Std())
 	ctx, cancel := context.WithTimeout(context.Background(), h.settings.Limits.Drain.Std())
@@ -123,6 +128,7 @@
 	reply := make(chan State, 1)
 	h.control.events <- stateAsked{reply: reply}
 	s := <-reply
+	s.Configuration, s.Leaving = h.following.Status(), h.following.isLeaving()
 	s.Zone, s.Ready, s.Inflight = h.settings.Zone, h.server.Ready(), h.server.Calls()
 	return s
 }
--- a/runner/state.go
+++ b/runner/state.go
@@ -2,21 +2,23 @@
 
 import (
 	"github.com/cicadawood/cicadawood/dispatcher"
+	"github.com/cicadawood/cicadawood/publisher"
 	"github.com/cicadawood/cicadawood/registrar"
 )
 
 // State is a host's whole control state, for operators.
 type State struct {
-	Name       string             `json:"name"`
-	Zone       string             `json:"zone"`
-	Ready      bool               `json:"ready"`
-	Leaving    bool               `json:"leaving"`
-	Generation uint64             `json:"generation"`
-	Inflight   int64              `json:"inflight"`
-	Roles      []string           `json:"roles"`
-	Roster     []registrar.Record `json:"roster"`
-	Cells      []dispatcher.State `json:"cells"`
-	Calls      map[string]string  `json:"calls"` // worker by request, "" while it waits
+	Name          string             `json:"name"`
+	Zone          string             `json:"zone"`
+	Ready         bool               `json:"ready"`
+	Leaving       bool               `json:"leaving"`
+	Generation    uint64             `json:"generation"`
+	Configuration publisher.Status   `json:"configuration"`
+	Inflight      int64              `json:"inflight"`
+	Roles         []string           `json:"roles"`
+	Roster        []registrar.Record `json:"roster"`
+	Cells         []dispatcher.State `json:"cells"`
+	Calls         map[string]string  `json:"calls"` // worker by request, "" while it waits
 }
 
 func (c *control) state() State {
--- a/storer/client.go
+++ b/storer/client.go
@@ -50,6 +50,29 @@
 	return Object{Key: key, Value: value, Version: tagOf(resp)}, nil
 }
 
+// Changed reads an object unless it still has the version have (If-None-Match);
+// false then. It costs one read, but no value.
+func (c *Client) Changed(ctx context.Context, key string, have uint64) (Object, bool, error) {
+	h := http.Header{}
+	if have != 0 {
+		h.Set("If-None-Match", strconv.Quote(strconv.FormatUint(have, 10)))
+	}
+	resp, cancel, err := c.call(ctx, http.MethodGet, "/objects/"+escape(key), nil, h, callTimeout)
+	if err != nil {
+		return Object{}, false, fmt.Errorf("get %s: %w", key, err)
+	}
+	defer cancel()
+	defer resp.Body.Close()
+	if resp.StatusCode == http.StatusNotModified {
+		return Object{}, false, nil
+	}
+	value, err := io.ReadAll(io.LimitReader(resp.Body, MaxValue+1))
+	if err != nil {
+		return Object{}, false, fmt.Errorf("get %s: %w: %v", key, ErrUnavailable, err)
+	}
+	return Object{Key: key, Value: value, Version: tagOf(resp)}, true, nil
+}
+
 // Put implements Store.
 func (c *Client) Put(ctx context.Context, key string, value []byte, cond Condition) (uint64, error) {
 	if len(value) > MaxValue {
@@ -163,7 +186,7 @@
 
 func statusError(method string, resp *http.Response) error {
 	switch {
-	case resp.StatusCode < 300:
+	case resp.StatusCode < 300, resp.StatusCode == http.StatusNotModified:
 		return nil
 	case resp.StatusCode == http.StatusNotFound:
 		return ErrNotFound
