--- a/publisher/push_test.go
+++ b/publisher/push_test.go
@@ -87,13 +87,13 @@
 			Expect(r.Generation).To(Equal(uint64(101)))
 			Expect(store.head().Files).To(HaveKeyWithValue("quote.json", class("quote", 0)))
 		},
-		Entry("that landed", Label(prover.Cell(prover.Written, prover.LostReply)), lost),
+		Entry("that landed", Label(prover.Cell(prover.Pushed, prover.LostReply)), lost),
 		Entry("that never landed", Label(prover.Cell(prover.Pushed, prover.LostReply)), dropped),
-		Entry("that arrives after the second try", Label(prover.Cell(prover.Written, prover.Reorder), prover.Pair(prover.Written, prover.LostReply, prover.Written, prover.Reorder)), late),
+		Entry("that arrives after the second try", Label(prover.Pair(prover.Pushed, prover.LostReply, prover.Pushed, prover.StoreSlow)), late),
 	)
 
 	// As above, but before Ann reads back, Ben changes the very same file on top.
-	It("knows its own write under a later push of the same file", Label(prover.Pair(prover.Written, prover.LostReply, prover.Written, prover.Race)), func() {
+	It("knows its own write under a later push of the same file", Label(prover.Pair(prover.Pushed, prover.LostReply, prover.Written, prover.Race)), func() {
 		lostThenRaced := &racing{fakeStore: store, race: func() {
 			_, err := newOperator(store).edit("quote", 2).push(102)
 			Expect(err).NotTo(HaveOccurred())
@@ -124,7 +124,7 @@
 			Expect(store.written).To(HaveLen(3))
 			Expect(store.head().Files).To(HaveLen(4))
 		},
-		Entry("when it landed", Label(prover.Pair(prover.Written, prover.LostReply, prover.Written, prover.StoreDown)), lost),
+		Entry("when it landed", Label(prover.Pair(prover.Pushed, prover.LostReply, prover.Written, prover.StoreDown)), lost),
 		Entry("when it did not", Label(prover.Pair(prover.Pushed, prover.LostReply, prover.Written, prover.StoreDown)), dropped),
 	)
 
--- a/publisher/tracker_test.go
+++ b/publisher/tracker_test.go
@@ -24,9 +24,8 @@
 
 var (
 	everywhere = []prover.Step{prover.Pushed, prover.Written, prover.Watched, prover.InForce}
-	atWatch    = []prover.Step{prover.Watched}
-	atWrite    = []prover.Step{prover.Written}
-	atPush     = []prover.Step{prover.Pushed, prover.Written}
+	atPush     = everywhere[:1]
+	afterWrite = everywhere[2:]
 )
 
 // troubles is the faults that can hit a configuration between its operator, the
@@ -36,13 +35,13 @@
 	{prover.Freeze, everywhere, func(_ *fleet, h *host) { h.frozen = true }, func(_ *fleet, h *host) { h.frozen = false }},
 	{prover.CutBoth, everywhere, func(_ *fleet, h *host) { h.noPeers, h.noStore = true, true }, func(_ *fleet, h *host) { h.noPeers, h.noStore = false, false }},
 	{prover.CutOne, everywhere, func(_ *fleet, h *host) { h.deaf = true }, func(_ *fleet, h *host) { h.deaf = false }},
-	{prover.Silence, atWatch, func(_ *fleet, h *host) { h.silent = true }, func(_ *fleet, h *host) { h.silent = false }},
+	{prover.Silence, everywhere, func(f *fleet, h *host) { h.silent, f.store.fates = true, []outcome{dropped} }, func(_ *fleet, h *host) { h.silent = false }},
 	{prover.StoreDown, everywhere, func(f *fleet, _ *host) { f.store.down = true }, func(f *fleet, _ *host) { f.store.down = false }},
 	{prover.StoreSlow, everywhere, func(f *fleet, _ *host) { f.slow = 2 * time.Second }, func(f *fleet, _ *host) { f.slow = 0 }},
-	{prover.WatchGap, atWatch, func(f *fleet, _ *host) { f.skip() }, func(*fleet, *host) {}},
-	{prover.Reorder, everywhere, func(f *fleet, _ *host) { f.crossed = true }, func(f *fleet, _ *host) { f.crossed = false }},
-	{prover.LostReply, atWrite, func(f *fleet, _ *host) { f.store.fates = []outcome{lost} }, func(*fleet, *host) {}},
-	{prover.Race, atPush, func(f *fleet, _ *host) { _ = f.push(newOperator(f.store), "race") }, func(*fleet, *host) {}},
+	{prover.WatchGap, afterWrite, func(f *fleet, _ *host) { f.skip() }, func(*fleet, *host) {}},
+	{prover.Reorder, afterWrite, func(f *fleet, _ *host) { f.crossed = true }, func(f *fleet, _ *host) { f.crossed = false }},
+	{prover.LostReply, atPush, func(f *fleet, _ *host) { f.store.fates = []outcome{lost} }, func(*fleet, *host) {}},
+	{prover.Race, everywhere, func(f *fleet, _ *host) { _ = f.push(newOperator(f.store), "race") }, func(*fleet, *host) {}},
 }
 
 // skip loses the next event of every watch.
