--- a/scripter/start_test.go
+++ b/scripter/start_test.go
@@ -42,7 +42,7 @@
 }
 
 // startHost writes the host's settings on its first start and runs it. The
-// arguments are KEY=VALUE: zone, platform, and limits. A restart keeps the name
+// arguments are KEY=VALUE: zone, platform, peer, and limits. A restart keeps the name
 // and the addresses.
 func (w *world) startHost(ts *testscript.TestScript, name string, args []string) {
 	file := filepath.Join(w.dir, name+".jsonc")
@@ -61,6 +61,8 @@
 				settings[key] = value
 			case "platform":
 				settings[key] = "http://" + w.addresses[value]
+			case "peer":
+				settings["peers"] = []string{w.addresses[value+"_control"]}
 			default:
 				limits[key] = value
 			}
