--- a/commander/cmd_check.go
+++ b/commander/cmd_check.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"errors"
 	"fmt"
 	"os"
 
@@ -20,19 +22,50 @@
 		if err != nil {
 			return usage(err)
 		}
-		if !info.IsDir() {
-			_, err := loader.ReadHost(args[0])
-			return usage(err)
+		r := checkReport{Problems: []loader.Problem{}}
+		if info.IsDir() {
+			err = r.folder(args[0])
+		} else {
+			_, err = loader.ReadHost(args[0])
+			r.Files = 1
 		}
-		files, err := loader.ReadFiles(args[0])
-		if err != nil {
-			return usage(err)
+		if asJSON, _ := c.Flags().GetBool("json"); asJSON {
+			r.Problems = append(r.Problems, loader.Problems(err)...)
+			return errors.Join(usage(err), json.NewEncoder(c.OutOrStdout()).Encode(r))
 		}
-		f, err := files.Parse()
-		if err != nil {
-			return usage(err)
+		if err == nil {
+			fmt.Fprintln(c.OutOrStdout(), r)
 		}
-		fmt.Fprintf(c.OutOrStdout(), "%d files: %d classes, %d organisations, %d services\n", len(files), len(f.Classes), len(f.Organisations), len(f.Services))
-		return nil
+		return usage(err)
 	},
 }
+
+// checkReport is what check found.
+type checkReport struct {
+	Files         int              `json:"files"`
+	Classes       int              `json:"classes"`
+	Organisations int              `json:"organisations"`
+	Services      int              `json:"services"`
+	Problems      []loader.Problem `json:"problems"`
+}
+
+func (r *checkReport) folder(dir string) error {
+	files, err := loader.ReadFiles(dir)
+	if err != nil {
+		return err
+	}
+	r.Files = len(files)
+	f, err := files.Parse()
+	if err != nil {
+		return err
+	}
+	r.Classes, r.Organisations, r.Services = len(f.Classes), len(f.Organisations), len(f.Services)
+	return nil
+}
+
+func (r checkReport) String() string {
+	if r.Classes+r.Organisations+r.Services == 0 {
+		return fmt.Sprintf("%d files: no problems", r.Files)
+	}
+	return fmt.Sprintf("%d files: %d classes, %d organisations, %d services", r.Files, r.Classes, r.Organisations, r.Services)
+}
--- a/commander/command.go
+++ b/commander/command.go
@@ -9,6 +9,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 
 	"github.com/spf13/cobra"
@@ -55,14 +56,18 @@
 }
 
 // Main runs the command line and returns the exit code.
-func Main(args []string, stdout, stderr io.Writer) int {
+func Main(args []string, stdin io.Reader, stdout, stderr io.Writer) int {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	root := newRoot()
 	root.SetArgs(args)
+	root.SetIn(stdin)
 	root.SetOut(stdout)
 	root.SetErr(stderr)
-	err := root.ExecuteContext(ctx)
+	err := known(root, args)
+	if err == nil {
+		err = root.ExecuteContext(ctx)
+	}
 	if err == nil {
 		return ExitOK
 	}
@@ -74,6 +79,18 @@
 	return ExitFailed
 }
 
+// known refuses a command that does not exist, which cobra reports like any
+// failure. Its own hidden commands, __complete and the like, come only later.
+func known(root *cobra.Command, args []string) error {
+	if len(args) == 0 || strings.HasPrefix(args[0], "__") {
+		return nil
+	}
+	root.InitDefaultHelpCmd()
+	root.InitDefaultCompletionCmd(args...)
+	_, _, err := root.Find(args)
+	return usage(err)
+}
+
 func newRoot() *cobra.Command {
 	root := &cobra.Command{
 		Use:           "cicadawood",
--- /dev/null
+++ b/commander/commander_test.go
@@ -0,0 +1,104 @@
+package commander_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cicadawood/cicadawood/commander"
+	"github.com/cicadawood/cicadawood/faker"
+	"github.com/cicadawood/cicadawood/prover"
+)
+
+var _ = DescribeTable("Exit codes for wrong calls",
+	func(code int, message string, args ...string) {
+		_, stderr, got := run("", args...)
+		Expect(got).To(Equal(code))
+		Expect(stderr).To(HavePrefix("cicadawood: " + message))
+	},
+	Entry("an unknown command", commander.ExitUsage, `unknown command "chek"`, "chek", "x"),
+	Entry("an unknown flag", commander.ExitUsage, "unknown flag: --quick", "push", "--quick", "x"),
+	Entry("no folder", commander.ExitUsage, "accepts 1 arg", "push"),
+	Entry("a folder that is not there", commander.ExitUsage, "stat nowhere", "check", "nowhere"),
+	Entry("no key", commander.ExitUsage, "no key on standard input", "key"),
+	Entry("no platform", commander.ExitUsage, "no platform: give --platform", "--platform", "", "status"),
+	Entry("a platform that is not there", commander.ExitFailed, "platform can't be read", "--platform", "http://127.0.0.1:1", "status"),
+	Entry("a host that is not there", commander.ExitFailed, "call host", "dump", "127.0.0.1:1"),
+)
+
+var _ = Describe("Two operators", func() {
+	var ann, ben string
+	var platform *faker.Platform
+	var trap bool // the next write takes effect, its reply is lost, and the platform goes down
+	const classes = `{"classes": {"hold": {"tier": 0, "whole": "1s"}}}`
+	write := func(dir, name, text string) {
+		Expect(os.WriteFile(filepath.Join(dir, name), []byte(text), 0o600)).To(Succeed())
+	}
+	BeforeEach(func() {
+		platform = faker.NewPlatform()
+		trap = false
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if trap && r.Method == http.MethodPut {
+				trap = false
+				platform.Handler().ServeHTTP(httptest.NewRecorder(), r)
+				platform.SetFaults(faker.Faults{Down: true})
+				panic(http.ErrAbortHandler)
+			}
+			platform.Handler().ServeHTTP(w, r)
+		}))
+		DeferCleanup(server.Close)
+		GinkgoT().Setenv("CICADAWOOD_PLATFORM", server.URL)
+		ann, ben = GinkgoT().TempDir(), GinkgoT().TempDir()
+		write(ann, "10.json", classes)
+		_, _, code := run("", "push", ann)
+		Expect(code).To(Equal(commander.ExitOK))
+		_, _, code = run("", "pull", ben)
+		Expect(code).To(Equal(commander.ExitOK))
+	})
+
+	// Both change the same file; the second is told which, and loses nothing.
+	It("are told the files that clash", Label(prover.Cell(prover.Pushed, prover.Race)), func() {
+		write(ann, "10.json", `{"classes": {"hold": {"tier": 1, "whole": "1s"}}}`)
+		write(ben, "10.json", `{"classes": {"hold": {"tier": 2, "whole": "1s"}}}`)
+		_, _, code := run("", "push", ann)
+		Expect(code).To(Equal(commander.ExitOK))
+		for _, command := range []string{"push", "diff", "pull"} {
+			_, stderr, code := run("", command, ben)
+			Expect(code).To(Equal(commander.ExitConflict))
+			Expect(stderr).To(MatchRegexp(`changed here and in generation \d+: 10.json`))
+		}
+		_, _, code = run("", "pull", "--force", ben)
+		Expect(code).To(Equal(commander.ExitOK))
+		_, _, code = run("", "diff", ben)
+		Expect(code).To(Equal(commander.ExitOK))
+	})
+
+	It("see what a push would change", func() {
+		write(ben, "20.json", `{"classes": {"chat": {"tier": 1, "whole": "9s"}}}`)
+		out, _, code := run("", "diff", ben)
+		Expect(code).To(Equal(commander.ExitDiffers))
+		Expect(out).To(ContainSubstring(`+{"classes": {"chat"`))
+		out, _, _ = run("", "diff", "--json", ben)
+		Expect(out).To(MatchJSON(`[{"file": "20.json", "change": "added"}]`))
+		out, _, code = run("", "push", ben)
+		Expect(code).To(Equal(commander.ExitOK))
+		Expect(out).To(HavePrefix("generation "))
+	})
+
+	// The platform takes the write, its reply is lost, and it goes down.
+	It("are told when a push may have landed", Label(prover.Pair(prover.Pushed, prover.LostReply, prover.Written, prover.StoreDown)), func() {
+		write(ben, "20.json", `{"classes": {"chat": {"tier": 1, "whole": "9s"}}}`)
+		trap = true
+		_, stderr, code := run("", "push", ben)
+		Expect(code).To(Equal(commander.ExitUnsettled))
+		Expect(stderr).To(ContainSubstring("the push may have landed; push again"))
+		platform.SetFaults(faker.Faults{})
+		out, _, code := run("", "push", ben)
+		Expect(code).To(Equal(commander.ExitOK))
+		Expect(out).To(ContainSubstring("was there already"))
+	})
+})
--- /dev/null
+++ b/commander/pages_test.go
@@ -0,0 +1,160 @@
+package commander_test
+
+import (
+	"bytes"
+	"net"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cicadawood/cicadawood/commander"
+	"github.com/cicadawood/cicadawood/faker"
+)
+
+const pages = "../docs/commands"
+
+// run runs one command line and returns its output, error output and exit code.
+func run(stdin string, args ...string) (string, string, int) {
+	var stdout, stderr bytes.Buffer
+	code := commander.Main(args, strings.NewReader(stdin), &stdout, &stderr)
+	return stdout.String(), stderr.String(), code
+}
+
+// free is a loopback address that nothing listens at.
+func free() string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// shown is a command that a page shows, and the output below it.
+type shown struct {
+	stdin string
+	args  []string
+	want  string
+}
+
+var prompt = regexp.MustCompile(`^\$ (?:printf (\S+) \| )?cicadawood (.*)$`)
+
+// shownIn reads a page's console blocks.
+func shownIn(page string) []shown {
+	var list []shown
+	inside := false
+	for line := range strings.Lines(page) {
+		line = strings.TrimRight(line, "\n")
+		m := prompt.FindStringSubmatch(line)
+		switch {
+		case strings.HasPrefix(line, "```"):
+			inside = line == "```console"
+		case inside && m != nil:
+			list = append(list, shown{stdin: m[1], args: strings.Fields(m[2])})
+		case inside:
+			list[len(list)-1].want += line + "\n"
+		}
+	}
+	return list
+}
+
+var (
+	digits = regexp.MustCompile(`\d+`)
+	blanks = regexp.MustCompile(`[ \t]+`)
+)
+
+// plain is an output without the numbers and widths that differ from run to run.
+func plain(s string) string {
+	s = digits.ReplaceAllString(s, "N")
+	return strings.ReplaceAll(blanks.ReplaceAllString(s, " "), " \n", "\n")
+}
+
+// settingsIn is the indented settings file of the page on serve.
+func settingsIn(page string) string {
+	text := ""
+	for line := range strings.Lines(page) {
+		if strings.HasPrefix(line, "    ") {
+			text += line
+		}
+	}
+	return text
+}
+
+var _ = Describe("The pages of the commands", func() {
+	It("exist for each command, and no others", func() {
+		out, _, code := run("", "--help")
+		Expect(code).To(Equal(commander.ExitOK))
+		for _, m := range regexp.MustCompile(`(?m)^  ([a-z]+)  +[A-Z]`).FindAllStringSubmatch(out, -1) {
+			if m[1] != "help" {
+				Expect(filepath.Join(pages, m[1]+".md")).To(BeARegularFile())
+			}
+		}
+		files, err := filepath.Glob(filepath.Join(pages, "[a-z]*.md"))
+		Expect(err).NotTo(HaveOccurred())
+		for _, f := range files {
+			Expect(out).To(ContainSubstring("\n  " + strings.TrimSuffix(filepath.Base(f), ".md") + " "))
+		}
+	})
+
+	It("show commands that run as shown", func() {
+		read := func(name string) string {
+			text, err := os.ReadFile(filepath.Join(pages, name+".md"))
+			Expect(err).NotTo(HaveOccurred())
+			return string(text)
+		}
+		platform := httptest.NewServer(faker.NewPlatform().Handler())
+		DeferCleanup(platform.CloseClientConnections)
+		DeferCleanup(platform.Close)
+		real := strings.NewReplacer("http://127.0.0.1:17000", platform.URL, "127.0.0.1:18011", free(), "127.0.0.1:18021", free(), "127.0.0.1:18031", free())
+		scripts := map[string][]shown{}
+		order := []string{"serve", "check", "push", "pull", "diff", "key", "status", "dump", "drain", "version", "completion"}
+		for _, name := range order {
+			scripts[name] = shownIn(read(name))
+			Expect(scripts[name]).NotTo(BeEmpty(), name)
+		}
+		root := GinkgoT().TempDir()
+		Expect(os.CopyFS(filepath.Join(root, "examples"), os.DirFS("../examples"))).To(Succeed())
+		Expect(os.WriteFile(filepath.Join(root, "host-1.jsonc"), []byte(real.Replace(settingsIn(read("serve")))), 0o600)).To(Succeed())
+		GinkgoT().Chdir(root)
+		GinkgoT().Setenv("CICADAWOOD_PLATFORM", platform.URL)
+
+		ended := make(chan int, 1)
+		for _, name := range order {
+			for _, s := range scripts[name] {
+				for i, a := range s.args {
+					s.args[i] = real.Replace(a)
+				}
+				if s.args[len(s.args)-1] == "&" {
+					go func() {
+						_, _, code := run("", s.args[:len(s.args)-1]...)
+						ended <- code
+					}()
+					continue
+				}
+				if name == "status" {
+					awaitReady()
+				}
+				out, errors, _ := run(s.stdin, s.args...)
+				want, _, cut := strings.Cut(s.want, "...\n")
+				if cut {
+					Expect(plain(out)).To(HavePrefix(plain(want)), "%v: %s", s.args, errors)
+				} else {
+					Expect(plain(out)).To(Equal(plain(want)), "%v: %s", s.args, errors)
+				}
+			}
+		}
+		Eventually(ended, 10*time.Second).Should(Receive(Equal(commander.ExitOK)))
+	})
+})
+
+// awaitReady waits until the one host is ready with the head in force.
+func awaitReady() {
+	Eventually(func() string {
+		out, _, _ := run("", "status")
+		return out
+	}, 10*time.Second, 20*time.Millisecond).Should(And(ContainSubstring(" ready "), Not(ContainSubstring("behind"))))
+}
--- a/main.go
+++ b/main.go
@@ -8,4 +8,4 @@
 	"github.com/cicadawood/cicadawood/commander"
 )
 
-func main() { os.Exit(commander.Main(os.Args[1:], os.Stdout, os.Stderr)) }
+func main() { os.Exit(commander.Main(os.Args[1:], os.Stdin, os.Stdout, os.Stderr)) }
--- a/runner/host.go
+++ b/runner/host.go
@@ -59,6 +59,7 @@
 	h.control.sender = m
 	h.following.connect(m)
 	registry := prometheus.NewRegistry()
+	h.following.register(registry)
 	self := registrar.Record{
 		Name: settings.Name, Zone: settings.Zone, Region: settings.Region,
 		Control: settings.Control, Admin: settings.Admin, Incarnation: incarnation,
