--- a/messenger/message.go
+++ b/messenger/message.go
@@ -139,6 +139,10 @@
 		return decode[Borrow](e)
 	case "lend":
 		return decode[Lend](e)
+	case kindFetch:
+		return decode[Fetch](e)
+	case kindFetched:
+		return decode[Fetched](e)
 	default:
 		if m, ok, err := decodeMember(e); ok {
 			return m, err
--- a/runner/host.go
+++ b/runner/host.go
@@ -16,7 +16,6 @@
 	"github.com/cicadawood/cicadawood/forwarder"
 	"github.com/cicadawood/cicadawood/loader"
 	"github.com/cicadawood/cicadawood/messenger"
-	"github.com/cicadawood/cicadawood/publisher"
 	"github.com/cicadawood/cicadawood/registrar"
 	"github.com/cicadawood/cicadawood/server"
 	"github.com/cicadawood/cicadawood/storer"
@@ -27,7 +26,7 @@
 	settings  loader.Host
 	log       *zap.Logger
 	control   *control
-	follower  *publisher.Follower
+	following *following
 	registrar *registrar.Registrar
 	messenger *messenger.Messenger
 	server    *server.Server
@@ -91,28 +90,31 @@
 		return nil, err
 	}
 	h.messenger, h.control.sender = m, m
-	h.follower = publisher.NewFollower(store, h.log, func(f *loader.Folder, g uint64) {
+	h.following = newFollowing(s, store, m, h.log, func(ready bool) { h.server.SetReady(ready) }, func(f *loader.Folder, g uint64) {
 		h.control.post(folderChanged{folder: f, generation: g})
-		h.server.SetReady(true)
 	})
 	h.registrar = registrar.New(registrar.Config{
 		Self: registrar.Record{
 			Name: s.Name, Zone: s.Zone, Region: s.Region, Control: s.Control, Admin: s.Admin, Incarnation: incarnation,
 		},
 		Beat: s.Limits.Beat.Std(), Lease: s.Limits.Lease.Std(), Store: store, Transport: m, Log: h.log,
-		Notify: func(r registrar.Roster) { h.control.post(rosterChanged{roster: r}) },
+		Notify: func(r registrar.Roster) {
+			h.following.enroll(r)
+			h.control.post(rosterChanged{roster: r})
+		},
 	})
 	registry := prometheus.NewRegistry()
-	h.server = server.New(s.Limits, h.follower, h.control, forward, h.log, server.NewMetrics(registry))
+	h.server = server.New(s.Limits, h.following, h.control, forward, h.log, server.NewMetrics(registry))
 	h.server.SetLimiter(limits{&h.control.limiting.gates})
 	h.registerMetrics(registry)
+	h.following.register(registry)
 	close(connected)
 	return closeMessenger, nil
 }
 
 // receive takes a frame of another host.
 func (h *Host) receive(e messenger.Envelope, msg messenger.Message) {
-	if h.registrar.Hear(e.From, msg) {
+	if h.following.take(e, msg) || h.registrar.Hear(e.From, msg) {
 		return
 	}
 	h.control.post(frameArrived{from: e.From, message: msg})
@@ -126,7 +128,7 @@
 	defer leaveRoster()
 	var tasks, membership sync.WaitGroup
 	tasks.Go(func() { h.control.run(roles) })
-	tasks.Go(func() { h.follower.Run(roles) })
+	tasks.Go(func() { h.following.Run(roles) })
 	tasks.Go(func() { h.observing.run(roles) })
 	membership.Go(func() { h.registrar.Run(member) })
 	admin := &http.Server{Handler: h.admin(h.registry), ReadHeaderTimeout: time.Second}
--- a/runner/state.go
+++ b/runner/state.go
@@ -7,6 +7,7 @@
 	"github.com/cicadawood/cicadawood/limiter"
 	"github.com/cicadawood/cicadawood/messenger"
 	"github.com/cicadawood/cicadawood/observer"
+	"github.com/cicadawood/cicadawood/publisher"
 	"github.com/cicadawood/cicadawood/registrar"
 )
 
@@ -26,6 +27,8 @@
 	Messenger  messenger.Counts   `json:"messenger"`
 	Workers    []observer.State   `json:"workers"`
 
+	Configuration publisher.Status `json:"configuration"`
+
 	Limits map[string]limiter.Rates `json:"limits"` // what limited organisations may use here, a second
 }
 
--- a/runner/town_test.go
+++ b/runner/town_test.go
@@ -65,8 +65,8 @@
 	"classes": {"quote": {"tier": 0, "whole": "10s"}, "chat": {"tier": 1, "whole": "20s"}},
 	"organisations": {"dock": {"keys": [%q], "classes": ["quote", "chat"]}},
 	"services": {
-		"lm": {"kind": "engine", "models": ["lm"], "hosts": true, "routes": [{"class": "chat"}], "workers": [%s]},
-		"app": {"kind": "plain", "routes": [{"class": "quote"}], "workers": [{"name": "app", "address": %q, "zone": "a", "slots": 32}]}}}`,
+		"lm": {"kind": "engine", "owner": "ops", "models": ["lm"], "hosts": true, "routes": [{"class": "chat"}], "workers": [%s]},
+		"app": {"kind": "plain", "owner": "ops", "routes": [{"class": "quote"}], "workers": [{"name": "app", "address": %q, "zone": "a", "slots": 32}]}}}`,
 		loader.HashKey(key), strings.Join(workers, ","), app))
 	return t
 }
@@ -81,7 +81,7 @@
 	dir := GinkgoT().TempDir()
 	Expect(os.WriteFile(filepath.Join(dir, "all.jsonc"), []byte(text), 0o600)).To(Succeed())
 	var out bytes.Buffer
-	Expect(commander.Main([]string{"push", dir, "--platform", t.url}, &out, &out)).To(Equal(commander.ExitOK), "%s", &out)
+	Expect(commander.Main([]string{"push", dir, "--platform", t.url}, strings.NewReader(""), &out, &out)).To(Equal(commander.ExitOK), "%s", &out)
 }
 
 func freeAddress() string {
