--- a/messenger/config.go
+++ b/messenger/config.go
@@ -20,8 +20,8 @@
 	Delay time.Duration
 	// Queue is the most messages that wait for or are unacknowledged by one peer.
 	Queue int
-	// Outcome is told when a peer becomes reachable or unreachable. It must not
-	// block, and must not call the messenger.
+	// Outcome is told when a peer becomes reachable or unreachable, on the
+	// goroutine that sends to the peer.
 	Outcome func(address string, reachable bool)
 }
 
--- a/messenger/outbox.go
+++ b/messenger/outbox.go
@@ -70,11 +70,11 @@
 	return lost
 }
 
-// expire drops items older than hold. It is called while no connection is open.
+// expire drops items older than hold. It is called before open only, which
+// starts again at the first item.
 func (o *outbox) expire(now time.Time, hold time.Duration) int {
 	before := len(o.items)
 	o.items = slices.DeleteFunc(o.items, func(i item) bool { return now.Sub(i.queued) > hold })
-	o.next = 0
 	return before - len(o.items)
 }
 
--- a/registrar/fleet_test.go
+++ b/registrar/fleet_test.go
@@ -50,6 +50,8 @@
 	waiting []func() // what came while it was frozen
 	roster  registrar.Roster
 	sent    int
+	selves  []uint64 // incarnation of itself in each roster it has had
+	accused int      // suspicions it began
 }
 
 // fleet plays hosts, links and the store with a clock of its own.
@@ -187,6 +189,10 @@
 			f.send(n, name, o.To.Name, o.Message)
 		case registrar.Changed:
 			n.roster = o.Roster
+			self, _ := o.Roster.Find(name)
+			n.selves = append(n.selves, self.Incarnation)
+		case registrar.Suspected:
+			n.accused++
 		case registrar.Doubted:
 			f.after(lease, func() { f.lapse(n, name, o.Host) })
 		case registrar.Died:
--- a/registrar/members_test.go
+++ b/registrar/members_test.go
@@ -118,9 +118,12 @@
 		f.do(n, victim, n.m.Tick)
 		Expect(f.sees(victim)).NotTo(ContainSubstring(victim), "before any peer has answered")
 		n.frozen = true
+		n.selves, n.accused = nil, 0
 		f.thaw(victim)
 		f.run(time.Second)
 		Expect(f.rejoins).To(Equal(1))
+		Expect(n.selves).NotTo(ContainElement(uint64(1)), "the dead incarnation takes no role for a moment")
+		Expect(n.accused).To(BeZero(), "what it did not hear counts against nobody")
 		Expect(n.m.Self().Incarnation).To(BeNumerically(">", 1))
 		Expect(f.views()).To(ConsistOf(f.up()))
 	})
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -120,11 +120,12 @@
 	return true
 }
 
-// Reach takes the messenger's outcome for an address. It does not block.
+// Reach takes the messenger's outcome for an address. It waits for the
+// registrar, so that outcomes keep their order.
 func (r *Registrar) Reach(address string, reachable bool) {
 	for _, h := range r.Roster().hosts {
 		if h.Control == address {
-			go r.post(func(now time.Time) []Output { return r.members.Reach(now, h.Name, reachable) })
+			r.post(func(now time.Time) []Output { return r.members.Reach(now, h.Name, reachable) })
 		}
 	}
 }
--- a/registrar/roster.go
+++ b/registrar/roster.go
@@ -29,13 +29,20 @@
 }
 
 // Roster is the hosts known to be alive, by name. It is never changed once made.
-type Roster struct{ hosts []Record }
+type Roster struct {
+	hosts  []Record
+	hashes []uint64 // of the names
+}
 
 // NewRoster returns the roster of these hosts.
 func NewRoster(hosts ...Record) Roster {
 	hosts = slices.Clone(hosts)
 	slices.SortFunc(hosts, func(a, b Record) int { return strings.Compare(a.Name, b.Name) })
-	return Roster{hosts: hosts}
+	r := Roster{hosts: hosts, hashes: make([]uint64, len(hosts))}
+	for i, h := range hosts {
+		r.hashes[i] = xxhash.Sum64String(h.Name)
+	}
+	return r
 }
 
 // Hosts is every host of the roster, in name order.
@@ -53,17 +60,29 @@
 // Owner is the host that owns a role: the highest rendezvous weight among the
 // hosts that are not leaving and can be reached from here.
 func (r Roster) Owner(role string) (Record, bool) {
-	var best Record
-	var weight uint64
-	for _, h := range r.hosts {
-		if h.Leaving || h.Parted {
+	best, weight := -1, uint64(0)
+	hash := xxhash.Sum64String(role)
+	for i := range r.hosts {
+		if r.hosts[i].Leaving || r.hosts[i].Parted {
 			continue
 		}
-		if w := xxhash.Sum64String(role + "\x00" + h.Name); best.Name == "" || w > weight {
-			best, weight = h, w
+		if w := mix(hash ^ r.hashes[i]); best < 0 || w > weight {
+			best, weight = i, w
 		}
 	}
-	return best, best.Name != ""
+	if best < 0 {
+		return Record{}, false
+	}
+	return r.hosts[best], true
+}
+
+// mix spreads the bits of x evenly (the finaliser of splitmix64). Two hashes
+// joined so give each pair of role and host a weight of its own at a fraction of
+// a hash's cost.
+func mix(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
 }
 
 // Digest is equal for two rosters of the same hosts, incarnations and leavings;
--- a/runner/control.go
+++ b/runner/control.go
@@ -291,8 +291,14 @@
 		}
 	}
 	c.rejoin(r)
+	owners := map[string]string{} // a host has more calls than cells
+	for cell := range c.cells {
+		if owner, ok := r.Owner(cell); ok {
+			owners[cell] = owner.Name
+		}
+	}
 	for _, k := range c.calls {
-		if owner, ok := r.Owner(k.ask.Cell); ok && owner.Name != k.owner {
+		if owner, ok := owners[k.ask.Cell]; ok && owner != k.owner {
 			c.register(now, k)
 		}
 	}
--- a/runner/observing_test.go
+++ b/runner/observing_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/cicadawood/cicadawood/faker"
 	"github.com/cicadawood/cicadawood/prover"
+	"github.com/cicadawood/cicadawood/registrar"
 )
 
 var _ = Describe("A backend server that is leaving", func() {
@@ -31,11 +32,10 @@
 			say(t)
 			gone := func() bool {
 				send(b) // a refusal is seen only by who sends
-				for _, h := range []*host{a, b} {
-					for _, w := range h.state().Workers {
-						if w.Name == "lm1" && !w.Present {
-							return true
-						}
+				owner, _ := registrar.NewRoster(a.state().Roster...).Owner("lm/0")
+				for _, w := range t.hosts[owner.Name].state().Workers {
+					if w.Name == "lm1" {
+						return !w.Present
 					}
 				}
 				return false
