--- a/loader/host.go
+++ b/loader/host.go
@@ -23,7 +23,7 @@
 	Platform string `json:"platform"` // base URL of the Object API
 	// Peers is control addresses, IP:port, of other hosts: where a host that
 	// starts while the platform is down asks for the configuration and the roster.
-	Peers  []string `json:"peers"`
+	Peers  []string `json:"peers,omitempty"`
 	Limits Limits   `json:"limits"`
 }
 
