--- /dev/null
+++ b/breaker/breaker.go
@@ -0,0 +1,154 @@
+// Package breaker takes slow and failing workers out of use and probes them
+// back in. It is pure: time comes in as an argument.
+package breaker
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	slowFactor  = 2.0 // times the median of the peers' times to first token
+	firstWeight = 0.2
+	fewSamples  = 5
+	failsToOpen = 3 // in a row
+	openTime    = 3 * time.Second
+	longestOpen = 60 * time.Second
+	mostOut     = 3 // one worker of so many may be out at once, and at least one of two
+)
+
+// Breaker judges the workers of one cell against each other. The zero value
+// works. It is not safe for concurrent use.
+type Breaker struct{ workers map[string]*worker }
+
+// worker is what is known of one worker.
+type worker struct {
+	first   float64 // seconds to the first token, a moving mean
+	samples int
+	fails   int // in a row
+	until   time.Time
+	open    time.Duration // how long it was last out; 0 where it is in use
+	probing bool
+}
+
+func (b *Breaker) worker(name string) *worker {
+	if b.workers == nil {
+		b.workers = map[string]*worker{}
+	}
+	w := b.workers[name]
+	if w == nil {
+		w = &worker{}
+		b.workers[name] = w
+	}
+	return w
+}
+
+// Keep forgets all workers but these.
+func (b *Breaker) Keep(names []string) {
+	for name := range b.workers {
+		if !slices.Contains(names, name) {
+			delete(b.workers, name)
+		}
+	}
+	for _, name := range names {
+		b.worker(name)
+	}
+}
+
+// Allowed says whether a worker may get a request. One that is out gets a
+// single probe when its time is over.
+func (b *Breaker) Allowed(now time.Time, name string) bool {
+	w := b.workers[name]
+	return w == nil || w.open == 0 || (!w.probing && !now.Before(w.until))
+}
+
+// Granted notes that a worker got a request.
+func (b *Breaker) Granted(name string) {
+	if w := b.workers[name]; w != nil && w.open > 0 {
+		w.probing = true
+	}
+}
+
+// Ended takes how one request ended: the time to its first token, 0 where none
+// came, and whether the worker failed it.
+func (b *Breaker) Ended(now time.Time, name string, first time.Duration, failed bool) {
+	w := b.worker(name)
+	probed := w.probing
+	w.probing = false
+	switch {
+	case failed:
+		w.fails++
+	case first > 0:
+		w.fails = 0
+		w.samples++
+		w.first += max(firstWeight, 1/float64(w.samples)) * (first.Seconds() - w.first)
+	default:
+		return
+	}
+	bad := w.fails >= failsToOpen || b.slow(w, w.first)
+	if w.open > 0 {
+		if !probed {
+			return // began before it was taken out
+		}
+		bad = failed || b.slow(w, first.Seconds())
+	}
+	if !bad {
+		w.close(probed, first)
+		return
+	}
+	if w.open > 0 || b.mayOpen() {
+		w.trip(now)
+	}
+}
+
+func (w *worker) trip(now time.Time) {
+	w.open = min(max(2*w.open, openTime), longestOpen)
+	w.until = now.Add(w.open)
+}
+
+// close puts a probed worker back in use with what its probe showed.
+func (w *worker) close(probed bool, first time.Duration) {
+	w.open = 0
+	if probed {
+		w.first, w.samples, w.fails = first.Seconds(), 1, 0
+	}
+}
+
+// slow compares a time with the median of the other workers in use.
+func (b *Breaker) slow(self *worker, seconds float64) bool {
+	if self.samples < fewSamples && self.open == 0 {
+		return false
+	}
+	var peers []float64
+	for _, w := range b.workers {
+		if w != self && w.open == 0 && w.samples >= fewSamples {
+			peers = append(peers, w.first)
+		}
+	}
+	if len(peers) == 0 {
+		return false
+	}
+	slices.Sort(peers)
+	return seconds > slowFactor*peers[len(peers)/2]
+}
+
+// mayOpen bounds how many workers are out at once: when most of them look bad
+// the cause is elsewhere, and taking them out would only make it worse.
+func (b *Breaker) mayOpen() bool {
+	if len(b.workers) < 2 {
+		return false
+	}
+	return len(b.Out()) < max(1, len(b.workers)/mostOut)
+}
+
+// Out is the workers that are out of use, in name order.
+func (b *Breaker) Out() []string {
+	var out []string
+	for name, w := range b.workers {
+		if w.open > 0 {
+			out = append(out, name)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
--- /dev/null
+++ b/dispatcher/fault_test.go
@@ -0,0 +1,126 @@
+package dispatcher_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cicadawood/cicadawood/dispatcher"
+	"github.com/cicadawood/cicadawood/messenger"
+	"github.com/cicadawood/cicadawood/prover"
+)
+
+var _ = Describe("Faults at the entries", func() {
+	// A host dies with a call on a worker. Its connection to the worker breaks, so
+	// the worker is free; nobody will ever send the Done. Without the guard the
+	// place is lost until the dispatcher itself ends.
+	It("takes a dead host's places back after a grace, and its queue at once",
+		Label(prover.Cell(prover.Granted, prover.Kill), prover.Cell(prover.Queued, prover.Kill)), func() {
+			d := started(1, 1, dispatcher.Policy{})
+			Expect(only[messenger.Grant](d.Handle(ready, "a", ask("one", "check")))).To(HaveLen(1))
+			d.Handle(ready, "a", ask("two", "check"))
+			d.Handle(ready, "b", ask("three", "letter"))
+			Expect(d.Lost(ready, "a")).To(BeEmpty())
+			Expect(d.State().Waiting).To(ConsistOf("three"))
+			Expect(d.Tick(ready.Add(1900 * time.Millisecond))).To(BeEmpty())
+			granted := only[messenger.Grant](d.Tick(ready.Add(2 * time.Second)))
+			Expect(granted).To(HaveLen(1))
+			Expect(granted[0].Request).To(Equal("three"))
+		})
+
+	// The roster loses a host that only was frozen or cut off. It comes back with
+	// its call still running and claims it: the place must not be given twice.
+	It("keeps a place that its host claims again within the grace",
+		Label(prover.Cell(prover.Granted, prover.Freeze), prover.Cell(prover.Granted, prover.CutBoth)), func() {
+			d := started(1, 1, dispatcher.Policy{})
+			g := only[messenger.Grant](d.Handle(ready, "a", ask("one", "summary")))[0]
+			d.Handle(ready, "b", ask("two", "summary"))
+			d.Lost(ready, "a")
+			again := ask("one", "summary")
+			again.Attempt = 2
+			d.Handle(ready.Add(time.Second), "a", messenger.Claim{Ask: again, Worker: g.Worker})
+			Expect(d.Tick(ready.Add(3 * time.Second))).To(BeEmpty())
+			Expect(d.State().Granted).To(HaveKey("one"))
+		})
+
+	// A Done is lost with the connection that carried it; its host lives on. The
+	// entry cut the call at its deadline, so after that the place is free.
+	It("takes a place back when its deadline is long over and no Done came",
+		Label(prover.Cell(prover.Granted, prover.Silence), prover.Cell(prover.Sent, prover.Silence)), func() {
+			d := started(1, 1, dispatcher.Policy{})
+			d.Handle(ready, "a", ask("one", "check"))
+			Expect(d.Tick(ready.Add(3900 * time.Millisecond))).To(BeEmpty())
+			Expect(d.State().Granted).To(HaveKey("one"))
+			d.Tick(ready.Add(4100 * time.Millisecond))
+			Expect(d.State().Granted).To(BeEmpty())
+		})
+
+	// A frame is sent twice, or again on a new connection after a later one. The
+	// caller has gone: were its Ask to count after the Cancel, a place would go to
+	// nobody.
+	DescribeTable("leaves no ghost when messages are doubled or overtake each other",
+		func(order ...messenger.Message) {
+			d := started(1, 1, dispatcher.Policy{})
+			for _, m := range order {
+				d.Handle(ready, "a", m)
+			}
+			Expect(d.State().Granted).To(BeEmpty())
+			Expect(d.State().Waiting).To(BeEmpty())
+		},
+		Entry("Cancel before Ask", Label(prover.Cell(prover.Asked, prover.Reorder)),
+			messenger.Cancel{Request: "one", Attempt: 1}, ask("one", "check")),
+		Entry("Ask twice, Done twice", Label(prover.Cell(prover.Granted, prover.Reorder)),
+			ask("one", "check"), ask("one", "check"), messenger.Done{Request: "one", Attempt: 1}, messenger.Done{Request: "one", Attempt: 1}),
+		Entry("Done before Claim", Label(prover.Cell(prover.Taken, prover.Reorder)),
+			messenger.Done{Request: "one", Attempt: 1}, messenger.Claim{Ask: ask("one", "check"), Worker: "w0"}),
+		Entry("Ask after Done", Label(prover.Cell(prover.Sent, prover.Reorder)),
+			ask("one", "check"), messenger.Done{Request: "one", Attempt: 1}, ask("one", "check")),
+	)
+
+	// The Grant is lost on its way. The entry asks again, with a newer attempt; a
+	// second place for it would stay in use for ever.
+	It("repeats a grant that was lost, on the same place",
+		Label(prover.Cell(prover.Granted, prover.CutOne)), func() {
+			d := started(2, 1, dispatcher.Policy{})
+			first := only[messenger.Grant](d.Handle(ready, "a", ask("one", "check")))[0]
+			again := ask("one", "check")
+			again.Attempt = 2
+			second := only[messenger.Grant](d.Handle(ready, "a", again))[0]
+			Expect(second.Worker).To(Equal(first.Worker))
+			Expect(second.Attempt).To(Equal(uint64(2)))
+			Expect(d.State().Granted).To(HaveLen(1))
+			d.Handle(ready, "a", done(first)) // gave the first back as stale
+			Expect(d.State().Granted).To(HaveLen(1))
+		})
+})
+
+var _ = Describe("A new dispatcher", func() {
+	// A dispatcher's host dies with its workers full. The next one knows nothing
+	// of the grants in use: were it to grant at once, every worker would get
+	// twice what it can take.
+	It("grants nothing until the claims are in, and then only what is free",
+		Label(prover.Cell(prover.Taken, prover.Kill), prover.Pair(prover.Taken, prover.Kill, prover.Queued, prover.Kill)), func() {
+			d := dispatcher.New(cellOf(1, 2), 1, classes(), dispatcher.Options{})
+			Expect(d.Handle(epochStart, "a", ask("one", "check"))).To(BeEmpty())
+			d.Handle(epochStart.Add(100*time.Millisecond), "b", messenger.Claim{Ask: ask("two", "summary"), Worker: "w0"})
+			d.Handle(epochStart.Add(100*time.Millisecond), "b", messenger.Claim{Ask: ask("three", "summary"), Worker: "w0"})
+			Expect(d.Tick(epochStart.Add(400 * time.Millisecond))).To(BeEmpty())
+			out := d.Handle(epochStart.Add(500*time.Millisecond), "b", messenger.Done{Request: "two", Attempt: 1})
+			Expect(only[messenger.Grant](out)).To(HaveLen(1))
+		})
+
+	// The old dispatcher was frozen, its successor has granted, and it comes
+	// back. Entries refuse the older epoch; so the successor's must be the newer
+	// one even where its clock is behind.
+	It("raises its epoch over any that an entry has seen, and the fencing number with it",
+		Label(prover.Cell(prover.Taken, prover.Freeze)), func() {
+			d := started(1, 4, dispatcher.Policy{})
+			before := only[messenger.Grant](d.Handle(ready, "a", ask("one", "check")))[0]
+			seen := ask("two", "check")
+			seen.Epoch = before.Epoch + 5
+			after := only[messenger.Grant](d.Handle(ready, "a", seen))[0]
+			Expect(after.Epoch).To(BeNumerically(">", seen.Epoch))
+			Expect(after.Fence).To(BeNumerically(">", before.Fence))
+		})
+})
--- /dev/null
+++ b/dispatcher/overload.go
@@ -0,0 +1,133 @@
+package dispatcher
+
+import (
+	"math"
+	"time"
+
+	"github.com/cicadawood/cicadawood/messenger"
+)
+
+// averageOver is the time constant of how many places the tiers above use.
+const averageOver = 5 * time.Second
+
+// average follows the places that each tier and those above it use.
+func (d *Dispatcher) average(now time.Time) {
+	weight := 1 - math.Exp(-now.Sub(d.updated).Seconds()/averageOver.Seconds())
+	d.updated = now
+	sum := 0
+	for i, k := range d.order {
+		sum += k.held
+		if i+1 < len(d.order) && d.order[i+1].config.Tier == k.config.Tier {
+			continue
+		}
+		d.above[k.config.Tier] += weight * (float64(sum) - d.above[k.config.Tier])
+	}
+}
+
+// expected is how long a request of a class that comes now is expected to wait.
+func (d *Dispatcher) expected(k *class) time.Duration {
+	if d.used < d.slots && k.waiting == 0 {
+		return 0
+	}
+	ahead, above := 0.0, 0.0
+	for _, o := range d.order {
+		if o.config.Tier <= k.config.Tier {
+			ahead += o.backlog
+		}
+		if o.config.Tier < k.config.Tier {
+			above = d.above[o.config.Tier]
+		}
+	}
+	places := float64(d.slots) - above
+	if k.config.Tier > d.top {
+		places = max(places, float64(d.share(k)))
+	} else if !d.options.Policy.NoShare {
+		places-- // the one that a starving class may have
+	}
+	return seconds(ahead/max(places, 1) + d.nextPlace())
+}
+
+// full says whether a request would wait too long to be of use, and how long it
+// would. A class with an empty queue always takes one: it must progress. The
+// top tier is not refused while a lower one has places that it can get.
+func (d *Dispatcher) full(now time.Time, w *waiter) (time.Duration, bool) {
+	if d.options.Policy.NoRefusal || w.class.waiting == 0 || d.gathering(now) {
+		return 0, false
+	}
+	wait, slack := d.expected(w.class), w.due.Sub(now)
+	if w.class.config.Tier == d.top {
+		slack = seconds(admitMargin * slack.Seconds())
+		if d.heldUnder(d.top) > 1 {
+			return wait, false
+		}
+	}
+	return wait, wait > slack
+}
+
+// expire answers the requests that would miss their deadline if they started
+// now.
+func (d *Dispatcher) expire(now time.Time) {
+	for len(d.late.items) > 0 && !now.Before(d.late.first().end) {
+		w := d.late.first()
+		d.remove(w)
+		d.refuse(w, ReasonDeadline, d.expected(w.class))
+	}
+}
+
+// preempt asks for places of lower tiers back where requests of the top tier
+// would be late without. One that waits only for a place that comes in time
+// anyway preempts nothing: that would be work thrown away.
+func (d *Dispatcher) preempt(now time.Time) {
+	if d.options.Policy.NoPreempt || len(d.waiting) == 0 {
+		return
+	}
+	var first *waiter
+	waiting, asked := 0, 0
+	for _, k := range d.order {
+		if k.config.Tier != d.top || k.waiting == 0 {
+			continue
+		}
+		waiting += k.waiting
+		if w := k.first(); first == nil || before(w, first) {
+			first = w
+		}
+	}
+	if first == nil || d.heldUnder(d.top) == 0 {
+		return
+	}
+	slack := first.due.Sub(now).Seconds()
+	if slack > 2*float64(waiting)*d.nextPlace() {
+		return
+	}
+	for _, g := range d.grants {
+		if g.preempted {
+			asked++
+		}
+	}
+	for ; asked < waiting; asked++ {
+		g := d.victim()
+		if g == nil {
+			return
+		}
+		g.preempted = true
+		d.send(g.from, messenger.Preempt{Request: g.ask.Request, Attempt: g.ask.Attempt, Cell: d.cell.Name})
+	}
+}
+
+// victim is the grant that costs least to preempt: of the lowest tier, and then
+// the one with the most left to do, by what it was estimated and has made.
+func (d *Dispatcher) victim() *grant {
+	var best *grant
+	var most float64
+	for _, g := range d.grants {
+		if g.preempted || g.ask.Fixed || g.class.config.Tier == d.top {
+			continue
+		}
+		left, _ := d.estimates.estimate(g.ask, g.made, d.options.Policy)
+		if best == nil || g.class.config.Tier > best.class.config.Tier ||
+			(g.class == best.class && (left > most || (left == most && g.fence > best.fence))) {
+			best, most = g, left
+		}
+	}
+	return best
+}
--- a/messenger/message.go
+++ b/messenger/message.go
@@ -29,34 +29,46 @@
 	Waited       time.Duration `msgpack:"waited"`
 	Prefix       uint64        `msgpack:"prefix"` // hash of organisation and prompt prefix; 0 for none
 	Exclude      []string      `msgpack:"exclude"`
+	Attempt      uint64        `msgpack:"attempt"` // grows with each Ask or Claim of an entry; a later one is newer
+	Epoch        uint64        `msgpack:"epoch"`   // highest that the entry has seen of the cell
+	Made         int           `msgpack:"made"`    // tokens that earlier attempts made and the entry kept
+	Fixed        bool          `msgpack:"fixed"`   // must not be preempted
 }
 
 // Grant gives a waiting request one place on a worker.
 type Grant struct {
-	Request string `msgpack:"request"`
-	Cell    string `msgpack:"cell"`
-	Worker  string `msgpack:"worker"`
-	Epoch   uint64 `msgpack:"epoch"`
-	Fence   uint64 `msgpack:"fence"`
+	Request string        `msgpack:"request"`
+	Attempt uint64        `msgpack:"attempt"`
+	Cell    string        `msgpack:"cell"`
+	Worker  string        `msgpack:"worker"`
+	Epoch   uint64        `msgpack:"epoch"`
+	Fence   uint64        `msgpack:"fence"`
+	Class   string        `msgpack:"class"`
+	Wait    time.Duration `msgpack:"wait"` // expected of the cell's next request of the class
 }
 
 // Refuse is the final answer to an Ask: it was not run, come back after After.
 type Refuse struct {
 	Request string        `msgpack:"request"`
+	Attempt uint64        `msgpack:"attempt"`
 	Cell    string        `msgpack:"cell"`
 	Reason  string        `msgpack:"reason"`
 	After   time.Duration `msgpack:"after"`
+	Class   string        `msgpack:"class"`
+	Wait    time.Duration `msgpack:"wait"` // as in Grant
 }
 
 // Preempt asks the entry to stop a request in flight and to ask again.
 type Preempt struct {
 	Request string `msgpack:"request"`
+	Attempt uint64 `msgpack:"attempt"`
 	Cell    string `msgpack:"cell"`
 }
 
 // Progress corrects the estimate of a request in flight.
 type Progress struct {
 	Request string `msgpack:"request"`
+	Attempt uint64 `msgpack:"attempt"`
 	Cell    string `msgpack:"cell"`
 	Tokens  int    `msgpack:"tokens"`
 }
@@ -64,6 +76,7 @@
 // Done gives a place back.
 type Done struct {
 	Request string        `msgpack:"request"`
+	Attempt uint64        `msgpack:"attempt"`
 	Cell    string        `msgpack:"cell"`
 	Worker  string        `msgpack:"worker"`
 	Tokens  int           `msgpack:"tokens"`
@@ -74,6 +87,7 @@
 // Cancel withdraws an Ask whose caller has gone.
 type Cancel struct {
 	Request string `msgpack:"request"`
+	Attempt uint64 `msgpack:"attempt"`
 	Cell    string `msgpack:"cell"`
 }
 
--- a/runner/allocator.go
+++ b/runner/allocator.go
@@ -25,3 +25,9 @@
 
 // Release implements server.Allocator.
 func (c *control) Release(p server.Place, u server.Use) { c.events <- placeDone{place: p, use: u} }
+
+// Advance tells how many tokens a request in flight has made, which corrects its
+// estimate. Every hundred tokens is often enough.
+func (c *control) Advance(p server.Place, tokens int) {
+	c.events <- placeAdvanced{place: p, tokens: tokens}
+}
--- a/runner/control.go
+++ b/runner/control.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"math/rand/v2"
 	"time"
 
 	"go.uber.org/zap"
@@ -16,6 +18,10 @@
 const (
 	tickEvery    = 20 * time.Millisecond
 	eventBacklog = 8192
+	// askAgain is how long a call waits for an answer before it is registered
+	// again: an Ask, Grant or Refuse that a broken connection lost shows only as
+	// silence.
+	askAgain = 2 * time.Second
 )
 
 // sender is the port to other hosts.
@@ -26,10 +32,14 @@
 
 // call is one request of this host's entry, from its ask to its done.
 type call struct {
+	service   string
 	ask       messenger.Ask
 	owner     string // host that dispatches its cell
+	asked     time.Time
+	ends      time.Time // its deadline
 	reply     chan<- placeReply
 	worker    string // "" while it waits
+	tokens    int    // made so far
 	preempted chan struct{}
 }
 
@@ -49,6 +59,10 @@
 	byService  map[string][]string
 	owned      map[string]*dispatcher.Dispatcher
 	calls      map[string]*call
+	attempt    uint64            // of the last Ask or Claim
+	epochs     map[string]uint64 // highest seen of each cell
+	chooser    dispatcher.Chooser
+	again      time.Time // when calls are next looked through for askAgain
 }
 
 func newControl(self string, epoch uint64, s sender, log *zap.Logger) *control {
@@ -56,6 +70,7 @@
 		self: self, epoch: epoch, sender: s, log: log, events: make(chan event, eventBacklog),
 		cells: map[string]dispatcher.Cell{}, byService: map[string][]string{},
 		owned: map[string]*dispatcher.Dispatcher{}, calls: map[string]*call{},
+		epochs: map[string]uint64{},
 	}
 }
 
@@ -68,15 +83,28 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			for _, d := range c.owned {
-				c.emit(now, d.Tick(now))
-			}
+			c.tick(now)
 		case e := <-c.events:
 			c.take(time.Now(), e)
 		}
 	}
 }
 
+func (c *control) tick(now time.Time) {
+	for _, d := range c.owned {
+		c.emit(now, d.Tick(now))
+	}
+	if now.Before(c.again) {
+		return
+	}
+	c.again = now.Add(askAgain / 4)
+	for _, k := range c.calls {
+		if k.worker == "" && now.Sub(k.asked) >= askAgain {
+			c.register(now, k)
+		}
+	}
+}
+
 func (c *control) take(now time.Time, e event) {
 	switch e := e.(type) {
 	case frameArrived:
@@ -87,6 +115,8 @@
 		c.leave(now, e.request)
 	case placeDone:
 		c.done(now, e)
+	case placeAdvanced:
+		c.advance(now, e)
 	case folderChanged:
 		c.configure(now, e)
 	case rosterChanged:
@@ -110,9 +140,9 @@
 	case messenger.Progress:
 		c.dispatch(now, m.Cell, from, m)
 	case messenger.Grant:
-		c.granted(now, m)
+		c.granted(now, from, m)
 	case messenger.Refuse:
-		c.refused(m)
+		c.refused(now, m)
 	case messenger.Preempt:
 		c.preempted(m)
 	case messenger.Moved:
@@ -129,7 +159,10 @@
 		if !ok {
 			return
 		}
-		d = dispatcher.New(known, c.epoch, c.folder.Classes)
+		// The clock makes the epoch grow from one dispatcher of a cell to the
+		// next; where clocks differ, the entries' asks raise it.
+		epoch := uint64(now.UnixMilli())
+		d = dispatcher.New(known, epoch, c.folder.Classes, dispatcher.Options{Seed: c.epoch ^ epoch})
 		c.owned[cell] = d
 	}
 	c.emit(now, d.Handle(now, from, m))
@@ -162,8 +195,8 @@
 		e.reply <- placeReply{refusal: &server.Refusal{Reason: "no_workers", After: time.Second}}
 		return
 	}
-	e.ask.Cell = cells[int(now.UnixNano()/int64(time.Microsecond))%len(cells)]
-	k := &call{ask: e.ask, reply: e.reply, preempted: make(chan struct{})}
+	e.ask.Cell = c.chooser.Choose(now, cells, e.ask.Class, rand.Uint64())
+	k := &call{service: e.service, ask: e.ask, reply: e.reply, preempted: make(chan struct{}), ends: now.Add(e.ask.Deadline)}
 	c.calls[e.ask.Request] = k
 	c.register(now, k)
 }
@@ -174,26 +207,39 @@
 	if !ok {
 		return
 	}
-	k.owner = owner.Name
+	if !k.asked.IsZero() {
+		k.ask.Waited += now.Sub(k.asked)
+	}
+	c.attempt++
+	k.owner, k.asked = owner.Name, now
+	k.ask.Attempt, k.ask.Epoch, k.ask.Deadline = c.attempt, c.epochs[k.ask.Cell], max(k.ends.Sub(now), 0)
 	if k.worker != "" {
-		c.send(now, k.owner, messenger.Claim{Ask: k.ask, Worker: k.worker})
+		c.send(now, k.owner, messenger.Claim{Ask: k.ask, Worker: k.worker, Tokens: k.tokens})
 		return
 	}
 	c.send(now, k.owner, k.ask)
 }
 
-func (c *control) granted(now time.Time, g messenger.Grant) {
+// granted takes a grant, or gives it back where it is of no use: its caller
+// went away, the call has a place already from another dispatcher, or the
+// dispatcher is an older one than this host has heard of, which came back from a
+// freeze and does not know what its successor granted.
+func (c *control) granted(now time.Time, from string, g messenger.Grant) {
+	c.chooser.Note(now, g.Cell, g.Class, g.Wait)
 	k := c.calls[g.Request]
-	if k == nil {
-		// The caller went away while the grant travelled: give it back.
-		owner, _ := c.roster.Owner(g.Cell)
-		c.send(now, owner.Name, messenger.Done{Request: g.Request, Cell: g.Cell, Worker: g.Worker})
-		return
+	same := k != nil && k.ask.Cell == g.Cell && k.ask.Attempt == g.Attempt
+	if same && k.worker == g.Worker && k.owner == from {
+		return // a duplicate of the one in use
 	}
-	worker, ok := c.worker(g.Cell, g.Worker)
-	if !ok || k.worker != "" {
+	worker, known := c.worker(g.Cell, g.Worker)
+	if !same || !known || k.worker != "" || g.Epoch < c.epochs[g.Cell] {
+		c.send(now, from, messenger.Done{Request: g.Request, Attempt: g.Attempt, Cell: g.Cell, Worker: g.Worker})
+		if same && k.worker == "" && k.owner == from {
+			c.register(now, k)
+		}
 		return
 	}
+	c.epochs[g.Cell] = g.Epoch
 	k.worker = g.Worker
 	k.reply <- placeReply{place: server.Place{Request: g.Request, Cell: g.Cell, Worker: worker, Fence: g.Fence, Preempted: k.preempted}}
 }
@@ -207,9 +253,10 @@
 	return loader.Worker{}, false
 }
 
-func (c *control) refused(m messenger.Refuse) {
+func (c *control) refused(now time.Time, m messenger.Refuse) {
+	c.chooser.Note(now, m.Cell, m.Class, m.Wait)
 	k := c.calls[m.Request]
-	if k == nil || k.worker != "" {
+	if k == nil || k.worker != "" || k.ask.Attempt != m.Attempt {
 		return
 	}
 	delete(c.calls, m.Request)
@@ -217,7 +264,7 @@
 }
 
 func (c *control) preempted(m messenger.Preempt) {
-	if k := c.calls[m.Request]; k != nil && k.worker != "" {
+	if k := c.calls[m.Request]; k != nil && k.worker != "" && k.ask.Attempt == m.Attempt {
 		close(k.preempted)
 		k.preempted = make(chan struct{})
 	}
@@ -229,7 +276,7 @@
 		return
 	}
 	delete(c.calls, request)
-	c.send(now, k.owner, messenger.Cancel{Request: request, Cell: k.ask.Cell})
+	c.send(now, k.owner, messenger.Cancel{Request: request, Attempt: k.ask.Attempt, Cell: k.ask.Cell})
 }
 
 func (c *control) done(now time.Time, e placeDone) {
@@ -239,11 +286,21 @@
 	}
 	delete(c.calls, e.place.Request)
 	c.send(now, k.owner, messenger.Done{
-		Request: e.place.Request, Cell: e.place.Cell, Worker: e.place.Worker.Name,
+		Request: e.place.Request, Attempt: k.ask.Attempt, Cell: e.place.Cell, Worker: e.place.Worker.Name,
 		Tokens: e.use.Tokens, First: e.use.First, Failed: e.use.Failed,
 	})
 }
 
+// advance tells the dispatcher how far a request in flight has come.
+func (c *control) advance(now time.Time, e placeAdvanced) {
+	k := c.calls[e.place.Request]
+	if k == nil || k.worker == "" {
+		return
+	}
+	k.tokens = e.tokens
+	c.send(now, k.owner, messenger.Progress{Request: e.place.Request, Attempt: k.ask.Attempt, Cell: e.place.Cell, Tokens: e.tokens})
+}
+
 func (c *control) configure(now time.Time, e folderChanged) {
 	c.folder, c.generation = e.folder, e.generation
 	c.sender.SetGeneration(e.generation)
@@ -258,12 +315,25 @@
 		if cell, ok := c.cells[name]; ok {
 			d.Configure(cell, e.folder.Classes)
 			c.emit(now, d.Tick(now))
+		} else {
+			delete(c.owned, name)
 		}
 	}
+	known := func(cell string) bool { _, ok := c.cells[cell]; return ok }
+	for _, k := range c.calls {
+		if cells := c.byService[k.service]; k.worker == "" && !known(k.ask.Cell) && len(cells) > 0 {
+			k.ask.Cell = c.chooser.Choose(now, cells, k.ask.Class, rand.Uint64())
+			c.register(now, k)
+		}
+	}
+	c.chooser.Keep(known)
+	maps.DeleteFunc(c.epochs, func(cell string, _ uint64) bool { return !known(cell) })
 }
 
-// enroll takes a new roster: what hosts that are gone held is taken back, and
-// calls whose cell has a new owner are registered there.
+// enroll takes a new roster: what hosts that are gone held is taken back, calls
+// whose cell has a new owner are registered there, and this host's dispatchers
+// of cells that have another owner now end: every entry registers with the
+// owner when it sees the roster, and a late one makes this host dispatch anew.
 func (c *control) enroll(now time.Time, r registrar.Roster) {
 	old := c.roster
 	c.roster = r
@@ -276,6 +346,12 @@
 			c.emit(now, d.Lost(now, h.Name))
 		}
 	}
+	for name := range c.owned {
+		if owner, ok := r.Owner(name); ok && owner.Name != c.self {
+			c.log.Info("cell handed over", zap.String("cell", name), zap.String("to", owner.Name))
+			delete(c.owned, name)
+		}
+	}
 	for _, k := range c.calls {
 		if owner, ok := r.Owner(k.ask.Cell); ok && owner.Name != k.owner {
 			c.register(now, k)
--- a/runner/event.go
+++ b/runner/event.go
@@ -40,6 +40,12 @@
 	use   server.Use
 }
 
+// placeAdvanced tells how far a request in flight has come.
+type placeAdvanced struct {
+	place  server.Place
+	tokens int
+}
+
 // folderChanged is a configuration that came in force.
 type folderChanged struct {
 	folder     *loader.Folder
@@ -56,6 +62,7 @@
 func (placeAsked) event()    {}
 func (placeLeft) event()     {}
 func (placeDone) event()     {}
+func (placeAdvanced) event() {}
 func (folderChanged) event() {}
 func (rosterChanged) event() {}
 func (stateAsked) event()    {}
--- a/server/request.go
+++ b/server/request.go
@@ -45,7 +45,7 @@
 func (q *request) ask() messenger.Ask {
 	return messenger.Ask{
 		Request: q.id, Class: q.class, Organisation: q.organisation, Prompt: q.prompt, Output: q.output,
-		Deadline: max(q.deadline-time.Since(q.started), 0), Waited: time.Since(q.started), Prefix: q.prefix,
+		Deadline: max(q.deadline-time.Since(q.started), 0), Waited: time.Since(q.started), Prefix: q.prefix, Fixed: q.once,
 	}
 }
 
