--- /dev/null
+++ b/bencher/grid.go
@@ -0,0 +1,163 @@
+package bencher
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cicadawood/cicadawood/dispatcher"
+)
+
+// Row is one way to decide.
+type Row struct {
+	Name    string
+	cell    int // most workers of a cell; 0 is all
+	policy  dispatcher.Policy
+	direct  bool // every host by itself
+	choices bool // the less loaded of two by its report
+}
+
+// Rows is every row, the baselines first.
+func Rows() []Row {
+	return []Row{
+		{Name: "round-robin", direct: true},
+		{Name: "two-choices", direct: true, choices: true},
+		{Name: "strict-tiers", policy: dispatcher.Policy{NoShare: true, NoPreempt: true, NoEstimate: true, NoFairness: true, NoRefusal: true, NoBreaker: true}},
+		{Name: "ours"},
+		{Name: "no-preempt", policy: dispatcher.Policy{NoPreempt: true}},
+		{Name: "no-estimate", policy: dispatcher.Policy{NoEstimate: true}},
+		{Name: "no-fairness", policy: dispatcher.Policy{NoFairness: true}},
+		{Name: "no-refusal", policy: dispatcher.Policy{NoRefusal: true}},
+		{Name: "no-breaker", policy: dispatcher.Policy{NoBreaker: true}},
+		{Name: "no-share", policy: dispatcher.Policy{NoShare: true}},
+		{Name: "cell-1", cell: 1},
+		{Name: "cell-4", cell: 4},
+		{Name: "cell-6", cell: 6},
+		{Name: "cell-16", cell: 16},
+		{Name: "bound", policy: dispatcher.Policy{Exact: true}},
+	}
+}
+
+// Point is one cell of the grid.
+type Point struct {
+	Workload  Workload
+	Demand    float64
+	Condition Condition
+	Row       Row
+}
+
+// Result is the figures of a Point's service, summed over its seeds.
+type Result struct {
+	Workload  string            `json:"workload"`
+	Service   string            `json:"service"`
+	Demand    float64           `json:"demand"`
+	Condition Condition         `json:"condition"`
+	Row       string            `json:"row"`
+	Seeds     int               `json:"seeds"`
+	Classes   map[string]*tally `json:"classes"`
+	Goodput   float64           `json:"goodput_tokens_s"` // of requests that met their targets
+	Made      int               `json:"made_tokens"`
+	Wasted    map[string]int    `json:"wasted_tokens"` // by cause
+	Long      int               `json:"wasted_long"`   // of those, on answers of 1,500 tokens and more
+	Preempted int               `json:"preempted"`
+	Fairness  float64           `json:"fairness"` // worst of the seeds; 0 where no two organisations kept waiting
+	Control   float64           `json:"control_bytes_request"`
+}
+
+// Run measures a point over seeds from first to last, one result a service.
+func (p Point) Run(first, last uint64) []Result {
+	var all []Result
+	for _, s := range p.Workload.services {
+		r := Result{
+			Workload: p.Workload.Name, Service: s.name, Demand: p.Demand, Condition: p.Condition, Row: p.Row.Name,
+			Classes: map[string]*tally{}, Wasted: map[string]int{},
+		}
+		requests := 0
+		for seed := first; seed <= last; seed++ {
+			sim, calls := p.play(s, seed)
+			r.add(sim.measure)
+			r.Control += float64(sim.router.control())
+			requests += len(calls)
+		}
+		r.Goodput /= float64(r.Seeds) * (arrivalsEnd - warmEnd).Seconds()
+		r.Control /= float64(requests)
+		all = append(all, r)
+	}
+	return all
+}
+
+// play runs one service with one seed.
+func (p Point) play(s service, seed uint64) (*simulator, []*call) {
+	sim := newSimulator(p.Workload, s, p.Condition)
+	lag := 500 * time.Millisecond
+	if p.Condition == Late {
+		lag = 5 * time.Second
+	}
+	if p.Row.direct {
+		sim.router = newDirect(sim, p.Row.choices, lag, seed)
+	} else {
+		sim.router = newRouted(sim, p.Row.cell, p.Row.policy, seed)
+	}
+	calls := s.arrivals(p.Workload, p.Demand, seed)
+	sim.run(calls)
+	return sim, calls
+}
+
+func (r *Result) add(m *measure) {
+	r.Seeds++
+	r.Goodput += float64(m.goodput)
+	r.Made += m.made
+	r.Long += m.long
+	r.Preempted += m.preempted
+	r.Fairness = max(r.Fairness, m.fairness())
+	for cause, n := range m.wasted {
+		r.Wasted[cause] += n
+	}
+	for class, t := range m.classes {
+		sum := r.Classes[class]
+		if sum == nil {
+			sum = &tally{}
+			r.Classes[class] = sum
+		}
+		sum.Requests += t.Requests
+		sum.Met += t.Met
+		sum.Whole += t.Whole
+		sum.Refused += t.Refused
+		sum.Passed += t.Passed
+		sum.Worst = max(sum.Worst, t.Worst)
+	}
+}
+
+// RunAll measures points, a few at once, and returns their results in order.
+func RunAll(points []Point, first, last uint64, atOnce int) []Result {
+	results := make([][]Result, len(points))
+	limit := make(chan struct{}, atOnce)
+	var tasks sync.WaitGroup
+	for i, p := range points {
+		limit <- struct{}{}
+		tasks.Go(func() {
+			results[i] = p.Run(first, last)
+			<-limit
+		})
+	}
+	tasks.Wait()
+	var all []Result
+	for _, r := range results {
+		all = append(all, r...)
+	}
+	return all
+}
+
+// Sorted puts the results of one table next to each other, its rows in order.
+func Sorted(results []Result) []Result {
+	out := slices.Clone(results)
+	slices.SortStableFunc(out, func(a, b Result) int {
+		return cmp.Or(-strings.Compare(a.Workload, b.Workload), strings.Compare(a.Service, b.Service),
+			cmp.Compare(a.Demand, b.Demand), cmp.Compare(order(a.Condition), order(b.Condition)))
+	})
+	return out
+}
+
+func order(k Condition) int { return slices.Index([]Condition{Well, Slow, Crash, Late}, k) }
--- /dev/null
+++ b/bencher/table.go
@@ -0,0 +1,78 @@
+package bencher
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+)
+
+// WriteLines writes the results as JSON lines.
+func WriteLines(w io.Writer, results []Result) error {
+	enc := json.NewEncoder(w)
+	for _, r := range results {
+		if err := enc.Encode(r); err != nil {
+			return fmt.Errorf("write results: %w", err)
+		}
+	}
+	return nil
+}
+
+// WriteTables writes one Markdown table for each service, demand and condition.
+func WriteTables(w io.Writer, results []Result) {
+	last := ""
+	for _, r := range results {
+		title := fmt.Sprintf("%s, %s, demand %.1f, %s", r.Workload, r.Service, r.Demand, r.Condition)
+		classes := slices.Sorted(maps.Keys(r.Classes))
+		if title != last {
+			last = title
+			writeHead(w, title, classes, r.Seeds)
+		}
+		fmt.Fprintln(w, r.line(classes))
+	}
+}
+
+func writeHead(w io.Writer, title string, classes []string, seeds int) {
+	fmt.Fprintf(w, "\n### %s (%d seeds)\n\n| row |", title, seeds)
+	for _, c := range classes {
+		fmt.Fprintf(w, " %s met %% | refused %% | worst wait s |", c)
+	}
+	fmt.Fprintln(w, " goodput tok/s | wasted % | deadline | crash | preempt | long % | preempted | passed over | fairness | bytes/request |")
+	fmt.Fprintf(w, "|---|%s\n", strings.Repeat("---:|", 3*len(classes)+10))
+}
+
+// line is one row of a table.
+func (r Result) line(classes []string) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "| %s |", r.Row)
+	passed := 0
+	for _, c := range classes {
+		t := r.Classes[c]
+		fmt.Fprintf(&b, " %.2f | %.1f | %.2f |", t.attained(), percent(t.Refused, t.Requests), t.Worst)
+		passed += t.Passed
+	}
+	fmt.Fprintf(&b, " %.0f | %.2f | %d | %d | %d | %.2f | %d | %d | %.1f | %.0f |", r.Goodput, r.wasted(),
+		r.Wasted["deadline"], r.Wasted["crash"], r.Wasted["preempt"], percent(r.Long, r.Made), r.Preempted, passed, r.Fairness, r.Control)
+	return b.String()
+}
+
+// attained is the part of requests that met their targets, in percent.
+func (t *tally) attained() float64 { return percent(t.Met, t.Requests) }
+
+// wasted is the tokens thrown away as a part of those made, in percent.
+func (r Result) wasted() float64 {
+	n := 0
+	for _, v := range r.Wasted {
+		n += v
+	}
+	return percent(n, r.Made)
+}
+
+func percent(part, whole int) float64 {
+	if whole == 0 {
+		return 0
+	}
+	return 100 * float64(part) / float64(whole)
+}
--- a/dispatcher/fakes_test.go
+++ b/dispatcher/fakes_test.go
@@ -32,8 +32,8 @@
 }
 
 // started is a dispatcher whose gathering is over at ready.
-func started(workers, slots int, p dispatcher.Policy) *dispatcher.Dispatcher {
-	d := dispatcher.New(cellOf(workers, slots), 1, classes(), dispatcher.Options{Policy: p, Seed: 7})
+func started(workers, slots int) *dispatcher.Dispatcher {
+	d := dispatcher.New(cellOf(workers, slots), 1, classes(), dispatcher.Options{Seed: 7})
 	d.Tick(epochStart)
 	d.Tick(ready)
 	return d
--- a/dispatcher/fault_test.go
+++ b/dispatcher/fault_test.go
@@ -17,7 +17,7 @@
 	// place is lost until the dispatcher itself ends.
 	It("takes a dead host's places back after a grace, and its queue at once",
 		Label(prover.Cell(prover.Granted, prover.Kill), prover.Cell(prover.Queued, prover.Kill)), func() {
-			d := started(1, 1, dispatcher.Policy{})
+			d := started(1, 1)
 			Expect(only[messenger.Grant](d.Handle(ready, "a", ask("one", "check")))).To(HaveLen(1))
 			d.Handle(ready, "a", ask("two", "check"))
 			d.Handle(ready, "b", ask("three", "letter"))
@@ -33,7 +33,7 @@
 	// its call still running and claims it: the place must not be given twice.
 	It("keeps a place that its host claims again within the grace",
 		Label(prover.Cell(prover.Granted, prover.Freeze), prover.Cell(prover.Granted, prover.CutBoth)), func() {
-			d := started(1, 1, dispatcher.Policy{})
+			d := started(1, 1)
 			g := only[messenger.Grant](d.Handle(ready, "a", ask("one", "summary")))[0]
 			d.Handle(ready, "b", ask("two", "summary"))
 			d.Lost(ready, "a")
@@ -48,7 +48,7 @@
 	// entry cut the call at its deadline, so after that the place is free.
 	It("takes a place back when its deadline is long over and no Done came",
 		Label(prover.Cell(prover.Granted, prover.Silence), prover.Cell(prover.Sent, prover.Silence)), func() {
-			d := started(1, 1, dispatcher.Policy{})
+			d := started(1, 1)
 			d.Handle(ready, "a", ask("one", "check"))
 			Expect(d.Tick(ready.Add(3900 * time.Millisecond))).To(BeEmpty())
 			Expect(d.State().Granted).To(HaveKey("one"))
@@ -61,7 +61,7 @@
 	// nobody.
 	DescribeTable("leaves no ghost when messages are doubled or overtake each other",
 		func(order ...messenger.Message) {
-			d := started(1, 1, dispatcher.Policy{})
+			d := started(1, 1)
 			for _, m := range order {
 				d.Handle(ready, "a", m)
 			}
@@ -82,7 +82,7 @@
 	// second place for it would stay in use for ever.
 	It("repeats a grant that was lost, on the same place",
 		Label(prover.Cell(prover.Granted, prover.CutOne)), func() {
-			d := started(2, 1, dispatcher.Policy{})
+			d := started(2, 1)
 			first := only[messenger.Grant](d.Handle(ready, "a", ask("one", "check")))[0]
 			again := ask("one", "check")
 			again.Attempt = 2
@@ -115,7 +115,7 @@
 	// one even where its clock is behind.
 	It("raises its epoch over any that an entry has seen, and the fencing number with it",
 		Label(prover.Cell(prover.Taken, prover.Freeze)), func() {
-			d := started(1, 4, dispatcher.Policy{})
+			d := started(1, 4)
 			before := only[messenger.Grant](d.Handle(ready, "a", ask("one", "check")))[0]
 			seen := ask("two", "check")
 			seen.Epoch = before.Epoch + 5
