--- a/breaker/breaker.go
+++ b/breaker/breaker.go
@@ -1,5 +1,6 @@
-// Package breaker takes slow and failing workers out of use and probes them
-// back in. It is pure: time comes in as an argument.
+// Package breaker judges workers against their peers: failing and stalled ones
+// are taken out of use and probed back in, slow ones are told apart so that they
+// come last. It is pure: time comes in as an argument.
 package breaker
 
 import (
@@ -9,6 +10,7 @@
 
 const (
 	slowFactor  = 2.0 // times the median of the peers' times to first token
+	deadFactor  = 8.0 // likewise: of no use any more
 	firstWeight = 0.2
 	fewSamples  = 5
 	failsToOpen = 3 // in a row
@@ -83,14 +85,14 @@
 		w.samples++
 		w.first += max(firstWeight, 1/float64(w.samples)) * (first.Seconds() - w.first)
 	default:
-		return
+		return // it ended before it showed anything
 	}
-	bad := w.fails >= failsToOpen || b.slow(w, w.first)
+	bad := w.fails >= failsToOpen || b.ratio(w, w.first) > deadFactor
 	if w.open > 0 {
 		if !probed {
 			return // began before it was taken out
 		}
-		bad = failed || b.slow(w, first.Seconds())
+		bad = failed || b.ratio(w, first.Seconds()) > deadFactor
 	}
 	if !bad {
 		w.close(probed, first)
@@ -114,10 +116,27 @@
 	}
 }
 
-// slow compares a time with the median of the other workers in use.
-func (b *Breaker) slow(self *worker, seconds float64) bool {
+// Weight is what a worker is worth beside its peers: 0 while it is out, its part
+// of their speed where it is slow, else 1.
+func (b *Breaker) Weight(name string) float64 {
+	w := b.workers[name]
+	if w == nil {
+		return 1
+	}
+	if w.open > 0 {
+		return 0
+	}
+	if r := b.ratio(w, w.first); r > slowFactor {
+		return 1 / r
+	}
+	return 1
+}
+
+// ratio compares a time with the median of the other workers in use; 1 where
+// there is too little to compare.
+func (b *Breaker) ratio(self *worker, seconds float64) float64 {
 	if self.samples < fewSamples && self.open == 0 {
-		return false
+		return 1
 	}
 	var peers []float64
 	for _, w := range b.workers {
@@ -126,10 +145,10 @@
 		}
 	}
 	if len(peers) == 0 {
-		return false
+		return 1
 	}
 	slices.Sort(peers)
-	return seconds > slowFactor*peers[len(peers)/2]
+	return seconds / peers[len(peers)/2]
 }
 
 // mayOpen bounds how many workers are out at once: when most of them look bad
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -41,11 +41,13 @@
 
 	waiting  map[string]*waiter // by request
 	late     heap[*waiter]      // by end
+	soon     heap[*waiter]      // by due, those that are not late
 	sequence uint64
 	grants   map[string]*grant // by request
 	places   map[string]*place // by worker
 	workers  []*place          // of the cell, in name order
 	slots    int
+	capacity float64 // slots, each by its worker's worth
 	used     int
 	leaving  map[string]bool
 
@@ -69,6 +71,10 @@
 		less:  func(a, b *waiter) bool { return a.end.Before(b.end) },
 		index: func(w *waiter) *int { return &w.inLate },
 	}
+	d.soon = heap[*waiter]{
+		less:  func(a, b *waiter) bool { return a.due.Before(b.due) },
+		index: func(w *waiter) *int { return &w.inSoon },
+	}
 	d.Configure(c, classes)
 	return d
 }
@@ -107,6 +113,7 @@
 func (d *Dispatcher) Tick(now time.Time) []Output {
 	d.begin(now)
 	d.average(now)
+	d.weigh()
 	d.expire(now)
 	d.reclaim(now)
 	d.fill(now)
@@ -148,6 +155,7 @@
 	d.waiting[a.Request] = w
 	w.class.push(now, w)
 	d.late.push(w)
+	d.soon.push(w)
 }
 
 // again takes an ask for what is granted already, and says whether it is
@@ -167,11 +175,11 @@
 
 func (d *Dispatcher) waiterOf(now time.Time, from string, a messenger.Ask) *waiter {
 	k := d.class(a.Class)
-	w := &waiter{from: from, ask: a, class: k, asked: now, inLine: -1, inLate: -1}
+	w := &waiter{from: from, ask: a, class: k, asked: now, inLine: -1, inLate: -1, inSoon: -1}
 	d.sequence++
 	w.sequence = d.sequence
 	w.tokens, w.cost = d.estimates.estimate(a, 0, d.options.Policy)
-	w.end = now.Add(a.Deadline - seconds(w.cost))
+	w.end = now.Add(a.Deadline - seconds(d.estimates.longest(a, d.options.Policy)))
 	w.due = w.end
 	if first := k.config.First.Std() - a.Waited; k.config.First > 0 && a.Made == 0 && now.Add(first).Before(w.due) {
 		w.due = now.Add(first)
@@ -184,6 +192,9 @@
 	delete(d.waiting, w.ask.Request)
 	w.class.remove(w)
 	d.late.remove(w.inLate)
+	if w.inSoon >= 0 {
+		d.soon.remove(w.inSoon)
+	}
 }
 
 // withdraw ends whatever a request has here. A Cancel or Done that overtakes
@@ -239,7 +250,7 @@
 	d.gone.add(w.ask.Request, w.ask.Attempt)
 	d.send(w.from, messenger.Refuse{
 		Request: w.ask.Request, Attempt: w.ask.Attempt, Cell: d.cell.Name, Reason: reason, After: after,
-		Wait: d.expected(w.class), Class: w.class.name,
+		Wait: d.expected(w.class, nil), Class: w.class.name,
 	})
 }
 
--- a/dispatcher/estimator.go
+++ b/dispatcher/estimator.go
@@ -14,6 +14,7 @@
 	sketchMost    = 512 // samples before the older ones are halved
 	paceWeight    = 0.05
 	estimateAt    = 0.6 // quantile: long tails pull a mean far above what is usual
+	longestAt     = 0.9 // quantile that still has to fit before the deadline
 )
 
 // sketch is a histogram of output lengths in half powers of two.
@@ -108,6 +109,16 @@
 // estimate is the tokens still to come of a request that has made some already,
 // and the seconds they take; both are 0 while too little was seen.
 func (e *estimator) estimate(a messenger.Ask, made int, policy Policy) (tokens, seconds float64) {
+	return e.at(estimateAt, a, made, policy)
+}
+
+// longest is the seconds that a request may well take.
+func (e *estimator) longest(a messenger.Ask, policy Policy) float64 {
+	_, seconds := e.at(longestAt, a, 0, policy)
+	return seconds
+}
+
+func (e *estimator) at(q float64, a messenger.Ask, made int, policy Policy) (tokens, seconds float64) {
 	p := e.paces[a.Class]
 	if p == nil || p.samples < fewSamples {
 		return 0, 0
@@ -124,7 +135,7 @@
 	if s == nil || s.total < fewSamples {
 		s = e.sketches[sketchKey{a.Class, ""}]
 	}
-	tokens = s.quantile(estimateAt, made)
+	tokens = s.quantile(q, made)
 	if a.Output > 0 {
 		tokens = min(tokens, float64(a.Output+a.Made))
 	}
--- a/dispatcher/line.go
+++ b/dispatcher/line.go
@@ -22,8 +22,10 @@
 	end      time.Time // to start by, for its deadline
 	cost     float64   // seconds on a place, estimated
 	tokens   float64   // estimated
+	late     bool      // its targets are missed; only its deadline is left
 	inLine   int
 	inLate   int
+	inSoon   int
 	sequence uint64
 }
 
@@ -40,6 +42,9 @@
 	organisation string
 	waiting      heap[*waiter]
 	served       float64 // tokens, estimated until done
+	backlog      float64 // seconds on a place, of what waits and is not late
+	held         int     // places in use
+	rate         float64 // places in use, a moving mean
 	inClass      int
 }
 
@@ -51,7 +56,7 @@
 	active  heap[*line] // those with a request waiting
 	floor   float64     // served tokens that an organisation coming back starts at
 	waiting int
-	backlog float64 // seconds on a place, of what waits
+	backlog float64 // seconds on a place, of what waits and is not late
 	held    int     // places in use
 	fed     time.Time
 	fair    bool
@@ -88,11 +93,12 @@
 	}
 	w.line = k.lineOf(w.ask.Organisation)
 	if w.line.inClass < 0 {
+		w.line.rate = float64(w.line.held)
 		w.line.served = max(w.line.served, k.floor)
 	}
 	w.line.waiting.push(w)
 	k.waiting++
-	k.backlog += w.cost
+	k.count(w, w.cost)
 	if w.line.inClass < 0 {
 		k.active.push(w.line)
 		return
@@ -104,17 +110,61 @@
 	l := w.line
 	l.waiting.remove(w.inLine)
 	k.waiting--
-	k.backlog = max(0, k.backlog-w.cost)
+	if !w.late {
+		k.count(w, -w.cost)
+	}
 	if len(l.waiting.items) > 0 {
 		k.active.fix(l.inClass)
 		return
 	}
 	k.active.remove(l.inClass)
-	if len(k.lines) > mostLines {
+	k.forget(l)
+}
+
+// forget drops a line of no use once there are many.
+func (k *class) forget(l *line) {
+	if len(k.lines) > mostLines && l.inClass < 0 && l.held == 0 {
 		delete(k.lines, l.organisation)
 	}
 }
 
+func (k *class) count(w *waiter, cost float64) {
+	k.backlog = max(0, k.backlog+cost)
+	w.line.backlog = max(0, w.line.backlog+cost)
+}
+
+// postpone puts a request that missed its targets behind those that can still
+// meet theirs: served first, it would only make the next ones late too.
+func (k *class) postpone(w *waiter) {
+	k.count(w, -w.cost)
+	w.late, w.due = true, w.end
+	w.line.waiting.fix(w.inLine)
+	k.active.fix(w.line.inClass)
+}
+
+// wait is the seconds that a new request of a line waits for the line's own and,
+// as organisations take turns, for as much of each other's. The second bound is
+// for what the others still ask for meanwhile: a large organisation's line moves
+// at the rate that they leave it.
+func (k *class) wait(l *line, places float64) float64 {
+	if l == nil || !k.fair {
+		return k.backlog / places
+	}
+	sum := 0.0
+	for _, o := range k.active.items {
+		sum += min(o.backlog, l.backlog)
+	}
+	rate := max(l.rate, places/float64(max(len(k.active.items), 1)))
+	return max(sum/places, l.backlog/min(rate, places))
+}
+
+// average follows the places that each line with a request waiting uses.
+func (k *class) average(weight float64) {
+	for _, l := range k.active.items {
+		l.rate += weight * (float64(l.held) - l.rate)
+	}
+}
+
 // first is the request of the class that goes next.
 func (k *class) first() *waiter { return k.active.first().waiting.first() }
 
--- a/dispatcher/overload.go
+++ b/dispatcher/overload.go
@@ -7,8 +7,8 @@
 	"github.com/cicadawood/cicadawood/messenger"
 )
 
-// averageOver is the time constant of how many places the tiers above use.
-const averageOver = 5 * time.Second
+// averageOver is the time constant of how many places tiers and lines use.
+const averageOver = 2 * time.Second
 
 // average follows the places that each tier and those above it use.
 func (d *Dispatcher) average(now time.Time) {
@@ -16,6 +16,7 @@
 	d.updated = now
 	sum := 0
 	for i, k := range d.order {
+		k.average(weight)
 		sum += k.held
 		if i+1 < len(d.order) && d.order[i+1].config.Tier == k.config.Tier {
 			continue
@@ -24,42 +25,56 @@
 	}
 }
 
-// expected is how long a request of a class that comes now is expected to wait.
-func (d *Dispatcher) expected(k *class) time.Duration {
+// expected is how long a request of a class that comes now is expected to wait;
+// behind its own organisation's line l, or behind the whole class where l is nil.
+func (d *Dispatcher) expected(k *class, l *line) time.Duration {
 	if d.used < d.slots && k.waiting == 0 {
 		return 0
 	}
 	ahead, above := 0.0, 0.0
 	for _, o := range d.order {
-		if o.config.Tier <= k.config.Tier {
+		if o != k && o.config.Tier <= k.config.Tier {
 			ahead += o.backlog
 		}
 		if o.config.Tier < k.config.Tier {
 			above = d.above[o.config.Tier]
 		}
 	}
-	places := float64(d.slots) - above
+	places := d.capacity - above
 	if k.config.Tier > d.top {
 		places = max(places, float64(d.share(k)))
-	} else if !d.options.Policy.NoShare {
-		places-- // the one that a starving class may have
+	} else {
+		places -= d.reserve()
 	}
-	return seconds(ahead/max(places, 1) + d.nextPlace())
+	places = max(places, 1)
+	return seconds(k.wait(l, places) + ahead/places + d.nextPlace())
+}
+
+// reserve is the part of a place that starving classes may take ahead of the top
+// tier. The top tier is admitted as if they always did: whether it is refused
+// does not depend on what the others ask for.
+func (d *Dispatcher) reserve() float64 {
+	if d.options.Policy.NoShare {
+		return 0
+	}
+	longest := 0.0
+	for _, k := range d.order {
+		if p := d.estimates.paces[k.name]; p != nil && k.config.Tier > d.top {
+			longest = max(longest, p.request)
+		}
+	}
+	return longest / (longest + patience.Seconds())
 }
 
 // full says whether a request would wait too long to be of use, and how long it
-// would. A class with an empty queue always takes one: it must progress. The
-// top tier is not refused while a lower one has places that it can get.
+// would. A class with an empty queue always takes one: it must progress.
 func (d *Dispatcher) full(now time.Time, w *waiter) (time.Duration, bool) {
 	if d.options.Policy.NoRefusal || w.class.waiting == 0 || d.gathering(now) {
 		return 0, false
 	}
-	wait, slack := d.expected(w.class), w.due.Sub(now)
+	wait, slack := d.expected(w.class, w.class.lineOf(w.ask.Organisation)), w.due.Sub(now)
 	if w.class.config.Tier == d.top {
 		slack = seconds(admitMargin * slack.Seconds())
-		if d.heldUnder(d.top) > 1 {
-			return wait, false
-		}
 	}
 	return wait, wait > slack
 }
@@ -67,10 +82,17 @@
 // expire answers the requests that would miss their deadline if they started
 // now.
 func (d *Dispatcher) expire(now time.Time) {
+	for len(d.soon.items) > 0 && !now.Before(d.soon.first().due) {
+		w := d.soon.first()
+		d.soon.remove(w.inSoon)
+		if !d.options.Policy.NoPostpone {
+			w.class.postpone(w)
+		}
+	}
 	for len(d.late.items) > 0 && !now.Before(d.late.first().end) {
 		w := d.late.first()
 		d.remove(w)
-		d.refuse(w, ReasonDeadline, d.expected(w.class))
+		d.refuse(w, ReasonDeadline, d.expected(w.class, nil))
 	}
 }
 
--- a/dispatcher/place.go
+++ b/dispatcher/place.go
@@ -19,6 +19,7 @@
 	name  string
 	slots int // 0 where the worker is no longer of the cell
 	used  int
+	worth float64 // beside its peers, by the breaker; kept by weigh
 }
 
 // grant is a place in use.
@@ -41,7 +42,7 @@
 func (g *grant) message(d *Dispatcher) messenger.Grant {
 	return messenger.Grant{
 		Request: g.ask.Request, Attempt: g.ask.Attempt, Cell: d.cell.Name, Worker: g.worker,
-		Epoch: d.epoch, Fence: g.fence, Wait: d.expected(g.class), Class: g.class.name,
+		Epoch: d.epoch, Fence: g.fence, Wait: d.expected(g.class, nil), Class: g.class.name,
 	}
 }
 
@@ -53,7 +54,7 @@
 	var names []string
 	for _, w := range workers {
 		p := d.place(w.Name)
-		p.slots = w.Slots
+		p.slots, p.worth = w.Slots, 1
 		d.workers = append(d.workers, p)
 		d.slots += w.Slots
 		names = append(names, w.Name)
@@ -65,6 +66,24 @@
 		}
 	}
 	d.breaker.Keep(names)
+	d.capacity = float64(d.slots)
+}
+
+// weigh asks the breaker what each worker is worth, and sums the places that
+// requests can expect: those of a worker that is out would make every expected
+// wait too short.
+func (d *Dispatcher) weigh() {
+	if d.options.Policy.NoBreaker {
+		return
+	}
+	d.capacity = 0
+	for _, p := range d.workers {
+		p.worth = d.breaker.Weight(p.name)
+		if !d.leaving[p.name] {
+			d.capacity += p.worth * float64(p.slots)
+		}
+	}
+	d.capacity = max(d.capacity, 1)
 }
 
 // SetLeaving names the workers that get nothing new; what they have stays.
@@ -88,11 +107,13 @@
 }
 
 // pick is the worker with the most room for a request, by this dispatcher's own
-// count: a report lags behind what was granted since.
+// count: a report lags behind what was granted since. A slow one comes last: it
+// is still worth its part when all others are full.
 func (d *Dispatcher) pick(now time.Time, a messenger.Ask) *place {
 	var best *place
 	for _, p := range d.workers {
-		better := best == nil || (p.slots-p.used)*best.slots > (best.slots-best.used)*p.slots
+		better := best == nil || p.worth > best.worth ||
+			(p.worth == best.worth && (p.slots-p.used)*best.slots > (best.slots-best.used)*p.slots)
 		if better && !excluded(a, p.name) && d.usable(now, p) {
 			best = p
 		}
@@ -135,6 +156,7 @@
 	p.used++
 	d.used++
 	g.class.held++
+	g.class.lineOf(g.ask.Organisation).held++
 }
 
 // free gives a grant's place back.
@@ -144,6 +166,9 @@
 	p.used--
 	d.used--
 	g.class.held--
+	l := g.class.lineOf(g.ask.Organisation)
+	l.held--
+	g.class.forget(l)
 	if p.slots == 0 && p.used == 0 {
 		delete(d.places, p.name)
 	}
--- a/dispatcher/policy.go
+++ b/dispatcher/policy.go
@@ -10,6 +10,7 @@
 	NoEstimate bool // every request is taken to cost its class's mean
 	NoFairness bool // earliest deadline first, whoever asks
 	NoRefusal  bool // refuse only what is late already
+	NoPostpone bool // what missed its targets keeps its turn
 	NoBreaker  bool
 	Exact      bool // Ask.Output is the output's true length
 }
--- a/dispatcher/state.go
+++ b/dispatcher/state.go
@@ -41,7 +41,7 @@
 		s.Granted[id] = g.worker
 	}
 	for _, k := range d.order {
-		s.Classes = append(s.Classes, ClassState{Name: k.name, Waiting: k.waiting, Held: k.held, Share: d.share(k), Wait: d.expected(k).Seconds()})
+		s.Classes = append(s.Classes, ClassState{Name: k.name, Waiting: k.waiting, Held: k.held, Share: d.share(k), Wait: d.expected(k, nil).Seconds()})
 	}
 	for _, p := range d.workers {
 		s.Workers = append(s.Workers, WorkerState{Name: p.name, Slots: p.slots, Used: p.used, Leaving: d.leaving[p.name]})
