--- a/dispatcher/line.go
+++ b/dispatcher/line.go
@@ -56,6 +56,7 @@
 	active  heap[*line] // those with a request waiting
 	floor   float64     // served tokens that an organisation coming back starts at
 	waiting int
+	late    int     // of those, whose targets are missed
 	backlog float64 // seconds on a place, of what waits and is not late
 	held    int     // places in use
 	fed     time.Time
@@ -110,7 +111,9 @@
 	l := w.line
 	l.waiting.remove(w.inLine)
 	k.waiting--
-	if !w.late {
+	if w.late {
+		k.late--
+	} else {
 		k.count(w, -w.cost)
 	}
 	if len(l.waiting.items) > 0 {
@@ -138,6 +141,7 @@
 func (k *class) postpone(w *waiter) {
 	k.count(w, -w.cost)
 	w.late, w.due = true, w.end
+	k.late++
 	w.line.waiting.fix(w.inLine)
 	k.active.fix(w.line.inClass)
 }
--- a/dispatcher/order.go
+++ b/dispatcher/order.go
@@ -132,8 +132,14 @@
 }
 
 // spares says whether the top tier's first request still starts in time when
-// the next place goes to another: nobody that was admitted is late for it.
+// the next place goes to another, and none is late already: nobody that was
+// admitted is late, or later, for it.
 func (d *Dispatcher) spares(now time.Time, w *waiter) bool {
+	for _, k := range d.order {
+		if k.config.Tier == d.top && k.late > 0 {
+			return false
+		}
+	}
 	return w.due.Sub(now) > seconds(spareFactor*d.nextPlace())
 }
 
--- a/dispatcher/overload.go
+++ b/dispatcher/overload.go
@@ -127,7 +127,7 @@
 		}
 	}
 	for ; asked < waiting; asked++ {
-		g := d.victim()
+		g := d.victim(now, first)
 		if g == nil {
 			return
 		}
@@ -136,13 +136,15 @@
 	}
 }
 
-// victim is the grant that costs least to preempt: of the lowest tier, and then
-// the one with the most left to do, by what it was estimated and has made.
-func (d *Dispatcher) victim() *grant {
+// victim is the grant that costs least to preempt for a request: of the lowest
+// tier, and then the one with the most left to do, by what it was estimated and
+// has made. Its place must be one that the request can take: else a lower tier
+// gets it back, and is preempted again, without end.
+func (d *Dispatcher) victim(now time.Time, w *waiter) *grant {
 	var best *grant
 	var most float64
 	for _, g := range d.grants {
-		if g.preempted || g.ask.Fixed || g.class.config.Tier == d.top {
+		if g.preempted || g.ask.Fixed || g.class.config.Tier == d.top || !d.takes(now, w, g.worker) {
 			continue
 		}
 		left, _ := d.estimates.estimate(g.ask, g.made, d.options.Policy)
@@ -153,3 +155,12 @@
 	}
 	return best
 }
+
+// takes says whether a request could have a worker's next place.
+func (d *Dispatcher) takes(now time.Time, w *waiter, worker string) bool {
+	p := d.places[worker]
+	if p.used > p.slots || d.leaving[worker] || excluded(w.ask, worker) {
+		return false
+	}
+	return d.options.Policy.NoBreaker || d.breaker.Allowed(now, worker)
+}
