--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -34,6 +34,7 @@
 	random  uint64
 	started time.Time
 	updated time.Time // of the moving means
+	calm    time.Time // when the top tier last had none waiting in time
 
 	classes map[string]*class
 	order   []*class // by tier, then name
@@ -115,6 +116,9 @@
 	d.average(now)
 	d.weigh()
 	d.expire(now)
+	if inTime, _ := d.topWaiting(); inTime == 0 {
+		d.calm = now
+	}
 	d.reclaim(now)
 	d.fill(now)
 	return d.out
--- a/dispatcher/order.go
+++ b/dispatcher/order.go
@@ -75,7 +75,7 @@
 		if best == nil || (k.config.Tier == best.config.Tier && before(k.first(), best.first())) {
 			best = k
 		}
-		if under == nil && k.held < d.share(k) {
+		if k.held < d.share(k) && (under == nil || d.poorer(k, under)) {
 			under = k
 		}
 	}
@@ -91,6 +91,14 @@
 	return best
 }
 
+// poorer says whether a has less of its share than b, or as little for longer.
+func (d *Dispatcher) poorer(a, b *class) bool {
+	if x, y := a.held*d.share(b), b.held*d.share(a); x != y {
+		return x < y
+	}
+	return a.fed.Before(b.fed)
+}
+
 // share is the places that a class is guaranteed against all but the top tier.
 // Holding them whenever it waits is its part of the worker time.
 func (d *Dispatcher) share(k *class) int {
@@ -131,16 +139,28 @@
 	return n
 }
 
-// spares says whether the top tier's first request still starts in time when
-// the next place goes to another, and none is late already: nobody that was
-// admitted is late, or later, for it.
+// spares says whether the next place can go to another than the top tier's
+// first request: that request must still start in time, and none of the tier may
+// be late that could have the place. Late ones go behind those in time, so once
+// these have kept every place busy for as long as a class must starve, no late
+// one gets a place in any case.
 func (d *Dispatcher) spares(now time.Time, w *waiter) bool {
+	if w.late || w.due.Sub(now) <= seconds(spareFactor*d.nextPlace()) {
+		return false
+	}
+	_, late := d.topWaiting()
+	return late == 0 || now.Sub(d.calm) >= patience
+}
+
+// topWaiting is the top tier's waiting requests, in time and late.
+func (d *Dispatcher) topWaiting() (inTime, late int) {
 	for _, k := range d.order {
-		if k.config.Tier == d.top && k.late > 0 {
-			return false
+		if k.config.Tier == d.top {
+			inTime += k.waiting - k.late
+			late += k.late
 		}
 	}
-	return w.due.Sub(now) > seconds(spareFactor*d.nextPlace())
+	return inTime, late
 }
 
 // nextPlace is the seconds until a place is expected to become free.
