--- a/dispatcher/policy.go
+++ b/dispatcher/policy.go
@@ -36,7 +36,7 @@
 	spareFactor = 2
 	// admitMargin is the part of its slack that the top tier may expect to wait
 	// when it is admitted. The rest absorbs a starving class's place.
-	admitMargin = 0.8
+	admitMargin = 0.4
 	// fairQuantum is the served tokens within which organisations count as even,
 	// so that the earlier deadline decides.
 	fairQuantum = 256
