--- a/dispatcher/overload.go
+++ b/dispatcher/overload.go
@@ -73,10 +73,11 @@
 		return 0, false
 	}
 	wait, slack := d.expected(w.class, w.class.lineOf(w.ask.Organisation)), w.due.Sub(now)
+	margin := lowerMargin
 	if w.class.config.Tier == d.top {
-		slack = seconds(admitMargin * slack.Seconds())
+		margin = admitMargin
 	}
-	return wait, wait > slack
+	return wait, wait.Seconds() > margin*slack.Seconds()
 }
 
 // expire answers the requests that would miss their deadline if they started
--- a/dispatcher/policy.go
+++ b/dispatcher/policy.go
@@ -37,6 +37,8 @@
 	// admitMargin is the part of its slack that the top tier may expect to wait
 	// when it is admitted. The rest absorbs a starving class's place.
 	admitMargin = 0.4
+	// lowerMargin is the same for the other tiers, whose answers' lengths vary more.
+	lowerMargin = 0.6
 	// fairQuantum is the served tokens within which organisations count as even,
 	// so that the earlier deadline decides.
 	fairQuantum = 256
--- a/runner/control.go
+++ b/runner/control.go
@@ -153,19 +153,33 @@
 // asked dispatches, also where its roster names another: two dispatchers may
 // overfill a worker for a moment, but break no promise.
 func (c *control) dispatch(now time.Time, cell, from string, m messenger.Message) {
-	d := c.owned[cell]
-	if d == nil {
+	if c.owned[cell] == nil {
 		known, ok := c.cells[cell]
 		if !ok {
 			return
 		}
-		// The clock makes the epoch grow from one dispatcher of a cell to the
-		// next; where clocks differ, the entries' asks raise it.
-		epoch := uint64(now.UnixMilli())
-		d = dispatcher.New(known, epoch, c.folder.Classes, dispatcher.Options{Seed: c.epoch ^ epoch})
-		c.owned[cell] = d
+		c.own(now, known)
+	}
+	c.emit(now, c.owned[cell].Handle(now, from, m))
+}
+
+// own starts this host's dispatcher of a cell.
+func (c *control) own(now time.Time, cell dispatcher.Cell) {
+	// The clock makes the epoch grow from one dispatcher of a cell to the next;
+	// where clocks differ, the entries' asks raise it.
+	epoch := uint64(now.UnixMilli())
+	c.owned[cell.Name] = dispatcher.New(cell, epoch, c.folder.Classes, dispatcher.Options{Seed: c.epoch ^ epoch})
+	c.owned[cell.Name].Tick(now) // gathering begins
+}
+
+// ownAll starts this host's dispatchers of the cells that are its own by the
+// roster: before the first request comes, so that it need not wait for claims.
+func (c *control) ownAll(now time.Time) {
+	for name, cell := range c.cells {
+		if owner, ok := c.roster.Owner(name); ok && owner.Name == c.self && c.owned[name] == nil {
+			c.own(now, cell)
+		}
 	}
-	c.emit(now, d.Handle(now, from, m))
 }
 
 // emit sends what a dispatcher decided.
@@ -328,6 +342,7 @@
 	}
 	c.chooser.Keep(known)
 	maps.DeleteFunc(c.epochs, func(cell string, _ uint64) bool { return !known(cell) })
+	c.ownAll(now)
 }
 
 // enroll takes a new roster: what hosts that are gone held is taken back, calls
@@ -352,6 +367,7 @@
 			delete(c.owned, name)
 		}
 	}
+	c.ownAll(now)
 	for _, k := range c.calls {
 		if owner, ok := r.Owner(k.ask.Cell); ok && owner.Name != k.owner {
 			c.register(now, k)
--- /dev/null
+++ b/runner/export_test.go
@@ -0,0 +1,83 @@
+package runner
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/cicadawood/cicadawood/loader"
+	"github.com/cicadawood/cicadawood/messenger"
+	"github.com/cicadawood/cicadawood/registrar"
+	"github.com/cicadawood/cicadawood/server"
+)
+
+// Control is a host's control state, driven by a test in place of its goroutine.
+type Control struct{ c *control }
+
+// Answer is what a call was told: a place, or a refusal.
+type Answer struct {
+	Place   server.Place
+	Refusal *server.Refusal
+}
+
+// NewControl returns the control state of a host that sends by send.
+func NewControl(self string, send func(address string, m messenger.Message)) Control {
+	return Control{newControl(self, 1, sendFunc(send), zap.NewNop())}
+}
+
+type sendFunc func(address string, m messenger.Message)
+
+// Send implements sender.
+func (f sendFunc) Send(address string, m messenger.Message) error {
+	f(address, m)
+	return nil
+}
+
+// SetGeneration implements sender.
+func (sendFunc) SetGeneration(uint64) {}
+
+// Deliver hands over a message from a host.
+func (k Control) Deliver(now time.Time, from string, m messenger.Message) {
+	k.c.take(now, frameArrived{from: from, message: m})
+}
+
+// Ask starts a call; the function returned polls its answer.
+func (k Control) Ask(now time.Time, service string, a messenger.Ask) func() (Answer, bool) {
+	reply := make(chan placeReply, 2)
+	k.c.take(now, placeAsked{service: service, ask: a, reply: reply})
+	return func() (Answer, bool) {
+		select {
+		case r := <-reply:
+			return Answer{Place: r.place, Refusal: r.refusal}, true
+		default:
+			return Answer{}, false
+		}
+	}
+}
+
+// Leave ends a call that waits.
+func (k Control) Leave(now time.Time, request string) { k.c.take(now, placeLeft{request: request}) }
+
+// Done gives a place back.
+func (k Control) Done(now time.Time, p server.Place) {
+	k.c.take(now, placeDone{place: p, use: server.Use{Tokens: 10, First: 50 * time.Millisecond}})
+}
+
+// Advance tells how far a call has come.
+func (k Control) Advance(now time.Time, p server.Place, tokens int) {
+	k.c.take(now, placeAdvanced{place: p, tokens: tokens})
+}
+
+// Configure puts a configuration in force.
+func (k Control) Configure(now time.Time, f *loader.Folder) {
+	k.c.take(now, folderChanged{folder: f, generation: 1})
+}
+
+// Enroll takes a roster.
+func (k Control) Enroll(now time.Time, r registrar.Roster) { k.c.take(now, rosterChanged{roster: r}) }
+
+// Tick lets time pass.
+func (k Control) Tick(now time.Time) { k.c.tick(now) }
+
+// State is the control state's dump.
+func (k Control) State() State { return k.c.state() }
