--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -183,7 +183,9 @@
 	d.sequence++
 	w.sequence = d.sequence
 	w.tokens, w.cost = d.estimates.estimate(a, 0, d.options.Policy)
-	w.end = now.Add(a.Deadline - seconds(d.estimates.longest(a, d.options.Policy)))
+	// A deadline that leaves little more than the answer takes still gets a try.
+	longest := min(seconds(d.estimates.longest(a, d.options.Policy)), a.Deadline/2)
+	w.end = now.Add(a.Deadline - longest)
 	w.due = w.end
 	if first := k.config.First.Std() - a.Waited; k.config.First > 0 && a.Made == 0 && now.Add(first).Before(w.due) {
 		w.due = now.Add(first)
