--- a/commander/cmd_status.go
+++ b/commander/cmd_status.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"strings"
 	"text/tabwriter"
 
@@ -157,7 +159,7 @@
 	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
 	fmt.Fprintln(w, "HOST\tZONE\tGENERATION\tSTATE\tINFLIGHT\tROLES\tNOTES")
 	for _, h := range o.Hosts {
-		fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%d\t%s\t%s\n", h.Name, h.Zone, h.Generation, h.state(), h.Inflight, strings.Join(h.Roles, " "), strings.Join(h.Notes, "; "))
+		fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%d\t%s\t%s\n", h.Name, h.Zone, h.Generation, h.state(), h.Inflight, countRoles(h.Roles), strings.Join(h.Notes, "; "))
 	}
 	return w.Flush()
 }
@@ -172,3 +174,21 @@
 		return "unready"
 	}
 }
+
+// countRoles shortens a host's roles for the table: at the size to design for a
+// host has dozens.
+func countRoles(roles []string) string {
+	counts := map[string]int{}
+	for _, r := range roles {
+		kind, _, _ := strings.Cut(r, ":")
+		counts[kind]++
+	}
+	var out []string
+	for _, kind := range slices.Sorted(maps.Keys(counts)) {
+		if counts[kind] > 1 {
+			kind = fmt.Sprintf("%s(%d)", kind, counts[kind])
+		}
+		out = append(out, kind)
+	}
+	return strings.Join(out, " ")
+}
--- a/runner/control.go
+++ b/runner/control.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -18,6 +20,10 @@
 const (
 	tickEvery    = 20 * time.Millisecond
 	eventBacklog = 8192
+	// askAgain is how long a call waits for an answer before it is registered
+	// again: an Ask, Grant or Refuse that a broken connection lost shows only as
+	// silence.
+	askAgain = 2 * time.Second
 )
 
 // sender is the port to other hosts.
@@ -28,10 +34,14 @@
 
 // call is one request of this host's entry, from its ask to its done.
 type call struct {
+	service   string
 	ask       messenger.Ask
 	owner     string // host that dispatches its cell
+	asked     time.Time
+	ends      time.Time // its deadline
 	reply     chan<- placeReply
 	worker    string // "" while it waits
+	tokens    int    // made so far
 	preempted chan struct{}
 }
 
@@ -57,6 +67,10 @@
 	present     map[string]bool // by service/worker, as last told to the dispatchers
 	away        *atomic.Int64   // workers that get nothing new
 	limiting    limiting
+	attempt     uint64            // of the last Ask or Claim
+	epochs      map[string]uint64 // highest seen of each cell
+	chooser     dispatcher.Chooser
+	again       time.Time // when calls are next looked through for askAgain
 }
 
 func newControl(self string, epoch uint64, s sender, log *zap.Logger) *control {
@@ -64,6 +78,7 @@
 		self: self, epoch: epoch, sender: s, log: log, events: make(chan event, eventBacklog), ended: make(chan struct{}),
 		cells: map[string]dispatcher.Cell{}, byService: map[string][]string{},
 		owned: map[string]*dispatcher.Dispatcher{}, calls: map[string]*call{}, present: map[string]bool{}, away: &atomic.Int64{},
+		epochs: map[string]uint64{},
 	}
 }
 
@@ -77,16 +92,29 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			for _, d := range c.owned {
-				c.emit(now, d.Tick(now))
-			}
-			c.borrow(now)
+			c.tick(now)
 		case e := <-c.events:
 			c.take(time.Now(), e)
 		}
 	}
 }
 
+func (c *control) tick(now time.Time) {
+	for _, d := range c.owned {
+		c.emit(now, d.Tick(now))
+	}
+	c.borrow(now)
+	if now.Before(c.again) {
+		return
+	}
+	c.again = now.Add(askAgain / 4)
+	for _, k := range c.calls {
+		if k.worker == "" && now.Sub(k.asked) >= askAgain {
+			c.register(now, k)
+		}
+	}
+}
+
 func (c *control) take(now time.Time, e event) {
 	switch e := e.(type) {
 	case frameArrived:
@@ -124,9 +152,9 @@
 	case messenger.Progress:
 		c.dispatch(now, m.Cell, from, m)
 	case messenger.Grant:
-		c.granted(now, m)
+		c.granted(now, from, m)
 	case messenger.Refuse:
-		c.refused(m)
+		c.refused(now, m)
 	case messenger.Preempt:
 		c.preempted(m)
 	case messenger.Away:
@@ -144,16 +172,33 @@
 // asked dispatches, also where its roster names another: two dispatchers may
 // overfill a worker for a moment, but break no promise.
 func (c *control) dispatch(now time.Time, cell, from string, m messenger.Message) {
-	d := c.owned[cell]
-	if d == nil {
+	if c.owned[cell] == nil {
 		known, ok := c.cells[cell]
 		if !ok {
 			return
 		}
-		d = dispatcher.New(c.filled(now, known), c.epoch, c.folder.Classes)
-		c.owned[cell] = d
+		c.own(now, known)
+	}
+	c.emit(now, c.owned[cell].Handle(now, from, m))
+}
+
+// own starts this host's dispatcher of a cell.
+func (c *control) own(now time.Time, cell dispatcher.Cell) {
+	// The clock makes the epoch grow from one dispatcher of a cell to the next;
+	// where clocks differ, the entries' asks raise it.
+	epoch := uint64(now.UnixMilli())
+	c.owned[cell.Name] = dispatcher.New(c.filled(now, cell), epoch, c.folder.Classes, dispatcher.Options{Seed: c.epoch ^ epoch})
+	c.owned[cell.Name].Tick(now) // gathering begins
+}
+
+// ownAll starts this host's dispatchers of the cells that are its own by the
+// roster: before the first request comes, so that it need not wait for claims.
+func (c *control) ownAll(now time.Time) {
+	for name, cell := range c.cells {
+		if owner, ok := c.roster.Owner(name); ok && owner.Name == c.self && c.owned[name] == nil {
+			c.own(now, cell)
+		}
 	}
-	c.emit(now, d.Handle(now, from, m))
 }
 
 // emit sends what a dispatcher decided.
@@ -183,8 +228,8 @@
 		e.reply <- placeReply{refusal: &server.Refusal{Reason: "no_workers", After: time.Second}}
 		return
 	}
-	e.ask.Cell = cells[int(now.UnixNano()/int64(time.Microsecond))%len(cells)]
-	k := &call{ask: e.ask, reply: e.reply, preempted: make(chan struct{})}
+	e.ask.Cell = c.chooser.Choose(now, cells, e.ask.Class, rand.Uint64())
+	k := &call{service: e.service, ask: e.ask, reply: e.reply, preempted: make(chan struct{}), ends: now.Add(e.ask.Deadline)}
 	c.calls[e.ask.Request] = k
 	c.register(now, k)
 }
@@ -195,26 +240,39 @@
 	if !ok {
 		return
 	}
-	k.owner = owner.Name
+	if !k.asked.IsZero() {
+		k.ask.Waited += now.Sub(k.asked)
+	}
+	c.attempt++
+	k.owner, k.asked = owner.Name, now
+	k.ask.Attempt, k.ask.Epoch, k.ask.Deadline = c.attempt, c.epochs[k.ask.Cell], max(k.ends.Sub(now), 0)
 	if k.worker != "" {
-		c.send(now, k.owner, messenger.Claim{Ask: k.ask, Worker: k.worker})
+		c.send(now, k.owner, messenger.Claim{Ask: k.ask, Worker: k.worker, Tokens: k.tokens})
 		return
 	}
 	c.send(now, k.owner, k.ask)
 }
 
-func (c *control) granted(now time.Time, g messenger.Grant) {
+// granted takes a grant, or gives it back where it is of no use: its caller
+// went away, the call has a place already from another dispatcher, or the
+// dispatcher is an older one than this host has heard of, which came back from a
+// freeze and does not know what its successor granted.
+func (c *control) granted(now time.Time, from string, g messenger.Grant) {
+	c.chooser.Note(now, g.Cell, g.Class, g.Wait)
 	k := c.calls[g.Request]
-	if k == nil {
-		// The caller went away while the grant travelled: give it back.
-		owner, _ := c.roster.Owner(g.Cell)
-		c.send(now, owner.Name, messenger.Done{Request: g.Request, Cell: g.Cell, Worker: g.Worker})
-		return
+	same := k != nil && k.ask.Cell == g.Cell && k.ask.Attempt == g.Attempt
+	if same && k.worker == g.Worker && k.owner == from {
+		return // a duplicate of the one in use
 	}
-	worker, ok := c.worker(g.Cell, g.Worker)
-	if !ok || k.worker != "" {
+	worker, known := c.worker(g.Cell, g.Worker)
+	if !same || !known || k.worker != "" || g.Epoch < c.epochs[g.Cell] {
+		c.send(now, from, messenger.Done{Request: g.Request, Attempt: g.Attempt, Cell: g.Cell, Worker: g.Worker})
+		if same && k.worker == "" && k.owner == from {
+			c.register(now, k)
+		}
 		return
 	}
+	c.epochs[g.Cell] = g.Epoch
 	k.worker = g.Worker
 	k.reply <- placeReply{place: server.Place{Request: g.Request, Cell: g.Cell, Worker: worker, Fence: g.Fence, Preempted: k.preempted}}
 }
@@ -228,9 +286,10 @@
 	return loader.Worker{}, false
 }
 
-func (c *control) refused(m messenger.Refuse) {
+func (c *control) refused(now time.Time, m messenger.Refuse) {
+	c.chooser.Note(now, m.Cell, m.Class, m.Wait)
 	k := c.calls[m.Request]
-	if k == nil || k.worker != "" {
+	if k == nil || k.worker != "" || k.ask.Attempt != m.Attempt {
 		return
 	}
 	delete(c.calls, m.Request)
@@ -238,7 +297,7 @@
 }
 
 func (c *control) preempted(m messenger.Preempt) {
-	if k := c.calls[m.Request]; k != nil && k.worker != "" {
+	if k := c.calls[m.Request]; k != nil && k.worker != "" && k.ask.Attempt == m.Attempt {
 		close(k.preempted)
 		k.preempted = make(chan struct{})
 	}
@@ -250,7 +309,7 @@
 		return
 	}
 	delete(c.calls, request)
-	c.send(now, k.owner, messenger.Cancel{Request: request, Cell: k.ask.Cell})
+	c.send(now, k.owner, messenger.Cancel{Request: request, Attempt: k.ask.Attempt, Cell: k.ask.Cell})
 }
 
 func (c *control) done(now time.Time, e placeDone) {
@@ -260,15 +319,19 @@
 	}
 	delete(c.calls, e.place.Request)
 	c.send(now, k.owner, messenger.Done{
-		Request: e.place.Request, Cell: e.place.Cell, Worker: e.place.Worker.Name,
+		Request: e.place.Request, Attempt: k.ask.Attempt, Cell: e.place.Cell, Worker: e.place.Worker.Name,
 		Tokens: e.use.Tokens, First: e.use.First, Failed: e.use.Failed,
 	})
 }
 
+// progressed tells the dispatcher how far a request in flight has come.
 func (c *control) progressed(now time.Time, e placeProgressed) {
-	if k := c.calls[e.place.Request]; k != nil {
-		c.send(now, k.owner, messenger.Progress{Request: e.place.Request, Cell: e.place.Cell, Tokens: e.tokens})
+	k := c.calls[e.place.Request]
+	if k == nil || k.worker == "" {
+		return
 	}
+	k.tokens = e.tokens
+	c.send(now, k.owner, messenger.Progress{Request: e.place.Request, Attempt: k.ask.Attempt, Cell: e.place.Cell, Tokens: e.tokens})
 }
 
 func (c *control) configure(now time.Time, e folderChanged) {
@@ -287,12 +350,26 @@
 		if cell, ok := c.cells[name]; ok {
 			d.Configure(c.filled(now, cell), e.folder.Classes)
 			c.emit(now, d.Tick(now))
+		} else {
+			delete(c.owned, name)
 		}
 	}
+	known := func(cell string) bool { _, ok := c.cells[cell]; return ok }
+	for _, k := range c.calls {
+		if cells := c.byService[k.service]; k.worker == "" && !known(k.ask.Cell) && len(cells) > 0 {
+			k.ask.Cell = c.chooser.Choose(now, cells, k.ask.Class, rand.Uint64())
+			c.register(now, k)
+		}
+	}
+	c.chooser.Keep(known)
+	maps.DeleteFunc(c.epochs, func(cell string, _ uint64) bool { return !known(cell) })
+	c.ownAll(now)
 }
 
-// enroll takes a new roster: what hosts that are gone held is taken back, and
-// calls whose cell has a new owner are registered there.
+// enroll takes a new roster: what hosts that are gone held is taken back, calls
+// whose cell has a new owner are registered there, and this host's dispatchers
+// of cells that have another owner now end: every entry registers with the
+// owner when it sees the roster, and a late one makes this host dispatch anew.
 func (c *control) enroll(now time.Time, r registrar.Roster) {
 	old := c.roster
 	c.roster = r
@@ -307,6 +384,13 @@
 		}
 	}
 	c.rejoin(r)
+	for name := range c.owned {
+		if owner, ok := r.Owner(name); ok && owner.Name != c.self {
+			c.log.Info("cell handed over", zap.String("cell", name), zap.String("to", owner.Name))
+			delete(c.owned, name)
+		}
+	}
+	c.ownAll(now)
 	owners := map[string]string{} // a host has more calls than cells
 	for cell := range c.cells {
 		if owner, ok := r.Owner(cell); ok {
--- a/runner/town_test.go
+++ b/runner/town_test.go
@@ -36,12 +36,12 @@
 	url      string
 	engines  map[string]string // address by name
 	counters map[string]*faker.Counter
-	hosts    map[string]*host
+	hosts    map[string]*running
 	mu       sync.Mutex
 }
 
-// host is one runner.Run.
-type host struct {
+// running is one runner.Run.
+type running struct {
 	listen, admin string
 	term          func()
 	hurry         chan struct{}
@@ -52,7 +52,7 @@
 func newTown(engines ...string) *town { return newTownOf(faker.DefaultModel(), engines...) }
 
 func newTownOf(m faker.Model, engines ...string) *town {
-	t := &town{platform: faker.NewPlatform(), engines: map[string]string{}, counters: map[string]*faker.Counter{}, hosts: map[string]*host{}}
+	t := &town{platform: faker.NewPlatform(), engines: map[string]string{}, counters: map[string]*faker.Counter{}, hosts: map[string]*running{}}
 	t.url = serve(t.platform.Handler())
 	var workers []string
 	for _, e := range engines {
@@ -92,7 +92,7 @@
 }
 
 // start runs a host until it is told to stop.
-func (t *town) start(name, zone string, change func(*loader.Host)) *host {
+func (t *town) start(name, zone string, change func(*loader.Host)) *running {
 	settings := loader.Host{Name: name, Zone: zone, Region: "r", Listen: freeAddress(), Control: freeAddress(), Admin: freeAddress(), Platform: t.url}
 	settings.Limits.Settle = loader.Duration(200 * time.Millisecond)
 	if change != nil {
@@ -104,7 +104,7 @@
 	Expect(err).NotTo(HaveOccurred())
 	core, logs := observer.New(zapcore.InfoLevel)
 	ctx, term := context.WithCancel(context.Background())
-	h := &host{listen: settings.Listen, admin: settings.Admin, term: term, hurry: make(chan struct{}), done: make(chan error, 1), logs: logs}
+	h := &running{listen: settings.Listen, admin: settings.Admin, term: term, hurry: make(chan struct{}), done: make(chan error, 1), logs: logs}
 	t.mu.Lock()
 	t.hosts[name] = h
 	t.mu.Unlock()
@@ -120,7 +120,7 @@
 	return h
 }
 
-func (h *host) ready() bool {
+func (h *running) ready() bool {
 	resp, err := http.Get("http://" + h.listen + "/readyz")
 	if err != nil {
 		return false
@@ -129,7 +129,7 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-func (h *host) state() runner.State {
+func (h *running) state() runner.State {
 	var s runner.State
 	resp, err := http.Get("http://" + h.admin + "/state")
 	if err != nil {
@@ -186,7 +186,7 @@
 
 func (b *balancer) look() {
 	b.t.mu.Lock()
-	hosts := make([]*host, 0, len(b.t.hosts))
+	hosts := make([]*running, 0, len(b.t.hosts))
 	for _, h := range b.t.hosts {
 		hosts = append(hosts, h)
 	}
--- a/server/serve.go
+++ b/server/serve.go
@@ -41,7 +41,7 @@
 	defer cancel()
 	r.server.budgets.First(time.Now(), r.q.organisation, r.q.service)
 	for {
-		ask := r.q.ask(r.asks, r.exclude)
+		ask := r.q.ask(r.asks, r.delivery.tokens, r.exclude)
 		r.asks++
 		place, err := r.server.places.Acquire(ctx, r.q.service, ask)
 		if err != nil {
