--- a/commander/cmd_check.go
+++ b/commander/cmd_check.go
@@ -54,7 +54,9 @@
 	if err != nil {
 		return err
 	}
-	r.Files = len(files)
+	if r.Files = len(files); r.Files == 0 {
+		return fmt.Errorf("folder %s: %w", dir, loader.ErrEmpty)
+	}
 	f, err := files.Parse()
 	if err != nil {
 		return err
--- a/commander/cmd_push.go
+++ b/commander/cmd_push.go
@@ -8,6 +8,7 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/cicadawood/cicadawood/loader"
 	"github.com/cicadawood/cicadawood/publisher"
 )
 
@@ -51,6 +52,9 @@
 	if err != nil {
 		return nil, usage(err)
 	}
+	if len(checkout.Files()) == 0 {
+		return nil, usage(fmt.Errorf("folder %s: %w", dir, loader.ErrEmpty))
+	}
 	_, err = checkout.Files().Parse()
 	return checkout, usage(err)
 }
--- a/loader/folder.go
+++ b/loader/folder.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -78,6 +79,10 @@
 // Files is a folder's raw text by file name: what is pushed and pulled.
 type Files map[string]string
 
+// ErrEmpty says that a directory holds no settings at all: rather a wrong path
+// than a wish to remove every class, organisation and service.
+var ErrEmpty = errors.New("no .json or .jsonc files")
+
 // ReadFiles reads the *.json and *.jsonc files of a directory.
 func ReadFiles(dir string) (Files, error) {
 	entries, err := os.ReadDir(dir)
--- a/publisher/follower.go
+++ b/publisher/follower.go
@@ -92,8 +92,11 @@
 // called for each frame, from any goroutine, and never blocks: where the
 // generation is the one in force, which is the rule, it only notes the time.
 func (f *Follower) Confirmed(peer string, generation uint64, now time.Time) {
-	if generation == f.Head().Generation {
+	have := f.Head().Generation
+	if generation == have {
 		f.confirmed.Store(&sighting{generation: generation, at: now})
+	}
+	if generation <= have {
 		return
 	}
 	f.offer(PeerSeen{Peer: peer, Generation: generation})
