--- a/loader/host.go
+++ b/loader/host.go
@@ -23,7 +23,7 @@
 	Platform string `json:"platform"` // base URL of the Object API
 	// Peers is control addresses, IP:port, of other hosts: where a host that
 	// starts while the platform is down asks for the configuration and the roster.
-	Peers  []string `json:"peers"`
+	Peers  []string `json:"peers,omitempty"`
 	Limits Limits   `json:"limits"`
 }
 
@@ -32,12 +32,15 @@
 type Limits struct {
 	Body    int64    `json:"body"`    // bytes of a request's body
 	Header  int      `json:"header"`  // bytes of a request's headers
-	Answer  int64    `json:"answer"`  // bytes of an answer that is not streamed
+	Answer  int64    `json:"answer"`  // bytes of an answer that is held until it is whole; a larger one is passed on as it comes
+	Buffer  int64    `json:"buffer"`  // bytes of bodies and answers held at once
 	Calls   int      `json:"calls"`   // requests in flight
 	Read    Duration `json:"read"`    // for a caller to send its request
 	Stall   Duration `json:"stall"`   // for a caller to take a piece of its answer
 	Silence Duration `json:"silence"` // on a connection to a backend server or host, before it is replaced
-	Lease   Duration `json:"lease"`   // of this host's record
+	Lease   Duration `json:"lease"`   // of this host in the Object API
+	Beat    Duration `json:"beat"`    // between heartbeats to other hosts
+	Link    Duration `json:"link"`    // without an acknowledgement on a connection between hosts, before it is replaced
 	Drain   Duration `json:"drain"`   // for requests in flight to end after SIGTERM
 	Settle  Duration `json:"settle"`  // for the balancer to notice unreadiness
 	Confirm Duration `json:"confirm"` // without word of the configuration from platform or peer, before unready
@@ -58,13 +61,18 @@
 	if l.Answer == 0 {
 		l.Answer = 16 << 20
 	}
+	if l.Buffer == 0 {
+		l.Buffer = 512 << 20
+	}
 	if l.Calls == 0 {
 		l.Calls = 12000
 	}
 	set(&l.Read, 10*time.Second)
 	set(&l.Stall, 10*time.Second)
 	set(&l.Silence, 2*time.Second)
-	set(&l.Lease, 5*time.Second)
+	set(&l.Lease, 20*time.Second)
+	set(&l.Beat, 250*time.Millisecond)
+	set(&l.Link, 500*time.Millisecond)
 	set(&l.Drain, 60*time.Second)
 	set(&l.Settle, 3*time.Second)
 	set(&l.Confirm, 10*time.Second)
--- a/publisher/bench_test.go
+++ b/publisher/bench_test.go
@@ -102,7 +102,7 @@
 				after, _ := platform.Calls()
 				b.ReportMetric(float64(after-before)/10/float64(n), "reads/s/host")
 				start := time.Now()
-				awaitAll(followers, push(int(after)))
+				awaitAll(followers, push(after))
 				b.ReportMetric(float64(time.Since(start).Milliseconds()), "ms-to-all")
 				time.Sleep(500 * time.Millisecond)
 				end, _ := platform.Calls()
--- a/runner/following.go
+++ b/runner/following.go
@@ -10,10 +10,11 @@
 	"github.com/cicadawood/cicadawood/messenger"
 	"github.com/cicadawood/cicadawood/publisher"
 	"github.com/cicadawood/cicadawood/registrar"
+	"github.com/cicadawood/cicadawood/storer"
 )
 
-// askedAtOnce is how many hosts a fresh host asks for the configuration.
-const askedAtOnce = 3
+// peersAsked is how many hosts a fresh host asks for the configuration.
+const peersAsked = 3
 
 // following joins the follower to the host's frames, roster and readiness.
 type following struct {
@@ -21,16 +22,19 @@
 	settings loader.Host
 	log      *zap.Logger
 
-	mu      sync.Mutex
-	sender  sender // nil until the messenger is there
-	roster  registrar.Roster
-	leaving bool
-	notify  func(bool) // towards the balancer
+	sender sender
+
+	mu     sync.Mutex
+	roster registrar.Roster
 }
 
-// actions is what the follower does to this host.
-func (g *following) actions(enforce func(*loader.Folder, uint64)) publisher.Actions {
-	return publisher.Actions{Enforce: enforce, Ask: g.ask, Ready: g.setReady}
+// newFollowing returns the follower of a host; ready tells the balancer, and
+// enforce the control goroutine.
+func newFollowing(s loader.Host, store storer.Store, m sender, log *zap.Logger, ready func(bool), enforce func(*loader.Folder, uint64)) *following {
+	g := &following{settings: s, log: log, sender: m}
+	timing := publisher.Timing{Confirm: s.Limits.Confirm.Std()}
+	g.Follower = publisher.NewFollower(store, timing, log, publisher.Actions{Enforce: enforce, Ask: g.ask, Ready: ready})
+	return g
 }
 
 // enroll takes a new roster: where a fresh host finds hosts to ask.
@@ -40,22 +44,8 @@
 	g.roster = r
 }
 
-// connect gives the way to other hosts.
-func (g *following) connect(s sender) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.sender = s
-}
-
-// send drops what comes before connect: it is asked for again.
 func (g *following) send(address string, m messenger.Message) {
-	g.mu.Lock()
-	s := g.sender
-	g.mu.Unlock()
-	if s == nil {
-		return
-	}
-	if err := s.Send(address, m); err != nil {
+	if err := g.sender.Send(address, m); err != nil {
 		g.log.Warn("send configuration", zap.String("to", address), zap.Error(err))
 	}
 }
@@ -104,30 +94,9 @@
 	}
 	var found []string
 	for _, h := range g.roster.Hosts() {
-		if h.Name != g.settings.Name && len(found) < askedAtOnce {
+		if h.Name != g.settings.Name && len(found) < peersAsked {
 			found = append(found, h.Control)
 		}
 	}
-	return append(found, g.settings.Peers[:min(askedAtOnce, len(g.settings.Peers))]...)
-}
-
-// setReady tells the balancer, but for a host that is leaving: it stays unready.
-func (g *following) setReady(ready bool) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.notify(ready && !g.leaving)
-}
-
-// leave turns the host unready for good.
-func (g *following) leave() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.leaving = true
-	g.notify(false)
-}
-
-func (g *following) isLeaving() bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.leaving
+	return append(found, g.settings.Peers[:min(peersAsked, len(g.settings.Peers))]...)
 }
--- a/runner/state.go
+++ b/runner/state.go
@@ -1,32 +1,44 @@
 package runner
 
 import (
+	"time"
+
 	"github.com/cicadawood/cicadawood/dispatcher"
+	"github.com/cicadawood/cicadawood/limiter"
+	"github.com/cicadawood/cicadawood/messenger"
+	"github.com/cicadawood/cicadawood/observer"
 	"github.com/cicadawood/cicadawood/publisher"
 	"github.com/cicadawood/cicadawood/registrar"
 )
 
 // State is a host's whole control state, for operators.
 type State struct {
-	Name          string             `json:"name"`
-	Zone          string             `json:"zone"`
-	Ready         bool               `json:"ready"`
-	Leaving       bool               `json:"leaving"`
-	Generation    uint64             `json:"generation"`
-	Configuration publisher.Status   `json:"configuration"`
-	Inflight      int64              `json:"inflight"`
-	Roles         []string           `json:"roles"`
-	Roster        []registrar.Record `json:"roster"`
-	Cells         []dispatcher.State `json:"cells"`
-	Calls         map[string]string  `json:"calls"` // worker by request, "" while it waits
+	Name       string             `json:"name"`
+	Zone       string             `json:"zone"`
+	Ready      bool               `json:"ready"`
+	Leaving    bool               `json:"leaving"`
+	Generation uint64             `json:"generation"`
+	Inflight   int64              `json:"inflight"`
+	Roles      []string           `json:"roles"`
+	Roster     []registrar.Record `json:"roster"`
+	Cells      []dispatcher.State `json:"cells"`
+	Calls      map[string]string  `json:"calls"` // worker by request, "" while it waits
+	Membership registrar.Counts   `json:"membership"`
+	Messenger  messenger.Counts   `json:"messenger"`
+	Workers    []observer.State   `json:"workers"`
+
+	Configuration publisher.Status `json:"configuration"`
+
+	Limits map[string]limiter.Rates `json:"limits"` // what limited organisations may use here, a second
 }
 
 func (c *control) state() State {
-	s := State{Name: c.self, Generation: c.generation, Roles: []string{"entry"}, Roster: c.roster.Hosts(), Cells: []dispatcher.State{}, Calls: map[string]string{}}
+	s := State{Name: c.self, Generation: c.generation, Roles: []string{"entry"}, Roster: c.roster.Hosts(), Cells: []dispatcher.State{}, Calls: map[string]string{}, Workers: c.observer.States(time.Now())}
 	for name, d := range c.owned {
 		s.Cells = append(s.Cells, d.State())
 		s.Roles = append(s.Roles, "dispatcher:"+name)
 	}
+	s.Limits = c.limiting.gates.Rates(time.Now())
 	for id, k := range c.calls {
 		s.Calls[id] = k.worker
 	}
