--- a/publisher/tracker.go
+++ b/publisher/tracker.go
@@ -314,7 +314,9 @@
 		t.reading = now
 		out = append(out, ReadPlatform{})
 	}
-	if t.generation == 0 && now.Sub(t.askedAt) >= t.timing.Fetch {
+	if t.generation == 0 && now.Sub(t.askedAt) >= t.timing.Fetch/4 {
+		// Often: the roster fills in the first moments, and a host without a
+		// configuration serves nobody.
 		t.askedAt = now
 		out = append(out, AskPeer{})
 	}
--- a/runner/export_test.go
+++ b/runner/export_test.go
@@ -81,3 +81,20 @@
 
 // State is the control state's dump.
 func (k Control) State() State { return k.c.state() }
+
+// Holding is what waits for a configuration.
+type Holding struct{ h holding }
+
+// Take says whether a message has to wait for a newer configuration.
+func (k *Holding) Take(now time.Time, from string, m messenger.Message, generation uint64) bool {
+	return k.h.take(now, frameArrived{from: from, message: m}, generation)
+}
+
+// Release returns the messages that waited for a configuration.
+func (k *Holding) Release(now time.Time, f *loader.Folder, generation uint64) []messenger.Message {
+	var out []messenger.Message
+	for _, f := range k.h.release(now, f, generation) {
+		out = append(out, f.message)
+	}
+	return out
+}
--- a/runner/host.go
+++ b/runner/host.go
@@ -27,6 +27,7 @@
 	log       *zap.Logger
 	control   *control
 	following *following
+	holding   holding
 	registrar *registrar.Registrar
 	messenger *messenger.Messenger
 	server    *server.Server
@@ -92,6 +93,9 @@
 	h.messenger, h.control.sender = m, m
 	h.following = newFollowing(s, store, m, h.log, func(ready bool) { h.server.SetReady(ready) }, func(f *loader.Folder, g uint64) {
 		h.control.post(folderChanged{folder: f, generation: g})
+		for _, waited := range h.holding.release(time.Now(), f, g) {
+			h.control.post(waited)
+		}
 	})
 	h.registrar = registrar.New(registrar.Config{
 		Self: registrar.Record{
@@ -117,7 +121,10 @@
 	if h.following.take(e, msg) || h.registrar.Hear(e.From, msg) {
 		return
 	}
-	h.control.post(frameArrived{from: e.From, message: msg})
+	f := frameArrived{from: e.From, message: msg}
+	if !h.holding.take(time.Now(), f, e.Generation) {
+		h.control.post(f)
+	}
 }
 
 // run starts the host's goroutines, waits for the end, and stops them in order.
