--- a/commander/pages_test.go
+++ b/commander/pages_test.go
@@ -26,12 +26,17 @@
 	return stdout.String(), stderr.String(), code
 }
 
-// free is a loopback address that nothing listens at.
-func free() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	defer l.Close()
-	return l.Addr().String()
+// free is n loopback addresses that nothing listens at. They are all reserved
+// before the first is given up: one at a time, the same could come twice.
+func free(n int) []string {
+	var list []string
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		defer l.Close()
+		list = append(list, l.Addr().String())
+	}
+	return list
 }
 
 // shown is a command that a page shows, and the output below it.
@@ -109,7 +114,8 @@
 		platform := httptest.NewServer(faker.NewPlatform().Handler())
 		DeferCleanup(platform.CloseClientConnections)
 		DeferCleanup(platform.Close)
-		real := strings.NewReplacer("http://127.0.0.1:17000", platform.URL, "127.0.0.1:18011", free(), "127.0.0.1:18021", free(), "127.0.0.1:18031", free())
+		at := free(3)
+		real := strings.NewReplacer("http://127.0.0.1:17000", platform.URL, "127.0.0.1:18011", at[0], "127.0.0.1:18021", at[1], "127.0.0.1:18031", at[2])
 		scripts := map[string][]shown{}
 		order := []string{"serve", "check", "push", "pull", "diff", "key", "status", "dump", "drain", "version", "completion"}
 		for _, name := range order {
