--- a/commander/pages_test.go
+++ b/commander/pages_test.go
@@ -2,7 +2,7 @@
 
 import (
 	"bytes"
-	"net"
+	"fmt"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
@@ -26,15 +26,12 @@
 	return stdout.String(), stderr.String(), code
 }
 
-// free is n loopback addresses that nothing listens at. They are all reserved
-// before the first is given up: one at a time, the same could come twice.
-func free(n int) []string {
+// addresses is n addresses of this process's own loopback IP. Ports that were
+// free a moment ago on 127.0.0.1 may be the source of a connection by now.
+func addresses(n int) []string {
 	var list []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		Expect(err).NotTo(HaveOccurred())
-		defer l.Close()
-		list = append(list, l.Addr().String())
+	for i := range n {
+		list = append(list, fmt.Sprintf("127.%d.%d.251:%d", 100+os.Getpid()/250%100, 1+os.Getpid()%250, 20001+i))
 	}
 	return list
 }
@@ -114,7 +111,7 @@
 		platform := httptest.NewServer(faker.NewPlatform().Handler())
 		DeferCleanup(platform.CloseClientConnections)
 		DeferCleanup(platform.Close)
-		at := free(3)
+		at := addresses(3)
 		real := strings.NewReplacer("http://127.0.0.1:17000", platform.URL, "127.0.0.1:18011", at[0], "127.0.0.1:18021", at[1], "127.0.0.1:18031", at[2])
 		scripts := map[string][]shown{}
 		order := []string{"serve", "check", "push", "pull", "diff", "key", "status", "dump", "drain", "version", "completion"}
@@ -136,7 +133,8 @@
 				}
 				if s.args[len(s.args)-1] == "&" {
 					go func() {
-						_, _, code := run("", s.args[:len(s.args)-1]...)
+						_, stderr, code := run("", s.args[:len(s.args)-1]...)
+						fmt.Fprintf(GinkgoWriter, "%v ended with %d: %s\n", s.args, code, stderr)
 						ended <- code
 					}()
 					continue
