--- a/commander/pages_test.go
+++ b/commander/pages_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"net/http/httptest"
 	"os"
@@ -15,6 +16,7 @@
 
 	"github.com/cicadawood/cicadawood/commander"
 	"github.com/cicadawood/cicadawood/faker"
+	"github.com/cicadawood/cicadawood/loader"
 )
 
 const pages = "../docs/commands"
@@ -102,6 +104,24 @@
 		}
 	})
 
+	It("name every limit of a host's settings and its default", func() {
+		page, err := os.ReadFile(filepath.Join(pages, "serve.md"))
+		Expect(err).NotTo(HaveOccurred())
+		h, err := loader.ParseHost("host.jsonc", []byte(`{"name": "h", "zone": "z", "platform": "http://127.0.0.1:1",
+			"listen": "127.0.0.1:2", "control": "127.0.0.1:3", "admin": "127.0.0.1:4"}`))
+		Expect(err).NotTo(HaveOccurred())
+		text, err := json.Marshal(h.Limits)
+		Expect(err).NotTo(HaveOccurred())
+		var defaults map[string]any
+		Expect(json.Unmarshal(text, &defaults)).To(Succeed())
+		for name, v := range defaults {
+			if n, ok := v.(float64); ok {
+				v = int64(n)
+			}
+			Expect(string(page)).To(ContainSubstring(fmt.Sprintf("\n| `%s` | %v | ", name, v)))
+		}
+	})
+
 	It("show commands that run as shown", func() {
 		read := func(name string) string {
 			text, err := os.ReadFile(filepath.Join(pages, name+".md"))
--- a/publisher/push_test.go
+++ b/publisher/push_test.go
@@ -128,6 +128,21 @@
 		Entry("when it did not", Label(prover.Pair(prover.Pushed, prover.LostReply, prover.Written, prover.StoreDown)), dropped),
 	)
 
+	// Ann's write is in doubt, and before she can read back, so many others push
+	// that the head no longer lists hers, if it ever was there.
+	It("does not claim to know what the head has forgotten", Label(prover.Pair(prover.Pushed, prover.LostReply, prover.Written, prover.Race)), func() {
+		store.fates = []outcome{lost}
+		busy := &racing{fakeStore: store, race: func() {
+			for i := range 64 {
+				_, err := newOperator(store).edit("plan", i).push(int64(200 + i))
+				Expect(err).NotTo(HaveOccurred())
+			}
+		}}
+		_, err := publisher.Pusher{Store: busy}.Push(context.Background(), publisher.Change{Files: ann.edit("quote", 0).files, Base: ann.base})
+		Expect(err).To(MatchError(publisher.ErrUnsettled))
+		Expect(store.written).To(HaveLen(66))
+	})
+
 	It("says that nothing landed while the store is down", Label(prover.Cell(prover.Pushed, prover.StoreDown), prover.Cell(prover.Written, prover.StoreDown)), func() {
 		ann.edit("quote", 0)
 		store.before = func() { store.down = true }
