--- a/loader/document.go
+++ b/loader/document.go
@@ -72,9 +72,9 @@
 		return nil, Problem{File: file, Line: lineOfMessage(err), Reason: strings.TrimPrefix(err.Error(), "hujson: ")}
 	}
 	d := &document{file: file, text: text, tree: tree}
-	plain := tree.Clone()
-	plain.Standardize()
-	d.plain = plain.Pack()
+	// Standardize puts blanks for comments and trailing commas: offsets stay.
+	d.tree.Standardize()
+	d.plain = d.tree.Pack()
 	return d, nil
 }
 
@@ -92,7 +92,7 @@
 // decode checks the whole document against v's type, then fills v. The error
 // joins every Problem found.
 func (d *document) decode(v any) error {
-	w := walker{document: d}
+	w := walker{document: d, fields: map[reflect.Type]map[string]reflect.Type{}}
 	w.check(&d.tree, reflect.TypeOf(v).Elem(), "")
 	if len(w.problems) > 0 {
 		return errors.Join(w.problems...)
--- a/loader/schema.go
+++ b/loader/schema.go
@@ -17,6 +17,7 @@
 type walker struct {
 	document *document
 	problems []error
+	fields   map[reflect.Type]map[string]reflect.Type // of each struct type met
 }
 
 func (w *walker) fault(offset int, field, reason string) {
@@ -29,7 +30,7 @@
 	case t == reflect.TypeFor[Duration]():
 		w.duration(v, path)
 	case t.Kind() == reflect.Struct:
-		w.fields(v, t, path)
+		w.object(v, t, path)
 	case t.Kind() == reflect.Map:
 		w.entries(v, t, path)
 	case t.Kind() == reflect.Slice:
@@ -39,8 +40,12 @@
 	}
 }
 
-func (w *walker) fields(v *hujson.Value, t reflect.Type, path string) {
-	known := fieldsOf(t)
+func (w *walker) object(v *hujson.Value, t reflect.Type, path string) {
+	known := w.fields[t]
+	if known == nil {
+		known = fieldsOf(t)
+		w.fields[t] = known
+	}
 	w.members(v, path, func(name string, m *hujson.ObjectMember) {
 		f, ok := known[name]
 		if !ok {
