Keeper: at most once as pure decisions, with its fault matrix

Cause: a hold that is repeated must not land twice, also when the host that runs it dies, freezes and returns, or loses a reply of the store. Change: package keeper. One head object a partition, replaced by conditional writes only; intent before send; seal before serving; lost replies read back by stamp; an entry says go before a call is sent, so that late frames and paused keepers can't run a request whose caller has been answered. Proved by: every fault at every step, singly and in pairs, and 400 random schedules, judged from the history (go test ./keeper). Labels use a dot, as ginkgo allows no slash.

--- /dev/null
+++ b/keeper/open.go
@@ -0,0 +1,73 @@
+package keeper
+
+import "time"
+
+// seal replaces the head with one of this keeper's own epoch. From then on the
+// conditional writes of every earlier keeper fail, also of one that was paused
+// and still believes that the partition is its own.
+func (k *Keeper) seal(out *outputs) {
+	c := &commit{head: k.head}
+	c.head.Epoch++
+	k.write(out, c)
+}
+
+// sealed begins to read the archived log. The head's own tail is known already:
+// the seal kept it.
+func (k *Keeper) sealed(out *outputs, now time.Time) {
+	k.phase = phaseLoading
+	k.loaded = map[Segment][]*Entry{}
+	k.load(out, now)
+}
+
+// load asks for the segments that are still missing. They can't change any more.
+func (k *Keeper) load(out *outputs, now time.Time) {
+	if k.loading > 0 {
+		return
+	}
+	for _, s := range k.head.Segments {
+		if _, ok := k.loaded[s]; !ok {
+			k.loading++
+			out.add(ReadSegment{Segment: s})
+		}
+	}
+	if k.loading == 0 {
+		k.open(out, now)
+	}
+}
+
+func (k *Keeper) segmentRead(out *outputs, now time.Time, r SegmentRead) {
+	if k.phase != phaseLoading {
+		return
+	}
+	k.loading--
+	if r.Result != Done {
+		k.outage(out, now)
+		return
+	}
+	k.loaded[r.Segment] = r.Entries
+	k.retryAt = time.Time{}
+	k.load(out, now)
+}
+
+// open takes the log into memory and the waiting calls in.
+func (k *Keeper) open(out *outputs, now time.Time) {
+	k.phase, k.records, k.answers, k.pending = phaseReady, map[ID]*Entry{}, fifo{}, newQueue()
+	for _, s := range k.head.Segments {
+		k.replay(k.loaded[s])
+		k.lastAt = max(k.lastAt, s.Newest)
+	}
+	k.replay(k.head.Tail)
+	k.loaded = nil
+	early := k.early
+	k.early = nil
+	for _, c := range early {
+		k.admit(out, now, c)
+	}
+}
+
+func (k *Keeper) replay(entries []*Entry) {
+	for _, e := range entries {
+		k.note(e)
+		k.lastAt = max(k.lastAt, e.At)
+	}
+}
--- /dev/null
+++ b/keeper/port.go
@@ -0,0 +1,259 @@
+package keeper
+
+import "time"
+
+// Settings bound a keeper. Zero fields take the defaults of WithDefaults.
+type Settings struct {
+	Writes     float64       // commits a second in the long run
+	Burst      float64       // commits that may follow one another at once
+	Operations int           // operations in flight
+	Records    int           // records in memory
+	Answers    int           // bytes of answers in memory
+	Answer     int           // bytes of the largest answer that is kept
+	Tail       int           // bytes of the head's tail before it is archived
+	Retention  time.Duration // for which a record is kept at least
+	Grace      time.Duration // for which an answer waits for its outcome to be recorded
+	Retry      time.Duration // between tries of a store that is down
+	Tries      int           // workers tried when each says that it did not run the call
+}
+
+// WithDefaults fills the zero fields.
+func (s Settings) WithDefaults() Settings {
+	set(&s.Writes, 12)
+	set(&s.Burst, 2*s.Writes)
+	set(&s.Operations, 512)
+	set(&s.Records, 50_000)
+	set(&s.Answers, 4<<20)
+	set(&s.Answer, 4<<10)
+	set(&s.Tail, 32<<10)
+	set(&s.Retention, 6*time.Hour)
+	set(&s.Grace, 500*time.Millisecond)
+	set(&s.Retry, 250*time.Millisecond)
+	set(&s.Tries, 3)
+	return s
+}
+
+func set[T int | float64 | time.Duration](field *T, value T) {
+	if *field == 0 {
+		*field = value
+	}
+}
+
+// Call is one request for an operation, from an entry that waits for its end.
+type Call struct {
+	ID       ID
+	Hash     [16]byte
+	Dated    int64
+	Request  string // unique among all requests
+	From     string // the entry's host
+	Deadline time.Time
+}
+
+// Result is how a call of the store ended.
+type Result uint8
+
+// Results of a call of the store.
+const (
+	Done     Result = iota + 1
+	Missing         // no such object
+	Conflict        // the condition did not hold; nothing was written
+	Down            // certainly took no effect
+	Lost            // may have taken effect
+)
+
+// Input is what a keeper takes in.
+type Input interface{ input() }
+
+// Asked is a call that arrives.
+type Asked struct{ Call Call }
+
+// Went is an entry's word on Ready: whether it still waits for the request.
+type Went struct {
+	ID      ID
+	Request string
+	OK      bool
+}
+
+// Placed says that Acquire got a place.
+type Placed struct {
+	ID      ID
+	Attempt int
+}
+
+// Unplaced says that Acquire got none.
+type Unplaced struct {
+	ID      ID
+	Attempt int
+	Reason  string
+	After   time.Duration
+}
+
+// Answered is the end of a Send.
+type Answered struct {
+	ID      ID
+	Attempt int
+	Fate    Fate
+	Answer  *Answer // where Fate is FateRan
+}
+
+// Fate is what is known of a call that was sent.
+type Fate uint8
+
+// Fates of a call that was sent.
+const (
+	FateRan     Fate = iota + 1
+	FateNotRun       // certainly not run
+	FateUnknown      // may have run
+)
+
+// Wrote is the end of a WriteHead.
+type Wrote struct {
+	Stamp   Stamp
+	Version uint64
+	Result  Result
+}
+
+// HeadRead is the end of a ReadHead.
+type HeadRead struct {
+	Head    Head
+	Version uint64
+	Result  Result
+}
+
+// SegmentRead is the end of a ReadSegment.
+type SegmentRead struct {
+	Segment Segment
+	Entries []*Entry
+	Result  Result
+}
+
+// SegmentWrote is the end of a WriteSegment.
+type SegmentWrote struct {
+	Segment Segment
+	Result  Result
+}
+
+// Retired says that another host owns the partition now.
+type Retired struct{}
+
+// Ticked lets time pass.
+type Ticked struct{}
+
+func (Asked) input()        {}
+func (Went) input()         {}
+func (Placed) input()       {}
+func (Unplaced) input()     {}
+func (Answered) input()     {}
+func (Wrote) input()        {}
+func (HeadRead) input()     {}
+func (SegmentRead) input()  {}
+func (SegmentWrote) input() {}
+func (Retired) input()      {}
+func (Ticked) input()       {}
+
+// Output is what a keeper wants done.
+type Output interface{ output() }
+
+// Acquire asks for a place for the call of a request.
+type Acquire struct {
+	ID      ID
+	Request string
+	Attempt int
+}
+
+// Release gives a place back, or withdraws an Acquire that has no end yet.
+type Release struct {
+	ID      ID
+	Attempt int
+}
+
+// Ready asks an entry whether it still waits for a request. Its end is a Went.
+type Ready struct {
+	To      string
+	ID      ID
+	Request string
+	Epoch   uint64
+}
+
+// Send sends the call of a request to the place of the attempt. It is the only
+// output that can make an operation run. Its end is an Answered.
+type Send struct {
+	ID      ID
+	Request string
+	Attempt int
+}
+
+// WriteHead writes the head if its version is Match; 0 demands that there is none.
+type WriteHead struct {
+	Head  Head
+	Match uint64
+}
+
+// ReadHead reads the head.
+type ReadHead struct{}
+
+// WriteSegment writes a segment's object, unconditionally: its name is this
+// keeper's alone, and so is its content.
+type WriteSegment struct {
+	Segment Segment
+	Entries []*Entry
+}
+
+// ReadSegment reads a segment's object.
+type ReadSegment struct{ Segment Segment }
+
+// DropSegment deletes a segment's object, which no head names any more.
+type DropSegment struct{ Segment Segment }
+
+// Reply is the keeper's last word to an entry about a request.
+type Reply struct {
+	To      string
+	Request string
+	Verdict Verdict
+}
+
+// Kind is the kind of a Verdict.
+type Kind uint8
+
+// Kinds of a Verdict.
+const (
+	KindRan     Kind = iota + 1 // the answer is there
+	KindGone                    // ran; its answer is not kept
+	KindNotRun                  // this request was not run and will not be
+	KindUnknown                 // may have run
+	KindReused                  // the key belongs to another call; this one was not run
+	KindMoved                   // not run here: ask the partition's owner
+)
+
+// Verdict is what became of a request.
+type Verdict struct {
+	Kind   Kind
+	Reason string
+	After  time.Duration
+	Epoch  uint64 // of the keeper that speaks; 0 where it had not read the log
+	Answer *Answer
+}
+
+func (Acquire) output()      {}
+func (Release) output()      {}
+func (Ready) output()        {}
+func (Send) output()         {}
+func (WriteHead) output()    {}
+func (ReadHead) output()     {}
+func (WriteSegment) output() {}
+func (ReadSegment) output()  {}
+func (DropSegment) output()  {}
+func (Reply) output()        {}
+
+// Reasons of a Verdict.
+const (
+	ReasonStore    = "store_down"
+	ReasonDeadline = "deadline"
+	ReasonFull     = "once_full"
+	ReasonBusy     = "once_busy"
+	ReasonExpired  = "key_expired"
+	ReasonFuture   = "key_in_future"
+	ReasonMoved    = "keeper_moved"
+	ReasonWorkers  = "worker_unreachable"
+	ReasonCaller   = "caller_gone"
+)
--- /dev/null
+++ b/keeper/world_test.go
@@ -0,0 +1,309 @@
+package keeper_test
+
+import (
+	"container/heap"
+	"fmt"
+	"time"
+
+	"github.com/cicadawood/cicadawood/keeper"
+)
+
+// world plays two keepers, a store, a worker and two entries in one thread of
+// virtual time, and keeps the history that the promises are judged by.
+type world struct {
+	now      time.Time
+	start    time.Time
+	events   events
+	serial   int
+	settings keeper.Settings
+	hosts    map[string]*host
+	entries  map[string]*entry
+	owner    string
+	store    store
+	faults   []*injection
+	requests map[string]*request
+	order    []*request
+	runs     []run
+	wrong    []string // what broke on the way
+	refuse   int      // sends that the worker refuses, saying that it did not run them
+	cut      map[string]time.Time
+}
+
+// run is one run of an operation at the worker.
+type run struct {
+	key, request, body string
+	at                 time.Time
+}
+
+// request is one request of a caller, and what its caller was told.
+type request struct {
+	id, key, body, entry string
+	began                time.Time
+	waiter               keeper.Waiter
+	asked                string // host asked last
+	told                 *keeper.Verdict
+	toldAt               time.Time
+	runsBefore           int // of its key, when it was told
+}
+
+// actor is a process that can die or freeze.
+type actor struct {
+	dead   bool
+	thawed time.Time
+}
+
+type host struct {
+	actor
+	name        string
+	incarnation uint64
+	keeper      *keeper.Keeper
+}
+
+type entry struct{ actor }
+
+type event struct {
+	at     time.Time
+	serial int
+	do     func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at.Before(e[j].at) || e[i].at.Equal(e[j].at) && e[i].serial < e[j].serial
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	x := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return x
+}
+
+const (
+	hop         = time.Millisecond
+	storeTime   = 5 * time.Millisecond
+	storeLimit  = 3 * time.Second
+	workTime    = 20 * time.Millisecond
+	outage      = 2 * time.Second
+	deadline    = 4 * time.Second
+	lease       = 3 * time.Second
+	freezeTime  = 10 * time.Second
+	tickEvery   = 100 * time.Millisecond
+	slowness    = 1500 * time.Millisecond
+	askAgain    = time.Second
+	frameLate   = 6 * time.Second
+	entryExtra  = 200 * time.Millisecond
+	worldLength = 36 * time.Second
+)
+
+func newWorld(s keeper.Settings, faults ...*injection) *world {
+	start := time.Unix(1_800_000_000, 0)
+	w := &world{
+		now: start, start: start, settings: s, owner: "a", faults: faults, hosts: map[string]*host{},
+		entries: map[string]*entry{"e1": {}, "e2": {}, "e3": {}}, requests: map[string]*request{}, cut: map[string]time.Time{},
+	}
+	w.store.segments = map[keeper.Segment][]*keeper.Entry{}
+	for _, name := range []string{"a", "b"} {
+		w.boot(name, 1)
+	}
+	return w
+}
+
+func (w *world) boot(name string, incarnation uint64) {
+	h := &host{name: name, incarnation: incarnation, keeper: keeper.New(name, incarnation, w.settings)}
+	w.hosts[name] = h
+	w.after(tickEvery, func() { w.tick(h) })
+}
+
+func (w *world) after(d time.Duration, do func()) {
+	w.serial++
+	heap.Push(&w.events, event{at: w.now.Add(d), serial: w.serial, do: do})
+}
+
+func (w *world) play(length time.Duration) {
+	end := w.start.Add(length)
+	for len(w.events) > 0 && w.events[0].at.Before(end) {
+		e := heap.Pop(&w.events).(event)
+		w.now = e.at
+		e.do()
+	}
+}
+
+// act lets an actor do something: never when dead, later when frozen.
+func (w *world) act(a *actor, do func()) {
+	switch {
+	case a.dead:
+	case w.now.Before(a.thawed):
+		w.after(a.thawed.Sub(w.now), func() { w.act(a, do) })
+	default:
+		do()
+	}
+}
+
+func (w *world) tick(h *host) {
+	if h.dead {
+		return
+	}
+	if w.now.Before(h.thawed) {
+		w.after(h.thawed.Sub(w.now), func() { w.tick(h) })
+		return
+	}
+	w.input(h, keeper.Ticked{})
+	w.after(tickEvery, func() { w.tick(h) })
+}
+
+func (w *world) input(h *host, in keeper.Input) {
+	w.act(&h.actor, func() {
+		for _, o := range h.keeper.Handle(w.now, in) {
+			w.act(&h.actor, func() { w.perform(h, o) })
+		}
+	})
+}
+
+// kill ends a host; its successor owns the partition after the lease.
+func (w *world) kill(h *host) {
+	h.dead = true
+	w.after(lease, func() { w.give(other(h.name)) })
+	w.after(2*lease, func() { w.boot(h.name, h.incarnation+1) })
+}
+
+func (w *world) freeze(h *host) {
+	h.thawed = w.now.Add(freezeTime)
+	w.after(lease, func() { w.give(other(h.name)) })
+}
+
+// give moves the partition to a host, as a new roster does.
+func (w *world) give(name string) {
+	if w.owner == name {
+		return
+	}
+	h := w.hosts[w.owner]
+	w.owner = name
+	w.after(hop, func() { w.input(h, keeper.Retired{}) })
+}
+
+func other(name string) string {
+	if name == "a" {
+		return "b"
+	}
+	return "a"
+}
+
+func (w *world) call(q *request) keeper.Call {
+	return keeper.Call{
+		ID: keeper.NewID("org", "service", q.key), Hash: keeper.Hash([]byte(q.body)), Dated: keeper.DateOf(q.key),
+		Request: q.id, From: q.entry, Deadline: w.now.Add(max(0, q.began.Add(deadline).Sub(w.now))),
+	}
+}
+
+// request starts a caller's request at an entry after a while.
+func (w *world) request(after time.Duration, id, key, body, entry string) {
+	q := &request{id: id, key: key, body: body, entry: entry}
+	w.requests[id], w.order = q, append(w.order, q)
+	w.after(after, func() {
+		w.act(&w.entries[entry].actor, func() {
+			q.began = w.now
+			w.atEntry(received, q, func() { w.askOwner(q) })
+		})
+	})
+}
+
+// askOwner asks the owner, and again where its word does not come.
+func (w *world) askOwner(q *request) {
+	e := w.entries[q.entry]
+	w.act(&e.actor, func() {
+		if q.told != nil {
+			return
+		}
+		if w.now.Sub(q.began) > deadline+entryExtra {
+			v := q.waiter.Expired()
+			w.tell(q, v)
+			return
+		}
+		q.asked = w.owner
+		h := w.hosts[w.owner]
+		c := w.call(q)
+		w.atEntry(asked, q, func() {
+			w.frame(asked, q.entry, h.name, func() { w.input(w.hosts[h.name], keeper.Asked{Call: c}) })
+		})
+		w.after(askAgain, func() { w.askOwner(q) })
+	})
+}
+
+func (w *world) tell(q *request, v keeper.Verdict) {
+	q.told, q.toldAt, q.runsBefore = &v, w.now, w.count(q.key)
+}
+
+func (w *world) count(key string) int {
+	n := 0
+	for _, r := range w.runs {
+		if r.key == key {
+			n++
+		}
+	}
+	return n
+}
+
+// heard is a keeper's word at an entry.
+func (w *world) heard(o keeper.Reply) {
+	q := w.requests[o.Request]
+	w.act(&w.entries[o.To].actor, func() {
+		if q.told != nil {
+			return
+		}
+		v, last := q.waiter.Verdict(o.Verdict)
+		if last {
+			w.tell(q, v)
+			return
+		}
+		if v.Kind == keeper.KindMoved && q.asked != w.owner {
+			w.askOwner(q)
+		}
+	})
+}
+
+// confirm is a keeper's question at an entry.
+func (w *world) confirm(h *host, o keeper.Ready) {
+	q := w.requests[o.Request]
+	w.act(&w.entries[o.To].actor, func() {
+		ok := q.told == nil && q.waiter.Ready(o)
+		w.frame(asked, o.To, h.name, func() {
+			w.input(w.hosts[h.name], keeper.Went{ID: o.ID, Request: o.Request, OK: ok})
+		})
+	})
+}
+
+func (w *world) send(h *host, o keeper.Send, f *injection) {
+	q := w.requests[o.Request]
+	fate := func(after time.Duration, fate keeper.Fate, a *keeper.Answer) {
+		w.after(after, func() { w.answer(h, o, fate, a) })
+	}
+	work := func() *keeper.Answer {
+		w.runs = append(w.runs, run{key: q.key, request: q.id, body: q.body, at: w.now})
+		return &keeper.Answer{Status: 200, Body: []byte(fmt.Sprintf("run %d", len(w.runs)))}
+	}
+	if w.refuse > 0 {
+		w.refuse--
+		fate(hop, keeper.FateNotRun, nil)
+		return
+	}
+	switch f.kind() {
+	case cutOne:
+		fate(hop, keeper.FateUnknown, nil)
+	case cutBoth: // the call was under way when the connection broke
+		w.after(outage, func() { work() })
+		fate(hop, keeper.FateUnknown, nil)
+	case silence:
+		work()
+		fate(storeLimit, keeper.FateUnknown, nil)
+	case lostReply, crossed:
+		work()
+		fate(workTime, keeper.FateUnknown, nil)
+	case slow:
+		fate(slowness, keeper.FateRan, work())
+	default:
+		fate(workTime, keeper.FateRan, work())
+	}
+}
--- a/prover/prover.go
+++ b/prover/prover.go
@@ -83,12 +83,13 @@
 	pairPrefix = "pair:"
 )
 
-// Cell is the label of a test that proves a fault at a step.
-func Cell(s Step, f Fault) string { return fmt.Sprintf("%s%s/%s", cellPrefix, s, f) }
+// Cell is the label of a test that proves a fault at a step. Ginkgo allows no
+// slash in a label.
+func Cell(s Step, f Fault) string { return fmt.Sprintf("%s%s.%s", cellPrefix, s, f) }
 
 // Pair is the label of a test that proves two faults together or in sequence.
 func Pair(s1 Step, f1 Fault, s2 Step, f2 Fault) string {
-	return fmt.Sprintf("%s%s/%s+%s/%s", pairPrefix, s1, f1, s2, f2)
+	return fmt.Sprintf("%s%s.%s+%s.%s", pairPrefix, s1, f1, s2, f2)
 }
 
 // IsCell says whether a label is a Cell.
