Run calls that must not be repeated through their keeper

Cause: a route with once was forwarded like any other, so a repeated hold ran again. Change: the entry passes the call to the keeper of its key's partition, which gets a place, records, sends, records and answers. Partitions are counted once for all in the Object API (once/layout): under two counts a key would have two keepers. A planned stop waits for the operations of its keepers.

--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -43,6 +43,7 @@
 	tokens  float64   // commits that may start at once
 	filled  time.Time // when tokens were last counted
 
+	retired bool // another host owns the partition
 	early   []Call
 	ops     map[ID]*operation
 	serial  uint64
@@ -117,6 +118,7 @@
 }
 
 func (k *Keeper) ask(out *outputs, now time.Time, c Call) {
+	k.retired = false
 	if k.phase == phaseReady {
 		k.admit(out, now, c)
 		return
@@ -149,6 +151,9 @@
 	for _, op := range k.sorted() {
 		k.age(out, now, op)
 	}
+	if k.retired && k.phase == phaseReady && !k.busy && len(k.ops) == 0 && k.pending.len() == 0 {
+		k.lost(out) // the memory is not needed any more
+	}
 }
 
 // outage answers at once what needs the store. An operation whose intent is
@@ -201,6 +206,7 @@
 // retire hands the partition over: what has no place yet asks the next keeper,
 // what has one ends here.
 func (k *Keeper) retire(out *outputs, _ time.Time) {
+	k.retired = true
 	for _, c := range k.early {
 		out.reply(c, Verdict{Kind: KindMoved, Reason: ReasonMoved})
 	}
--- a/keeper/port.go
+++ b/keeper/port.go
@@ -225,6 +225,16 @@
 	KindMoved                   // not run here: ask the partition's owner
 )
 
+var kindNames = [...]string{"", "ran", "gone", "not_run", "unknown", "reused", "moved"}
+
+// String is the kind's name in logs and metrics.
+func (k Kind) String() string {
+	if int(k) >= len(kindNames) {
+		return ""
+	}
+	return kindNames[k]
+}
+
 // Verdict is what became of a request.
 type Verdict struct {
 	Kind   Kind
--- a/loader/host.go
+++ b/loader/host.go
@@ -32,6 +32,7 @@
 	Lease   Duration `json:"lease"`   // of this host's record
 	Drain   Duration `json:"drain"`   // for requests in flight to end after SIGTERM
 	Settle  Duration `json:"settle"`  // for the balancer to notice unreadiness
+	Once    Once     `json:"once"`    // of calls that must not be repeated
 }
 
 func (l Limits) withDefaults() Limits {
@@ -58,6 +59,7 @@
 	set(&l.Lease, 5*time.Second)
 	set(&l.Drain, 60*time.Second)
 	set(&l.Settle, 3*time.Second)
+	l.Once = l.Once.withDefaults()
 	return l
 }
 
--- a/messenger/message.go
+++ b/messenger/message.go
@@ -134,6 +134,9 @@
 	case "moved":
 		return decode[Moved](e)
 	default:
+		if m, ok, err := decodeOnce(e); ok {
+			return m, err
+		}
 		return nil, fmt.Errorf("%w: kind %q", ErrFrame, e.Kind)
 	}
 }
--- /dev/null
+++ b/messenger/message_once.go
@@ -0,0 +1,70 @@
+package messenger
+
+import "time"
+
+// Once passes a call that must not be repeated from its entry to the keeper of
+// its key. One that is repeated with the same Request changes nothing.
+type Once struct {
+	Request   string              `msgpack:"request"`
+	Partition int                 `msgpack:"part"`
+	ID        []byte              `msgpack:"id"`    // of the operation: 16 bytes
+	Hash      []byte              `msgpack:"hash"`  // of method, path and body: 16 bytes
+	Dated     int64               `msgpack:"dated"` // Unix milliseconds that the key carries; 0 for none
+	Service   string              `msgpack:"service"`
+	Ask       Ask                 `msgpack:"ask"` // Deadline is what is left of it
+	Tier      int                 `msgpack:"tier"`
+	Method    string              `msgpack:"method"`
+	Path      string              `msgpack:"path"`
+	Header    map[string][]string `msgpack:"header"`
+	Body      []byte              `msgpack:"body"`
+}
+
+// OnceReady asks the entry whether it still waits for a request.
+type OnceReady struct {
+	Request   string `msgpack:"request"`
+	Partition int    `msgpack:"part"`
+	ID        []byte `msgpack:"id"`
+	Order     uint64 `msgpack:"order"` // grows with every operation of the partition
+}
+
+// OnceGo answers OnceReady.
+type OnceGo struct {
+	Request   string `msgpack:"request"`
+	Partition int    `msgpack:"part"`
+	ID        []byte `msgpack:"id"`
+	OK        bool   `msgpack:"ok"`
+}
+
+// OnceVerdict is a keeper's word about a request. Kind is a keeper.Kind.
+type OnceVerdict struct {
+	Request string              `msgpack:"request"`
+	Kind    uint8               `msgpack:"kind"`
+	Reason  string              `msgpack:"reason"`
+	After   time.Duration       `msgpack:"after"`
+	Order   uint64              `msgpack:"order"` // 0 where the keeper had not read its log
+	Status  int                 `msgpack:"status"`
+	Header  map[string][]string `msgpack:"header"`
+	Body    []byte              `msgpack:"body"`
+}
+
+func (Once) kind() string        { return "once" }
+func (OnceReady) kind() string   { return "onceready" }
+func (OnceGo) kind() string      { return "oncego" }
+func (OnceVerdict) kind() string { return "onceverdict" }
+
+// decodeOnce decodes the messages of this file; ok is false for others.
+func decodeOnce(e Envelope) (m Message, ok bool, err error) {
+	switch e.Kind {
+	case "once":
+		m, err = decode[Once](e)
+	case "onceready":
+		m, err = decode[OnceReady](e)
+	case "oncego":
+		m, err = decode[OnceGo](e)
+	case "onceverdict":
+		m, err = decode[OnceVerdict](e)
+	default:
+		return nil, false, nil
+	}
+	return m, true, err
+}
--- a/runner/control.go
+++ b/runner/control.go
@@ -49,6 +49,7 @@
 	byService  map[string][]string
 	owned      map[string]*dispatcher.Dispatcher
 	calls      map[string]*call
+	keeping    *keeping
 }
 
 func newControl(self string, epoch uint64, s sender, log *zap.Logger) *control {
@@ -71,6 +72,7 @@
 			for _, d := range c.owned {
 				c.emit(now, d.Tick(now))
 			}
+			c.keeping.tick(now)
 		case e := <-c.events:
 			c.take(time.Now(), e)
 		}
@@ -93,6 +95,8 @@
 		c.enroll(now, e.roster)
 	case stateAsked:
 		e.reply <- c.state()
+	default:
+		c.keeping.take(now, e)
 	}
 }
 
@@ -116,6 +120,8 @@
 	case messenger.Preempt:
 		c.preempted(m)
 	case messenger.Moved:
+	default:
+		c.keeping.deliver(now, from, m)
 	}
 }
 
@@ -281,4 +287,5 @@
 			c.register(now, k)
 		}
 	}
+	c.keeping.enroll(now, r)
 }
--- a/runner/host.go
+++ b/runner/host.go
@@ -63,6 +63,8 @@
 		h.control.events <- rosterChanged{roster: r}
 	})
 	h.server = server.New(settings.Limits, h.follower, h.control, forward, log, server.NewMetrics(registry))
+	h.control.keeping = newKeeping(h.control, store, forward, settings.Limits.Once, newKeepingMetrics(registry), log)
+	h.server.SetOnce(h.control)
 	return h.run(ctx, registry)
 }
 
@@ -80,6 +82,7 @@
 	inner, stop := context.WithCancel(context.Background())
 	var tasks sync.WaitGroup
 	tasks.Go(func() { h.control.run(inner) })
+	tasks.Go(func() { h.control.keeping.runLayout(inner) })
 	tasks.Go(func() { h.follower.Run(inner) })
 	tasks.Go(func() { h.registrar.Run(inner) })
 	admin := &http.Server{Handler: h.admin(registry), ReadHeaderTimeout: time.Second}
@@ -111,6 +114,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), h.settings.Limits.Drain.Std())
 	defer cancel()
 	err := h.server.Shutdown(ctx)
+	h.control.settleOnce(ctx)
 	h.log.Info("left", zap.Int64("cut", h.server.Calls()))
 	return err
 }
--- /dev/null
+++ b/runner/keeping.go
@@ -0,0 +1,283 @@
+package runner
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/cicadawood/cicadawood/forwarder"
+	"github.com/cicadawood/cicadawood/keeper"
+	"github.com/cicadawood/cicadawood/loader"
+	"github.com/cicadawood/cicadawood/messenger"
+	"github.com/cicadawood/cicadawood/registrar"
+	"github.com/cicadawood/cicadawood/server"
+	"github.com/cicadawood/cicadawood/storer"
+)
+
+// caller is the port to backend servers.
+type caller interface {
+	Do(ctx context.Context, address string, c forwarder.Call) (*forwarder.Answer, error)
+}
+
+// keeping is a host's part in running calls at most once: the keepers of its
+// partitions, and its entry's calls. The control goroutine owns it.
+type keeping struct {
+	control *control
+	store   storer.Store
+	forward caller
+	limits  loader.Once
+	metrics *keepingMetrics
+	log     *zap.Logger
+
+	partitions int // 0 until the Object API has told
+	keepers    map[int]*kept
+	calls      map[string]*onceCall // of this host's entry, by request
+	places     uint64               // asked for so far
+}
+
+// kept is one partition's keeper with what its outputs need.
+type kept struct {
+	partition int
+	keeper    *keeper.Keeper
+	payloads  map[string]payload // by request
+	places    map[attempt]*placing
+	tried     map[keeper.ID][]string // workers that did not run the call
+	epoch     uint64
+	inputs    []keeper.Input // that came while an earlier one is handled
+	handling  bool
+}
+
+// payload is a call that a keeper may have to send.
+type payload struct {
+	message messenger.Once
+	until   time.Time
+}
+
+// attempt names one Acquire.
+type attempt struct {
+	id     keeper.ID
+	number int
+}
+
+// placing is an Acquire from its start to its Release.
+type placing struct {
+	cancel  context.CancelFunc
+	place   *server.Place // nil while it waits
+	use     server.Use
+	granted time.Time
+}
+
+func newKeeping(c *control, s storer.Store, f caller, l loader.Once, m *keepingMetrics, log *zap.Logger) *keeping {
+	return &keeping{
+		control: c, store: s, forward: f, limits: l, metrics: m, log: log,
+		keepers: map[int]*kept{}, calls: map[string]*onceCall{},
+	}
+}
+
+func (k *keeping) settings() keeper.Settings {
+	return keeper.Settings{
+		Writes: k.limits.Writes, Operations: k.limits.Operations, Records: k.limits.Records,
+		Answers: k.limits.Answers, Answer: k.limits.Answer, Retention: k.limits.Retention.Std(),
+	}
+}
+
+// role is the name by which the roster gives a partition to a host.
+func role(partition int) string { return fmt.Sprintf("once/%d", partition) }
+
+// take takes an event about calls that must not be repeated.
+func (k *keeping) take(now time.Time, e event) {
+	switch e := e.(type) {
+	case onceAsked:
+		k.begin(now, e)
+	case keptInput:
+		k.handle(now, e.kept, e.input)
+	case placeFound:
+		k.found(now, e)
+	case callEnded:
+		k.ended(now, e)
+	case layoutKnown:
+		k.partitions = e.partitions
+	case busyAsked:
+		e.reply <- k.busy(now)
+	}
+}
+
+// deliver takes a message about a call that must not be repeated.
+func (k *keeping) deliver(now time.Time, from string, m messenger.Message) {
+	if k == nil {
+		return
+	}
+	switch m := m.(type) {
+	case messenger.Once:
+		k.asked(now, from, m)
+	case messenger.OnceGo:
+		if p := k.keepers[m.Partition]; p != nil && len(m.ID) == len(keeper.ID{}) {
+			k.handle(now, p, keeper.Went{ID: keeper.ID(m.ID), Request: m.Request, OK: m.OK})
+		}
+	case messenger.OnceReady:
+		k.ready(now, from, m)
+	case messenger.OnceVerdict:
+		k.verdict(now, m)
+	}
+}
+
+// asked takes a call for a partition. A host that is not its owner says so: two
+// keepers that both serve would only seal each other out, again and again.
+func (k *keeping) asked(now time.Time, from string, m messenger.Once) {
+	owner, ok := k.control.roster.Owner(role(m.Partition))
+	if !ok || owner.Name != k.control.self || len(m.ID) != len(keeper.ID{}) || len(m.Hash) != len(keeper.ID{}) {
+		k.control.send(now, from, messenger.OnceVerdict{Request: m.Request, Kind: uint8(keeper.KindMoved), Reason: keeper.ReasonMoved})
+		return
+	}
+	p := k.keepers[m.Partition]
+	if p == nil {
+		p = &kept{
+			partition: m.Partition, keeper: keeper.New(k.control.self, k.control.epoch, k.settings()),
+			payloads: map[string]payload{}, places: map[attempt]*placing{}, tried: map[keeper.ID][]string{},
+		}
+		k.keepers[m.Partition] = p
+	}
+	deadline := now.Add(m.Ask.Deadline)
+	p.payloads[m.Request] = payload{message: m, until: deadline}
+	k.handle(now, p, keeper.Asked{Call: keeper.Call{
+		ID: keeper.ID(m.ID), Hash: [16]byte(m.Hash), Dated: m.Dated, Request: m.Request, From: from, Deadline: deadline,
+	}})
+}
+
+// handle gives a keeper an input and does what it wants done, in order: an input
+// that this causes at once, by a message to this host itself, waits its turn.
+func (k *keeping) handle(now time.Time, p *kept, in keeper.Input) {
+	p.inputs = append(p.inputs, in)
+	if p.handling {
+		return
+	}
+	p.handling = true
+	for len(p.inputs) > 0 {
+		in, p.inputs = p.inputs[0], p.inputs[1:]
+		for _, o := range p.keeper.Handle(now, in) {
+			k.perform(now, p, o)
+		}
+	}
+	p.handling = false
+}
+
+// later brings an input from a traffic goroutine back to the control goroutine.
+func (k *keeping) later(p *kept, in keeper.Input) { k.control.events <- keptInput{kept: p, input: in} }
+
+func (k *keeping) perform(now time.Time, p *kept, o keeper.Output) {
+	switch o := o.(type) {
+	case keeper.Acquire:
+		k.acquire(now, p, o)
+	case keeper.Release:
+		k.release(now, p, o)
+	case keeper.Ready:
+		k.control.send(now, o.To, messenger.OnceReady{Request: o.Request, Partition: p.partition, ID: o.ID[:], Order: o.Epoch})
+	case keeper.Send:
+		k.send(now, p, o)
+	case keeper.Reply:
+		k.reply(now, p, o)
+	default:
+		k.metrics.count(o)
+		go k.call(p, o)
+	}
+}
+
+func (k *keeping) reply(now time.Time, p *kept, o keeper.Reply) {
+	v := o.Verdict
+	delete(p.payloads, o.Request)
+	k.metrics.verdict(v.Kind)
+	k.log.Info("once", zap.String("request", o.Request), zap.String("entry", o.To), zap.Int("partition", p.partition),
+		zap.String("verdict", v.Kind.String()), zap.String("reason", v.Reason), zap.Uint64("order", v.Epoch))
+	m := messenger.OnceVerdict{Request: o.Request, Kind: uint8(v.Kind), Reason: v.Reason, After: v.After, Order: v.Epoch}
+	if v.Answer != nil {
+		m.Status, m.Header, m.Body = v.Answer.Status, v.Answer.Header, v.Answer.Body
+	}
+	k.control.send(now, o.To, m)
+}
+
+// tick lets time pass for keepers and for the entry's calls.
+func (k *keeping) tick(now time.Time) {
+	if k == nil {
+		return
+	}
+	for _, p := range k.keepers {
+		k.handle(now, p, keeper.Ticked{})
+		for request, load := range p.payloads {
+			if now.After(load.until) {
+				delete(p.payloads, request)
+			}
+		}
+		if s := p.keeper.Summary(now); s.Epoch != p.epoch {
+			k.log.Info("partition", zap.Int("partition", p.partition), zap.Uint64("epoch", s.Epoch), zap.Bool("ready", s.Ready))
+			p.epoch = s.Epoch
+		}
+	}
+	k.metrics.gauge(now, k.keepers)
+	for _, c := range k.calls {
+		k.watch(now, c)
+	}
+}
+
+// enroll hands over the partitions that have a new owner.
+func (k *keeping) enroll(now time.Time, r registrar.Roster) {
+	if k == nil {
+		return
+	}
+	for partition, p := range k.keepers {
+		if owner, ok := r.Owner(role(partition)); ok && owner.Name != k.control.self {
+			k.handle(now, p, keeper.Retired{})
+		}
+	}
+	for _, c := range k.calls {
+		if owner, ok := r.Owner(role(c.message.Partition)); ok && owner.Name != c.owner {
+			k.register(now, c)
+		}
+	}
+}
+
+// busyAsked wants the operations in flight at this host's keepers.
+type busyAsked struct{ reply chan<- int }
+
+func (busyAsked) event() {}
+
+// settleOnce waits until this host's keepers have no operation in flight, or
+// ctx ends: a planned stop cuts none off.
+func (c *control) settleOnce(ctx context.Context) {
+	for ctx.Err() == nil {
+		reply := make(chan int, 1)
+		c.events <- busyAsked{reply: reply}
+		if <-reply == 0 {
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(tickEvery):
+		}
+	}
+}
+
+// busy is the operations in flight at this host's keepers.
+func (k *keeping) busy(now time.Time) int {
+	n := 0
+	if k == nil {
+		return n
+	}
+	for _, p := range k.keepers {
+		n += p.keeper.Summary(now).Operations
+	}
+	return n
+}
+
+func (k *keeping) state() map[int]keeper.Summary {
+	out := map[int]keeper.Summary{}
+	if k == nil {
+		return out
+	}
+	now := time.Now()
+	for partition, p := range k.keepers {
+		out[partition] = p.keeper.Summary(now)
+	}
+	return out
+}
--- /dev/null
+++ b/runner/keeping_entry.go
@@ -0,0 +1,113 @@
+package runner
+
+import (
+	"context"
+	"time"
+
+	"github.com/cicadawood/cicadawood/keeper"
+	"github.com/cicadawood/cicadawood/messenger"
+	"github.com/cicadawood/cicadawood/server"
+)
+
+const (
+	keeperSilence = time.Second            // before the owner is asked again
+	movedPause    = 50 * time.Millisecond  // before the next owner is asked
+	entryExtra    = 250 * time.Millisecond // past its deadline, for the keeper's word
+)
+
+// onceCall is one call of this host's entry that must not be repeated.
+type onceCall struct {
+	message messenger.Once
+	waiter  keeper.Waiter
+	reply   chan<- messenger.OnceVerdict
+	owner   string    // host asked last; "" where none was
+	again   time.Time // when to ask next
+	ends    time.Time // its deadline
+}
+
+// onceAsked starts a call.
+type onceAsked struct {
+	message messenger.Once
+	reply   chan<- messenger.OnceVerdict
+}
+
+func (onceAsked) event() {}
+
+var _ server.Once = (*control)(nil)
+
+// RunOnce implements server.Once.
+func (c *control) RunOnce(ctx context.Context, m messenger.Once) (messenger.OnceVerdict, error) {
+	reply := make(chan messenger.OnceVerdict, 1)
+	c.events <- onceAsked{message: m, reply: reply}
+	select {
+	case v := <-reply:
+		return v, nil
+	case <-ctx.Done():
+		return messenger.OnceVerdict{}, server.ErrGone
+	}
+}
+
+func (k *keeping) begin(now time.Time, e onceAsked) {
+	if k == nil || k.partitions == 0 {
+		e.reply <- messenger.OnceVerdict{Kind: uint8(keeper.KindNotRun), Reason: keeper.ReasonStore, After: time.Second}
+		return
+	}
+	c := &onceCall{message: e.message, reply: e.reply, ends: now.Add(e.message.Ask.Deadline)}
+	c.message.Partition = keeper.ID(e.message.ID).Partition(k.partitions)
+	k.calls[e.message.Request] = c
+	k.register(now, c)
+}
+
+// register asks the present owner of the call's partition.
+func (k *keeping) register(now time.Time, c *onceCall) {
+	c.again = now.Add(keeperSilence)
+	owner, ok := k.control.roster.Owner(role(c.message.Partition))
+	if !ok || !now.Before(c.ends) {
+		return
+	}
+	c.owner = owner.Name
+	m := c.message
+	m.Ask.Deadline = c.ends.Sub(now)
+	m.Ask.Waited += c.message.Ask.Deadline - m.Ask.Deadline
+	k.control.send(now, c.owner, m)
+}
+
+// watch asks again where the keeper's word does not come, and gives up after
+// the deadline. A call that no keeper was ever asked for was not run.
+func (k *keeping) watch(now time.Time, c *onceCall) {
+	switch {
+	case now.After(c.ends.Add(entryExtra)) && c.owner == "":
+		k.tell(c, messenger.OnceVerdict{Kind: uint8(keeper.KindNotRun), Reason: "no_keeper", After: time.Second})
+	case now.After(c.ends.Add(entryExtra)):
+		v := c.waiter.Expired()
+		k.tell(c, messenger.OnceVerdict{Kind: uint8(v.Kind), Reason: v.Reason})
+	case now.After(c.again):
+		k.register(now, c)
+	}
+}
+
+func (k *keeping) tell(c *onceCall, v messenger.OnceVerdict) {
+	delete(k.calls, c.message.Request)
+	c.reply <- v
+}
+
+// ready answers a keeper whether the entry still waits for a request.
+func (k *keeping) ready(now time.Time, from string, m messenger.OnceReady) {
+	c := k.calls[m.Request]
+	ok := c != nil && c.waiter.Ready(keeper.Ready{Epoch: m.Order})
+	k.control.send(now, from, messenger.OnceGo{Request: m.Request, Partition: m.Partition, ID: m.ID, OK: ok})
+}
+
+func (k *keeping) verdict(now time.Time, m messenger.OnceVerdict) {
+	c := k.calls[m.Request]
+	if c == nil {
+		return // late, or twice
+	}
+	v, last := c.waiter.Verdict(keeper.Verdict{Kind: keeper.Kind(m.Kind), Reason: m.Reason, After: m.After, Epoch: m.Order})
+	if !last {
+		c.again = now.Add(movedPause)
+		return
+	}
+	m.Kind, m.Reason, m.After = uint8(v.Kind), v.Reason, v.After
+	k.tell(c, m)
+}
--- a/runner/state.go
+++ b/runner/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/cicadawood/cicadawood/dispatcher"
+	"github.com/cicadawood/cicadawood/keeper"
 	"github.com/cicadawood/cicadawood/registrar"
 )
 
@@ -17,6 +18,8 @@
 	Roster     []registrar.Record `json:"roster"`
 	Cells      []dispatcher.State `json:"cells"`
 	Calls      map[string]string  `json:"calls"` // worker by request, "" while it waits
+
+	Keepers map[int]keeper.Summary `json:"keepers"` // by partition
 }
 
 func (c *control) state() State {
@@ -28,5 +31,6 @@
 	for id, k := range c.calls {
 		s.Calls[id] = k.worker
 	}
+	s.Keepers = c.keeping.state()
 	return s
 }
--- a/server/server.go
+++ b/server/server.go
@@ -29,6 +29,7 @@
 	config    Configuration
 	places    Allocator
 	forwarder *forwarder.Forwarder
+	once      Once
 	log       *zap.Logger
 	metrics   *Metrics
 	ready     atomic.Bool
@@ -192,7 +193,11 @@
 	}
 	if fail == nil {
 		c.Body, c.Request, c.Tier = q.body, q.id, q.tier
-		fail = s.serve(r.Context(), w, q, c)
+		if q.once && s.once != nil {
+			fail = s.serveOnce(r.Context(), w, q, c)
+		} else {
+			fail = s.serve(r.Context(), w, q, c)
+		}
 	}
 	outcome := "answered"
 	if fail != nil {
