--- /dev/null
+++ b/keeper/keeping_test.go
@@ -0,0 +1,224 @@
+package keeper_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cicadawood/cicadawood/keeper"
+	"github.com/cicadawood/cicadawood/prover"
+)
+
+// verdicts plays a world to its end and returns what each request was told.
+func verdicts(w *world) map[string]keeper.Verdict {
+	GinkgoHelper()
+	check(w)
+	out := map[string]keeper.Verdict{}
+	for _, q := range w.order {
+		out[q.id] = *q.told
+	}
+	return out
+}
+
+// dated is a key that carries a time of the world.
+func dated(at time.Time) string {
+	x := fmt.Sprintf("%012x", at.UnixMilli())
+	return x[:8] + "-" + x[8:] + "-7000-8000-000000000000"
+}
+
+var _ = Describe("Keeper", func() {
+	// The platform is down when a passenger books. The hold is refused at once,
+	// not at its deadline, and the passenger may book again after.
+	It("refuses at once in an outage, and the key runs after it", func() {
+		w := newWorld(keeper.Settings{})
+		w.request(0, "r1", "k1", "seat", "e1")
+		w.after(time.Second, func() { w.store.downUntil = w.now.Add(5 * time.Second) })
+		w.request(2*time.Second, "r2", "k2", "seat", "e1")
+		w.request(3*time.Second, "r3", "k2", "seat", "e1")
+		w.request(3*time.Second, "r4", "k1", "seat", "e1")
+		w.request(8*time.Second, "r5", "k2", "seat", "e1")
+		v := verdicts(w)
+		Expect(v["r2"].Reason).To(Equal(keeper.ReasonStore))
+		Expect(w.requests["r2"].toldAt.Sub(w.requests["r2"].began)).To(BeNumerically("<", 100*time.Millisecond))
+		Expect(w.requests["r3"].toldAt.Sub(w.requests["r3"].began)).To(BeNumerically("<", 10*time.Millisecond))
+		Expect(v["r3"].Kind).To(Equal(keeper.KindNotRun))
+		Expect(v["r4"].Kind).To(Equal(keeper.KindRan), "a repeated key needs no store")
+		Expect(v["r5"].Kind).To(Equal(keeper.KindRan))
+	})
+
+	// The store takes the intent but its reply is lost, and it is down at once
+	// after. The hold is told not run. The keeper changes. The passenger books
+	// again with the same key: the void intent must not stand in the way.
+	It("voids an intent that may be recorded, so that the key can run", func() {
+		w := newWorld(keeper.Settings{}, &injection{step: intent, fault: lostReply, nth: 1})
+		w.request(0, "r1", "k1", "seat", "e1")
+		w.request(time.Second, "r2", "k2", "seat", "e1")
+		w.after(1009*time.Millisecond, func() { w.store.downUntil = w.now.Add(time.Second) })
+		w.after(6*time.Second, func() { w.handOver() })
+		w.request(8*time.Second, "r3", "k2", "seat", "e1")
+		v := verdicts(w)
+		Expect(v["r2"].Kind).To(Equal(keeper.KindNotRun))
+		Expect(v["r3"].Kind).To(Equal(keeper.KindRan))
+	})
+
+	// The answer came, but the store does not take its outcome, or takes long. The
+	// caller gets the answer after the grace, and a repeated key the same one.
+	DescribeTable("gives an answer although its outcome is not recorded yet",
+		func(f prover.Fault) {
+			w := newWorld(keeper.Settings{}, &injection{step: outcome, fault: f})
+			w.request(0, "r1", "k1", "seat", "e1")
+			w.request(800*time.Millisecond, "r2", "k1", "seat", "e2")
+			v := verdicts(w)
+			Expect(v["r1"].Kind).To(Equal(keeper.KindRan))
+			Expect(w.requests["r1"].toldAt.Sub(w.requests["r1"].began)).To(BeNumerically("<", time.Second))
+			Expect(v["r2"].Answer).To(Equal(v["r1"].Answer))
+		},
+		Entry("store down", storeDown),
+		Entry("store slow", storeSlow),
+	)
+
+	// A hold's frame arrives twice, the second time long after the passenger was
+	// told that no worker took it, and the entry's first word on it is lost. It must
+	// not run before the entry has spoken.
+	It("does not run a request whose caller has been answered", func() {
+		w := newWorld(keeper.Settings{Tries: 1}, &injection{step: asked, fault: reorder}, &injection{step: asked, fault: cutOne, nth: 1})
+		w.refuse = 1
+		w.request(0, "r1", "k1", "seat", "e1")
+		Expect(verdicts(w)["r1"].Kind).To(Equal(keeper.KindNotRun))
+		Expect(w.runs).To(BeEmpty())
+	})
+
+	// A worker that is leaving refuses a hold and says that it did not run it.
+	// The keeper tries another, and gives up after some tries.
+	DescribeTable("tries another worker only after a certain not run",
+		func(refused int, want keeper.Kind) {
+			w := newWorld(keeper.Settings{})
+			w.refuse = refused
+			w.request(0, "r1", "k1", "seat", "e1")
+			w.request(time.Second, "r2", "k1", "seat", "e1")
+			v := verdicts(w)
+			Expect(v["r1"].Kind).To(Equal(want))
+			Expect(v["r2"].Kind).To(Equal(keeper.KindRan))
+		},
+		Entry("one refuses", 1, keeper.KindRan),
+		Entry("two refuse", 2, keeper.KindRan),
+		Entry("all refuse", 3, keeper.KindNotRun),
+	)
+
+	// A key comes back long after its record was forgotten. One that carries its
+	// date must not run a second time; it is told that it may have run.
+	It("never runs a dated key again that it has forgotten", func() {
+		w := newWorld(keeper.Settings{Tail: 1, Retention: 2 * time.Second})
+		old := dated(w.start.Add(-time.Second))
+		w.request(0, "r1", old, "seat", "e1")
+		for i := range 8 {
+			w.request(time.Duration(i+1)*time.Second, fmt.Sprintf("x%d", i), dated(w.start.Add(time.Duration(i)*time.Second)), "seat", "e2")
+		}
+		w.request(10*time.Second, "r2", old, "seat", "e1")
+		w.after(15*time.Second, func() { w.handOver() })
+		w.request(16*time.Second, "r3", old, "seat", "e1")
+		w.request(17*time.Second, "r4", dated(w.start.Add(16*time.Second)), "seat", "e1")
+		v := verdicts(w)
+		Expect(v["r1"].Kind).To(Equal(keeper.KindRan))
+		Expect(v["r2"]).To(SatisfyAll(HaveField("Kind", keeper.KindUnknown), HaveField("Reason", keeper.ReasonExpired)))
+		Expect(v["r3"]).To(SatisfyAll(HaveField("Kind", keeper.KindUnknown), HaveField("Reason", keeper.ReasonExpired)))
+		Expect(v["r4"].Kind).To(Equal(keeper.KindRan))
+		Expect(len(w.store.segments)).To(BeNumerically("<", 6), "forgotten segments are deleted")
+	})
+
+	// The write that forgets a record fails. Its key must still be known.
+	It("forgets only what the head has dropped", func() {
+		w := newWorld(keeper.Settings{Tail: 1, Retention: 2 * time.Second})
+		old := dated(w.start)
+		w.request(0, "r1", old, "seat", "e1")
+		w.request(time.Second, "r2", "k2", "seat", "e1")
+		w.after(5*time.Second, func() {
+			w.faults = append(w.faults, &injection{step: intent, fault: cutOne})
+		})
+		w.request(6*time.Second, "r3", "k3", "seat", "e1")
+		w.after(6008*time.Millisecond, func() { w.store.downUntil = w.now.Add(2 * time.Second) })
+		w.request(6500*time.Millisecond, "r4", old, "seat", "e1")
+		v := verdicts(w)
+		Expect(v["r3"].Kind).To(Equal(keeper.KindNotRun))
+		Expect(v["r4"].Kind).NotTo(Equal(keeper.KindNotRun))
+	})
+
+	// One caller sends more holds than the keeper may have in flight, or keeps;
+	// the rest are refused at once, and memory does not grow.
+	DescribeTable("bounds what it holds",
+		func(s keeper.Settings, reason string, taken int) {
+			w := newWorld(s)
+			w.request(0, "first", "k", "seat", "e1")
+			for i := range 8 {
+				w.request(time.Second+time.Duration(i)*time.Millisecond, fmt.Sprintf("r%d", i), fmt.Sprintf("k%d", i), "seat", "e1")
+			}
+			n := map[string]int{}
+			for _, v := range verdicts(w) {
+				n[v.Reason]++
+			}
+			Expect(n).To(Equal(map[string]int{"": taken, reason: 9 - taken}))
+		},
+		Entry("operations", keeper.Settings{Operations: 3}, keeper.ReasonBusy, 4),
+		Entry("records", keeper.Settings{Records: 3}, keeper.ReasonFull, 3),
+	)
+
+	// An answer is too large to keep, or older than what memory holds. A repeated
+	// key is told that it ran, and does not run again.
+	DescribeTable("tells that a call ran whose answer is not kept",
+		func(s keeper.Settings) {
+			w := newWorld(s)
+			w.request(0, "r1", "k1", "seat", "e1")
+			w.request(time.Second, "r2", "k2", "seat", "e1")
+			w.request(2*time.Second, "r3", "k1", "seat", "e1")
+			v := verdicts(w)
+			Expect(v["r1"].Kind).To(Equal(keeper.KindRan))
+			Expect(v["r3"].Kind).To(Equal(keeper.KindGone))
+		},
+		Entry("too large", keeper.Settings{Answer: 1}),
+		Entry("memory full", keeper.Settings{Answers: 6}),
+	)
+
+	// A caller's clock is far ahead. Its key would move the floor, under which
+	// everybody's keys are taken for forgotten: it is refused.
+	It("refuses a key from the future", func() {
+		w := newWorld(keeper.Settings{})
+		w.request(0, "r1", dated(w.start.Add(time.Hour)), "seat", "e1")
+		Expect(verdicts(w)["r1"].Reason).To(Equal(keeper.ReasonFuture))
+	})
+
+	// A thousand holds come in one second. Their records share writes: bursts go
+	// out at once, and after that the writes a second are bounded.
+	It("bounds the store's writes", func() {
+		w := newWorld(keeper.Settings{Writes: 5, Burst: 5, Operations: 2000, Tail: 1 << 20})
+		for i := range 1000 {
+			w.request(time.Duration(i)*time.Millisecond, fmt.Sprintf("r%d", i), fmt.Sprintf("k%d", i), "seat", "e1")
+		}
+		w.play(1500 * time.Millisecond)
+		Expect(w.store.writes).To(BeNumerically("<=", 1+5+8))
+		w.play(worldLength)
+		Expect(w.judge()).To(BeEmpty(), w.story)
+	})
+})
+
+var _ = DescribeTable("DateOf", func(key string, want int64) {
+	Expect(keeper.DateOf(key)).To(Equal(want))
+},
+	Entry("a UUID of version 7", "019a3f5e-8c00-7abc-8def-0123456789ab", int64(0x019a3f5e8c00)),
+	Entry("a UUID of version 4", "019a3f5e-8c00-4abc-8def-0123456789ab", int64(0)),
+	Entry("any text", "hold 17", int64(0)),
+)
+
+var _ = It("stores heads and segments so that they read back", func() {
+	e := &keeper.Entry{ID: keeper.NewID("o", "s", "k"), Hash: keeper.Hash([]byte("b")), At: 7, Dated: 5, State: keeper.Ran, Answer: &keeper.Answer{Status: 201, Header: map[string][]string{"A": {"b"}}, Body: []byte("x")}}
+	h := keeper.Head{Epoch: 3, Stamp: keeper.Stamp{Keeper: "a", Incarnation: 1, Write: 2}, Floor: 4, Segments: []keeper.Segment{{Epoch: 2, Sequence: 1, Newest: 6, Dated: 5}}, Tail: []*keeper.Entry{e, {State: keeper.Intended}}}
+	value, err := h.Encode()
+	Expect(err).NotTo(HaveOccurred())
+	Expect(keeper.DecodeHead(value)).To(Equal(h))
+	value, err = keeper.EncodeEntries(h.Tail)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(keeper.DecodeEntries(value)).To(Equal(h.Tail))
+	_, err = keeper.DecodeHead([]byte("x"))
+	Expect(err).To(MatchError(keeper.ErrRecord))
+})
--- a/keeper/world_test.go
+++ b/keeper/world_test.go
@@ -194,7 +194,7 @@
 func (w *world) call(q *request) keeper.Call {
 	return keeper.Call{
 		ID: keeper.NewID("org", "service", q.key), Hash: keeper.Hash([]byte(q.body)), Dated: keeper.DateOf(q.key),
-		Request: q.id, From: q.entry, Deadline: w.now.Add(max(0, q.began.Add(deadline).Sub(w.now))),
+		Request: q.id, From: q.entry,
 	}
 }
 
@@ -225,8 +225,13 @@
 		q.asked = w.owner
 		h := w.hosts[w.owner]
 		c := w.call(q)
+		left := q.began.Add(deadline).Sub(w.now)
 		w.atEntry(asked, q, func() {
-			w.frame(asked, q.entry, h.name, func() { w.input(w.hosts[h.name], keeper.Asked{Call: c}) })
+			w.frame(asked, q.entry, h.name, func() {
+				// What is left counts from its arrival: hosts share no clock.
+				c.Deadline = w.now.Add(left)
+				w.input(w.hosts[h.name], keeper.Asked{Call: c})
+			})
 		})
 		w.after(askAgain, func() { w.askOwner(q) })
 	})
