--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Targets for everything; `make` alone lists them.
 LINT := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 
-.PHONY: help build demo test check fmt lint unit matrix
+.PHONY: help build demo test check fmt lint unit matrix bench-once
 
 help: ## list the targets
 	@grep -hE '^[a-z-]+:.*## ' $(MAKEFILE_LIST) | sed -E 's/:.*## /\t/' | expand -t 16
@@ -28,3 +28,6 @@
 
 unit: build ## all Go tests
 	go test -count=1 ./...
+
+bench-once: ## store writes of a once-call against load
+	go run ./cmd/oncebench
--- /dev/null
+++ b/server/once_test.go
@@ -0,0 +1,146 @@
+package server_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"github.com/cicadawood/cicadawood/keeper"
+	"github.com/cicadawood/cicadawood/loader"
+	"github.com/cicadawood/cicadawood/messenger"
+	"github.com/cicadawood/cicadawood/server"
+)
+
+// onceKeeper stands for all keepers: it gives one verdict.
+type onceKeeper struct {
+	verdict messenger.OnceVerdict
+	calls   []messenger.Once
+}
+
+func (k *onceKeeper) RunOnce(_ context.Context, m messenger.Once) (messenger.OnceVerdict, error) {
+	k.calls = append(k.calls, m)
+	return k.verdict, nil
+}
+
+type onceFolder struct{ folder *loader.Folder }
+
+func (f onceFolder) Folder() (*loader.Folder, uint64) { return f.folder, 1 }
+
+const onceSettings = `{
+  "classes": {"hold": {"tier": 0, "whole": "2s"}},
+  "organisations": {
+    "dock": {"keys": ["KEY1"], "classes": ["hold"]},
+    "quay": {"keys": ["KEY2"], "classes": ["hold"]}},
+  "services": {"app": {"kind": "plain", "routes": [{"path": "/", "class": "hold", "once": true}],
+    "workers": [{"name": "w", "address": "127.0.0.1:1", "zone": "a", "slots": 1}]}}}`
+
+// onceServer serves once-calls and returns how to make one.
+func onceServer(k *onceKeeper) func(apiKey, body string, h http.Header) (*http.Response, string) {
+	text := strings.NewReplacer("KEY1", loader.HashKey("dock"), "KEY2", loader.HashKey("quay")).Replace(onceSettings)
+	folder, err := loader.Files{"all.jsonc": text}.Parse()
+	Expect(err).NotTo(HaveOccurred())
+	settings, err := loader.ParseHost("h", []byte(`{"name": "h", "zone": "a", "platform": "p", "listen": "127.0.0.1:1", "control": "127.0.0.1:1", "admin": "127.0.0.1:1"}`))
+	Expect(err).NotTo(HaveOccurred())
+	s := server.New(settings.Limits, onceFolder{folder}, nil, nil, zap.NewNop(), server.NewMetrics(prometheus.NewRegistry()))
+	s.SetOnce(k)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	go func() { _ = s.Serve(l) }()
+	DeferCleanup(func() { _ = s.Shutdown(context.Background()) })
+	return func(apiKey, body string, h http.Header) (*http.Response, string) {
+		req, err := http.NewRequest(http.MethodPost, "http://"+l.Addr().String()+"/services/app/holds?x=1", strings.NewReader(body))
+		Expect(err).NotTo(HaveOccurred())
+		req.Header = h.Clone()
+		req.Header.Set("Authorization", "Bearer "+apiKey)
+		resp, err := http.DefaultClient.Do(req)
+		Expect(err).NotTo(HaveOccurred())
+		defer resp.Body.Close()
+		text, err := io.ReadAll(resp.Body)
+		Expect(err).NotTo(HaveOccurred())
+		return resp, string(text)
+	}
+}
+
+var _ = Describe("A call that must not be repeated", func() {
+	// A caller learns one of three outcomes, always told apart by run: it ran, it
+	// did not and may be sent again, or it may have run and must not be.
+	DescribeTable("tells its outcome",
+		func(v messenger.OnceVerdict, status int, code, run string, again bool) {
+			call := onceServer(&onceKeeper{verdict: v})
+			resp, text := call("dock", "{}", http.Header{server.HeaderKey: {"k1"}})
+			Expect(resp.StatusCode).To(Equal(status))
+			var e struct {
+				Error struct{ Code, Run string }
+			}
+			Expect(json.Unmarshal([]byte(text), &e)).To(Succeed())
+			Expect(e.Error.Code).To(Equal(code))
+			Expect(e.Error.Run).To(Equal(run))
+			Expect(resp.Header.Get(server.HeaderRun)).To(Equal(run))
+			Expect(resp.Header.Get("Retry-After") != "").To(Equal(again))
+			Expect(resp.Header.Get(server.HeaderKey)).To(Equal("k1"))
+		},
+		Entry("not run", messenger.OnceVerdict{Kind: uint8(keeper.KindNotRun), Reason: keeper.ReasonStore, After: time.Second}, 503, "store_down", "no", true),
+		Entry("not run, no time given", messenger.OnceVerdict{Kind: uint8(keeper.KindNotRun), Reason: keeper.ReasonFull}, 503, "once_full", "no", true),
+		Entry("key of the future", messenger.OnceVerdict{Kind: uint8(keeper.KindNotRun), Reason: keeper.ReasonFuture}, 400, "key_in_future", "no", false),
+		Entry("unknown", messenger.OnceVerdict{Kind: uint8(keeper.KindUnknown)}, 502, "may_have_run", "unknown", false),
+		Entry("unknown at the deadline", messenger.OnceVerdict{Kind: uint8(keeper.KindUnknown), Reason: keeper.ReasonDeadline}, 504, "deadline", "unknown", false),
+		Entry("key forgotten", messenger.OnceVerdict{Kind: uint8(keeper.KindUnknown), Reason: keeper.ReasonExpired}, 502, "key_expired", "unknown", false),
+		Entry("ran, answer not kept", messenger.OnceVerdict{Kind: uint8(keeper.KindGone)}, 409, "answer_not_kept", "yes", false),
+		Entry("key of another call", messenger.OnceVerdict{Kind: uint8(keeper.KindReused)}, 422, "key_reused", "no", false),
+	)
+
+	It("gives the answer, and passes the key as sent", func() {
+		k := &onceKeeper{verdict: messenger.OnceVerdict{Kind: uint8(keeper.KindRan), Status: 201, Header: map[string][]string{"X-Seat": {"4"}, "X-Request-Id": {"other"}}, Body: []byte("held")}}
+		call := onceServer(k)
+		resp, text := call("dock", "{}", http.Header{server.HeaderKey: {"Boat 4/ä"}})
+		Expect(resp.StatusCode).To(Equal(201))
+		Expect(text).To(Equal("held"))
+		Expect(resp.Header.Get("X-Seat")).To(Equal("4"))
+		Expect(resp.Header.Get(server.HeaderRequest)).To(Equal(k.calls[0].Request))
+		Expect(k.calls[0].Header[server.HeaderKey]).To(Equal([]string{"Boat 4/ä"}))
+		Expect(k.calls[0].Path).To(Equal("/holds?x=1"))
+	})
+
+	// Two organisations use the same key by chance, and one sends another body
+	// under its own key: neither may get the other's answer.
+	It("scopes keys by organisation and tells bodies apart", func() {
+		k := &onceKeeper{verdict: messenger.OnceVerdict{Kind: uint8(keeper.KindRan), Status: 200}}
+		call := onceServer(k)
+		call("dock", "a", http.Header{server.HeaderKey: {"k1"}})
+		call("quay", "a", http.Header{server.HeaderKey: {"k1"}})
+		call("dock", "b", http.Header{server.HeaderKey: {"k1"}})
+		Expect(k.calls[1].ID).NotTo(Equal(k.calls[0].ID))
+		Expect(k.calls[2].ID).To(Equal(k.calls[0].ID))
+		Expect(k.calls[2].Hash).NotTo(Equal(k.calls[0].Hash))
+	})
+
+	It("makes a dated key where there is none, and tells it", func() {
+		k := &onceKeeper{verdict: messenger.OnceVerdict{Kind: uint8(keeper.KindRan), Status: 200}}
+		resp, _ := onceServer(k)("dock", "a", http.Header{})
+		key := resp.Header.Get(server.HeaderKey)
+		Expect(k.calls[0].Header[server.HeaderKey]).To(Equal([]string{key}))
+		Expect(k.calls[0].Dated).To(BeNumerically("~", time.Now().UnixMilli(), 60_000))
+	})
+
+	DescribeTable("refuses what it can't keep", func(h http.Header, body string, status int) {
+		k := &onceKeeper{}
+		resp, _ := onceServer(k)("dock", body, h)
+		Expect(resp.StatusCode).To(Equal(status))
+		Expect(resp.Header.Get(server.HeaderRun)).To(Equal("no"))
+		Expect(k.calls).To(BeEmpty())
+	},
+		Entry("a key given twice", http.Header{server.HeaderKey: {"a", "b"}}, "", 400),
+		Entry("an empty key", http.Header{server.HeaderKey: {""}}, "", 400),
+		Entry("a long key", http.Header{server.HeaderKey: {strings.Repeat("k", 256)}}, "", 400),
+		Entry("a large body", http.Header{server.HeaderKey: {"k"}}, strings.Repeat("x", 256<<10+1), 413),
+	)
+})
