--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -43,14 +43,15 @@
 	tokens  float64   // commits that may start at once
 	filled  time.Time // when tokens were last counted
 
-	retired bool // another host owns the partition
-	early   []Call
-	ops     map[ID]*operation
-	serial  uint64
-	records map[ID]*Entry
-	lastAt  int64
-	answers fifo
-	pending queue
+	retired  bool // another host owns the partition
+	early    []Call
+	ops      map[ID]*operation
+	serial   uint64
+	attempts int // Acquires so far
+	records  map[ID]*Entry
+	lastAt   int64
+	answers  fifo
+	pending  queue
 
 	wanted   map[Segment]bool // segments still to read
 	loaded   map[Segment][]*Entry
--- a/keeper/operation.go
+++ b/keeper/operation.go
@@ -30,7 +30,8 @@
 	order   uint64
 	waiters []Call
 	stage   stage
-	attempt int
+	attempt int // number of its last Acquire, unique among all of the keeper's
+	tries   int
 	holding bool // a place, or an Acquire that has no end yet
 	// intent is nil until there is a place; recorded says that the log has it.
 	intent   *Entry
@@ -71,13 +72,16 @@
 	k.serial++
 	op := &operation{id: c.ID, hash: c.Hash, dated: c.Dated, order: k.order(), waiters: []Call{c}}
 	k.ops[c.ID] = op
-	op.acquire(out)
+	k.acquire(out, op)
 }
 
-// acquire asks for a place for the operation's next attempt.
-func (op *operation) acquire(out *outputs) {
+// acquire asks for a place for the operation's next attempt. Its number is used
+// once only: a late grant must not be taken for one of a later operation.
+func (k *Keeper) acquire(out *outputs, op *operation) {
 	op.stage, op.holding, op.went = stagePlacing, true, ""
-	op.attempt++
+	k.attempts++
+	op.attempt = k.attempts
+	op.tries++
 	out.add(Acquire{ID: op.id, Request: op.waiters[0].Request, Attempt: op.attempt})
 }
 
@@ -265,11 +269,11 @@
 // again tries another worker after one that certainly did not run the call. The
 // intent stands, so no other keeper sends it.
 func (k *Keeper) again(out *outputs, op *operation) {
-	if op.attempt >= k.settings.Tries || len(op.waiters) == 0 || k.phase != phaseReady {
+	if op.tries >= k.settings.Tries || len(op.waiters) == 0 || k.phase != phaseReady {
 		k.drop(out, op, Verdict{Kind: KindNotRun, Reason: ReasonWorkers, After: k.settings.Retry})
 		return
 	}
-	op.acquire(out)
+	k.acquire(out, op)
 }
 
 // age ends the waiting of requests whose deadline is over.
