--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,7 @@
 LINT := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 
 .PHONY: help build demo test check fmt lint unit matrix bench-once
+.PHONY: $(shell grep -oE '^[a-z-]+:' $(MAKEFILE_LIST) | tr -d :)
 
 help: ## list the targets
 	@grep -hE '^[a-z-]+:.*## ' $(MAKEFILE_LIST) | sed -E 's/:.*## /\t/' | expand -t 16
@@ -26,8 +27,13 @@
 matrix: build ## the fault matrix: specs and scenarios
 	./scripts/matrix.sh bin
 
+bench-member: ## what membership and the messenger cost
+	go test -run '^$$' -bench . -benchtime 1x ./messenger ./registrar
+
 unit: build ## all Go tests
 	go test -count=1 ./...
 
 bench-once: ## store writes of a once-call against load
 	go run ./cmd/oncebench
+bench-path: build ## what a host adds to a call, side by side with none
+	./scripts/bench-path.sh bin
--- a/keeper/operation.go
+++ b/keeper/operation.go
@@ -250,16 +250,17 @@
 // an answer is worth more than its record.
 func (k *Keeper) ran(out *outputs, now time.Time, op *operation, a *Answer) {
 	op.stage, op.answer, op.answered = stageAnswered, a, now
-	kept := a
-	if a.size() > k.settings.Answer {
-		kept = nil
-	}
 	if k.phase != phaseReady {
 		k.finish(out, op)
 		return
 	}
-	op.outcome = k.entry(now, op, Ran, kept)
+	op.outcome = k.entry(now, op, Ran, a)
 	k.note(op.outcome)
+	if a.size() > k.settings.Answer {
+		// The log has no room for it; memory has, as long as this keeper lives.
+		bare := *op.outcome
+		bare.Answer, op.outcome = nil, &bare
+	}
 	k.pending.push(op.outcome)
 	if !k.retryAt.IsZero() {
 		k.finish(out, op)
--- a/runner/keeping.go
+++ b/runner/keeping.go
@@ -164,7 +164,7 @@
 }
 
 // later brings an input from a traffic goroutine back to the control goroutine.
-func (k *keeping) later(p *kept, in keeper.Input) { k.control.events <- keptInput{kept: p, input: in} }
+func (k *keeping) later(p *kept, in keeper.Input) { k.control.post(keptInput{kept: p, input: in}) }
 
 func (k *keeping) perform(now time.Time, p *kept, o keeper.Output) {
 	switch o := o.(type) {
@@ -247,8 +247,7 @@
 func (c *control) settleOnce(ctx context.Context) {
 	for ctx.Err() == nil {
 		reply := make(chan int, 1)
-		c.events <- busyAsked{reply: reply}
-		if <-reply == 0 {
+		if !c.post(busyAsked{reply: reply}) || <-reply == 0 {
 			return
 		}
 		select {
--- a/runner/keeping_entry.go
+++ b/runner/keeping_entry.go
@@ -38,8 +38,12 @@
 // RunOnce implements server.Once.
 func (c *control) RunOnce(ctx context.Context, m messenger.Once) (messenger.OnceVerdict, error) {
 	reply := make(chan messenger.OnceVerdict, 1)
-	c.events <- onceAsked{message: m, reply: reply}
+	if !c.post(onceAsked{message: m, reply: reply}) {
+		return messenger.OnceVerdict{}, server.ErrGone
+	}
 	select {
+	case <-c.ended:
+		return messenger.OnceVerdict{}, server.ErrGone
 	case v := <-reply:
 		return v, nil
 	case <-ctx.Done():
--- a/runner/keeping_place.go
+++ b/runner/keeping_place.go
@@ -55,7 +55,7 @@
 	go func() {
 		place, err := k.control.Acquire(ctx, m.Service, ask)
 		if err == nil {
-			k.control.events <- placeFound{kept: p, at: at, place: place}
+			k.control.post(placeFound{kept: p, at: at, place: place})
 			return
 		}
 		u := keeper.Unplaced{ID: o.ID, Attempt: o.Attempt, Reason: keeper.ReasonCaller}
@@ -107,7 +107,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), limit)
 		defer cancel()
 		fate, answer := k.exchange(ctx, place.Worker.Address, c)
-		k.control.events <- callEnded{kept: p, answered: keeper.Answered{ID: o.ID, Attempt: o.Attempt, Fate: fate, Answer: answer}}
+		k.control.post(callEnded{kept: p, answered: keeper.Answered{ID: o.ID, Attempt: o.Attempt, Fate: fate, Answer: answer}})
 	}()
 }
 
@@ -138,7 +138,8 @@
 	k.handle(now, e.kept, a)
 }
 
-// exchange does one call and tells what is known of it.
+// exchange does one call and tells what is known of it. An answer whose end can't
+// be told from a cut is taken for a cut one.
 func (k *keeping) exchange(ctx context.Context, address string, c forwarder.Call) (keeper.Fate, *keeper.Answer) {
 	answer, err := k.forward.Do(ctx, address, c)
 	switch {
@@ -149,7 +150,7 @@
 	}
 	defer answer.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(answer.Body, k.limits.Whole+1))
-	if err != nil || !whole(answer.Header, body) {
+	if err != nil || !answer.Framed || !whole(answer.Header, body) {
 		return keeper.FateUnknown, nil
 	}
 	if int64(len(body)) > k.limits.Whole {
--- a/runner/keeping_store.go
+++ b/runner/keeping_store.go
@@ -119,7 +119,7 @@
 	for ctx.Err() == nil {
 		n, err := readLayout(ctx, k.store, k.limits.Partitions)
 		if err == nil {
-			k.control.events <- layoutKnown{partitions: n}
+			k.control.post(layoutKnown{partitions: n})
 			return
 		}
 		k.log.Warn("layout", zap.Error(err))
--- a/server/once.go
+++ b/server/once.go
@@ -39,27 +39,27 @@
 // serveOnce hands a call that must not be repeated to its keeper. The whole
 // answer comes back at once, also where the caller asked for a stream: only a
 // whole answer can be given again to a repeated key.
-func (s *Server) serveOnce(ctx context.Context, w http.ResponseWriter, q *request, c forwarder.Call) *failure {
+func (s *Server) serveOnce(ctx context.Context, d *delivery, q *request, c forwarder.Call) *failure {
 	key, fail := takeKey(c.Header)
 	if fail != nil {
 		return fail
 	}
-	w.Header().Set(HeaderKey, key)
+	d.w.Header().Set(HeaderKey, key)
 	if limit := s.limits.Once.Body; int64(len(c.Body)) > limit {
 		return &failure{status: http.StatusRequestEntityTooLarge, code: "body_too_large", message: fmt.Sprintf("the body is over %d bytes, the bound of a call that must not be repeated", limit), run: RunNo}
 	}
 	id := keeper.NewID(q.organisation, q.service, key)
 	hash := keeper.Hash([]byte(c.Method), []byte(c.Path), c.Body)
 	v, err := s.once.RunOnce(ctx, messenger.Once{
-		Request: q.id, ID: id[:], Hash: hash[:], Dated: keeper.DateOf(key), Service: q.service, Ask: q.ask(), Tier: q.tier,
+		Request: q.id, ID: id[:], Hash: hash[:], Dated: keeper.DateOf(key), Service: q.service, Ask: q.ask(0, nil), Tier: q.tier,
 		Method: c.Method, Path: c.Path, Header: c.Header, Body: c.Body,
 	})
 	if err != nil { // the caller is gone; its call goes on
-		return &failure{status: http.StatusBadGateway, code: "caller_gone", message: "the caller went away", run: RunUnknown}
+		return &failure{status: statusGone, code: codeGone, message: "the caller went away", run: RunUnknown}
 	}
 	if keeper.Kind(v.Kind) == keeper.KindRan {
-		s.metrics.first(q.class, time.Since(q.started))
-		writeVerdict(w, q, v)
+		// A caller that is gone by now has its answer when it asks again.
+		_ = giveWhole(d, &forwarder.Answer{Status: v.Status, Header: v.Header, Length: -1}, v.Body)
 		return nil
 	}
 	return failureOf(v)
@@ -92,12 +92,6 @@
 	return x[:8] + "-" + x[8:12] + "-" + x[12:16] + "-" + x[16:20] + "-" + x[20:]
 }
 
-func writeVerdict(w http.ResponseWriter, q *request, v messenger.OnceVerdict) {
-	copyHeader(w, q, &forwarder.Answer{Header: v.Header})
-	w.WriteHeader(v.Status)
-	_, _ = w.Write(v.Body)
-}
-
 // failureOf is the answer to a call whose answer is not there. The three
 // outcomes stay apart: ran, not run, and may have run.
 func failureOf(v messenger.OnceVerdict) *failure {
