A once-call without a key needs no keeper

Its key is this host's own and told to nobody, so it can't be asked for again: the entry sends it once, streams its answer, and goes on in an outage of the platform.

--- a/server/once.go
+++ b/server/once.go
@@ -65,23 +65,25 @@
 	return failureOf(v)
 }
 
-// takeKey is the caller's key. A call without one gets one from this host, which
-// the caller is told, and which the host never sends a second time by itself.
+// keyed says whether the caller named its call.
+func keyed(h http.Header) bool { return len(h.Values(HeaderKey)) > 0 }
+
+// giveKey names a call whose caller did not. Nobody else knows the key, so the
+// call can't be asked for a second time, and needs no keeper and no record: this
+// host sends it once and never again. It works in an outage of the platform too.
+// The caller is not told the key: to repeat it would run the call again.
+func giveKey(h http.Header) { h.Set(HeaderKey, newKey(time.Now())) }
+
+// takeKey is the caller's key.
 func takeKey(h http.Header) (string, *failure) {
 	keys := h.Values(HeaderKey)
-	if len(keys) == 0 {
-		key := newKey(time.Now())
-		h.Set(HeaderKey, key)
-		return key, nil
-	}
-	if len(keys) > 1 || keys[0] == "" || len(keys[0]) > maxKey {
+	if len(keys) != 1 || keys[0] == "" || len(keys[0]) > maxKey {
 		return "", &failure{status: http.StatusBadRequest, code: "bad_key", message: fmt.Sprintf("%s is empty, given twice or over %d bytes", HeaderKey, maxKey), run: RunNo}
 	}
 	return keys[0], nil
 }
 
-// newKey is a UUID of version 7 (RFC 9562): it carries its time, so that it can
-// be forgotten and still never run a second time.
+// newKey is a UUID of version 7 (RFC 9562).
 func newKey(now time.Time) string {
 	var b [16]byte
 	_, _ = rand.Read(b[:])
--- a/server/server.go
+++ b/server/server.go
@@ -241,9 +241,12 @@
 		}
 		defer func() { s.limiter.Settle(q.organisation, q.used(d)-q.estimate()) }()
 	}
-	if q.once && s.once != nil {
+	if q.once && s.once != nil && keyed(c.Header) {
 		return s.serveOnce(r.Context(), d, q, c)
 	}
+	if q.once {
+		giveKey(c.Header)
+	}
 	run := &run{server: s, q: q, delivery: d, call: c}
 	return run.serve(r.Context())
 }
