Events of the same shape are not parsed again; benchmarks of the entry

Events of one stream differ in little but the token's text; one that has the parsed one's bytes before and after a plain text says the same and needs no parsing.

An event was also held back where part of the next had come; now only where the whole next one is there.

--- a/forwarder/events.go
+++ b/forwarder/events.go
@@ -42,7 +42,9 @@
 	answer *Answer
 	r      *bufio.Reader
 	raw    []byte
+	data   []byte
 	id     string // of the events so far
+	like   shape
 }
 
 // Events returns a reader of the answer's events and its clean-up.
@@ -58,25 +60,27 @@
 // Next reads one event. An event that was cut is never returned: its error is
 // io.ErrUnexpectedEOF, io.EOF between events, or one of this package's.
 func (e *Events) Next() (Event, error) {
-	e.raw = e.raw[:0]
-	var data []byte
+	e.raw, e.data = e.raw[:0], e.data[:0]
 	for {
 		from := len(e.raw)
 		if err := e.line(); err != nil {
-			return e.end(data, err)
+			return e.end(err)
 		}
 		line := bytes.TrimRight(e.raw[from:], "\r\n")
 		if len(line) == 0 {
-			return e.take(data)
+			return e.take()
 		}
 		if value, ok := bytes.CutPrefix(line, []byte("data:")); ok {
-			data = append(data, bytes.TrimPrefix(value, []byte(" "))...)
+			e.data = append(e.data, bytes.TrimPrefix(value, []byte(" "))...)
 		}
 	}
 }
 
-// More says that the next event has begun to arrive.
-func (e *Events) More() bool { return e.r.Buffered() > 0 }
+// More says that the whole next event is here already.
+func (e *Events) More() bool {
+	next, _ := e.r.Peek(e.r.Buffered())
+	return bytes.Contains(next, []byte("\n\n"))
+}
 
 // line appends the next line to raw.
 func (e *Events) line() error {
@@ -94,11 +98,11 @@
 
 // end is the event at the end of the body. Only an end mark may lack its blank
 // line.
-func (e *Events) end(data []byte, err error) (Event, error) {
+func (e *Events) end(err error) (Event, error) {
 	if !errors.Is(err, io.EOF) {
 		return Event{}, err
 	}
-	if bytes.HasPrefix(e.raw, []byte("data: "+doneData)) && len(data) <= len(doneData) {
+	if bytes.HasPrefix(e.raw, []byte("data: "+doneData)) && len(e.data) <= len(doneData) {
 		e.raw = append(bytes.TrimRight(e.raw, "\r\n"), "\n\n"...)
 		return Event{Raw: e.raw, Done: true}, nil
 	}
@@ -124,8 +128,8 @@
 	Error json.RawMessage `json:"error"`
 }
 
-func (e *Events) take(data []byte) (Event, error) {
-	v := Event{Raw: e.raw}
+func (e *Events) take() (Event, error) {
+	v, data := Event{Raw: e.raw}, e.data
 	if len(data) == 0 {
 		return v, nil // a comment, which keeps the connection alive
 	}
@@ -133,6 +137,10 @@
 		v.Done = true
 		return v, nil
 	}
+	if e.like.fits(data) {
+		v.Tokens = 1
+		return v, nil
+	}
 	var c chunk
 	if err := json.Unmarshal(data, &c); err != nil {
 		return Event{}, fmt.Errorf("%w: %v", ErrEvent, err)
@@ -148,9 +156,48 @@
 		}
 		v.Finished = v.Finished || choice.Finish != nil
 	}
+	if v.Tokens == 1 && v.Usage == 0 && !v.Failed && !v.Finished {
+		e.like = shapeOf(data)
+	}
 	return v, nil
 }
 
+// shape is a token's event without the token's text. An engine's events differ
+// in little else: one of the same shape says the same as the one before, and
+// needn't be parsed.
+type shape struct{ head, tail []byte }
+
+// shapeOf is the shape of a parsed event, or an empty one where it isn't clear
+// where its text stands.
+func shapeOf(data []byte) shape {
+	for _, mark := range [][]byte{[]byte(`"content":"`), []byte(`"text":"`)} {
+		at := bytes.Index(data, mark)
+		if at < 0 || bytes.Count(data, mark) != 1 {
+			continue
+		}
+		at += len(mark)
+		end := bytes.IndexByte(data[at:], '"')
+		if end <= 0 || bytes.IndexByte(data[at:at+end], '\\') >= 0 {
+			continue
+		}
+		return shape{head: bytes.Clone(data[:at]), tail: bytes.Clone(data[at+end:])}
+	}
+	return shape{}
+}
+
+// fits says that data is of the shape, with some plain text.
+func (s shape) fits(data []byte) bool {
+	if len(s.head) == 0 || len(data) <= len(s.head)+len(s.tail) || !bytes.HasPrefix(data, s.head) || !bytes.HasSuffix(data, s.tail) {
+		return false
+	}
+	for _, c := range data[len(s.head) : len(data)-len(s.tail)] {
+		if c == '"' || c == '\\' || c < ' ' {
+			return false
+		}
+	}
+	return true
+}
+
 // own checks an event's id. A stream that was crossed with another shows as an
 // id that isn't this request's, or that changes on the way.
 func (e *Events) own(id string) error {
--- /dev/null
+++ b/server/bench_test.go
@@ -0,0 +1,164 @@
+package server_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cicadawood/cicadawood/loader"
+)
+
+// The benchmarks compare three ways in one run: straight to the engine, through
+// a proxy that only copies bytes, and through the entry.
+
+const benchEvents = 500
+
+// benchEngine streams events as fast as it can, or holds streams open. Its
+// third kind of answer is in one piece.
+func benchEngine(w http.ResponseWriter, r *http.Request) {
+	asked, _ := io.ReadAll(r.Body)
+	id := r.Header.Get("X-Request-Id")
+	w.Header().Set("X-Request-Id", id)
+	if !bytes.Contains(asked, []byte(`"stream":true`)) {
+		w.Header().Set("Content-Type", "application/json")
+		fmt.Fprintf(w, `{"id":%q,"choices":[{"message":{"content":"x"}}],"usage":{"completion_tokens":1}}`, id)
+		return
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	control := http.NewResponseController(w)
+	for range benchEvents {
+		fmt.Fprintf(w, "data: {\"id\":%q,\"object\":\"chat.completion.chunk\",\"model\":\"lm\",\"choices\":[{\"index\":0,\"delta\":{\"content\":\"token \"},\"finish_reason\":null}]}\n\n", id)
+		_ = control.Flush()
+	}
+	if bytes.Contains(asked, []byte(`"hold"`)) {
+		<-r.Context().Done()
+		return
+	}
+	fmt.Fprint(w, "data: [DONE]\n\n")
+}
+
+// copyProxy passes bytes on as they come.
+func copyProxy(engine string) http.HandlerFunc {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}
+	return func(w http.ResponseWriter, r *http.Request) {
+		req, _ := http.NewRequestWithContext(r.Context(), r.Method, engine+r.URL.Path, r.Body)
+		resp, err := client.Do(req)
+		if err != nil {
+			w.WriteHeader(http.StatusBadGateway)
+			return
+		}
+		defer resp.Body.Close()
+		w.WriteHeader(resp.StatusCode)
+		buf := make([]byte, 32<<10)
+		for {
+			n, err := resp.Body.Read(buf)
+			_, _ = w.Write(buf[:n])
+			_ = http.NewResponseController(w).Flush()
+			if err != nil {
+				return
+			}
+		}
+	}
+}
+
+// ways is the address of each way to the engine.
+func ways(b *testing.B) []struct{ name, url string } {
+	engine := httptest.NewServer(http.HandlerFunc(benchEngine))
+	proxy := httptest.NewServer(copyProxy(engine.URL))
+	s := newStand(options{resume: true, silence: time.Minute, limits: func(l *loader.Limits) { l.Calls = 20000 }})
+	s.places.workers = []loader.Worker{{Name: "bench", Address: strings.TrimPrefix(engine.URL, "http://"), Slots: 1 << 20}}
+	b.Cleanup(func() {
+		s.close()
+		proxy.Close()
+		engine.Close()
+	})
+	return []struct{ name, url string }{{"direct", engine.URL}, {"copy", proxy.URL}, {"entry", s.url}}
+}
+
+func post(ctx context.Context, client *http.Client, url, body string) (*http.Response, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url+"/v1/chat/completions", strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	r.Header.Set("Authorization", "Bearer "+key)
+	return client.Do(r)
+}
+
+func benchmark(b *testing.B, body string, per int) {
+	for _, way := range ways(b) {
+		b.Run(way.name, func(b *testing.B) {
+			client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}
+			b.ReportAllocs()
+			for b.Loop() {
+				resp, err := post(context.Background(), client, way.url, body)
+				if err != nil {
+					b.Fatal(err)
+				}
+				_, _ = io.Copy(io.Discard, resp.Body)
+				_ = resp.Body.Close()
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*per), "ns/event")
+		})
+	}
+}
+
+func BenchmarkStream(b *testing.B) { benchmark(b, completionBody(true), benchEvents) }
+
+func BenchmarkWhole(b *testing.B) { benchmark(b, completionBody(false), 1) }
+
+// BenchmarkOpen is the memory of an open stream, engine's and caller's side
+// included: the entry's part is what is over "direct".
+func BenchmarkOpen(b *testing.B) {
+	const streams = 1000
+	body := strings.Replace(completionBody(true), `"trip"`, `"hold"`, 1)
+	for _, way := range ways(b) {
+		b.Run(way.name, func(b *testing.B) {
+			for b.Loop() {
+				client := &http.Client{Transport: &http.Transport{}}
+				ctx, leave := context.WithCancel(context.Background())
+				before := inUse()
+				hold(ctx, client, way.url, body, streams)
+				b.ReportMetric(float64(inUse()-before)/streams, "B/stream")
+				leave()
+				client.CloseIdleConnections()
+				time.Sleep(200 * time.Millisecond)
+			}
+		})
+	}
+}
+
+// hold opens streams and leaves them open after all their events but the last.
+func hold(ctx context.Context, client *http.Client, url, body string, n int) {
+	var opened sync.WaitGroup
+	for range n {
+		opened.Go(func() {
+			resp, err := post(ctx, client, url, body)
+			if err != nil {
+				return
+			}
+			lines := bufio.NewReader(resp.Body)
+			for range 2 * benchEvents {
+				_, _ = lines.ReadString('\n')
+			}
+			context.AfterFunc(ctx, func() { _ = resp.Body.Close() })
+		})
+	}
+	opened.Wait()
+}
+
+func inUse() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapInuse + m.StackInuse
+}
--- a/server/harness_test.go
+++ b/server/harness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -68,7 +69,10 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for slices.Contains(a.Exclude, p.workers[p.next%len(p.workers)].Name) {
+	for range p.workers {
+		if !slices.Contains(a.Exclude, p.workers[p.next%len(p.workers)].Name) {
+			break
+		}
 		p.next++
 	}
 	w := p.workers[p.next%len(p.workers)]
@@ -125,6 +129,7 @@
 	resume  bool
 	limits  func(*loader.Limits)
 	limiter server.Limiter
+	silence time.Duration // 0 is the default
 }
 
 func newStand(o options) *stand {
@@ -137,7 +142,7 @@
 	if o.limits != nil {
 		o.limits(&limits)
 	}
-	forward, closeForward := forwarder.New(silence)
+	forward, closeForward := forwarder.New(cmp.Or(o.silence, silence))
 	s.clean = append(s.clean, closeForward)
 	s.server = server.New(limits, configuration{f}, s.places, forward, zap.NewNop(), server.NewMetrics(prometheus.NewRegistry()))
 	s.server.SetLimiter(o.limiter)
