--- a/Makefile
+++ b/Makefile
@@ -1,13 +1,13 @@
 # Targets for everything; `make` alone lists them.
 LINT := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 
-.PHONY: help build demo test check fmt lint unit matrix
+.PHONY: $(shell grep -oE '^[a-z-]+:' $(MAKEFILE_LIST) | tr -d :)
 
 help: ## list the targets
 	@grep -hE '^[a-z-]+:.*## ' $(MAKEFILE_LIST) | sed -E 's/:.*## /\t/' | expand -t 16
 
 build: ## build the programs into bin/
-	go build -o bin/ . ./cmd/faker
+	go build -o bin/ . ./cmd/...
 
 demo: build ## run the whole path on loopback, kill a host half way, judge
 	./scripts/demo.sh bin
@@ -23,5 +23,14 @@
 fmt: ## format the sources
 	go run $(LINT) fmt
 
+matrix: build ## the fault matrix: specs and scenarios
+	./scripts/matrix.sh bin
+
+bench-member: ## what membership and the messenger cost
+	go test -run '^$$' -bench . -benchtime 1x ./messenger ./registrar
+
 unit: build ## all Go tests
 	go test -count=1 ./...
+
+bench-path: build ## what a host adds to a call, side by side with none
+	./scripts/bench-path.sh bin
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -77,6 +77,7 @@
 // Forwarder is the HTTP adapter for engines and plain services.
 type Forwarder struct {
 	silence time.Duration
+	report  func(address string) // of refusals; may be nil
 	lanes   lanes
 }
 
@@ -103,6 +104,9 @@
 	resp, err := k.send(ctx, req, c.First, cancel)
 	if err == nil {
 		err = check(resp, c.Request, k)
+		if errors.Is(err, ErrNotRun) && !errors.Is(err, ErrStale) {
+			f.refused(address)
+		}
 	}
 	if err != nil {
 		cancel(nil)
--- a/messenger/message.go
+++ b/messenger/message.go
@@ -1,9 +1,11 @@
 // Package messenger carries typed messages between hosts: msgpack bodies in
 // length-prefixed frames over TCP.
 //
-// A frame is a 4-byte big-endian length and a msgpack envelope. Every envelope
-// carries its sender, the sender's incarnation, a sequence number, and the
-// configuration generation the sender has in force.
+// A connection carries one sender's frames one way and their acknowledgements
+// the other. It opens with a hello (name, incarnation) and a welcome (the
+// receiver's incarnation, the last sequence it has). A frame is a 4-byte
+// big-endian length and a msgpack array: sequence, configuration generation of
+// the sender, kind, body. An acknowledgement is the last sequence, 8 bytes big-endian.
 package messenger
 
 import (
@@ -29,35 +31,46 @@
 	Waited       time.Duration `msgpack:"waited"`
 	Prefix       uint64        `msgpack:"prefix"` // hash of organisation and prompt prefix; 0 for none
 	Exclude      []string      `msgpack:"exclude"`
-	Fixed        bool          `msgpack:"fixed"` // can't be preempted: not to be repeated, or not resumable
+	Attempt      uint64        `msgpack:"attempt"` // grows with each Ask or Claim of an entry; a later one is newer
+	Epoch        uint64        `msgpack:"epoch"`   // highest that the entry has seen of the cell
+	Made         int           `msgpack:"made"`    // tokens that earlier attempts made and the entry kept
+	Fixed        bool          `msgpack:"fixed"`   // must not be preempted
 }
 
 // Grant gives a waiting request one place on a worker.
 type Grant struct {
-	Request string `msgpack:"request"`
-	Cell    string `msgpack:"cell"`
-	Worker  string `msgpack:"worker"`
-	Epoch   uint64 `msgpack:"epoch"`
-	Fence   uint64 `msgpack:"fence"`
+	Request string        `msgpack:"request"`
+	Attempt uint64        `msgpack:"attempt"`
+	Cell    string        `msgpack:"cell"`
+	Worker  string        `msgpack:"worker"`
+	Epoch   uint64        `msgpack:"epoch"`
+	Fence   uint64        `msgpack:"fence"`
+	Class   string        `msgpack:"class"`
+	Wait    time.Duration `msgpack:"wait"` // expected of the cell's next request of the class
 }
 
 // Refuse is the final answer to an Ask: it was not run, come back after After.
 type Refuse struct {
 	Request string        `msgpack:"request"`
+	Attempt uint64        `msgpack:"attempt"`
 	Cell    string        `msgpack:"cell"`
 	Reason  string        `msgpack:"reason"`
 	After   time.Duration `msgpack:"after"`
+	Class   string        `msgpack:"class"`
+	Wait    time.Duration `msgpack:"wait"` // as in Grant
 }
 
 // Preempt asks the entry to stop a request in flight and to ask again.
 type Preempt struct {
 	Request string `msgpack:"request"`
+	Attempt uint64 `msgpack:"attempt"`
 	Cell    string `msgpack:"cell"`
 }
 
 // Progress corrects the estimate of a request in flight.
 type Progress struct {
 	Request string `msgpack:"request"`
+	Attempt uint64 `msgpack:"attempt"`
 	Cell    string `msgpack:"cell"`
 	Tokens  int    `msgpack:"tokens"`
 }
@@ -65,6 +78,7 @@
 // Done gives a place back.
 type Done struct {
 	Request string        `msgpack:"request"`
+	Attempt uint64        `msgpack:"attempt"`
 	Cell    string        `msgpack:"cell"`
 	Worker  string        `msgpack:"worker"`
 	Tokens  int           `msgpack:"tokens"`
@@ -75,6 +89,7 @@
 // Cancel withdraws an Ask whose caller has gone.
 type Cancel struct {
 	Request string `msgpack:"request"`
+	Attempt uint64 `msgpack:"attempt"`
 	Cell    string `msgpack:"cell"`
 }
 
@@ -102,15 +117,14 @@
 func (Claim) kind() string    { return "claim" }
 func (Moved) kind() string    { return "moved" }
 
-// Envelope is one frame's content.
+// Envelope is one frame's content, with its sender.
 type Envelope struct {
-	From        string `msgpack:"from"`
-	Incarnation uint64 `msgpack:"inc"`
-	Sequence    uint64 `msgpack:"seq"`
-	Generation  uint64 `msgpack:"gen"`
-	Ack         uint64 `msgpack:"ack"`
-	Kind        string `msgpack:"kind"`
-	Body        []byte `msgpack:"body"`
+	From        string
+	Incarnation uint64 // of the sender's messenger
+	Sequence    uint64
+	Generation  uint64 // of the configuration that the sender has in force
+	Kind        string
+	Body        []byte
 }
 
 // Message decodes the envelope's body.
@@ -138,7 +152,14 @@
 		return decode[Borrow](e)
 	case "lend":
 		return decode[Lend](e)
+	case kindFetch:
+		return decode[Fetch](e)
+	case kindFetched:
+		return decode[Fetched](e)
 	default:
+		if m, ok, err := decodeMember(e); ok {
+			return m, err
+		}
 		return nil, fmt.Errorf("%w: kind %q", ErrFrame, e.Kind)
 	}
 }
--- a/server/server.go
+++ b/server/server.go
@@ -41,6 +41,7 @@
 	memory    memory
 	index     atomic.Pointer[index]
 	ready     atomic.Bool
+	draining  atomic.Bool
 	calls     atomic.Int64
 	http      *http.Server
 }
@@ -48,7 +49,7 @@
 // New returns a server that does not listen yet.
 func New(l loader.Limits, c Configuration, a Allocator, f *forwarder.Forwarder, log *zap.Logger, m *Metrics) *Server {
 	s := &Server{limits: l, config: c, places: a, forwarder: f, log: log, metrics: m, memory: memory{limit: l.Buffer}}
-	s.http = &http.Server{Handler: s.router(), ReadHeaderTimeout: l.Read.Std(), ReadTimeout: l.Read.Std(), MaxHeaderBytes: l.Header, IdleTimeout: time.Minute}
+	s.http = &http.Server{Handler: s.closing(s.router()), ReadHeaderTimeout: l.Read.Std(), ReadTimeout: l.Read.Std(), MaxHeaderBytes: l.Header, IdleTimeout: time.Minute}
 	return s
 }
 
@@ -76,7 +77,7 @@
 func (s *Server) SetReady(ready bool) { s.ready.Store(ready) }
 
 // Ready says what the platform's balancer is told.
-func (s *Server) Ready() bool { return s.ready.Load() }
+func (s *Server) Ready() bool { return s.ready.Load() && !s.Draining() }
 
 // Calls is the number of requests in flight.
 func (s *Server) Calls() int64 { return s.calls.Load() }
