--- a/messenger/member.go
+++ b/messenger/member.go
@@ -8,11 +8,12 @@
 	Reply       bool   // answers a Probe: the receiver's incarnation counts as alive here
 }
 
-// Probe asks for a Beat at once.
+// Probe asks for a Beat at once. It introduces its sender, which the receiver
+// may not know.
 type Probe struct {
-	_msgpack    struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
-	Incarnation uint64
-	Digest      uint64
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
+	Self     Fact
+	Digest   uint64
 }
 
 // Suspect tells the other observers of a host that the sender hears it no more.
--- a/registrar/hearing.go
+++ b/registrar/hearing.go
@@ -20,7 +20,8 @@
 			m.confirmed(now)
 		}
 	case messenger.Probe:
-		if m.beaten(now, from, msg.Incarnation, msg.Digest) {
+		m.merge(now, from, []messenger.Fact{msg.Self})
+		if m.beaten(now, from, msg.Self.Incarnation, msg.Digest) {
 			m.send(from, messenger.Beat{Incarnation: m.self.fact.Incarnation, Digest: m.digest, Reply: true})
 		}
 	case messenger.Suspect:
--- a/registrar/members.go
+++ b/registrar/members.go
@@ -31,6 +31,9 @@
 // tombstoneAge is how long a host that is gone is remembered.
 const tombstoneAge = time.Hour
 
+// tellAge is how long a host that is gone is told so.
+const tellAge = 10 * time.Minute
+
 // leaseVoter is the vote of a lapsed lease in the Object API.
 const leaseVoter = "\x00lease"
 
@@ -87,21 +90,25 @@
 // as an argument and what is to be done comes out. It is not safe for
 // concurrent use.
 type Members struct {
-	beat     time.Duration
-	self     *member
-	members  map[string]*member // this host included
-	roster   Roster
-	ring     ring
-	digest   uint64
-	ticked   time.Time
-	synced   time.Time
-	doubt    time.Time // since when this host does not know whether it still counts
-	outcast  bool      // declared dead, not yet back
-	replaced bool      // another process has the name
-	ended    bool
-	turn     int       // heartbeats sent so far
-	due      time.Time // of the next heartbeat
-	out      []Output
+	beat    time.Duration
+	self    *member
+	members map[string]*member // this host included
+	roster  Roster
+	ring    ring
+	digest  uint64
+	// introduced is the incarnation of each observer that was sent this host's fact.
+	introduced map[string]uint64
+	ticked     time.Time
+	synced     time.Time
+	doubt      time.Time     // since when this host does not know whether it still counts
+	outcast    bool          // declared dead, not yet back
+	rejoinAt   time.Time     // not before
+	patience   time.Duration // until the rejoin after that
+	replaced   bool          // another process has the name
+	ended      bool
+	turn       int       // heartbeats sent so far
+	due        time.Time // of the next heartbeat
+	out        []Output
 }
 
 // NewMembers returns the members as a host that knows only itself sees them.
@@ -225,7 +232,7 @@
 	for _, f := range facts {
 		switch x := m.members[f.Name]; {
 		case x == m.self:
-			m.told(now, f)
+			m.told(now, from, f)
 		case x == nil && f.Status == gone: // else tombstones would go round for ever
 		case x == nil:
 			m.members[f.Name] = &member{fact: f, heard: now, since: now}
@@ -247,33 +254,6 @@
 	}
 }
 
-// told takes what others say of this host. Failure: this host was frozen, others
-// declared it dead and took its roles; it shows as a fact "gone" of its present
-// incarnation. That is final, so it comes back as a new one.
-func (m *Members) told(now time.Time, f messenger.Fact) {
-	switch {
-	case m.ended || m.replaced || !newer(f, m.self.fact):
-		return
-	case f.Incarnation > m.self.fact.Incarnation:
-		m.replaced = true
-		m.out = append(m.out, Superseded{Self: m.self.record()})
-		m.rebuild(now)
-	case f.Status == gone:
-		m.rejoin(now)
-	}
-}
-
-func (m *Members) rejoin(now time.Time) {
-	m.outcast = true
-	m.rebuild(now) // others know of roles lost before they hear of the new incarnation
-	m.self.fact.Incarnation = max(m.self.fact.Incarnation+1, uint64(now.UnixNano()))
-	m.self.since = now
-	m.outcast, m.doubt = false, time.Time{}
-	m.rebuild(now)
-	m.spread("", []messenger.Fact{m.self.fact})
-	m.out = append(m.out, Rejoined{Self: m.self.record()})
-}
-
 // names is the hosts that are not gone, this one excluded, in order.
 func (m *Members) names() []string {
 	var names []string
@@ -303,9 +283,8 @@
 	digest := NewRoster(all...).Digest()
 	if digest != m.digest {
 		m.digest = digest
-		before := m.ring.observers[m.self.fact.Name]
 		m.ring = newRing(all)
-		m.introduce(before)
+		m.introduce()
 	}
 	r := NewRoster(counted...)
 	if !slices.Equal(r.hosts, m.roster.hosts) {
@@ -316,11 +295,15 @@
 
 func (m *Members) counts() bool { return !m.outcast && !m.replaced && m.doubt.IsZero() }
 
-// introduce sends this host's fact to observers that are new: they may know
-// nothing of it yet, and could not answer its heartbeats.
-func (m *Members) introduce(before []string) {
+// introduce sends this host's fact to observers that are new, or new under their
+// name: they may know nothing of it yet, and could not answer its heartbeats.
+func (m *Members) introduce() {
+	known := m.introduced
+	m.introduced = map[string]uint64{}
 	for _, o := range m.ring.observers[m.self.fact.Name] {
-		if !slices.Contains(before, o) {
+		incarnation := m.members[o].fact.Incarnation
+		m.introduced[o] = incarnation
+		if known[o] != incarnation {
 			m.send(o, messenger.News{Facts: []messenger.Fact{m.self.fact}})
 		}
 	}
--- a/registrar/members_test.go
+++ b/registrar/members_test.go
@@ -156,6 +156,34 @@
 		}
 	})
 
+	// Story: a switch fails and splits a region's hosts in two groups, the store being
+	// down. Each group declares the other dead; when the switch is back, nobody would
+	// speak to the other side. All must be on every roster again.
+	It("two groups that declared each other dead meet again", Label(prover.Pair(prover.Renewed, prover.CutBoth, prover.Renewed, prover.StoreDown)), func() {
+		f := newFleet(9, 4, 1)
+		f.storeDown = true
+		group := []string{"h00", "h01", "h02", victim}
+		f.part(true, true, group...)
+		f.run(30 * time.Second)
+		Expect(f.views()).To(HaveLen(2))
+		f.part(false, true, group...)
+		f.run(30 * time.Second)
+		Expect(f.views()).To(ConsistOf(f.up()))
+	})
+
+	// Story: a host hears the others, which can't hear it. It is declared dead, and told
+	// so. Were it to rejoin each time, its roles would come and go without end.
+	It("a host that nobody hears does not come and go", Label(prover.Pair(prover.Renewed, prover.CutOne, prover.Taken, prover.CutOne)), func() {
+		f := newFleet(9, 4, 1)
+		f.part(true, false, victim)
+		f.run(2 * time.Minute)
+		Expect(f.rejoins).To(BeNumerically("<=", 1))
+		Expect(f.sees("h00")).NotTo(ContainSubstring(victim))
+		f.part(false, false, victim)
+		f.run(10 * time.Second)
+		Expect(f.views()).To(ConsistOf(f.up()))
+	})
+
 	// Story: two hosts only, and the one can't tell a dead peer from a cut. The
 	// survivor takes the roles at once; it declares the peer dead when its lease lapses.
 	It("of two hosts one is dead only when its lease has lapsed too", Label(prover.Cell(prover.HandedOver, prover.Kill)), func() {
--- a/registrar/ticking.go
+++ b/registrar/ticking.go
@@ -24,7 +24,10 @@
 	}
 	if !now.Before(m.due) {
 		m.due = now.Add(m.beat)
-		m.sendBeats()
+		m.sendBeats(now)
+	}
+	if m.outcast {
+		m.rejoin(now, "")
 	}
 	for _, host := range m.ring.observed[m.self.fact.Name] {
 		if x := m.members[host]; x != nil && x.fact.Status != gone {
@@ -34,7 +37,7 @@
 	return m.flush()
 }
 
-func (m *Members) sendBeats() {
+func (m *Members) sendBeats(now time.Time) {
 	m.turn++
 	for _, o := range m.ring.observers[m.self.fact.Name] {
 		m.send(o, messenger.Beat{Incarnation: m.self.fact.Incarnation, Digest: m.digest})
@@ -42,6 +45,24 @@
 	if m.turn%remoteEvery == 0 {
 		m.beatAbroad()
 		m.probeUnreached()
+		m.tellGone(now)
+	}
+}
+
+// tellGone tells one host that is gone that it is, in turn. Failure: hosts lost
+// each other in two groups, each of which declared the other dead. When the
+// connections work again nobody would speak to the other side; this way both
+// rejoin, also without the store.
+func (m *Members) tellGone(now time.Time) {
+	var dead []*member
+	for _, x := range m.sortedMembers() {
+		if x != m.self && x.fact.Status == gone && x.fact.Control != "" && now.Sub(x.since) < tellAge {
+			dead = append(dead, x)
+		}
+	}
+	if len(dead) > 0 {
+		x := dead[(m.turn/remoteEvery)%len(dead)]
+		m.send(x.fact.Name, messenger.News{Facts: []messenger.Fact{x.fact}})
 	}
 }
 
@@ -67,7 +88,7 @@
 	m.doubt = now
 	m.rebuild(now)
 	for _, o := range m.ring.observers[m.self.fact.Name] {
-		m.send(o, messenger.Probe{Incarnation: m.self.fact.Incarnation, Digest: m.digest})
+		m.send(o, m.probe())
 	}
 }
 
@@ -100,7 +121,7 @@
 	for _, o := range m.ring.observers[x.fact.Name] {
 		m.send(o, messenger.Suspect{Host: x.fact.Name, Incarnation: x.fact.Incarnation})
 	}
-	m.out = append(m.out, Send{To: x.record(), Fresh: true, Message: messenger.Probe{Incarnation: m.self.fact.Incarnation, Digest: m.digest}})
+	m.out = append(m.out, Send{To: x.record(), Fresh: true, Message: m.probe()})
 }
 
 // agreed says whether anyone besides this host hears the suspect no more:
@@ -151,6 +172,10 @@
 	return regions, mine
 }
 
+func (m *Members) probe() messenger.Probe {
+	return messenger.Probe{Self: m.self.fact, Digest: m.digest}
+}
+
 // probeUnreached tries one of the hosts that can't be reached, in turn.
 func (m *Members) probeUnreached() {
 	var lost []*member
@@ -161,7 +186,7 @@
 	}
 	if len(lost) > 0 {
 		x := lost[(m.turn/remoteEvery)%len(lost)]
-		m.send(x.fact.Name, messenger.Probe{Incarnation: m.self.fact.Incarnation, Digest: m.digest})
+		m.send(x.fact.Name, m.probe())
 	}
 }
 
