--- a/commander/command.go
+++ b/commander/command.go
@@ -9,6 +9,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 
 	"github.com/spf13/cobra"
@@ -20,19 +21,23 @@
 	ExitFailed   = 1 // the command could not do its work
 	ExitUsage    = 2 // the call or a settings file is wrong
 	ExitConflict = 3 // another operator's change stands in the way
+	ExitDiffers  = 4 // diff found differences
+	// ExitUnsettled is a push that may have landed: push again.
+	ExitUnsettled = 5
 )
 
 // command is one command of the program.
 type command struct {
 	use   string
 	short string
+	long  string // "" is short
 	args  cobra.PositionalArgs
 	flags func(*cobra.Command)
 	run   func(ctx context.Context, c *cobra.Command, args []string) error
 }
 
 // commands is every command, in the order of the help page.
-var commands = []command{cmdServe, cmdCheck, cmdPush, cmdStatus, cmdDump, cmdDrain, cmdVersion}
+var commands = []command{cmdServe, cmdCheck, cmdDiff, cmdPull, cmdPush, cmdKey, cmdStatus, cmdDump, cmdDrain, cmdVersion}
 
 // exitError carries an exit code.
 type exitError struct {
@@ -51,14 +56,18 @@
 }
 
 // Main runs the command line and returns the exit code.
-func Main(args []string, stdout, stderr io.Writer) int {
+func Main(args []string, stdin io.Reader, stdout, stderr io.Writer) int {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	root := newRoot()
 	root.SetArgs(args)
+	root.SetIn(stdin)
 	root.SetOut(stdout)
 	root.SetErr(stderr)
-	err := root.ExecuteContext(ctx)
+	err := known(root, args)
+	if err == nil {
+		err = root.ExecuteContext(ctx)
+	}
 	if err == nil {
 		return ExitOK
 	}
@@ -70,6 +79,18 @@
 	return ExitFailed
 }
 
+// known refuses a command that does not exist, which cobra reports like any
+// failure. Its own hidden commands, __complete and the like, come only later.
+func known(root *cobra.Command, args []string) error {
+	if len(args) == 0 || strings.HasPrefix(args[0], "__") {
+		return nil
+	}
+	root.InitDefaultHelpCmd()
+	root.InitDefaultCompletionCmd(args...)
+	_, _, err := root.Find(args)
+	return usage(err)
+}
+
 func newRoot() *cobra.Command {
 	root := &cobra.Command{
 		Use:           "cicadawood",
@@ -81,7 +102,7 @@
 	root.PersistentFlags().Bool("json", false, "print JSON")
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usage(err) })
 	for _, k := range commands {
-		c := &cobra.Command{Use: k.use, Short: k.short, Args: func(c *cobra.Command, args []string) error { return usage(k.args(c, args)) }}
+		c := &cobra.Command{Use: k.use, Short: k.short, Long: k.long, Args: func(c *cobra.Command, args []string) error { return usage(k.args(c, args)) }}
 		c.RunE = func(c *cobra.Command, args []string) error { return k.run(c.Context(), c, args) }
 		if k.flags != nil {
 			k.flags(c)
--- a/runner/leaving.go
+++ b/runner/leaving.go
@@ -93,5 +93,6 @@
 	}
 	s.Zone, s.Ready, s.Leaving, s.Inflight = h.settings.Zone, h.server.Ready(), h.server.Draining(), h.server.Calls()
 	s.Membership, s.Messenger = h.registrar.Counts(), h.messenger.Counts()
+	s.Configuration = h.following.Status()
 	return s
 }
--- a/runner/state.go
+++ b/runner/state.go
@@ -1,11 +1,15 @@
 package runner
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cicadawood/cicadawood/dispatcher"
+	"github.com/cicadawood/cicadawood/limiter"
 	"github.com/cicadawood/cicadawood/messenger"
 	"github.com/cicadawood/cicadawood/observer"
+	"github.com/cicadawood/cicadawood/publisher"
 	"github.com/cicadawood/cicadawood/registrar"
 )
 
@@ -24,14 +28,19 @@
 	Membership registrar.Counts   `json:"membership"`
 	Messenger  messenger.Counts   `json:"messenger"`
 	Workers    []observer.State   `json:"workers"`
+
+	Configuration publisher.Status `json:"configuration"`
+
+	Limits map[string]limiter.Rates `json:"limits"` // what limited organisations may use here, a second
 }
 
 func (c *control) state() State {
 	s := State{Name: c.self, Generation: c.generation, Roles: []string{"entry"}, Roster: c.roster.Hosts(), Cells: []dispatcher.State{}, Calls: map[string]string{}, Workers: c.observer.States(time.Now())}
-	for name, d := range c.owned {
-		s.Cells = append(s.Cells, d.State())
+	for _, name := range slices.Sorted(maps.Keys(c.owned)) {
+		s.Cells = append(s.Cells, c.owned[name].State())
 		s.Roles = append(s.Roles, "dispatcher:"+name)
 	}
+	s.Limits = c.limiting.gates.Rates(time.Now())
 	for id, k := range c.calls {
 		s.Calls[id] = k.worker
 	}
--- a/scripts/bench-path.sh
+++ b/scripts/bench-path.sh
@@ -21,7 +21,7 @@
   cat >"$work/folder/services.jsonc" <<EOT
 {"classes": {"chat": {"tier": 1, "whole": "60s"}},
  "organisations": {"dock": {"keys": ["sha256:$(printf demo-key | sha256sum | cut -d' ' -f1)"], "classes": ["chat"]}},
- "services": {"$name": {"kind": "engine", "models": ["cicada-lm"], "routes": [{"class": "chat"}],
+ "services": {"$name": {"kind": "engine", "owner": "ops", "models": ["cicada-lm"], "routes": [{"class": "chat"}],
    "workers": [{"name": "$name", "address": "127.0.0.1:$port", "zone": "a", "slots": $slots}]}}}
 EOT
   generation=$("$bin/cicadawood" push "$work/folder" | grep -oE '[0-9]+' | head -n 1)
