--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -16,6 +16,9 @@
 // dropped, as heartbeats and news are repeated.
 const inputBacklog = 1024
 
+// seekEvery is how often a host that knows nobody asks its settings' peers.
+const seekEvery = 2 * time.Second
+
 // Transport is the port to other hosts.
 type Transport interface {
 	Send(address string, m messenger.Message) error
@@ -31,6 +34,9 @@
 	Store     storer.Store
 	Transport Transport
 	Log       *zap.Logger
+	// Peers is control addresses of other hosts: whom to ask for the roster while
+	// this host knows nobody, as when it starts while the platform is down.
+	Peers []string
 	// Notify is called with each new roster. It must not block for long.
 	Notify func(Roster)
 }
@@ -58,6 +64,8 @@
 	roster   Roster
 	doubting map[string]bool // by host
 
+	sought time.Time // when the peers of the settings were last asked
+
 	suspicions, deaths, rejoins atomic.Uint64
 }
 
@@ -85,6 +93,7 @@
 		select {
 		case <-ctx.Done():
 		case <-ticker.C:
+			r.seek()
 			r.act(inner, r.members.Tick(time.Now()))
 		case in := <-r.inputs:
 			r.act(inner, in(time.Now()))
@@ -96,6 +105,19 @@
 	r.recorder.remove()
 }
 
+// seek asks the peers of the settings while this host knows nobody else. The
+// fact goes first, so that the peer knows whom to answer.
+func (r *Registrar) seek() {
+	if len(r.Roster().hosts) > 1 || time.Since(r.sought) < seekEvery {
+		return
+	}
+	r.sought = time.Now()
+	for _, p := range r.config.Peers {
+		_ = r.config.Transport.Send(p, messenger.News{Facts: []messenger.Fact{factOf(r.members.Self())}})
+		_ = r.config.Transport.Send(p, messenger.Sync{})
+	}
+}
+
 // Leave marks this host as leaving: it takes no new roles.
 func (r *Registrar) Leave() { r.post(r.membersLeave) }
 
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -41,12 +41,15 @@
 	return nil
 }
 
+// peers is whom each host of a test is told to ask.
+var peers = []string{"a"}
+
 // join starts a registrar; the result ends it and waits until it has left.
 func (w *wire) join(store storer.Store, name string, incarnation uint64) (*registrar.Registrar, func()) {
 	r := registrar.New(registrar.Config{
 		Self: registrar.Record{Name: name, Zone: name, Control: name, Incarnation: incarnation},
 		Beat: 50 * time.Millisecond, Lease: time.Second, Store: store, Transport: end{w, name},
-		Log: zap.NewNop(), Notify: func(registrar.Roster) {},
+		Log: zap.NewNop(), Peers: peers, Notify: func(registrar.Roster) {},
 	})
 	w.mu.Lock()
 	w.hosts[name] = r
@@ -148,6 +151,17 @@
 		Consistently(func() map[string]uint64 { return incarnations(w.hosts["a"]) }).WithTimeout(2 * time.Second).Should(Equal(all))
 	})
 
+	// Story: a host is replaced while the platform is down. The new one can read no
+	// record; it must find the others through the peers of its settings.
+	It("joins through its peers while the store is down", Label(prover.Cell(prover.Taken, prover.StoreDown)), func() {
+		platform.SetFaults(faker.Faults{Down: true})
+		a, _ := w.join(store, "a", 7)
+		b, _ := w.join(store, "b", 9)
+		both := map[string]uint64{"a": 7, "b": 9}
+		Eventually(func() map[string]uint64 { return incarnations(a) }).WithTimeout(5 * time.Second).Should(Equal(both))
+		Eventually(func() map[string]uint64 { return incarnations(b) }).WithTimeout(5 * time.Second).Should(Equal(both))
+	})
+
 	It("a new host does not believe in records that dead hosts left behind", func() {
 		for _, name := range []string{"x", "y"} {
 			value, err := json.Marshal(registrar.Record{Name: name, Control: name, Incarnation: 1})
--- a/runner/host.go
+++ b/runner/host.go
@@ -97,7 +97,7 @@
 		Self: registrar.Record{
 			Name: s.Name, Zone: s.Zone, Region: s.Region, Control: s.Control, Admin: s.Admin, Incarnation: incarnation,
 		},
-		Beat: s.Limits.Beat.Std(), Lease: s.Limits.Lease.Std(), Store: store, Transport: m, Log: h.log,
+		Beat: s.Limits.Beat.Std(), Lease: s.Limits.Lease.Std(), Store: store, Transport: m, Log: h.log, Peers: s.Peers,
 		Notify: func(r registrar.Roster) {
 			h.following.enroll(r)
 			h.control.post(rosterChanged{roster: r})
--- a/runner/town_test.go
+++ b/runner/town_test.go
@@ -6,13 +6,13 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -84,11 +84,14 @@
 	Expect(commander.Main([]string{"push", dir, "--platform", t.url}, strings.NewReader(""), &out, &out)).To(Equal(commander.ExitOK), "%s", &out)
 }
 
+// ports counts the addresses given out in this process.
+var ports atomic.Int32
+
+// freeAddress is a loopback address that no other test process uses: a port that
+// the kernel gave out and took back may come twice.
 func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	defer l.Close()
-	return l.Addr().String()
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.1:%d", 20+pid/250%40, 1+pid%250, 20000+ports.Add(1))
 }
 
 // start runs a host until it is told to stop.
