--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -22,6 +22,8 @@
 type wire struct {
 	mu    sync.Mutex
 	hosts map[string]*registrar.Registrar
+	cut   bool
+	lease time.Duration
 }
 
 type end struct {
@@ -33,9 +35,9 @@
 
 func (e end) Send(address string, m messenger.Message) error {
 	e.w.mu.Lock()
-	to := e.w.hosts[address]
+	to, cut := e.w.hosts[address], e.w.cut
 	e.w.mu.Unlock()
-	if to != nil {
+	if to != nil && !cut {
 		to.Hear(e.name, m)
 	}
 	return nil
@@ -48,7 +50,7 @@
 func (w *wire) join(store storer.Store, name string, incarnation uint64) (*registrar.Registrar, func()) {
 	r := registrar.New(registrar.Config{
 		Self: registrar.Record{Name: name, Zone: name, Control: name, Incarnation: incarnation},
-		Beat: 50 * time.Millisecond, Lease: time.Second, Store: store, Transport: end{w, name},
+		Beat: 50 * time.Millisecond, Lease: w.lease, Store: store, Transport: end{w, name},
 		Log: zap.NewNop(), Peers: peers, Notify: func(registrar.Roster) {},
 	})
 	w.mu.Lock()
@@ -89,7 +91,7 @@
 		DeferCleanup(server.Close)
 		client, clean := storer.NewClient(server.URL)
 		DeferCleanup(clean)
-		store, w = client, &wire{hosts: map[string]*registrar.Registrar{}}
+		store, w = client, &wire{hosts: map[string]*registrar.Registrar{}, lease: time.Second}
 	})
 
 	stored := func(name string) registrar.Record {
@@ -151,6 +153,27 @@
 		Consistently(func() map[string]uint64 { return incarnations(w.hosts["a"]) }).WithTimeout(2 * time.Second).Should(Equal(all))
 	})
 
+	// Story: two hosts lose each other, with the store down and then up. A lease that
+	// can't be read has not lapsed, and one that is renewed has not either: nobody dies.
+	It("declares nobody dead by a lease that it can't read", Label(
+		prover.Pair(prover.Renewed, prover.StoreDown, prover.Renewed, prover.CutBoth)), func() {
+		w.lease = 3 * time.Second
+		a, _ := w.join(store, "a", 7)
+		b, _ := w.join(store, "b", 9)
+		both := map[string]uint64{"a": 7, "b": 9}
+		Eventually(func() map[string]uint64 { return incarnations(a) }).WithTimeout(5 * time.Second).Should(Equal(both))
+		Eventually(func() map[string]uint64 { return incarnations(b) }).WithTimeout(5 * time.Second).Should(Equal(both))
+		platform.SetFaults(faker.Faults{Down: true})
+		w.mu.Lock()
+		w.cut = true
+		w.mu.Unlock()
+		Eventually(func() uint64 { return a.Counts().Suspicions }).WithTimeout(5 * time.Second).Should(BeNumerically(">", 0))
+		deaths := func() uint64 { return a.Counts().Deaths + b.Counts().Deaths }
+		Consistently(deaths).WithTimeout(2 * time.Second).Should(BeZero())
+		platform.SetFaults(faker.Faults{})
+		Consistently(deaths).WithTimeout(5 * time.Second).Should(BeZero())
+	})
+
 	// Story: a host is replaced while the platform is down. The new one can read no
 	// record; it must find the others through the peers of its settings.
 	It("joins through its peers while the store is down", Label(prover.Cell(prover.Taken, prover.StoreDown)), func() {
