Keep tiers apart in limits and retry budgets; probe connections

An organisation's chat could use up its limit or its retries, and its holds were then refused for it. A tier's buckets are now charged with what it and the more urgent ones use: a request is never refused for what less urgent ones used, and together they stay within the limit (spec 'refuse no request for what less urgent ones used': 300 of 300 holds, 600 of 600 of the next tier, chat the rest of 20/s).

Connections to backend servers are probed by the system, for answers in one piece that may rightly take long; not proved by a test, as the link of the fakes answers probes itself.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -99,7 +99,7 @@
 		return nil, fmt.Errorf("%w: %v", ErrNotRun, err)
 	}
 	fill(req, c)
-	k := f.lanes.get(address)
+	k := f.lanes.get(address, f.silence)
 	sent := time.Now()
 	resp, err := k.send(ctx, req, c.First, cancel)
 	if err == nil {
--- a/forwarder/lane.go
+++ b/forwarder/lane.go
@@ -15,6 +15,8 @@
 	headMost      = 64 << 10 // bytes of an answer's headers
 	lanesMost     = 4096     // backend servers remembered
 	connectionBuf = 4 << 10
+	probeEvery    = time.Second // the shortest that the system takes
+	probeMost     = 2
 )
 
 // lane is the connections to one backend server. Each has its own, so that the
@@ -27,9 +29,13 @@
 	echoes atomic.Bool
 }
 
-func newLane() *lane {
+func newLane(silence time.Duration) *lane {
+	// An answer that comes in one piece may rightly take long, so that no bound on
+	// silence tells a forgotten connection. Where its packets are dropped, the
+	// system's probes do.
+	probes := net.KeepAliveConfig{Enable: true, Idle: max(silence, probeEvery), Interval: probeEvery, Count: probeMost}
 	t := &http.Transport{
-		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:            (&net.Dialer{Timeout: dialTimeout, KeepAliveConfig: probes}).DialContext,
 		MaxIdleConnsPerHost:    idleMost,
 		IdleConnTimeout:        idleTimeout,
 		DisableCompression:     true,
@@ -46,7 +52,7 @@
 	list map[string]*lane
 }
 
-func (l *lanes) get(address string) *lane {
+func (l *lanes) get(address string, silence time.Duration) *lane {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if k := l.list[address]; k != nil {
@@ -58,7 +64,7 @@
 		l.dropAll()
 		l.list = map[string]*lane{}
 	}
-	k := newLane()
+	k := newLane(silence)
 	l.list[address] = k
 	return k
 }
--- a/limiter/bench_test.go
+++ b/limiter/bench_test.go
@@ -23,7 +23,7 @@
 	for b.Loop() {
 		i++
 		now = now.Add(time.Microsecond)
-		g.Admit(now, names[i%len(names)], 100)
+		g.Admit(now, names[i%len(names)], 1, 100)
 	}
 }
 
@@ -37,7 +37,7 @@
 	g.Configure(limits)
 	now := time.Unix(1000, 0)
 	for name := range limits {
-		g.Admit(now, name, 0)
+		g.Admit(now, name, 1, 0)
 	}
 	for b.Loop() {
 		now = now.Add(time.Millisecond)
--- a/limiter/gate.go
+++ b/limiter/gate.go
@@ -1,8 +1,6 @@
 package limiter
 
-import (
-	"time"
-)
+import "time"
 
 // Gate lets one organisation's requests in at one entry. It is not safe for
 // concurrent use.
@@ -10,10 +8,13 @@
 	limits Rates
 	hosts  int
 
-	loan     Rates
-	until    time.Time // the loan is over
-	requests bucket
-	tokens   bucket
+	loan  Rates
+	until time.Time // the loan is over
+	// A tier's buckets are charged with what it and the more urgent ones use. So a
+	// request is never refused for what less urgent ones used, and yet all of them
+	// together stay within the limit.
+	requests [tiers]bucket
+	tokens   [tiers]bucket
 
 	sequence uint64 // of the last ask
 	asked    time.Time
@@ -22,6 +23,9 @@
 	active   time.Time // last request
 }
 
+// tiers is how many tiers are told apart; those beyond count as the last.
+const tiers = 8
+
 // bucket is a token bucket whose rate changes. It may be in debt.
 type bucket struct {
 	level float64
@@ -60,28 +64,44 @@
 	return g.limits.each(func(r float64) float64 { return r / float64(max(g.hosts, 1)) })
 }
 
-// Admit lets a request of about tokens in, or says when to come back.
-func (g *Gate) Admit(now time.Time, tokens int) (time.Duration, bool) {
+// Admit lets a request of a tier and of about tokens in, or says when to come
+// back.
+func (g *Gate) Admit(now time.Time, tier, tokens int) (time.Duration, bool) {
 	g.counted = both(g.counted, Rates{1, float64(tokens)}, plus)
 	g.active = now
-	rates := g.Rates(now)
-	g.requests.fill(now, rates.Requests)
-	g.tokens.fill(now, rates.Tokens)
-	if g.limits.Requests > 0 && g.requests.level < 1 {
-		return g.requests.wait(1, rates.Requests), false
+	rates := g.fill(now)
+	tier = min(max(tier, 0), tiers-1)
+	if b := &g.requests[tier]; g.limits.Requests > 0 && b.level < 1 {
+		return b.wait(1, rates.Requests), false
 	}
 	// A request may cost more tokens than ever lie in the bucket: it is let in
 	// when there is any, and those after it wait until the debt is paid.
-	if g.limits.Tokens > 0 && tokens > 0 && g.tokens.level < 1 {
-		return g.tokens.wait(1, rates.Tokens), false
+	if b := &g.tokens[tier]; g.limits.Tokens > 0 && tokens > 0 && b.level < 1 {
+		return b.wait(1, rates.Tokens), false
+	}
+	for i := tier; i < tiers; i++ {
+		g.requests[i].level--
 	}
-	g.requests.level--
-	g.tokens.level -= float64(tokens)
+	g.Settle(tier, tokens)
 	return 0, true
 }
 
 // Settle charges tokens more, or gives some back.
-func (g *Gate) Settle(tokens int) { g.tokens.level -= float64(tokens) }
+func (g *Gate) Settle(tier, tokens int) {
+	for i := min(max(tier, 0), tiers-1); i < tiers; i++ {
+		g.tokens[i].level -= float64(tokens)
+	}
+}
+
+// fill brings all buckets to now, and returns the rates.
+func (g *Gate) fill(now time.Time) Rates {
+	rates := g.Rates(now)
+	for i := range g.requests {
+		g.requests[i].fill(now, rates.Requests)
+		g.tokens[i].fill(now, rates.Tokens)
+	}
+	return rates
+}
 
 // Ask is the demand to tell the owner of, where it is time to.
 func (g *Gate) Ask(now time.Time) (demand Rates, sequence uint64, due bool) {
@@ -117,9 +137,7 @@
 	if sequence != g.sequence {
 		return
 	}
-	old := g.Rates(now)
-	g.requests.fill(now, old.Requests)
-	g.tokens.fill(now, old.Tokens)
+	g.fill(now)
 	g.loan, g.until = loan, g.asked.Add(Term)
 }
 
@@ -128,8 +146,6 @@
 	if now.Sub(g.active) < idleAfter {
 		return false
 	}
-	rates := g.Rates(now)
-	g.requests.fill(now, rates.Requests)
-	g.tokens.fill(now, rates.Tokens)
-	return g.requests.level >= 1 && g.tokens.level >= 1
+	g.fill(now)
+	return g.requests[tiers-1].level >= 1 && g.tokens[tiers-1].level >= 1
 }
--- a/limiter/gates.go
+++ b/limiter/gates.go
@@ -47,8 +47,9 @@
 	}
 }
 
-// Admit lets a request of about tokens in, or says when to come back.
-func (g *Gates) Admit(now time.Time, organisation string, tokens int) (time.Duration, bool) {
+// Admit lets a request of a tier and of about tokens in, or says when to come
+// back.
+func (g *Gates) Admit(now time.Time, organisation string, tier, tokens int) (time.Duration, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	limits, limited := g.limits[organisation]
@@ -64,15 +65,15 @@
 		x.Configure(limits, g.hosts)
 		g.gates[organisation] = x
 	}
-	return x.Admit(now, tokens)
+	return x.Admit(now, tier, tokens)
 }
 
 // Settle charges tokens more, or gives some back.
-func (g *Gates) Settle(organisation string, tokens int) {
+func (g *Gates) Settle(organisation string, tier, tokens int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if x := g.gates[organisation]; x != nil {
-		x.Settle(tokens)
+		x.Settle(tier, tokens)
 	}
 }
 
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -76,7 +76,7 @@
 	}
 	for i, g := range w.gates {
 		for range arrivals[i] {
-			if _, ok := g.Admit(w.now, 0); ok {
+			if _, ok := g.Admit(w.now, 1, 0); ok {
 				w.admitted[i]++
 			} else {
 				w.refused[i]++
@@ -241,7 +241,7 @@
 		asks := 0
 		for range 1000 {
 			w.now = w.now.Add(step)
-			w.gates[0].Admit(w.now, 0)
+			w.gates[0].Admit(w.now, 1, 0)
 			if _, _, due := w.gates[0].Ask(w.now); due {
 				asks++
 			}
@@ -249,17 +249,40 @@
 		Expect(asks).To(BeNumerically("<=", 12))
 	})
 
+	// The desk's chat uses up its organisation's limit. A seat hold of the same
+	// organisation must still get in, and all of it stays within the limit.
+	It("refuse no request for what less urgent ones used", func() {
+		g := &limiter.Gate{}
+		g.Configure(limiter.Rates{Requests: 20, Tokens: 1000}, 1)
+		now := time.Unix(1000, 0)
+		var admitted [3]int
+		for i := range 6000 {
+			now = now.Add(step)
+			for tier, every := range []int{20, 10, 1} { // 5, 10 and 100 a second
+				if i%every != 0 {
+					continue
+				}
+				if _, ok := g.Admit(now, tier, 10); ok {
+					admitted[tier]++
+				}
+			}
+		}
+		Expect(admitted[0]).To(Equal(300), "all holds")
+		Expect(admitted[1]).To(Equal(600), "all of the next tier")
+		Expect(admitted[2]).To(And(BeNumerically(">=", 280), BeNumerically("<=", 330)), "chat has what they leave")
+	})
+
 	It("charge tokens by estimate and correct them", func() {
 		g := &limiter.Gate{}
 		g.Configure(limiter.Rates{Tokens: 100}, 1)
 		now := time.Unix(1000, 0)
-		_, ok := g.Admit(now, 500)
+		_, ok := g.Admit(now, 1, 500)
 		Expect(ok).To(BeTrue(), "more than a burst, but there was room")
-		after, ok := g.Admit(now, 1)
+		after, ok := g.Admit(now, 1, 1)
 		Expect(ok).To(BeFalse())
 		Expect(after).To(BeNumerically("~", 4010*time.Millisecond, 10*time.Millisecond), "when the debt of 400 is paid")
-		g.Settle(-450)
-		_, ok = g.Admit(now, 1)
+		g.Settle(1, -450)
+		_, ok = g.Admit(now, 1, 1)
 		Expect(ok).To(BeTrue())
 	})
 
@@ -267,9 +290,9 @@
 		g := &limiter.Gate{}
 		g.Configure(limiter.Rates{Requests: 100}, 10)
 		now := time.Unix(1000, 0)
-		g.Admit(now, 0)
+		g.Admit(now, 1, 0)
 		_, first, _ := g.Ask(now)
-		g.Admit(now, 0)
+		g.Admit(now, 1, 0)
 		_, second, due := g.Ask(now.Add(time.Second))
 		Expect(due).To(BeTrue())
 		g.Take(now.Add(time.Second), second, limiter.Rates{Requests: 20})
@@ -283,18 +306,18 @@
 	It("forgets what is idle, and follows the settings", func() {
 		var g limiter.Gates
 		now := time.Unix(1000, 0)
-		_, ok := g.Admit(now, org, 1)
+		_, ok := g.Admit(now, org, 1, 1)
 		Expect(ok).To(BeTrue(), "no limit is set")
 		g.Configure(map[string]limiter.Rates{org: {Requests: 1}})
 		g.SetHosts(1)
-		_, ok = g.Admit(now, org, 0)
+		_, ok = g.Admit(now, org, 1, 0)
 		Expect(ok).To(BeTrue())
-		_, ok = g.Admit(now, org, 0)
+		_, ok = g.Admit(now, org, 1, 0)
 		Expect(ok).To(BeFalse())
 		Expect(g.Asks(now)).To(HaveLen(1))
 		Expect(g.Asks(now.Add(time.Minute))).To(BeEmpty())
 		Expect(g.Rates(now)).To(BeEmpty())
-		g.Admit(now, org, 0)
+		g.Admit(now, org, 1, 0)
 		g.Configure(nil)
 		Expect(g.Rates(now)).To(BeEmpty())
 	})
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -1,5 +1,5 @@
 // Package retrier bounds retries: a budget for each organisation and each
-// service, filled by first tries, so that retries can never multiply the load of
+// service, by tier, filled by first tries, so that retries can never multiply the load of
 // an outage. It also spreads the times at which refused callers come back.
 //
 // Everything is pure: time and randomness come in as arguments.
@@ -15,7 +15,7 @@
 	DefaultRatio = 0.2 // retries for each first try
 	DefaultFloor = 0.2 // retries a second without any first try
 	DefaultBurst = 30  // retries at once
-	keysMost     = 4096
+	keysMost     = 16384
 )
 
 // Policy is how much a Budget allows. Zero fields take the defaults.
@@ -71,24 +71,28 @@
 	keys map[key]*Budget
 }
 
-// key is one organisation or one service.
-type key struct{ organisation, service string }
+// key is one organisation or one service, in one tier: the retries of chat must
+// not use up those of a hold.
+type key struct {
+	organisation, service string
+	tier                  int
+}
 
 // First counts the first try of a request.
-func (b *Budgets) First(now time.Time, organisation, service string) {
+func (b *Budgets) First(now time.Time, organisation, service string, tier int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	p := b.Policy.withDefaults()
-	b.get(now, key{organisation: organisation}).first(now, p)
-	b.get(now, key{service: service}).first(now, p)
+	b.get(now, key{organisation: organisation, tier: tier}).first(now, p)
+	b.get(now, key{service: service, tier: tier}).first(now, p)
 }
 
 // Take takes one retry out of both budgets, or out of neither.
-func (b *Budgets) Take(now time.Time, organisation, service string) bool {
+func (b *Budgets) Take(now time.Time, organisation, service string, tier int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	p := b.Policy.withDefaults()
-	o, s := b.get(now, key{organisation: organisation}), b.get(now, key{service: service})
+	o, s := b.get(now, key{organisation: organisation, tier: tier}), b.get(now, key{service: service, tier: tier})
 	if !o.has(now, p) || !s.has(now, p) {
 		return false
 	}
--- a/retrier/retrier_test.go
+++ b/retrier/retrier_test.go
@@ -37,10 +37,10 @@
 				now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "ms")) * time.Millisecond)
 				org, service := fmt.Sprint("o", rapid.IntRange(0, 2).Draw(t, "org")), fmt.Sprint("s", rapid.IntRange(0, 1).Draw(t, "service"))
 				if rapid.IntRange(0, 3).Draw(t, "what") == 0 {
-					b.First(now, org, service)
+					b.First(now, org, service, 1)
 					firsts[org]++
 					firsts[service]++
-				} else if b.Take(now, org, service) {
+				} else if b.Take(now, org, service, 1) {
 					retries[org]++
 					retries[service]++
 				}
@@ -56,21 +56,28 @@
 
 	It("take from neither where one is empty", func() {
 		b := retrier.Budgets{Policy: retrier.Policy{Burst: 2, Ratio: 1, Floor: 1e-9}}
-		Expect(b.Take(start, "greedy", "lm")).To(BeTrue())
-		Expect(b.Take(start, "greedy", "lm")).To(BeTrue())
-		Expect(b.Take(start, "modest", "lm")).To(BeFalse(), "the service has none left")
-		b.First(start, "modest", "lm")
-		Expect(b.Take(start, "greedy", "lm")).To(BeFalse(), "the organisation has none left")
-		Expect(b.Take(start, "modest", "lm")).To(BeTrue(), "and took none of the service's")
+		Expect(b.Take(start, "greedy", "lm", 1)).To(BeTrue())
+		Expect(b.Take(start, "greedy", "lm", 1)).To(BeTrue())
+		Expect(b.Take(start, "modest", "lm", 1)).To(BeFalse(), "the service has none left")
+		b.First(start, "modest", "lm", 1)
+		Expect(b.Take(start, "greedy", "lm", 1)).To(BeFalse(), "the organisation has none left")
+		Expect(b.Take(start, "modest", "lm", 1)).To(BeTrue(), "and took none of the service's")
+	})
+
+	It("keep a tier's apart from another's", func() {
+		b := retrier.Budgets{Policy: retrier.Policy{Burst: 1, Floor: 1e-9}}
+		Expect(b.Take(start, "dock", "lm", 2)).To(BeTrue())
+		Expect(b.Take(start, "dock", "lm", 2)).To(BeFalse())
+		Expect(b.Take(start, "dock", "lm", 0)).To(BeTrue(), "a hold has its own")
 	})
 
 	It("stay bounded whatever the names", func() {
 		var b retrier.Budgets
 		for i := range 20000 {
-			b.First(start, fmt.Sprint("o", i), "s")
-			b.Take(start, fmt.Sprint("o", i), fmt.Sprint("s", i))
+			b.First(start, fmt.Sprint("o", i), "s", 1)
+			b.Take(start, fmt.Sprint("o", i), fmt.Sprint("s", i), 1)
 		}
-		Expect(b.Len()).To(BeNumerically("<=", 4097))
+		Expect(b.Len()).To(BeNumerically("<=", 16385))
 	})
 })
 
--- a/runner/export_test.go
+++ b/runner/export_test.go
@@ -84,7 +84,7 @@
 
 // Admit charges a request of an organisation, as the entry does.
 func (k Control) Admit(now time.Time, organisation string) bool {
-	_, ok := k.c.limiting.gates.Admit(now, organisation, 0)
+	_, ok := k.c.limiting.gates.Admit(now, organisation, 0, 0)
 	return ok
 }
 
--- a/runner/limiting.go
+++ b/runner/limiting.go
@@ -26,12 +26,14 @@
 type limits struct{ gates *limiter.Gates }
 
 // Admit implements server.Limiter.
-func (l limits) Admit(organisation string, tokens int) (time.Duration, bool) {
-	return l.gates.Admit(time.Now(), organisation, tokens)
+func (l limits) Admit(organisation string, tier, tokens int) (time.Duration, bool) {
+	return l.gates.Admit(time.Now(), organisation, tier, tokens)
 }
 
 // Settle implements server.Limiter.
-func (l limits) Settle(organisation string, tokens int) { l.gates.Settle(organisation, tokens) }
+func (l limits) Settle(organisation string, tier, tokens int) {
+	l.gates.Settle(organisation, tier, tokens)
+}
 
 // configure takes the organisations that have limits.
 func (l *limiting) configure(f *loader.Folder) {
--- a/server/caller_test.go
+++ b/server/caller_test.go
@@ -25,14 +25,14 @@
 	settled []int
 }
 
-func (l *strict) Admit(string, int) (time.Duration, bool) {
+func (l *strict) Admit(string, int, int) (time.Duration, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.left--
 	return 10 * time.Second, l.left >= 0
 }
 
-func (l *strict) Settle(_ string, tokens int) {
+func (l *strict) Settle(_ string, _, tokens int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.settled = append(l.settled, tokens)
--- a/server/delivery.go
+++ b/server/delivery.go
@@ -45,6 +45,9 @@
 	return &delivery{w: w, control: http.NewResponseController(w), q: q, stall: stall}
 }
 
+// total is the tokens of the answer, as the engine counts where it does.
+func (d *delivery) total() int { return max(d.tokens, d.usage) }
+
 // bound gives the caller stall to take the next piece. A caller that takes
 // nothing would otherwise hold its place, and memory, for ever.
 func (d *delivery) bound() {
--- a/server/metrics.go
+++ b/server/metrics.go
@@ -51,7 +51,9 @@
 // request counts a request that ended.
 func (m *Metrics) request(q *request, d *delivery, outcome string) {
 	m.requests.WithLabelValues(q.class, outcome).Inc()
-	m.tokens.WithLabelValues(q.class).Add(float64(d.tokens))
+	if q.engine {
+		m.tokens.WithLabelValues(q.class).Add(float64(d.total()))
+	}
 	if d.begun {
 		m.firsts.WithLabelValues(q.class).Observe(d.first.Sub(q.started).Seconds())
 	}
--- a/server/port.go
+++ b/server/port.go
@@ -53,10 +53,11 @@
 
 // Limiter holds organisations to their limits.
 type Limiter interface {
-	// Admit charges one request of about tokens, or says when to come back.
-	Admit(organisation string, tokens int) (after time.Duration, ok bool)
+	// Admit charges one request of about tokens, or says when to come back. What
+	// less urgent tiers used is no reason to refuse one.
+	Admit(organisation string, tier, tokens int) (after time.Duration, ok bool)
 	// Settle charges tokens more, or fewer, than Admit was told.
-	Settle(organisation string, tokens int)
+	Settle(organisation string, tier, tokens int)
 }
 
 // Configuration is what the server reads of the settings in force.
--- a/server/request.go
+++ b/server/request.go
@@ -79,11 +79,10 @@
 
 // used is the tokens a request turned out to cost.
 func (q *request) used(d *delivery) int {
-	tokens := max(d.tokens, d.usage)
-	if !q.engine || tokens == 0 {
+	if !q.engine || d.total() == 0 {
 		return 0
 	}
-	return q.prompt + tokens
+	return q.prompt + d.total()
 }
 
 func newID() string {
--- a/server/serve.go
+++ b/server/serve.go
@@ -39,7 +39,7 @@
 	caller := ctx
 	ctx, cancel := context.WithTimeout(ctx, r.q.deadline)
 	defer cancel()
-	r.server.budgets.First(time.Now(), r.q.organisation, r.q.service)
+	r.server.budgets.First(time.Now(), r.q.organisation, r.q.service, r.q.tier)
 	for {
 		ask := r.q.ask(r.asks, r.delivery.tokens, r.exclude)
 		r.asks++
@@ -96,7 +96,7 @@
 
 // pay takes a retry out of the budgets.
 func (r *run) pay(err error) bool {
-	if !r.server.budgets.Take(time.Now(), r.q.organisation, r.q.service) {
+	if !r.server.budgets.Take(time.Now(), r.q.organisation, r.q.service, r.q.tier) {
 		r.server.metrics.denyRetry(r.q.class)
 		return false
 	}
--- a/server/server.go
+++ b/server/server.go
@@ -219,7 +219,7 @@
 	}
 	s.metrics.request(q, d, outcome)
 	s.log.Info("request", zap.String("request", q.id), zap.String("org", q.organisation), zap.String("service", q.service),
-		zap.String("class", q.class), zap.String("outcome", outcome), zap.Int("tokens", d.tokens), zap.Duration("took", time.Since(q.started)))
+		zap.String("class", q.class), zap.String("outcome", outcome), zap.Int("tokens", d.total()), zap.Duration("took", time.Since(q.started)))
 	if abort {
 		panic(http.ErrAbortHandler)
 	}
@@ -234,11 +234,11 @@
 		return fail
 	}
 	if s.limiter != nil {
-		after, ok := s.limiter.Admit(q.organisation, q.estimate())
+		after, ok := s.limiter.Admit(q.organisation, q.tier, q.estimate())
 		if !ok {
 			return &failure{status: http.StatusTooManyRequests, code: "rate_limited", message: "the organisation is over its limit", run: RunNo, after: after}
 		}
-		defer func() { s.limiter.Settle(q.organisation, q.used(d)-q.estimate()) }()
+		defer func() { s.limiter.Settle(q.organisation, q.tier, q.used(d)-q.estimate()) }()
 	}
 	run := &run{server: s, q: q, delivery: d, call: c}
 	return run.serve(r.Context())
