--- a/server/bench_test.go
+++ b/server/bench_test.go
@@ -14,6 +14,10 @@
 	"testing"
 	"time"
 
+	zaplogfmt "github.com/jsternberg/zap-logfmt"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
 	"github.com/cicadawood/cicadawood/loader"
 )
 
@@ -162,3 +166,12 @@
 	runtime.ReadMemStats(&m)
 	return m.HeapInuse + m.StackInuse
 }
+
+// BenchmarkLine is the log line that each request costs.
+func BenchmarkLine(b *testing.B) {
+	log := zap.New(zapcore.NewCore(zaplogfmt.NewEncoder(zap.NewProductionEncoderConfig()), zapcore.AddSync(io.Discard), zapcore.InfoLevel))
+	for b.Loop() {
+		log.Info("request", zap.String("request", "cw-b43c39b59ac2a8a17350d252"), zap.String("org", "dock"), zap.String("service", "cicada-lm"),
+			zap.String("class", "chat"), zap.String("outcome", "answered"), zap.Int("tokens", 100), zap.Duration("took", time.Second))
+	}
+}
