--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 # Targets for everything; `make` alone lists them.
 LINT := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 
+.PHONY: help build demo test check fmt lint unit matrix bench-once
 .PHONY: $(shell grep -oE '^[a-z-]+:' $(MAKEFILE_LIST) | tr -d :)
 
 help: ## list the targets
@@ -32,5 +33,7 @@
 unit: build ## all Go tests
 	go test -count=1 ./...
 
+bench-once: ## store writes of a once-call against load
+	go run ./cmd/oncebench
 bench-path: build ## what a host adds to a call, side by side with none
 	./scripts/bench-path.sh bin
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -7,7 +7,6 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
-	"testing"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -16,11 +15,6 @@
 	"github.com/cicadawood/cicadawood/forwarder"
 )
 
-func TestForwarder(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "forwarder")
-}
-
 const id = "cw-1"
 
 // read sends a call to an engine that streams text, and reads all events.
--- a/runner/control.go
+++ b/runner/control.go
@@ -71,6 +71,7 @@
 	epochs      map[string]uint64 // highest seen of each cell
 	chooser     dispatcher.Chooser
 	again       time.Time // when calls are next looked through for askAgain
+	keeping     *keeping
 }
 
 func newControl(self string, epoch uint64, s sender, log *zap.Logger) *control {
@@ -93,6 +94,7 @@
 			return
 		case now := <-ticker.C:
 			c.tick(now)
+			c.keeping.tick(now)
 		case e := <-c.events:
 			c.take(time.Now(), e)
 		}
@@ -135,6 +137,8 @@
 		c.observe(now, e)
 	case stateAsked:
 		e.reply <- c.state()
+	default:
+		c.keeping.take(now, e)
 	}
 }
 
@@ -165,6 +169,8 @@
 	case messenger.Lend:
 		c.lent(now, m)
 	case messenger.Moved:
+	default:
+		c.keeping.deliver(now, from, m)
 	}
 }
 
@@ -402,4 +408,5 @@
 			c.register(now, k)
 		}
 	}
+	c.keeping.enroll(now, r)
 }
--- a/runner/town_test.go
+++ b/runner/town_test.go
@@ -6,13 +6,13 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -84,11 +84,14 @@
 	Expect(commander.Main([]string{"push", dir, "--platform", t.url}, strings.NewReader(""), &out, &out)).To(Equal(commander.ExitOK), "%s", &out)
 }
 
+// addresses counts the addresses handed out.
+var addresses atomic.Int32
+
+// freeAddress is an address that this run hands out once: on loopback, by the
+// process's id, below the ports that the kernel hands out. To ask the kernel for
+// a free port and to close it gave the same port twice.
 func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	defer l.Close()
-	return l.Addr().String()
+	return fmt.Sprintf("127.%d.%d.1:%d", 50+os.Getpid()/250%50, 1+os.Getpid()%250, 10000+addresses.Add(1))
 }
 
 // start runs a host until it is told to stop.
--- a/server/server.go
+++ b/server/server.go
@@ -34,6 +34,7 @@
 	config    Configuration
 	places    Allocator
 	forwarder *forwarder.Forwarder
+	once      Once
 	log       *zap.Logger
 	metrics   *Metrics
 	limiter   Limiter
@@ -240,6 +241,12 @@
 		}
 		defer func() { s.limiter.Settle(q.organisation, q.tier, q.used(d)-q.estimate()) }()
 	}
+	if q.once && s.once != nil && keyed(c.Header) {
+		return s.serveOnce(r.Context(), d, q, c)
+	}
+	if q.once {
+		giveKey(c.Header)
+	}
 	run := &run{server: s, q: q, delivery: d, call: c}
 	return run.serve(r.Context())
 }
