--- a/commander/pages_test.go
+++ b/commander/pages_test.go
@@ -2,7 +2,8 @@
 
 import (
 	"bytes"
-	"net"
+	"encoding/json"
+	"fmt"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
@@ -15,6 +16,7 @@
 
 	"github.com/cicadawood/cicadawood/commander"
 	"github.com/cicadawood/cicadawood/faker"
+	"github.com/cicadawood/cicadawood/loader"
 )
 
 const pages = "../docs/commands"
@@ -26,12 +28,14 @@
 	return stdout.String(), stderr.String(), code
 }
 
-// free is a loopback address that nothing listens at.
-func free() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	defer l.Close()
-	return l.Addr().String()
+// addresses is n addresses of this process's own loopback IP. Ports that were
+// free a moment ago on 127.0.0.1 may be the source of a connection by now.
+func addresses(n int) []string {
+	var list []string
+	for i := range n {
+		list = append(list, fmt.Sprintf("127.%d.%d.251:%d", 100+os.Getpid()/250%100, 1+os.Getpid()%250, 20001+i))
+	}
+	return list
 }
 
 // shown is a command that a page shows, and the output below it.
@@ -100,6 +104,24 @@
 		}
 	})
 
+	It("name every limit of a host's settings and its default", func() {
+		page, err := os.ReadFile(filepath.Join(pages, "serve.md"))
+		Expect(err).NotTo(HaveOccurred())
+		h, err := loader.ParseHost("host.jsonc", []byte(`{"name": "h", "zone": "z", "platform": "http://127.0.0.1:1",
+			"listen": "127.0.0.1:2", "control": "127.0.0.1:3", "admin": "127.0.0.1:4"}`))
+		Expect(err).NotTo(HaveOccurred())
+		text, err := json.Marshal(h.Limits)
+		Expect(err).NotTo(HaveOccurred())
+		var defaults map[string]any
+		Expect(json.Unmarshal(text, &defaults)).To(Succeed())
+		for name, v := range defaults {
+			if n, ok := v.(float64); ok {
+				v = int64(n)
+			}
+			Expect(string(page)).To(ContainSubstring(fmt.Sprintf("\n| `%s` | %v | ", name, v)))
+		}
+	})
+
 	It("show commands that run as shown", func() {
 		read := func(name string) string {
 			text, err := os.ReadFile(filepath.Join(pages, name+".md"))
@@ -109,7 +131,8 @@
 		platform := httptest.NewServer(faker.NewPlatform().Handler())
 		DeferCleanup(platform.CloseClientConnections)
 		DeferCleanup(platform.Close)
-		real := strings.NewReplacer("http://127.0.0.1:17000", platform.URL, "127.0.0.1:18011", free(), "127.0.0.1:18021", free(), "127.0.0.1:18031", free())
+		at := addresses(3)
+		real := strings.NewReplacer("http://127.0.0.1:17000", platform.URL, "127.0.0.1:18011", at[0], "127.0.0.1:18021", at[1], "127.0.0.1:18031", at[2])
 		scripts := map[string][]shown{}
 		order := []string{"serve", "check", "push", "pull", "diff", "key", "status", "dump", "drain", "version", "completion"}
 		for _, name := range order {
@@ -130,7 +153,8 @@
 				}
 				if s.args[len(s.args)-1] == "&" {
 					go func() {
-						_, _, code := run("", s.args[:len(s.args)-1]...)
+						_, stderr, code := run("", s.args[:len(s.args)-1]...)
+						fmt.Fprintf(GinkgoWriter, "%v ended with %d: %s\n", s.args, code, stderr)
 						ended <- code
 					}()
 					continue
