--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -103,7 +103,7 @@
 	case messenger.Cancel:
 		d.withdraw(now, m.Request, m.Attempt)
 	case messenger.Progress:
-		d.progress(from, m)
+		d.progress(now, from, m)
 	}
 	d.fill(now)
 	return d.out
@@ -169,7 +169,8 @@
 		return true
 	}
 	if a.Attempt == g.ask.Attempt || (!g.preempted && !excluded(a, g.worker)) {
-		g.from, g.ask.Attempt, g.orphaned = from, a.Attempt, time.Time{}
+		g.from, g.ask.Attempt = from, a.Attempt
+		g.seen(now)
 		d.send(from, g.message(d))
 		return true
 	}
@@ -241,10 +242,11 @@
 	g.judged = true
 }
 
-// progress corrects a request's estimate. It also shows that its entry lives.
-func (d *Dispatcher) progress(from string, m messenger.Progress) {
+// progress corrects a request's estimate, and renews its grant.
+func (d *Dispatcher) progress(now time.Time, from string, m messenger.Progress) {
 	if g := d.grants[m.Request]; g != nil && g.from == from {
-		g.made, g.orphaned = m.Tokens, time.Time{}
+		g.made = m.Tokens
+		g.seen(now)
 	}
 }
 
--- a/dispatcher/place.go
+++ b/dispatcher/place.go
@@ -36,9 +36,13 @@
 	claimed   bool // of an earlier dispatcher
 	preempted bool
 	judged    bool // the breaker has its result
-	orphaned  time.Time
+	renewed   time.Time
+	orphaned  time.Time // its host was lost
 }
 
+// seen notes that a grant's entry still holds it.
+func (g *grant) seen(now time.Time) { g.renewed, g.orphaned = now, time.Time{} }
+
 func (g *grant) message(d *Dispatcher) messenger.Grant {
 	return messenger.Grant{
 		Request: g.ask.Request, Attempt: g.ask.Attempt, Cell: d.cell.Name, Worker: g.worker,
@@ -139,7 +143,7 @@
 		d.epoch, d.orders = d.epoch+1, 1
 	}
 	g := &grant{
-		from: w.from, ask: w.ask, worker: p.name, class: w.class, at: now, tokens: w.tokens,
+		from: w.from, ask: w.ask, worker: p.name, class: w.class, at: now, renewed: now, tokens: w.tokens,
 		ends:  w.asked.Add(w.ask.Deadline + orphanGrace),
 		fence: d.epoch<<ordersBits | d.orders,
 	}
--- a/dispatcher/policy.go
+++ b/dispatcher/policy.go
@@ -28,6 +28,9 @@
 	// orphanGrace is how long a dead host's grants stay in use: a host that is
 	// only unreachable claims them again within it.
 	orphanGrace = 2 * time.Second
+	// grantLease is how long a grant stays in use without a sign of its entry. A
+	// Done that was lost would else keep the place until the deadline.
+	grantLease = 25 * time.Second
 	// patience is how long a class waits with no place in use before it is
 	// starving and may get one ahead of the top tier.
 	patience = 5 * time.Second
--- a/dispatcher/rebuild.go
+++ b/dispatcher/rebuild.go
@@ -71,13 +71,14 @@
 			return
 		}
 		if g.worker == c.Worker {
-			g.from, g.ask.Attempt, g.made, g.orphaned = from, c.Ask.Attempt, c.Tokens, time.Time{}
+			g.from, g.ask.Attempt, g.made = from, c.Ask.Attempt, c.Tokens
+			g.seen(now)
 			return
 		}
 		d.free(now, g)
 	}
 	d.occupy(&grant{
-		from: from, ask: c.Ask, worker: c.Worker, class: d.class(c.Ask.Class), at: now, made: c.Tokens,
+		from: from, ask: c.Ask, worker: c.Worker, class: d.class(c.Ask.Class), at: now, renewed: now, made: c.Tokens,
 		ends: now.Add(c.Ask.Deadline + orphanGrace), claimed: true,
 	}, d.place(c.Worker))
 }
@@ -100,13 +101,14 @@
 	return d.out
 }
 
-// reclaim takes back the grants of dead hosts, and those that are past their
-// deadline: their entries have cut them, so a Done was lost, and without this
-// the place would stay in use for ever.
+// reclaim takes back the grants of dead hosts, and those that their entries have
+// not renewed or must have cut: a Done was lost, which shows by nothing else, and
+// without this the place would stay in use for ever.
 func (d *Dispatcher) reclaim(now time.Time) {
 	for _, g := range d.grants {
 		orphaned := !g.orphaned.IsZero() && now.Sub(g.orphaned) >= orphanGrace
-		if orphaned || now.After(g.ends) {
+		lapsed := now.Sub(g.renewed) >= grantLease
+		if orphaned || lapsed || now.After(g.ends) {
 			d.free(now, g)
 		}
 	}
--- a/runner/control.go
+++ b/runner/control.go
@@ -22,6 +22,9 @@
 	// again: an Ask, Grant or Refuse that a broken connection lost shows only as
 	// silence.
 	askAgain = 2 * time.Second
+	// renewEvery is how often a call that holds a place says so, well within the
+	// dispatcher's lease on a grant.
+	renewEvery = 10 * time.Second
 )
 
 // sender is the port to other hosts.
@@ -99,8 +102,11 @@
 	}
 	c.again = now.Add(askAgain / 4)
 	for _, k := range c.calls {
-		if k.worker == "" && now.Sub(k.asked) >= askAgain {
+		switch silent := now.Sub(k.asked); {
+		case k.worker == "" && silent >= askAgain:
 			c.register(now, k)
+		case k.worker != "" && silent >= renewEvery:
+			c.renew(now, k)
 		}
 	}
 }
@@ -312,7 +318,13 @@
 		return
 	}
 	k.tokens = e.tokens
-	c.send(now, k.owner, messenger.Progress{Request: e.place.Request, Attempt: k.ask.Attempt, Cell: e.place.Cell, Tokens: e.tokens})
+	c.renew(now, k)
+}
+
+// renew tells the dispatcher that a call still has its place, and its tokens.
+func (c *control) renew(now time.Time, k *call) {
+	k.asked = now
+	c.send(now, k.owner, messenger.Progress{Request: k.ask.Request, Attempt: k.ask.Attempt, Cell: k.ask.Cell, Tokens: k.tokens})
 }
 
 func (c *control) configure(now time.Time, e folderChanged) {
--- /dev/null
+++ b/runner/entry_test.go
@@ -0,0 +1,75 @@
+package runner_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cicadawood/cicadawood/messenger"
+	"github.com/cicadawood/cicadawood/prover"
+)
+
+// sentBy is the messages of one type that are on their way.
+func sentBy[M messenger.Message](w *hosts) []M {
+	var found []M
+	for _, f := range w.frames {
+		if m, ok := f.message.(M); ok {
+			found = append(found, m)
+		}
+	}
+	return found
+}
+
+var _ = Describe("An entry", func() {
+	// The host that dispatched froze; another took over and granted; the first
+	// comes back and grants what it still has in its queue. Whoever takes both
+	// holds two places and gives one back.
+	DescribeTable("takes one grant, of the newest dispatcher, and gives all others back",
+		func(change func(g *messenger.Grant)) {
+			w := newHosts("a", "b")
+			first := hold(w, 10*time.Millisecond)
+			e := first.host
+			c := w.ask(e)
+			g := messenger.Grant{
+				Request: c.id, Cell: cell, Worker: "w0", Attempt: sentBy[messenger.Ask](w)[0].Attempt,
+				Epoch: first.place.Fence >> 22, Class: "check",
+			}
+			change(&g)
+			w.frames = nil
+			e.control.Deliver(w.now, w.owner().name, g)
+			Expect(sentBy[messenger.Done](w)).To(ConsistOf(HaveField("Request", g.Request)))
+			_, answered := c.poll()
+			Expect(answered).To(BeFalse())
+		},
+		Entry("an older epoch", Label(prover.Cell(prover.Granted, prover.Freeze)), func(g *messenger.Grant) { g.Epoch-- }),
+		Entry("an earlier attempt", Label(prover.Cell(prover.Granted, prover.Reorder)), func(g *messenger.Grant) { g.Attempt-- }),
+		Entry("a worker it does not know", func(g *messenger.Grant) { g.Worker = "w9" }),
+		Entry("a request it does not have", func(g *messenger.Grant) { g.Request = "r99" }),
+	)
+
+	// The caller hangs up while its request waits.
+	It("withdraws the ask of a caller that went away", func() {
+		w := newHosts("a", "b")
+		c := w.ask(w.entry())
+		w.run(10 * time.Millisecond)
+		w.frames = nil
+		d := w.ask(c.host)
+		d.host.control.Leave(w.now, d.id)
+		Expect(sentBy[messenger.Cancel](w)).To(ConsistOf(HaveField("Request", d.id)))
+	})
+
+	// A dispatcher's host dies while a call holds a place.
+	It("claims its place from the next dispatcher", Label(prover.Cell(prover.Sent, prover.Kill)), func() {
+		w := newHosts("a", "b", "c")
+		c := hold(w, 10*time.Millisecond)
+		old := w.owner()
+		old.dead, old.left = true, true
+		w.frames = nil
+		w.roster()
+		w.run(10 * time.Millisecond)
+		state := w.owner().control.State()
+		Expect(state.Cells).To(HaveLen(1))
+		Expect(state.Cells[0].Granted).To(HaveKeyWithValue(c.id, "w0"))
+	})
+})
