--- a/cmd/bencher/main.go
+++ b/cmd/bencher/main.go
@@ -76,10 +76,14 @@
 	if err := o.write("policy.jsonl", func(f io.Writer) error { return bencher.WriteLines(f, results) }); err != nil {
 		return err
 	}
-	return o.write("policy.md", func(f io.Writer) error {
+	err := o.write("policy.md", func(f io.Writer) error {
 		bencher.WriteTables(f, results)
 		return nil
 	})
+	if err != nil {
+		return err
+	}
+	return bencher.WritePlot(filepath.Join(o.directory, "policy.svg"), results)
 }
 
 func (o options) write(name string, fill func(io.Writer) error) error {
--- a/runner/entry_test.go
+++ b/runner/entry_test.go
@@ -59,6 +59,38 @@
 		Expect(sentBy[messenger.Cancel](w)).To(ConsistOf(HaveField("Request", d.id)))
 	})
 
+	// A long answer takes most of a minute. A place that is not renewed would be
+	// given to another meanwhile.
+	It("keeps its place while it says so", func() {
+		w := newHosts("a", "b")
+		c := hold(w, 10*time.Millisecond)
+		c.until = w.now.Add(time.Minute)
+		w.run(50 * time.Second)
+		Expect(w.owner().control.State().Cells[0].Granted).To(HaveKey(c.id))
+	})
+
+	// Its Ask was lost with a connection that shows no error.
+	It("asks again when nobody answers", Label(prover.Cell(prover.Asked, prover.Silence)), func() {
+		w := newHosts("a", "b")
+		c := w.ask(w.entry())
+		w.frames = nil
+		w.run(2 * time.Second)
+		Expect(c.place).To(BeNil())
+		w.run(time.Second)
+		Expect(c.place).NotTo(BeNil())
+	})
+
+	// A host was given another's cell and still has the old one's queue: it would
+	// go on granting from it beside the new owner.
+	It("ends its dispatcher of a cell that has another owner", func() {
+		w := newHosts("a", "b", "c")
+		hold(w, 10*time.Millisecond)
+		old := w.owner()
+		old.left = true
+		w.roster()
+		Expect(old.control.State().Cells).To(BeEmpty())
+	})
+
 	// A dispatcher's host dies while a call holds a place.
 	It("claims its place from the next dispatcher", Label(prover.Cell(prover.Sent, prover.Kill)), func() {
 		w := newHosts("a", "b", "c")
