--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,7 @@
 LINT := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 
 .PHONY: help build demo test check fmt lint unit matrix bench-policy
+.PHONY: $(shell grep -oE '^[a-z-]+:' $(MAKEFILE_LIST) | tr -d :)
 
 help: ## list the targets
 	@grep -hE '^[a-z-]+:.*## ' $(MAKEFILE_LIST) | sed -E 's/:.*## /\t/' | expand -t 16
@@ -26,6 +27,9 @@
 matrix: build ## the fault matrix: specs and scenarios
 	./scripts/matrix.sh bin
 
+bench-member: ## what membership and the messenger cost
+	go test -run '^$$' -bench . -benchtime 1x ./messenger ./registrar
+
 unit: build ## all Go tests
 	go test -count=1 ./...
 
@@ -34,3 +38,5 @@
 	bin/bencher --demand 1.5 --first 101 --last 120 --out docs/bench/target
 	bin/bencher --first 101 --last 102 --out docs/bench/grid
 	go test ./dispatcher -run XXX -bench . -benchmem -count 5
+bench-path: build ## what a host adds to a call, side by side with none
+	./scripts/bench-path.sh bin
--- a/runner/control.go
+++ b/runner/control.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -11,6 +12,7 @@
 	"github.com/cicadawood/cicadawood/dispatcher"
 	"github.com/cicadawood/cicadawood/loader"
 	"github.com/cicadawood/cicadawood/messenger"
+	"github.com/cicadawood/cicadawood/observer"
 	"github.com/cicadawood/cicadawood/registrar"
 	"github.com/cicadawood/cicadawood/server"
 )
@@ -54,31 +56,38 @@
 	sender sender
 	log    *zap.Logger
 	events chan event
+	ended  chan struct{} // closed when run has
 
-	roster     registrar.Roster
-	folder     *loader.Folder
-	generation uint64
-	cells      map[string]dispatcher.Cell
-	byService  map[string][]string
-	owned      map[string]*dispatcher.Dispatcher
-	calls      map[string]*call
-	attempt    uint64            // of the last Ask or Claim
-	epochs     map[string]uint64 // highest seen of each cell
-	chooser    dispatcher.Chooser
-	again      time.Time // when calls are next looked through for askAgain
+	incarnation uint64 // of this host in the roster; 0 before the first
+	roster      registrar.Roster
+	folder      *loader.Folder
+	generation  uint64
+	cells       map[string]dispatcher.Cell
+	byService   map[string][]string
+	owned       map[string]*dispatcher.Dispatcher
+	calls       map[string]*call
+	observer    observer.Observer
+	present     map[string]bool // by service/worker, as last told to the dispatchers
+	away        *atomic.Int64   // workers that get nothing new
+	limiting    limiting
+	attempt     uint64            // of the last Ask or Claim
+	epochs      map[string]uint64 // highest seen of each cell
+	chooser     dispatcher.Chooser
+	again       time.Time // when calls are next looked through for askAgain
 }
 
 func newControl(self string, epoch uint64, s sender, log *zap.Logger) *control {
 	return &control{
-		self: self, epoch: epoch, sender: s, log: log, events: make(chan event, eventBacklog),
+		self: self, epoch: epoch, sender: s, log: log, events: make(chan event, eventBacklog), ended: make(chan struct{}),
 		cells: map[string]dispatcher.Cell{}, byService: map[string][]string{},
-		owned: map[string]*dispatcher.Dispatcher{}, calls: map[string]*call{},
+		owned: map[string]*dispatcher.Dispatcher{}, calls: map[string]*call{}, present: map[string]bool{}, away: &atomic.Int64{},
 		epochs: map[string]uint64{},
 	}
 }
 
 // run takes events until ctx ends.
 func (c *control) run(ctx context.Context) {
+	defer close(c.ended)
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
 	for {
@@ -97,6 +106,7 @@
 	for _, d := range c.owned {
 		c.emit(now, d.Tick(now))
 	}
+	c.borrow(now)
 	if now.Before(c.again) {
 		return
 	}
@@ -121,12 +131,14 @@
 		c.leave(now, e.request)
 	case placeDone:
 		c.done(now, e)
-	case placeAdvanced:
-		c.advance(now, e)
+	case placeProgressed:
+		c.progressed(now, e)
 	case folderChanged:
 		c.configure(now, e)
 	case rosterChanged:
 		c.enroll(now, e.roster)
+	case workersListed, workerReported, workerRefused, reportsWanted:
+		c.observe(now, e)
 	case stateAsked:
 		e.reply <- c.state()
 	}
@@ -151,6 +163,13 @@
 		c.refused(now, m)
 	case messenger.Preempt:
 		c.preempted(m)
+	case messenger.Away:
+		c.observer.Refused(now, m.Address)
+		c.observe(now, nil)
+	case messenger.Borrow:
+		c.lend(now, from, m)
+	case messenger.Lend:
+		c.lent(now, m)
 	case messenger.Moved:
 	}
 }
@@ -174,7 +193,7 @@
 	// The clock makes the epoch grow from one dispatcher of a cell to the next;
 	// where clocks differ, the entries' asks raise it.
 	epoch := uint64(now.UnixMilli())
-	c.owned[cell.Name] = dispatcher.New(cell, epoch, c.folder.Classes, dispatcher.Options{Seed: c.epoch ^ epoch})
+	c.owned[cell.Name] = dispatcher.New(c.filled(now, cell), epoch, c.folder.Classes, dispatcher.Options{Seed: c.epoch ^ epoch})
 	c.owned[cell.Name].Tick(now) // gathering begins
 }
 
@@ -205,7 +224,7 @@
 		return
 	}
 	if err := c.sender.Send(h.Control, m); err != nil {
-		c.log.Warn("send", zap.String("host", host), zap.Error(err))
+		c.log.Warn("send", zap.String("peer", host), zap.Error(err))
 	}
 }
 
@@ -311,8 +330,8 @@
 	})
 }
 
-// advance tells the dispatcher how far a request in flight has come.
-func (c *control) advance(now time.Time, e placeAdvanced) {
+// progressed tells the dispatcher how far a request in flight has come.
+func (c *control) progressed(now time.Time, e placeProgressed) {
 	k := c.calls[e.place.Request]
 	if k == nil || k.worker == "" {
 		return
@@ -330,8 +349,10 @@
 func (c *control) configure(now time.Time, e folderChanged) {
 	c.folder, c.generation = e.folder, e.generation
 	c.sender.SetGeneration(e.generation)
+	c.observer.Configure(e.folder.Services)
+	c.limiting.configure(e.folder)
 	c.cells, c.byService = map[string]dispatcher.Cell{}, map[string][]string{}
-	for name, s := range e.folder.Services {
+	for name, s := range c.observer.Services() {
 		for _, cell := range dispatcher.CellsOf(name, s) {
 			c.cells[cell.Name] = cell
 			c.byService[name] = append(c.byService[name], cell.Name)
@@ -339,7 +360,7 @@
 	}
 	for name, d := range c.owned {
 		if cell, ok := c.cells[name]; ok {
-			d.Configure(cell, e.folder.Classes)
+			d.Configure(c.filled(now, cell), e.folder.Classes)
 			c.emit(now, d.Tick(now))
 		} else {
 			delete(c.owned, name)
@@ -364,15 +385,17 @@
 func (c *control) enroll(now time.Time, r registrar.Roster) {
 	old := c.roster
 	c.roster = r
+	c.limiting.enroll(now, old, r)
 	for _, h := range old.Hosts() {
-		if n, ok := r.Find(h.Name); ok && n.Incarnation == h.Incarnation {
+		if n, ok := r.Find(h.Name); h.Name == c.self || ok && n.Incarnation == h.Incarnation {
 			continue
 		}
-		c.log.Info("host lost", zap.String("host", h.Name))
+		c.log.Info("host lost", zap.String("peer", h.Name))
 		for _, d := range c.owned {
 			c.emit(now, d.Lost(now, h.Name))
 		}
 	}
+	c.rejoin(r)
 	for name := range c.owned {
 		if owner, ok := r.Owner(name); ok && owner.Name != c.self {
 			c.log.Info("cell handed over", zap.String("cell", name), zap.String("to", owner.Name))
@@ -380,8 +403,14 @@
 		}
 	}
 	c.ownAll(now)
+	owners := map[string]string{} // a host has more calls than cells
+	for cell := range c.cells {
+		if owner, ok := r.Owner(cell); ok {
+			owners[cell] = owner.Name
+		}
+	}
 	for _, k := range c.calls {
-		if owner, ok := r.Owner(k.ask.Cell); ok && owner.Name != k.owner {
+		if owner, ok := owners[k.ask.Cell]; ok && owner != k.owner {
 			c.register(now, k)
 		}
 	}
--- a/runner/event.go
+++ b/runner/event.go
@@ -40,8 +40,8 @@
 	use   server.Use
 }
 
-// placeAdvanced tells how far a request in flight has come.
-type placeAdvanced struct {
+// placeProgressed tells of a stream's tokens so far.
+type placeProgressed struct {
 	place  server.Place
 	tokens int
 }
@@ -58,11 +58,11 @@
 // stateAsked wants a copy of the control state.
 type stateAsked struct{ reply chan<- State }
 
-func (frameArrived) event()  {}
-func (placeAsked) event()    {}
-func (placeLeft) event()     {}
-func (placeDone) event()     {}
-func (placeAdvanced) event() {}
-func (folderChanged) event() {}
-func (rosterChanged) event() {}
-func (stateAsked) event()    {}
+func (frameArrived) event()    {}
+func (placeAsked) event()      {}
+func (placeLeft) event()       {}
+func (placeDone) event()       {}
+func (placeProgressed) event() {}
+func (folderChanged) event()   {}
+func (rosterChanged) event()   {}
+func (stateAsked) event()      {}
--- a/runner/export_test.go
+++ b/runner/export_test.go
@@ -65,7 +65,7 @@
 
 // Advance tells how far a call has come.
 func (k Control) Advance(now time.Time, p server.Place, tokens int) {
-	k.c.take(now, placeAdvanced{place: p, tokens: tokens})
+	k.c.take(now, placeProgressed{place: p, tokens: tokens})
 }
 
 // Configure puts a configuration in force.
