--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -256,6 +256,7 @@
 	after := max(early, shortestAfter)
 	after += time.Duration(d.roll() * float64(after) / 2)
 	d.gone.add(w.ask.Request, w.ask.Attempt)
+	w.class.counts.Refused++
 	d.send(w.from, messenger.Refuse{
 		Request: w.ask.Request, Attempt: w.ask.Attempt, Cell: d.cell.Name, Reason: reason, After: after,
 		Wait: d.expected(w.class, nil), Class: w.class.name,
--- a/dispatcher/fault_test.go
+++ b/dispatcher/fault_test.go
@@ -54,6 +54,7 @@
 			Expect(d.State().Granted).To(HaveKey("one"))
 			d.Tick(ready.Add(4100 * time.Millisecond))
 			Expect(d.State().Granted).To(BeEmpty())
+			Expect(d.State().Classes[0].Counts).To(Equal(dispatcher.Counts{Granted: 1, Reclaimed: 1}))
 		})
 
 	// A frame is sent twice, or again on a new connection after a later one. The
--- a/dispatcher/line.go
+++ b/dispatcher/line.go
@@ -61,6 +61,15 @@
 	held    int     // places in use
 	fed     time.Time
 	fair    bool
+	counts  Counts
+}
+
+// Counts is what became of a class's requests at this dispatcher so far.
+type Counts struct {
+	Granted   uint64 `json:"granted"`
+	Refused   uint64 `json:"refused"`
+	Preempted uint64 `json:"preempted"`
+	Reclaimed uint64 `json:"reclaimed"` // places taken back without a Done
 }
 
 func newClass(name string, c loader.Class, fair bool) *class {
--- a/dispatcher/overload.go
+++ b/dispatcher/overload.go
@@ -134,6 +134,7 @@
 			return
 		}
 		g.preempted = true
+		g.class.counts.Preempted++
 		d.send(g.from, messenger.Preempt{Request: g.ask.Request, Attempt: g.ask.Attempt, Cell: d.cell.Name})
 	}
 }
--- a/dispatcher/place.go
+++ b/dispatcher/place.go
@@ -149,6 +149,7 @@
 	}
 	d.occupy(g, p)
 	w.class.fed = now
+	w.class.counts.Granted++
 	w.class.charge(w.ask.Organisation, w.tokens)
 	d.breaker.Granted(p.name)
 	d.send(w.from, g.message(d))
--- a/dispatcher/rebuild.go
+++ b/dispatcher/rebuild.go
@@ -109,6 +109,7 @@
 		orphaned := !g.orphaned.IsZero() && now.Sub(g.orphaned) >= orphanGrace
 		lapsed := now.Sub(g.renewed) >= grantLease
 		if orphaned || lapsed || now.After(g.ends) {
+			g.class.counts.Reclaimed++
 			d.free(now, g)
 		}
 	}
--- a/dispatcher/state.go
+++ b/dispatcher/state.go
@@ -20,6 +20,7 @@
 	Held    int     `json:"held"`   // places in use
 	Share   int     `json:"share"`  // places guaranteed
 	Wait    float64 `json:"wait_s"` // expected of a request that comes now
+	Counts
 }
 
 // WorkerState is one worker's places.
@@ -41,7 +42,7 @@
 		s.Granted[id] = g.worker
 	}
 	for _, k := range d.order {
-		s.Classes = append(s.Classes, ClassState{Name: k.name, Waiting: k.waiting, Held: k.held, Share: d.share(k), Wait: d.expected(k, nil).Seconds()})
+		s.Classes = append(s.Classes, ClassState{Name: k.name, Waiting: k.waiting, Held: k.held, Share: d.share(k), Wait: d.expected(k, nil).Seconds(), Counts: k.counts})
 	}
 	for _, p := range d.workers {
 		s.Workers = append(s.Workers, WorkerState{Name: p.name, Slots: p.slots, Used: p.used, Leaving: d.leaving[p.name]})
