--- a/runner/state.go
+++ b/runner/state.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cicadawood/cicadawood/dispatcher"
+	"github.com/cicadawood/cicadawood/keeper"
 	"github.com/cicadawood/cicadawood/limiter"
 	"github.com/cicadawood/cicadawood/messenger"
 	"github.com/cicadawood/cicadawood/observer"
@@ -32,6 +33,8 @@
 	Configuration publisher.Status `json:"configuration"`
 
 	Limits map[string]limiter.Rates `json:"limits"` // what limited organisations may use here, a second
+
+	Keepers map[int]keeper.Summary `json:"keepers"` // by partition
 }
 
 func (c *control) state() State {
@@ -44,5 +47,6 @@
 	for id, k := range c.calls {
 		s.Calls[id] = k.worker
 	}
+	s.Keepers = c.keeping.state()
 	return s
 }
