--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 # Targets for everything; `make` alone lists them.
 LINT := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 
+.PHONY: help build demo test check fmt lint unit matrix bench-policy
 .PHONY: help build demo test check fmt lint unit matrix bench-once
 .PHONY: $(shell grep -oE '^[a-z-]+:' $(MAKEFILE_LIST) | tr -d :)
 
@@ -33,6 +34,11 @@
 unit: build ## all Go tests
 	go test -count=1 ./...
 
+bench-policy: build ## measure the policy: 1.5 times the capacity on 20 seeds, the grid on 2; to docs/bench
+	mkdir -p docs/bench/target docs/bench/grid
+	bin/bencher --demand 1.5 --condition well --first 101 --last 120 --out docs/bench/target
+	bin/bencher --first 101 --last 102 --out docs/bench/grid
+	go test ./dispatcher -run XXX -bench . -benchmem -count 5
 bench-once: ## store writes of a once-call against load
 	go run ./cmd/oncebench
 bench-path: build ## what a host adds to a call, side by side with none
