--- a/cmd/oncebench/main.go
+++ b/cmd/oncebench/main.go
@@ -36,6 +36,10 @@
 		row(w, fmt.Sprintf("%.0f", peak*share), runs(peak*share/partition), partition)
 	}
 	_ = w.Flush()
+	if err := takeover(os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "oncebench: "+err.Error())
+		os.Exit(1)
+	}
 }
 
 func runs(rate float64) []figures {
--- /dev/null
+++ b/cmd/oncebench/takeover.go
@@ -0,0 +1,100 @@
+package main
+
+import (
+	"encoding/binary"
+	"fmt"
+	"io"
+	"runtime"
+	"slices"
+	"time"
+
+	"github.com/cicadawood/cicadawood/keeper"
+)
+
+const (
+	recordsKept   = 20_000
+	segmentLength = 1000 // records
+	takeovers     = 5
+)
+
+// takeover measures what a keeper spends to read a full log into memory, and
+// what the memory is. The time of the store is left out.
+func takeover(out io.Writer) error {
+	head, stored, err := fullLog()
+	if err != nil {
+		return err
+	}
+	var took []time.Duration
+	var bytes uint64
+	for range takeovers {
+		before := heapBytes()
+		started := time.Now()
+		k, err := open(head, stored)
+		if err != nil {
+			return err
+		}
+		took = append(took, time.Since(started))
+		bytes = heapBytes() - before
+		runtime.KeepAlive(k)
+	}
+	slices.Sort(took)
+	total := 0
+	for _, s := range stored {
+		total += len(s)
+	}
+	_, err = fmt.Fprintf(out, "\ntake-over of %d records, answers of %d bytes, %d kB in %d segments: %s (%s..%s) of processor time, %d kB of memory\n",
+		recordsKept, answerSize, total/1000, len(stored), took[takeovers/2].Round(time.Millisecond), took[0].Round(time.Millisecond),
+		took[takeovers-1].Round(time.Millisecond), bytes/1000)
+	return err
+}
+
+func heapBytes() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+func fullLog() (keeper.Head, [][]byte, error) {
+	h := keeper.Head{Epoch: 1}
+	var stored [][]byte
+	var entries []*keeper.Entry
+	for i := range recordsKept {
+		var id keeper.ID
+		binary.BigEndian.PutUint64(id[:], uint64(i)*0x9e3779b97f4a7c15)
+		answer := &keeper.Answer{Status: 200, Header: map[string][]string{"Content-Type": {"application/json"}}, Body: make([]byte, answerSize)}
+		entries = append(entries, &keeper.Entry{ID: id, At: int64(i + 1), State: keeper.Ran, Answer: answer})
+		if len(entries) < segmentLength {
+			continue
+		}
+		value, err := keeper.EncodeEntries(entries)
+		if err != nil {
+			return h, nil, err
+		}
+		h.Segments = append(h.Segments, keeper.Segment{Epoch: 1, Sequence: uint64(len(stored) + 1), Newest: int64(i + 1), Size: len(value), Level: 9})
+		stored, entries = append(stored, value), nil
+	}
+	return h, stored, nil
+}
+
+// open gives a new keeper the log, as its adapter does.
+func open(h keeper.Head, stored [][]byte) (*keeper.Keeper, error) {
+	k, now := keeper.New("host", 2, keeper.Settings{}), time.Unix(1_800_000_000, 0)
+	k.Handle(now, keeper.Asked{Call: keeper.Call{Request: "first", Deadline: now.Add(time.Second)}})
+	var seal keeper.Output
+	for _, o := range k.Handle(now, keeper.HeadRead{Head: h, Version: 1, Result: keeper.Done}) {
+		seal = o
+	}
+	k.Handle(now, keeper.Wrote{Stamp: seal.(keeper.WriteHead).Head.Stamp, Version: 2, Result: keeper.Done})
+	for i, s := range h.Segments {
+		entries, err := keeper.DecodeEntries(stored[i])
+		if err != nil {
+			return nil, err
+		}
+		k.Handle(now, keeper.SegmentRead{Segment: s, Entries: entries, Result: keeper.Done})
+	}
+	if s := k.Summary(now); !s.Ready || s.Records != recordsKept {
+		return nil, fmt.Errorf("not open: %+v", s)
+	}
+	return k, nil
+}
--- a/keeper/port.go
+++ b/keeper/port.go
@@ -22,14 +22,14 @@
 	set(&s.Writes, 12)
 	set(&s.Burst, 2*s.Writes)
 	set(&s.Operations, 512)
-	set(&s.Records, 50_000)
+	set(&s.Records, 20_000)
 	set(&s.Answers, 4<<20)
 	set(&s.Answer, 4<<10)
 	set(&s.Tail, 8<<10)
 	set(&s.Retention, 6*time.Hour)
 	set(&s.Grace, 500*time.Millisecond)
 	set(&s.Retry, 250*time.Millisecond)
-	set(&s.Tries, 3)
+	set(&s.Tries, 8)
 	return s
 }
 
--- a/keeper/queue.go
+++ b/keeper/queue.go
@@ -46,6 +46,10 @@
 	return out
 }
 
+// answerOverhead is the bytes, about, that an answer takes in memory beyond its
+// own: its header's map most of all. Measured by cmd/oncebench.
+const answerOverhead = 600
+
 // fifo bounds the bytes of answers in memory.
 type fifo struct {
 	entries []*Entry
@@ -54,13 +58,13 @@
 
 func (f *fifo) push(e *Entry) {
 	f.entries = append(f.entries, e)
-	f.bytes += e.Answer.size()
+	f.bytes += e.Answer.size() + answerOverhead
 }
 
 func (f *fifo) pop() *Entry {
 	e := f.entries[0]
 	f.entries = f.entries[1:]
-	f.bytes -= e.Answer.size()
+	f.bytes -= e.Answer.size() + answerOverhead
 	return e
 }
 
