--- a/runner/drain_test.go
+++ b/runner/drain_test.go
@@ -24,7 +24,7 @@
 
 // stream sends a chat through a host and returns its answer when it ends; it
 // waits until the host has the request in flight.
-func stream(h *host, tokens int) <-chan answer {
+func stream(h *running, tokens int) <-chan answer {
 	out := make(chan answer, 1)
 	go func() {
 		status, text, _, err := post(&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, h.listen, chatPath, chat(tokens))
@@ -73,7 +73,7 @@
 	// Story: a stream never ends, and the operator has no more time. A second signal,
 	// or the drain limit, ends the host, and it says what it cut.
 	DescribeTable("ends when hurried, and says what it cut",
-		func(limit time.Duration, hurry func(h *host)) {
+		func(limit time.Duration, hurry func(h *running)) {
 			model := faker.DefaultModel()
 			model.Slow = 1000 // a token takes longer than the test
 			t := newTownOf(model, "lm1")
@@ -89,8 +89,8 @@
 			Expect(a.logs.FilterMessage("left").All()[0].ContextMap()).To(And(
 				HaveKeyWithValue("cut", int64(1)), HaveKeyWithValue("requests", HaveLen(1))))
 		},
-		Entry("by a second signal", time.Minute, func(h *host) { close(h.hurry) }),
-		Entry("by the drain limit", 300*time.Millisecond, func(*host) {}),
+		Entry("by a second signal", time.Minute, func(h *running) { close(h.hurry) }),
+		Entry("by the drain limit", 300*time.Millisecond, func(*running) {}),
 	)
 
 	// Story: every host is replaced, one after the other, while callers go on. Not
--- a/runner/state.go
+++ b/runner/state.go
@@ -1,6 +1,8 @@
 package runner
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cicadawood/cicadawood/dispatcher"
@@ -37,8 +39,8 @@
 
 func (c *control) state() State {
 	s := State{Name: c.self, Generation: c.generation, Roles: []string{"entry"}, Roster: c.roster.Hosts(), Cells: []dispatcher.State{}, Calls: map[string]string{}, Workers: c.observer.States(time.Now())}
-	for name, d := range c.owned {
-		s.Cells = append(s.Cells, d.State())
+	for _, name := range slices.Sorted(maps.Keys(c.owned)) {
+		s.Cells = append(s.Cells, c.owned[name].State())
 		s.Roles = append(s.Roles, "dispatcher:"+name)
 	}
 	s.Limits = c.limiting.gates.Rates(time.Now())
--- a/server/request.go
+++ b/server/request.go
@@ -49,14 +49,18 @@
 
 // ask is the request as its dispatcher sees it, for one place after the other.
 // Each has its own name there, so that what is still under way for an earlier
-// one can't be taken for it.
-func (q *request) ask(n int, exclude []string) messenger.Ask {
+// one can't be taken for it; made is the tokens that earlier places made.
+func (q *request) ask(n, made int, exclude []string) messenger.Ask {
 	name := q.id
 	if n > 0 {
 		name = fmt.Sprintf("%s.%d", q.id, n)
 	}
+	output := q.output
+	if output > 0 {
+		output = max(output-made, 1)
+	}
 	return messenger.Ask{
-		Request: name, Class: q.class, Organisation: q.organisation, Prompt: q.prompt, Output: q.output,
+		Request: name, Made: made, Class: q.class, Organisation: q.organisation, Prompt: q.prompt, Output: output,
 		Deadline: max(q.deadline-time.Since(q.started), 0), Waited: time.Since(q.started), Prefix: q.prefix,
 		Exclude: exclude, Fixed: q.once || q.engine && q.stream && !q.resumable,
 	}
