--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -186,13 +186,14 @@
 // the answers; the next keeper takes them for calls that may have run.
 func (k *Keeper) lost(out *outputs) {
 	for _, op := range k.sorted() {
-		switch {
-		case op.stage == stageAnswered:
+		switch op.stage {
+		case stageAnswered:
 			k.finish(out, op)
-		case op.stage == stageSent:
-		case k.mayHold(op.intent):
-			k.drop(out, op, Verdict{Kind: KindNotRun, Reason: ReasonMoved, After: k.settings.Retry})
+		case stageSent:
 		default:
+			// Never "not run", though this keeper did not send it: it stood on an old
+			// log, and the key may have run for an earlier request under the keeper
+			// that sealed it. That one knows.
 			k.drop(out, op, Verdict{Kind: KindMoved, Reason: ReasonMoved})
 		}
 	}
--- a/runner/control.go
+++ b/runner/control.go
@@ -67,11 +67,11 @@
 	present     map[string]bool // by service/worker, as last told to the dispatchers
 	away        *atomic.Int64   // workers that get nothing new
 	limiting    limiting
-	keeping     *keeping
 	attempt     uint64            // of the last Ask or Claim
 	epochs      map[string]uint64 // highest seen of each cell
 	chooser     dispatcher.Chooser
 	again       time.Time // when calls are next looked through for askAgain
+	keeping     *keeping
 }
 
 func newControl(self string, epoch uint64, s sender, log *zap.Logger) *control {
