A planned stop of a keeper cuts no call

Cause: at a hand-over the entry asked the new owner at once; its seal made the call one that may have run, although the old keeper was there and had the answer. Seen in scenarios/once/stop: call k2 ended unknown. Change: the entry stays with the host it asked until that host is gone or says that it has not begun the call; such a host answers for what it has in flight.

--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -120,7 +120,7 @@
 }
 
 func (k *Keeper) ask(out *outputs, now time.Time, c Call) {
-	k.retired = false
+	k.retired = k.retired && k.ops[c.ID] != nil
 	if k.phase == phaseReady {
 		k.admit(out, now, c)
 		return
@@ -221,6 +221,9 @@
 	}
 }
 
+// Holds says whether an operation is in flight.
+func (k *Keeper) Holds(id ID) bool { return k.ops[id] != nil }
+
 // Summary is a keeper's state in figures, for a dump.
 type Summary struct {
 	Ready      bool   `json:"ready"`
--- a/runner/keeping.go
+++ b/runner/keeping.go
@@ -126,8 +126,7 @@
 // asked takes a call for a partition. A host that is not its owner says so: two
 // keepers that both serve would only seal each other out, again and again.
 func (k *keeping) asked(now time.Time, from string, m messenger.Once) {
-	owner, ok := k.control.roster.Owner(role(m.Partition))
-	if !ok || owner.Name != k.control.self || len(m.ID) != len(keeper.ID{}) || len(m.Hash) != len(keeper.ID{}) {
+	if !k.keeps(m) || len(m.ID) != len(keeper.ID{}) || len(m.Hash) != len(keeper.ID{}) {
 		k.control.send(now, from, messenger.OnceVerdict{Request: m.Request, Kind: uint8(keeper.KindMoved), Reason: keeper.ReasonMoved})
 		return
 	}
@@ -146,6 +145,16 @@
 	}})
 }
 
+// keeps says whether this host answers for a call: as the owner of its partition,
+// or because it has begun it.
+func (k *keeping) keeps(m messenger.Once) bool {
+	if owner, ok := k.control.roster.Owner(role(m.Partition)); ok && owner.Name == k.control.self {
+		return true
+	}
+	p := k.keepers[m.Partition]
+	return p != nil && len(m.ID) == len(keeper.ID{}) && p.keeper.Holds(keeper.ID(m.ID))
+}
+
 // handle gives a keeper an input and does what it wants done, in order: an input
 // that this causes at once, by a message to this host itself, waits its turn.
 func (k *keeping) handle(now time.Time, p *kept, in keeper.Input) {
@@ -231,7 +240,7 @@
 		}
 	}
 	for _, c := range k.calls {
-		if owner, ok := r.Owner(role(c.message.Partition)); ok && owner.Name != c.owner {
+		if !k.still(c) {
 			k.register(now, c)
 		}
 	}
--- a/runner/keeping_entry.go
+++ b/runner/keeping_entry.go
@@ -6,6 +6,7 @@
 
 	"github.com/cicadawood/cicadawood/keeper"
 	"github.com/cicadawood/cicadawood/messenger"
+	"github.com/cicadawood/cicadawood/registrar"
 	"github.com/cicadawood/cicadawood/server"
 )
 
@@ -20,9 +21,10 @@
 	message messenger.Once
 	waiter  keeper.Waiter
 	reply   chan<- messenger.OnceVerdict
-	owner   string    // host asked last; "" where none was
-	again   time.Time // when to ask next
-	ends    time.Time // its deadline
+	asked   registrar.Record // host asked last
+	moved   bool             // it said that it does not keep the partition
+	again   time.Time        // when to ask next
+	ends    time.Time        // its deadline
 }
 
 // onceAsked starts a call.
@@ -62,25 +64,42 @@
 	k.register(now, c)
 }
 
-// register asks the present owner of the call's partition.
+// register asks the keeper of the call's partition: the one asked before as long
+// as it is there, else the present owner. A host that is leaving ends what it has
+// begun, and only it knows the answer: to ask its successor would seal it out,
+// and the caller be told that its call may have run.
 func (k *keeping) register(now time.Time, c *onceCall) {
 	c.again = now.Add(keeperSilence)
-	owner, ok := k.control.roster.Owner(role(c.message.Partition))
-	if !ok || !now.Before(c.ends) {
+	if !k.still(c) {
+		owner, ok := k.control.roster.Owner(role(c.message.Partition))
+		if !ok {
+			return
+		}
+		c.asked, c.moved = owner, false
+	}
+	if !now.Before(c.ends) {
 		return
 	}
-	c.owner = owner.Name
 	m := c.message
 	m.Ask.Deadline = c.ends.Sub(now)
 	m.Ask.Waited += c.message.Ask.Deadline - m.Ask.Deadline
-	k.control.send(now, c.owner, m)
+	k.control.send(now, c.asked.Name, m)
+}
+
+// still says that the host asked last is there, and may have the call.
+func (k *keeping) still(c *onceCall) bool {
+	if c.asked.Name == "" || c.moved {
+		return false
+	}
+	h, ok := k.control.roster.Find(c.asked.Name)
+	return ok && h.Incarnation == c.asked.Incarnation
 }
 
 // watch asks again where the keeper's word does not come, and gives up after
 // the deadline. A call that no keeper was ever asked for was not run.
 func (k *keeping) watch(now time.Time, c *onceCall) {
 	switch {
-	case now.After(c.ends.Add(entryExtra)) && c.owner == "":
+	case now.After(c.ends.Add(entryExtra)) && c.asked.Name == "":
 		k.tell(c, messenger.OnceVerdict{Kind: uint8(keeper.KindNotRun), Reason: "no_keeper", After: time.Second})
 	case now.After(c.ends.Add(entryExtra)):
 		v := c.waiter.Expired()
@@ -109,7 +128,7 @@
 	}
 	v, last := c.waiter.Verdict(keeper.Verdict{Kind: keeper.Kind(m.Kind), Reason: m.Reason, After: m.After, Epoch: m.Order})
 	if !last {
-		c.again = now.Add(movedPause)
+		c.again, c.moved = now.Add(movedPause), true
 		return
 	}
 	m.Kind, m.Reason, m.After = uint8(v.Kind), v.Reason, v.After
