--- a/loader/host.go
+++ b/loader/host.go
@@ -44,6 +44,7 @@
 	Drain   Duration `json:"drain"`   // for requests in flight to end after SIGTERM
 	Settle  Duration `json:"settle"`  // for the balancer to notice unreadiness
 	Confirm Duration `json:"confirm"` // without word of the configuration from platform or peer, before unready
+	Once    Once     `json:"once"`    // of calls that must not be repeated
 }
 
 func (l Limits) withDefaults() Limits {
@@ -76,6 +77,7 @@
 	set(&l.Drain, 60*time.Second)
 	set(&l.Settle, 3*time.Second)
 	set(&l.Confirm, 10*time.Second)
+	l.Once = l.Once.withDefaults()
 	return l
 }
 
--- a/messenger/message.go
+++ b/messenger/message.go
@@ -160,6 +160,9 @@
 		if m, ok, err := decodeMember(e); ok {
 			return m, err
 		}
+		if m, ok, err := decodeOnce(e); ok {
+			return m, err
+		}
 		return nil, fmt.Errorf("%w: kind %q", ErrFrame, e.Kind)
 	}
 }
--- a/runner/control.go
+++ b/runner/control.go
@@ -24,6 +24,9 @@
 	// again: an Ask, Grant or Refuse that a broken connection lost shows only as
 	// silence.
 	askAgain = 2 * time.Second
+	// renewEvery is how often a call that holds a place says so, well within the
+	// dispatcher's lease on a grant.
+	renewEvery = 10 * time.Second
 )
 
 // sender is the port to other hosts.
@@ -71,6 +74,7 @@
 	epochs      map[string]uint64 // highest seen of each cell
 	chooser     dispatcher.Chooser
 	again       time.Time // when calls are next looked through for askAgain
+	keeping     *keeping
 }
 
 func newControl(self string, epoch uint64, s sender, log *zap.Logger) *control {
@@ -93,6 +97,7 @@
 			return
 		case now := <-ticker.C:
 			c.tick(now)
+			c.keeping.tick(now)
 		case e := <-c.events:
 			c.take(time.Now(), e)
 		}
@@ -109,8 +114,11 @@
 	}
 	c.again = now.Add(askAgain / 4)
 	for _, k := range c.calls {
-		if k.worker == "" && now.Sub(k.asked) >= askAgain {
+		switch silent := now.Sub(k.asked); {
+		case k.worker == "" && silent >= askAgain:
 			c.register(now, k)
+		case k.worker != "" && silent >= renewEvery:
+			c.renew(now, k)
 		}
 	}
 }
@@ -135,6 +143,8 @@
 		c.observe(now, e)
 	case stateAsked:
 		e.reply <- c.state()
+	default:
+		c.keeping.take(now, e)
 	}
 }
 
@@ -165,6 +175,8 @@
 	case messenger.Lend:
 		c.lent(now, m)
 	case messenger.Moved:
+	default:
+		c.keeping.deliver(now, from, m)
 	}
 }
 
@@ -331,7 +343,13 @@
 		return
 	}
 	k.tokens = e.tokens
-	c.send(now, k.owner, messenger.Progress{Request: e.place.Request, Attempt: k.ask.Attempt, Cell: e.place.Cell, Tokens: e.tokens})
+	c.renew(now, k)
+}
+
+// renew tells the dispatcher that a call still has its place, and its tokens.
+func (c *control) renew(now time.Time, k *call) {
+	k.asked = now
+	c.send(now, k.owner, messenger.Progress{Request: k.ask.Request, Attempt: k.ask.Attempt, Cell: k.ask.Cell, Tokens: k.tokens})
 }
 
 func (c *control) configure(now time.Time, e folderChanged) {
@@ -402,4 +420,5 @@
 			c.register(now, k)
 		}
 	}
+	c.keeping.enroll(now, r)
 }
--- a/runner/host.go
+++ b/runner/host.go
@@ -101,7 +101,7 @@
 		Self: registrar.Record{
 			Name: s.Name, Zone: s.Zone, Region: s.Region, Control: s.Control, Admin: s.Admin, Incarnation: incarnation,
 		},
-		Beat: s.Limits.Beat.Std(), Lease: s.Limits.Lease.Std(), Store: store, Transport: m, Log: h.log,
+		Beat: s.Limits.Beat.Std(), Lease: s.Limits.Lease.Std(), Store: store, Transport: m, Log: h.log, Peers: s.Peers,
 		Notify: func(r registrar.Roster) {
 			h.following.enroll(r)
 			h.control.post(rosterChanged{roster: r})
@@ -110,6 +110,8 @@
 	registry := prometheus.NewRegistry()
 	h.server = server.New(s.Limits, h.following, h.control, forward, h.log, server.NewMetrics(registry))
 	h.server.SetLimiter(limits{&h.control.limiting.gates})
+	h.control.keeping = newKeeping(h.control, store, forward, s.Limits.Once, newKeepingMetrics(registry), h.log)
+	h.server.SetOnce(h.control)
 	h.registerMetrics(registry)
 	h.following.register(registry)
 	close(connected)
@@ -135,6 +137,7 @@
 	defer leaveRoster()
 	var tasks, membership sync.WaitGroup
 	tasks.Go(func() { h.control.run(roles) })
+	tasks.Go(func() { h.control.keeping.runLayout(roles) })
 	tasks.Go(func() { h.following.Run(roles) })
 	tasks.Go(func() { h.observing.run(roles) })
 	membership.Go(func() { h.registrar.Run(member) })
--- a/runner/leaving.go
+++ b/runner/leaving.go
@@ -42,6 +42,7 @@
 	if err := h.server.Shutdown(ctx); err != nil {
 		return h.cut(err)
 	}
+	h.control.settleOnce(ctx)
 	h.log.Info("left", zap.Int64("cut", 0))
 	return nil
 }
