--- a/commander/pages_test.go
+++ b/commander/pages_test.go
@@ -114,12 +114,20 @@
 		Expect(err).NotTo(HaveOccurred())
 		var defaults map[string]any
 		Expect(json.Unmarshal(text, &defaults)).To(Succeed())
-		for name, v := range defaults {
-			if n, ok := v.(float64); ok {
-				v = int64(n)
+		var check func(prefix string, defaults map[string]any)
+		check = func(prefix string, defaults map[string]any) {
+			for name, v := range defaults {
+				switch d := v.(type) {
+				case map[string]any:
+					check(prefix+name+".", d)
+				case float64:
+					Expect(string(page)).To(ContainSubstring(fmt.Sprintf("\n| `%s%s` | %d | ", prefix, name, int64(d))))
+				default:
+					Expect(string(page)).To(ContainSubstring(fmt.Sprintf("\n| `%s%s` | %v | ", prefix, name, d)))
+				}
 			}
-			Expect(string(page)).To(ContainSubstring(fmt.Sprintf("\n| `%s` | %v | ", name, v)))
 		}
+		check("", defaults)
 	})
 
 	It("show commands that run as shown", func() {
