--- a/publisher/bench_test.go
+++ b/publisher/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net/http/httptest"
 	"strings"
 	"sync"
@@ -72,8 +73,9 @@
 // BenchmarkReads counts what followers ask of the platform: at rest, and for one
 // change.
 func BenchmarkReads(b *testing.B) {
-	for _, n := range []int{4, 16, 64} {
+	for _, n := range []int{4, 16, 64, 360} {
 		b.Run(fmt.Sprintf("hosts=%d", n), func(b *testing.B) {
+			base := folderOf(940, 829)
 			platform := faker.NewPlatform()
 			server := httptest.NewServer(platform.Handler())
 			defer server.Close()
@@ -85,7 +87,8 @@
 				if err != nil {
 					b.Fatal(err)
 				}
-				files := loader.Files{"10.json": class("hold", tier)}
+				files := maps.Clone(base)
+				files["40.json"] = class("hold", tier)
 				r, err := publisher.Pusher{Store: store}.Push(context.Background(), publisher.Change{Files: files, Base: publisher.BaseOf(h.Generation, h.Files)})
 				if err != nil {
 					b.Fatal(err)
