--- a/commander/pages_test.go
+++ b/commander/pages_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
@@ -88,6 +89,22 @@
 	return text
 }
 
+// flat names the fields of nested objects with dots, and writes numbers whole.
+func flat(prefix string, fields map[string]any) map[string]any {
+	out := map[string]any{}
+	for name, v := range fields {
+		switch v := v.(type) {
+		case map[string]any:
+			maps.Copy(out, flat(prefix+name+".", v))
+		case float64:
+			out[prefix+name] = int64(v)
+		default:
+			out[prefix+name] = v
+		}
+	}
+	return out
+}
+
 var _ = Describe("The pages of the commands", func() {
 	It("exist for each command, and no others", func() {
 		out, _, code := run("", "--help")
@@ -114,10 +131,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		var defaults map[string]any
 		Expect(json.Unmarshal(text, &defaults)).To(Succeed())
-		for name, v := range defaults {
-			if n, ok := v.(float64); ok {
-				v = int64(n)
-			}
+		for name, v := range flat("", defaults) {
 			Expect(string(page)).To(ContainSubstring(fmt.Sprintf("\n| `%s` | %v | ", name, v)))
 		}
 	})
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"fmt"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,6 +18,16 @@
 	"github.com/cicadawood/cicadawood/prover"
 )
 
+// addresses counts the addresses handed out.
+var addresses atomic.Int32
+
+// ownAddress is an address where nobody else listens, below the ports that the
+// kernel hands out: one of those, while nobody listens there, may be given to
+// the very connection that dials it, which then meets itself.
+func ownAddress() string {
+	return fmt.Sprintf("127.%d.%d.1:%d", 80+os.Getpid()/250%20, 1+os.Getpid()%250, 10000+addresses.Add(1))
+}
+
 // taken records the requests that arrive, in order.
 type taken struct {
 	mu       sync.Mutex
@@ -124,14 +135,17 @@
 	// reach it, or a grant would be given back that it never had; what comes after does.
 	It("does not give a restarted receiver what its predecessor may have taken", Label(prover.Cell(prover.Granted, prover.Kill)), func() {
 		held := make(chan struct{})
-		first, clean, err := messenger.Open(messenger.Config{Name: "b", Incarnation: 1, Address: "127.0.0.1:0", Delay: time.Hour},
+		first, clean, err := messenger.Open(messenger.Config{Name: "b", Incarnation: 1, Address: ownAddress(), Delay: time.Hour},
 			func(messenger.Envelope, messenger.Message) { held <- struct{}{} })
 		Expect(err).NotTo(HaveOccurred())
-		sender := open("a", 1, "127.0.0.1:0", ignore)
+		reached := make(chan bool, 8)
+		sender := openWith(messenger.Config{Name: "a", Incarnation: 1, Address: "127.0.0.1:0", Outcome: func(_ string, ok bool) { reached <- ok }}, ignore)
 		address := first.Address()
 		sendAll(sender, address, []string{"old"})
 		Eventually(held).Should(Receive())
 		clean()
+		// What is sent before the sender has seen the end may count as taken too.
+		Eventually(reached).Should(Receive(BeFalse()))
 		got := &taken{}
 		open("b", 2, address, got.handle)
 		sendAll(sender, address, []string{"new"})
@@ -183,10 +197,7 @@
 		}, ignore)
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(clean)
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		Expect(err).NotTo(HaveOccurred())
-		nowhere := l.Addr().String()
-		Expect(l.Close()).To(Succeed())
+		nowhere := ownAddress()
 		sendAll(m, nowhere, numbered(0, 3))
 		Expect(m.Send(nowhere, messenger.Cancel{})).To(MatchError(messenger.ErrFull))
 		Eventually(outcomes).Should(Receive(BeFalse()))
