--- a/runner/export_test.go
+++ b/runner/export_test.go
@@ -81,3 +81,31 @@
 
 // State is the control state's dump.
 func (k Control) State() State { return k.c.state() }
+
+// Admit charges a request of an organisation, as the entry does.
+func (k Control) Admit(now time.Time, organisation string) bool {
+	_, ok := k.c.limiting.gates.Admit(now, organisation, 0, 0)
+	return ok
+}
+
+// Allowed is the requests a second that the entry lets in now.
+func (k Control) Allowed(now time.Time, organisation string) float64 {
+	return k.c.limiting.gates.Rates(now)[organisation].Requests
+}
+
+// Holding is what waits for a configuration.
+type Holding struct{ h holding }
+
+// Take says whether a message has to wait for a newer configuration.
+func (k *Holding) Take(now time.Time, from string, m messenger.Message, generation uint64) bool {
+	return k.h.take(now, frameArrived{from: from, message: m}, generation)
+}
+
+// Release returns the messages that waited for a configuration.
+func (k *Holding) Release(now time.Time, f *loader.Folder, generation uint64) []messenger.Message {
+	var out []messenger.Message
+	for _, f := range k.h.release(now, f, generation) {
+		out = append(out, f.message)
+	}
+	return out
+}
