--- a/runner/drain_test.go
+++ b/runner/drain_test.go
@@ -70,13 +70,39 @@
 		Entry("while the platform loses replies", Label(prover.Cell(prover.Draining, prover.LostReply)), faker.Faults{Lose: 4}),
 	)
 
+	// Story: a skipper's holds come through one host and are run by another, which is
+	// told to stop meanwhile. Each must be answered, and have run once.
+	It("finishes what it runs for other hosts", Label(prover.Cell(prover.Draining, prover.Slow)), func() {
+		const holds = 12
+		t := newTownOf(faker.DefaultModel(), 700*time.Millisecond, "lm1")
+		a, b := t.start("a", "z1", nil), t.start("b", "z2", nil)
+		Eventually(t.settled(2)).WithTimeout(10 * time.Second).Should(Succeed())
+		answers := make(chan answer, holds)
+		for i := range holds {
+			go func() {
+				status, text, _, err := post(&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, b.listen, fmt.Sprint("/services/app/holds/", i), "{}")
+				answers <- answer{status, text, err}
+			}()
+		}
+		Eventually(t.holds.Counts).WithTimeout(10 * time.Second).Should(HaveLen(holds))
+		a.term()
+		Eventually(a.done).WithTimeout(20 * time.Second).Should(Receive(BeNil()))
+		for range holds {
+			var end answer
+			Eventually(answers).WithTimeout(20 * time.Second).Should(Receive(&end))
+			Expect(end.err).NotTo(HaveOccurred())
+			Expect(end.status).To(Equal(http.StatusOK), end.text)
+		}
+		Expect(t.holds.Counts()).To(HaveEach(1))
+	})
+
 	// Story: a stream never ends, and the operator has no more time. A second signal,
 	// or the drain limit, ends the host, and it says what it cut.
 	DescribeTable("ends when hurried, and says what it cut",
 		func(limit time.Duration, hurry func(h *running)) {
 			model := faker.DefaultModel()
 			model.Slow = 1000 // a token takes longer than the test
-			t := newTownOf(model, "lm1")
+			t := newTownOf(model, time.Millisecond, "lm1")
 			a := t.start("a", "z1", func(s *loader.Host) { s.Limits.Drain = loader.Duration(limit) })
 			Eventually(t.settled(1)).WithTimeout(10 * time.Second).Should(Succeed())
 			going := stream(a, 100000)
--- a/runner/keeping.go
+++ b/runner/keeping.go
@@ -252,12 +252,16 @@
 func (busyAsked) event() {}
 
 // settleOnce waits until this host's keepers have no operation in flight, or
-// ctx ends: a planned stop cuts none off.
-func (c *control) settleOnce(ctx context.Context) {
-	for ctx.Err() == nil {
+// ctx ends: a planned stop cuts none off. It returns how many are left.
+func (c *control) settleOnce(ctx context.Context) int {
+	for {
 		reply := make(chan int, 1)
-		if !c.post(busyAsked{reply: reply}) || <-reply == 0 {
-			return
+		if !c.post(busyAsked{reply: reply}) {
+			return 0
+		}
+		left := <-reply
+		if left == 0 || ctx.Err() != nil {
+			return left
 		}
 		select {
 		case <-ctx.Done():
--- a/runner/leaving.go
+++ b/runner/leaving.go
@@ -42,7 +42,10 @@
 	if err := h.server.Shutdown(ctx); err != nil {
 		return h.cut(err)
 	}
-	h.control.settleOnce(ctx)
+	if left := h.control.settleOnce(ctx); left > 0 {
+		h.log.Error("left", zap.Int("operations", left), zap.Int64("cut", 0))
+		return fmt.Errorf("%w: %d operations of other hosts", ErrCut, left)
+	}
 	h.log.Info("left", zap.Int64("cut", 0))
 	return nil
 }
--- a/runner/town_test.go
+++ b/runner/town_test.go
@@ -36,6 +36,7 @@
 	url      string
 	engines  map[string]string // address by name
 	counters map[string]*faker.Counter
+	holds    *faker.Counter
 	hosts    map[string]*running
 	mu       sync.Mutex
 }
@@ -49,10 +50,12 @@
 	logs          *observer.ObservedLogs
 }
 
-func newTown(engines ...string) *town { return newTownOf(faker.DefaultModel(), engines...) }
+func newTown(engines ...string) *town {
+	return newTownOf(faker.DefaultModel(), 10*time.Millisecond, engines...)
+}
 
-func newTownOf(m faker.Model, engines ...string) *town {
-	t := &town{platform: faker.NewPlatform(), engines: map[string]string{}, counters: map[string]*faker.Counter{}, hosts: map[string]*running{}}
+func newTownOf(m faker.Model, took time.Duration, engines ...string) *town {
+	t := &town{platform: faker.NewPlatform(), engines: map[string]string{}, counters: map[string]*faker.Counter{}, holds: &faker.Counter{}, hosts: map[string]*running{}}
 	t.url = serve(t.platform.Handler())
 	var workers []string
 	for _, e := range engines {
@@ -60,13 +63,13 @@
 		t.engines[e] = strings.TrimPrefix(serve(faker.NewEngine(e, m, t.counters[e]).Handler()), "http://")
 		workers = append(workers, fmt.Sprintf(`{"name": %q, "address": %q, "zone": "a", "slots": 16}`, e, t.engines[e]))
 	}
-	app := strings.TrimPrefix(serve(faker.NewService("app", 10*time.Millisecond, &faker.Counter{}).Handler()), "http://")
+	app := strings.TrimPrefix(serve(faker.NewService("app", took, t.holds).Handler()), "http://")
 	t.push(fmt.Sprintf(`{
 	"classes": {"quote": {"tier": 0, "whole": "10s"}, "chat": {"tier": 1, "whole": "20s"}},
 	"organisations": {"dock": {"keys": [%q], "classes": ["quote", "chat"]}},
 	"services": {
 		"lm": {"kind": "engine", "owner": "ops", "models": ["lm"], "hosts": true, "routes": [{"class": "chat"}], "workers": [%s]},
-		"app": {"kind": "plain", "owner": "ops", "routes": [{"class": "quote"}], "workers": [{"name": "app", "address": %q, "zone": "a", "slots": 32}]}}}`,
+		"app": {"kind": "plain", "owner": "ops", "routes": [{"class": "quote", "path": "/holds", "once": true}, {"class": "quote"}], "workers": [{"name": "app", "address": %q, "zone": "a", "slots": 32}]}}}`,
 		loader.HashKey(key), strings.Join(workers, ","), app))
 	return t
 }
