Messenger specs: own addresses, and events in place of luck

Under load (GOMAXPROCS=1, four at once) two specs gave other verdicts: a port that the kernel had given out before belonged to another process, and a frame sent before the break was noticed belongs, rightly, to the old receiver.

--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -1,9 +1,11 @@
 package messenger_test
 
 import (
+	"cmp"
 	"encoding/binary"
 	"fmt"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -40,13 +42,23 @@
 }
 
 func openWith(c messenger.Config, h messenger.Handler) *messenger.Messenger {
-	c.Silence, c.Delay, c.Hold = 150*time.Millisecond, 5*time.Millisecond, time.Minute
+	c.Silence, c.Delay, c.Hold = cmp.Or(c.Silence, 150*time.Millisecond), 5*time.Millisecond, time.Minute
 	m, clean, err := messenger.Open(c, h)
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(clean)
 	return m
 }
 
+// addresses counts those given out in this process.
+var addresses atomic.Int32
+
+// ownAddress is a loopback address that stays this process's own while nothing
+// listens there: one that the kernel gave out may be given to another process.
+func ownAddress() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.2:%d", 20+pid/250%40, 1+pid%250, 20000+addresses.Add(1))
+}
+
 func ignore(messenger.Envelope, messenger.Message) {}
 
 func numbered(from, to int) []string {
@@ -124,14 +136,21 @@
 	// reach it, or a grant would be given back that it never had; what comes after does.
 	It("does not give a restarted receiver what its predecessor may have taken", Label(prover.Cell(prover.Granted, prover.Kill)), func() {
 		held := make(chan struct{})
-		first, clean, err := messenger.Open(messenger.Config{Name: "b", Incarnation: 1, Address: "127.0.0.1:0", Delay: time.Hour},
+		first, clean, err := messenger.Open(messenger.Config{Name: "b", Incarnation: 1, Address: ownAddress(), Delay: time.Hour},
 			func(messenger.Envelope, messenger.Message) { held <- struct{}{} })
 		Expect(err).NotTo(HaveOccurred())
-		sender := open("a", 1, "127.0.0.1:0", ignore)
+		// Were the first receiver tried on a second connection, it would say what it has.
+		outcomes := make(chan bool, 100)
+		sender := openWith(messenger.Config{
+			Name: "a", Incarnation: 1, Address: "127.0.0.1:0", Silence: time.Minute,
+			Outcome: func(_ string, reachable bool) { outcomes <- reachable },
+		}, ignore)
 		address := first.Address()
 		sendAll(sender, address, []string{"old"})
 		Eventually(held).Should(Receive())
+		Eventually(outcomes).Should(Receive(BeTrue()))
 		clean()
+		Eventually(outcomes).Should(Receive(BeFalse()), "what is sent from now on is sent to the second only")
 		got := &taken{}
 		open("b", 2, address, got.handle)
 		sendAll(sender, address, []string{"new"})
@@ -183,10 +202,7 @@
 		}, ignore)
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(clean)
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		Expect(err).NotTo(HaveOccurred())
-		nowhere := l.Addr().String()
-		Expect(l.Close()).To(Succeed())
+		nowhere := ownAddress()
 		sendAll(m, nowhere, numbered(0, 3))
 		Expect(m.Send(nowhere, messenger.Cancel{})).To(MatchError(messenger.ErrFull))
 		Eventually(outcomes).Should(Receive(BeFalse()))
