--- a/registrar/members_test.go
+++ b/registrar/members_test.go
@@ -1,6 +1,7 @@
 package registrar_test
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -220,6 +221,10 @@
 			for _, name := range f.names {
 				h, ok := f.nodes[name].roster.Find(victim)
 				Expect(ok && h.Leaving).To(BeTrue(), "as %s sees it", name)
+				for role := range 40 {
+					owner, _ := f.nodes[name].roster.Owner(fmt.Sprint("role", role))
+					Expect(owner.Name).NotTo(Equal(victim))
+				}
 			}
 			f.run(3 * time.Second)
 			f.left(victim)
--- /dev/null
+++ b/runner/rejoining_test.go
@@ -0,0 +1,61 @@
+package runner_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cicadawood/cicadawood/loader"
+	"github.com/cicadawood/cicadawood/messenger"
+	"github.com/cicadawood/cicadawood/prover"
+	"github.com/cicadawood/cicadawood/registrar"
+	"github.com/cicadawood/cicadawood/runner"
+)
+
+// ownedBy is a service whose cell a host of the roster owns.
+func ownedBy(r registrar.Roster, host string) string {
+	for i := 0; ; i++ {
+		service := fmt.Sprint("service", i)
+		if owner, _ := r.Owner(service + "/0"); owner.Name == host {
+			return service
+		}
+	}
+}
+
+var _ = Describe("A host that rejoins", func() {
+	// Story: a host stands still, is declared dead, and comes back. Its caller's stream
+	// still runs on a worker, but the dispatcher took that place back and would give
+	// it to another request as well. So the host claims it again.
+	It("registers its calls anew with an owner that took them back", Label(prover.Cell(prover.Granted, prover.Freeze)), func() {
+		now := time.Unix(1000, 0)
+		first := registrar.NewRoster(registrar.Record{Name: "a", Incarnation: 1}, registrar.Record{Name: "b", Control: "b", Incarnation: 1})
+		service := ownedBy(first, "b")
+		var asks []messenger.Ask
+		var claims []messenger.Claim
+		c := runner.NewControl("a", func(_ string, m messenger.Message) {
+			switch m := m.(type) {
+			case messenger.Ask:
+				asks = append(asks, m)
+			case messenger.Claim:
+				claims = append(claims, m)
+			}
+		})
+		c.Configure(now, &loader.Folder{
+			Classes:  map[string]loader.Class{"chat": {Whole: loader.Duration(time.Minute)}},
+			Services: map[string]loader.Service{service: {Kind: loader.KindEngine, Workers: []loader.Worker{{Name: "w", Address: "w", Slots: 4}}}},
+		})
+		c.Enroll(now, first)
+		answer := c.Ask(now, service, messenger.Ask{Request: "r", Class: "chat", Deadline: time.Minute})
+		Expect(asks).To(HaveLen(1))
+		c.Deliver(now, "b", messenger.Grant{Request: "r", Attempt: asks[0].Attempt, Cell: service + "/0", Worker: "w", Epoch: 1, Class: "chat"})
+		got, ok := answer()
+		Expect(ok && got.Refusal == nil).To(BeTrue())
+		c.Enroll(now, registrar.NewRoster(registrar.Record{Name: "b", Control: "b", Incarnation: 1}))
+		Expect(claims).To(BeEmpty(), "the owner is the same as before")
+		c.Enroll(now, registrar.NewRoster(registrar.Record{Name: "a", Incarnation: 2}, registrar.Record{Name: "b", Control: "b", Incarnation: 1}))
+		Expect(claims).To(HaveLen(1))
+		Expect(claims[0].Worker).To(Equal("w"))
+	})
+})
