--- a/registrar/ticking.go
+++ b/registrar/ticking.go
@@ -23,7 +23,9 @@
 		m.confirmed(now) // nobody contradicts
 	}
 	if !now.Before(m.due) {
-		m.due = now.Add(m.beat)
+		if m.due = m.due.Add(m.beat); m.due.Before(now) {
+			m.due = now.Add(m.beat)
+		}
 		m.sendBeats(now)
 	}
 	if m.outcast {
