--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -19,6 +19,16 @@
 	"github.com/cicadawood/cicadawood/prover"
 )
 
+// addresses counts the addresses handed out.
+var addresses atomic.Int32
+
+// ownAddress is an address where nobody else listens, below the ports that the
+// kernel hands out: one of those, while nobody listens there, may be given to
+// the very connection that dials it, which then meets itself.
+func ownAddress() string {
+	return fmt.Sprintf("127.%d.%d.1:%d", 80+os.Getpid()/250%20, 1+os.Getpid()%250, 10000+addresses.Add(1))
+}
+
 // taken records the requests that arrive, in order.
 type taken struct {
 	mu       sync.Mutex
@@ -49,16 +59,6 @@
 	return m
 }
 
-// addresses counts those given out in this process.
-var addresses atomic.Int32
-
-// ownAddress is a loopback address that stays this process's own while nothing
-// listens there: one that the kernel gave out may be given to another process.
-func ownAddress() string {
-	pid := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.2:%d", 20+pid/250%40, 1+pid%250, 20000+addresses.Add(1))
-}
-
 func ignore(messenger.Envelope, messenger.Message) {}
 
 func numbered(from, to int) []string {
