--- a/server/once_test.go
+++ b/server/once_test.go
@@ -170,6 +170,32 @@
 		Expect(keeper.DateOf(keys[0])).To(BeNumerically("~", time.Now().UnixMilli(), 60_000))
 	})
 
+	// A worker that is leaving, or that takes the fencing number for an old one,
+	// says that it did not run the call: it may be sent again.
+	DescribeTable("sends a call without a key again only after a certain not run",
+		func(run string, status, sent int) {
+			var mu sync.Mutex
+			tries := 0
+			app := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				mu.Lock()
+				defer mu.Unlock()
+				if tries++; tries == 1 {
+					w.Header().Set(forwarder.HeaderRun, run)
+					w.WriteHeader(status)
+				}
+			}))
+			defer app.Close()
+			call := onceServerAt(&onceKeeper{}, strings.TrimPrefix(app.URL, "http://"))
+			_, _ = call("dock", "a", http.Header{})
+			mu.Lock()
+			defer mu.Unlock()
+			Expect(tries).To(Equal(sent))
+		},
+		Entry("leaving", "no", 503, 2),
+		Entry("old fencing number", "no", 412, 2),
+		Entry("failed, may have run", "", 503, 1),
+	)
+
 	DescribeTable("refuses what it can't keep", func(h http.Header, body string, status int) {
 		k := &onceKeeper{}
 		resp, _ := onceServer(k)("dock", body, h)
--- a/server/tries.go
+++ b/server/tries.go
@@ -42,11 +42,11 @@
 }
 
 // next decides what follows a failed try. A call that must not be repeated is
-// never sent again. Once part of an answer has reached the caller, only the rest
+// sent again only after a try that certainly did not run. Once part of an answer has reached the caller, only the rest
 // may follow: an answer from its start would double that part.
 func (f facts) next() step {
 	switch {
-	case f.once, f.passed && !f.resumable, errors.Is(f.err, errCaller):
+	case f.once && !errors.Is(f.err, forwarder.ErrNotRun), f.passed && !f.resumable, errors.Is(f.err, errCaller):
 		return giveUp
 	case errors.Is(f.err, errPreempted):
 		return askAgain
