--- a/commander/pages_test.go
+++ b/commander/pages_test.go
@@ -114,12 +114,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		var defaults map[string]any
 		Expect(json.Unmarshal(text, &defaults)).To(Succeed())
-		for name, v := range defaults {
-			if n, ok := v.(float64); ok {
-				v = int64(n)
-			}
-			Expect(string(page)).To(ContainSubstring(fmt.Sprintf("\n| `%s` | %v | ", name, v)))
-		}
+		expectNamed(string(page), "", defaults)
 	})
 
 	It("show commands that run as shown", func() {
@@ -182,3 +177,18 @@
 		return out
 	}, 10*time.Second, 20*time.Millisecond).Should(And(ContainSubstring(" ready "), Not(ContainSubstring("behind"))))
 }
+
+// expectNamed looks for each limit in a page, those of a group as group.limit.
+func expectNamed(page, group string, defaults map[string]any) {
+	GinkgoHelper()
+	for name, v := range defaults {
+		switch v := v.(type) {
+		case map[string]any:
+			expectNamed(page, group+name+".", v)
+		case float64:
+			Expect(page).To(ContainSubstring(fmt.Sprintf("\n| `%s%s` | %d | ", group, name, int64(v))))
+		default:
+			Expect(page).To(ContainSubstring(fmt.Sprintf("\n| `%s%s` | %v | ", group, name, v)))
+		}
+	}
+}
--- a/loader/once.go
+++ b/loader/once.go
@@ -22,17 +22,22 @@
 const maxOnce = 900 << 10
 
 func (o Once) withDefaults() Once {
-	if o.Partitions <= 0 {
-		o.Partitions = 16
-	}
-	if o.Body <= 0 || o.Body > maxOnce {
-		o.Body = 256 << 10
-	}
-	if o.Whole <= 0 || o.Whole > maxOnce {
-		o.Whole = 512 << 10
-	}
-	if o.Retention <= 0 {
-		o.Retention = Duration(6 * time.Hour)
-	}
+	o.Partitions = orDefault(o.Partitions, 16)
+	o.Body = orDefault(o.Body, 256<<10)
+	o.Whole = orDefault(o.Whole, 512<<10)
+	o.Body, o.Whole = min(o.Body, maxOnce), min(o.Whole, maxOnce)
+	o.Answer = orDefault(o.Answer, 4<<10)
+	o.Answers = orDefault(o.Answers, 4<<20)
+	o.Operations = orDefault(o.Operations, 512)
+	o.Records = orDefault(o.Records, 20_000)
+	o.Retention = orDefault(o.Retention, Duration(6*time.Hour))
+	o.Writes = orDefault(o.Writes, 12)
 	return o
 }
+
+func orDefault[T int | int64 | float64 | Duration](v, d T) T {
+	if v <= 0 {
+		return d
+	}
+	return v
+}
