A keeper that has not read its log never says not run

Cause: found by the random schedules when sent/reorder came in: a request told 'no' (deadline) by a new keeper that could not read its log, while an earlier request of the same key, told unknown, ran after. Request by request that was true; for the caller, to whom the key is the hold, it was not. Change: such a keeper says unknown with Retry-After: the same key is to be sent again. Ruled out: the entry knowing whether a key is new; it can't.

--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -125,15 +125,21 @@
 		k.admit(out, now, c)
 		return
 	}
-	if k.down(now) {
-		out.reply(c, Verdict{Kind: KindNotRun, Reason: ReasonStore, After: k.settings.Retry})
-		return
-	}
-	if len(k.early) >= k.settings.Operations {
-		out.reply(c, Verdict{Kind: KindNotRun, Reason: ReasonBusy, After: k.settings.Retry})
-		return
+	switch {
+	case k.down(now):
+		out.reply(c, k.unread(ReasonStore))
+	case len(k.early) >= k.settings.Operations:
+		out.reply(c, k.unread(ReasonBusy))
+	default:
+		k.early = append(k.early, c)
 	}
-	k.early = append(k.early, c)
+}
+
+// unread is what a keeper says that has not read its log. This request was not
+// run, but its key may have been, for an earlier request whose answer was lost:
+// to call that "not run" would have a caller book a second time.
+func (k *Keeper) unread(reason string) Verdict {
+	return Verdict{Kind: KindUnknown, Reason: reason, After: k.settings.Retry}
 }
 
 // down says that the store was down when last tried, and is not to be tried yet.
@@ -147,7 +153,7 @@
 			waiting = append(waiting, c)
 			continue
 		}
-		out.reply(c, Verdict{Kind: KindNotRun, Reason: ReasonDeadline, After: k.settings.Retry})
+		out.reply(c, k.unread(ReasonDeadline))
 	}
 	k.early = waiting
 	for _, op := range k.sorted() {
@@ -169,7 +175,7 @@
 	early := k.early
 	k.early = nil
 	for _, c := range early {
-		out.reply(c, Verdict{Kind: KindNotRun, Reason: ReasonStore, After: k.settings.Retry})
+		out.reply(c, k.unread(ReasonStore))
 	}
 	for _, op := range k.sorted() {
 		switch {
--- a/keeper/keeping_test.go
+++ b/keeper/keeping_test.go
@@ -48,6 +48,23 @@
 		Expect(v["r5"].Kind).To(Equal(keeper.KindRan))
 	})
 
+	// A hold is at the booking application when its keeper's host dies, and then the
+	// platform goes down. The passenger books again with the same key. The next
+	// keeper can't read the log: "not run" would have the boat held twice.
+	It("does not say not run before it has read its log", func() {
+		w := newWorld(keeper.Settings{}, &injection{step: sent, fault: kill, late: true})
+		w.request(0, "r1", "k1", "seat", "e1")
+		w.after(2*time.Second, func() { w.store.downUntil = w.now.Add(8 * time.Second) })
+		w.request(5*time.Second, "r2", "k1", "seat", "e2")
+		w.request(6*time.Second, "r3", "k1", "seat", "e2")
+		w.request(12*time.Second, "r4", "k1", "seat", "e2")
+		v := verdicts(w)
+		Expect(w.runs).To(HaveLen(1))
+		Expect(v["r2"]).To(SatisfyAll(HaveField("Kind", keeper.KindUnknown), HaveField("Reason", keeper.ReasonStore)))
+		Expect(v["r3"].Kind).To(Equal(keeper.KindUnknown))
+		Expect(v["r4"].Kind).To(Equal(keeper.KindUnknown))
+	})
+
 	// The store takes the intent but its reply is lost, and it is down at once
 	// after. The hold is told not run. The keeper changes. The passenger books
 	// again with the same key: the void intent must not stand in the way.
--- a/keeper/matrix_test.go
+++ b/keeper/matrix_test.go
@@ -17,7 +17,7 @@
 	asked:    {kill, freeze, cutOne, cutBoth, silence, slow, storeDown, storeSlow, reorder, crossed},
 	granted:  {kill, freeze, cutOne, cutBoth, silence, slow, storeDown, storeSlow, reorder},
 	intent:   {kill, freeze, cutOne, cutBoth, silence, slow, lostReply, storeDown, storeSlow, reorder},
-	sent:     {kill, freeze, cutOne, cutBoth, silence, slow, lostReply, storeDown, storeSlow, crossed},
+	sent:     {kill, freeze, cutOne, cutBoth, silence, slow, lostReply, storeDown, storeSlow, reorder, crossed},
 	answered: {kill, freeze, cutOne, cutBoth, silence, slow, lostReply, storeDown, storeSlow, reorder, crossed},
 	outcome:  {kill, freeze, cutOne, cutBoth, silence, slow, lostReply, storeDown, storeSlow, reorder},
 	acked:    {kill, freeze, cutOne, cutBoth, silence, slow, storeDown, storeSlow, reorder, crossed},
--- a/keeper/world_test.go
+++ b/keeper/world_test.go
@@ -308,6 +308,12 @@
 		fate(workTime, keeper.FateUnknown, nil)
 	case slow:
 		fate(slowness, keeper.FateRan, work())
+	case reorder: // the frames that led to it come again, at once and late
+		for _, late := range []time.Duration{hop, frameLate} {
+			w.after(late, func() { w.input(h, keeper.Placed{ID: o.ID, Attempt: o.Attempt}) })
+			w.after(late, func() { w.input(h, keeper.Went{ID: o.ID, Request: o.Request, OK: true}) })
+		}
+		fallthrough
 	default:
 		fate(workTime, keeper.FateRan, work())
 	}
--- a/runner/keeping_entry.go
+++ b/runner/keeping_entry.go
@@ -55,7 +55,8 @@
 
 func (k *keeping) begin(now time.Time, e onceAsked) {
 	if k == nil || k.partitions == 0 {
-		e.reply <- messenger.OnceVerdict{Kind: uint8(keeper.KindNotRun), Reason: keeper.ReasonStore, After: time.Second}
+		// The key may have run before this host was started.
+		e.reply <- messenger.OnceVerdict{Kind: uint8(keeper.KindUnknown), Reason: keeper.ReasonStore, After: time.Second}
 		return
 	}
 	c := &onceCall{message: e.message, reply: e.reply, ends: now.Add(e.message.Ask.Deadline)}
@@ -96,11 +97,9 @@
 }
 
 // watch asks again where the keeper's word does not come, and gives up after
-// the deadline. A call that no keeper was ever asked for was not run.
+// the deadline.
 func (k *keeping) watch(now time.Time, c *onceCall) {
 	switch {
-	case now.After(c.ends.Add(entryExtra)) && c.asked.Name == "":
-		k.tell(c, messenger.OnceVerdict{Kind: uint8(keeper.KindNotRun), Reason: "no_keeper", After: time.Second})
 	case now.After(c.ends.Add(entryExtra)):
 		v := c.waiter.Expired()
 		k.tell(c, messenger.OnceVerdict{Kind: uint8(v.Kind), Reason: v.Reason})
--- a/server/once.go
+++ b/server/once.go
@@ -119,6 +119,10 @@
 			f.status = http.StatusGatewayTimeout
 		}
 		f.message = "the call may have run: ask the service, do not repeat it"
+		if v.After > 0 { // the keeper can't read its log: later it will know
+			f.status, f.after = http.StatusServiceUnavailable, v.After
+			f.message = "the call may have run before: ask again with the same key"
+		}
 	}
 	return f
 }
