--- a/keeper/commit.go
+++ b/keeper/commit.go
@@ -27,8 +27,8 @@
 		return
 	}
 	switch {
-	case k.phase == phaseIdle && len(k.early) > 0, k.phase == phaseReading:
-		k.phase = phaseReading
+	case k.phase == phaseIdle && (k.open || len(k.early) > 0), k.phase == phaseReading:
+		k.phase, k.open = phaseReading, false
 		k.read(out)
 	case k.unsure, k.phase == phaseReady && !k.retryAt.IsZero():
 		// The store was down, or a reply was lost: look before writing.
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -43,6 +43,7 @@
 	tokens  float64   // commits that may start at once
 	filled  time.Time // when tokens were last counted
 
+	open     bool // to be read although nobody asks
 	retired  bool // another host owns the partition
 	early    []Call
 	ops      map[ID]*operation
@@ -94,6 +95,9 @@
 		k.segmentWrote(&out, now, in)
 	case Retired:
 		k.retire(&out, now)
+	case Opened:
+		k.retired = false
+		k.open = k.phase == phaseIdle
 	case Ticked:
 		k.tick(&out, now)
 	}
--- a/keeper/keeping_test.go
+++ b/keeper/keeping_test.go
@@ -48,6 +48,16 @@
 		Expect(v["r5"].Kind).To(Equal(keeper.KindRan))
 	})
 
+	// A partition is taken before anybody asks for it, and then the platform goes
+	// down. Its first hold can be told for certain that it was not run.
+	It("reads its log unasked", func() {
+		w := newWorld(keeper.Settings{})
+		w.after(0, func() { w.input(w.hosts["a"], keeper.Opened{}) })
+		w.after(time.Second, func() { w.store.downUntil = w.now.Add(5 * time.Second) })
+		w.request(2*time.Second, "r1", "k1", "seat", "e1")
+		Expect(verdicts(w)["r1"]).To(SatisfyAll(HaveField("Kind", keeper.KindNotRun), HaveField("Reason", keeper.ReasonStore)))
+	})
+
 	// A hold is at the booking application when its keeper's host dies, and then the
 	// platform goes down. The passenger books again with the same key. The next
 	// keeper can't read the log: "not run" would have the boat held twice.
--- a/keeper/open.go
+++ b/keeper/open.go
@@ -31,7 +31,7 @@
 		}
 	}
 	if len(k.wanted) == 0 {
-		k.open(out, now)
+		k.begin(out, now)
 	}
 }
 
@@ -53,8 +53,8 @@
 	k.load(out, now)
 }
 
-// open takes the log into memory and the waiting calls in.
-func (k *Keeper) open(out *outputs, now time.Time) {
+// begin takes the log into memory and the waiting calls in.
+func (k *Keeper) begin(out *outputs, now time.Time) {
 	k.phase, k.records, k.answers, k.pending = phaseReady, map[ID]*Entry{}, fifo{}, newQueue()
 	for _, s := range k.head.Segments {
 		k.replay(k.loaded[s])
--- a/keeper/port.go
+++ b/keeper/port.go
@@ -136,6 +136,10 @@
 // Retired says that another host owns the partition now.
 type Retired struct{}
 
+// Opened has the keeper read its log before it is asked for, so that it knows it
+// in an outage of the store.
+type Opened struct{}
+
 // Ticked lets time pass.
 type Ticked struct{}
 
@@ -149,6 +153,7 @@
 func (SegmentRead) input()  {}
 func (SegmentWrote) input() {}
 func (Retired) input()      {}
+func (Opened) input()       {}
 func (Ticked) input()       {}
 
 // Output is what a keeper wants done.
--- a/keeper/schedule_test.go
+++ b/keeper/schedule_test.go
@@ -50,5 +50,10 @@
 		after := time.Duration(rapid.IntRange(0, 20_000).Draw(t, "at")) * time.Millisecond
 		w.after(after, func() { w.handOver() })
 	}
+	for range rapid.IntRange(0, 4).Draw(t, "opened") {
+		after := time.Duration(rapid.IntRange(0, 20_000).Draw(t, "at")) * time.Millisecond
+		name := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "host") // also one that owns nothing
+		w.after(after, func() { w.input(w.hosts[name], keeper.Opened{}) })
+	}
 	return w
 }
--- a/runner/keeping.go
+++ b/runner/keeping.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -33,10 +34,17 @@
 
 	partitions int // 0 until the Object API has told
 	keepers    map[int]*kept
+	owned      map[int]time.Time    // since when, by partition
+	opened     time.Time            // when partitions were last looked through
 	calls      map[string]*onceCall // of this host's entry, by request
 	places     uint64               // asked for so far
 }
 
+const (
+	openAfter = 2 * time.Second        // of ownership, before a log is read unasked
+	openEvery = 500 * time.Millisecond // between looks for logs to read
+)
+
 // kept is one partition's keeper with what its outputs need.
 type kept struct {
 	partition int
@@ -72,7 +80,7 @@
 func newKeeping(c *control, s storer.Store, f caller, l loader.Once, m *keepingMetrics, log *zap.Logger) *keeping {
 	return &keeping{
 		control: c, store: s, forward: f, limits: l, metrics: m, log: log,
-		keepers: map[int]*kept{}, calls: map[string]*onceCall{},
+		keepers: map[int]*kept{}, owned: map[int]time.Time{}, calls: map[string]*onceCall{},
 	}
 }
 
@@ -130,14 +138,7 @@
 		k.control.send(now, from, messenger.OnceVerdict{Request: m.Request, Kind: uint8(keeper.KindMoved), Reason: keeper.ReasonMoved})
 		return
 	}
-	p := k.keepers[m.Partition]
-	if p == nil {
-		p = &kept{
-			partition: m.Partition, keeper: keeper.New(k.control.self, k.control.epoch, k.settings()),
-			payloads: map[string]payload{}, places: map[attempt]*placing{}, tried: map[keeper.ID][]string{},
-		}
-		k.keepers[m.Partition] = p
-	}
+	p := k.keeperOf(m.Partition)
 	deadline := now.Add(m.Ask.Deadline)
 	p.payloads[m.Request] = payload{message: m, until: deadline}
 	k.handle(now, p, keeper.Asked{Call: keeper.Call{
@@ -145,6 +146,44 @@
 	}})
 }
 
+func (k *keeping) keeperOf(partition int) *kept {
+	p := k.keepers[partition]
+	if p == nil {
+		p = &kept{
+			partition: partition, keeper: keeper.New(k.control.self, k.control.epoch, k.settings()),
+			payloads: map[string]payload{}, places: map[attempt]*placing{}, tried: map[keeper.ID][]string{},
+		}
+		k.keepers[partition] = p
+	}
+	return p
+}
+
+// open reads the logs of partitions that this host has owned for a while, so that
+// it knows them in an outage. It waits for hosts that are leaving: a seal would
+// keep them from recording the outcomes of what they have in flight.
+func (k *keeping) open(now time.Time) {
+	if now.Sub(k.opened) < openEvery {
+		return
+	}
+	k.opened = now
+	leaving := slices.ContainsFunc(k.control.roster.Hosts(), func(h registrar.Record) bool { return h.Leaving })
+	for partition := range k.partitions {
+		owner, ok := k.control.roster.Owner(role(partition))
+		if !ok || owner.Name != k.control.self {
+			delete(k.owned, partition)
+			continue
+		}
+		since, known := k.owned[partition]
+		if !known {
+			k.owned[partition] = now
+			continue
+		}
+		if p := k.keeperOf(partition); !leaving && now.Sub(since) >= openAfter && !p.keeper.Summary(now).Ready {
+			k.handle(now, p, keeper.Opened{})
+		}
+	}
+}
+
 // keeps says whether this host answers for a call: as the owner of its partition,
 // or because it has begun it.
 func (k *keeping) keeps(m messenger.Once) bool {
@@ -227,6 +266,7 @@
 	for _, c := range k.calls {
 		k.watch(now, c)
 	}
+	k.open(now)
 }
 
 // enroll hands over the partitions that have a new owner.
--- a/scripter/look_test.go
+++ b/scripter/look_test.go
@@ -99,6 +99,28 @@
 	})
 }
 
+// cmdKept is `kept HOST N`: waits until the host keeps N partitions of keys.
+func cmdKept(ts *testscript.TestScript, _ bool, args []string) {
+	want, err := strconv.Atoi(args[1])
+	ts.Check(err)
+	eventually(ts, func() error {
+		s, err := worldOf(ts).state(args[0])
+		if err != nil {
+			return err
+		}
+		n := 0
+		for _, k := range s.Keepers {
+			if k.Ready {
+				n++
+			}
+		}
+		if n != want {
+			return fmt.Errorf("%s keeps %d partitions, not %d", args[0], n, want)
+		}
+		return nil
+	})
+}
+
 // cmdForce is `force HOST HOST2...`: waits until every host has the same
 // generation in force as the first, and remembers the highest seen: a host that
 // goes back fails.
--- a/scripter/scripter_test.go
+++ b/scripter/scripter_test.go
@@ -28,6 +28,7 @@
 	"ready":     cmdReady,
 	"roster":    cmdRoster,
 	"force":     cmdForce,
+	"kept":      cmdKept,
 	"class":     cmdClass,
 	"call":      cmdCall,
 	"streaming": cmdStreaming,
