--- a/server/once_test.go
+++ b/server/once_test.go
@@ -117,6 +117,7 @@
 		Entry("key of the future", messenger.OnceVerdict{Kind: uint8(keeper.KindNotRun), Reason: keeper.ReasonFuture}, 400, "key_in_future", "no", false),
 		Entry("unknown", messenger.OnceVerdict{Kind: uint8(keeper.KindUnknown)}, 502, "may_have_run", "unknown", false),
 		Entry("unknown at the deadline", messenger.OnceVerdict{Kind: uint8(keeper.KindUnknown), Reason: keeper.ReasonDeadline}, 504, "deadline", "unknown", false),
+		Entry("unknown until the log can be read", messenger.OnceVerdict{Kind: uint8(keeper.KindUnknown), Reason: keeper.ReasonStore, After: time.Second}, 503, "store_down", "unknown", true),
 		Entry("key forgotten", messenger.OnceVerdict{Kind: uint8(keeper.KindUnknown), Reason: keeper.ReasonExpired}, 502, "key_expired", "unknown", false),
 		Entry("ran, answer not kept", messenger.OnceVerdict{Kind: uint8(keeper.KindGone)}, 409, "answer_not_kept", "yes", false),
 		Entry("key of another call", messenger.OnceVerdict{Kind: uint8(keeper.KindReused)}, 422, "key_reused", "no", false),
@@ -170,6 +171,32 @@
 		Expect(keeper.DateOf(keys[0])).To(BeNumerically("~", time.Now().UnixMilli(), 60_000))
 	})
 
+	// A worker that is leaving, or that takes the fencing number for an old one,
+	// says that it did not run the call: it may be sent again.
+	DescribeTable("sends a call without a key again only after a certain not run",
+		func(run string, status, sent int) {
+			var mu sync.Mutex
+			tries := 0
+			app := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				mu.Lock()
+				defer mu.Unlock()
+				if tries++; tries == 1 {
+					w.Header().Set(forwarder.HeaderRun, run)
+					w.WriteHeader(status)
+				}
+			}))
+			defer app.Close()
+			call := onceServerAt(&onceKeeper{}, strings.TrimPrefix(app.URL, "http://"))
+			_, _ = call("dock", "a", http.Header{})
+			mu.Lock()
+			defer mu.Unlock()
+			Expect(tries).To(Equal(sent))
+		},
+		Entry("leaving", "no", 503, 2),
+		Entry("old fencing number", "no", 412, 2),
+		Entry("failed, may have run", "", 503, 1),
+	)
+
 	DescribeTable("refuses what it can't keep", func(h http.Header, body string, status int) {
 		k := &onceKeeper{}
 		resp, _ := onceServer(k)("dock", body, h)
