Bound callers' connections; pass answers without a body, read no compressed ones

A HEAD's answer without a length was refused as one whose end can't be told from a cut. A caller's Accept-Encoding reached engines, whose compressed answers the entry could not have read. Connections that send nothing were bounded in time only; a host now keeps twice as many as it has places.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -120,7 +120,7 @@
 	body.timer.Stop()
 	return &Answer{
 		Status: resp.StatusCode, Header: resp.Header, Body: body, Length: resp.ContentLength,
-		Framed:  resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.ProtoMajor > 1,
+		Framed:  resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.ProtoMajor > 1 || resp.Body == http.NoBody,
 		request: c.Request, body: body, lane: k,
 	}, nil
 }
--- a/server/admit.go
+++ b/server/admit.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"sync/atomic"
 )
@@ -27,6 +28,24 @@
 	return int64(float64(limit) * (1 - part))
 }
 
+// connectionsMost is how many connections of callers a host keeps, for each of
+// its places: balancers keep idle ones.
+const connectionsMost = 2
+
+// boundConnections closes a connection that is one too many as soon as it is
+// made. Callers that open connections and send nothing would otherwise use up the
+// host's descriptors, whatever each of them is bounded to.
+func (s *Server) boundConnections(c net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		if s.connections.Add(1) > int64(connectionsMost*s.limits.Calls) {
+			_ = c.Close()
+		}
+	case http.StateClosed, http.StateHijacked:
+		s.connections.Add(-1)
+	}
+}
+
 // admit takes one of the host's places for a request, and returns how to give
 // it back.
 func (s *Server) admit(q *request, lowest int) (func(), *failure) {
--- a/server/caller_test.go
+++ b/server/caller_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -140,6 +141,32 @@
 		Expect(s.send(big()).status).To(Equal(http.StatusOK), "and gives them back")
 	})
 
+	It("bounds the connections that it keeps", func() {
+		s := newStand(options{limits: func(l *loader.Limits) { l.Calls = 4 }})
+		defer s.close()
+		address := strings.TrimPrefix(s.url, "http://")
+		var open []net.Conn
+		for range 8 {
+			conn, err := net.Dial("tcp", address)
+			Expect(err).NotTo(HaveOccurred())
+			defer conn.Close()
+			open = append(open, conn)
+		}
+		for _, c := range open { // accepted in order: each is there before the next
+			fmt.Fprint(c, "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
+			_, err := c.Read(make([]byte, 1))
+			Expect(err).NotTo(HaveOccurred())
+		}
+		last, err := net.Dial("tcp", address)
+		Expect(err).NotTo(HaveOccurred())
+		defer last.Close()
+		_ = last.SetReadDeadline(time.Now().Add(20 * time.Second))
+		_, err = last.Read(make([]byte, 1))
+		Expect(err).To(Or(MatchError(io.EOF), MatchError(syscall.ECONNRESET)), "one too many is closed")
+		_ = open[0].Close()
+		Eventually(func() bool { return s.stream().whole() == nil }).Should(BeTrue())
+	})
+
 	// A caller sends its head and half of its body, and then nothing: cut off, gone
 	// silent, or slow on purpose.
 	It("gives up a caller that does not send its request", Label(prover.Cell(prover.Received, prover.Silence), prover.Cell(prover.Received, prover.Slow), prover.Cell(prover.Received, prover.Freeze), prover.Cell(prover.Received, prover.CutOne)), func() {
@@ -211,29 +238,59 @@
 		Expect(s.places.asks).To(HaveLen(2), "nor a second time from its start")
 	})
 
-	It("whose end can't be told from a cut is not passed", func() {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		Expect(err).NotTo(HaveOccurred())
-		defer l.Close()
-		go func() {
-			for {
-				conn, err := l.Accept()
-				if err != nil {
-					return
-				}
-				_, _ = conn.Read(make([]byte, 64<<10))
-				fmt.Fprint(conn, "HTTP/1.0 200 OK\r\n\r\n{\"fare\":1")
-				_ = conn.Close()
-			}
-		}()
+	DescribeTable("by how it is framed",
+		func(method, answer string, status int) {
+			s := newStand(options{})
+			defer s.close()
+			address, heads := rawWorker(answer)
+			s.places.workers = []loader.Worker{{Name: "old", Address: address, Slots: 1}}
+			r := s.request(context.Background(), "/services/desk/holds", "")
+			r.Method = method
+			Expect(s.send(r).status).To(Equal(status))
+			Expect(<-heads).NotTo(ContainSubstring(key), "the key is between the caller and the system")
+		},
+		Entry("an end that can't be told from a cut is not passed", "POST", "HTTP/1.0 200 OK\r\n\r\n{\"fare\":1", http.StatusBadGateway),
+		Entry("a head without a body is whole", "HEAD", "HTTP/1.1 200 OK\r\n\r\n", http.StatusOK),
+		Entry("no content is whole", "POST", "HTTP/1.1 204 No Content\r\n\r\n", http.StatusNoContent),
+		Entry("chunks that end are whole", "POST", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n", http.StatusOK),
+		Entry("chunks that don't end are not", "POST", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n", http.StatusBadGateway),
+	)
+
+	It("of an engine is not asked for in a form that can't be read", func() {
 		s := newStand(options{})
 		defer s.close()
-		s.places.workers = []loader.Worker{{Name: "old", Address: l.Addr().String(), Slots: 1}}
-		g := s.send(s.request(context.Background(), "/services/desk/holds", "{}"))
-		Expect(g.code).To(Equal("answer_lost"))
+		address, heads := rawWorker("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+		s.places.workers = []loader.Worker{{Name: "raw", Address: address, Slots: 1}}
+		r := s.request(context.Background(), "/v1/chat/completions", completionBody(false))
+		r.Header.Set("Accept-Encoding", "gzip")
+		Expect(s.send(r).status).To(Equal(http.StatusOK))
+		Expect(<-heads).NotTo(ContainSubstring("gzip"))
 	})
 })
 
+// rawWorker gives every call the same bytes for an answer, and closes. The
+// channel has the heads that it was sent.
+func rawWorker(answer string) (string, <-chan string) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(l.Close)
+	heads := make(chan string, 16)
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			head := make([]byte, 64<<10)
+			n, _ := conn.Read(head)
+			heads <- string(head[:n])
+			fmt.Fprint(conn, answer)
+			_ = conn.Close()
+		}
+	}()
+	return l.Addr().String(), heads
+}
+
 var _ = Describe("a stream", func() {
 	It("that lacks only its end mark gets it", Label(prover.Cell(prover.Acked, prover.CutBoth)), func() {
 		s := newStand(options{})
--- a/server/server.go
+++ b/server/server.go
@@ -44,13 +44,15 @@
 	ready     atomic.Bool
 	draining  atomic.Bool
 	calls     atomic.Int64
-	http      *http.Server
+
+	connections atomic.Int64
+	http        *http.Server
 }
 
 // New returns a server that does not listen yet.
 func New(l loader.Limits, c Configuration, a Allocator, f *forwarder.Forwarder, log *zap.Logger, m *Metrics) *Server {
 	s := &Server{limits: l, config: c, places: a, forwarder: f, log: log, metrics: m, memory: memory{limit: l.Buffer}}
-	s.http = &http.Server{Handler: s.closing(s.router()), ReadHeaderTimeout: l.Read.Std(), ReadTimeout: l.Read.Std(), MaxHeaderBytes: l.Header, IdleTimeout: time.Minute}
+	s.http = &http.Server{Handler: s.closing(s.router()), ReadHeaderTimeout: l.Read.Std(), ReadTimeout: l.Read.Std(), MaxHeaderBytes: l.Header, IdleTimeout: time.Minute, ConnState: s.boundConnections}
 	return s
 }
 
@@ -149,7 +151,9 @@
 	if fail == nil {
 		fail = s.takeEngineCall(w, r, q, x, &h)
 	}
-	s.finish(w, r, q, x, fail, forwarder.Call{Method: r.Method, Path: r.URL.RequestURI(), Header: passed(r.Header)})
+	header := passed(r.Header)
+	header.Del("Accept-Encoding") // the entry reads the answer
+	s.finish(w, r, q, x, fail, forwarder.Call{Method: r.Method, Path: r.URL.RequestURI(), Header: header})
 }
 
 func (s *Server) takeEngineCall(w http.ResponseWriter, r *http.Request, q *request, x *index, h *hold) *failure {
--- a/server/whole.go
+++ b/server/whole.go
@@ -75,7 +75,10 @@
 
 func giveWhole(d *delivery, a *forwarder.Answer, body []byte) error {
 	length := int64(len(body))
-	if length == 0 {
+	switch {
+	case a.Status == http.StatusNoContent || a.Status == http.StatusNotModified:
+		length = -1
+	case length == 0:
 		length = a.Length // of a HEAD
 	}
 	d.head(a, length)
