--- a/dispatcher/overload.go
+++ b/dispatcher/overload.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"cmp"
 	"math"
 	"time"
 
@@ -133,6 +134,7 @@
 			return
 		}
 		g.preempted = true
+		g.class.counts.Preempted++
 		d.send(g.from, messenger.Preempt{Request: g.ask.Request, Attempt: g.ask.Attempt, Cell: d.cell.Name})
 	}
 }
@@ -149,8 +151,7 @@
 			continue
 		}
 		left, _ := d.estimates.estimate(g.ask, g.made, d.options.Policy)
-		if best == nil || g.class.config.Tier > best.class.config.Tier ||
-			(g.class == best.class && (left > most || (left == most && g.fence > best.fence))) {
+		if best == nil || cmp.Or(cmp.Compare(g.class.config.Tier, best.class.config.Tier), cmp.Compare(left, most), cmp.Compare(g.fence, best.fence)) > 0 {
 			best, most = g, left
 		}
 	}
--- a/dispatcher/policy_test.go
+++ b/dispatcher/policy_test.go
@@ -96,6 +96,61 @@
 	})
 })
 
+var _ = Describe("A starving class", func() {
+	// Checks hold all places and more of them wait; a summary and a letter have
+	// waited for longer than their patience.
+	wave := func(due time.Duration) []messenger.Grant {
+		d, now := busy(3, 60*time.Millisecond)
+		fillWith(d, now, "check", 3, func(a *messenger.Ask) { a.Deadline = time.Minute })
+		for _, class := range names[1:] {
+			d.Handle(now, "a", ask("one-"+class, class))
+		}
+		now = now.Add(patience + time.Second)
+		for i := range 3 {
+			a := ask(fmt.Sprintf("next-%d", i), "check")
+			a.Waited = time.Second - due // of the second in which it should start
+			d.Handle(now, "a", a)
+		}
+		var granted []messenger.Grant
+		for i := range 3 {
+			out := d.Handle(now, "a", messenger.Done{Request: fmt.Sprintf("check-%d", i), Attempt: 1})
+			granted = append(granted, only[messenger.Grant](out)...)
+		}
+		return granted
+	}
+
+	It("gets one place of the cell, and only one, where the checks can spare it", func() {
+		granted := wave(time.Second)
+		Expect(granted).To(HaveLen(3))
+		Expect(granted[0].Class).NotTo(Equal("check"))
+		Expect(granted[1:]).To(HaveEach(HaveField("Class", "check")))
+	})
+
+	It("gets none where a check would be late for it", func() {
+		granted := wave(50 * time.Millisecond)
+		Expect(granted[0].Class).To(Equal("check"))
+	})
+
+	// One place, and summaries without end. In tier order the letter never comes.
+	It("takes turns with the others under their shares", func() {
+		d, now := busy(1, time.Second)
+		fillWith(d, now, "check", 1, nil)
+		for i := range 5 {
+			d.Handle(now, "a", ask(fmt.Sprintf("s%d", i), "summary"))
+			d.Handle(now, "a", ask(fmt.Sprintf("l%d", i), "letter"))
+		}
+		seen, last := map[string]int{}, "check-0"
+		for range 4 {
+			now = now.Add(time.Second)
+			g := only[messenger.Grant](d.Handle(now, "a", messenger.Done{Request: last, Attempt: 1}))
+			Expect(g).To(HaveLen(1))
+			last = g[0].Request
+			seen[g[0].Class]++
+		}
+		Expect(seen).To(Equal(map[string]int{"summary": 2, "letter": 2}))
+	})
+})
+
 var _ = Describe("Overload", func() {
 	// The queue is longer than a passenger will wait. Told at once and truly when
 	// to come back, callers neither hang nor all return together.
--- a/runner/town_test.go
+++ b/runner/town_test.go
@@ -84,14 +84,14 @@
 	Expect(commander.Main([]string{"push", dir, "--platform", t.url}, strings.NewReader(""), &out, &out)).To(Equal(commander.ExitOK), "%s", &out)
 }
 
-// addresses counts the addresses handed out.
-var addresses atomic.Int32
+// ports counts the addresses given out in this process.
+var ports atomic.Int32
 
-// freeAddress is an address that this run hands out once: on loopback, by the
-// process's id, below the ports that the kernel hands out. To ask the kernel for
-// a free port and to close it gave the same port twice.
+// freeAddress is a loopback address that no other test process uses: a port that
+// the kernel gave out and took back may come twice.
 func freeAddress() string {
-	return fmt.Sprintf("127.%d.%d.1:%d", 50+os.Getpid()/250%50, 1+os.Getpid()%250, 10000+addresses.Add(1))
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.1:%d", 20+pid/250%40, 1+pid%250, 20000+ports.Add(1))
 }
 
 // start runs a host until it is told to stop.
