Scenarios of whole answers with real processes; judge tokens by their request

The scenarios' own judge looked for the tokens' old text and would have called any stream whole. It now wants tokens of the request's own id, in order, and at least one.

An idle connection that was forgotten with the one in use was never shown to be left out: taking the guard out turned nothing red. A new spec does (three idle connections, all silent: the worker was blamed without the guard).

--- a/scripter/call_test.go
+++ b/scripter/call_test.go
@@ -122,7 +122,7 @@
 		if !strings.HasSuffix(strings.TrimSpace(body), "data: [DONE]") {
 			return "broken"
 		}
-		return streamOutcome(body)
+		return streamOutcome(body, c.header.Get("X-Request-Id"))
 	case c.status < http.StatusMultipleChoices:
 		return "whole"
 	}
@@ -137,13 +137,18 @@
 	return e.Error.Run
 }
 
-var tokenPattern = regexp.MustCompile(`"content":"[^"]*?t(\d+) "`)
+var tokenPattern = regexp.MustCompile(`"content":"([^": ]*):(\d+) "`)
 
-// streamOutcome checks that the tokens are all there, once and in order.
-func streamOutcome(body string) string {
-	for i, m := range tokenPattern.FindAllStringSubmatch(body, -1) {
-		if m[1] != fmt.Sprint(i) {
-			return fmt.Sprintf("wrong (token %s at place %d)", m[1], i)
+// streamOutcome checks that the tokens are all there, once, in order, and of the
+// request id.
+func streamOutcome(body, id string) string {
+	tokens := tokenPattern.FindAllStringSubmatch(body, -1)
+	if len(tokens) == 0 {
+		return "wrong (no tokens)"
+	}
+	for i, m := range tokens {
+		if m[1] != id || m[2] != fmt.Sprint(i) {
+			return fmt.Sprintf("wrong (token %s of %s at place %d of %s)", m[2], m[1], i, id)
 		}
 	}
 	return "whole"
--- a/server/preempt_test.go
+++ b/server/preempt_test.go
@@ -176,6 +176,19 @@
 		Expect(s.places.released[0].Failed).To(BeFalse())
 	})
 
+	// The middlebox forgot them all: also those that lie idle, which the next try
+	// would take one after the other.
+	It("tries no connection that was forgotten with another", Label(prover.Cell(prover.Granted, prover.Silence)), func() {
+		s := newStand(options{})
+		defer s.close()
+		s.places.workers = s.workers[:1]
+		Expect(together(3, func(int) error { return s.stream().whole() })).To(Succeed())
+		s.links["w0"].Set(faker.SilentOpen, 0)
+		Expect(s.stream().whole()).To(Succeed())
+		Expect(s.places.asks).To(HaveLen(4))
+		Expect(s.places.released[3].Failed).To(BeFalse())
+	})
+
 	It("takes a refused fencing number for not run, and asks for a new one", func() {
 		s := newStand(options{})
 		defer s.close()
