--- a/driver/caller.go
+++ b/driver/caller.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"github.com/cicadawood/cicadawood/faker"
 )
 
 const maxTries = 4
@@ -31,6 +33,7 @@
 	refused verdict = "refused" // certainly not run
 	unknown verdict = "unknown" // may have run, and the caller was told so
 	lost    verdict = "lost"    // no true final outcome
+	wrong   verdict = "wrong"   // called whole, but with tokens doubled, missing or another's
 )
 
 // result is the final outcome of one request.
@@ -104,6 +107,9 @@
 		if c.kind.engine && !strings.HasSuffix(strings.TrimSpace(body), "data: [DONE]") {
 			return lost
 		}
+		if c.kind.engine && !exact(resp.Header.Get("X-Request-Id"), body) {
+			return wrong
+		}
 		return whole
 	}
 	var e struct {
@@ -123,3 +129,17 @@
 		return lost
 	}
 }
+
+// exact says that a stream has the tokens of the fake engines for the request,
+// each once and in order, and at least one.
+func exact(id, body string) bool {
+	n := 0
+	for _, part := range strings.Split(body, `"content":"`)[1:] {
+		text, _, _ := strings.Cut(part, `"`)
+		if text != faker.Token(id, n) {
+			return false
+		}
+		n++
+	}
+	return n > 0
+}
--- a/driver/report.go
+++ b/driver/report.go
@@ -41,8 +41,10 @@
 	}
 }
 
-// Good says that no request was lost or doubled, and no "not run" was untrue.
-func (r *Report) Good() bool { return r.count(lost) == 0 && r.doubled == 0 && r.untrue == 0 }
+// Good says that no request was lost, doubled or answered wrongly, and no "not run" was untrue.
+func (r *Report) Good() bool {
+	return r.count(lost) == 0 && r.count(wrong) == 0 && r.doubled == 0 && r.untrue == 0
+}
 
 func (r *Report) count(v verdict) int {
 	n := 0
@@ -62,6 +64,9 @@
 		r.row(w, k)
 	}
 	_ = w.Flush()
+	if n := r.count(wrong); n > 0 {
+		fmt.Fprintf(out, "called whole, but with wrong tokens: %d\n", n)
+	}
 	if r.untrue > 0 {
 		fmt.Fprintf(out, "told not run, but ran: %d\n", r.untrue)
 	}
