--- a/server/caller_test.go
+++ b/server/caller_test.go
@@ -238,6 +238,15 @@
 		Expect(s.places.asks).To(HaveLen(2), "nor a second time from its start")
 	})
 
+	It("of no told length that is too large to hold is reset where it breaks", func() {
+		s := newStand(options{limits: func(l *loader.Limits) { l.Answer = 16 }})
+		defer s.close()
+		address, _ := rawWorker("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n64\r\n" + strings.Repeat("x", 100) + "\r\n")
+		s.places.workers = []loader.Worker{{Name: "raw", Address: address, Slots: 1}}
+		g := s.send(s.request(context.Background(), "/services/desk/log", ""))
+		Expect(g.broken).To(BeTrue(), "a clean end would make half an answer a whole one")
+	})
+
 	DescribeTable("by how it is framed",
 		func(method, answer string, status int) {
 			s := newStand(options{})
