--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -236,6 +236,24 @@
 		Expect(w.admitted[1] - before).To(BeNumerically(">=", 5*75))
 	})
 
+	// The answer that made an entry's loan smaller got lost: the entry goes on with
+	// the larger one until that is over.
+	It("count a loan that an entry may still use", Label(prover.Cell(prover.Received, prover.CutOne)), func() {
+		var l limiter.Lender
+		now, since, limit := time.Unix(10000, 0), time.Time{}, limiter.Rates{Requests: 90}
+		lend := func(host string, demand float64) float64 {
+			r, ok := l.Lend(now, since, org, host, 9, limit, limiter.Rates{Requests: demand})
+			Expect(ok).To(BeTrue())
+			return r.Requests
+		}
+		large := lend("a", 1000)
+		now = now.Add(time.Second)
+		Expect(lend("a", 1)).To(BeNumerically("<", large), "this answer is lost")
+		Expect(lend("b", 1000)).To(BeNumerically("<=", 90-large+1e-6))
+		now = now.Add(limiter.Term)
+		Expect(lend("b", 1000)).To(BeNumerically(">", 60), "the large loan is over")
+	})
+
 	It("cost a message pair a second for each active host", func() {
 		w := newWorld(1, 1000)
 		asks := 0
--- a/runner/limiting_test.go
+++ b/runner/limiting_test.go
@@ -105,6 +105,26 @@
 		}
 	})
 
+	// Rosters disagree for a moment: an entry asks a host that knows another owner.
+	// Two that lend the same limit would lend it twice.
+	It("are lent by their owner alone", func() {
+		l := newLimited(3)
+		l.run(5*time.Second, l.hosts...)
+		answers := 0
+		for _, h := range l.hosts {
+			l.frames = 0
+			for _, other := range l.hosts {
+				if other != h {
+					l.by[h].Deliver(l.now, other, messenger.Borrow{Organisation: "dock", Sequence: 1, Requests: 10})
+				}
+			}
+			if l.frames > 0 {
+				answers++
+			}
+		}
+		Expect(answers).To(Equal(1))
+	})
+
 	It("cost a pair of frames a second for each active host, and none when idle", func() {
 		l := newLimited(3)
 		l.run(10*time.Second, l.hosts...)
--- a/server/caller_test.go
+++ b/server/caller_test.go
@@ -142,7 +142,7 @@
 	})
 
 	It("bounds the connections that it keeps", func() {
-		s := newStand(options{limits: func(l *loader.Limits) { l.Calls = 4 }})
+		s := newStand(options{limits: func(l *loader.Limits) { l.Calls, l.Read = 4, loader.Duration(time.Minute) }})
 		defer s.close()
 		address := strings.TrimPrefix(s.url, "http://")
 		var open []net.Conn
