Prove pairs of faults that begin at a grant

185 pairs: the worker of a grant is lost before it is called, by kill, cut1, cut2, silence or freeze, and the next try meets any fault at any step.

--- a/server/matrix_test.go
+++ b/server/matrix_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"sync/atomic"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -9,6 +11,7 @@
 
 	"github.com/cicadawood/cicadawood/faker"
 	"github.com/cicadawood/cicadawood/prover"
+	"github.com/cicadawood/cicadawood/server"
 )
 
 // points is where each step of a call lies in a worker's answer.
@@ -109,6 +112,50 @@
 	return nil
 }
 
+// grantFaults is how each fault shows that hits a worker between its grant and
+// the call.
+var grantFaults = map[prover.Fault]faker.Mode{
+	prover.Kill: faker.Cut, prover.CutBoth: faker.Cut, prover.CutOne: faker.Backward, prover.Silence: faker.Backward, prover.Freeze: faker.Backward,
+}
+
+// atGrants has the first places fail, each by its fault, before their workers are
+// called.
+func (s *stand) atGrants(hit *atomic.Int32, faults ...prover.Fault) {
+	s.places.granted = func(p *server.Place) {
+		if n := int(hit.Load()); n < len(faults) {
+			hit.Add(1)
+			s.links[p.Worker.Name].Set(grantFaults[faults[n]], 0)
+		}
+	}
+}
+
+// meetGranted has a place's worker fail at its grant by f, then the next try meet
+// b, or its worker the fault at its grant too.
+func meetGranted(f prover.Fault, b trouble) error {
+	s := newStand(options{resume: true})
+	defer s.close()
+	var hit atomic.Int32
+	if b.step == prover.Granted {
+		s.atGrants(&hit, f, b.fault)
+	} else {
+		s.faults.Plan(s.fault(b.fault, b.at, &hit))
+		var first atomic.Int32
+		s.atGrants(&first, f)
+	}
+	err := s.stream().whole()
+	want := int32(1)
+	if b.step == prover.Granted {
+		want = 2
+	}
+	if err == nil && hit.Load() != want {
+		err = fmt.Errorf("hit %d times", hit.Load())
+	}
+	if err != nil {
+		return fmt.Errorf("granted/%s, then %s/%s: %w", f, b.step, b.fault, err)
+	}
+	return nil
+}
+
 // meet has a request meet a, then b, and returns what was wrong with its end.
 func meet(a, b trouble) error {
 	s := newStand(options{resume: true})
@@ -166,6 +213,24 @@
 	}
 })
 
+// The worker of a grant is gone before it is called, and then the next one fails
+// as well.
+var _ = Describe("a stream whose first place was lost", func() {
+	for _, f := range slices.Sorted(maps.Keys(grantFaults)) {
+		later := troubles()
+		for _, g := range slices.Sorted(maps.Keys(grantFaults)) {
+			later = append(later, trouble{step: prover.Granted, fault: g})
+		}
+		var labels []string
+		for _, b := range later {
+			labels = append(labels, prover.Pair(prover.Granted, f, b.step, b.fault))
+		}
+		It(fmt.Sprintf("by %s is whole after any second fault", f), Label(labels...), func() {
+			Expect(together(len(later), func(i int) error { return meetGranted(f, later[i]) })).To(Succeed())
+		})
+	}
+})
+
 // The same faults, with an engine that can't resume, or an answer in one piece:
 // the caller gets its whole answer, or a true beginning marked as broken.
 var _ = Describe("an answer that can't be resumed", func() {
