Have the system break connections whose peer acknowledges nothing

A call over a connection that was forgotten while it lay idle had no answer until its deadline where the call has no bound on its first byte (answers in one piece, calls that must not be repeated): keep-alive probes rest while a request is unacknowledged. Linux's TCP_USER_TIMEOUT bounds that. Not proved by a test: it needs dropped packets.

--- a/forwarder/lane.go
+++ b/forwarder/lane.go
@@ -1,10 +1,12 @@
 package forwarder
 
 import (
+	"errors"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -33,9 +35,15 @@
 	// An answer that comes in one piece may rightly take long, so that no bound on
 	// silence tells a forgotten connection. Where its packets are dropped, the
 	// system's probes do.
-	probes := net.KeepAliveConfig{Enable: true, Idle: max(silence, probeEvery), Interval: probeEvery, Count: probeMost}
+	// They rest while a request is unacknowledged: that has a bound of its own.
+	bound := max(silence, probeEvery)
+	dialer := &net.Dialer{
+		Timeout:         dialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: bound, Interval: probeEvery, Count: probeMost},
+		Control:         boundUnacknowledged(bound),
+	}
 	t := &http.Transport{
-		DialContext:            (&net.Dialer{Timeout: dialTimeout, KeepAliveConfig: probes}).DialContext,
+		DialContext:            dialer.DialContext,
 		MaxIdleConnsPerHost:    idleMost,
 		IdleConnTimeout:        idleTimeout,
 		DisableCompression:     true,
@@ -46,6 +54,23 @@
 	return &lane{transport: t, client: &http.Client{Transport: t, CheckRedirect: noRedirect}}
 }
 
+// tcpUserTimeout is Linux's TCP_USER_TIMEOUT, which package syscall lacks.
+const tcpUserTimeout = 0x12
+
+// boundUnacknowledged has the system break a connection whose other end has not
+// acknowledged what was sent for bound. A connection that was forgotten while it
+// lay idle shows so when a request is sent over it; without the bound the system
+// would send it again for a quarter of an hour.
+func boundUnacknowledged(bound time.Duration) func(network, address string, c syscall.RawConn) error {
+	return func(_, _ string, c syscall.RawConn) error {
+		var failed error
+		err := c.Control(func(fd uintptr) {
+			failed = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(bound.Milliseconds()))
+		})
+		return errors.Join(err, failed)
+	}
+}
+
 // lanes is the lanes by address. The zero value is empty.
 type lanes struct {
 	mu   sync.Mutex
