--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"time"
@@ -85,3 +86,19 @@
 		Entry("what is not JSON", "data: {\n\n", forwarder.ErrEvent),
 	)
 })
+
+// A worker freezes, or the connection to it is lost, while a long prompt is on
+// its way. Nothing comes back that a bound on the answer could wait for.
+var _ = It("gives up a backend server that takes nothing more of a request", func() {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer l.Close()
+	f, clean := forwarder.New(time.Second)
+	defer clean()
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	// The system takes the connection, and no more than its buffers hold.
+	_, err = f.Do(ctx, l.Addr().String(), forwarder.Call{Method: http.MethodPost, Path: "/", Body: make([]byte, 32<<20), Request: id})
+	Expect(err).To(MatchError(forwarder.ErrUnknown))
+	Expect(ctx.Err()).NotTo(HaveOccurred(), "long before the call's deadline")
+})
