--- a/dispatcher/overload.go
+++ b/dispatcher/overload.go
@@ -87,7 +87,10 @@
 	for len(d.soon.items) > 0 && !now.Before(d.soon.first().due) {
 		w := d.soon.first()
 		d.soon.remove(w.inSoon)
-		if !d.options.Policy.NoPostpone {
+		// Only the top tier's: late ones at its head would hold a starving
+		// class's place back for ever. Below it, keeping the turn is as good for
+		// goodput and halves the worst waits.
+		if !d.options.Policy.NoPostpone && w.class.config.Tier == d.top {
 			w.class.postpone(w)
 		}
 	}
--- a/dispatcher/policy.go
+++ b/dispatcher/policy.go
@@ -10,7 +10,7 @@
 	NoEstimate bool // every request is taken to cost its class's mean
 	NoFairness bool // earliest deadline first, whoever asks
 	NoRefusal  bool // refuse only what is late already
-	NoPostpone bool // what missed its targets keeps its turn
+	NoPostpone bool // what missed its targets keeps its turn in the top tier too
 	NoBreaker  bool
 	Exact      bool // Ask.Output is the output's true length
 }
