--- a/bencher/plot.go
+++ b/bencher/plot.go
@@ -13,6 +13,7 @@
 const (
 	plotWidth  = 28 * vg.Centimeter
 	plotHeight = 16 * vg.Centimeter
+	plotMost   = 1.5 // leaves the legend its room
 	barWidth   = 0.28 * vg.Centimeter
 )
 
@@ -44,6 +45,7 @@
 		p.Legend.Add(row, bars)
 	}
 	p.NominalX(groups...)
+	p.Y.Min, p.Y.Max = 0, plotMost
 	p.X.Tick.Label.Rotation = 0.5
 	p.X.Tick.Label.XAlign = -1
 	if err := p.Save(plotWidth, plotHeight, path); err != nil {
