--- a/breaker/breaker.go
+++ b/breaker/breaker.go
@@ -116,17 +116,46 @@
 	}
 }
 
-// Weight is what a worker is worth beside its peers: 0 while it is out, its part
-// of their speed where it is slow, else 1.
-func (b *Breaker) Weight(name string) float64 {
-	w := b.workers[name]
-	if w == nil {
-		return 1
+// Weights is what each of these workers is worth beside its peers: 0 while it is
+// out, its part of their speed where it is slow, else 1.
+func (b *Breaker) Weights(names []string) []float64 {
+	firsts := b.firsts()
+	weights := make([]float64, len(names))
+	for i, name := range names {
+		weights[i] = weight(b.workers[name], firsts)
+	}
+	return weights
+}
+
+// firsts is the times of the workers in use that can be compared, in order.
+func (b *Breaker) firsts() []float64 {
+	var firsts []float64
+	for _, w := range b.workers {
+		if w.comparable() {
+			firsts = append(firsts, w.first)
+		}
 	}
-	if w.open > 0 {
+	slices.Sort(firsts)
+	return firsts
+}
+
+func (w *worker) comparable() bool { return w.open == 0 && w.samples >= fewSamples }
+
+func weight(w *worker, firsts []float64) float64 {
+	switch {
+	case w == nil:
+		return 1
+	case w.open > 0:
 		return 0
+	case !w.comparable() || len(firsts) < 2:
+		return 1
+	}
+	// The median of the others: the worker's own time is left out of the list.
+	middle := (len(firsts) - 1) / 2
+	if own, _ := slices.BinarySearch(firsts, w.first); own <= middle {
+		middle++
 	}
-	if r := b.ratio(w, w.first); r > slowFactor {
+	if r := w.first / firsts[middle]; r > slowFactor {
 		return 1 / r
 	}
 	return 1
@@ -140,7 +169,7 @@
 	}
 	var peers []float64
 	for _, w := range b.workers {
-		if w != self && w.open == 0 && w.samples >= fewSamples {
+		if w != self && w.comparable() {
 			peers = append(peers, w.first)
 		}
 	}
--- a/breaker/breaker_test.go
+++ b/breaker/breaker_test.go
@@ -38,14 +38,14 @@
 		b := used("a", "b", "c")
 		fail(b, "a")
 		Expect(b.Allowed(begin, "a")).To(BeFalse())
-		Expect(b.Weight("a")).To(BeZero())
+		Expect(b.Weights([]string{"a"})[0]).To(BeZero())
 		later := begin.Add(3 * time.Second)
 		Expect(b.Allowed(later, "a")).To(BeTrue())
 		b.Granted("a")
 		Expect(b.Allowed(later, "a")).To(BeFalse(), "a second probe")
 		b.Ended(later, "a", usual, false)
 		Expect(b.Allowed(later, "a")).To(BeTrue())
-		Expect(b.Weight("a")).To(Equal(1.0))
+		Expect(b.Weights([]string{"a"})[0]).To(Equal(1.0))
 	})
 
 	It("waits twice as long after a bad probe", func() {
@@ -87,7 +87,7 @@
 		for range 30 {
 			b.Ended(begin, "a", 3*usual, false)
 		}
-		Expect(b.Weight("a")).To(BeNumerically("~", 1.0/3, 0.02))
+		Expect(b.Weights([]string{"a"})[0]).To(BeNumerically("~", 1.0/3, 0.02))
 		Expect(b.Allowed(begin, "a")).To(BeTrue())
 		for range 30 {
 			b.Ended(begin, "a", 20*usual, false)
--- a/dispatcher/bench_test.go
+++ b/dispatcher/bench_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/cicadawood/cicadawood/dispatcher"
 	"github.com/cicadawood/cicadawood/messenger"
 )
 
@@ -67,8 +68,24 @@
 	}
 }
 
-func cycleOurs(b *testing.B, workers int) {
+// taught is a dispatcher whose breaker and estimator know every worker.
+func taught(workers int) *dispatcher.Dispatcher {
+	const rounds = 6 // enough for the breaker to compare
 	d := started(workers, 8)
+	for round := range rounds {
+		var held []messenger.Grant
+		for i := range workers * 8 {
+			held = append(held, only[messenger.Grant](d.Handle(ready, "a", ask(fmt.Sprintf("past-%d-%d", round, i), "check")))...)
+		}
+		for _, g := range held {
+			d.Handle(ready, "a", done(g))
+		}
+	}
+	return d
+}
+
+func cycleOurs(b *testing.B, workers int) {
+	d := taught(workers)
 	now := ready
 	for i := range workers*8 - 1 {
 		a := ask(fmt.Sprintf("held-%d", i), "summary")
@@ -122,3 +139,19 @@
 		last = id
 	}
 }
+
+// BenchmarkTick is one look through a cell whose places are all in use.
+func BenchmarkTick(b *testing.B) {
+	for _, workers := range sizes {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			d := taught(workers)
+			for i := range workers * 8 {
+				d.Handle(ready, "a", ask(fmt.Sprintf("held-%d", i), "check"))
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				d.Tick(ready)
+			}
+		})
+	}
+}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -47,6 +47,7 @@
 	grants   map[string]*grant // by request
 	places   map[string]*place // by worker
 	workers  []*place          // of the cell, in name order
+	names    []string          // of workers
 	slots    int
 	capacity float64 // slots, each by its worker's worth
 	used     int
--- a/dispatcher/place.go
+++ b/dispatcher/place.go
@@ -55,21 +55,23 @@
 		p.slots = 0
 	}
 	d.workers, d.slots = d.workers[:0], 0
-	var names []string
+	d.names = nil
 	for _, w := range workers {
 		p := d.place(w.Name)
 		p.slots, p.worth = w.Slots, 1
 		d.workers = append(d.workers, p)
 		d.slots += w.Slots
-		names = append(names, w.Name)
 	}
 	slices.SortFunc(d.workers, func(a, b *place) int { return strings.Compare(a.name, b.name) })
+	for _, p := range d.workers {
+		d.names = append(d.names, p.name)
+	}
 	for name, p := range d.places {
 		if p.slots == 0 && p.used == 0 {
 			delete(d.places, name)
 		}
 	}
-	d.breaker.Keep(names)
+	d.breaker.Keep(d.names)
 	d.capacity = float64(d.slots)
 }
 
@@ -81,8 +83,9 @@
 		return
 	}
 	d.capacity = 0
-	for _, p := range d.workers {
-		p.worth = d.breaker.Weight(p.name)
+	weights := d.breaker.Weights(d.names)
+	for i, p := range d.workers {
+		p.worth = weights[i]
 		if !d.leaving[p.name] {
 			d.capacity += p.worth * float64(p.slots)
 		}
