--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"time"
@@ -60,6 +61,9 @@
 		Entry("tokens", event(id, "a")+event(id, "b")+event(id, "c"), token, token, token),
 		Entry("an empty text as no token, after tokens of its shape", event(id, "a")+event(id, ""), token, forwarder.Event{}),
 		Entry("text with quotes, after tokens of its shape", event(id, "a")+event(id, `","x":"`)+event(id, "b"), token, token, token),
+		Entry("more in one event, after tokens that begin and end like it",
+			event(id, "a")+`data: {"id":"cw-1","choices":[{"delta":{"content":"x"},"finish_reason":"stop"},{"delta":{"content":"y"},"finish_reason":null}]}`+"\n\n",
+			token, forwarder.Event{Tokens: 2, Finished: true}),
 		Entry("ids behind an engine's own prefix", event("chatcmpl-"+id, "a"), token),
 		Entry("ids that the engine makes up", event("chatcmpl-9", "a")+event("chatcmpl-9", "b"), token, token),
 		Entry("a reason for the end, and usage", `data: {"choices":[{"finish_reason":"stop"}],"usage":{"completion_tokens":3}}`+"\n\n", forwarder.Event{Finished: true, Usage: 3}),
@@ -82,3 +86,19 @@
 		Entry("what is not JSON", "data: {\n\n", forwarder.ErrEvent),
 	)
 })
+
+// A worker freezes, or the connection to it is lost, while a long prompt is on
+// its way. Nothing comes back that a bound on the answer could wait for.
+var _ = It("gives up a backend server that takes nothing more of a request", func() {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer l.Close()
+	f, clean := forwarder.New(time.Second)
+	defer clean()
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	// The system takes the connection, and no more than its buffers hold.
+	_, err = f.Do(ctx, l.Addr().String(), forwarder.Call{Method: http.MethodPost, Path: "/", Body: make([]byte, 32<<20), Request: id})
+	Expect(err).To(MatchError(forwarder.ErrUnknown))
+	Expect(ctx.Err()).NotTo(HaveOccurred(), "long before the call's deadline")
+})
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -1,6 +1,7 @@
 package messenger_test
 
 import (
+	"cmp"
 	"encoding/binary"
 	"fmt"
 	"net"
@@ -51,7 +52,7 @@
 }
 
 func openWith(c messenger.Config, h messenger.Handler) *messenger.Messenger {
-	c.Silence, c.Delay, c.Hold = 150*time.Millisecond, 5*time.Millisecond, time.Minute
+	c.Silence, c.Delay, c.Hold = cmp.Or(c.Silence, 150*time.Millisecond), 5*time.Millisecond, time.Minute
 	m, clean, err := messenger.Open(c, h)
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(clean)
@@ -138,14 +139,18 @@
 		first, clean, err := messenger.Open(messenger.Config{Name: "b", Incarnation: 1, Address: ownAddress(), Delay: time.Hour},
 			func(messenger.Envelope, messenger.Message) { held <- struct{}{} })
 		Expect(err).NotTo(HaveOccurred())
-		reached := make(chan bool, 8)
-		sender := openWith(messenger.Config{Name: "a", Incarnation: 1, Address: "127.0.0.1:0", Outcome: func(_ string, ok bool) { reached <- ok }}, ignore)
+		// Were the first receiver tried on a second connection, it would say what it has.
+		outcomes := make(chan bool, 100)
+		sender := openWith(messenger.Config{
+			Name: "a", Incarnation: 1, Address: "127.0.0.1:0", Silence: time.Minute,
+			Outcome: func(_ string, reachable bool) { outcomes <- reachable },
+		}, ignore)
 		address := first.Address()
 		sendAll(sender, address, []string{"old"})
 		Eventually(held).Should(Receive())
+		Eventually(outcomes).Should(Receive(BeTrue()))
 		clean()
-		// What is sent before the sender has seen the end may count as taken too.
-		Eventually(reached).Should(Receive(BeFalse()))
+		Eventually(outcomes).Should(Receive(BeFalse()), "what is sent from now on is sent to the second only")
 		got := &taken{}
 		open("b", 2, address, got.handle)
 		sendAll(sender, address, []string{"new"})
