--- a/cmd/faker/main.go
+++ b/cmd/faker/main.go
@@ -19,7 +19,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	root := &cobra.Command{Use: "faker", Short: "Stand-ins for tests and the demo", SilenceUsage: true}
-	root.AddCommand(platformCommand(), engineCommand(), serviceCommand(), linkCommand(), trafficCommand(), pathCommand(), sampleCommand(), slopesCommand())
+	root.AddCommand(platformCommand(), engineCommand(), serviceCommand(), linkCommand(), trafficCommand(), pathCommand(), sampleCommand(), slopesCommand(), awaitCommand())
 	if err := root.ExecuteContext(ctx); err != nil {
 		os.Exit(1)
 	}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -5,29 +5,7 @@
 set -euo pipefail
 bin=$1
 root=$(cd "$(dirname "$0")/.." && pwd)
-work=$(mktemp -d)
-pids=()
-stop() {
-  for p in "${pids[@]}"; do kill -9 "$p" 2>/dev/null || true; done
-  wait 2>/dev/null || true
-  rm -rf "$work"
-}
-trap stop EXIT
-run() { # NAME COMMAND...: starts a process in the background
-  local name=$1
-  shift
-  "$@" >"$work/$name.log" 2>&1 &
-  pids+=($!)
-}
-ready() { # URL: waits until it answers, 10 s at most
-  for _ in $(seq 200); do
-    curl -fsS -o /dev/null "$1" 2>/dev/null && return 0
-    sleep 0.05
-  done
-  echo "demo: $1 does not answer" >&2
-  tail -n 5 "$work"/*.log >&2
-  return 1
-}
+source "$root/scripts/processes.sh"
 
 export CICADAWOOD_PLATFORM=http://127.0.0.1:17000
 run platform "$bin/faker" platform 127.0.0.1:17000
@@ -37,19 +15,15 @@
 for i in 1 2 3 4; do
   zone=gdansk-a
   [ "$i" -gt 2 ] && zone=gdynia
-  cat >"$work/host$i.jsonc" <<EOT
-{"name": "host-$i", "zone": "$zone", "region": "pomorze",
- "listen": "127.0.0.1:1801$i", "control": "127.0.0.1:1802$i", "admin": "127.0.0.1:1803$i",
- "platform": "$CICADAWOOD_PLATFORM", "limits": {"settle": "1s"}}
-EOT
-  hosts+=(--host "127.0.0.1:1801$i")
+  host "host-$i" 127.0.0.1 "180$i" '"settle": "1s"' "$zone" pomorze
+  hosts+=(--host "127.0.0.1:180${i}1")
 done
 ready "$CICADAWOOD_PLATFORM/calls"
-for i in 1 2 3 4; do run "host$i" "$bin/cicadawood" serve "$work/host$i.jsonc"; done
-victim=${pids[-1]}
+for i in 1 2 3 4; do run "host-$i" "$bin/cicadawood" serve "$work/host-$i.jsonc"; done
+victim=$last
 "$bin/cicadawood" check "$root/examples/demo"
 "$bin/cicadawood" push "$root/examples/demo"
-for i in 1 2 3 4; do ready "http://127.0.0.1:1801$i/readyz"; done
+for i in 1 2 3 4; do ready "http://127.0.0.1:180${i}1/readyz"; done
 "$bin/cicadawood" status
 (sleep 8 && kill -9 "$victim") &
 status=0
--- a/scripts/processes.sh
+++ b/scripts/processes.sh
@@ -1,5 +1,6 @@
 # Sourced by the scripts that start the system's processes: starts them, waits
-# for them, and ends them when the script ends. Sets work to a scratch folder.
+# for them, and ends them when the script ends. Needs bin, the
+# folder of the programs. Sets work to a scratch folder.
 work=$(mktemp -d)
 pids=()
 last=
@@ -22,11 +23,7 @@
 
 # ready URL: waits until it answers, 10 s at most.
 ready() {
-  for _ in $(seq 200); do
-    curl -fsS -o /dev/null "$1" 2>/dev/null && return 0
-    sleep 0.05
-  done
-  echo "$0: $1 does not answer" >&2
+  "$bin/faker" await "$1" && return 0
   tail -n 5 "$work"/*.log >&2
   return 1
 }
