--- a/commander/pages_test.go
+++ b/commander/pages_test.go
@@ -148,7 +148,7 @@
 		at := addresses(3)
 		real := strings.NewReplacer("http://127.0.0.1:17000", platform.URL, "127.0.0.1:18011", at[0], "127.0.0.1:18021", at[1], "127.0.0.1:18031", at[2])
 		scripts := map[string][]shown{}
-		order := []string{"serve", "check", "push", "pull", "diff", "key", "status", "dump", "drain", "version", "completion"}
+		order := []string{"serve", "check", "push", "pull", "diff", "key", "status", "../../README", "dump", "drain", "version", "completion"}
 		for _, name := range order {
 			scripts[name] = shownIn(read(name))
 			Expect(scripts[name]).NotTo(BeEmpty(), name)
--- a/scripter/scripter_test.go
+++ b/scripter/scripter_test.go
@@ -34,6 +34,7 @@
 	"streaming": cmdStreaming,
 	"expect":    cmdExpect,
 	"same":      cmdSame,
+	"page":      cmdPage,
 	"ran":       cmdRan,
 }
 
@@ -54,6 +55,7 @@
 			t.Parallel()
 			testscript.Run(t, testscript.Params{Dir: folder, Cmds: commands, RequireExplicitExec: true, Setup: func(e *testscript.Env) error {
 				e.Setenv("BIN", bin)
+				e.Setenv("CALLING", filepath.Join(bin, "../docs/CALLING.md"))
 				w := newWorld(e.WorkDir)
 				e.Values[worldKey{}] = w
 				e.Defer(w.close)
