Fake services report their load; the drain's guard for other hosts' operations proved

The spec had sent holds without a key, so no keeper ran them and the guard could go unnoticed (mutation green). With keys it runs operations on the leaving host, and goes red without the wait. The load poll had counted as a call of the fake service, which takes any path: it has /load and /leave now, as engines have.

--- a/faker/service.go
+++ b/faker/service.go
@@ -52,6 +52,7 @@
 	took   time.Duration
 	calls  *Counter
 	faults *Failures
+	load   serviceLoad
 }
 
 // NewService returns a fake plain service whose calls take took.
@@ -77,6 +78,8 @@
 		_ = json.NewEncoder(w).Encode(s.calls.Counts())
 	})
 	m.Handle("POST /faults", s.faults)
+	m.HandleFunc("GET /load", s.load.get)
+	m.HandleFunc("POST /leave", s.load.leave)
 	m.HandleFunc("/", s.call)
 	return m
 }
@@ -86,6 +89,12 @@
 	if err != nil {
 		return
 	}
+	if s.load.leaving.Load() {
+		refuse(w, http.StatusServiceUnavailable, "leaving")
+		return
+	}
+	s.load.running.Add(1)
+	defer s.load.running.Add(-1)
 	now := s.faults.next()
 	if now.refused() {
 		refuse(w, http.StatusServiceUnavailable, "refused")
--- a/runner/drain_test.go
+++ b/runner/drain_test.go
@@ -74,7 +74,7 @@
 	// told to stop meanwhile. Each must be answered, and have run once.
 	It("finishes what it runs for other hosts", Label(prover.Cell(prover.Draining, prover.Slow)), func() {
 		const holds = 12
-		t := newTownOf(faker.DefaultModel(), 700*time.Millisecond, "lm1")
+		t := newTownOf(faker.DefaultModel(), 3*time.Second, "lm1")
 		a, b := t.start("a", "z1", nil), t.start("b", "z2", nil)
 		Eventually(t.settled(2)).WithTimeout(10 * time.Second).Should(Succeed())
 		answers := make(chan answer, holds)
@@ -85,6 +85,11 @@
 			}()
 		}
 		Eventually(t.holds.Counts).WithTimeout(10 * time.Second).Should(HaveLen(holds))
+		kept := 0
+		for _, k := range a.state().Keepers {
+			kept += k.Operations
+		}
+		Expect(kept).To(BeNumerically(">", 0), "operations that the leaving host runs")
 		a.term()
 		Eventually(a.done).WithTimeout(20 * time.Second).Should(Receive(BeNil()))
 		for range holds {
--- a/runner/town_test.go
+++ b/runner/town_test.go
@@ -168,6 +168,9 @@
 		return 0, "", false, err
 	}
 	req.Header.Set("Authorization", "Bearer "+key)
+	if strings.Contains(path, "/holds/") {
+		req.Header.Set("Idempotency-Key", path)
+	}
 	resp, err := client.Do(req)
 	if err != nil {
 		return 0, "", false, err
