Metrics of the dispatchers, by class

Cause: waiting, grants, refusals, preemptions showed in the state dump only. Ruled out: counters of their own (the dispatchers count already; twice is once too often). Change: a collector that reads the dump on a scrape.

--- a/runner/metrics.go
+++ b/runner/metrics.go
@@ -11,6 +11,7 @@
 // between hosts. None has a label that grows with hosts or organisations.
 func (h *Host) registerMetrics(r *prometheus.Registry) {
 	h.registry = r
+	r.MustRegister(dispatching{state: h.State})
 	member := func(name, help string, value func(registrar.Counts) float64) {
 		r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, func() float64 { return value(h.registrar.Counts()) }))
 	}
