Once: "not run" only after the head was confirmed

Cause: a keeper that was paused, has been sealed out and has not noticed told "not run" for a key that its successor had run: place refused, store down. Seen red in the keeper's fakes (two keepers, an entry with an old roster): "r2 was told not run (queue_full), but its key had run"; the judge of all histories now checks that too.

Ruled out: the roster (a host's own can be older than its successor's) and a bound on the age of the last confirmation (trusts clocks; a pause can come between check and reply).

Change: a "not run" whose call has no intent in the log waits for a read or write of the head that began after the call came in and found it unchanged; all that wait share one; reads and commits share the bound once.writes; after 200 ms and in an outage it is "unknown" with Retry-After. A key in use by another call in flight is treated alike. A rejoin has keepers forget their logs.

Tests changed, each to the strict answer: in an outage a fresh key was expected to be told "not run"; the keeper can't know that, since a successor may have sealed the log between its last look and the outage. keeper: "refuses at once in an outage", "voids an intent", "forgets only what" (r4 must now get its answer, where "not run" alone was forbidden), "reads its log unasked" (now: a repeat gets the answer of an earlier keeper's run). Scenario outage: "unknown" for "no"; the repeat of a hold that ran gets its answer in the outage; after the outage the key must run ("whole", was "whole or no"), after `kept` has seen every keeper reach the store. Any schedule also draws rejoins, refusals of the dispatcher and entries with an old roster.

--- a/keeper/commit.go
+++ b/keeper/commit.go
@@ -40,6 +40,7 @@
 	case k.phase == phaseReady:
 		k.compact(out, now)
 		k.commit(out, now)
+		k.confirm(out)
 	}
 }
 
@@ -55,6 +56,7 @@
 
 func (k *Keeper) read(out *outputs) {
 	k.busy = true
+	k.cover()
 	out.add(ReadHead{})
 }
 
@@ -98,12 +100,16 @@
 	c.head.Stamp = Stamp{Keeper: k.name, Incarnation: k.incarn, Write: k.writes}
 	k.tried = append(k.tried, c)
 	k.busy = true
+	k.cover()
 	out.add(WriteHead{Head: c.head, Match: k.version})
 }
 
 // wrote takes the end of a write. One whose reply was lost is settled by
 // reading back which stamp the head has, never by assuming.
 func (k *Keeper) wrote(out *outputs, now time.Time, w Wrote) {
+	if k.outlasts() {
+		return
+	}
 	if len(k.tried) == 0 || k.tried[len(k.tried)-1].head.Stamp != w.Stamp {
 		return // of a time before the partition was lost
 	}
@@ -111,6 +117,7 @@
 	switch w.Result {
 	case Done:
 		k.settle(out, now, w.Stamp, w.Version)
+		k.confirmed(out)
 	case Down:
 		k.tried = k.tried[:len(k.tried)-1]
 		k.outage(out, now)
@@ -127,7 +134,7 @@
 
 // headRead takes the head as it is.
 func (k *Keeper) headRead(out *outputs, now time.Time, r HeadRead) {
-	if !k.busy {
+	if k.outlasts() || !k.busy {
 		return
 	}
 	k.busy = false
@@ -147,8 +154,10 @@
 		// Not there, but a late write may still arrive: the next one has the same
 		// condition, so at most one of them takes effect.
 		k.unsure = false
+		k.confirmed(out)
 	case k.isTried(r.Head.Stamp):
 		k.settle(out, now, r.Head.Stamp, r.Version)
+		k.confirmed(out)
 	case k.phase == phaseSealing:
 		k.head, k.version, k.tried, k.unsure = r.Head, r.Version, nil, false
 	default:
--- a/keeper/fault_test.go
+++ b/keeper/fault_test.go
@@ -246,6 +246,10 @@
 
 func (w *world) acquire(h *host, o keeper.Acquire, f *injection) {
 	p := keeper.Placed{ID: o.ID, Attempt: o.Attempt}
+	if w.full {
+		w.after(2*hop, func() { w.input(h, keeper.Unplaced{ID: o.ID, Attempt: o.Attempt, Reason: "queue_full"}) })
+		return
+	}
 	switch f.kind() {
 	case cutOne, cutBoth, silence: // the dispatcher's grant never comes
 		w.after(deadline, func() {
@@ -296,6 +300,7 @@
 	downUntil time.Time
 	slowUntil time.Time
 	writes    int
+	reads     int
 }
 
 // stored does a call of the store.
@@ -311,6 +316,7 @@
 }
 
 func (w *world) readHead(down bool) keeper.Input {
+	w.store.reads++
 	switch {
 	case down:
 		return keeper.HeadRead{Result: keeper.Down}
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -33,19 +33,21 @@
 	incarn   uint64
 	phase    phase
 
-	head    Head   // as last confirmed
-	version uint64 // of head; 0 where there is none
-	writes  uint64 // stamps given out
-	tried   []*commit
-	busy    bool      // a read or write of the head is under way
-	unsure  bool      // a write may have taken effect: read back first
-	retryAt time.Time // of the store, while it is down; zero while it is not
-	tokens  float64   // commits that may start at once
-	filled  time.Time // when tokens were last counted
+	head     Head   // as last confirmed
+	version  uint64 // of head; 0 where there is none
+	writes   uint64 // stamps given out
+	tried    []*commit
+	busy     bool      // a read or write of the head is under way
+	outlived bool      // the call under way began before a rejoin
+	unsure   bool      // a write may have taken effect: read back first
+	retryAt  time.Time // of the store, while it is down; zero while it is not
+	tokens   float64   // commits that may start at once
+	filled   time.Time // when tokens were last counted
 
 	open     bool // to be read although nobody asks
 	retired  bool // another host owns the partition
 	early    []Call
+	doubts   []*doubt // "not run" that waits for the head
 	ops      map[ID]*operation
 	serial   uint64
 	attempts int // Acquires so far
@@ -98,6 +100,8 @@
 	case Opened:
 		k.retired = false
 		k.open = k.phase == phaseIdle
+	case Rejoined:
+		k.rejoin(&out)
 	case Ticked:
 		k.tick(&out, now)
 	}
@@ -163,6 +167,7 @@
 	for _, op := range k.sorted() {
 		k.age(out, now, op)
 	}
+	k.undecide(out, func(d *doubt) bool { return !now.Before(d.until) })
 	if k.retired && k.phase == phaseReady && !k.busy && len(k.ops) == 0 && k.pending.len() == 0 {
 		k.lost(out) // the memory is not needed any more
 	}
@@ -186,9 +191,13 @@
 		case op.stage == stageAnswered:
 			k.finish(out, op)
 		case !op.recorded:
-			k.drop(out, op, Verdict{Kind: KindNotRun, Reason: ReasonStore, After: k.settings.Retry})
+			k.dropUnsure(out, now, op, Verdict{Kind: KindNotRun, Reason: ReasonStore, After: k.settings.Retry})
 		}
 	}
+	k.undecide(out, func(d *doubt) bool {
+		d.verdict.Reason = ReasonStore
+		return true
+	})
 }
 
 // lost gives the partition up: another keeper has sealed it. Nothing that is
@@ -210,7 +219,10 @@
 	for _, c := range k.early {
 		out.reply(c, Verdict{Kind: KindMoved, Reason: ReasonMoved})
 	}
-	k.phase, k.early = phaseIdle, nil
+	for _, d := range k.doubts {
+		out.reply(d.call, Verdict{Kind: KindMoved, Reason: ReasonMoved})
+	}
+	k.phase, k.early, k.doubts = phaseIdle, nil, nil
 	k.head, k.version, k.tried = Head{}, 0, nil
 	k.busy, k.unsure, k.archive, k.merge = false, false, nil, nil
 	k.records, k.answers, k.pending = map[ID]*Entry{}, fifo{}, newQueue()
@@ -248,9 +260,9 @@
 }
 
 // Summary returns the keeper's state in figures.
-func (k *Keeper) Summary(now time.Time) Summary {
+func (k *Keeper) Summary() Summary {
 	s := Summary{
-		Ready: k.phase == phaseReady, Down: k.down(now), Epoch: k.head.Epoch, Operations: len(k.ops),
+		Ready: k.phase == phaseReady, Down: !k.retryAt.IsZero(), Epoch: k.head.Epoch, Operations: len(k.ops),
 		Records: len(k.records), Pending: k.pending.len(), Segments: len(k.head.Segments), Answers: k.answers.bytes,
 	}
 	for _, op := range k.ops {
--- a/keeper/matrix_test.go
+++ b/keeper/matrix_test.go
@@ -144,6 +144,9 @@
 		}
 	}
 	for _, r := range w.runs {
+		if r.key == q.key && r.at.Before(q.began) {
+			bad("%s was told not run (%s), but its key had run", q.id, q.told.Reason)
+		}
 		if r.key == q.key && r.at.After(q.toldAt) && r.at.Before(next) {
 			bad("%s was told not run (%s), and its key ran after", q.id, q.told.Reason)
 		}
--- a/keeper/operation.go
+++ b/keeper/operation.go
@@ -62,7 +62,11 @@
 	}
 	v, known := k.known(c)
 	if !known {
-		v, known = k.refuse(now, c)
+		if v, known = k.refuse(now, c); known {
+			v.Epoch = k.order()
+			k.doubtful(out, now, c, v)
+			return
+		}
 	}
 	if known {
 		v.Epoch = k.order()
@@ -136,7 +140,12 @@
 // join adds a request of a key that is in flight: it gets the same end.
 func (k *Keeper) join(out *outputs, now time.Time, op *operation, c Call) {
 	if op.hash != c.Hash {
-		out.reply(c, Verdict{Kind: KindReused, Epoch: op.order})
+		v := Verdict{Kind: KindReused, Epoch: op.order}
+		if op.recorded {
+			out.reply(c, v)
+		} else {
+			k.doubtful(out, now, c, v)
+		}
 		return
 	}
 	if slices.ContainsFunc(op.waiters, func(w Call) bool { return w.Request == c.Request }) {
@@ -180,13 +189,13 @@
 	k.send(out, op)
 }
 
-func (k *Keeper) unplaced(out *outputs, _ time.Time, u Unplaced) {
+func (k *Keeper) unplaced(out *outputs, now time.Time, u Unplaced) {
 	op := k.ops[u.ID]
 	if op == nil || op.attempt != u.Attempt || op.stage != stagePlacing {
 		return
 	}
 	op.holding = false
-	k.drop(out, op, Verdict{Kind: KindNotRun, Reason: u.Reason, After: u.After})
+	k.dropUnsure(out, now, op, Verdict{Kind: KindNotRun, Reason: u.Reason, After: u.After})
 }
 
 func (k *Keeper) went(out *outputs, _ time.Time, w Went) {
@@ -292,7 +301,7 @@
 		}
 	}
 	if len(over) > 0 && op.stage < stageSent && len(waiting) == 0 {
-		k.drop(out, op, Verdict{Kind: KindNotRun, Reason: ReasonDeadline, After: k.settings.Retry})
+		k.dropUnsure(out, now, op, Verdict{Kind: KindNotRun, Reason: ReasonDeadline, After: k.settings.Retry})
 		return
 	}
 	if len(over) > 0 && op.stage == stageAnswered {
--- a/keeper/port.go
+++ b/keeper/port.go
@@ -140,6 +140,10 @@
 // in an outage of the store.
 type Opened struct{}
 
+// Rejoined says that this host was declared dead and is back: what the keeper
+// knows may be old.
+type Rejoined struct{}
+
 // Ticked lets time pass.
 type Ticked struct{}
 
@@ -154,6 +158,7 @@
 func (SegmentWrote) input() {}
 func (Retired) input()      {}
 func (Opened) input()       {}
+func (Rejoined) input()     {}
 func (Ticked) input()       {}
 
 // Output is what a keeper wants done.
--- a/keeper/schedule_test.go
+++ b/keeper/schedule_test.go
@@ -55,5 +55,22 @@
 		name := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "host") // also one that owns nothing
 		w.after(after, func() { w.input(w.hosts[name], keeper.Opened{}) })
 	}
+	for range rapid.IntRange(0, 2).Draw(t, "rejoins") {
+		after := time.Duration(rapid.IntRange(0, 20_000).Draw(t, "at")) * time.Millisecond
+		name := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "host")
+		w.after(after, func() { w.input(w.hosts[name], keeper.Rejoined{}) })
+	}
+	for range rapid.IntRange(0, 2).Draw(t, "full") { // the dispatcher refuses all
+		after := time.Duration(rapid.IntRange(0, 20_000).Draw(t, "at")) * time.Millisecond
+		w.after(after, func() { w.full = true })
+		w.after(after+2*time.Second, func() { w.full = false })
+	}
+	for range rapid.IntRange(0, 2).Draw(t, "stale") { // an entry with an old roster
+		after := time.Duration(rapid.IntRange(0, 20_000).Draw(t, "at")) * time.Millisecond
+		entry := rapid.SampledFrom([]string{"e1", "e2", "e3"}).Draw(t, "entry")
+		name := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "host")
+		w.after(after, func() { w.stale[entry] = name })
+		w.after(after+3*time.Second, func() { delete(w.stale, entry) })
+	}
 	return w
 }
--- a/runner/control.go
+++ b/runner/control.go
@@ -401,7 +401,7 @@
 			c.emit(now, d.Lost(now, h.Name))
 		}
 	}
-	c.rejoin(r)
+	c.rejoin(now, r)
 	for name := range c.owned {
 		if owner, ok := r.Owner(name); ok && owner.Name != c.self {
 			c.log.Info("cell handed over", zap.String("cell", name), zap.String("to", owner.Name))
--- a/runner/keeping.go
+++ b/runner/keeping.go
@@ -108,7 +108,7 @@
 	case layoutKnown:
 		k.partitions = e.partitions
 	case busyAsked:
-		e.reply <- k.busy(now)
+		e.reply <- k.busy()
 	}
 }
 
@@ -178,7 +178,7 @@
 			k.owned[partition] = now
 			continue
 		}
-		if p := k.keeperOf(partition); !leaving && now.Sub(since) >= openAfter && !p.keeper.Summary(now).Ready {
+		if p := k.keeperOf(partition); !leaving && now.Sub(since) >= openAfter && !p.keeper.Summary().Ready {
 			k.handle(now, p, keeper.Opened{})
 		}
 	}
@@ -257,12 +257,12 @@
 				delete(p.payloads, request)
 			}
 		}
-		if s := p.keeper.Summary(now); s.Epoch != p.epoch {
+		if s := p.keeper.Summary(); s.Epoch != p.epoch {
 			k.log.Info("partition", zap.Int("partition", p.partition), zap.Uint64("epoch", s.Epoch), zap.Bool("ready", s.Ready))
 			p.epoch = s.Epoch
 		}
 	}
-	k.metrics.gauge(now, k.keepers)
+	k.metrics.gauge(k.keepers)
 	for _, c := range k.calls {
 		k.watch(now, c)
 	}
@@ -311,13 +311,13 @@
 }
 
 // busy is the operations in flight at this host's keepers.
-func (k *keeping) busy(now time.Time) int {
+func (k *keeping) busy() int {
 	n := 0
 	if k == nil {
 		return n
 	}
 	for _, p := range k.keepers {
-		n += p.keeper.Summary(now).Operations
+		n += p.keeper.Summary().Operations
 	}
 	return n
 }
@@ -327,9 +327,8 @@
 	if k == nil {
 		return out
 	}
-	now := time.Now()
 	for partition, p := range k.keepers {
-		out[partition] = p.keeper.Summary(now)
+		out[partition] = p.keeper.Summary()
 	}
 	return out
 }
--- a/runner/keeping_metrics.go
+++ b/runner/keeping_metrics.go
@@ -1,8 +1,6 @@
 package runner
 
 import (
-	"time"
-
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/cicadawood/cicadawood/keeper"
@@ -58,10 +56,10 @@
 	m.calls.WithLabelValues(name).Inc()
 }
 
-func (m *keepingMetrics) gauge(now time.Time, keepers map[int]*kept) {
+func (m *keepingMetrics) gauge(keepers map[int]*kept) {
 	ready, operations, records, down := 0, 0, 0, 0
 	for _, p := range keepers {
-		s := p.keeper.Summary(now)
+		s := p.keeper.Summary()
 		operations, records = operations+s.Operations, records+s.Records
 		if s.Ready {
 			ready++
