Scenarios share their settings

Change: push lays scenarios/base under the script's own files; a base file that names a process which the script has not started is left out. The scripts' own settings stay where they differ. Ruled out: clearing the pushed folder before each push, as it holds what the folder was based on: two config scenarios went red by it.

--- a/scripter/look_test.go
+++ b/scripter/look_test.go
@@ -15,20 +15,38 @@
 	"github.com/cicadawood/cicadawood/runner"
 )
 
-// cmdPush is `[!] push DIR [FLAG...]`: the folder with its $NAMEs filled in.
+// baseFolder is the settings that scripts share.
+const baseFolder = "../scenarios/base"
+
+// cmdPush is `[!] push [DIR [FLAG...]]`: the files of baseFolder and those of DIR,
+// which stand in for base files of their names, with their $NAMEs filled in. A base
+// file that names a process which the script has not started is left out.
 func cmdPush(ts *testscript.TestScript, neg bool, args []string) {
 	w := worldOf(ts)
-	from := ts.MkAbs(args[0])
-	to := filepath.Join(w.dir, "pushed-"+filepath.Base(from))
+	to, flags := filepath.Join(w.dir, "pushed"), []string(nil)
 	ts.Check(os.MkdirAll(to, 0o700))
+	w.fill(ts, baseFolder, to, false)
+	if len(args) > 0 {
+		w.fill(ts, ts.MkAbs(args[0]), to, true)
+		flags = args[1:]
+	}
+	w.operate(ts, neg, append([]string{"push", to}, flags...))
+}
+
+// fill copies a folder's files with $NAMEs filled in; those with unknown names too
+// where all is set.
+func (w *world) fill(ts *testscript.TestScript, from, to string, all bool) {
 	entries, err := os.ReadDir(from)
 	ts.Check(err)
 	for _, e := range entries {
 		text, err := os.ReadFile(filepath.Join(from, e.Name()))
 		ts.Check(err)
-		ts.Check(os.WriteFile(filepath.Join(to, e.Name()), []byte(w.expand(string(text))), 0o600))
+		filled := w.expand(string(text))
+		if !all && strings.Contains(filled, "$") {
+			continue
+		}
+		ts.Check(os.WriteFile(filepath.Join(to, e.Name()), []byte(filled), 0o600))
 	}
-	w.operate(ts, neg, append([]string{"push", to}, args[1:]...))
 }
 
 // cmdOperate is `[!] operate COMMAND [ARG...]`: the command line, $NAMEs filled in.
--- a/scripter/scripter_test.go
+++ b/scripter/scripter_test.go
@@ -50,6 +50,9 @@
 		t.Fatalf("no scenarios: %v", err)
 	}
 	for _, folder := range folders {
+		if folder == baseFolder {
+			continue
+		}
 		t.Run(filepath.Base(folder), func(t *testing.T) {
 			t.Parallel()
 			testscript.Run(t, testscript.Params{Dir: folder, Cmds: commands, RequireExplicitExec: true, Setup: func(e *testscript.Env) error {
