Serve Go's profiles on the admin address

Cause: where an idle host's 1.2% of a core goes could only be guessed. Change: net/http/pprof under /debug/pprof/ of the admin address.

--- a/runner/admin.go
+++ b/runner/admin.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"net/http/pprof"
 
 	"github.com/gorilla/mux"
 	"github.com/prometheus/client_golang/prometheus"
@@ -21,5 +22,15 @@
 		h.Drain()
 		w.WriteHeader(http.StatusAccepted)
 	}).Methods(http.MethodPost)
+	profiles(r)
 	return r
 }
+
+// profiles serves net/http/pprof's profiles of this process.
+func profiles(r *mux.Router) {
+	r.HandleFunc("/debug/pprof/profile", pprof.Profile)
+	r.HandleFunc("/debug/pprof/trace", pprof.Trace)
+	r.HandleFunc("/debug/pprof/symbol", pprof.Symbol)
+	r.HandleFunc("/debug/pprof/cmdline", pprof.Cmdline)
+	r.PathPrefix("/debug/pprof/").HandlerFunc(pprof.Index)
+}
