Hot messages as arrays, integers as short as they go

Cause: field names and 9-byte integers were most of a request's control bytes. Ruled out: dropping fields: all are read. Longer waits for acknowledgements: 8 bytes each, and the time to find a silent connection hangs on them. Change: every message is a msgpack array, all integers compact (frames too). Maps by the names are still read. A message that gets a field needs a new kind.

--- a/messenger/frame.go
+++ b/messenger/frame.go
@@ -1,6 +1,7 @@
 package messenger
 
 import (
+	"bytes"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -46,7 +47,7 @@
 
 // writeFrame writes v as one frame and returns the bytes written.
 func writeFrame(w io.Writer, v any) (int, error) {
-	body, err := msgpack.Marshal(v)
+	body, err := encode(v)
 	if err != nil {
 		return 0, fmt.Errorf("%w: %v", ErrFrame, err)
 	}
@@ -58,6 +59,17 @@
 	return w.Write(append(buf, body...))
 }
 
+// encode is v in msgpack, each integer in as few bytes as it needs.
+func encode(v any) ([]byte, error) {
+	e := msgpack.GetEncoder()
+	defer msgpack.PutEncoder(e)
+	var b bytes.Buffer
+	e.Reset(&b)
+	e.UseCompactInts(true)
+	err := e.Encode(v)
+	return b.Bytes(), err
+}
+
 // readFrame reads one frame into v and returns the bytes read.
 func readFrame(r io.Reader, v any) (int, error) {
 	var head [headLength]byte
--- a/messenger/message.go
+++ b/messenger/message.go
@@ -6,6 +6,10 @@
 // receiver's incarnation, the last sequence it has). A frame is a 4-byte
 // big-endian length and a msgpack array: sequence, configuration generation of
 // the sender, kind, body. An acknowledgement is the last sequence, 8 bytes big-endian.
+//
+// Bodies are arrays of the fields in their order: names would be most of a small
+// message. So a message that gets a field gets a new kind too, as a host of the
+// version before can't read the longer array; maps by the fields' names are read.
 package messenger
 
 import (
@@ -21,6 +25,7 @@
 // Ask asks a cell's dispatcher for a worker. An Ask that is repeated with the
 // same Request changes nothing.
 type Ask struct {
+	_msgpack     struct{}      `msgpack:",as_array"` //nolint:unused // read by msgpack
 	Request      string        `msgpack:"request"`
 	Cell         string        `msgpack:"cell"`
 	Class        string        `msgpack:"class"`
@@ -39,72 +44,80 @@
 
 // Grant gives a waiting request one place on a worker.
 type Grant struct {
-	Request string        `msgpack:"request"`
-	Attempt uint64        `msgpack:"attempt"`
-	Cell    string        `msgpack:"cell"`
-	Worker  string        `msgpack:"worker"`
-	Epoch   uint64        `msgpack:"epoch"`
-	Fence   uint64        `msgpack:"fence"`
-	Class   string        `msgpack:"class"`
-	Wait    time.Duration `msgpack:"wait"` // expected of the cell's next request of the class
+	_msgpack struct{}      `msgpack:",as_array"` //nolint:unused // read by msgpack
+	Request  string        `msgpack:"request"`
+	Attempt  uint64        `msgpack:"attempt"`
+	Cell     string        `msgpack:"cell"`
+	Worker   string        `msgpack:"worker"`
+	Epoch    uint64        `msgpack:"epoch"`
+	Fence    uint64        `msgpack:"fence"`
+	Class    string        `msgpack:"class"`
+	Wait     time.Duration `msgpack:"wait"` // expected of the cell's next request of the class
 }
 
 // Refuse is the final answer to an Ask: it was not run, come back after After.
 type Refuse struct {
-	Request string        `msgpack:"request"`
-	Attempt uint64        `msgpack:"attempt"`
-	Cell    string        `msgpack:"cell"`
-	Reason  string        `msgpack:"reason"`
-	After   time.Duration `msgpack:"after"`
-	Class   string        `msgpack:"class"`
-	Wait    time.Duration `msgpack:"wait"` // as in Grant
+	_msgpack struct{}      `msgpack:",as_array"` //nolint:unused // read by msgpack
+	Request  string        `msgpack:"request"`
+	Attempt  uint64        `msgpack:"attempt"`
+	Cell     string        `msgpack:"cell"`
+	Reason   string        `msgpack:"reason"`
+	After    time.Duration `msgpack:"after"`
+	Class    string        `msgpack:"class"`
+	Wait     time.Duration `msgpack:"wait"` // as in Grant
 }
 
 // Preempt asks the entry to stop a request in flight and to ask again.
 type Preempt struct {
-	Request string `msgpack:"request"`
-	Attempt uint64 `msgpack:"attempt"`
-	Cell    string `msgpack:"cell"`
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
+	Request  string   `msgpack:"request"`
+	Attempt  uint64   `msgpack:"attempt"`
+	Cell     string   `msgpack:"cell"`
 }
 
 // Progress corrects the estimate of a request in flight.
 type Progress struct {
-	Request string `msgpack:"request"`
-	Attempt uint64 `msgpack:"attempt"`
-	Cell    string `msgpack:"cell"`
-	Tokens  int    `msgpack:"tokens"`
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
+	Request  string   `msgpack:"request"`
+	Attempt  uint64   `msgpack:"attempt"`
+	Cell     string   `msgpack:"cell"`
+	Tokens   int      `msgpack:"tokens"`
 }
 
 // Done gives a place back.
 type Done struct {
-	Request string        `msgpack:"request"`
-	Attempt uint64        `msgpack:"attempt"`
-	Cell    string        `msgpack:"cell"`
-	Worker  string        `msgpack:"worker"`
-	Tokens  int           `msgpack:"tokens"`
-	First   time.Duration `msgpack:"first"` // to the first byte; 0 where none came
-	Failed  bool          `msgpack:"failed"`
+	_msgpack struct{}      `msgpack:",as_array"` //nolint:unused // read by msgpack
+	Request  string        `msgpack:"request"`
+	Attempt  uint64        `msgpack:"attempt"`
+	Cell     string        `msgpack:"cell"`
+	Worker   string        `msgpack:"worker"`
+	Tokens   int           `msgpack:"tokens"`
+	First    time.Duration `msgpack:"first"` // to the first byte; 0 where none came
+	Failed   bool          `msgpack:"failed"`
 }
 
 // Cancel withdraws an Ask whose caller has gone.
 type Cancel struct {
-	Request string `msgpack:"request"`
-	Attempt uint64 `msgpack:"attempt"`
-	Cell    string `msgpack:"cell"`
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
+	Request  string   `msgpack:"request"`
+	Attempt  uint64   `msgpack:"attempt"`
+	Cell     string   `msgpack:"cell"`
 }
 
 // Claim tells a new dispatcher of a grant in use that an earlier one gave.
 type Claim struct {
-	Ask    Ask    `msgpack:"ask"`
-	Worker string `msgpack:"worker"`
-	Tokens int    `msgpack:"tokens"`
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
+	Ask      Ask      `msgpack:"ask"`
+	Worker   string   `msgpack:"worker"`
+	Tokens   int      `msgpack:"tokens"`
 }
 
 // Moved answers a message for a cell that the receiver does not dispatch.
 type Moved struct {
-	Request string `msgpack:"request"`
-	Cell    string `msgpack:"cell"`
-	Owner   string `msgpack:"owner"`
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
+	Request  string   `msgpack:"request"`
+	Cell     string   `msgpack:"cell"`
+	Owner    string   `msgpack:"owner"`
 }
 
 func (Ask) kind() string      { return "ask" }
--- a/messenger/message_limit.go
+++ b/messenger/message_limit.go
@@ -2,18 +2,20 @@
 
 // Borrow asks the owner of an organisation's limits for a part of them.
 type Borrow struct {
-	Organisation string  `msgpack:"org"`
-	Sequence     uint64  `msgpack:"sequence"`
-	Requests     float64 `msgpack:"requests"` // a second, wanted here
-	Tokens       float64 `msgpack:"tokens"`   // a second, wanted here
+	_msgpack     struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
+	Organisation string   `msgpack:"org"`
+	Sequence     uint64   `msgpack:"sequence"`
+	Requests     float64  `msgpack:"requests"` // a second, wanted here
+	Tokens       float64  `msgpack:"tokens"`   // a second, wanted here
 }
 
 // Lend answers Borrow: what may be used until limiter.Term after the ask.
 type Lend struct {
-	Organisation string  `msgpack:"org"`
-	Sequence     uint64  `msgpack:"sequence"`
-	Requests     float64 `msgpack:"requests"`
-	Tokens       float64 `msgpack:"tokens"`
+	_msgpack     struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
+	Organisation string   `msgpack:"org"`
+	Sequence     uint64   `msgpack:"sequence"`
+	Requests     float64  `msgpack:"requests"`
+	Tokens       float64  `msgpack:"tokens"`
 }
 
 func (Borrow) kind() string { return "borrow" }
--- a/messenger/message_once.go
+++ b/messenger/message_once.go
@@ -5,6 +5,7 @@
 // Once passes a call that must not be repeated from its entry to the keeper of
 // its key. One that is repeated with the same Request changes nothing.
 type Once struct {
+	_msgpack  struct{}            `msgpack:",as_array"` //nolint:unused // read by msgpack
 	Request   string              `msgpack:"request"`
 	Partition int                 `msgpack:"part"`
 	ID        []byte              `msgpack:"id"`    // of the operation: 16 bytes
@@ -21,30 +22,33 @@
 
 // OnceReady asks the entry whether it still waits for a request.
 type OnceReady struct {
-	Request   string `msgpack:"request"`
-	Partition int    `msgpack:"part"`
-	ID        []byte `msgpack:"id"`
-	Order     uint64 `msgpack:"order"` // grows with every operation of the partition
+	_msgpack  struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
+	Request   string   `msgpack:"request"`
+	Partition int      `msgpack:"part"`
+	ID        []byte   `msgpack:"id"`
+	Order     uint64   `msgpack:"order"` // grows with every operation of the partition
 }
 
 // OnceGo answers OnceReady.
 type OnceGo struct {
-	Request   string `msgpack:"request"`
-	Partition int    `msgpack:"part"`
-	ID        []byte `msgpack:"id"`
-	OK        bool   `msgpack:"ok"`
+	_msgpack  struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
+	Request   string   `msgpack:"request"`
+	Partition int      `msgpack:"part"`
+	ID        []byte   `msgpack:"id"`
+	OK        bool     `msgpack:"ok"`
 }
 
 // OnceVerdict is a keeper's word about a request. Kind is a keeper.Kind.
 type OnceVerdict struct {
-	Request string              `msgpack:"request"`
-	Kind    uint8               `msgpack:"kind"`
-	Reason  string              `msgpack:"reason"`
-	After   time.Duration       `msgpack:"after"`
-	Order   uint64              `msgpack:"order"` // 0 where the keeper had not read its log
-	Status  int                 `msgpack:"status"`
-	Header  map[string][]string `msgpack:"header"`
-	Body    []byte              `msgpack:"body"`
+	_msgpack struct{}            `msgpack:",as_array"` //nolint:unused // read by msgpack
+	Request  string              `msgpack:"request"`
+	Kind     uint8               `msgpack:"kind"`
+	Reason   string              `msgpack:"reason"`
+	After    time.Duration       `msgpack:"after"`
+	Order    uint64              `msgpack:"order"` // 0 where the keeper had not read its log
+	Status   int                 `msgpack:"status"`
+	Header   map[string][]string `msgpack:"header"`
+	Body     []byte              `msgpack:"body"`
 }
 
 func (Once) kind() string        { return "once" }
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -8,8 +8,6 @@
 	"sync"
 	"sync/atomic"
 	"time"
-
-	"github.com/vmihailenco/msgpack/v5"
 )
 
 // ErrFull says that a peer takes messages more slowly than they are sent: the
@@ -90,7 +88,7 @@
 
 // Send queues a message for the host at address. It never blocks.
 func (m *Messenger) Send(address string, msg Message) error {
-	body, err := msgpack.Marshal(msg)
+	body, err := encode(msg)
 	if err != nil {
 		return fmt.Errorf("%w: %v", ErrFrame, err)
 	}
