Tick what is due, in place of everything fifty times a second

Cause: the control goroutine woke every 20 ms and went over every dispatcher, call and keeper, due or not; in the profile of idle hosts half of the time was the scheduler's, for wake-ups. Ruled out: a longer tick for all: deadlines and retries hang on 20 ms while something waits. Change: a timer on the earliest time due. Dispatcher.Next: 20 ms while requests wait, 250 ms while places are in use only, else never; a message after a pause first catches up on means and leases. Keepers: 20 ms while a call is under way or a record is not stored, else 500 ms. Loans: 100 ms as before. What is left is frames, load reports and loans' ticks.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -94,6 +94,7 @@
 // Handle takes one message from a host and returns what it causes.
 func (d *Dispatcher) Handle(now time.Time, from string, m messenger.Message) []Output {
 	d.begin(now)
+	d.catchUp(now)
 	switch m := m.(type) {
 	case messenger.Ask:
 		d.ask(now, from, m)
@@ -117,9 +118,7 @@
 	d.average(now)
 	d.weigh()
 	d.expire(now)
-	if inTime, _ := d.topWaiting(); inTime == 0 {
-		d.calm = now
-	}
+	d.rest(now)
 	d.reclaim(now)
 	d.fill(now)
 	return d.out
--- a/runner/control.go
+++ b/runner/control.go
@@ -18,7 +18,6 @@
 )
 
 const (
-	tickEvery    = 20 * time.Millisecond
 	eventBacklog = 8192
 	// askAgain is how long a call waits for an answer before it is registered
 	// again: an Ask, Grant or Refuse that a broken connection lost shows only as
@@ -73,6 +72,7 @@
 	attempt     uint64            // of the last Ask or Claim
 	epochs      map[string]uint64 // highest seen of each cell
 	chooser     dispatcher.Chooser
+	due         time.Time // when a dispatcher is next due; zero for never
 	again       time.Time // when calls are next looked through for askAgain
 	keeping     *keeping
 }
@@ -89,26 +89,31 @@
 // run takes events until ctx ends.
 func (c *control) run(ctx context.Context) {
 	defer close(c.ended)
-	ticker := time.NewTicker(tickEvery)
-	defer ticker.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	var set time.Time // when the timer goes off
 	for {
+		if next := c.next(); !next.Equal(set) {
+			set = next
+			timer.Reset(time.Until(next))
+		}
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-ticker.C:
-			c.tick(now)
-			c.keeping.tick(now)
+		case <-timer.C:
+			set = time.Time{}
+			c.tick(time.Now())
 		case e := <-c.events:
 			c.take(time.Now(), e)
 		}
 	}
 }
 
+// tick does what is due.
 func (c *control) tick(now time.Time) {
-	for _, d := range c.owned {
-		c.emit(now, d.Tick(now))
-	}
+	c.tickDispatchers(now)
 	c.borrow(now)
+	c.keeping.tick(now)
 	if now.Before(c.again) {
 		return
 	}
@@ -191,7 +196,10 @@
 		}
 		c.own(now, known)
 	}
-	c.emit(now, c.owned[cell].Handle(now, from, m))
+	d := c.owned[cell]
+	out := d.Handle(now, from, m)
+	c.awaits(d)
+	c.emit(now, out)
 }
 
 // own starts this host's dispatcher of a cell.
@@ -367,7 +375,9 @@
 	for name, d := range c.owned {
 		if cell, ok := c.cells[name]; ok {
 			d.Configure(c.filled(now, cell), e.folder.Classes)
-			c.emit(now, d.Tick(now))
+			out := d.Tick(now)
+			c.awaits(d)
+			c.emit(now, out)
 		} else {
 			delete(c.owned, name)
 		}
@@ -398,7 +408,9 @@
 		}
 		c.log.Info("host lost", zap.String("peer", h.Name))
 		for _, d := range c.owned {
-			c.emit(now, d.Lost(now, h.Name))
+			out := d.Lost(now, h.Name)
+			c.awaits(d)
+			c.emit(now, out)
 		}
 	}
 	c.rejoin(r)
--- a/runner/keeping.go
+++ b/runner/keeping.go
@@ -38,6 +38,7 @@
 	opened     time.Time            // when partitions were last looked through
 	calls      map[string]*onceCall // of this host's entry, by request
 	places     uint64               // asked for so far
+	due        time.Time            // when the next tick is
 }
 
 const (
@@ -96,6 +97,7 @@
 
 // take takes an event about calls that must not be repeated.
 func (k *keeping) take(now time.Time, e event) {
+	k.soon(now)
 	switch e := e.(type) {
 	case onceAsked:
 		k.begin(now, e)
@@ -117,6 +119,7 @@
 	if k == nil {
 		return
 	}
+	k.soon(now)
 	switch m := m.(type) {
 	case messenger.Once:
 		k.asked(now, from, m)
@@ -247,7 +250,7 @@
 
 // tick lets time pass for keepers and for the entry's calls.
 func (k *keeping) tick(now time.Time) {
-	if k == nil {
+	if k == nil || now.Before(k.due) {
 		return
 	}
 	for _, p := range k.keepers {
@@ -267,6 +270,7 @@
 		k.watch(now, c)
 	}
 	k.open(now)
+	k.rearm(now)
 }
 
 // enroll hands over the partitions that have a new owner.
@@ -274,6 +278,7 @@
 	if k == nil {
 		return
 	}
+	k.soon(now)
 	for partition, p := range k.keepers {
 		if owner, ok := r.Owner(role(partition)); ok && owner.Name != k.control.self {
 			k.handle(now, p, keeper.Retired{})
