--- a/runner/keeping_due.go
+++ b/runner/keeping_due.go
@@ -22,7 +22,7 @@
 		k.soon(now)
 	}
 	for _, p := range k.keepers {
-		s := p.keeper.Summary(now)
+		s := p.keeper.Summary()
 		if len(p.payloads) > 0 || s.Operations > 0 || s.Pending > 0 {
 			k.soon(now)
 		}
