--- a/runner/export_test.go
+++ b/runner/export_test.go
@@ -3,8 +3,10 @@
 import (
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
+	"github.com/cicadawood/cicadawood/keeper"
 	"github.com/cicadawood/cicadawood/loader"
 	"github.com/cicadawood/cicadawood/messenger"
 	"github.com/cicadawood/cicadawood/registrar"
@@ -93,6 +95,14 @@
 	return k.c.limiting.gates.Rates(now)[organisation].Requests
 }
 
+// Keeper is the control state's keeper of a partition. It has no store.
+func (k Control) Keeper(partition int) *keeper.Keeper {
+	if k.c.keeping == nil {
+		k.c.keeping = newKeeping(k.c, nil, nil, loader.Once{}, newKeepingMetrics(prometheus.NewRegistry()), zap.NewNop())
+	}
+	return k.c.keeping.keeperOf(partition).keeper
+}
+
 // Holding is what waits for a configuration.
 type Holding struct{ h holding }
 
--- a/runner/rejoining_test.go
+++ b/runner/rejoining_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/cicadawood/cicadawood/keeper"
 	"github.com/cicadawood/cicadawood/loader"
 	"github.com/cicadawood/cicadawood/messenger"
 	"github.com/cicadawood/cicadawood/prover"
@@ -58,4 +59,24 @@
 		Expect(claims).To(HaveLen(1))
 		Expect(claims[0].Worker).To(Equal("w"))
 	})
+
+	// Story: a host that keeps keys stands still, another one takes its partition and
+	// runs holds, and the host is back on the roster. What its keeper remembers is old.
+	It("has its keepers forget their logs", func() {
+		now := time.Unix(1000, 0)
+		c := runner.NewControl("a", func(string, messenger.Message) {})
+		c.Enroll(now, registrar.NewRoster(registrar.Record{Name: "a", Incarnation: 1}))
+		k := c.Keeper(0)
+		k.Handle(now, keeper.Opened{})
+		for _, o := range k.Handle(now, keeper.HeadRead{Result: keeper.Missing}) {
+			if w, ok := o.(keeper.WriteHead); ok {
+				k.Handle(now, keeper.Wrote{Stamp: w.Head.Stamp, Version: 1, Result: keeper.Done})
+			}
+		}
+		Expect(k.Summary().Ready).To(BeTrue())
+		c.Enroll(now, registrar.NewRoster(registrar.Record{Name: "a", Incarnation: 1}))
+		Expect(k.Summary().Ready).To(BeTrue())
+		c.Enroll(now, registrar.NewRoster(registrar.Record{Name: "a", Incarnation: 2}))
+		Expect(k.Summary().Ready).To(BeFalse())
+	})
 })
