Once: tick soon for refusals that wait and keepers whose store was down

Found by reading after the merge.

Change: both count in rearm; refusals that wait count for a planned stop; the dump shows them. Red with the two terms out of rearm: both entries of "Keepers are looked after soon".

--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -252,6 +252,7 @@
 	Down       bool   `json:"down"` // the store did not answer
 	Epoch      uint64 `json:"epoch"`
 	Operations int    `json:"operations"`
+	Doubts     int    `json:"doubts"` // refusals that wait for the head
 	Sent       int    `json:"sent"`
 	Records    int    `json:"records"`
 	Pending    int    `json:"pending"` // records not yet in the store
@@ -262,7 +263,7 @@
 // Summary returns the keeper's state in figures.
 func (k *Keeper) Summary() Summary {
 	s := Summary{
-		Ready: k.phase == phaseReady, Down: !k.retryAt.IsZero(), Epoch: k.head.Epoch, Operations: len(k.ops),
+		Ready: k.phase == phaseReady, Down: !k.retryAt.IsZero(), Epoch: k.head.Epoch, Operations: len(k.ops), Doubts: len(k.doubts),
 		Records: len(k.records), Pending: k.pending.len(), Segments: len(k.head.Segments), Answers: k.answers.bytes,
 	}
 	for _, op := range k.ops {
--- a/runner/export_test.go
+++ b/runner/export_test.go
@@ -103,6 +103,9 @@
 	return k.c.keeping.keeperOf(partition).keeper
 }
 
+// Next is when the next tick is due.
+func (k Control) Next() time.Time { return k.c.next() }
+
 // Holding is what waits for a configuration.
 type Holding struct{ h holding }
 
--- a/runner/keeping.go
+++ b/runner/keeping.go
@@ -322,7 +322,8 @@
 		return n
 	}
 	for _, p := range k.keepers {
-		n += p.keeper.Summary().Operations
+		s := p.keeper.Summary()
+		n += s.Operations + s.Doubts
 	}
 	return n
 }
--- a/runner/keeping_due.go
+++ b/runner/keeping_due.go
@@ -13,9 +13,10 @@
 	}
 }
 
-// rearm sets the next tick after one: soon where a call is under way or a record
-// is not in the store, else when logs are next looked for. A keeper of which
-// nobody wants anything has nothing that hangs on a tick.
+// rearm sets the next tick after one: soon where a call is under way, a record is
+// not in the store, a refusal waits for the head or the store is down, else when
+// logs are next looked for. A keeper of which nobody wants anything has nothing
+// that hangs on a tick.
 func (k *keeping) rearm(now time.Time) {
 	k.due = now.Add(openEvery)
 	if len(k.calls) > 0 {
@@ -23,7 +24,7 @@
 	}
 	for _, p := range k.keepers {
 		s := p.keeper.Summary()
-		if len(p.payloads) > 0 || s.Operations > 0 || s.Pending > 0 {
+		if len(p.payloads) > 0 || s.Operations > 0 || s.Pending > 0 || s.Doubts > 0 || s.Down {
 			k.soon(now)
 		}
 	}
--- a/runner/rejoining_test.go
+++ b/runner/rejoining_test.go
@@ -25,6 +25,18 @@
 	}
 }
 
+// readyKeeper is a host's keeper that has read its log, which is empty.
+func readyKeeper(now time.Time, c runner.Control) *keeper.Keeper {
+	k := c.Keeper(0)
+	k.Handle(now, keeper.Opened{})
+	for _, o := range k.Handle(now, keeper.HeadRead{Result: keeper.Missing}) {
+		if w, ok := o.(keeper.WriteHead); ok {
+			k.Handle(now, keeper.Wrote{Stamp: w.Head.Stamp, Version: 1, Result: keeper.Done})
+		}
+	}
+	return k
+}
+
 var _ = Describe("A host that rejoins", func() {
 	// Story: a host stands still, is declared dead, and comes back. Its caller's stream
 	// still runs on a worker, but the dispatcher took that place back and would give
@@ -66,13 +78,7 @@
 		now := time.Unix(1000, 0)
 		c := runner.NewControl("a", func(string, messenger.Message) {})
 		c.Enroll(now, registrar.NewRoster(registrar.Record{Name: "a", Incarnation: 1}))
-		k := c.Keeper(0)
-		k.Handle(now, keeper.Opened{})
-		for _, o := range k.Handle(now, keeper.HeadRead{Result: keeper.Missing}) {
-			if w, ok := o.(keeper.WriteHead); ok {
-				k.Handle(now, keeper.Wrote{Stamp: w.Head.Stamp, Version: 1, Result: keeper.Done})
-			}
-		}
+		k := readyKeeper(now, c)
 		Expect(k.Summary().Ready).To(BeTrue())
 		c.Enroll(now, registrar.NewRoster(registrar.Record{Name: "a", Incarnation: 1}))
 		Expect(k.Summary().Ready).To(BeTrue())
@@ -80,3 +86,23 @@
 		Expect(k.Summary().Ready).To(BeFalse())
 	})
 })
+
+// Story: nothing is under way but a refusal that waits for the head, or a store that
+// was down: looked after late, the caller would be told "unknown", or the partition
+// come back long after the store.
+var _ = DescribeTable("Keepers are looked after soon", func(last keeper.Input) {
+	now := time.Unix(1000, 0)
+	c := runner.NewControl("a", func(string, messenger.Message) {})
+	k := readyKeeper(now, c)
+	call := keeper.Call{ID: keeper.NewID("o", "s", "k"), Request: "r", From: "e", Deadline: now.Add(time.Minute)}
+	k.Handle(now, keeper.Asked{Call: call})
+	k.Handle(now, keeper.Unplaced{ID: call.ID, Attempt: 1})
+	if last != nil {
+		k.Handle(now, last)
+	}
+	c.Tick(now)
+	Expect(c.Next()).To(BeTemporally("<=", now.Add(20*time.Millisecond)))
+},
+	Entry("a refusal waits for the head", nil),
+	Entry("the store is down", keeper.HeadRead{Result: keeper.Down}),
+)
