--- a/runner/rejoining_test.go
+++ b/runner/rejoining_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/cicadawood/cicadawood/keeper"
 	"github.com/cicadawood/cicadawood/loader"
 	"github.com/cicadawood/cicadawood/messenger"
 	"github.com/cicadawood/cicadawood/prover"
@@ -24,6 +25,18 @@
 	}
 }
 
+// readyKeeper is a host's keeper that has read its log, which is empty.
+func readyKeeper(now time.Time, c runner.Control) *keeper.Keeper {
+	k := c.Keeper(0)
+	k.Handle(now, keeper.Opened{})
+	for _, o := range k.Handle(now, keeper.HeadRead{Result: keeper.Missing}) {
+		if w, ok := o.(keeper.WriteHead); ok {
+			k.Handle(now, keeper.Wrote{Stamp: w.Head.Stamp, Version: 1, Result: keeper.Done})
+		}
+	}
+	return k
+}
+
 var _ = Describe("A host that rejoins", func() {
 	// Story: a host stands still, is declared dead, and comes back. Its caller's stream
 	// still runs on a worker, but the dispatcher took that place back and would give
@@ -58,4 +71,38 @@
 		Expect(claims).To(HaveLen(1))
 		Expect(claims[0].Worker).To(Equal("w"))
 	})
+
+	// Story: a host that keeps keys stands still, another one takes its partition and
+	// runs holds, and the host is back on the roster. What its keeper remembers is old.
+	It("has its keepers forget their logs", func() {
+		now := time.Unix(1000, 0)
+		c := runner.NewControl("a", func(string, messenger.Message) {})
+		c.Enroll(now, registrar.NewRoster(registrar.Record{Name: "a", Incarnation: 1}))
+		k := readyKeeper(now, c)
+		Expect(k.Summary().Ready).To(BeTrue())
+		c.Enroll(now, registrar.NewRoster(registrar.Record{Name: "a", Incarnation: 1}))
+		Expect(k.Summary().Ready).To(BeTrue())
+		c.Enroll(now, registrar.NewRoster(registrar.Record{Name: "a", Incarnation: 2}))
+		Expect(k.Summary().Ready).To(BeFalse())
+	})
 })
+
+// Story: nothing is under way but a refusal that waits for the head, or a store that
+// was down: looked after late, the caller would be told "unknown", or the partition
+// come back long after the store.
+var _ = DescribeTable("Keepers are looked after soon", func(last keeper.Input) {
+	now := time.Unix(1000, 0)
+	c := runner.NewControl("a", func(string, messenger.Message) {})
+	k := readyKeeper(now, c)
+	call := keeper.Call{ID: keeper.NewID("o", "s", "k"), Request: "r", From: "e", Deadline: now.Add(time.Minute)}
+	k.Handle(now, keeper.Asked{Call: call})
+	k.Handle(now, keeper.Unplaced{ID: call.ID, Attempt: 1})
+	if last != nil {
+		k.Handle(now, last)
+	}
+	c.Tick(now)
+	Expect(c.Next()).To(BeTemporally("<=", now.Add(20*time.Millisecond)))
+},
+	Entry("a refusal waits for the head", nil),
+	Entry("the store is down", keeper.HeadRead{Result: keeper.Down}),
+)
