A new dispatcher preempts for its top tier too

Cause: a scenario with real processes (urgent/full) went red: quotes were refused at their deadline (12 s) while four plans of 14 s held all places. The dispatcher had seen no place come free, so its expected time to the next one was 0, and it preempted only when no time was left. After a start or a takeover among long answers the top tier waited. Ruled out: preempting at once while no hold is known: 'A new dispatcher grants nothing until the claims are in' went red, rightly. Change: until a place has come free, the longest use so far stands for the hold. Proof: policy_test 'gets a place back in time from a dispatcher that has seen none come free'; seen red with nextPlace back in preempt (30 passed, 1 failed), green with the guard; dispatcher, bencher, runner, breaker green.

--- a/dispatcher/overload.go
+++ b/dispatcher/overload.go
@@ -123,7 +123,7 @@
 		return
 	}
 	slack := first.due.Sub(now).Seconds()
-	if slack > 2*float64(waiting)*d.nextPlace() {
+	if slack > 2*float64(waiting)*d.cautious(now) {
 		return
 	}
 	for _, g := range d.grants {
@@ -142,6 +142,20 @@
 	}
 }
 
+// cautious is nextPlace, but for a dispatcher that has seen no place come free
+// yet: there the longest use so far counts. Without, one that starts among long
+// answers hopes for a place at any moment, and its top tier misses its deadlines.
+func (d *Dispatcher) cautious(now time.Time) float64 {
+	if d.hold > 0 {
+		return d.nextPlace()
+	}
+	longest := 0.0
+	for _, g := range d.grants {
+		longest = max(longest, now.Sub(g.at).Seconds())
+	}
+	return longest / float64(max(d.used, 1))
+}
+
 // victim is the grant that costs least to preempt for a request: of the lowest
 // tier, and then the one with the most left to do, by what it was estimated and
 // has made. Its place must be one that the request can take: else a lower tier
--- a/dispatcher/policy_test.go
+++ b/dispatcher/policy_test.go
@@ -59,6 +59,15 @@
 		Expect(only[messenger.Grant](out)).To(ConsistOf(HaveField("Request", "one")))
 	})
 
+	// The dispatcher has just begun, and has seen no place come free, when trip plans
+	// take them all. Checks waited for the plans' end, past their deadlines.
+	It("gets a place back in time from a dispatcher that has seen none come free", func() {
+		d, now := started(1, 2), ready
+		fillWith(d, now, "letter", 2, nil)
+		Expect(d.Handle(now, "a", ask("one", "check"))).To(BeEmpty())
+		Expect(only[messenger.Preempt](d.Tick(now.Add(600 * time.Millisecond)))).To(HaveLen(1))
+	})
+
 	It("waits where a place comes in time anyway", func() {
 		d, now := busy(2, 20*time.Millisecond)
 		fillWith(d, now, "letter", 2, nil)
