--- a/scripter/scripter_test.go
+++ b/scripter/scripter_test.go
@@ -34,6 +34,9 @@
 	"streaming": cmdStreaming,
 	"expect":    cmdExpect,
 	"same":      cmdSame,
+	"before":    cmdBefore,
+	"flood":     cmdFlood,
+	"ebb":       cmdEbb,
 	"ran":       cmdRan,
 }
 
