Proofs of renewed/silence, draining/silence, drained/freeze; urgent/kill kills the dispatcher

Cause: the matrix listed three cells as not proved. Change: member/silence and stop/silence put a link that swallows what open connections carry between a host and the platform (a new command, renewed, watches the lease there); a spec plays a host that freezes after Left and returns. urgent/kill now waits until two quotes queue at the dispatcher and kills that host (a new command, dispatches): cell queued/kill. Seen red: member/silence with the Object API's call timeout at an hour; the spec without m.ended in told (its like in Tick is not needed for it: the spec stays green without); urgent/full without preempting; progress/burst without the starving place. stop/silence stays green with the call timeout at an hour: hosts hear of a leaving one from each other too.

--- a/registrar/members_test.go
+++ b/registrar/members_test.go
@@ -241,6 +241,27 @@
 		Entry("store down and doubled frames", Label(prover.Pair(prover.Draining, prover.StoreDown, prover.Draining, prover.Reorder)), prover.StoreDown, prover.Reorder),
 	)
 
+	// Story: a host has said goodbye and freezes before its process ends. When it
+	// returns it finds the others' beats in its sockets, and its clock has run on: it
+	// must not come back on any roster, nor declare others dead.
+	It("a host that freezes after it has left does nothing when it returns", Label(prover.Cell(prover.Drained, prover.Freeze)), func() {
+		f := newFleet(9, 4, 1)
+		f.leave(victim)
+		f.run(time.Second)
+		n := f.nodes[victim]
+		f.freeze(victim)
+		f.act(n, victim, n.m.Left(epoch(f.now)))
+		delete(f.records, victim)
+		f.run(10 * time.Second)
+		sent := n.sent
+		f.thaw(victim)
+		f.run(10 * time.Second)
+		Expect(n.sent).To(Equal(sent))
+		Expect(f.died).To(BeEmpty())
+		n.up = false
+		Expect(f.views()).To(ConsistOf(f.up()))
+	})
+
 	// Story: a host is stopped and dies, or freezes, or loses its links before it is
 	// through. The others must not wait for it.
 	DescribeTable("a leaving host that fails is gone like any other",
--- a/scripter/look_test.go
+++ b/scripter/look_test.go
@@ -95,6 +95,44 @@
 	return s, json.NewDecoder(resp.Body).Decode(&s)
 }
 
+// cmdDispatches is `dispatches HOST GRANTED WAITING`: waits until the host is the
+// dispatcher of a cell with so many requests granted, and so many waiting.
+func cmdDispatches(ts *testscript.TestScript, _ bool, args []string) {
+	want := strings.Join(args[1:], " ")
+	eventually(ts, func() error {
+		s, err := worldOf(ts).state(args[0])
+		if err != nil {
+			return err
+		}
+		got := "none"
+		for _, c := range s.Cells {
+			if got = fmt.Sprint(len(c.Granted), len(c.Waiting)); got == want {
+				return nil
+			}
+		}
+		return fmt.Errorf("%s dispatches %s, not %s", args[0], got, want)
+	})
+}
+
+// cmdRenewed is `renewed PLATFORM HOST`: waits until the host has renewed its lease
+// after now.
+func cmdRenewed(ts *testscript.TestScript, _ bool, args []string) {
+	path := "http://" + worldOf(ts).addresses[args[0]] + "/objects/leases/" + args[1]
+	version := func() string {
+		resp, err := http.Get(path)
+		ts.Check(err)
+		_ = resp.Body.Close()
+		return resp.Header.Get("ETag")
+	}
+	before := version()
+	eventually(ts, func() error {
+		if now := version(); now == before || now == "" {
+			return fmt.Errorf("the lease of %s has version %q since the wait began", args[1], now)
+		}
+		return nil
+	})
+}
+
 // cmdRoster is `roster HOST N`: waits until the host knows N hosts that are not leaving.
 func cmdRoster(ts *testscript.TestScript, _ bool, args []string) {
 	want, err := strconv.Atoi(args[1])
