--- a/scripter/call_test.go
+++ b/scripter/call_test.go
@@ -58,8 +58,10 @@
 	}
 	if kind, n, ok := strings.Cut(path, ":"); ok {
 		path = "/v1/chat/completions"
-		least := map[string]string{"chat": "0", "exact": n}[kind]
-		body = fmt.Sprintf(`{"model":"lm","stream":true,"max_tokens":%s,"min_tokens":%s,"messages":[{"role":"user","content":%q}]}`, n, least, name)
+		if kind == "exact" {
+			n += `,"min_tokens":` + n
+		}
+		body = fmt.Sprintf(`{"model":"lm","stream":true,"max_tokens":%s,"messages":[{"role":"user","content":%q}]}`, n, name)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), 3*patience)
 	c := &call{cancel: cancel, ended: make(chan struct{})}
--- a/scripter/scripter_test.go
+++ b/scripter/scripter_test.go
@@ -6,6 +6,8 @@
 import (
 	"os"
 	"path/filepath"
+	"slices"
+	"strings"
 	"syscall"
 	"testing"
 
@@ -54,6 +56,7 @@
 	if err != nil || len(folders) == 0 {
 		t.Fatalf("no scenarios: %v", err)
 	}
+	commands["each"] = cmdEach // it uses the table itself
 	for _, folder := range folders {
 		if folder == baseFolder {
 			continue
@@ -70,3 +73,18 @@
 		})
 	}
 }
+
+// cmdEach is `each NAME... : COMMAND [ARG...]`: the command once for each name, with
+// the name in place of % in its arguments.
+func cmdEach(ts *testscript.TestScript, neg bool, args []string) {
+	colon := slices.Index(args, ":")
+	command := commands[args[colon+1]]
+	for _, name := range args[:colon] {
+		var filled []string
+		for _, a := range args[colon+2:] {
+			filled = append(filled, strings.ReplaceAll(a, "%", name))
+		}
+		ts.Logf("%s %v", args[colon+1], filled)
+		command(ts, neg, filled)
+	}
+}
