--- a/scripter/look_test.go
+++ b/scripter/look_test.go
@@ -133,48 +133,45 @@
 	})
 }
 
-// cmdRoster is `roster HOST N`: waits until the host knows N hosts that are not leaving.
-func cmdRoster(ts *testscript.TestScript, _ bool, args []string) {
-	want, err := strconv.Atoi(args[1])
-	ts.Check(err)
-	eventually(ts, func() error {
-		s, err := worldOf(ts).state(args[0])
-		if err != nil {
-			return err
-		}
-		n := 0
-		for _, h := range s.Roster {
-			if !h.Leaving {
-				n++
+// cmdCount returns a command `NAME HOST N`: waits until the host's state shows N of
+// what count counts.
+func cmdCount(what string, count func(runner.State) int) func(*testscript.TestScript, bool, []string) {
+	return func(ts *testscript.TestScript, _ bool, args []string) {
+		want, err := strconv.Atoi(args[1])
+		ts.Check(err)
+		eventually(ts, func() error {
+			s, err := worldOf(ts).state(args[0])
+			if err != nil {
+				return err
 			}
-		}
-		if n != want {
-			return fmt.Errorf("%s knows %d hosts, not %d", args[0], n, want)
-		}
-		return nil
-	})
+			if n := count(s); n != want {
+				return fmt.Errorf("%s has %d %s, not %d", args[0], n, what, want)
+			}
+			return nil
+		})
+	}
 }
 
-// cmdKept is `kept HOST N`: waits until the host keeps N partitions of keys.
-func cmdKept(ts *testscript.TestScript, _ bool, args []string) {
-	want, err := strconv.Atoi(args[1])
-	ts.Check(err)
-	eventually(ts, func() error {
-		s, err := worldOf(ts).state(args[0])
-		if err != nil {
-			return err
+// staying is how many hosts a host knows that are not leaving.
+func staying(s runner.State) int {
+	n := 0
+	for _, h := range s.Roster {
+		if !h.Leaving {
+			n++
 		}
-		n := 0
-		for _, k := range s.Keepers {
-			if k.Ready {
-				n++
-			}
-		}
-		if n != want {
-			return fmt.Errorf("%s keeps %d partitions, not %d", args[0], n, want)
+	}
+	return n
+}
+
+// kept is how many partitions of keys a host keeps.
+func kept(s runner.State) int {
+	n := 0
+	for _, k := range s.Keepers {
+		if k.Ready {
+			n++
 		}
-		return nil
-	})
+	}
+	return n
 }
 
 // cmdForce is `force HOST HOST2...`: waits until every host has the same
