--- a/scripter/look_test.go
+++ b/scripter/look_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"os/exec"
@@ -133,6 +134,22 @@
 	})
 }
 
+// cmdObject is `object PLATFORM KEY TEXT`: waits until the object has that text.
+func cmdObject(ts *testscript.TestScript, _ bool, args []string) {
+	eventually(ts, func() error {
+		resp, err := http.Get("http://" + worldOf(ts).addresses[args[0]] + "/objects/" + args[1])
+		if err != nil {
+			return err
+		}
+		defer resp.Body.Close()
+		text, err := io.ReadAll(resp.Body)
+		if err == nil && !strings.Contains(string(text), args[2]) {
+			err = fmt.Errorf("%s is %s", args[1], text)
+		}
+		return err
+	})
+}
+
 // cmdCount returns a command `NAME HOST N`: waits until the host's state shows N of
 // what count counts.
 func cmdCount(what string, count func(runner.State) int) func(*testscript.TestScript, bool, []string) {
--- a/scripter/scripter_test.go
+++ b/scripter/scripter_test.go
@@ -29,6 +29,7 @@
 	"operate":    cmdOperate,
 	"ready":      cmdReady,
 	"roster":     cmdCount("hosts", staying),
+	"object":     cmdObject,
 	"renewed":    cmdRenewed,
 	"dispatches": cmdDispatches,
 	"force":      cmdForce,
