--- a/runner/keeping.go
+++ b/runner/keeping.go
@@ -38,6 +38,7 @@
 	opened     time.Time            // when partitions were last looked through
 	calls      map[string]*onceCall // of this host's entry, by request
 	places     uint64               // asked for so far
+	due        time.Time            // when the next tick is
 }
 
 const (
@@ -96,6 +97,7 @@
 
 // take takes an event about calls that must not be repeated.
 func (k *keeping) take(now time.Time, e event) {
+	k.soon(now)
 	switch e := e.(type) {
 	case onceAsked:
 		k.begin(now, e)
@@ -108,7 +110,7 @@
 	case layoutKnown:
 		k.partitions = e.partitions
 	case busyAsked:
-		e.reply <- k.busy(now)
+		e.reply <- k.busy()
 	}
 }
 
@@ -117,6 +119,7 @@
 	if k == nil {
 		return
 	}
+	k.soon(now)
 	switch m := m.(type) {
 	case messenger.Once:
 		k.asked(now, from, m)
@@ -178,7 +181,7 @@
 			k.owned[partition] = now
 			continue
 		}
-		if p := k.keeperOf(partition); !leaving && now.Sub(since) >= openAfter && !p.keeper.Summary(now).Ready {
+		if p := k.keeperOf(partition); !leaving && now.Sub(since) >= openAfter && !p.keeper.Summary().Ready {
 			k.handle(now, p, keeper.Opened{})
 		}
 	}
@@ -247,7 +250,7 @@
 
 // tick lets time pass for keepers and for the entry's calls.
 func (k *keeping) tick(now time.Time) {
-	if k == nil {
+	if k == nil || now.Before(k.due) {
 		return
 	}
 	for _, p := range k.keepers {
@@ -257,16 +260,17 @@
 				delete(p.payloads, request)
 			}
 		}
-		if s := p.keeper.Summary(now); s.Epoch != p.epoch {
+		if s := p.keeper.Summary(); s.Epoch != p.epoch {
 			k.log.Info("partition", zap.Int("partition", p.partition), zap.Uint64("epoch", s.Epoch), zap.Bool("ready", s.Ready))
 			p.epoch = s.Epoch
 		}
 	}
-	k.metrics.gauge(now, k.keepers)
+	k.metrics.gauge(k.keepers)
 	for _, c := range k.calls {
 		k.watch(now, c)
 	}
 	k.open(now)
+	k.rearm(now)
 }
 
 // enroll hands over the partitions that have a new owner.
@@ -274,6 +278,7 @@
 	if k == nil {
 		return
 	}
+	k.soon(now)
 	for partition, p := range k.keepers {
 		if owner, ok := r.Owner(role(partition)); ok && owner.Name != k.control.self {
 			k.handle(now, p, keeper.Retired{})
@@ -311,13 +316,13 @@
 }
 
 // busy is the operations in flight at this host's keepers.
-func (k *keeping) busy(now time.Time) int {
+func (k *keeping) busy() int {
 	n := 0
 	if k == nil {
 		return n
 	}
 	for _, p := range k.keepers {
-		n += p.keeper.Summary(now).Operations
+		n += p.keeper.Summary().Operations
 	}
 	return n
 }
@@ -327,9 +332,8 @@
 	if k == nil {
 		return out
 	}
-	now := time.Now()
 	for partition, p := range k.keepers {
-		out[partition] = p.keeper.Summary(now)
+		out[partition] = p.keeper.Summary()
 	}
 	return out
 }
--- a/scripter/look_test.go
+++ b/scripter/look_test.go
@@ -180,11 +180,11 @@
 	return n
 }
 
-// kept is how many partitions of keys a host keeps.
+// kept is how many partitions of keys a host keeps, with the Object API at hand.
 func kept(s runner.State) int {
 	n := 0
 	for _, k := range s.Keepers {
-		if k.Ready {
+		if k.Ready && !k.Down {
 			n++
 		}
 	}
