--- a/scripter/look_test.go
+++ b/scripter/look_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"os/exec"
@@ -95,49 +96,99 @@
 	return s, json.NewDecoder(resp.Body).Decode(&s)
 }
 
-// cmdRoster is `roster HOST N`: waits until the host knows N hosts that are not leaving.
-func cmdRoster(ts *testscript.TestScript, _ bool, args []string) {
-	want, err := strconv.Atoi(args[1])
-	ts.Check(err)
+// cmdDispatches is `dispatches HOST GRANTED WAITING`: waits until the host is the
+// dispatcher of a cell with so many requests granted, and so many waiting.
+func cmdDispatches(ts *testscript.TestScript, _ bool, args []string) {
+	want := strings.Join(args[1:], " ")
 	eventually(ts, func() error {
 		s, err := worldOf(ts).state(args[0])
 		if err != nil {
 			return err
 		}
-		n := 0
-		for _, h := range s.Roster {
-			if !h.Leaving {
-				n++
+		got := "none"
+		for _, c := range s.Cells {
+			if got = fmt.Sprint(len(c.Granted), len(c.Waiting)); got == want {
+				return nil
 			}
 		}
-		if n != want {
-			return fmt.Errorf("%s knows %d hosts, not %d", args[0], n, want)
+		return fmt.Errorf("%s dispatches %s, not %s", args[0], got, want)
+	})
+}
+
+// cmdRenewed is `renewed PLATFORM HOST`: waits until the host has renewed its lease
+// after now.
+func cmdRenewed(ts *testscript.TestScript, _ bool, args []string) {
+	path := "http://" + worldOf(ts).addresses[args[0]] + "/objects/leases/" + args[1]
+	version := func() string {
+		resp, err := http.Get(path)
+		ts.Check(err)
+		_ = resp.Body.Close()
+		return resp.Header.Get("ETag")
+	}
+	before := version()
+	eventually(ts, func() error {
+		if now := version(); now == before || now == "" {
+			return fmt.Errorf("the lease of %s has version %q since the wait began", args[1], now)
 		}
 		return nil
 	})
 }
 
-// cmdKept is `kept HOST N`: waits until the host keeps N partitions of keys, and none
-// of their keepers lacks the Object API.
-func cmdKept(ts *testscript.TestScript, _ bool, args []string) {
-	want, err := strconv.Atoi(args[1])
-	ts.Check(err)
+// cmdObject is `object PLATFORM KEY TEXT`: waits until the object has that text.
+func cmdObject(ts *testscript.TestScript, _ bool, args []string) {
 	eventually(ts, func() error {
-		s, err := worldOf(ts).state(args[0])
+		resp, err := http.Get("http://" + worldOf(ts).addresses[args[0]] + "/objects/" + args[1])
 		if err != nil {
 			return err
 		}
-		n := 0
-		for _, k := range s.Keepers {
-			if k.Ready && !k.Down {
-				n++
+		defer resp.Body.Close()
+		text, err := io.ReadAll(resp.Body)
+		if err == nil && !strings.Contains(string(text), args[2]) {
+			err = fmt.Errorf("%s is %s", args[1], text)
+		}
+		return err
+	})
+}
+
+// cmdCount returns a command `NAME HOST N`: waits until the host's state shows N of
+// what count counts.
+func cmdCount(what string, count func(runner.State) int) func(*testscript.TestScript, bool, []string) {
+	return func(ts *testscript.TestScript, _ bool, args []string) {
+		want, err := strconv.Atoi(args[1])
+		ts.Check(err)
+		eventually(ts, func() error {
+			s, err := worldOf(ts).state(args[0])
+			if err != nil {
+				return err
 			}
+			if n := count(s); n != want {
+				return fmt.Errorf("%s has %d %s, not %d", args[0], n, what, want)
+			}
+			return nil
+		})
+	}
+}
+
+// staying is how many hosts a host knows that are not leaving.
+func staying(s runner.State) int {
+	n := 0
+	for _, h := range s.Roster {
+		if !h.Leaving {
+			n++
 		}
-		if n != want {
-			return fmt.Errorf("%s keeps %d partitions, not %d", args[0], n, want)
+	}
+	return n
+}
+
+// kept is how many partitions of keys a host keeps, with the Object API at hand.
+func kept(s runner.State) int {
+	n := 0
+	for _, k := range s.Keepers {
+		if k.Ready && !k.Down {
+			n++
 		}
-		return nil
-	})
+	}
+	return n
 }
 
 // cmdForce is `force HOST HOST2...`: waits until every host has the same
--- a/scripter/scripter_test.go
+++ b/scripter/scripter_test.go
@@ -6,6 +6,8 @@
 import (
 	"os"
 	"path/filepath"
+	"slices"
+	"strings"
 	"syscall"
 	"testing"
 
@@ -13,29 +15,35 @@
 )
 
 var commands = map[string]func(*testscript.TestScript, bool, []string){
-	"start":     cmdStart,
-	"sigkill":   cmdSignal(syscall.SIGKILL), // testscript has a kill of its own
-	"freeze":    cmdSignal(syscall.SIGSTOP),
-	"thaw":      cmdSignal(syscall.SIGCONT),
-	"term":      cmdSignal(syscall.SIGTERM),
-	"gone":      cmdGone,
-	"platform":  cmdPlatform,
-	"fault":     cmdFault,
-	"link":      cmdLink,
-	"leave":     cmdLeave,
-	"push":      cmdPush,
-	"operate":   cmdOperate,
-	"ready":     cmdReady,
-	"roster":    cmdRoster,
-	"force":     cmdForce,
-	"kept":      cmdKept,
-	"class":     cmdClass,
-	"call":      cmdCall,
-	"streaming": cmdStreaming,
-	"expect":    cmdExpect,
-	"same":      cmdSame,
-	"page":      cmdPage,
-	"ran":       cmdRan,
+	"start":      cmdStart,
+	"sigkill":    cmdSignal(syscall.SIGKILL), // testscript has a kill of its own
+	"freeze":     cmdSignal(syscall.SIGSTOP),
+	"thaw":       cmdSignal(syscall.SIGCONT),
+	"term":       cmdSignal(syscall.SIGTERM),
+	"gone":       cmdGone,
+	"platform":   cmdPlatform,
+	"fault":      cmdFault,
+	"link":       cmdLink,
+	"leave":      cmdLeave,
+	"push":       cmdPush,
+	"operate":    cmdOperate,
+	"ready":      cmdReady,
+	"roster":     cmdCount("hosts", staying),
+	"object":     cmdObject,
+	"renewed":    cmdRenewed,
+	"dispatches": cmdDispatches,
+	"force":      cmdForce,
+	"kept":       cmdCount("partitions", kept),
+	"class":      cmdClass,
+	"call":       cmdCall,
+	"streaming":  cmdStreaming,
+	"expect":     cmdExpect,
+	"same":       cmdSame,
+	"page":       cmdPage,
+	"before":     cmdBefore,
+	"flood":      cmdFlood,
+	"ebb":        cmdEbb,
+	"ran":        cmdRan,
 }
 
 func TestScenarios(t *testing.T) {
@@ -50,6 +58,7 @@
 	if err != nil || len(folders) == 0 {
 		t.Fatalf("no scenarios: %v", err)
 	}
+	commands["each"] = cmdEach // it uses the table itself
 	for _, folder := range folders {
 		if folder == baseFolder {
 			continue
@@ -67,3 +76,18 @@
 		})
 	}
 }
+
+// cmdEach is `each NAME... : COMMAND [ARG...]`: the command once for each name, with
+// the name in place of % in its arguments.
+func cmdEach(ts *testscript.TestScript, neg bool, args []string) {
+	colon := slices.Index(args, ":")
+	command := commands[args[colon+1]]
+	for _, name := range args[:colon] {
+		var filled []string
+		for _, a := range args[colon+2:] {
+			filled = append(filled, strings.ReplaceAll(a, "%", name))
+		}
+		ts.Logf("%s %v", args[colon+1], filled)
+		command(ts, neg, filled)
+	}
+}
