Look through the workers without making a copy of them

Cause: each host goes over all workers of the fleet once a second, to log and pass on changes: a sorted copy, a joined name for each. Ruled out: only its own cells' workers: a leaving worker is logged, counted and left out of its cells by each host (a host that takes a cell over knows). Change: Observer.All yields states; only those that changed are sorted.

--- a/observer/observer.go
+++ b/observer/observer.go
@@ -8,6 +8,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"maps"
 	"slices"
 	"time"
@@ -200,22 +201,40 @@
 
 // States is the state of every worker, in order.
 func (o *Observer) States(now time.Time) []State {
-	out := []State{}
-	for k, x := range o.workers {
-		s := State{Service: k.service, Name: k.name, Address: x.Address, Present: x.present(now), Report: x.report}
-		switch {
-		case s.Present:
-		case x.reported:
-			s.Why = "report"
-		case x.listed:
-			s.Why = "list"
-		default:
-			s.Why = "refusal"
-		}
-		out = append(out, s)
-	}
-	slices.SortFunc(out, func(a, b State) int {
+	out := slices.AppendSeq([]State{}, o.All(now))
+	Sort(out)
+	return out
+}
+
+// Sort puts states in the order of their services and names.
+func Sort(states []State) {
+	slices.SortFunc(states, func(a, b State) int {
 		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Name, b.Name))
 	})
-	return out
+}
+
+// All is the state of every worker, in no order. Each host goes over all workers
+// of the fleet, so this allocates nothing.
+func (o *Observer) All(now time.Time) iter.Seq[State] {
+	return func(yield func(State) bool) {
+		for k, x := range o.workers {
+			if !yield(x.state(now, k)) {
+				return
+			}
+		}
+	}
+}
+
+func (w *worker) state(now time.Time, k key) State {
+	s := State{Service: k.service, Name: k.name, Address: w.Address, Present: w.present(now), Report: w.report}
+	switch {
+	case s.Present:
+	case w.reported:
+		s.Why = "report"
+	case w.listed:
+		s.Why = "list"
+	default:
+		s.Why = "refusal"
+	}
+	return s
 }
--- a/runner/control.go
+++ b/runner/control.go
@@ -66,8 +66,8 @@
 	owned       map[string]*dispatcher.Dispatcher
 	calls       map[string]*call
 	observer    observer.Observer
-	present     map[string]bool // by service/worker, as last told to the dispatchers
-	away        *atomic.Int64   // workers that get nothing new
+	present     map[workerName]bool // as last told to the dispatchers
+	away        *atomic.Int64       // workers that get nothing new
 	limiting    limiting
 	attempt     uint64            // of the last Ask or Claim
 	epochs      map[string]uint64 // highest seen of each cell
@@ -81,7 +81,7 @@
 	return &control{
 		self: self, epoch: epoch, sender: s, log: log, events: make(chan event, eventBacklog), ended: make(chan struct{}),
 		cells: map[string]dispatcher.Cell{}, byService: map[string][]string{},
-		owned: map[string]*dispatcher.Dispatcher{}, calls: map[string]*call{}, present: map[string]bool{}, away: &atomic.Int64{},
+		owned: map[string]*dispatcher.Dispatcher{}, calls: map[string]*call{}, present: map[workerName]bool{}, away: &atomic.Int64{},
 		epochs: map[string]uint64{},
 	}
 }
--- a/runner/observing.go
+++ b/runner/observing.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -152,36 +153,54 @@
 	}
 }
 
+// workerName names a worker.
+type workerName struct{ service, name string }
+
 // observed says whether the workers that may get new work have changed, and
 // logs each change.
 func (c *control) observed(now time.Time) bool {
-	changed := false
-	seen := map[string]bool{}
+	var fresh []observer.State // those that are new or otherwise than before
 	var away int64
-	for _, s := range c.observer.States(now) {
-		name := s.Service + "/" + s.Name
-		seen[name] = true
+	count := 0
+	for s := range c.observer.All(now) {
+		count++
 		if !s.Present {
 			away++
 		}
-		before, known := c.present[name]
-		if known && before == s.Present {
-			continue
-		}
-		changed = true
-		c.present[name] = s.Present
-		if known || !s.Present {
-			c.log.Info("worker", zap.String("service", s.Service), zap.String("worker", s.Name), zap.Bool("present", s.Present), zap.String("why", s.Why))
-		}
-	}
-	for name := range c.present {
-		if !seen[name] {
-			delete(c.present, name)
-			changed = true
+		if before, known := c.present[workerName{s.Service, s.Name}]; !known || before != s.Present {
+			fresh = append(fresh, s)
 		}
 	}
 	c.away.Store(away)
-	return changed
+	observer.Sort(fresh)
+	for _, s := range fresh {
+		c.note(s)
+	}
+	return c.forget(now, count) || len(fresh) > 0
+}
+
+// note takes a worker's new state.
+func (c *control) note(s observer.State) {
+	n := workerName{s.Service, s.Name}
+	_, known := c.present[n]
+	c.present[n] = s.Present
+	if known || !s.Present {
+		c.log.Info("worker", zap.String("service", s.Service), zap.String("worker", s.Name), zap.Bool("present", s.Present), zap.String("why", s.Why))
+	}
+}
+
+// forget drops the workers that are not among the count known now, and says
+// whether there were any.
+func (c *control) forget(now time.Time, count int) bool {
+	if len(c.present) == count {
+		return false
+	}
+	seen := map[workerName]bool{}
+	for s := range c.observer.All(now) {
+		seen[workerName{s.Service, s.Name}] = true
+	}
+	maps.DeleteFunc(c.present, func(n workerName, _ bool) bool { return !seen[n] })
+	return true
 }
 
 // tellRefusal tells the dispatchers of a worker's cells that it refused a call.
