--- a/runner/control.go
+++ b/runner/control.go
@@ -243,6 +243,7 @@
 }
 
 func (c *control) ask(now time.Time, e placeAsked) {
+	c.limiting.wake(now)
 	cells := c.byService[e.service]
 	if len(cells) == 0 {
 		e.reply <- placeReply{refusal: &server.Refusal{Reason: "no_workers", After: time.Second}}
