--- a/server/caller_test.go
+++ b/server/caller_test.go
@@ -42,8 +42,7 @@
 var _ = Describe("a request that can't be taken", func() {
 	DescribeTable("is refused with a code, and not run",
 		func(change func(r *http.Request), status int, code string) {
-			s := newStand(options{resume: true, limits: func(l *loader.Limits) { l.Body = 4096 }})
-			defer s.close()
+			s := stood(options{resume: true, limits: func(l *loader.Limits) { l.Body = 4096 }})
 			r := s.request(context.Background(), "/v1/chat/completions", completionBody(true))
 			change(r)
 			g := s.send(r)
@@ -67,8 +66,7 @@
 
 	It("is told when to come back by its limits", func() {
 		l := &strict{left: 1}
-		s := newStand(options{limiter: l})
-		defer s.close()
+		s := stood(options{limiter: l})
 		Expect(s.stream().whole()).To(Succeed())
 		g := s.stream()
 		Expect(g.status).To(Equal(429))
@@ -91,8 +89,7 @@
 // get in, and trip plans are the first that don't.
 var _ = Describe("a host that is nearly full", func() {
 	It("refuses the lowest tier first, and keeps places for the most urgent", func() {
-		s := newStand(options{limits: func(l *loader.Limits) { l.Calls = 10 }})
-		defer s.close()
+		s := stood(options{limits: func(l *loader.Limits) { l.Calls = 10 }})
 		s.places.hold = make(chan struct{})
 		ctx, leave := context.WithCancel(context.Background())
 		var callers sync.WaitGroup
@@ -124,8 +121,7 @@
 	})
 
 	It("bounds the bytes that it holds", func() {
-		s := newStand(options{limits: func(l *loader.Limits) { l.Buffer = 100 << 10 }})
-		defer s.close()
+		s := stood(options{limits: func(l *loader.Limits) { l.Buffer = 100 << 10 }})
 		s.places.hold = make(chan struct{})
 		ctx, leave := context.WithCancel(context.Background())
 		big := func() *http.Request { return s.request(ctx, "/services/desk/log", strings.Repeat("x", 60<<10)) }
@@ -142,8 +138,7 @@
 	})
 
 	It("bounds the connections that it keeps", func() {
-		s := newStand(options{limits: func(l *loader.Limits) { l.Calls, l.Read = 4, loader.Duration(time.Minute) }})
-		defer s.close()
+		s := stood(options{limits: func(l *loader.Limits) { l.Calls, l.Read = 4, loader.Duration(time.Minute) }})
 		address := strings.TrimPrefix(s.url, "http://")
 		var open []net.Conn
 		for range 8 {
@@ -170,8 +165,7 @@
 	// A caller sends its head and half of its body, and then nothing: cut off, gone
 	// silent, or slow on purpose.
 	It("gives up a caller that does not send its request", Label(prover.Cell(prover.Received, prover.Silence), prover.Cell(prover.Received, prover.Slow), prover.Cell(prover.Received, prover.Freeze), prover.Cell(prover.Received, prover.CutOne)), func() {
-		s := newStand(options{limits: func(l *loader.Limits) { l.Read = loader.Duration(silence) }})
-		defer s.close()
+		s := stood(options{limits: func(l *loader.Limits) { l.Read = loader.Duration(silence) }})
 		conn, err := net.Dial("tcp", strings.TrimPrefix(s.url, "http://"))
 		Expect(err).NotTo(HaveOccurred())
 		defer conn.Close()
@@ -190,8 +184,7 @@
 	// clean end would be taken for a whole one.
 	DescribeTable("that breaks off is tried elsewhere",
 		func(fault faker.Fault) {
-			s := newStand(options{})
-			defer s.close()
+			s := stood(options{})
 			s.faults.Plan([]faker.Fault{fault})
 			g := s.send(s.request(context.Background(), "/services/desk/quotes", "{}"))
 			Expect(g.status).To(Equal(http.StatusOK))
@@ -208,8 +201,7 @@
 
 	DescribeTable("of a call that must not be repeated is told as it is",
 		func(fault faker.Fault, code, run string, ran, asks int) {
-			s := newStand(options{})
-			defer s.close()
+			s := stood(options{})
 			s.faults.Plan([]faker.Fault{fault})
 			g := s.send(s.request(context.Background(), "/services/desk/holds", "{}"))
 			Expect(g.code).To(Equal(code))
@@ -224,8 +216,7 @@
 	)
 
 	It("that is too large to hold is passed on, and reset where it breaks", func() {
-		s := newStand(options{limits: func(l *loader.Limits) { l.Answer = 64 << 10 }})
-		defer s.close()
+		s := stood(options{limits: func(l *loader.Limits) { l.Answer = 64 << 10 }})
 		large := func() got {
 			return s.send(s.request(context.Background(), "/services/desk/log?size=1000000", ""))
 		}
@@ -239,8 +230,7 @@
 	})
 
 	It("of no told length that is too large to hold is reset where it breaks", func() {
-		s := newStand(options{limits: func(l *loader.Limits) { l.Answer = 16 }})
-		defer s.close()
+		s := stood(options{limits: func(l *loader.Limits) { l.Answer = 16 }})
 		address, _ := rawWorker("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n64\r\n" + strings.Repeat("x", 100) + "\r\n")
 		s.places.workers = []loader.Worker{{Name: "raw", Address: address, Slots: 1}}
 		g := s.send(s.request(context.Background(), "/services/desk/log", ""))
@@ -249,8 +239,7 @@
 
 	DescribeTable("by how it is framed",
 		func(method, answer string, status int) {
-			s := newStand(options{})
-			defer s.close()
+			s := stood(options{})
 			address, heads := rawWorker(answer)
 			s.places.workers = []loader.Worker{{Name: "old", Address: address, Slots: 1}}
 			r := s.request(context.Background(), "/services/desk/holds", "")
@@ -266,8 +255,7 @@
 	)
 
 	It("of an engine is not asked for in a form that can't be read", func() {
-		s := newStand(options{})
-		defer s.close()
+		s := stood(options{})
 		address, heads := rawWorker("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
 		s.places.workers = []loader.Worker{{Name: "raw", Address: address, Slots: 1}}
 		r := s.request(context.Background(), "/v1/chat/completions", completionBody(false))
@@ -302,16 +290,14 @@
 
 var _ = Describe("a stream", func() {
 	It("that lacks only its end mark gets it", Label(prover.Cell(prover.Acked, prover.CutBoth)), func() {
-		s := newStand(options{})
-		defer s.close()
+		s := stood(options{})
 		s.faults.Plan([]faker.Fault{{Kind: faker.Crash, At: faker.AtMark}})
 		Expect(s.stream().whole()).To(Succeed(), "the engine said why it ends: nothing is missing")
 		Expect(s.places.asks).To(HaveLen(1))
 	})
 
 	It("that ends cleanly before its end is not whole", func() {
-		s := newStand(options{})
-		defer s.close()
+		s := stood(options{})
 		s.faults.Plan([]faker.Fault{{Kind: faker.Short, At: 5}})
 		g := s.stream()
 		Expect(g.marked()).To(Succeed())
@@ -322,8 +308,7 @@
 
 	// The settings say that engines resume, but this one begins again.
 	It("of an engine that can't resume is not doubled", func() {
-		s := newStand(options{resume: true})
-		defer s.close()
+		s := stood(options{resume: true})
 		s.engine[1].SetResume(false)
 		s.faults.Plan([]faker.Fault{{Kind: faker.Crash, At: 5}})
 		Expect(s.stream().whole()).To(Succeed())
@@ -334,8 +319,7 @@
 	// All engines are down. Each request may be tried a few times, all together
 	// only as often as the budgets say.
 	It("is not retried beyond the budgets", func() {
-		s := newStand(options{resume: true})
-		defer s.close()
+		s := stood(options{resume: true})
 		s.faults.Set(faker.Fault{Kind: faker.Refuse})
 		for range 40 {
 			g := s.stream()
--- a/server/harness_test.go
+++ b/server/harness_test.go
@@ -16,6 +16,7 @@
 	"sync"
 	"time"
 
+	. "github.com/onsi/ginkgo/v2"
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
@@ -225,6 +226,13 @@
 	return s
 }
 
+// stood is a stand that its spec's end closes.
+func stood(o options) *stand {
+	s := newStand(o)
+	DeferCleanup(s.close)
+	return s
+}
+
 func (s *stand) folder(o options) *loader.Folder {
 	f := &loader.Folder{
 		Classes: map[string]loader.Class{
--- a/server/preempt_test.go
+++ b/server/preempt_test.go
@@ -22,8 +22,7 @@
 var _ = Describe("preemption", func() {
 	DescribeTable("of a request whose answer can go on",
 		func(at int, streamed bool) {
-			s := newStand(options{resume: true})
-			defer s.close()
+			s := stood(options{resume: true})
 			s.faults.Plan([]faker.Fault{
 				{Kind: faker.Trip, At: at, Hook: func(string) { s.places.preemptLast() }},
 				{Kind: faker.Silent, At: at}, // so that the answer can't end first
@@ -46,8 +45,7 @@
 	)
 
 	It("leaves a stream alone that has begun and can't be resumed", func() {
-		s := newStand(options{})
-		defer s.close()
+		s := stood(options{})
 		s.faults.Plan([]faker.Fault{{Kind: faker.Trip, At: 5, Hook: func(string) { s.places.preemptLast() }}})
 		Expect(s.stream().whole()).To(Succeed())
 		Expect(s.places.asks).To(HaveLen(1))
@@ -55,8 +53,7 @@
 	})
 
 	It("leaves a call alone that must not be repeated", func() {
-		s := newStand(options{resume: true})
-		defer s.close()
+		s := stood(options{resume: true})
 		s.faults.Plan([]faker.Fault{{Kind: faker.Late, Delay: silence, At: faker.AtHead, Hook: func(string) { s.places.preemptLast() }}})
 		Expect(s.send(s.request(context.Background(), "/services/desk/holds", "{}")).status).To(Equal(http.StatusOK))
 		Expect(s.places.asks).To(HaveLen(1))
@@ -67,8 +64,7 @@
 // place goes back, or the batch fills with answers that nobody reads.
 var _ = Describe("a caller that leaves", func() {
 	It("ends its engine call", Label(prover.Cell(prover.Mid, prover.CutBoth), prover.Cell(prover.Acked, prover.Kill)), func() {
-		s := newStand(options{resume: true})
-		defer s.close()
+		s := stood(options{resume: true})
 		ctx, leave := context.WithCancel(context.Background())
 		s.faults.Plan([]faker.Fault{{Kind: faker.Silent, At: 3}})
 		resp, err := s.client.Do(s.request(ctx, "/v1/chat/completions", completionBody(true)))
@@ -84,8 +80,7 @@
 	})
 
 	It("gives up its place in the queue", Label(prover.Cell(prover.Queued, prover.CutBoth), prover.Cell(prover.Queued, prover.Kill)), func() {
-		s := newStand(options{})
-		defer s.close()
+		s := stood(options{})
 		s.places.hold = make(chan struct{})
 		ctx, leave := context.WithCancel(context.Background())
 		over := make(chan got, 1)
@@ -100,8 +95,7 @@
 	// A caller that takes nothing holds its place, its engine's slot and its
 	// buffers, until the bound on a stalled caller ends it.
 	It("that stops reading is cut off within its bound", Label(prover.Cell(prover.Acked, prover.Silence), prover.Cell(prover.Acked, prover.Slow), prover.Cell(prover.Acked, prover.Freeze)), func() {
-		s := newStand(options{limits: func(l *loader.Limits) { l.Stall = loader.Duration(silence) }})
-		defer s.close()
+		s := stood(options{limits: func(l *loader.Limits) { l.Stall = loader.Duration(silence) }})
 		r := s.request(context.Background(), "/services/desk/log?size=16777216", "")
 		_, err := s.client.Do(r)
 		Expect(err).NotTo(HaveOccurred())
@@ -121,8 +115,7 @@
 	}
 	DescribeTable("is told of a refusal",
 		func(plan []faker.Fault, refusal func(int) error, code, run string) {
-			s := newStand(options{resume: true})
-			defer s.close()
+			s := stood(options{resume: true})
 			s.places.refusal = refusal
 			s.faults.Plan(plan)
 			g := s.stream()
@@ -139,8 +132,7 @@
 	)
 
 	It("is no at the deadline in the queue", Label(prover.Cell(prover.Queued, prover.Silence), prover.Cell(prover.Asked, prover.Kill), prover.Cell(prover.Asked, prover.Silence)), func() {
-		s := newStand(options{})
-		defer s.close()
+		s := stood(options{})
 		s.places.hold = make(chan struct{})
 		r := s.request(context.Background(), "/v1/chat/completions", completionBody(true))
 		r.Header.Set("Cicadawood-Deadline", "50")
@@ -154,8 +146,7 @@
 	// The worker died between its grant and the call.
 	DescribeTable("of a place whose worker can't be reached",
 		func(fail func(s *stand)) {
-			s := newStand(options{})
-			defer s.close()
+			s := stood(options{})
 			fail(s)
 			Expect(s.stream().whole()).To(Succeed())
 			Expect(s.places.released[0].Failed).To(BeTrue())
@@ -167,8 +158,7 @@
 
 	// A frozen middlebox forgot the open connections: the worker is well.
 	It("blames no worker for a connection that was forgotten", func() {
-		s := newStand(options{})
-		defer s.close()
+		s := stood(options{})
 		var hit atomic.Int32
 		s.faults.Plan(s.fault(prover.Silence, faker.AtHead, &hit))
 		Expect(s.stream().whole()).To(Succeed())
@@ -179,8 +169,7 @@
 	// The middlebox forgot them all: also those that lie idle, which the next try
 	// would take one after the other.
 	It("tries no connection that was forgotten with another", Label(prover.Cell(prover.Granted, prover.Silence)), func() {
-		s := newStand(options{})
-		defer s.close()
+		s := stood(options{})
 		s.places.workers = s.workers[:1]
 		Expect(together(3, func(int) error { return s.stream().whole() })).To(Succeed())
 		s.links["w0"].Set(faker.SilentOpen, 0)
@@ -190,8 +179,7 @@
 	})
 
 	It("takes a refused fencing number for not run, and asks for a new one", func() {
-		s := newStand(options{})
-		defer s.close()
+		s := stood(options{})
 		s.engine[0].SetFencing(true)
 		s.places.granted = func(p *server.Place) {
 			if p.Worker.Name == "w0" {
