A fencing number for each dispatcher, not for each grant

Cause: 64 keyed calls side by side at an engine that refuses old numbers did not all end with 200: each grant had a number of its own, calls arrive out of the order of their grants, and a refused one asks again and meets newer ones again, until its tries are used up. Ruled out: the keeper (it ran none twice); more tries (each refusal costs a grant and an intent's place). Change: the number is the epoch of the dispatcher that granted the place; a later dispatcher's is larger. The grant's own count stays in the grant, as its order. Conclusion: the server still refuses what an older dispatcher granted, which is what fencing is for.

--- a/dispatcher/overload.go
+++ b/dispatcher/overload.go
@@ -168,7 +168,7 @@
 			continue
 		}
 		left, _ := d.estimates.estimate(g.ask, g.made, d.options.Policy)
-		if best == nil || cmp.Or(cmp.Compare(g.class.config.Tier, best.class.config.Tier), cmp.Compare(left, most), cmp.Compare(g.fence, best.fence)) > 0 {
+		if best == nil || cmp.Or(cmp.Compare(g.class.config.Tier, best.class.config.Tier), cmp.Compare(left, most), cmp.Compare(g.order, best.order)) > 0 {
 			best, most = g, left
 		}
 	}
--- a/dispatcher/place.go
+++ b/dispatcher/place.go
@@ -9,7 +9,7 @@
 	"github.com/cicadawood/cicadawood/messenger"
 )
 
-// ordersBits is the low part of a fencing number, which counts the grants of an
+// ordersBits is the low part of a grant's order, which counts the grants of an
 // epoch; the epoch is the high part, so that it grows from one dispatcher of a
 // cell to the next too.
 const ordersBits = 22
@@ -30,7 +30,7 @@
 	class     *class
 	at        time.Time
 	ends      time.Time // its entry has cut it by then
-	fence     uint64
+	order     uint64
 	tokens    float64 // estimated
 	made      int
 	claimed   bool // of an earlier dispatcher
@@ -46,7 +46,7 @@
 func (g *grant) message(d *Dispatcher) messenger.Grant {
 	return messenger.Grant{
 		Request: g.ask.Request, Attempt: g.ask.Attempt, Cell: d.cell.Name, Worker: g.worker,
-		Epoch: d.epoch, Fence: g.fence, Wait: d.expected(g.class, nil), Class: g.class.name,
+		Epoch: d.epoch, Order: g.order, Wait: d.expected(g.class, nil), Class: g.class.name,
 	}
 }
 
@@ -148,7 +148,7 @@
 	g := &grant{
 		from: w.from, ask: w.ask, worker: p.name, class: w.class, at: now, renewed: now, tokens: w.tokens,
 		ends:  w.asked.Add(w.ask.Deadline + orphanGrace),
-		fence: d.epoch<<ordersBits | d.orders,
+		order: d.epoch<<ordersBits | d.orders,
 	}
 	d.occupy(g, p)
 	w.class.fed = now
--- a/messenger/message.go
+++ b/messenger/message.go
@@ -50,7 +50,7 @@
 	Cell     string        `msgpack:"cell"`
 	Worker   string        `msgpack:"worker"`
 	Epoch    uint64        `msgpack:"epoch"`
-	Fence    uint64        `msgpack:"fence"`
+	Order    uint64        `msgpack:"order"` // grows with each grant of the cell
 	Class    string        `msgpack:"class"`
 	Wait     time.Duration `msgpack:"wait"` // expected of the cell's next request of the class
 }
--- a/runner/calling.go
+++ b/runner/calling.go
@@ -75,7 +75,10 @@
 	}
 	c.epochs[g.Cell] = g.Epoch
 	k.worker = g.Worker
-	k.reply <- placeReply{place: server.Place{Request: g.Request, Cell: g.Cell, Worker: worker, Fence: g.Fence, Preempted: k.preempted}}
+	// The fencing number is the epoch, one for all grants of a dispatcher. One for
+	// each grant was tried: calls that go out side by side arrive out of order, and
+	// a worker that refuses old numbers refused them again and again.
+	k.reply <- placeReply{place: server.Place{Request: g.Request, Cell: g.Cell, Worker: worker, Fence: g.Epoch, Preempted: k.preempted}}
 }
 
 func (c *control) worker(cell, name string) (loader.Worker, bool) {
--- a/server/port.go
+++ b/server/port.go
@@ -28,7 +28,7 @@
 	Request string
 	Cell    string
 	Worker  loader.Worker
-	Fence   uint64
+	Fence   uint64 // the epoch of the dispatcher that granted it
 	// Preempted is closed when a higher tier needs the place.
 	Preempted <-chan struct{}
 }
