--- a/runner/drain_test.go
+++ b/runner/drain_test.go
@@ -39,7 +39,7 @@
 	// it, and the balancer still sends a few requests. All must end whole.
 	DescribeTable("cuts nothing",
 		func(faults faker.Faults) {
-			t := newTown("lm1", "lm2")
+			t := newFixture("lm1", "lm2")
 			a := t.start("a", "z1", nil)
 			t.start("b", "z2", nil)
 			Eventually(t.settled(2)).WithTimeout(10 * time.Second).Should(Succeed())
@@ -74,7 +74,7 @@
 	// told to stop meanwhile. Each must be answered, and have run once.
 	It("finishes what it runs for other hosts", Label(prover.Cell(prover.Draining, prover.Slow)), func() {
 		const holds = 12
-		t := newTownOf(faker.DefaultModel(), 3*time.Second, "lm1")
+		t := newFixtureOf(faker.DefaultModel(), 3*time.Second, "lm1")
 		a, b := t.start("a", "z1", nil), t.start("b", "z2", nil)
 		Eventually(t.settled(2)).WithTimeout(10 * time.Second).Should(Succeed())
 		answers := make(chan answer, holds)
@@ -107,7 +107,7 @@
 		func(limit time.Duration, hurry func(h *running)) {
 			model := faker.DefaultModel()
 			model.Slow = 1000 // a token takes longer than the test
-			t := newTownOf(model, time.Millisecond, "lm1")
+			t := newFixtureOf(model, time.Millisecond, "lm1")
 			a := t.start("a", "z1", func(s *loader.Host) { s.Limits.Drain = loader.Duration(limit) })
 			Eventually(t.settled(1)).WithTimeout(10 * time.Second).Should(Succeed())
 			going := stream(a, 100000)
@@ -127,7 +127,7 @@
 	// Story: every host is replaced, one after the other, while callers go on. Not
 	// one of them may see a broken connection, a refusal or a cut stream.
 	It("rolling replacement of all hosts under load cuts nothing", Label(prover.Cell(prover.HandedOver, prover.Slow), prover.Cell(prover.Drained, prover.Slow)), func() {
-		t := newTown("lm1", "lm2", "lm3")
+		t := newFixture("lm1", "lm2", "lm3")
 		for i := range 3 {
 			t.start(fmt.Sprint("old", i), fmt.Sprint("z", i), nil)
 		}
--- a/runner/fencing_test.go
+++ b/runner/fencing_test.go
@@ -37,7 +37,7 @@
 // get a new grant, and must all end whole, each run once.
 var _ = Describe("Keyed calls at an engine that refuses old fencing numbers", func() {
 	It("run once each, and end whole", func() {
-		t := &town{platform: faker.NewPlatform(), hosts: map[string]*running{}}
+		t := &fixture{platform: faker.NewPlatform(), hosts: map[string]*running{}}
 		t.url = serve(t.platform.Handler())
 		counter := &faker.Counter{}
 		engine := faker.NewEngine("lm1", faker.Model{Step: time.Millisecond, Slots: 32}, counter)
--- a/runner/town_test.go
+++ b/runner/fixture_test.go
@@ -30,8 +30,8 @@
 // key is the API key of the test's organisation.
 const key = "demo-key"
 
-// town is hosts, backend servers and a platform in this process, on loopback.
-type town struct {
+// fixture is hosts, backend servers and a platform in this process, on loopback.
+type fixture struct {
 	platform *faker.Platform
 	url      string
 	engines  map[string]string // address by name
@@ -50,12 +50,12 @@
 	logs          *observer.ObservedLogs
 }
 
-func newTown(engines ...string) *town {
-	return newTownOf(faker.DefaultModel(), 10*time.Millisecond, engines...)
+func newFixture(engines ...string) *fixture {
+	return newFixtureOf(faker.DefaultModel(), 10*time.Millisecond, engines...)
 }
 
-func newTownOf(m faker.Model, took time.Duration, engines ...string) *town {
-	t := &town{platform: faker.NewPlatform(), engines: map[string]string{}, counters: map[string]*faker.Counter{}, holds: &faker.Counter{}, hosts: map[string]*running{}}
+func newFixtureOf(m faker.Model, took time.Duration, engines ...string) *fixture {
+	t := &fixture{platform: faker.NewPlatform(), engines: map[string]string{}, counters: map[string]*faker.Counter{}, holds: &faker.Counter{}, hosts: map[string]*running{}}
 	t.url = serve(t.platform.Handler())
 	var workers []string
 	for _, e := range engines {
@@ -80,7 +80,7 @@
 	return s.URL
 }
 
-func (t *town) push(text string) {
+func (t *fixture) push(text string) {
 	dir := GinkgoT().TempDir()
 	Expect(os.WriteFile(filepath.Join(dir, "all.jsonc"), []byte(text), 0o600)).To(Succeed())
 	var out bytes.Buffer
@@ -98,7 +98,7 @@
 }
 
 // start runs a host until it is told to stop.
-func (t *town) start(name, zone string, change func(*loader.Host)) *running {
+func (t *fixture) start(name, zone string, change func(*loader.Host)) *running {
 	settings := loader.Host{Name: name, Zone: zone, Region: "r", Listen: freeAddress(), Control: freeAddress(), Admin: freeAddress(), Platform: t.url}
 	settings.Limits.Settle = loader.Duration(200 * time.Millisecond)
 	if change != nil {
@@ -147,7 +147,7 @@
 }
 
 // settled says whether every host knows n hosts, none of them leaving.
-func (t *town) settled(n int) func() error {
+func (t *fixture) settled(n int) func() error {
 	return func() error {
 		for name, h := range t.hosts {
 			if len(h.done) > 0 {
@@ -188,7 +188,7 @@
 
 // balancer is the platform's: it sends callers to hosts that were ready lately.
 type balancer struct {
-	t    *town
+	t    *fixture
 	mu   sync.Mutex
 	list []string
 }
--- a/runner/keeping_test.go
+++ b/runner/keeping_test.go
@@ -36,7 +36,7 @@
 // key would fall into two partitions with two keepers, and the boat be held twice.
 var _ = Describe("Keys at hosts with unlike settings", func() {
 	It("fall into the same partitions", func() {
-		t := &town{platform: faker.NewPlatform(), hosts: map[string]*running{}}
+		t := &fixture{platform: faker.NewPlatform(), hosts: map[string]*running{}}
 		t.url = serve(t.platform.Handler())
 		counter := &faker.Counter{}
 		app := strings.TrimPrefix(serve(faker.NewService("app", time.Millisecond, counter).Handler()), "http://")
--- a/runner/metrics_test.go
+++ b/runner/metrics_test.go
@@ -11,7 +11,7 @@
 
 var _ = Describe("The metrics of a host", func() {
 	It("count what its dispatchers granted, by class", func() {
-		t := newTown("lm1")
+		t := newFixture("lm1")
 		h := t.start("a", "z1", nil)
 		Eventually(t.settled(1)).WithTimeout(10 * time.Second).Should(Succeed())
 		status, _, _, err := post(http.DefaultClient, h.listen, "/services/app/quote", "{}")
--- a/runner/observing_test.go
+++ b/runner/observing_test.go
@@ -17,8 +17,8 @@
 	// request sent there later would be cut with it. It must get nothing new within a
 	// few seconds, through any host, and keep what it has.
 	DescribeTable("gets nothing new",
-		func(say func(t *town)) {
-			t := newTown("lm1", "lm2")
+		func(say func(t *fixture)) {
+			t := newFixture("lm1", "lm2")
 			t.platform.Hosts.Set([]faker.ListedHost{}, 0)
 			a, b := t.start("a", "z1", nil), t.start("b", "z2", nil)
 			Eventually(t.settled(2)).WithTimeout(10 * time.Second).Should(Succeed())
@@ -48,13 +48,13 @@
 			}
 			Expect(t.counters["lm1"].Counts()).To(HaveLen(before))
 		},
-		Entry("by the host list", func(t *town) { t.list("lm1") }),
-		Entry("by its report and its refusal", func(t *town) { t.leave("lm1") }),
-		Entry("by its report and its refusal, with the platform down", Label(prover.Pair(prover.Granted, prover.StoreDown, prover.Granted, prover.LateList)), func(t *town) {
+		Entry("by the host list", func(t *fixture) { t.list("lm1") }),
+		Entry("by its report and its refusal", func(t *fixture) { t.leave("lm1") }),
+		Entry("by its report and its refusal, with the platform down", Label(prover.Pair(prover.Granted, prover.StoreDown, prover.Granted, prover.LateList)), func(t *fixture) {
 			t.platform.SetFaults(faker.Faults{Down: true})
 			t.leave("lm1")
 		}),
-		Entry("by its report, with a host list that is late", Label(prover.Cell(prover.Granted, prover.LateList), prover.Cell(prover.Sent, prover.LateList)), func(t *town) {
+		Entry("by its report, with a host list that is late", Label(prover.Cell(prover.Granted, prover.LateList), prover.Cell(prover.Sent, prover.LateList)), func(t *fixture) {
 			t.list()
 			t.leave("lm1")
 		}),
@@ -62,7 +62,7 @@
 })
 
 // list sets the host list: both engines live, but for those that are leaving.
-func (t *town) list(leaving ...string) {
+func (t *fixture) list(leaving ...string) {
 	var hosts []faker.ListedHost
 	for name, address := range t.engines {
 		h := faker.ListedHost{Service: "lm", Name: name, Address: address, Zone: "a", Slots: 16}
@@ -74,7 +74,7 @@
 	t.platform.Hosts.Set(hosts, 0)
 }
 
-func (t *town) leave(engine string) {
+func (t *fixture) leave(engine string) {
 	resp, err := http.Post("http://"+t.engines[engine]+"/leave", "", nil)
 	Expect(err).NotTo(HaveOccurred())
 	_ = resp.Body.Close()
