--- a/cmd/oncebench/simulation.go
+++ b/cmd/oncebench/simulation.go
@@ -1,12 +1,12 @@
 package main
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
 
+	"github.com/cicadawood/cicadawood/faker"
 	"github.com/cicadawood/cicadawood/keeper"
 )
 
@@ -41,8 +41,7 @@
 	rate    float64
 	random  *rand.Rand
 	keeper  *keeper.Keeper
-	events  events
-	serial  int
+	agenda  faker.Agenda
 	version uint64
 	began   map[string]time.Time
 	figures figures
@@ -59,18 +58,16 @@
 func (s *simulation) run() figures {
 	s.arrive()
 	s.tick()
-	for len(s.events) > 0 && !s.events[0].at.After(s.end) {
-		e := heap.Pop(&s.events).(event)
-		s.now = e.at
-		e.do()
+	for at, do, ok := s.agenda.Next(s.end); ok; at, do, ok = s.agenda.Next(s.end) {
+		s.now = at
+		do()
 	}
 	slices.Sort(s.figures.added)
 	return s.figures
 }
 
 func (s *simulation) after(d time.Duration, do func()) {
-	s.serial++
-	heap.Push(&s.events, event{s.now.Add(d), s.serial, do})
+	s.agenda.Add(s.now.Add(d), do)
 }
 
 // arrive starts a call and the wait for the next: arrivals don't wait for answers.
@@ -136,24 +133,3 @@
 	s.figures.writes++
 	s.figures.bytes += bytes
 }
-
-// event is something that happens at a time.
-type event struct {
-	at     time.Time
-	serial int
-	do     func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at.Before(e[j].at) || e[i].at.Equal(e[j].at) && e[i].serial < e[j].serial
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	x := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return x
-}
--- a/keeper/world_test.go
+++ b/keeper/world_test.go
@@ -1,10 +1,10 @@
 package keeper_test
 
 import (
-	"container/heap"
 	"fmt"
 	"time"
 
+	"github.com/cicadawood/cicadawood/faker"
 	"github.com/cicadawood/cicadawood/keeper"
 )
 
@@ -13,8 +13,7 @@
 type world struct {
 	now      time.Time
 	start    time.Time
-	events   events
-	serial   int
+	agenda   faker.Agenda
 	settings keeper.Settings
 	hosts    map[string]*host
 	entries  map[string]*entry
@@ -63,26 +62,6 @@
 
 type entry struct{ actor }
 
-type event struct {
-	at     time.Time
-	serial int
-	do     func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at.Before(e[j].at) || e[i].at.Equal(e[j].at) && e[i].serial < e[j].serial
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	x := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return x
-}
-
 const (
 	hop         = time.Millisecond
 	storeTime   = 5 * time.Millisecond
@@ -120,16 +99,14 @@
 }
 
 func (w *world) after(d time.Duration, do func()) {
-	w.serial++
-	heap.Push(&w.events, event{at: w.now.Add(d), serial: w.serial, do: do})
+	w.agenda.Add(w.now.Add(d), do)
 }
 
 func (w *world) play(length time.Duration) {
-	end := w.start.Add(length)
-	for len(w.events) > 0 && w.events[0].at.Before(end) {
-		e := heap.Pop(&w.events).(event)
-		w.now = e.at
-		e.do()
+	end := w.start.Add(length - 1) // before, not at
+	for at, do, ok := w.agenda.Next(end); ok; at, do, ok = w.agenda.Next(end) {
+		w.now = at
+		do()
 	}
 }
 
--- a/registrar/fleet_test.go
+++ b/registrar/fleet_test.go
@@ -1,13 +1,13 @@
 package registrar_test
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
 
+	"github.com/cicadawood/cicadawood/faker"
 	"github.com/cicadawood/cicadawood/messenger"
 	"github.com/cicadawood/cicadawood/registrar"
 )
@@ -20,28 +20,6 @@
 	bound = 1300 * time.Millisecond
 )
 
-// event is something that happens to the fleet at a time.
-type event struct {
-	at  time.Duration
-	seq int
-	do  func()
-}
-
-type queue []event
-
-func (q queue) Len() int { return len(q) }
-func (q queue) Less(i, j int) bool {
-	return q[i].at < q[j].at || (q[i].at == q[j].at && q[i].seq < q[j].seq)
-}
-func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *queue) Push(x any)   { *q = append(*q, x.(event)) }
-func (q *queue) Pop() any {
-	old := *q
-	x := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return x
-}
-
 // node is one fake host around real Members.
 type node struct {
 	m       *registrar.Members
@@ -58,8 +36,7 @@
 // fleet plays hosts, links and the store with a clock of its own.
 type fleet struct {
 	now    time.Duration
-	seq    int
-	queue  queue
+	agenda faker.Agenda
 	names  []string
 	nodes  map[string]*node
 	random *rand.Rand
@@ -153,16 +130,14 @@
 }
 
 func (f *fleet) after(d time.Duration, do func()) {
-	f.seq++
-	heap.Push(&f.queue, event{at: f.now + d, seq: f.seq, do: do})
+	f.agenda.Add(epoch(f.now+d), do)
 }
 
 func (f *fleet) run(d time.Duration) {
 	end := f.now + d
-	for len(f.queue) > 0 && f.queue[0].at <= end {
-		e := heap.Pop(&f.queue).(event)
-		f.now = e.at
-		e.do()
+	for at, do, ok := f.agenda.Next(epoch(end)); ok; at, do, ok = f.agenda.Next(epoch(end)) {
+		f.now = at.Sub(epoch(0))
+		do()
 	}
 	f.now = end
 }
