--- a/limiter/gates.go
+++ b/limiter/gates.go
@@ -92,13 +92,6 @@
 	return out
 }
 
-// Len is the organisations with limits that use this entry.
-func (g *Gates) Len() int {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return len(g.gates)
-}
-
 // Take takes a loan in.
 func (g *Gates) Take(now time.Time, organisation string, sequence uint64, loan Rates) {
 	g.mu.Lock()
--- a/runner/calling.go
+++ b/runner/calling.go
@@ -23,7 +23,6 @@
 }
 
 func (c *control) ask(now time.Time, e placeAsked) {
-	c.limiting.wake(now)
 	cells := c.byService[e.service]
 	if len(cells) == 0 {
 		e.reply <- placeReply{refusal: &server.Refusal{Reason: "no_workers", After: time.Second}}
--- a/runner/limiting.go
+++ b/runner/limiting.go
@@ -9,13 +9,8 @@
 	"github.com/cicadawood/cicadawood/registrar"
 )
 
-// How often the entry looks for loans to ask for: while organisations with
-// limits use it, and while none does. The first request brings the next look
-// forward; where the first is refused outright, its loan comes the later span later.
-const (
-	limitEvery = 100 * time.Millisecond
-	limitRest  = 500 * time.Millisecond
-)
+// limitEvery is how often the entry looks for loans to ask for.
+const limitEvery = 100 * time.Millisecond
 
 // limiting is the control state of organisations' limits.
 type limiting struct {
@@ -75,7 +70,7 @@
 	if now.Before(l.next) {
 		return
 	}
-	l.next = now.Add(limitRest)
+	l.next = now.Add(limitEvery)
 	for _, a := range l.gates.Asks(now) {
 		owner, ok := c.roster.Owner("limit/" + a.Organisation)
 		if !ok {
@@ -86,14 +81,6 @@
 		})
 	}
 	l.lender.Forget(now)
-	l.wake(now)
-}
-
-// wake brings the next look forward where organisations use this entry.
-func (l *limiting) wake(now time.Time) {
-	if l.gates.Len() > 0 {
-		l.next = earlier(l.next, now.Add(limitEvery))
-	}
 }
 
 // lend answers an entry. A host that its own roster doesn't name as the owner
