--- a/loader/folder.go
+++ b/loader/folder.go
@@ -26,10 +26,12 @@
 
 // Organisation is one customer of the system.
 type Organisation struct {
-	Keys     []string `json:"keys"`     // sha256:HEX of each API key
-	Requests float64  `json:"requests"` // a second, over all hosts; 0 is no limit
-	Tokens   float64  `json:"tokens"`   // a second, over all hosts; 0 is no limit
-	Classes  []string `json:"classes"`  // allowed
+	Keys     []string `json:"keys,omitempty"`    // sha256:HEX of each API key
+	Requests float64  `json:"requests"`          // a second, over all hosts; 0 is no limit
+	Tokens   float64  `json:"tokens"`            // a second, over all hosts; 0 is no limit
+	Classes  []string `json:"classes,omitempty"` // allowed
+	// Tier goes before that of a host route; nil leaves the route's.
+	Tier *int `json:"tier,omitempty"`
 }
 
 // Zone is one availability zone.
@@ -60,21 +62,24 @@
 type Service struct {
 	Kind    string   `json:"kind"`
 	Owner   string   `json:"owner"` // who answers for it: a person or a team
-	Models  []string `json:"models"`
-	Routes  []Route  `json:"routes"`
-	Workers []Worker `json:"workers"`
+	Models  []string `json:"models,omitempty"`
+	Routes  []Route  `json:"routes,omitempty"`
+	Workers []Worker `json:"workers,omitempty"`
 	Hosts   bool     `json:"hosts"` // take workers from the platform's host list too
 	Cell    int      `json:"cell"`  // most workers under one dispatcher; 0 is all
 	Fencing bool     `json:"fencing"`
-	Resume  bool     `json:"resume"` // engines: a stream that broke can be resumed
+	Resume  bool     `json:"resume"`           // engines: a stream that broke can be resumed
+	Memory  int      `json:"memory,omitempty"` // tokens that an engine keeps in memory; 0 for a plain service
 }
 
 // Folder is the merged configuration. A parsed Folder is never changed.
 type Folder struct {
-	Zones         map[string]Zone         `json:"zones"`
-	Classes       map[string]Class        `json:"classes"`
-	Organisations map[string]Organisation `json:"organisations"`
-	Services      map[string]Service      `json:"services"`
+	Zones         map[string]Zone         `json:"zones,omitempty"`
+	Classes       map[string]Class        `json:"classes,omitempty"`
+	Organisations map[string]Organisation `json:"organisations,omitempty"`
+	Services      map[string]Service      `json:"services,omitempty"`
+	Routes        map[string]HostRoute    `json:"routes,omitempty"`
+	Callers       *Callers                `json:"callers,omitempty"`
 }
 
 // Files is a folder's raw text by file name: what is pushed and pulled.
--- a/loader/host.go
+++ b/loader/host.go
@@ -21,10 +21,47 @@
 	Control  string `json:"control"`  // other hosts, IP:port
 	Admin    string `json:"admin"`    // operators: state, metrics, drain; IP:port
 	Platform string `json:"platform"` // base URL of the Object API
+	// Ready is where the balancer asks whether this host takes callers, IP:port;
+	// "" leaves that to Listen.
+	Ready string `json:"ready,omitempty"`
+	// Dialect names the headers and objects that callers, workers and platform
+	// speak: "" for the product's own, "platform" for those of package platform.
+	Dialect string `json:"dialect,omitempty"`
 	// Peers is control addresses, IP:port, of other hosts: where a host that
 	// starts while the platform is down asks for the configuration and the roster.
 	Peers  []string `json:"peers,omitempty"`
 	Limits Limits   `json:"limits"`
+	Repeat Repeat   `json:"repeat"`
+}
+
+// Dialects of Host.
+const (
+	DialectOwn      = ""
+	DialectPlatform = "platform"
+)
+
+// Repeat bounds how often requests are sent to a second worker, by service and
+// over all hosts: Ratio of its requests, and Slack more, in any Window. Zero fields
+// take the defaults.
+type Repeat struct {
+	Ratio  float64  `json:"ratio"`
+	Slack  float64  `json:"slack"`
+	Window Duration `json:"window"`
+}
+
+// Defaults of Repeat. A tenth of the requests more is what a service that is just
+// busy bears.
+const (
+	repeatRatio  = 0.1
+	repeatSlack  = 20
+	repeatWindow = 10 * time.Second
+)
+
+func (r Repeat) withDefaults() Repeat {
+	r.Ratio = orDefault(r.Ratio, repeatRatio)
+	r.Slack = orDefault(r.Slack, repeatSlack)
+	r.Window = orDefault(r.Window, Duration(repeatWindow))
+	return r
 }
 
 // Limits bound what callers and faults can cost a host. Zero fields take the
@@ -43,6 +80,11 @@
 	Link    Duration `json:"link"`    // without an acknowledgement on a connection between hosts, before it is replaced
 	Drain   Duration `json:"drain"`   // for requests in flight to end after SIGTERM
 	Settle  Duration `json:"settle"`  // for the balancer to notice unreadiness
+	// Grace is the time between SIGTERM and SIGKILL. Where it is given, Settle and
+	// Drain are parts of it.
+	Grace   Duration `json:"grace"`
+	Memory  int      `json:"memory"`  // megabytes that the process may take; 0 is no bound
+	Files   int      `json:"files"`   // descriptors that the process may open; 0 is no bound
 	Confirm Duration `json:"confirm"` // without word of the configuration from platform or peer, before unready
 	Once    Once     `json:"once"`    // of calls that must not be repeated
 }
@@ -53,6 +95,7 @@
 			*d = Duration(v)
 		}
 	}
+	l = l.withBounds()
 	if l.Body == 0 {
 		l.Body = 4 << 20
 	}
@@ -81,6 +124,35 @@
 	return l
 }
 
+const (
+	// bufferShare is the part of a process's memory that requests and answers may
+	// take; the rest is for connections, state and what is not collected yet.
+	bufferShare = 0.25
+	// filesPerCall is how many descriptors a request in flight may need: its
+	// caller's, its worker's, and idle ones of both.
+	filesPerCall = 4
+	// settleShare and drainShare are the parts of the grace for the balancer to
+	// notice, and for requests to end. What is left is for what hosts tell each
+	// other last.
+	settleShare = 0.25
+	drainShare  = 0.6
+)
+
+// withBounds works the limits out that follow from those of the process.
+func (l Limits) withBounds() Limits {
+	if l.Grace > 0 {
+		l.Settle = orDefault(l.Settle, Duration(settleShare*float64(l.Grace)))
+		l.Drain = orDefault(l.Drain, Duration(drainShare*float64(l.Grace)))
+	}
+	if l.Memory > 0 {
+		l.Buffer = orDefault(l.Buffer, int64(bufferShare*float64(l.Memory<<20)))
+	}
+	if l.Files > 0 {
+		l.Calls = orDefault(l.Calls, l.Files/filesPerCall)
+	}
+	return l
+}
+
 // ReadHost reads and checks one host's settings file.
 func ReadHost(path string) (Host, error) {
 	text, err := os.ReadFile(path)
@@ -104,6 +176,7 @@
 		return Host{}, err
 	}
 	h.Limits = h.Limits.withDefaults()
+	h.Repeat = h.Repeat.withDefaults()
 	return h, nil
 }
 
@@ -131,6 +204,15 @@
 		}
 		seen[f.value] = f.name
 	}
+	if _, err := netip.ParseAddrPort(h.Ready); h.Ready != "" && err != nil {
+		fault(fmt.Sprintf("%q is not IP:port", h.Ready), "ready")
+	}
+	if h.Dialect != DialectOwn && h.Dialect != DialectPlatform {
+		fault(fmt.Sprintf("%q is neither empty nor %q", h.Dialect, DialectPlatform), "dialect")
+	}
+	if h.Repeat.Ratio < 0 || h.Repeat.Slack < 0 || h.Repeat.Window < 0 {
+		fault("must not be negative", "repeat")
+	}
 	for i, p := range h.Peers {
 		if _, err := netip.ParseAddrPort(p); err != nil {
 			fault(fmt.Sprintf("%q is not IP:port", p), "peers", strconv.Itoa(i))
--- a/loader/merger.go
+++ b/loader/merger.go
@@ -14,6 +14,8 @@
 	sectionClasses       = "classes"
 	sectionOrganisations = "organisations"
 	sectionServices      = "services"
+	sectionRoutes        = "routes"
+	sectionCallers       = "callers"
 )
 
 // Parse merges the files in name order and checks the whole. The error joins
@@ -23,6 +25,7 @@
 		folder: &Folder{
 			Zones: map[string]Zone{}, Classes: map[string]Class{},
 			Organisations: map[string]Organisation{}, Services: map[string]Service{},
+			Routes: map[string]HostRoute{},
 		},
 		home:   map[string]*document{},
 		keys:   map[string]string{},
@@ -84,6 +87,8 @@
 	merge(m, d, sectionClasses, m.folder.Classes, part.Classes)
 	merge(m, d, sectionOrganisations, m.folder.Organisations, part.Organisations)
 	merge(m, d, sectionServices, m.folder.Services, part.Services)
+	merge(m, d, sectionRoutes, m.folder.Routes, part.Routes)
+	m.callers(d, part.Callers)
 }
 
 func merge[T any](m *merger, d *document, section string, into, part map[string]T) {
@@ -123,4 +128,5 @@
 	m.shares()
 	each(m.folder.Organisations, m.organisation)
 	each(m.folder.Services, m.service)
+	each(m.folder.Routes, m.hostRoute)
 }
--- a/loader/schema.go
+++ b/loader/schema.go
@@ -26,6 +26,9 @@
 
 // check walks v, which is to become a t.
 func (w *walker) check(v *hujson.Value, t reflect.Type, path string) {
+	if t.Kind() == reflect.Pointer {
+		t = t.Elem() // absent is told from zero
+	}
 	switch {
 	case t == reflect.TypeFor[Duration]():
 		w.duration(v, path)
--- a/messenger/message.go
+++ b/messenger/message.go
@@ -169,6 +169,8 @@
 		return decode[Fetch](e)
 	case kindFetched:
 		return decode[Fetched](e)
+	case kindShared:
+		return decode[Shared](e)
 	default:
 		if m, ok, err := decodeMember(e); ok {
 			return m, err
--- /dev/null
+++ b/messenger/message_share.go
@@ -0,0 +1,35 @@
+package messenger
+
+import "time"
+
+const kindShared = "shared"
+
+// Shared tells another host what this one sent to workers since the last Shared,
+// in order: requests sent, those whose first event came, those that ended.
+type Shared struct {
+	_msgpack struct{}  `msgpack:",as_array"` //nolint:unused // read by msgpack
+	Sent     []Sending `msgpack:"sent"`
+	Begun    []uint64  `msgpack:"begun"`
+	Ended    []Ending  `msgpack:"ended"`
+}
+
+// Sending is one request on its way to a worker.
+type Sending struct {
+	_msgpack struct{}      `msgpack:",as_array"` //nolint:unused // read by msgpack
+	ID       uint64        `msgpack:"id"`
+	Worker   string        `msgpack:"worker"`
+	Read     int           `msgpack:"read"` // tokens that the worker has to read
+	Hold     int           `msgpack:"hold"` // tokens that it takes up there
+	Left     time.Duration `msgpack:"left"` // its answer is over by then
+	Keys     []uint64      `msgpack:"keys"` // of the prompt's parts, in order
+	Tokens   []int         `msgpack:"tokens"`
+}
+
+// Ending is one request that ended.
+type Ending struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
+	ID       uint64   `msgpack:"id"`
+	Outcome  int      `msgpack:"outcome"` // a placer.Outcome
+}
+
+func (Shared) kind() string { return kindShared }
--- /dev/null
+++ b/observer/directory.go
@@ -0,0 +1,126 @@
+package observer
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// returnTime is how long after an outage of the source a worker whose entry is
+// missing still counts as there. Entries may lapse while their writers can't
+// reach the source; who lives writes again within two seconds of its return.
+const returnTime = 2 * time.Second
+
+// Entry is one worker as it describes itself at the source.
+type Entry struct {
+	Listing
+	Born string        // tells a process from the one before it under the same name; may be empty
+	Cold time.Duration // it stays slow for that much longer
+}
+
+// Directory is the workers that registered themselves at a source that may be
+// away. It is pure, and not safe for concurrent use. The zero Directory is empty.
+type Directory struct {
+	entries map[string]*registered // by name
+	away    bool                   // the source can't be read
+	back    time.Time              // when it could be read again
+	listed  bool                   // it was ever read
+}
+
+// registered is an entry and whether it still lies at the source.
+type registered struct {
+	Entry
+	missing time.Time // since when it does not; zero where it does
+}
+
+// Known says that the source was ever read.
+func (d *Directory) Known() bool { return d.listed }
+
+// Failed takes that the source can't be read. What is known stays.
+func (d *Directory) Failed() { d.away = d.listed }
+
+// Listed takes all entries of the source.
+func (d *Directory) Listed(now time.Time, entries []Entry) {
+	d.returned(now)
+	d.listed = true
+	present := map[string]bool{}
+	for _, e := range entries {
+		present[e.Name] = true
+		d.put(e)
+	}
+	for name := range d.entries {
+		if !present[name] {
+			d.Removed(now, name)
+		}
+	}
+}
+
+// returned notes the source's return from an outage.
+func (d *Directory) returned(now time.Time) {
+	if d.away {
+		d.away, d.back = false, now
+	}
+}
+
+// Changed takes one new or changed entry.
+func (d *Directory) Changed(now time.Time, e Entry) {
+	d.returned(now)
+	d.put(e)
+}
+
+func (d *Directory) put(e Entry) {
+	if d.entries == nil {
+		d.entries = map[string]*registered{}
+	}
+	d.entries[e.Name] = &registered{Entry: e}
+}
+
+// Removed takes that an entry is gone. Its worker gets nothing new, except just
+// after an outage, where the entry may have lapsed for want of the source.
+func (d *Directory) Removed(now time.Time, name string) {
+	r := d.entries[name]
+	if r == nil {
+		return
+	}
+	if r.Leaving || !d.returning(now) {
+		delete(d.entries, name)
+		return
+	}
+	if r.missing.IsZero() {
+		r.missing = now
+	}
+}
+
+// returning says that the source came back a moment ago.
+func (d *Directory) returning(now time.Time) bool {
+	return !d.back.IsZero() && now.Sub(d.back) < returnTime
+}
+
+// Sweep drops the entries that did not come back after an outage. It says whether
+// there were any.
+func (d *Directory) Sweep(now time.Time) bool {
+	if d.away || d.returning(now) {
+		return false
+	}
+	before := len(d.entries)
+	for name, r := range d.entries {
+		if !r.missing.IsZero() {
+			delete(d.entries, name)
+		}
+	}
+	return len(d.entries) != before
+}
+
+// Present is the workers that may get new requests, by service and name.
+func (d *Directory) Present() []Entry {
+	out := []Entry{}
+	for _, r := range d.entries {
+		if !r.Leaving {
+			out = append(out, r.Entry)
+		}
+	}
+	slices.SortFunc(out, func(a, b Entry) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Name, b.Name))
+	})
+	return out
+}
--- /dev/null
+++ b/placer/cost.go
@@ -0,0 +1,104 @@
+package placer
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// readWeight is what reading costs those that wait behind, beside the request
+	// itself: as a part of its own reading time.
+	readWeight = 0.5
+	// fullCost is the milliseconds that each request too many for a worker's slots
+	// or memory counts.
+	fullCost = 100.0
+	// memoryShare is the part of an engine's memory that running requests may fill
+	// before it takes them off again.
+	memoryShare = 0.9
+	// loadCost is the milliseconds that a plain worker's full slots count beside
+	// the wait, so that requests spread over idle workers.
+	loadCost = 10.0
+	// zoneCost is the milliseconds of the way to another availability zone and back.
+	zoneCost = 2.8
+	// coldCost is the milliseconds that a worker that has just started counts.
+	coldCost = 60.0
+
+	// What a failed request makes its worker avoided by, in milliseconds. A broken
+	// one says most; an error that the worker told may be the request's own fault.
+	brokenCost  = 400.0
+	refusedCost = 150.0
+	erroredCost = 25.0
+	misledCost  = 2000.0
+	troubleMost = 4000.0
+	// troubleFades is the time in which trouble falls to a third.
+	troubleFades = 1500 * time.Millisecond
+
+	// sampleLeast is the fewest tokens whose reading tells of a worker's pace.
+	sampleLeast = 1500
+	// overdueMost is how long after its end a flight that nobody ended is kept.
+	overdueMost = time.Second
+
+	// noneAfter is what a caller is told where a service has no worker.
+	noneAfter = 500 * time.Millisecond
+	// refuseShare is the part of a request's time within which its first event must
+	// be expected.
+	refuseShare = 0.9
+	// afterLeast is the least time that a refused caller is told to stay away.
+	afterLeast = 100 * time.Millisecond
+)
+
+// wait is the milliseconds until a request's first event, or a plain service's
+// answer, if the worker got it now.
+func (v *View) wait(now time.Time, w *worker, a Ask) float64 {
+	if w.Memory == 0 {
+		return v.plainWait(w)
+	}
+	queue := math.Max(inMilliseconds(w.readUntil.Sub(now)), 0)
+	return queue + w.overdue(now) + w.readTime(w.unread(a)) + baseTime
+}
+
+// plainWait is the milliseconds until a plain worker's answer.
+func (v *View) plainWait(w *worker) float64 {
+	pace, ok := v.pace[w.Service]
+	if !ok {
+		pace = serviceStart
+	}
+	rounds := 1 + math.Max(float64(len(w.flights)+1-w.Slots), 0)/float64(w.Slots)
+	return rounds * inMilliseconds(pace)
+}
+
+// cost is what decides between workers, in milliseconds.
+func (v *View) cost(now time.Time, w *worker, a Ask) float64 {
+	c := v.wait(now, w, a) + w.avoided(now)
+	if w.Zone != v.zone {
+		c += zoneCost
+	}
+	if now.Before(w.coldUntil) {
+		c += coldCost
+	}
+	if w.Memory == 0 {
+		return c + loadCost*float64(len(w.flights))/float64(w.Slots)
+	}
+	c += readWeight * w.readTime(w.unread(a))
+	if over := len(w.flights) + 1 - w.Slots; over > 0 {
+		c += fullCost * float64(over)
+	}
+	if room := memoryShare * float64(w.Memory); float64(w.hold+a.Prompt+a.Output) > room {
+		c += fullCost
+	}
+	return c
+}
+
+// refuse says that a request can't be served in time by the worker that would
+// serve it soonest. To send it all the same would take its reading from those
+// that still can.
+func refuse(a Ask, wait time.Duration) *Refusal {
+	bound := a.Left
+	if a.Patience > 0 {
+		bound = min(bound, a.Patience)
+	}
+	if bound = time.Duration(refuseShare * float64(bound)); wait <= bound {
+		return nil
+	}
+	return &Refusal{After: max(wait-min(a.Target, bound), afterLeast), Why: "overload"}
+}
--- /dev/null
+++ b/placer/placer.go
@@ -0,0 +1,282 @@
+// Package placer decides which worker gets a request, and when none should.
+//
+// A View is what one host knows of all workers: what it sent them itself, what
+// the other hosts say they sent, and which parts of prompts each worker has read.
+// From that it predicts how long each worker would take to the first event, and
+// picks the least. It is pure: time and messages are arguments. The control
+// goroutine of a host owns it.
+package placer
+
+import (
+	"math"
+	"time"
+)
+
+// Worker is one backend server that may get requests.
+type Worker struct {
+	Name    string
+	Service string
+	Address string
+	Zone    string
+	Slots   int           // requests at once
+	Memory  int           // tokens that an engine keeps; 0 for a plain service
+	Cold    time.Duration // it is slow for that much longer
+	Born    string        // differs after a restart under the same name
+}
+
+// Part is one part of a prompt. Key names it together with all parts before it:
+// a part is of use to a request only where those are there too.
+type Part struct {
+	Key    uint64
+	Tokens int
+}
+
+// Ask is a request that wants a worker.
+type Ask struct {
+	Service  string
+	Parts    []Part
+	Prompt   int           // tokens, all parts included; 0 for a plain service
+	Output   int           // tokens, guessed
+	Tier     int           // 0 is the most urgent
+	Left     time.Duration // until nobody waits for the answer any more
+	Patience time.Duration // until the caller leaves for want of a first event; 0 is Left
+	Target   time.Duration // for the answer, or a stream's first event
+	Exclude  []string      // workers that had it already
+}
+
+// Flight is a request on its way to, or at, a worker. It is what hosts tell each
+// other.
+type Flight struct {
+	ID     uint64
+	Worker string
+	Parts  []Part
+	Read   int           // tokens of the prompt that the worker has to read
+	Hold   int           // tokens that it takes up there
+	Left   time.Duration // its answer is over by then
+}
+
+// Refusal says that no worker should get a request now.
+type Refusal struct {
+	After time.Duration // when there may be room
+	Why   string
+}
+
+// Choice is where a request goes.
+type Choice struct {
+	Worker Worker
+	Flight Flight
+	Wait   time.Duration // expected until its first event, or its answer
+}
+
+// Outcome is how a request at a worker ended.
+type Outcome int
+
+// Outcomes of a flight.
+const (
+	Answered Outcome = iota
+	Errored          // the worker said that it failed
+	Refused          // the worker said that it did not run the request
+	Misled           // another worker has the address
+	Broken           // no answer, or one that broke off
+	Dropped          // the caller went away, or the time was up
+)
+
+const (
+	// rateStart is the prompt tokens that an engine reads in a millisecond, until
+	// its own pace is known. The engines of both deployments read 41 to 52.
+	rateStart = 45.0
+	// chunk is the prompt tokens that an engine reads between two steps of decoding.
+	chunk = 2048.0
+	// stepTime is a step of decoding with few requests, in milliseconds.
+	stepTime = 4.7
+	// contextTime is what a thousand tokens of running requests add to a step, in
+	// milliseconds.
+	contextTime = 0.016
+	// baseTime is what passes besides reading until a first event, in milliseconds.
+	baseTime = 12.0
+	// serviceStart is the time of a plain service's answer until its own is known.
+	serviceStart = 40 * time.Millisecond
+	// paceWeight is the part of a new sample in a worker's pace.
+	paceWeight = 0.2
+)
+
+// View is one host's view of all workers.
+type View struct {
+	zone    string
+	workers map[string]*worker // by name
+	flights map[uint64]*flight
+	pace    map[string]time.Duration // of plain services: time of an answer
+}
+
+// flight is a Flight as the view keeps it.
+type flight struct {
+	Flight
+	from     string // host; "" for this one
+	at       time.Time
+	expected time.Time // its first event, or its answer
+	alone    bool      // nothing was read before it
+	begun    bool      // its first event was seen
+}
+
+// New returns a view that knows no worker. Workers of the host's own zone go first
+// where nothing else decides.
+func New(zone string) *View {
+	return &View{zone: zone, workers: map[string]*worker{}, flights: map[uint64]*flight{}, pace: map[string]time.Duration{}}
+}
+
+// SetWorkers takes the workers that may get requests. What is known of those that
+// stay is kept; one that was born anew holds nothing. It returns those that came
+// and those that went.
+func (v *View) SetWorkers(now time.Time, workers []Worker) (added, gone []Worker) {
+	old := v.workers
+	v.workers = make(map[string]*worker, len(workers))
+	for _, w := range workers {
+		x := old[w.Name]
+		if x == nil || x.Born != w.Born || x.Address != w.Address {
+			x = newWorker(now)
+			x.coldUntil = now.Add(w.Cold)
+			added = append(added, w)
+		}
+		x.Worker = w
+		v.workers[w.Name] = x
+	}
+	for name, x := range old {
+		if v.workers[name] == nil {
+			gone = append(gone, x.Worker)
+		}
+	}
+	return added, gone
+}
+
+// Workers is the number of workers of a service.
+func (v *View) Workers(service string) int {
+	n := 0
+	for _, w := range v.workers {
+		if w.Service == service {
+			n++
+		}
+	}
+	return n
+}
+
+// Place picks a worker for a request and counts it there.
+func (v *View) Place(now time.Time, id uint64, a Ask) (Choice, *Refusal) {
+	best, wait := v.best(now, a)
+	if best == nil {
+		return Choice{}, &Refusal{After: noneAfter, Why: "no_workers"}
+	}
+	if refusal := refuse(a, wait); refusal != nil {
+		return Choice{}, refusal
+	}
+	f := Flight{ID: id, Worker: best.Name, Parts: a.Parts, Read: best.unread(a), Hold: a.Prompt + a.Output, Left: a.Left}
+	v.add(now, "", f)
+	return Choice{Worker: best.Worker, Flight: f, Wait: wait}, nil
+}
+
+// best is the worker with the least cost for a request, and the wait expected
+// there.
+func (v *View) best(now time.Time, a Ask) (*worker, time.Duration) {
+	var best *worker
+	least := math.Inf(1)
+	for _, w := range v.workers {
+		if w.Service != a.Service || excluded(a, w.Name) {
+			continue
+		}
+		c := v.cost(now, w, a)
+		if c < least || c == least && w.Name < best.Name {
+			best, least = w, c
+		}
+	}
+	if best == nil {
+		return nil, 0
+	}
+	return best, milliseconds(v.wait(now, best, a))
+}
+
+func excluded(a Ask, worker string) bool {
+	for _, name := range a.Exclude {
+		if name == worker {
+			return true
+		}
+	}
+	return false
+}
+
+// Heard takes a flight that another host told of.
+func (v *View) Heard(now time.Time, from string, f Flight) {
+	if v.flights[f.ID] == nil {
+		v.add(now, from, f)
+	}
+}
+
+// add counts a flight at its worker.
+func (v *View) add(now time.Time, from string, f Flight) {
+	x := &flight{Flight: f, from: from, at: now}
+	v.flights[f.ID] = x
+	if w := v.workers[f.Worker]; w != nil {
+		w.take(now, x)
+	}
+}
+
+// Begun takes that a flight's first event was seen.
+func (v *View) Begun(now time.Time, id uint64) {
+	f := v.flights[id]
+	if f == nil || f.begun {
+		return
+	}
+	f.begun = true
+	if w := v.workers[f.Worker]; w != nil {
+		w.began(now, f)
+	}
+}
+
+// Ended takes that a flight is over.
+func (v *View) Ended(now time.Time, id uint64, o Outcome) {
+	f := v.flights[id]
+	if f == nil {
+		return
+	}
+	delete(v.flights, id)
+	w := v.workers[f.Worker]
+	if w == nil {
+		return
+	}
+	w.drop(now, f)
+	w.judge(now, o)
+	if w.Memory == 0 && o == Answered {
+		v.learn(w.Service, now.Sub(f.at))
+	}
+}
+
+// learn takes the time of a plain service's answer.
+func (v *View) learn(service string, took time.Duration) {
+	known, ok := v.pace[service]
+	if !ok {
+		known = serviceStart
+	}
+	v.pace[service] = known + time.Duration(paceWeight/2*float64(took-known))
+}
+
+// Lost forgets what a host that is gone had under way: workers drop requests
+// whose connections end.
+func (v *View) Lost(now time.Time, host string) {
+	for id, f := range v.flights {
+		if f.from == host && host != "" {
+			v.Ended(now, id, Dropped)
+		}
+	}
+}
+
+// Sweep forgets flights that must be over, as what other hosts said of their end
+// was lost.
+func (v *View) Sweep(now time.Time) {
+	for id, f := range v.flights {
+		if now.Sub(f.at) > f.Left+overdueMost {
+			v.Ended(now, id, Dropped)
+		}
+	}
+}
+
+func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
+func inMilliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/publisher/follower.go
+++ b/publisher/follower.go
@@ -23,6 +23,22 @@
 	inputBacklog = 256
 )
 
+// Source is where a follower finds the configuration.
+type Source struct {
+	Key    string // of the object
+	Decode func(storer.Object) (Head, error)
+	// Wait is how long one watch waits. A watch whose connection went silent hides
+	// changes for that long.
+	Wait time.Duration
+	// Retries is how often the pause after a failed watch doubles.
+	Retries int
+}
+
+// Pushed is the source of configurations that operators push.
+func Pushed() Source {
+	return Source{Key: Key, Decode: headOf, Wait: watchWait, Retries: watchRetries}
+}
+
 // Actions is what a follower does to the rest of its host. The functions run on
 // the follower's goroutine and must not block for long.
 type Actions struct {
@@ -38,6 +54,7 @@
 	store   storer.Store
 	log     *zap.Logger
 	actions Actions
+	source  Source
 	inputs  chan Input
 	tracker *Tracker // owned by Run's goroutine
 
@@ -58,11 +75,14 @@
 // NewFollower returns a follower that does nothing before Run.
 func NewFollower(s storer.Store, t Timing, log *zap.Logger, a Actions) *Follower {
 	return &Follower{
-		store: s, log: log, actions: a, inputs: make(chan Input, inputBacklog),
+		store: s, log: log, actions: a, source: Pushed(), inputs: make(chan Input, inputBacklog),
 		tracker: NewTracker(t, rand.Float64, time.Now()),
 	}
 }
 
+// SetSource has the configuration read from elsewhere. It comes before Run.
+func (f *Follower) SetSource(s Source) { f.source = s }
+
 // Folder is the configuration in force and its generation; nil before the first.
 func (f *Follower) Folder() (*loader.Folder, uint64) {
 	e := f.force.Load()
@@ -127,13 +147,15 @@
 // Run follows the head until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	var tasks sync.WaitGroup
-	defer tasks.Wait()
 	tasks.Go(func() { f.watch(ctx) })
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
+			// Not deferred: a panic would wait here for a watch that does not end,
+			// and the process would stand still in place of dying with a word.
+			tasks.Wait()
 			return
 		case i := <-f.inputs:
 			f.handle(ctx, &tasks, i)
@@ -183,14 +205,14 @@
 func (f *Follower) read(ctx context.Context) {
 	c, ok := f.store.(Checker)
 	if !ok {
-		o, err := f.store.Get(ctx, Key)
+		o, err := f.store.Get(ctx, f.source.Key)
 		f.learn(ctx, o, err)
 		return
 	}
 	f.mu.Lock()
 	have := f.version
 	f.mu.Unlock()
-	o, changed, err := c.Changed(ctx, Key, have)
+	o, changed, err := c.Changed(ctx, f.source.Key, have)
 	if err == nil && !changed {
 		f.put(ctx, HeadUnchanged{})
 		return
@@ -208,7 +230,7 @@
 		f.put(ctx, HeadFailed{Err: err})
 		return
 	}
-	h, err := headOf(o)
+	h, err := f.source.Decode(o)
 	if err != nil {
 		f.put(ctx, HeadBad{Err: err})
 		return
@@ -231,18 +253,18 @@
 func (f *Follower) watch(ctx context.Context) {
 	failures := 0
 	for ctx.Err() == nil {
-		objects, revision, err := f.store.List(ctx, Key)
+		objects, revision, err := f.store.List(ctx, f.source.Key)
 		for err == nil {
 			failures = 0
 			f.latest(ctx, objects)
-			objects, revision, err = f.store.Watch(ctx, Key, revision, watchWait)
+			objects, revision, err = f.store.Watch(ctx, f.source.Key, revision, f.source.Wait)
 		}
 		if errors.Is(err, storer.ErrConflict) && failures == 0 {
 			failures++
 			continue // a gap: the revision is forgotten
 		}
 		f.log.Debug("watch configuration", zap.Error(err))
-		wait := watchRetry << min(failures, watchRetries)
+		wait := watchRetry << min(failures, f.source.Retries)
 		pause(ctx, wait-time.Duration(rand.Float64()*float64(wait)/2))
 		failures++
 	}
@@ -251,7 +273,7 @@
 // latest takes the last event of the head, if there is one.
 func (f *Follower) latest(ctx context.Context, objects []storer.Object) {
 	for i := len(objects) - 1; i >= 0; i-- {
-		if o := objects[i]; o.Key == Key && !o.Deleted {
+		if o := objects[i]; o.Key == f.source.Key && !o.Deleted {
 			f.learn(ctx, o, nil)
 			return
 		}
--- a/publisher/head.go
+++ b/publisher/head.go
@@ -81,6 +81,15 @@
 	return n, nil
 }
 
+// NewHead is a head of files that were not pushed but came from elsewhere, under
+// the generation that they have there.
+func NewHead(f loader.Files, generation uint64) (Head, error) {
+	h := Head{Files: f, Generation: generation}
+	packed, err := h.pack()
+	h.packed = packed
+	return h, err
+}
+
 func (h Head) pack() ([]byte, error) {
 	var b bytes.Buffer
 	z := gzip.NewWriter(&b)
--- a/registrar/recorder.go
+++ b/registrar/recorder.go
@@ -29,6 +29,8 @@
 	mu   sync.Mutex
 	self Record // to be stored; a zero Record stores nothing
 	dead map[string]uint64
+
+	renewals uint64 // run's goroutine only
 }
 
 func newRecorder(s storer.Store, self Record, lease time.Duration, log *zap.Logger) *recorder {
@@ -127,9 +129,13 @@
 			return fmt.Errorf("write record: %w", err)
 		}
 	}
+	// A write that changes nothing may leave the version as it was, and the lease
+	// would look as if nobody renewed it: so each renewal has its number.
+	c.renewals++
 	lease, err := json.Marshal(struct {
 		Incarnation uint64 `json:"incarnation"`
-	}{self.Incarnation})
+		Renewal     uint64 `json:"renewal"`
+	}{self.Incarnation, c.renewals})
 	if err != nil {
 		return fmt.Errorf("renew lease: %w", err)
 	}
--- /dev/null
+++ b/router/port.go
@@ -0,0 +1,108 @@
+// Package router answers the callers of host routes: it finds a request's route
+// by host name and path, checks its key and its limits, has it placed on a worker,
+// passes the answer on, and decides what may be repeated after a failure.
+//
+// What headers are called is a Dialect's matter, where requests go a Placer's.
+package router
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cicadawood/cicadawood/loader"
+	"github.com/cicadawood/cicadawood/placer"
+)
+
+// Part is one part of a prompt, as a caller names it.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// Intake is what a caller says in a request's head.
+type Intake struct {
+	ID       string        // of this one try of the caller
+	Deadline time.Duration // that the caller waits; 0 where it does not say
+	Model    string
+	Prompt   int // tokens
+	Output   int // tokens at most
+	Hint     int // tokens of output that the caller expects; 0 where it does not say
+	Parts    []Part
+	After    string // the last event that the caller has of a stream
+}
+
+// Order is what a worker is told besides the caller's request.
+type Order struct {
+	Worker       string        // any other worker is not to run it
+	Left         time.Duration // nobody waits for the answer any longer
+	Organisation string        // "" where the route asks for no key
+	Engine       bool
+	Tier         int
+	After        string // the stream is to go on after this event; "" leaves the caller's
+}
+
+// Load is a worker's own count of its requests.
+type Load struct {
+	Known                   bool
+	Running, Waiting, Slots int
+}
+
+// Verdict is what an answer's head says of the request.
+type Verdict struct {
+	ID     string // of the request that is answered; "" where it does not say
+	Sealed bool   // the worker vouches for the answer
+	NotRun bool   // the worker did not and will not run the request
+	Other  bool   // another worker has the address now
+	Load   Load
+}
+
+// Dialect is the port to what callers and workers call things.
+type Dialect interface {
+	// Key is the key of a request; false where it has none.
+	Key(h http.Header) (string, bool)
+	// Read reads a request's head.
+	Read(h http.Header) Intake
+	// Write makes a caller's header, without those of one connection, the worker's.
+	Write(h http.Header, o Order)
+	// Judge reads the head of a worker's answer.
+	Judge(status int, h http.Header) Verdict
+	// Answer completes the header of an answer that the system gives itself.
+	Answer(h http.Header, id string, after time.Duration)
+}
+
+// Place is where a request goes.
+type Place struct {
+	ID      uint64
+	Service string
+	Worker  placer.Worker
+	Wait    time.Duration // expected until the first event, or the answer
+	Read    int           // tokens that the worker is expected to read
+	Age     time.Duration // of the list of workers that it was chosen from
+}
+
+// Refused is the error of a request that no worker should get now.
+type Refused struct {
+	Why   string
+	After time.Duration
+}
+
+// Error implements error.
+func (r Refused) Error() string { return "refused: " + r.Why }
+
+// Placer is the port to the decision where requests go.
+type Placer interface {
+	// Place picks a worker. Its error is a Refused, or that of ctx. Again says that
+	// the request was sent to a worker before.
+	Place(ctx context.Context, a placer.Ask, again bool) (Place, error)
+	// Begun tells that the first event of a stream has come.
+	Begun(p Place)
+	// Ended tells how a request at its place ended. It is called once for each Place.
+	Ended(p Place, o placer.Outcome)
+}
+
+// Configuration is the port to the settings in force.
+type Configuration interface {
+	// Folder is the configuration in force and its generation; nil before the first.
+	Folder() (*loader.Folder, uint64)
+}
--- /dev/null
+++ b/router/router.go
@@ -0,0 +1,285 @@
+package router
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"github.com/cicadawood/cicadawood/connector"
+	"github.com/cicadawood/cicadawood/loader"
+	"github.com/cicadawood/cicadawood/placer"
+)
+
+// Config is what a Router is made with.
+type Config struct {
+	Dialect       Dialect
+	Configuration Configuration
+	Placer        Placer
+	Pool          *connector.Pool
+	Log           *zap.Logger
+	Metrics       *Metrics
+	Answer        int64         // bytes of an answer that is held until it is whole
+	Stall         time.Duration // for a caller to take a piece of its answer
+	Buffer        int64         // bytes of requests and answers held at once
+}
+
+// Router is an http.Handler for host routes.
+type Router struct {
+	Config
+	index atomic.Pointer[index]
+	held  atomic.Int64 // bytes
+}
+
+// New returns a router.
+func New(c Config) *Router { return &Router{Config: c} }
+
+// look is the index of the configuration in force, nil before the first.
+func (r *Router) look() *index {
+	f, generation := r.Configuration.Folder()
+	if f == nil {
+		return nil
+	}
+	if x := r.index.Load(); x != nil && x.folder == f {
+		return x
+	}
+	x := newIndex(f, generation)
+	r.index.Store(x)
+	return x
+}
+
+// request is one caller's request.
+type request struct {
+	Intake
+	target
+	index        *index
+	service      string
+	organisation string
+	tier         int
+	started      time.Time
+	method       string
+	uri          string
+	host         string
+	header       http.Header
+	body         []byte
+	ask          placer.Ask
+}
+
+// ServeHTTP implements http.Handler.
+func (r *Router) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	q := &request{
+		Intake: r.Dialect.Read(req.Header), started: time.Now(),
+		method: req.Method, uri: req.RequestURI, host: req.Host,
+	}
+	d := &delivery{w: w, control: http.NewResponseController(w), stall: r.Stall}
+	t := &trip{router: r, q: q, delivery: d}
+	f := r.check(q, w, req)
+	if f == nil {
+		defer r.held.Add(-int64(len(q.body)))
+		f = t.serve(req.Context())
+	}
+	r.end(t, f)
+}
+
+// end answers a request that got no answer, and logs either.
+func (r *Router) end(t *trip, f *failure) {
+	code, status := "answered", t.delivery.status
+	abort := false
+	if f != nil {
+		code, status = f.code, f.status
+		switch {
+		case f.status == statusGone:
+			abort = true
+		case t.delivery.begun:
+			// Part of the answer is with the caller: only a broken connection says
+			// that the rest is missing.
+			abort = true
+		default:
+			f.write(t.delivery.w, r.Dialect, t.q.ID)
+		}
+	}
+	r.Metrics.request(t.q, t.delivery, code)
+	r.log(t, code, status, f)
+	if abort {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (r *Router) log(t *trip, code string, status int, f *failure) {
+	q := t.q
+	fields := []zap.Field{
+		zap.String("request", q.ID), zap.String("route", q.name), zap.String("service", q.service), zap.Int("tier", q.tier),
+		zap.String("outcome", code), zap.Int("status", status), zap.Int("sends", t.sends), zap.Bool("exposed", t.exposed),
+		zap.Duration("took", time.Since(q.started)), zap.Int("bytes", t.delivery.bytes), zap.String("worker", t.worker), zap.Bool("kept", t.kept),
+		zap.Duration("expected", t.expected), zap.Int("read", t.read),
+	}
+	if !t.delivery.first.IsZero() {
+		fields = append(fields, zap.Duration("first", t.delivery.first.Sub(q.started)))
+	}
+	if q.index != nil {
+		fields = append(fields, zap.Uint64("generation", q.index.generation))
+	}
+	if t.cause != nil {
+		fields = append(fields, zap.String("cause", t.cause.Error()))
+	}
+	if f != nil && f.after > 0 {
+		fields = append(fields, zap.Duration("after", f.after))
+	}
+	r.Log.Info("request", fields...)
+}
+
+// check finds the route of a request, and refuses what may not pass.
+func (r *Router) check(q *request, w http.ResponseWriter, req *http.Request) *failure {
+	q.index = r.look()
+	if q.index == nil {
+		return &failure{status: http.StatusServiceUnavailable, code: codeUnconfigured, after: comeBack}
+	}
+	if limit := q.index.callers().Header; limit > 0 && headBytes(req) > limit {
+		return &failure{status: http.StatusRequestHeaderFieldsTooLarge, code: codeHeader, close: true}
+	}
+	var ok bool
+	if q.target, ok = q.index.route(req.Host, req.URL.EscapedPath()); !ok {
+		return &failure{status: http.StatusNotFound, code: codeNoRoute}
+	}
+	if f := r.identify(q, req.Header); f != nil {
+		return f
+	}
+	if len(req.TransferEncoding) > 0 {
+		// Failure: a request that says its length in two ways is read in two ways,
+		// and what follows it may be taken for a request that nobody sent. net/http
+		// goes by the chunks and drops the other length without a word, so that no
+		// connection is used again after chunks.
+		w.Header().Set("Connection", "close")
+	}
+	q.header = onward(req.Header)
+	if f := r.readBody(q, w, req); f != nil {
+		return f
+	}
+	q.service = q.target.service(rand.Float64())
+	q.ask = r.ask(q)
+	return nil
+}
+
+// identify finds the organisation of a request by its key.
+func (r *Router) identify(q *request, h http.Header) *failure {
+	q.tier = q.Tier
+	if q.Public || len(q.index.folder.Organisations) == 0 {
+		return nil
+	}
+	key, ok := r.Dialect.Key(h)
+	if ok {
+		q.organisation, ok = q.index.organisation(key)
+	}
+	if !ok {
+		return &failure{status: http.StatusUnauthorized, code: codeKey}
+	}
+	q.tier = q.index.tier(q.target, q.organisation)
+	return nil
+}
+
+// callers is the limits on what callers send.
+func (x *index) callers() loader.Callers {
+	if x.folder.Callers == nil {
+		return loader.Callers{}
+	}
+	return *x.folder.Callers
+}
+
+// headBytes is about the size of a request's head on the wire.
+func headBytes(req *http.Request) int {
+	const separators = 4 // ": " and the line's end
+	n := len(req.Method) + len(req.RequestURI) + len(" HTTP/1.1  ") + len("Host: ") + len(req.Host)
+	for name, values := range req.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + separators
+		}
+	}
+	return n
+}
+
+// readBody takes the caller's whole body, bounded.
+func (r *Router) readBody(q *request, w http.ResponseWriter, req *http.Request) *failure {
+	limit := q.index.callers().Body
+	if limit <= 0 {
+		limit = r.Answer
+	}
+	if req.ContentLength > limit {
+		return &failure{status: http.StatusRequestEntityTooLarge, code: codeBody, close: true}
+	}
+	if r.held.Load()+max(req.ContentLength, 0) > r.Buffer {
+		return &failure{status: http.StatusServiceUnavailable, code: codeFull, after: comeBack, close: true}
+	}
+	var b bytes.Buffer
+	if req.ContentLength > 0 {
+		b.Grow(int(req.ContentLength) + bytes.MinRead)
+	}
+	_, err := io.Copy(&b, http.MaxBytesReader(w, req.Body, limit))
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return &failure{status: http.StatusRequestEntityTooLarge, code: codeBody, close: true}
+	case err != nil && req.Context().Err() != nil:
+		return &failure{status: statusGone, code: codeGone}
+	case err != nil:
+		return &failure{status: http.StatusBadRequest, code: codeUnreadable, close: true}
+	}
+	q.body = b.Bytes()
+	r.held.Add(int64(len(q.body)))
+	return nil
+}
+
+// ask is the request as its placer sees it.
+func (r *Router) ask(q *request) placer.Ask {
+	a := placer.Ask{
+		Service: q.service, Prompt: q.Prompt, Output: q.Output, Tier: q.tier,
+		Target: q.First.Std(),
+	}
+	if q.Hint > 0 && (q.Hint < q.Output || q.Output == 0) {
+		a.Output = q.Hint
+	}
+	if q.Stream {
+		a.Patience = patience(q.target)
+	}
+	h := xxhash.New()
+	_, _ = h.WriteString(q.Model) // a hash takes everything
+	for _, p := range q.Parts {
+		_, _ = h.WriteString("\x00" + p.ID)
+		a.Parts = append(a.Parts, placer.Part{Key: h.Sum64(), Tokens: p.Tokens})
+	}
+	return a
+}
+
+const (
+	// patienceLeast, patienceTargets and patienceGaps tell when a caller leaves a
+	// stream that brings nothing: after the longest of a fixed time, so many targets
+	// for the first event, and so many targets for a pause. The users' callers do so.
+	patienceLeast   = 2 * time.Second
+	patienceTargets = 4
+	patienceGaps    = 8
+)
+
+// patience is how long a caller waits for a stream's next event.
+func patience(t target) time.Duration {
+	return max(patienceLeast, patienceTargets*t.First.Std(), patienceGaps*t.Gap.Std())
+}
+
+// left is how long a request may still take.
+func (q *request) left(now time.Time) time.Duration {
+	whole := q.Whole.Std()
+	if q.Deadline > 0 {
+		whole = min(whole, q.Deadline)
+	}
+	return whole - now.Sub(q.started)
+}
+
+// timeout is a context that ends when a request may take no longer.
+func (q *request) timeout(ctx context.Context) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, q.left(time.Now()))
+}
--- /dev/null
+++ b/runner/choosing.go
@@ -0,0 +1,330 @@
+package runner
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/cicadawood/cicadawood/loader"
+	"github.com/cicadawood/cicadawood/messenger"
+	"github.com/cicadawood/cicadawood/observer"
+	"github.com/cicadawood/cicadawood/placer"
+	"github.com/cicadawood/cicadawood/registrar"
+	"github.com/cicadawood/cicadawood/retrier"
+	"github.com/cicadawood/cicadawood/router"
+)
+
+const (
+	// shareEvery is how long what this host sent waits to be told to the others:
+	// one message takes all that happened meanwhile. Within it two hosts may pick
+	// the same worker; at a hundred requests a second that is every second request
+	// or so, and workers differ by more than one request.
+	shareEvery = 20 * time.Millisecond
+	// sweepEvery is how often what is overdue is forgotten.
+	sweepEvery = 250 * time.Millisecond
+	// hostsLeast is the fewest hosts that the repeats of a service are shared
+	// between. A host that can reach nobody knows only itself, and must not take
+	// the whole budget.
+	hostsLeast = 8
+)
+
+// choosing owns a host's view of the workers. Only its run goroutine touches the
+// fields below events.
+type choosing struct {
+	sender sender
+	log    *zap.Logger
+	repeat retrier.WindowPolicy
+	events chan event
+	ended  chan struct{}
+	known  atomic.Bool // the workers were listed
+
+	view      *placer.View
+	directory observer.Directory
+	listed    time.Time // when the source last answered
+	folder    *loader.Folder
+	self      string
+	roster    registrar.Roster
+	hosts     int // the most that the roster had
+	windows   map[string]*retrier.Window
+	shared    messenger.Shared
+	share     *time.Timer
+	sharing   bool
+}
+
+// workerAsked is a request that wants a worker.
+type workerAsked struct {
+	ask   placer.Ask
+	again bool
+	reply chan<- workerReply
+}
+
+type workerReply struct {
+	place   router.Place
+	refused *router.Refused
+}
+
+// sendBegun and sendEnded tell of a request at its worker.
+type (
+	sendBegun struct{ id uint64 }
+	sendEnded struct {
+		id      uint64
+		outcome placer.Outcome
+	}
+)
+
+// sharedHeard is what another host sent to workers.
+type sharedHeard struct {
+	from   string
+	shared messenger.Shared
+}
+
+func newChoosing(self, zone string, s sender, p loader.Repeat, log *zap.Logger) *choosing {
+	return &choosing{
+		self: self, sender: s, log: log, events: make(chan event, eventBacklog), ended: make(chan struct{}),
+		repeat: retrier.WindowPolicy{Ratio: p.Ratio, Slack: p.Slack, Span: p.Window.Std()},
+		view:   placer.New(zone), windows: map[string]*retrier.Window{}, hosts: hostsLeast,
+	}
+}
+
+// Place implements router.Placer.
+func (p *choosing) Place(ctx context.Context, a placer.Ask, again bool) (router.Place, error) {
+	reply := make(chan workerReply, 1)
+	if !p.post(workerAsked{ask: a, again: again, reply: reply}) {
+		return router.Place{}, router.Refused{Why: "host_stopping", After: time.Second}
+	}
+	select {
+	case r := <-reply:
+		if r.refused != nil {
+			return router.Place{}, *r.refused
+		}
+		return r.place, nil
+	case <-ctx.Done():
+		// The answer may be under way: its place is given back when it comes.
+		go p.giveBack(reply)
+		return router.Place{}, ctx.Err()
+	case <-p.ended:
+		return router.Place{}, router.Refused{Why: "host_stopping", After: time.Second}
+	}
+}
+
+// giveBack ends the place of a request that waits for it no more.
+func (p *choosing) giveBack(reply <-chan workerReply) {
+	select {
+	case r := <-reply:
+		if r.refused == nil {
+			p.Ended(r.place, placer.Dropped)
+		}
+	case <-p.ended:
+	}
+}
+
+// Begun implements router.Placer.
+func (p *choosing) Begun(x router.Place) { p.post(sendBegun{id: x.ID}) }
+
+// Ended implements router.Placer.
+func (p *choosing) Ended(x router.Place, o placer.Outcome) { p.post(sendEnded{id: x.ID, outcome: o}) }
+
+// post gives the goroutine an event; false where it has ended.
+func (p *choosing) post(e event) bool {
+	select {
+	case p.events <- e:
+		return true
+	case <-p.ended:
+		return false
+	}
+}
+
+// run takes events until ctx ends.
+func (p *choosing) run(ctx context.Context) {
+	defer close(p.ended)
+	sweep := time.NewTicker(sweepEvery)
+	defer sweep.Stop()
+	p.share = time.NewTimer(time.Hour)
+	defer p.share.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case e := <-p.events:
+			p.take(time.Now(), e)
+		case <-p.share.C:
+			p.tell()
+		case <-sweep.C:
+			p.sweep(time.Now())
+		}
+	}
+}
+
+func (p *choosing) take(now time.Time, e event) {
+	switch e := e.(type) {
+	case workerAsked:
+		e.reply <- p.place(now, e)
+	case sendBegun:
+		p.view.Begun(now, e.id)
+		p.shared.Begun = append(p.shared.Begun, e.id)
+		p.tellSoon()
+	case sendEnded:
+		p.view.Ended(now, e.id, e.outcome)
+		p.shared.Ended = append(p.shared.Ended, messenger.Ending{ID: e.id, Outcome: int(e.outcome)})
+		p.tellSoon()
+	case sharedHeard:
+		p.hear(now, e)
+	case entriesSeen:
+		p.see(now, e)
+	case rosterChanged:
+		p.enroll(now, e.roster)
+	case folderChanged:
+		p.folder = e.folder
+		p.setWorkers(now)
+	}
+}
+
+// place picks a worker for a request, within the budget of repeats.
+func (p *choosing) place(now time.Time, e workerAsked) workerReply {
+	w := p.windows[e.ask.Service]
+	if w == nil {
+		w = &retrier.Window{}
+		p.windows[e.ask.Service] = w
+	}
+	if e.again {
+		if !w.Take(now, p.repeat, p.hosts) {
+			return workerReply{refused: &router.Refused{Why: "retry_budget", After: time.Second}}
+		}
+	} else {
+		w.First(now, p.repeat)
+	}
+	choice, refusal := p.view.Place(now, rand.Uint64(), e.ask)
+	if refusal != nil {
+		return workerReply{refused: &router.Refused{Why: refusal.Why, After: retrier.Jitter(refusal.After, rand.Float64())}}
+	}
+	p.shared.Sent = append(p.shared.Sent, sendingOf(choice.Flight))
+	p.tellSoon()
+	return workerReply{place: router.Place{
+		ID: choice.Flight.ID, Service: e.ask.Service, Worker: choice.Worker, Wait: choice.Wait, Read: choice.Flight.Read, Age: now.Sub(p.listed),
+	}}
+}
+
+func sendingOf(f placer.Flight) messenger.Sending {
+	s := messenger.Sending{ID: f.ID, Worker: f.Worker, Read: f.Read, Hold: f.Hold, Left: f.Left}
+	for _, part := range f.Parts {
+		s.Keys = append(s.Keys, part.Key)
+		s.Tokens = append(s.Tokens, part.Tokens)
+	}
+	return s
+}
+
+func flightOf(s messenger.Sending) placer.Flight {
+	f := placer.Flight{ID: s.ID, Worker: s.Worker, Read: s.Read, Hold: s.Hold, Left: s.Left}
+	for i := range min(len(s.Keys), len(s.Tokens)) {
+		f.Parts = append(f.Parts, placer.Part{Key: s.Keys[i], Tokens: s.Tokens[i]})
+	}
+	return f
+}
+
+// tellSoon has the other hosts told of what happened within shareEvery.
+func (p *choosing) tellSoon() {
+	if !p.sharing {
+		p.sharing = true
+		p.share.Reset(shareEvery)
+	}
+}
+
+// tell tells the other hosts of what happened here.
+func (p *choosing) tell() {
+	p.sharing = false
+	m := p.shared
+	p.shared = messenger.Shared{}
+	for _, h := range p.roster.Hosts() {
+		if h.Name == p.self || h.Parted {
+			continue
+		}
+		if err := p.sender.Send(h.Control, m); err != nil {
+			p.log.Debug("share", zap.String("peer", h.Name), zap.Error(err))
+		}
+	}
+}
+
+// hear takes what another host sent to workers.
+func (p *choosing) hear(now time.Time, e sharedHeard) {
+	for _, s := range e.shared.Sent {
+		p.view.Heard(now, e.from, flightOf(s))
+	}
+	for _, id := range e.shared.Begun {
+		p.view.Begun(now, id)
+	}
+	for _, x := range e.shared.Ended {
+		p.view.Ended(now, x.ID, placer.Outcome(x.Outcome))
+	}
+}
+
+// enroll takes a new roster, and forgets what hosts that are gone had under way.
+func (p *choosing) enroll(now time.Time, r registrar.Roster) {
+	for _, h := range p.roster.Hosts() {
+		if _, ok := r.Find(h.Name); !ok {
+			p.view.Lost(now, h.Name)
+		}
+	}
+	p.roster = r
+	p.hosts = max(p.hosts, len(r.Hosts()))
+}
+
+// see takes what the platform's store told of the workers' entries.
+func (p *choosing) see(now time.Time, e entriesSeen) {
+	if e.failed {
+		p.directory.Failed()
+		return
+	}
+	p.listed = now
+	if e.whole {
+		p.directory.Listed(now, e.changed)
+		p.known.Store(true)
+		p.setWorkers(now)
+		return
+	}
+	for _, x := range e.changed {
+		p.directory.Changed(now, x)
+	}
+	for _, name := range e.removed {
+		p.directory.Removed(now, name)
+	}
+	if len(e.changed)+len(e.removed) > 0 {
+		p.setWorkers(now)
+	}
+}
+
+// setWorkers gives the view the workers that may get requests.
+func (p *choosing) setWorkers(now time.Time) {
+	var workers []placer.Worker
+	for _, e := range p.directory.Present() {
+		w := placer.Worker{
+			Name: e.Name, Service: e.Service, Address: e.Address, Zone: e.Zone, Slots: e.Slots, Cold: e.Cold, Born: e.Born,
+		}
+		if p.folder != nil {
+			w.Memory = p.folder.Services[e.Service].Memory
+		}
+		workers = append(workers, w)
+	}
+	added, gone := p.view.SetWorkers(now, workers)
+	for _, w := range added {
+		p.log.Info("worker", zap.String("worker", w.Name), zap.String("service", w.Service), zap.String("address", w.Address), zap.String("state", "present"))
+	}
+	for _, w := range gone {
+		p.log.Info("worker", zap.String("worker", w.Name), zap.String("service", w.Service), zap.String("address", w.Address), zap.String("state", "away"))
+	}
+}
+
+func (p *choosing) sweep(now time.Time) {
+	p.view.Sweep(now)
+	if p.directory.Sweep(now) {
+		p.setWorkers(now)
+	}
+}
+
+func (workerAsked) event() {}
+func (sendBegun) event()   {}
+func (sendEnded) event()   {}
+func (sharedHeard) event() {}
+func (entriesSeen) event() {}
--- a/runner/following.go
+++ b/runner/following.go
@@ -34,6 +34,9 @@
 	g := &following{settings: s, log: log, sender: m}
 	timing := publisher.Timing{Confirm: s.Limits.Confirm.Std()}
 	g.Follower = publisher.NewFollower(store, timing, log, publisher.Actions{Enforce: enforce, Ask: g.ask, Ready: ready})
+	if s.Dialect == loader.DialectPlatform {
+		g.SetSource(operatorSource())
+	}
 	return g
 }
 
--- a/runner/host.go
+++ b/runner/host.go
@@ -33,6 +33,7 @@
 	server    *server.Server
 	observing *observing
 	registry  *prometheus.Registry
+	routing   *routing // nil where the host speaks the product's own dialect
 	leaving   chan struct{}
 	once      sync.Once
 }
@@ -56,7 +57,7 @@
 		return fmt.Errorf("listen for operators: %w", err)
 	}
 	defer operators.Close()
-	store, closeStore := storer.NewClient(settings.Platform)
+	store, closeStore := openStore(settings)
 	defer closeStore()
 	forward, closeForward := forwarder.New(settings.Limits.Silence.Std())
 	defer closeForward()
@@ -73,6 +74,9 @@
 func (h *Host) compose(store storer.Store, forward *forwarder.Forwarder) (func(), error) {
 	s := h.settings
 	incarnation := uint64(time.Now().UnixNano())
+	if s.Dialect == loader.DialectPlatform {
+		s.Name = processName(s.Name)
+	}
 	h.control = newControl(s.Name, incarnation, nil, h.log)
 	h.observing = newObserving(h.control, s.Platform, h.log)
 	forward.OnRefused(h.observing.refused)
@@ -92,6 +96,10 @@
 	}
 	h.messenger, h.control.sender = m, m
 	h.following = newFollowing(s, store, m, h.log, func(ready bool) { h.server.SetReady(ready) }, func(f *loader.Folder, g uint64) {
+		if h.routing != nil {
+			h.routing.choosing.post(folderChanged{folder: f, generation: g})
+			f = dispatched(f)
+		}
 		h.control.post(folderChanged{folder: f, generation: g})
 		for _, waited := range h.holding.release(time.Now(), f, g) {
 			h.control.post(waited)
@@ -105,6 +113,7 @@
 		Notify: func(r registrar.Roster) {
 			h.following.enroll(r)
 			h.control.post(rosterChanged{roster: r})
+			h.routing.enroll(r)
 		},
 	})
 	registry := prometheus.NewRegistry()
@@ -112,6 +121,10 @@
 	h.server.SetLimiter(limits{&h.control.limiting.gates})
 	h.control.keeping = newKeeping(h.control, store, forward, s.Limits.Once, newKeepingMetrics(registry), h.log)
 	h.server.SetOnce(h.control)
+	if s.Dialect == loader.DialectPlatform {
+		h.routing = newRouting(s, store, m, h.following, h.log, registry)
+		h.server.SetRoutes(h.routing.router)
+	}
 	h.registerMetrics(registry)
 	h.following.register(registry)
 	close(connected)
@@ -120,7 +133,7 @@
 
 // receive takes a frame of another host.
 func (h *Host) receive(e messenger.Envelope, msg messenger.Message) {
-	if h.following.take(e, msg) || h.registrar.Hear(e.From, msg) {
+	if h.following.take(e, msg) || h.registrar.Hear(e.From, msg) || h.routing.hear(e.From, msg) {
 		return
 	}
 	f := frameArrived{from: e.From, message: msg}
@@ -137,16 +150,18 @@
 	defer leaveRoster()
 	var tasks, membership sync.WaitGroup
 	tasks.Go(func() { h.control.run(roles) })
-	tasks.Go(func() { h.control.keeping.runLayout(roles) })
 	tasks.Go(func() { h.following.Run(roles) })
-	tasks.Go(func() { h.observing.run(roles) })
+	stopRouting, err := h.runRoutes(roles, &tasks)
+	if err != nil {
+		return err
+	}
+	defer stopRouting()
 	membership.Go(func() { h.registrar.Run(member) })
 	admin := &http.Server{Handler: h.admin(h.registry), ReadHeaderTimeout: time.Second}
 	tasks.Go(func() { _ = admin.Serve(operators) })
 	failed := make(chan error, 1)
 	tasks.Go(func() { failed <- h.server.Serve(callers) })
 	h.log.Info("serving", zap.String("zone", h.settings.Zone), zap.String("listen", h.settings.Listen))
-	var err error
 	select {
 	case <-ctx.Done():
 	case <-h.leaving:
--- /dev/null
+++ b/runner/operator.go
@@ -0,0 +1,69 @@
+package runner
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cicadawood/cicadawood/loader"
+	"github.com/cicadawood/cicadawood/platform"
+	"github.com/cicadawood/cicadawood/publisher"
+	"github.com/cicadawood/cicadawood/storer"
+)
+
+const (
+	// operatorWait is how long a watch of the operator's configuration waits. It is
+	// short: a connection that went silent hides a change for so long, and a change
+	// is to be in force within seconds. Each watch costs one read.
+	operatorWait = 2500 * time.Millisecond
+	// operatorRetries bounds the pause after failed watches to a second: after an
+	// outage of the platform a change is to be in force within seconds, too.
+	operatorRetries = 1
+	// operatorFile is the name of the configuration's one file.
+	operatorFile = "operator.json"
+)
+
+// operatorSource is the configuration that the operator writes to the platform's
+// store.
+func operatorSource() publisher.Source {
+	return publisher.Source{Key: platform.ConfigurationKey, Decode: decodeOperator, Wait: operatorWait, Retries: operatorRetries}
+}
+
+// decodeOperator makes one file of the operator's configuration, so that hosts
+// pass it on, check it and put it in force like one that was pushed.
+func decodeOperator(o storer.Object) (publisher.Head, error) {
+	c, err := platform.DecodeConfiguration(o.Value)
+	if err != nil {
+		return publisher.Head{}, fmt.Errorf("%w: %v", publisher.ErrObject, err)
+	}
+	text, err := json.Marshal(c.Folder)
+	if err != nil {
+		return publisher.Head{}, fmt.Errorf("%w: %v", publisher.ErrObject, err)
+	}
+	return publisher.NewHead(loader.Files{operatorFile: string(text)}, c.Version)
+}
+
+// openStore opens the platform's store in the host's dialect, and returns its
+// clean-up.
+func openStore(s loader.Host) (storer.Store, func()) {
+	if s.Dialect == loader.DialectPlatform {
+		return platform.NewStore(s.Platform)
+	}
+	return storer.NewClient(s.Platform)
+}
+
+// processName is a host's name among the other hosts' for the life of one process.
+// Failure: incarnations grow with the time of day, which may jump back by minutes;
+// the next process of the host would then count as an older one, and nobody would
+// speak with it. Under a name of its own it is simply another host.
+func processName(host string) string {
+	const bits = 24
+	return fmt.Sprintf("%s.%06x", host, rand.Uint32N(1<<bits))
+}
+
+// dispatched is the part of a configuration that dispatchers and lenders act on.
+// Host routes are placed by their entries, so that it has none of their services.
+func dispatched(f *loader.Folder) *loader.Folder {
+	return &loader.Folder{Organisations: f.Organisations}
+}
--- /dev/null
+++ b/runner/routing.go
@@ -0,0 +1,120 @@
+package runner
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"github.com/cicadawood/cicadawood/connector"
+	"github.com/cicadawood/cicadawood/loader"
+	"github.com/cicadawood/cicadawood/messenger"
+	"github.com/cicadawood/cicadawood/platform"
+	"github.com/cicadawood/cicadawood/registrar"
+	"github.com/cicadawood/cicadawood/router"
+	"github.com/cicadawood/cicadawood/storer"
+)
+
+// memoryShare is the part of a process's memory at which the runtime collects
+// garbage harder: connections' buffers in the kernel count, too.
+const memoryShare = 0.6
+
+// routing is the parts of a host that answer host routes.
+type routing struct {
+	choosing *choosing
+	listing  *listing
+	router   *router.Router
+	pool     *connector.Pool
+	close    func()
+}
+
+func newRouting(s loader.Host, store storer.Store, m sender, f *following, log *zap.Logger, registry prometheus.Registerer) *routing {
+	g := &routing{choosing: newChoosing(s.Name, s.Zone, m, s.Repeat, log)}
+	g.pool, g.close = connector.New()
+	g.listing = &listing{store: store, log: log, tell: func(e entriesSeen) { g.choosing.post(e) }}
+	g.router = router.New(router.Config{
+		Dialect: platform.Wire{}, Configuration: f, Placer: g.choosing, Pool: g.pool, Log: log, Metrics: router.NewMetrics(registry),
+		Answer: s.Limits.Answer, Stall: s.Limits.Stall.Std(), Buffer: s.Limits.Buffer,
+	})
+	return g
+}
+
+// hear takes a frame of another host, and says whether it was for the routing.
+func (g *routing) hear(from string, m messenger.Message) bool {
+	shared, ok := m.(messenger.Shared)
+	if g == nil || !ok {
+		return false
+	}
+	g.choosing.post(sharedHeard{from: from, shared: shared})
+	return true
+}
+
+// enroll takes a new roster.
+func (g *routing) enroll(r registrar.Roster) {
+	if g != nil {
+		g.choosing.post(rosterChanged{roster: r})
+	}
+}
+
+// runRoutes starts the goroutines of host routes, or, where the host serves none,
+// those that only the product's own interface needs. It returns how to end what
+// listens.
+func (h *Host) runRoutes(ctx context.Context, tasks *sync.WaitGroup) (func(), error) {
+	if h.routing == nil {
+		tasks.Go(func() { h.control.keeping.runLayout(ctx) })
+		tasks.Go(func() { h.observing.run(ctx) })
+		return func() {}, nil
+	}
+	if m := h.settings.Limits.Memory; m > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(m<<20)))
+	}
+	tasks.Go(func() { h.routing.choosing.run(ctx) })
+	tasks.Go(func() { h.routing.listing.run(ctx) })
+	tasks.Go(func() { h.routing.sweep(ctx) })
+	if h.settings.Ready == "" {
+		return h.routing.close, nil
+	}
+	l, err := net.Listen("tcp", h.settings.Ready)
+	if err != nil {
+		return nil, fmt.Errorf("listen for the balancer: %w", err)
+	}
+	ready := &http.Server{Handler: h.ready(), ReadHeaderTimeout: time.Second}
+	tasks.Go(func() { _ = ready.Serve(l) })
+	return func() {
+		_ = ready.Close()
+		h.routing.close()
+	}, nil
+}
+
+// ready answers the balancer. A host that knows no workers yet would refuse what
+// another host can serve.
+func (h *Host) ready() http.Handler {
+	own := h.server.ReadyHandler()
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !h.routing.choosing.known.Load() {
+			http.Error(w, "no workers known", http.StatusServiceUnavailable)
+			return
+		}
+		own.ServeHTTP(w, r)
+	})
+}
+
+// sweep closes idle connections to workers that were not used for long.
+func (g *routing) sweep(ctx context.Context) {
+	ticker := time.NewTicker(time.Second)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			g.pool.Sweep(now)
+		}
+	}
+}
--- a/server/server.go
+++ b/server/server.go
@@ -45,6 +45,7 @@
 	draining  atomic.Bool
 	calls     atomic.Int64
 
+	routes      http.Handler // of host routes; nil where the host serves none
 	connections atomic.Int64
 	http        *http.Server
 }
@@ -52,7 +53,7 @@
 // New returns a server that does not listen yet.
 func New(l loader.Limits, c Configuration, a Allocator, f *forwarder.Forwarder, log *zap.Logger, m *Metrics) *Server {
 	s := &Server{limits: l, config: c, places: a, forwarder: f, log: log, metrics: m, memory: memory{limit: l.Buffer}}
-	s.http = &http.Server{Handler: s.closing(s.router()), ReadHeaderTimeout: l.Read.Std(), ReadTimeout: l.Read.Std(), MaxHeaderBytes: l.Header, IdleTimeout: time.Minute, ConnState: s.boundConnections}
+	s.http = &http.Server{Handler: s.closing(s.handler()), ReadHeaderTimeout: l.Read.Std(), ReadTimeout: l.Read.Std(), MaxHeaderBytes: l.Header, IdleTimeout: time.Minute, ConnState: s.boundConnections}
 	return s
 }
 
@@ -60,6 +61,24 @@
 // Serve.
 func (s *Server) SetLimiter(l Limiter) { s.limiter = l }
 
+// SetRoutes has every caller answered by the handler of host routes, in place of
+// this package's own interface. It comes before Serve.
+func (s *Server) SetRoutes(h http.Handler) { s.routes = h }
+
+// routed counts a request of a host route as in flight, within the host's room.
+func (s *Server) routed(w http.ResponseWriter, r *http.Request) {
+	defer s.calls.Add(-1)
+	if s.calls.Add(1) > int64(s.limits.Calls) {
+		w.Header().Set("Retry-After", "1")
+		http.Error(w, "this host has too many requests in flight", http.StatusServiceUnavailable)
+		return
+	}
+	s.routes.ServeHTTP(w, r)
+}
+
+// ReadyHandler answers the balancer, whatever path it asks.
+func (s *Server) ReadyHandler() http.Handler { return http.HandlerFunc(s.readyz) }
+
 // Serve answers callers on l until Shutdown.
 func (s *Server) Serve(l net.Listener) error {
 	if err := s.http.Serve(l); !errors.Is(err, http.ErrServerClosed) {
@@ -85,6 +104,18 @@
 // Calls is the number of requests in flight.
 func (s *Server) Calls() int64 { return s.calls.Load() }
 
+// handler is the handler of host routes, or the package's own interface.
+func (s *Server) handler() http.Handler {
+	own := s.router()
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.routes != nil {
+			s.routed(w, r)
+			return
+		}
+		own.ServeHTTP(w, r)
+	})
+}
+
 func (s *Server) router() http.Handler {
 	r := mux.NewRouter().UseEncodedPath()
 	r.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
