Place long prompts away from streams with tight pauses

Ruled out: queues before the first event (p50 34 ms). Change: a long read costs 40 ms for each stream at the worker whose target it breaks; a stream with such a target avoids workers that were given much to read.

--- a/loader/folder.go
+++ b/loader/folder.go
@@ -70,6 +70,7 @@
 	Fencing bool     `json:"fencing"`
 	Resume  bool     `json:"resume"`           // engines: a stream that broke can be resumed
 	Memory  int      `json:"memory,omitempty"` // tokens that an engine keeps in memory; 0 for a plain service
+	Event   int      `json:"event,omitempty"`  // tokens that an event of an engine's stream holds
 }
 
 // Folder is the merged configuration. A parsed Folder is never changed.
--- a/messenger/message_share.go
+++ b/messenger/message_share.go
@@ -21,6 +21,7 @@
 	Read     int           `msgpack:"read"` // tokens that the worker has to read
 	Hold     int           `msgpack:"hold"` // tokens that it takes up there
 	Left     time.Duration `msgpack:"left"` // its answer is over by then
+	Gap      time.Duration `msgpack:"gap"`  // target for the longest pause in its stream
 	Keys     []uint64      `msgpack:"keys"` // of the prompt's parts, in order
 	Tokens   []int         `msgpack:"tokens"`
 }
--- a/placer/cost.go
+++ b/placer/cost.go
@@ -9,6 +9,20 @@
 	// readWeight is what reading costs those that wait behind, beside the request
 	// itself: as a part of its own reading time.
 	readWeight = 0.5
+	// tightShare is the part of a worker's longest stretch of reading that a target
+	// for pauses must exceed to be safe: the prediction is no better than that.
+	tightShare = 1.15
+	// tightCost is the milliseconds that a stream counts whose pauses a long prompt
+	// would stretch beyond their target.
+	tightCost = 40.0
+	// riskCost is the milliseconds that a worker that does nothing but read counts
+	// for a stream whose pauses that would stretch.
+	riskCost = 300.0
+	// longRead is the part of a stretch beyond which reading counts as long.
+	longRead = 0.6
+	// readFades is the time in which what was read lately falls to a third: about as
+	// long as a stream lasts.
+	readFades = 2 * time.Second
 	// fullCost is the milliseconds that each request too many for a worker's slots
 	// or memory counts.
 	fullCost = 100.0
@@ -79,7 +93,7 @@
 	if w.Memory == 0 {
 		return c + loadCost*float64(len(w.flights))/float64(w.Slots)
 	}
-	c += readWeight * w.readTime(w.unread(a))
+	c += readWeight*w.readTime(w.unread(a)) + w.harm(now, a)
 	if over := len(w.flights) + 1 - w.Slots; over > 0 {
 		c += fullCost * float64(over)
 	}
@@ -89,6 +103,23 @@
 	return c
 }
 
+// harm is what reading does to the pauses of streams, in milliseconds: of those at
+// the worker, if this request's prompt makes it read for longer than one of their
+// events may take; and of this one, if the worker is given much to read. So long
+// prompts and streams with tight pauses part by themselves.
+func (w *worker) harm(now time.Time, a Ask) float64 {
+	own := w.readTime(w.unread(a))
+	queue := math.Max(inMilliseconds(w.readUntil.Sub(now)), 0)
+	harm := 0.0
+	if own+queue > longRead*w.stretch() {
+		harm += tightCost * float64(w.tight())
+	}
+	if a.Gap > 0 && inMilliseconds(a.Gap) < tightShare*w.stretch() {
+		harm += riskCost * w.readLately(now) / inMilliseconds(readFades)
+	}
+	return harm
+}
+
 // refuse says that a request can't be served in time by the worker that would
 // serve it soonest. To send it all the same would take its reading from those
 // that still can.
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -20,6 +20,7 @@
 	Zone    string
 	Slots   int           // requests at once
 	Memory  int           // tokens that an engine keeps; 0 for a plain service
+	Event   int           // tokens of one event of an engine's stream
 	Cold    time.Duration // it is slow for that much longer
 	Born    string        // differs after a restart under the same name
 }
@@ -41,6 +42,7 @@
 	Left     time.Duration // until nobody waits for the answer any more
 	Patience time.Duration // until the caller leaves for want of a first event; 0 is Left
 	Target   time.Duration // for the answer, or a stream's first event
+	Gap      time.Duration // target for the longest pause in a stream; 0 is none
 	Exclude  []string      // workers that had it already
 }
 
@@ -53,6 +55,7 @@
 	Read   int           // tokens of the prompt that the worker has to read
 	Hold   int           // tokens that it takes up there
 	Left   time.Duration // its answer is over by then
+	Gap    time.Duration // target for the longest pause in its stream; 0 is none
 }
 
 // Refusal says that no worker should get a request now.
@@ -168,7 +171,7 @@
 	if refusal := refuse(a, wait); refusal != nil {
 		return Choice{}, refusal
 	}
-	f := Flight{ID: id, Worker: best.Name, Parts: a.Parts, Read: best.unread(a), Hold: a.Prompt + a.Output, Left: a.Left}
+	f := Flight{ID: id, Worker: best.Name, Parts: a.Parts, Read: best.unread(a), Hold: a.Prompt + a.Output, Left: a.Left, Gap: a.Gap}
 	v.add(now, "", f)
 	return Choice{Worker: best.Worker, Flight: f, Wait: wait}, nil
 }
--- a/placer/worker.go
+++ b/placer/worker.go
@@ -15,6 +15,8 @@
 	readUntil time.Time // it has read by then what was sent to it, as predicted
 	rate      float64   // tokens read in a millisecond
 	parts     memory
+	read      float64 // milliseconds of reading sent lately, fading
+	readAt    time.Time
 	trouble   float64 // milliseconds that it is avoided by
 	troubled  time.Time
 }
@@ -37,6 +39,7 @@
 	}
 	w.readUntil = w.readUntil.Add(milliseconds(w.readTime(f.Read)))
 	f.expected = w.readUntil.Add(milliseconds(baseTime))
+	w.read, w.readAt = w.readLately(now)+w.readTime(f.Read), now
 	w.parts.add(f.Parts, max(w.Memory-w.hold, w.Memory/4))
 }
 
@@ -78,6 +81,29 @@
 	return float64(tokens) * (1/w.rate + step/chunk)
 }
 
+// readLately is the milliseconds of reading that were sent to the worker lately.
+func (w *worker) readLately(now time.Time) float64 {
+	return w.read * math.Exp(-now.Sub(w.readAt).Seconds()/readFades.Seconds())
+}
+
+// stretch is the longest pause that reading can put between two events of a
+// stream, in milliseconds: each of an event's tokens waits for a chunk.
+func (w *worker) stretch() float64 {
+	return float64(max(w.Event, 1)) * w.readTime(chunk)
+}
+
+// tight is the number of streams at the worker whose target for pauses a stretch
+// of reading breaks.
+func (w *worker) tight() int {
+	n := 0
+	for _, f := range w.flights {
+		if f.Gap > 0 && inMilliseconds(f.Gap) < tightShare*w.stretch() {
+			n++
+		}
+	}
+	return n
+}
+
 // unread is the tokens of a request's prompt that the worker would have to read.
 func (w *worker) unread(a Ask) int {
 	if w.Memory == 0 {
--- a/router/router.go
+++ b/router/router.go
@@ -245,7 +245,7 @@
 		a.Output = q.Hint
 	}
 	if q.Stream {
-		a.Patience = patience(q.target)
+		a.Patience, a.Gap = patience(q.target), q.Gap.Std()
 	}
 	h := xxhash.New()
 	_, _ = h.WriteString(q.Model) // a hash takes everything
--- a/runner/choosing.go
+++ b/runner/choosing.go
@@ -208,7 +208,7 @@
 }
 
 func sendingOf(f placer.Flight) messenger.Sending {
-	s := messenger.Sending{ID: f.ID, Worker: f.Worker, Read: f.Read, Hold: f.Hold, Left: f.Left}
+	s := messenger.Sending{ID: f.ID, Worker: f.Worker, Read: f.Read, Hold: f.Hold, Left: f.Left, Gap: f.Gap}
 	for _, part := range f.Parts {
 		s.Keys = append(s.Keys, part.Key)
 		s.Tokens = append(s.Tokens, part.Tokens)
@@ -217,7 +217,7 @@
 }
 
 func flightOf(s messenger.Sending) placer.Flight {
-	f := placer.Flight{ID: s.ID, Worker: s.Worker, Read: s.Read, Hold: s.Hold, Left: s.Left}
+	f := placer.Flight{ID: s.ID, Worker: s.Worker, Read: s.Read, Hold: s.Hold, Left: s.Left, Gap: s.Gap}
 	for i := range min(len(s.Keys), len(s.Tokens)) {
 		f.Parts = append(f.Parts, placer.Part{Key: s.Keys[i], Tokens: s.Tokens[i]})
 	}
@@ -303,7 +303,7 @@
 			Name: e.Name, Service: e.Service, Address: e.Address, Zone: e.Zone, Slots: e.Slots, Cold: e.Cold, Born: e.Born,
 		}
 		if p.folder != nil {
-			w.Memory = p.folder.Services[e.Service].Memory
+			w.Memory, w.Event = p.folder.Services[e.Service].Memory, p.folder.Services[e.Service].Event
 		}
 		workers = append(workers, w)
 	}
