Pace long prompts, and weigh reading by what it costs others

Change: targets of 250 ms count as tight; a host holds a long prompt back until the worker has read the one before, where streams there are tight (12 ms for two steps); reading weighs 2 in place of 0.5.

--- a/placer/cost.go
+++ b/placer/cost.go
@@ -8,13 +8,13 @@
 const (
 	// readWeight is what reading costs those that wait behind, beside the request
 	// itself: as a part of its own reading time.
-	readWeight = 0.5
+	readWeight = 2.0
 	// tightShare is the part of a worker's longest stretch of reading that a target
 	// for pauses must exceed to be safe: the prediction is no better than that.
-	tightShare = 1.15
+	tightShare = 1.6
 	// tightCost is the milliseconds that a stream counts whose pauses a long prompt
 	// would stretch beyond their target.
-	tightCost = 40.0
+	tightCost = 30.0
 	// riskCost is the milliseconds that a worker that does nothing but read counts
 	// for a stream whose pauses that would stretch.
 	riskCost = 300.0
@@ -23,6 +23,14 @@
 	// readFades is the time in which what was read lately falls to a third: about as
 	// long as a stream lasts.
 	readFades = 2 * time.Second
+	// pacedLeast is the milliseconds of reading from which a prompt is held back for
+	// the worker to come to its streams: shorter ones stretch nothing.
+	pacedLeast = 30.0
+	// stepPause is the milliseconds that a worker gets for its streams between two
+	// long prompts: two steps.
+	stepPause = 12.0
+	// pauseShare is the part of its target that a prompt is held back at most.
+	pauseShare = 0.4
 	// fullCost is the milliseconds that each request too many for a worker's slots
 	// or memory counts.
 	fullCost = 100.0
@@ -111,7 +119,7 @@
 	own := w.readTime(w.unread(a))
 	queue := math.Max(inMilliseconds(w.readUntil.Sub(now)), 0)
 	harm := 0.0
-	if own+queue > longRead*w.stretch() {
+	if own > longRead*w.stretch() || w.pause(now, a) == 0 && own+queue > longRead*w.stretch() {
 		harm += tightCost * float64(w.tight())
 	}
 	if a.Gap > 0 && inMilliseconds(a.Gap) < tightShare*w.stretch() {
@@ -120,6 +128,18 @@
 	return harm
 }
 
+// pause is how long a long prompt waits at its host until the worker has read what
+// it was sent before, where reading both in one stretch would break the target for
+// pauses of streams at the worker. Between the two their next tokens come.
+func (w *worker) pause(now time.Time, a Ask) time.Duration {
+	own := w.readTime(w.unread(a))
+	queue := math.Max(inMilliseconds(w.readUntil.Sub(now)), 0)
+	if own < pacedLeast || queue == 0 || own+queue <= longRead*w.stretch() || w.tight() == 0 {
+		return 0
+	}
+	return min(milliseconds(queue+stepPause), time.Duration(pauseShare*float64(a.Target)))
+}
+
 // refuse says that a request can't be served in time by the worker that would
 // serve it soonest. To send it all the same would take its reading from those
 // that still can.
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -69,6 +69,7 @@
 	Worker Worker
 	Flight Flight
 	Wait   time.Duration // expected until its first event, or its answer
+	Pause  time.Duration // it is to be sent only then
 }
 
 // Outcome is how a request at a worker ended.
@@ -171,9 +172,10 @@
 	if refusal := refuse(a, wait); refusal != nil {
 		return Choice{}, refusal
 	}
+	pause := best.pause(now, a)
 	f := Flight{ID: id, Worker: best.Name, Parts: a.Parts, Read: best.unread(a), Hold: a.Prompt + a.Output, Left: a.Left, Gap: a.Gap}
 	v.add(now, "", f)
-	return Choice{Worker: best.Worker, Flight: f, Wait: wait}, nil
+	return Choice{Worker: best.Worker, Flight: f, Wait: wait, Pause: pause}, nil
 }
 
 // best is the worker with the least cost for a request, and the wait expected
--- a/router/delivery.go
+++ b/router/delivery.go
@@ -21,6 +21,8 @@
 	begun  bool // the head went out
 	status int
 	first  time.Time
+	latest time.Time     // of the last piece
+	pause  time.Duration // the longest between two pieces
 	bytes  int
 }
 
@@ -63,9 +65,7 @@
 		return nil
 	}
 	d.bound()
-	if d.first.IsZero() {
-		d.first = time.Now()
-	}
+	d.note(time.Now())
 	n, err := d.w.Write(p)
 	d.bytes += n
 	if err != nil {
@@ -74,6 +74,16 @@
 	return nil
 }
 
+// note takes the time of a piece.
+func (d *delivery) note(now time.Time) {
+	if d.first.IsZero() {
+		d.first = now
+	} else {
+		d.pause = max(d.pause, now.Sub(d.latest))
+	}
+	d.latest = now
+}
+
 func (d *delivery) flush() error {
 	if err := d.control.Flush(); err != nil && !errors.Is(err, http.ErrNotSupported) {
 		return fmt.Errorf("%w: %v", errCaller, err)
--- a/router/port.go
+++ b/router/port.go
@@ -77,6 +77,7 @@
 	Service string
 	Worker  placer.Worker
 	Wait    time.Duration // expected until the first event, or the answer
+	Pause   time.Duration // it is to be sent only then
 	Read    int           // tokens that the worker is expected to read
 	Age     time.Duration // of the list of workers that it was chosen from
 }
--- a/router/router.go
+++ b/router/router.go
@@ -121,7 +121,7 @@
 		zap.Duration("expected", t.expected), zap.Int("read", t.read),
 	}
 	if !t.delivery.first.IsZero() {
-		fields = append(fields, zap.Duration("first", t.delivery.first.Sub(q.started)))
+		fields = append(fields, zap.Duration("first", t.delivery.first.Sub(q.started)), zap.Duration("pause", t.delivery.pause))
 	}
 	if q.index != nil {
 		fields = append(fields, zap.Uint64("generation", q.index.generation))
--- a/router/trip.go
+++ b/router/trip.go
@@ -68,6 +68,10 @@
 		if err != nil {
 			return t.unplaced(caller, ctx, err)
 		}
+		if !wait(ctx, place.Pause) {
+			t.router.Placer.Ended(place, placer.Dropped)
+			return t.timedOut(caller, ctx)
+		}
 		t.sends++
 		t.worker, t.expected, t.read = place.Worker.Name, place.Wait, place.Read
 		err = t.send(ctx, place)
@@ -86,6 +90,21 @@
 	}
 }
 
+// wait waits; false where ctx ends first.
+func wait(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return true
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
 // unplaced is the answer to a request that got no further worker.
 func (t *trip) unplaced(caller, ctx context.Context, err error) *failure {
 	var refused Refused
--- a/runner/choosing.go
+++ b/runner/choosing.go
@@ -203,7 +203,7 @@
 	p.shared.Sent = append(p.shared.Sent, sendingOf(choice.Flight))
 	p.tellSoon()
 	return workerReply{place: router.Place{
-		ID: choice.Flight.ID, Service: e.ask.Service, Worker: choice.Worker, Wait: choice.Wait, Read: choice.Flight.Read, Age: now.Sub(p.listed),
+		ID: choice.Flight.ID, Service: e.ask.Service, Worker: choice.Worker, Wait: choice.Wait, Pause: choice.Pause, Read: choice.Flight.Read, Age: now.Sub(p.listed),
 	}}
 }
 
