One client for the platform's store; the stand-in speaks its pages

Cause: two clients of two forms of the Object API stood side by side, and the stand-in spoke the form that no platform has. A packed configuration may take 750,000 bytes: it lies in the store as text.

--- a/commander/platform.go
+++ b/commander/platform.go
@@ -5,17 +5,17 @@
 
 	"github.com/spf13/cobra"
 
-	"github.com/cicadawood/cicadawood/storer"
+	"github.com/cicadawood/cicadawood/platform"
 )
 
 var errNoPlatform = errors.New("no platform: give --platform or set CICADAWOOD_PLATFORM")
 
 // openStore is the Object API that the flags name, and its clean-up.
-func openStore(c *cobra.Command) (*storer.Client, func(), error) {
+func openStore(c *cobra.Command) (*platform.Store, func(), error) {
 	base, err := c.Flags().GetString("platform")
 	if err != nil || base == "" {
 		return nil, nil, usage(errNoPlatform)
 	}
-	store, clean := storer.NewClient(base)
+	store, clean := platform.NewStore(base)
 	return store, clean, nil
 }
--- a/faker/platform.go
+++ b/faker/platform.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"io"
 	"maps"
 	"net/http"
@@ -10,23 +11,30 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/cicadawood/cicadawood/platform"
 )
 
 const (
 	maxValue   = 1 << 20
 	maxHistory = 4096
+	// pageMost is the most objects of one answer, unless Page says another number.
+	pageMost = 500
 )
 
-// Platform is a fake of the platform's Object API: versions, conditional
-// updates, lists and watches, with faults on demand.
+// Platform is a fake of the platform's store: objects by kind and name, revisions,
+// conditional writes, lists by page and watches, with faults on demand.
 type Platform struct {
 	// Hosts is the host list.
 	Hosts HostList
+	// Page is the most objects of one answer; 0 is 500.
+	Page int
 
 	mu       sync.Mutex
 	revision uint64
-	objects  map[string]object
+	objects  map[string]platform.Object // by kind/name
 	history  []change
+	forgot   uint64        // history up to this revision is gone
 	changed  chan struct{} // closed and renewed at every change
 	faults   Faults
 	reads    int
@@ -40,20 +48,15 @@
 	Lose  int           `json:"lose"`  // that many writes take effect and lose their reply
 }
 
-type object struct {
-	value   []byte
-	version uint64
-}
-
 type change struct {
-	key     string
-	object  object
+	kind    string
+	object  platform.Object
 	deleted bool
 }
 
 // NewPlatform returns an empty platform.
 func NewPlatform() *Platform {
-	return &Platform{objects: map[string]object{}, changed: make(chan struct{})}
+	return &Platform{objects: map[string]platform.Object{}, changed: make(chan struct{})}
 }
 
 // SetFaults sets what goes wrong from now on.
@@ -73,10 +76,12 @@
 // Handler is the platform's HTTP interface.
 func (p *Platform) Handler() http.Handler {
 	m := http.NewServeMux()
-	m.HandleFunc("GET /objects", p.guard(p.list))
-	m.HandleFunc("GET /objects/{key...}", p.guard(p.get))
-	m.HandleFunc("PUT /objects/{key...}", p.guard(p.put))
-	m.HandleFunc("DELETE /objects/{key...}", p.guard(p.delete))
+	m.HandleFunc("GET /objects/{kind}", p.guard(p.list))
+	m.HandleFunc("POST /objects/{kind}", p.guard(p.create))
+	m.HandleFunc("GET /objects/{kind}/{name}", p.guard(p.get))
+	m.HandleFunc("PUT /objects/{kind}/{name}", p.guard(p.replace))
+	m.HandleFunc("DELETE /objects/{kind}/{name}", p.guard(p.remove))
+	m.HandleFunc("POST /forget", func(http.ResponseWriter, *http.Request) { p.Forget() })
 	m.HandleFunc("GET /hosts", p.guard(p.Hosts.get))
 	m.HandleFunc("PUT /hosts", p.Hosts.put)
 	m.HandleFunc("POST /faults", p.setFaults)
@@ -119,156 +124,246 @@
 	}
 }
 
+// Put writes an object as its owner would, past all faults.
+func (p *Platform) Put(kind, name string, spec any) {
+	text, err := json.Marshal(spec)
+	if err != nil {
+		panic(err) // a test's own value
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.store(kind, platform.Object{Metadata: platform.Metadata{Name: name}, Spec: text})
+}
+
+// Delete removes an object as its owner would, past all faults.
+func (p *Platform) Delete(kind, name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.drop(kind, name)
+}
+
+// Forget drops the history: watches from before are told so.
+func (p *Platform) Forget() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.history, p.forgot = nil, p.revision
+	p.wake()
+}
+
+// store writes an object under the next revision. One that is the same already
+// keeps its revision.
+func (p *Platform) store(kind string, o platform.Object) platform.Object {
+	key := kind + "/" + o.Metadata.Name
+	old, known := p.objects[key]
+	if known && string(old.Spec) == string(o.Spec) {
+		return old
+	}
+	p.revision++
+	o.Metadata.Revision, o.Metadata.Created = p.revision, p.revision
+	if known {
+		o.Metadata.Created = old.Metadata.Created
+	}
+	p.objects[key] = o
+	p.record(change{kind: kind, object: o})
+	return o
+}
+
+// drop removes an object under the next revision.
+func (p *Platform) drop(kind, name string) {
+	o, known := p.objects[kind+"/"+name]
+	if !known {
+		return
+	}
+	p.revision++
+	delete(p.objects, kind+"/"+name)
+	o.Metadata.Revision = p.revision
+	p.record(change{kind: kind, object: o, deleted: true})
+}
+
 func (p *Platform) get(w http.ResponseWriter, r *http.Request) {
 	p.mu.Lock()
-	o, ok := p.objects[r.PathValue("key")]
+	o, ok := p.objects[r.PathValue("kind")+"/"+r.PathValue("name")]
 	p.mu.Unlock()
 	if !ok {
 		http.NotFound(w, r)
 		return
 	}
-	w.Header().Set("ETag", etag(o.version))
-	if r.Header.Get("If-None-Match") == etag(o.version) {
-		w.WriteHeader(http.StatusNotModified)
+	writeJSON(w, http.StatusOK, o)
+}
+
+// create answers POST: the object must be new.
+func (p *Platform) create(w http.ResponseWriter, r *http.Request) {
+	o, ok := decode(w, r)
+	if !ok {
+		return
+	}
+	kind := r.PathValue("kind")
+	p.mu.Lock()
+	old, known := p.objects[kind+"/"+o.Metadata.Name]
+	if known {
+		p.mu.Unlock()
+		writeJSON(w, http.StatusConflict, old)
 		return
 	}
-	_, _ = w.Write(o.value)
+	p.finish(w, func() platform.Object { return p.store(kind, o) })
 }
 
-func (p *Platform) put(w http.ResponseWriter, r *http.Request) {
-	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxValue))
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+// replace answers PUT: the object must be there, under the revision that is given.
+func (p *Platform) replace(w http.ResponseWriter, r *http.Request) {
+	o, ok := decode(w, r)
+	if !ok {
 		return
 	}
+	kind := r.PathValue("kind")
+	o.Metadata.Name = r.PathValue("name")
 	p.mu.Lock()
-	key := r.PathValue("key")
-	if !p.holds(r, key) {
+	old, known := p.objects[kind+"/"+o.Metadata.Name]
+	switch {
+	case !known:
 		p.mu.Unlock()
-		http.Error(w, "condition failed", http.StatusPreconditionFailed)
+		http.NotFound(w, r)
+		return
+	case o.Metadata.Revision != 0 && o.Metadata.Revision != old.Metadata.Revision:
+		p.mu.Unlock()
+		writeJSON(w, http.StatusConflict, old)
 		return
 	}
-	p.revision++
-	o := object{value: value, version: p.revision}
-	p.objects[key] = o
-	p.record(change{key: key, object: o})
-	lose := p.lose()
-	p.mu.Unlock()
-	if lose {
-		panic(http.ErrAbortHandler)
-	}
-	w.Header().Set("ETag", etag(o.version))
+	p.finish(w, func() platform.Object { return p.store(kind, o) })
 }
 
-func (p *Platform) delete(w http.ResponseWriter, r *http.Request) {
+func (p *Platform) remove(w http.ResponseWriter, r *http.Request) {
+	kind, name := r.PathValue("kind"), r.PathValue("name")
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	key := r.PathValue("key")
-	if _, ok := p.objects[key]; !ok {
+	old, known := p.objects[kind+"/"+name]
+	revision := r.URL.Query().Get(platform.ParamRevision)
+	switch {
+	case !known:
+		p.mu.Unlock()
 		http.NotFound(w, r)
 		return
-	}
-	if !p.holds(r, key) {
-		http.Error(w, "condition failed", http.StatusPreconditionFailed)
+	case revision != "" && revision != strconv.FormatUint(old.Metadata.Revision, 10):
+		p.mu.Unlock()
+		writeJSON(w, http.StatusConflict, old)
 		return
 	}
-	p.revision++
-	delete(p.objects, key)
-	p.record(change{key: key, object: object{version: p.revision}, deleted: true})
-	if p.lose() {
+	p.finish(w, func() platform.Object { p.drop(kind, name); return old })
+}
+
+// finish does a write, unlocks, and answers unless the reply is to be lost.
+func (p *Platform) finish(w http.ResponseWriter, write func() platform.Object) {
+	o := write()
+	lose := p.faults.Lose > 0
+	if lose {
+		p.faults.Lose--
+	}
+	p.mu.Unlock()
+	if lose {
 		panic(http.ErrAbortHandler)
 	}
+	writeJSON(w, http.StatusOK, o)
 }
 
-// lose takes one of the writes that are to lose their reply.
-func (p *Platform) lose() bool {
-	if p.faults.Lose == 0 {
-		return false
+func decode(w http.ResponseWriter, r *http.Request) (platform.Object, bool) {
+	var o platform.Object
+	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxValue+leastBuffer))
+	if err == nil {
+		err = json.Unmarshal(text, &o)
+	}
+	if err == nil && len(o.Spec) > maxValue {
+		err = errors.New("the value is too large")
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
 	}
-	p.faults.Lose--
-	return true
+	return o, err == nil
 }
 
-// holds checks a write's conditions (RFC 9110, section 13).
-func (p *Platform) holds(r *http.Request, key string) bool {
-	o, ok := p.objects[key]
-	if r.Header.Get("If-None-Match") == "*" && ok {
-		return false
-	}
-	if m := r.Header.Get("If-Match"); m != "" && (!ok || m != etag(o.version)) {
-		return false
+// leastBuffer is the bytes of a body beside the value.
+const leastBuffer = 4 << 10
+
+// raw is an object in its wire form.
+func raw(o platform.Object) json.RawMessage {
+	text, err := json.Marshal(o)
+	if err != nil {
+		panic(err) // of plain fields
 	}
-	return true
+	return text
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
 }
 
 func (p *Platform) record(c change) {
 	p.history = append(p.history, c)
 	if len(p.history) > maxHistory {
+		p.forgot = p.history[0].object.Metadata.Revision
 		p.history = slices.Clone(p.history[len(p.history)-maxHistory:])
 	}
+	p.wake()
+}
+
+func (p *Platform) wake() {
 	close(p.changed)
 	p.changed = make(chan struct{})
 }
 
 func (p *Platform) list(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
-	prefix := q.Get("prefix")
-	if q.Has("after") {
-		p.watch(w, r, prefix)
+	if q.Has(platform.ParamWatch) {
+		p.watch(w, r)
 		return
 	}
+	prefix := r.PathValue("kind") + "/"
+	most := p.Page
+	if most == 0 {
+		most = pageMost
+	}
 	p.mu.Lock()
-	l := listing{Revision: p.revision}
+	l := platform.Page{Revision: p.revision, Items: []json.RawMessage{}}
 	for _, key := range slices.Sorted(maps.Keys(p.objects)) {
-		if strings.HasPrefix(key, prefix) {
-			l.Objects = append(l.Objects, listed{Key: key, Value: p.objects[key].value, Version: p.objects[key].version})
+		if !strings.HasPrefix(key, prefix) || key <= prefix+q.Get(platform.ParamAfter) {
+			continue
 		}
+		if len(l.Items) == most {
+			l.HasMore = true
+			break
+		}
+		l.Items = append(l.Items, raw(p.objects[key]))
 	}
 	p.mu.Unlock()
-	_ = json.NewEncoder(w).Encode(l)
-}
-
-type listing struct {
-	Revision uint64   `json:"revision"`
-	Objects  []listed `json:"objects"`
-}
-
-type listed struct {
-	Key     string `json:"key"`
-	Value   []byte `json:"value,omitempty"`
-	Version uint64 `json:"version"`
-	Deleted bool   `json:"deleted,omitempty"`
+	writeJSON(w, http.StatusOK, l)
 }
 
-// watch answers at the first change below the prefix after a revision, or when
-// the wait is over.
-func (p *Platform) watch(w http.ResponseWriter, r *http.Request, prefix string) {
-	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
-	wait, _ := strconv.Atoi(r.URL.Query().Get("wait"))
+// watch answers at the first change of the kind after a revision, or when the wait
+// is over.
+func (p *Platform) watch(w http.ResponseWriter, r *http.Request) {
+	after, _ := strconv.ParseUint(r.URL.Query().Get(platform.ParamWatch), 10, 64)
+	wait, _ := strconv.Atoi(r.URL.Query().Get(platform.ParamWait))
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
 	for {
 		p.mu.Lock()
-		if p.faults.Down {
-			p.mu.Unlock()
+		down, forgotten := p.faults.Down, after < p.forgot
+		l := p.since(r.PathValue("kind"), after)
+		changed := p.changed
+		p.mu.Unlock()
+		switch {
+		case down:
 			http.Error(w, "down", http.StatusServiceUnavailable)
 			return
-		}
-		if len(p.history) > 0 && after+1 < p.history[0].object.version && len(p.history) == maxHistory {
-			p.mu.Unlock()
+		case forgotten:
 			http.Error(w, "revision is forgotten", http.StatusGone)
 			return
-		}
-		l := p.since(prefix, after)
-		changed := p.changed
-		p.mu.Unlock()
-		if len(l.Objects) > 0 {
-			_ = json.NewEncoder(w).Encode(l)
+		case len(l.Events) > 0:
+			writeJSON(w, http.StatusOK, l)
 			return
 		}
 		select {
 		case <-changed:
 		case <-timeout:
-			_ = json.NewEncoder(w).Encode(l)
+			writeJSON(w, http.StatusOK, l)
 			return
 		case <-r.Context().Done():
 			return
@@ -276,14 +371,12 @@
 	}
 }
 
-func (p *Platform) since(prefix string, after uint64) listing {
-	l := listing{Revision: max(after, p.revision)}
+func (p *Platform) since(kind string, after uint64) platform.Events {
+	l := platform.Events{Revision: max(after, p.revision), Events: []platform.Event{}}
 	for _, c := range p.history {
-		if c.object.version > after && strings.HasPrefix(c.key, prefix) {
-			l.Objects = append(l.Objects, listed{Key: c.key, Value: c.object.value, Version: c.object.version, Deleted: c.deleted})
+		if c.kind == kind && c.object.Metadata.Revision > after {
+			l.Events = append(l.Events, platform.Event{Object: raw(c.object), Deleted: c.deleted})
 		}
 	}
 	return l
 }
-
-func etag(version uint64) string { return strconv.Quote(strconv.FormatUint(version, 10)) }
--- a/publisher/bench_test.go
+++ b/publisher/bench_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/cicadawood/cicadawood/faker"
 	"github.com/cicadawood/cicadawood/loader"
+	adapter "github.com/cicadawood/cicadawood/platform"
 	"github.com/cicadawood/cicadawood/publisher"
 	"github.com/cicadawood/cicadawood/storer"
 )
@@ -80,7 +81,7 @@
 			server := httptest.NewServer(platform.Handler())
 			defer server.Close()
 			defer server.CloseClientConnections()
-			store, clean := storer.NewClient(server.URL)
+			store, clean := adapter.NewStore(server.URL)
 			defer clean()
 			push := func(tier int) uint64 {
 				h, err := publisher.Read(context.Background(), store)
--- a/publisher/follower_test.go
+++ b/publisher/follower_test.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	adapter "github.com/cicadawood/cicadawood/platform"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"go.uber.org/zap"
@@ -18,7 +20,7 @@
 )
 
 // deafStore is a store whose watches and lists tell nothing, for good.
-type deafStore struct{ *storer.Client }
+type deafStore struct{ *adapter.Store }
 
 func (deafStore) List(ctx context.Context, _ string) ([]storer.Object, uint64, error) {
 	<-ctx.Done()
@@ -61,7 +63,7 @@
 var _ = Describe("Follower", func() {
 	var (
 		platform *faker.Platform
-		store    *storer.Client
+		store    *adapter.Store
 		quick    publisher.Timing
 	)
 	push := func(name string) uint64 {
@@ -88,7 +90,7 @@
 		DeferCleanup(server.CloseClientConnections)
 		DeferCleanup(server.Close)
 		var clean func()
-		store, clean = storer.NewClient(server.URL)
+		store, clean = adapter.NewStore(server.URL)
 		DeferCleanup(clean)
 		quick = publisher.Timing{Gather: 10 * time.Millisecond, Poll: 300 * time.Millisecond}
 	})
@@ -141,6 +143,11 @@
 		_, changed, err = store.Changed(context.Background(), publisher.Key, head.Version+1)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(changed).To(BeTrue())
+		push("b")
+		o, changed, err = store.Changed(context.Background(), publisher.Key, head.Version)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(changed).To(BeTrue())
+		Expect(o.Value).NotTo(Equal(head.Value))
 		Expect(g).NotTo(BeZero())
 	})
 })
--- a/publisher/head.go
+++ b/publisher/head.go
@@ -20,9 +20,9 @@
 
 // Bounds of the stored object.
 const (
-	// MaxObject is the most bytes that the packed configuration may take: under
-	// the platform's megabyte, and with room for a frame's envelope around it.
-	MaxObject = 1_000_000
+	// MaxObject is the most bytes that the packed configuration may take. It lies in
+	// the platform as text, a third longer: that stays under the platform's megabyte.
+	MaxObject = 750_000
 	// maxUnpacked bounds what a damaged object can cost a host that reads it.
 	maxUnpacked = 32 << 20
 	// maxLanded is how many pushes the object remembers. A push whose reply was
--- a/registrar/bench_test.go
+++ b/registrar/bench_test.go
@@ -10,12 +10,13 @@
 	"testing"
 	"time"
 
+	adapter "github.com/cicadawood/cicadawood/platform"
+
 	"go.uber.org/zap"
 
 	"github.com/cicadawood/cicadawood/faker"
 	"github.com/cicadawood/cicadawood/messenger"
 	"github.com/cicadawood/cicadawood/registrar"
-	"github.com/cicadawood/cicadawood/storer"
 )
 
 const (
@@ -50,7 +51,7 @@
 	var tasks sync.WaitGroup
 	fleet := make([]*bench, hosts)
 	for i := range fleet {
-		store, clean := storer.NewClient(server.URL)
+		store, clean := adapter.NewStore(server.URL)
 		defer clean()
 		h := &bench{ready: make(chan struct{})}
 		name := fmt.Sprintf("host-%02d", i)
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	adapter "github.com/cicadawood/cicadawood/platform"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"go.uber.org/zap"
@@ -89,7 +91,7 @@
 		platform = faker.NewPlatform()
 		server := httptest.NewServer(platform.Handler())
 		DeferCleanup(server.Close)
-		client, clean := storer.NewClient(server.URL)
+		client, clean := adapter.NewStore(server.URL)
 		DeferCleanup(clean)
 		store, w = client, &wire{hosts: map[string]*registrar.Registrar{}, lease: time.Second}
 	})
--- a/runner/host.go
+++ b/runner/host.go
@@ -16,6 +16,7 @@
 	"github.com/cicadawood/cicadawood/forwarder"
 	"github.com/cicadawood/cicadawood/loader"
 	"github.com/cicadawood/cicadawood/messenger"
+	"github.com/cicadawood/cicadawood/platform"
 	"github.com/cicadawood/cicadawood/registrar"
 	"github.com/cicadawood/cicadawood/server"
 	"github.com/cicadawood/cicadawood/storer"
@@ -57,7 +58,7 @@
 		return fmt.Errorf("listen for operators: %w", err)
 	}
 	defer operators.Close()
-	store, closeStore := openStore(settings)
+	store, closeStore := platform.NewStore(settings.Platform)
 	defer closeStore()
 	forward, closeForward := forwarder.New(settings.Limits.Silence.Std())
 	defer closeForward()
--- a/runner/operator.go
+++ b/runner/operator.go
@@ -44,15 +44,6 @@
 	return publisher.NewHead(loader.Files{operatorFile: string(text)}, c.Version)
 }
 
-// openStore opens the platform's store in the host's dialect, and returns its
-// clean-up.
-func openStore(s loader.Host) (storer.Store, func()) {
-	if s.Dialect == loader.DialectPlatform {
-		return platform.NewStore(s.Platform)
-	}
-	return storer.NewClient(s.Platform)
-}
-
 // processName is a host's name among the other hosts' for the life of one process.
 // Failure: incarnations grow with the time of day, which may jump back by minutes;
 // the next process of the host would then count as an older one, and nobody would
--- a/scripter/look_test.go
+++ b/scripter/look_test.go
@@ -1,9 +1,9 @@
 package scripter_test
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"os"
 	"os/exec"
@@ -13,6 +13,8 @@
 
 	"github.com/rogpeppe/go-internal/testscript"
 
+	"github.com/cicadawood/cicadawood/platform"
+	"github.com/cicadawood/cicadawood/registrar"
 	"github.com/cicadawood/cicadawood/runner"
 )
 
@@ -118,17 +120,17 @@
 // cmdRenewed is `renewed PLATFORM HOST`: waits until the host has renewed its lease
 // after now.
 func cmdRenewed(ts *testscript.TestScript, _ bool, args []string) {
-	path := "http://" + worldOf(ts).addresses[args[0]] + "/objects/leases/" + args[1]
-	version := func() string {
-		resp, err := http.Get(path)
+	store, clean := platform.NewStore("http://" + worldOf(ts).addresses[args[0]])
+	defer clean()
+	version := func() uint64 {
+		o, err := store.Get(context.Background(), registrar.LeasePrefix+args[1])
 		ts.Check(err)
-		_ = resp.Body.Close()
-		return resp.Header.Get("ETag")
+		return o.Version
 	}
 	before := version()
 	eventually(ts, func() error {
-		if now := version(); now == before || now == "" {
-			return fmt.Errorf("the lease of %s has version %q since the wait began", args[1], now)
+		if now := version(); now == before {
+			return fmt.Errorf("the lease of %s has version %d since the wait began", args[1], now)
 		}
 		return nil
 	})
@@ -136,15 +138,12 @@
 
 // cmdObject is `object PLATFORM KEY TEXT`: waits until the object has that text.
 func cmdObject(ts *testscript.TestScript, _ bool, args []string) {
+	store, clean := platform.NewStore("http://" + worldOf(ts).addresses[args[0]])
+	defer clean()
 	eventually(ts, func() error {
-		resp, err := http.Get("http://" + worldOf(ts).addresses[args[0]] + "/objects/" + args[1])
-		if err != nil {
-			return err
-		}
-		defer resp.Body.Close()
-		text, err := io.ReadAll(resp.Body)
-		if err == nil && !strings.Contains(string(text), args[2]) {
-			err = fmt.Errorf("%s is %s", args[1], text)
+		o, err := store.Get(context.Background(), args[1])
+		if err == nil && !strings.Contains(string(o.Value), args[2]) {
+			err = fmt.Errorf("%s is %s", args[1], o.Value)
 		}
 		return err
 	})
--- a/storer/storer.go
+++ b/storer/storer.go
@@ -1,4 +1,5 @@
-// Package storer is the port to the platform's Object API, with its HTTP adapter.
+// Package storer is the port to the platform's store of objects; package platform has
+// its adapter.
 //
 // Everything the system must keep lives behind the Store interface. Values are
 // opaque bytes of at most MaxValue; versions are positive, and grow with every
