End a host that serves host routes; specs of the whole path on loopback

Cause: run waited for the balancer's listener before it closed it, so that a host never ended after SIGTERM and was killed after its grace. Ruled out: requests in flight (the answer was whole) and keepers (none). Change: the listener closes before the goroutines are waited for.

--- /dev/null
+++ b/connector/connector_test.go
@@ -0,0 +1,210 @@
+package connector_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cicadawood/cicadawood/connector"
+)
+
+func TestConnector(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "connector")
+}
+
+// worker serves each connection by a script: what it answers to the first request,
+// to the second and so on, and then does nothing. "close" closes the connection,
+// "reset" resets it.
+type worker struct {
+	address string
+	conns   chan net.Conn
+	seen    chan string // request lines and bodies
+}
+
+func newWorker(scripts ...[]string) *worker {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(l.Close)
+	w := &worker{address: l.Addr().String(), conns: make(chan net.Conn, 100), seen: make(chan string, 100)}
+	go func() {
+		for i := 0; ; i++ {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			w.conns <- c
+			go w.serve(c, scripts[min(i, len(scripts)-1)])
+		}
+	}()
+	return w
+}
+
+func (w *worker) serve(c net.Conn, script []string) {
+	r := bufio.NewReader(c)
+	for _, answer := range script {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		body, _ := io.ReadAll(req.Body)
+		w.seen <- req.Method + " " + req.RequestURI + " " + string(body)
+		switch answer {
+		case "close":
+			_ = c.Close()
+		case "reset":
+			_ = c.(*net.TCPConn).SetLinger(0)
+			_ = c.Close()
+		default:
+			_, _ = io.WriteString(c, answer)
+			if strings.HasSuffix(answer, "\nthen close") {
+				_ = c.Close()
+			}
+		}
+	}
+}
+
+func whole(id, body string, more ...string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n%s\r\n%s", id, len(body), strings.Join(more, ""), body)
+}
+
+var _ = Describe("Pool", func() {
+	var pool *connector.Pool
+	BeforeEach(func() {
+		var clean func()
+		pool, clean = connector.New()
+		DeferCleanup(clean)
+	})
+	do := func(ctx context.Context, w *worker, id string) (string, error) {
+		a, err := pool.Do(ctx, w.address, connector.Call{
+			Method: http.MethodPost, Target: "/a%2Fb?" + id, Host: "h.example", Header: http.Header{"X": {"1"}}, Body: []byte("body"),
+			Mine: func(h http.Header) bool { return h.Get("Id") == id },
+		})
+		if err != nil {
+			return "", err
+		}
+		defer a.Close()
+		body, err := io.ReadAll(a)
+		if err == nil {
+			a.Finish()
+		}
+		return string(body), err
+	}
+	bg := context.Background()
+
+	It("uses a connection again, and sends what it is given unchanged", func() {
+		w := newWorker([]string{whole("1", "one"), whole("2", "two")})
+		Expect(do(bg, w, "1")).To(Equal("one"))
+		Expect(do(bg, w, "2")).To(Equal("two"))
+		Expect(w.conns).To(HaveLen(1))
+		Expect(w.seen).To(Receive(Equal("POST /a%2Fb?1 body")))
+		made, reused := pool.Counts()
+		Expect([]uint64{made, reused}).To(Equal([]uint64{1, 1}))
+	})
+
+	// The worker closes a connection that lies idle. A request that is sent over it
+	// is lost, and one that must not be repeated fails for nothing.
+	It("does not send over a connection that the other end has closed", func() {
+		w := newWorker([]string{whole("1", "one") + "", "close"}, []string{whole("2", "two")})
+		Expect(do(bg, w, "1")).To(Equal("one"))
+		c := <-w.conns
+		Expect(c.Close()).To(Succeed())
+		Eventually(func() (string, error) { return do(bg, w, "2") }, time.Second).Should(Equal("two"))
+	})
+
+	// A worker sends one answer too many. Whoever sends next over that connection
+	// would get it.
+	It("does not send over a connection on which something lies", func() {
+		w := newWorker([]string{whole("1", "one") + whole("9", "nine")}, []string{whole("2", "two")})
+		Expect(do(bg, w, "1")).To(Equal("one"))
+		Expect(do(bg, w, "2")).To(Equal("two"))
+		Expect(w.conns).To(HaveLen(2))
+	})
+
+	// The extra answer comes late: just before the one that is due.
+	It("skips an answer that belongs to another request", func() {
+		w := newWorker([]string{whole("0", "zero") + whole("1", "one"), whole("2", "two")}, []string{whole("2", "two")})
+		Expect(do(bg, w, "1")).To(Equal("one"))
+		Expect(do(bg, w, "2")).To(Equal("two"))
+		Expect(w.conns).To(HaveLen(2))
+	})
+
+	DescribeTable("says that a request may have run",
+		func(answer string) {
+			w := newWorker([]string{answer})
+			_, err := do(bg, w, "1")
+			Expect(err).To(MatchError(connector.ErrLost))
+			Expect(w.seen).To(HaveLen(1)) // and never sends it again
+		},
+		Entry("that got a closed connection", "close"),
+		Entry("that got a reset", "reset"),
+		Entry("whose answer is cut", "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 99\r\n\r\nhalf\nthen close"),
+		Entry("whose chunks are cut", "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\nthen close"),
+		Entry("that got no HTTP", "nonsense\r\n\r\n\nthen close"),
+		Entry("that only got others' answers", whole("7", "x")+whole("8", "y")+whole("9", "z")),
+	)
+
+	It("says that a request was not sent where there was no connection", func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(l.Close()).To(Succeed())
+		_, err = do(bg, &worker{address: l.Addr().String()}, "1")
+		Expect(err).To(MatchError(connector.ErrNotSent))
+	})
+
+	It("ends a request with its context, and the connection with it", func() {
+		w := newWorker([]string{""})
+		ctx, cancel := context.WithCancel(bg)
+		done := make(chan error, 1)
+		go func() {
+			_, err := do(ctx, w, "1")
+			done <- err
+		}()
+		Eventually(w.seen).Should(Receive())
+		cancel()
+		Eventually(done, time.Second).Should(Receive(MatchError(context.Canceled)))
+		var b [1]byte
+		_, err := (<-w.conns).Read(b[:])
+		Expect(err).To(MatchError(io.EOF))
+	})
+
+	// A worker answers a long body before it has read it. The next request over the
+	// connection would be taken for the rest of that body.
+	It("does not use a connection again whose request is not through", func() {
+		w := newWorker([]string{whole("1", "one")}, []string{whole("2", "two")})
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(l.Close)
+		go func() {
+			c, err := l.Accept()
+			if err == nil {
+				_, _ = io.WriteString(c, whole("1", "early"))
+			}
+		}()
+		a, err := pool.Do(bg, l.Addr().String(), connector.Call{Method: http.MethodPost, Target: "/", Host: "h", Body: make([]byte, 32<<20)})
+		Expect(err).NotTo(HaveOccurred())
+		body, err := io.ReadAll(a)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(body)).To(Equal("early"))
+		a.Finish()
+		Expect(pool.Idle(l.Addr().String())).To(BeFalse())
+		Expect(do(bg, w, "1")).To(Equal("one"))
+	})
+
+	It("keeps a connection no longer than the server says", func() {
+		w := newWorker([]string{whole("1", "one", "Keep-Alive: timeout=1\r\n"), whole("2", "two")}, []string{whole("3", "three")})
+		Expect(do(bg, w, "1")).To(Equal("one"))
+		Expect(pool.Idle(w.address)).To(BeTrue())
+		pool.Sweep(time.Now().Add(700 * time.Millisecond))
+		Expect(pool.Idle(w.address)).To(BeFalse())
+	})
+})
--- a/faker/worker.go
+++ b/faker/worker.go
@@ -30,6 +30,7 @@
 	flaws Flaws
 	runs  map[string]int         // by request
 	heads map[string]http.Header // of the last run of a request
+	left  int                    // requests whose caller went before their answer
 	seq   int
 }
 
@@ -89,6 +90,13 @@
 	return n
 }
 
+// Left is how many requests were taken back before a Mute worker answered them.
+func (k *Worker) Left() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.left
+}
+
 // Head is the header with which the worker last ran a request.
 func (k *Worker) Head(request string) http.Header {
 	k.mu.Lock()
@@ -120,6 +128,9 @@
 		panic(http.ErrAbortHandler)
 	case f.Mute:
 		<-r.Context().Done()
+		k.mu.Lock()
+		k.left++
+		k.mu.Unlock()
 		return
 	}
 	if !f.Unsealed {
--- /dev/null
+++ b/placer/engine_test.go
@@ -0,0 +1,326 @@
+package placer_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cicadawood/cicadawood/placer"
+)
+
+// engine is a stand-in engine: between two steps of decoding it reads a chunk of
+// the oldest prompt, and it keeps the parts that it read.
+type engine struct {
+	queue   []*stream
+	running []*stream
+	parts   map[uint64]bool
+}
+
+// stream is one request at an engine.
+type stream struct {
+	ask      placer.Ask
+	id       uint64
+	at       time.Duration // it was asked for
+	unread   int
+	tokens   int // made
+	first    time.Duration
+	last     time.Duration // of the last event
+	pause    time.Duration // the longest
+	refused  bool
+	finished bool
+}
+
+const (
+	engineRate    = 41.4 // prompt tokens a millisecond
+	engineChunk   = 2048
+	engineStep    = 4.7    // milliseconds
+	engineEvent   = 4      // tokens
+	enginePairs   = 0.59   // milliseconds for a million pairs of a chunk's tokens with those before
+	engineContext = 0.0161 // milliseconds a step for a thousand tokens of running requests
+)
+
+// step runs the engine for one step, and returns how long it took and the streams
+// whose first event came or that ended.
+func (e *engine) step(now time.Duration) (took time.Duration, begun, ended []*stream) {
+	ms := engineStep + 0.0116*float64(len(e.running))
+	for _, s := range e.running {
+		ms += engineContext * float64(s.ask.Prompt) / 1000
+	}
+	chunk := engineChunk
+	for len(e.queue) > 0 && chunk > 0 {
+		s := e.queue[0]
+		n := min(chunk, s.unread)
+		s.unread -= n
+		chunk -= n
+		ms += float64(n)/engineRate + enginePairs*float64(n)*float64(s.ask.Prompt-s.unread)/1e6
+		if s.unread > 0 {
+			break
+		}
+		for _, p := range s.ask.Parts {
+			e.parts[p.Key] = true
+		}
+		e.queue = e.queue[1:]
+		e.running = append(e.running, s)
+	}
+	took = time.Duration(ms * float64(time.Millisecond))
+	at := now + took
+	kept := e.running[:0]
+	for _, s := range e.running {
+		s.tokens++
+		if s.tokens%engineEvent == 1 {
+			if s.first == 0 {
+				s.first = at
+				begun = append(begun, s)
+			} else {
+				s.pause = max(s.pause, at-s.last)
+			}
+			s.last = at
+		}
+		if s.tokens >= s.ask.Output {
+			s.finished = true
+			ended = append(ended, s)
+			continue
+		}
+		kept = append(kept, s)
+	}
+	e.running = kept
+	return took, begun, ended
+}
+
+// agenda is what happens next, the soonest first.
+type agenda []moment
+
+type moment struct {
+	at time.Duration
+	do func(time.Duration)
+}
+
+func (a agenda) Len() int           { return len(a) }
+func (a agenda) Less(i, j int) bool { return a[i].at < a[j].at }
+func (a agenda) Swap(i, j int)      { a[i], a[j] = a[j], a[i] }
+func (a *agenda) Push(x any)        { *a = append(*a, x.(moment)) }
+func (a *agenda) Pop() any {
+	x := (*a)[len(*a)-1]
+	*a = (*a)[:len(*a)-1]
+	return x
+}
+
+// chooser picks an engine for a request; "" refuses it.
+type chooser interface {
+	choose(now time.Duration, s *stream) (worker string, pause time.Duration)
+	begun(now time.Duration, s *stream)
+	ended(now time.Duration, s *stream)
+}
+
+// ours is the View. Without is a mechanism that is switched off.
+type ours struct {
+	view    *placer.View
+	without string
+}
+
+func (o ours) choose(now time.Duration, s *stream) (string, time.Duration) {
+	a := s.ask
+	switch o.without {
+	case "parts":
+		a.Parts = nil
+	case "pauses":
+		a.Gap = 0
+	}
+	c, refusal := o.view.Place(start.Add(now), s.id, a)
+	if refusal != nil {
+		return "", 0
+	}
+	return c.Worker.Name, c.Pause
+}
+func (o ours) begun(now time.Duration, s *stream) { o.view.Begun(start.Add(now), s.id) }
+func (o ours) ended(now time.Duration, s *stream) {
+	o.view.Ended(start.Add(now), s.id, placer.Answered)
+}
+
+// random sends each request anywhere.
+type random struct {
+	names []string
+	r     *rand.Rand
+}
+
+func (r random) choose(time.Duration, *stream) (string, time.Duration) {
+	return r.names[r.r.IntN(len(r.names))], 0
+}
+func (random) begun(time.Duration, *stream) {}
+func (random) ended(time.Duration, *stream) {}
+
+// load is a heavy day's traffic: plans and chats, a second.
+type load struct{ plans, chats float64 }
+
+// outcome is what callers got.
+type outcome struct{ plans, chats, plansInTime, chatsInTime, refused int }
+
+func (o outcome) share() (plans, chats float64) {
+	return float64(o.plansInTime) / float64(o.plans), float64(o.chatsInTime) / float64(o.chats)
+}
+
+// play plays a load on twelve engines for a time.
+func play(l load, seed uint64, length time.Duration, of func([]string, *rand.Rand) chooser) outcome {
+	r := rand.New(rand.NewPCG(seed, 1))
+	all := map[string]*engine{}
+	var names []string
+	for i := range 12 {
+		name := fmt.Sprintf("e-%02d", i)
+		names = append(names, name)
+		all[name] = &engine{parts: map[uint64]bool{}}
+	}
+	c := of(names, r)
+	var todo agenda
+	do := func(at time.Duration, f func(time.Duration)) { heap.Push(&todo, moment{at, f}) }
+	var run func(e *engine) func(time.Duration)
+	busy := map[*engine]bool{}
+	run = func(e *engine) func(time.Duration) {
+		return func(now time.Duration) {
+			if len(e.queue)+len(e.running) == 0 {
+				busy[e] = false
+				return
+			}
+			took, begun, ended := e.step(now)
+			do(now+took, func(at time.Duration) {
+				for _, s := range begun {
+					c.begun(at, s)
+				}
+				for _, s := range ended {
+					c.ended(at, s)
+				}
+				run(e)(at)
+			})
+		}
+	}
+	var streams []*stream
+	arrive := func(rate float64, make func() placer.Ask) {
+		for at := time.Duration(0); at < length; at += time.Duration(r.ExpFloat64() / rate * float64(time.Second)) {
+			s := &stream{ask: make(), id: uint64(len(streams) + 1), at: at}
+			streams = append(streams, s)
+			do(at, func(now time.Duration) {
+				worker, pause := c.choose(now, s)
+				if worker == "" {
+					s.refused = true
+					return
+				}
+				do(now+pause, func(now time.Duration) {
+					e := all[worker]
+					s.unread = s.ask.Prompt
+					for _, p := range s.ask.Parts {
+						if !e.parts[p.Key] {
+							break
+						}
+						s.unread -= p.Tokens
+					}
+					e.queue = append(e.queue, s)
+					if !busy[e] {
+						busy[e] = true
+						run(e)(now)
+					}
+				})
+			})
+		}
+	}
+	arrive(l.plans, func() placer.Ask {
+		second := uint64(1000 + r.IntN(117))
+		a := plan(second)
+		a.Parts[0].Key = 1 + second%4
+		a.Output = 52
+		return a
+	})
+	arrive(l.chats, func() placer.Ask {
+		return placer.Ask{
+			Service: "lm", Prompt: 830, Output: 292, Left: 15 * time.Second, Patience: 2 * time.Second, Target: 300 * time.Millisecond,
+			Gap: 250 * time.Millisecond, Parts: []placer.Part{{Key: uint64(5000 + r.IntN(20)), Tokens: 120}},
+		}
+	})
+	for len(todo) > 0 {
+		m := heap.Pop(&todo).(moment)
+		m.do(m.at)
+	}
+	var o outcome
+	for _, s := range streams {
+		ok := s.finished && s.first-s.at <= s.ask.Target && s.pause <= s.ask.Gap
+		if s.refused {
+			o.refused++
+		}
+		if s.ask.Prompt > 1000 {
+			o.plans++
+			if ok {
+				o.plansInTime++
+			}
+			continue
+		}
+		o.chats++
+		if ok {
+			o.chatsInTime++
+		}
+	}
+	return o
+}
+
+func oursWithout(what string) func([]string, *rand.Rand) chooser {
+	return func(names []string, _ *rand.Rand) chooser {
+		v := placer.New("a")
+		v.SetWorkers(start, engines(names...))
+		return ours{view: v, without: what}
+	}
+}
+
+func atRandom(names []string, r *rand.Rand) chooser { return random{names: names, r: r} }
+
+// heavy is a burst of plans at twice the usual, on top of the usual chats.
+var heavy = load{plans: 50, chats: 40}
+
+// On a heavy day long prompts fill the engines' reading, and chats that run beside
+// them get a pause in each event. Callers see a stream that stutters.
+var _ = Describe("A heavy day", func() {
+	const day = 20 * time.Second
+	mean := func(of func([]string, *rand.Rand) chooser) (plans, chats float64) {
+		const seeds = 3
+		for seed := range uint64(seeds) {
+			p, c := play(heavy, 101+seed, day, of).share()
+			plans, chats = plans+p/seeds, chats+c/seeds
+		}
+		return plans, chats
+	}
+
+	It("is won by what each mechanism is for", func() {
+		plans, chats := mean(oursWithout(""))
+		AddReportEntry("ours", fmt.Sprintf("plans %.3f chats %.3f", plans, chats))
+		p, c := mean(oursWithout("pauses"))
+		AddReportEntry("without pauses", fmt.Sprintf("plans %.3f chats %.3f", p, c))
+		Expect(chats).To(BeNumerically(">", c+0.2))
+		p, c = mean(oursWithout("parts"))
+		AddReportEntry("without parts", fmt.Sprintf("plans %.3f chats %.3f", p, c))
+		Expect(plans).To(BeNumerically(">", p+0.1))
+		p, c = mean(atRandom)
+		AddReportEntry("at random", fmt.Sprintf("plans %.3f chats %.3f", p, c))
+		Expect(plans).To(BeNumerically(">", p+0.2))
+		Expect(chats).To(BeNumerically(">", c+0.2))
+	})
+})
+
+// BenchmarkPlace is one placing among 12 engines with 130 requests under way.
+func BenchmarkPlace(b *testing.B) {
+	v := placer.New("a")
+	var names []string
+	for i := range 12 {
+		names = append(names, fmt.Sprintf("e-%02d", i))
+	}
+	v.SetWorkers(start, engines(names...))
+	now := start
+	for i := range uint64(b.N) {
+		now = now.Add(10 * time.Millisecond)
+		_, _ = v.Place(now, i, plan(1000+i%117))
+		v.Begun(now, i)
+		if i > 130 {
+			v.Ended(now, i-130, placer.Answered)
+		}
+	}
+}
--- /dev/null
+++ b/placer/placer_test.go
@@ -0,0 +1,152 @@
+package placer_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cicadawood/cicadawood/placer"
+)
+
+var start = time.Unix(1000, 0)
+
+func engines(names ...string) []placer.Worker {
+	var out []placer.Worker
+	for _, n := range names {
+		out = append(out, placer.Worker{Name: n, Service: "lm", Zone: "a", Slots: 96, Memory: 300_000, Event: 4})
+	}
+	return out
+}
+
+func desks(names ...string) []placer.Worker {
+	var out []placer.Worker
+	for _, n := range names {
+		out = append(out, placer.Worker{Name: n, Service: "app", Zone: "a", Slots: 2})
+	}
+	return out
+}
+
+// plan is a long prompt with shared parts.
+func plan(shared uint64) placer.Ask {
+	return placer.Ask{
+		Service: "lm", Prompt: 9200, Output: 60, Left: 6 * time.Second, Patience: 3 * time.Second, Target: 600 * time.Millisecond,
+		Gap: 400 * time.Millisecond, Parts: []placer.Part{{Key: 1, Tokens: 2500}, {Key: shared, Tokens: 3800}},
+	}
+}
+
+var quote = placer.Ask{Service: "app", Left: 3 * time.Second, Target: 300 * time.Millisecond}
+
+var _ = Describe("View", func() {
+	var (
+		v    *placer.View
+		next uint64
+	)
+	BeforeEach(func() { v, next = placer.New("a"), 0 })
+	place := func(now time.Time, a placer.Ask) (placer.Choice, *placer.Refusal) {
+		next++
+		return v.Place(now, next, a)
+	}
+
+	It("sends a prompt where its parts were read, as long as the queue there is short", func() {
+		v.SetWorkers(start, engines("e-1", "e-2", "e-3"))
+		first, _ := place(start, plan(7))
+		v.Begun(start.Add(300*time.Millisecond), first.Flight.ID)
+		again, _ := place(start.Add(400*time.Millisecond), plan(7))
+		Expect(again.Worker.Name).To(Equal(first.Worker.Name))
+		Expect(again.Flight.Read).To(Equal(2900))
+		Expect(first.Flight.Read).To(Equal(9200))
+		used := map[string]bool{}
+		for range 30 {
+			c, _ := place(start.Add(400*time.Millisecond), plan(7))
+			used[c.Worker.Name] = true
+		}
+		Expect(used).To(HaveLen(3))
+	})
+
+	// Two hosts see the same idle workers. What one has sent must count for the
+	// other, or both fill the same worker.
+	It("counts what other hosts sent, until it ends or its host is gone", func() {
+		v.SetWorkers(start, desks("d-1", "d-2"))
+		for id := range uint64(6) {
+			v.Heard(start, "other", placer.Flight{ID: 100 + id, Worker: "d-1", Left: time.Second})
+		}
+		for range 4 {
+			c, _ := place(start, quote)
+			Expect(c.Worker.Name).To(Equal("d-2"))
+		}
+		v.Lost(start, "other")
+		c, _ := place(start, quote)
+		Expect(c.Worker.Name).To(Equal("d-1"))
+	})
+
+	It("forgets what must be over where no word of its end came", func() {
+		v.SetWorkers(start, desks("d-1", "d-2"))
+		for id := range uint64(6) {
+			v.Heard(start, "other", placer.Flight{ID: 100 + id, Worker: "d-1", Left: time.Second})
+		}
+		later := start.Add(3 * time.Second)
+		v.Sweep(later)
+		place(later, quote)
+		c, _ := place(later, quote)
+		Expect(c.Worker.Name).To(Equal("d-2"))
+	})
+
+	It("avoids a worker that fails, and tries it again after a while", func() {
+		v.SetWorkers(start, desks("d-1", "d-2"))
+		c, _ := place(start, quote)
+		Expect(c.Worker.Name).To(Equal("d-1"))
+		v.Ended(start, c.Flight.ID, placer.Broken)
+		c, _ = place(start.Add(time.Second), quote)
+		Expect(c.Worker.Name).To(Equal("d-2"))
+		v.Ended(start.Add(time.Second), c.Flight.ID, placer.Answered)
+		c, _ = place(start.Add(20*time.Second), quote)
+		Expect(c.Worker.Name).To(Equal("d-1"))
+	})
+
+	It("believes that a worker that was born anew keeps nothing", func() {
+		workers := engines("e-1")
+		workers[0].Born = "1"
+		v.SetWorkers(start, workers)
+		place(start, plan(7))
+		workers[0].Born = "2"
+		v.SetWorkers(start, workers)
+		c, _ := place(start, plan(7))
+		Expect(c.Flight.Read).To(Equal(9200))
+	})
+
+	It("refuses what would wait longer than its caller, and says when to come back", func() {
+		v.SetWorkers(start, engines("e-1"))
+		var refusal *placer.Refusal
+		sent := 0
+		for refusal == nil {
+			sent++
+			Expect(sent).To(BeNumerically("<", 100))
+			_, refusal = place(start, plan(uint64(100+sent)))
+		}
+		Expect(sent).To(BeNumerically(">", 8)) // 2.7 s of reading
+		Expect(refusal.After).To(BeNumerically(">", time.Second))
+		_, refusal = place(start, placer.Ask{Service: "nobody", Left: time.Second})
+		Expect(refusal.Why).To(Equal("no_workers"))
+	})
+
+	It("keeps long prompts away from streams whose pauses they would stretch", func() {
+		v.SetWorkers(start, engines("e-1", "e-2"))
+		chat := placer.Ask{Service: "lm", Prompt: 800, Output: 300, Left: 10 * time.Second, Target: 300 * time.Millisecond, Gap: 200 * time.Millisecond}
+		chats := map[string]int{}
+		for range 4 {
+			c, _ := place(start, chat)
+			v.Begun(start, c.Flight.ID)
+			chats[c.Worker.Name]++
+		}
+		for range 3 {
+			c, _ := place(start, plan(7))
+			v.Begun(start.Add(300*time.Millisecond), c.Flight.ID)
+		}
+		var busy string
+		c, _ := place(start.Add(400*time.Millisecond), plan(7))
+		busy = c.Worker.Name
+		quiet, _ := place(start.Add(500*time.Millisecond), chat)
+		Expect(quiet.Worker.Name).NotTo(Equal(busy))
+	})
+})
--- a/placer/worker.go
+++ b/placer/worker.go
@@ -150,5 +150,9 @@
 	if w.trouble == 0 {
 		return 0
 	}
-	return w.trouble * math.Exp(-now.Sub(w.troubled).Seconds()/troubleFades.Seconds())
+	left := w.trouble * math.Exp(-now.Sub(w.troubled).Seconds()/troubleFades.Seconds())
+	if left < 1 {
+		return 0
+	}
+	return left
 }
--- a/runner/host.go
+++ b/runner/host.go
@@ -156,7 +156,6 @@
 	if err != nil {
 		return err
 	}
-	defer stopRouting()
 	membership.Go(func() { h.registrar.Run(member) })
 	admin := &http.Server{Handler: h.admin(h.registry), ReadHeaderTimeout: time.Second}
 	tasks.Go(func() { _ = admin.Serve(operators) })
@@ -176,6 +175,7 @@
 	membership.Wait()
 	h.flush()
 	stopRoles()
+	stopRouting()
 	_ = admin.Close()
 	tasks.Wait()
 	return err
