Bounded log on standard output; settings reload at SIGHUP or by a look

Cause: SIGHUP ended the process (Go's default), a second SIGTERM cut what the first had left to end, and a log whose reader stops would have held requests up. Change: package logger (queue of 512 lines, 300 lines a second of a kind, failed requests apart, count of what was dropped); commander follows the settings file; a bad file is logged and changes nothing; with a grace a second signal cuts nothing.

--- a/commander/cmd_serve.go
+++ b/commander/cmd_serve.go
@@ -7,12 +7,12 @@
 	"os/signal"
 	"syscall"
 
-	zaplogfmt "github.com/jsternberg/zap-logfmt"
 	"github.com/spf13/cobra"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
 	"github.com/cicadawood/cicadawood/loader"
+	"github.com/cicadawood/cicadawood/logger"
 	"github.com/cicadawood/cicadawood/runner"
 )
 
@@ -35,19 +35,19 @@
 		if err != nil {
 			return usage(fmt.Errorf("--level: %w", err))
 		}
-		log := newLogger(level).With(zap.String("host", settings.Name))
-		return runner.RunUntil(ctx, again(), settings, log)
+		out, flush := logger.New(c.OutOrStdout(), level)
+		defer flush()
+		log := out.With(zap.String("host", settings.Name))
+		signals := runner.Signals{Reload: reloads(ctx, args[0], log), Dropped: out.Dropped}
+		if settings.Limits.Grace == 0 {
+			// Where the platform kills after a grace anyway, a second signal to stop must
+			// not cut what the first one left to end.
+			signals.Hurry = again()
+		}
+		return runner.RunWith(ctx, signals, settings, log)
 	},
 }
 
-// newLogger writes logfmt, a line an event, to standard error.
-func newLogger(level zapcore.Level) *zap.Logger {
-	config := zap.NewProductionEncoderConfig()
-	config.EncodeTime = zapcore.ISO8601TimeEncoder
-	config.EncodeDuration = zapcore.StringDurationEncoder
-	return zap.New(zapcore.NewCore(zaplogfmt.NewEncoder(config), zapcore.Lock(os.Stderr), level))
-}
-
 // again is closed at the second signal to stop, which ends a graceful shutdown;
 // the first one begins it.
 func again() <-chan struct{} {
--- /dev/null
+++ b/logger/logger_test.go
@@ -0,0 +1,69 @@
+package logger_test
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/cicadawood/cicadawood/logger"
+)
+
+func TestLogger(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "logger")
+}
+
+var _ = Describe("Logger", func() {
+	It("writes a line of key=value pairs for each event", func() {
+		var out bytes.Buffer
+		l, clean := logger.New(&out, zapcore.InfoLevel)
+		l.Debug("hidden")
+		l.Info("request", zap.String("request", "a1"), zap.Duration("took", 12*time.Millisecond))
+		clean()
+		Expect(out.String()).To(MatchRegexp(`^ts=\S+ level=info msg=request request=a1 took=12ms\n$`))
+	})
+
+	// Whoever reads the log stops reading. Were the write to wait, every request
+	// would wait with it.
+	It("goes on without waiting while nobody reads", func() {
+		r, w := io.Pipe()
+		l, clean := logger.New(w, zapcore.InfoLevel)
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			for i := range 5000 {
+				l.Info("line "+strings.Repeat("x", i%7), zap.Int("n", i))
+			}
+		}()
+		Eventually(done, 5*time.Second).Should(BeClosed())
+		Expect(l.Dropped()).To(BeNumerically(">", 1000))
+		read := make(chan string, 1)
+		go func() {
+			text, _ := io.ReadAll(r)
+			read <- string(text)
+		}()
+		Eventually(func() int { l.Info("after"); return int(l.Dropped()) }, time.Second).Should(BeNumerically(">", 0))
+		clean()
+		Expect(w.Close()).To(Succeed())
+		Eventually(read, 5*time.Second).Should(Receive(ContainSubstring("msg=dropped lines=")))
+	})
+
+	It("keeps failed requests when there are too many successful ones", func() {
+		var out bytes.Buffer
+		l, clean := logger.New(&out, zapcore.InfoLevel)
+		for range 400 {
+			l.Info("request")
+		}
+		l.Warn("request", zap.String("outcome", "answer_lost"))
+		clean()
+		Expect(out.String()).To(ContainSubstring("outcome=answer_lost"))
+		Expect(strings.Count(out.String(), "level=info")).To(BeNumerically("<", 350))
+	})
+})
--- a/router/router.go
+++ b/router/router.go
@@ -132,6 +132,10 @@
 	if f != nil && f.after > 0 {
 		fields = append(fields, zap.Duration("after", f.after))
 	}
+	if f != nil {
+		r.Log.Warn("request", fields...)
+		return
+	}
 	r.Log.Info("request", fields...)
 }
 
--- a/runner/choosing.go
+++ b/runner/choosing.go
@@ -84,11 +84,15 @@
 func newChoosing(self, zone string, s sender, p loader.Repeat, log *zap.Logger) *choosing {
 	return &choosing{
 		self: self, sender: s, log: log, events: make(chan event, eventBacklog), ended: make(chan struct{}),
-		repeat: retrier.WindowPolicy{Ratio: p.Ratio, Slack: p.Slack, Span: p.Window.Std()},
+		repeat: policyOf(p),
 		view:   placer.New(zone), windows: map[string]*retrier.Window{}, hosts: hostsLeast,
 	}
 }
 
+func policyOf(p loader.Repeat) retrier.WindowPolicy {
+	return retrier.WindowPolicy{Ratio: p.Ratio, Slack: p.Slack, Span: p.Window.Std()}
+}
+
 // Place implements router.Placer.
 func (p *choosing) Place(ctx context.Context, a placer.Ask, again bool) (router.Place, error) {
 	reply := make(chan workerReply, 1)
@@ -176,6 +180,8 @@
 		p.see(now, e)
 	case rosterChanged:
 		p.enroll(now, e.roster)
+	case settingsChanged:
+		p.repeat = policyOf(e.settings.Repeat)
 	case folderChanged:
 		p.folder = e.folder
 		p.setWorkers(now)
--- a/runner/host.go
+++ b/runner/host.go
@@ -45,9 +45,26 @@
 	return RunUntil(ctx, nil, settings, log)
 }
 
+// Signals is what a host is told while it runs. Nil fields tell nothing.
+type Signals struct {
+	// Hurry, when it is closed, ends a shutdown that takes too long: what is still in
+	// flight is cut, and the error says how much that was.
+	Hurry <-chan struct{}
+	// Reload brings new settings. Those that can change while a host runs are the
+	// bound on repeats and the memory.
+	Reload <-chan loader.Host
+	// Dropped is the lines of the log that were not written.
+	Dropped func() uint64
+}
+
 // RunUntil is Run with a way to end a shutdown that takes too long: closing
 // hurry cuts what is still in flight, and the error says how much that was.
 func RunUntil(ctx context.Context, hurry <-chan struct{}, settings loader.Host, log *zap.Logger) error {
+	return RunWith(ctx, Signals{Hurry: hurry}, settings, log)
+}
+
+// RunWith is Run with all that a host is told while it runs.
+func RunWith(ctx context.Context, signals Signals, settings loader.Host, log *zap.Logger) error {
 	callers, err := net.Listen("tcp", settings.Listen)
 	if err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
@@ -68,7 +85,10 @@
 		return fmt.Errorf("start host: %w", err)
 	}
 	defer closeMessenger()
-	return h.run(ctx, hurry, callers, operators)
+	if signals.Dropped != nil {
+		registerDropped(h.registry, signals.Dropped)
+	}
+	return h.run(ctx, signals, callers, operators)
 }
 
 // compose makes the host's parts and joins them; nothing runs yet but the messenger.
@@ -144,7 +164,7 @@
 }
 
 // run starts the host's goroutines, waits for the end, and stops them in order.
-func (h *Host) run(ctx context.Context, hurry <-chan struct{}, callers, operators net.Listener) error {
+func (h *Host) run(ctx context.Context, signals Signals, callers, operators net.Listener) error {
 	roles, stopRoles := context.WithCancel(context.Background())
 	defer stopRoles()
 	member, leaveRoster := context.WithCancel(context.Background())
@@ -161,14 +181,17 @@
 	tasks.Go(func() { _ = admin.Serve(operators) })
 	failed := make(chan error, 1)
 	tasks.Go(func() { failed <- h.server.Serve(callers) })
-	h.log.Info("serving", zap.String("zone", h.settings.Zone), zap.String("listen", h.settings.Listen))
+	h.log.Info("serving", zap.String("zone", h.settings.Zone), zap.String("listen", h.settings.Listen), zap.String("platform", h.settings.Platform),
+		zap.String("dialect", h.settings.Dialect), zap.Int("memory", h.settings.Limits.Memory), zap.Int("calls", h.settings.Limits.Calls),
+		zap.Duration("settle", h.settings.Limits.Settle.Std()), zap.Duration("drain", h.settings.Limits.Drain.Std()))
+	tasks.Go(func() { h.follow(roles, signals.Reload) })
 	select {
 	case <-ctx.Done():
 	case <-h.leaving:
 	case err = <-failed:
 	}
 	if err == nil {
-		err = h.shutdown(hurry)
+		err = h.shutdown(signals.Hurry)
 	}
 	h.State() // the control goroutine has now sent what the last requests gave back
 	leaveRoster()
--- a/runner/routing.go
+++ b/runner/routing.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"runtime/debug"
 	"sync"
 	"time"
 
@@ -21,10 +20,6 @@
 	"github.com/cicadawood/cicadawood/storer"
 )
 
-// memoryShare is the part of a process's memory at which the runtime collects
-// garbage harder: connections' buffers in the kernel count, too.
-const memoryShare = 0.6
-
 // routing is the parts of a host that answer host routes.
 type routing struct {
 	choosing *choosing
@@ -71,9 +66,7 @@
 		tasks.Go(func() { h.observing.run(ctx) })
 		return func() {}, nil
 	}
-	if m := h.settings.Limits.Memory; m > 0 {
-		debug.SetMemoryLimit(int64(memoryShare * float64(m<<20)))
-	}
+	boundMemory(h.settings.Limits)
 	tasks.Go(func() { h.routing.choosing.run(ctx) })
 	tasks.Go(func() { h.routing.listing.run(ctx) })
 	tasks.Go(func() { h.routing.sweep(ctx) })
