--- a/placer/cost.go
+++ b/placer/cost.go
@@ -11,15 +11,15 @@
 	readWeight = 2.0
 	// tightShare is the part of a worker's longest stretch of reading that a target
 	// for pauses must exceed to be safe: the prediction is no better than that.
-	tightShare = 1.6
+	tightShare = 2.0
 	// tightCost is the milliseconds that a stream counts whose pauses a long prompt
 	// would stretch beyond their target.
-	tightCost = 30.0
+	tightCost = 40.0
 	// riskCost is the milliseconds that a worker that does nothing but read counts
 	// for a stream whose pauses that would stretch.
 	riskCost = 300.0
 	// longRead is the part of a stretch beyond which reading counts as long.
-	longRead = 0.6
+	longRead = 0.45
 	// readFades is the time in which what was read lately falls to a third: about as
 	// long as a stream lasts.
 	readFades = 2 * time.Second
@@ -27,8 +27,8 @@
 	// the worker to come to its streams: shorter ones stretch nothing.
 	pacedLeast = 30.0
 	// stepPause is the milliseconds that a worker gets for its streams between two
-	// long prompts: two steps.
-	stepPause = 12.0
+	// long prompts: four steps, so that one event comes.
+	stepPause = 24.0
 	// pauseShare is the part of its target that a prompt is held back at most.
 	pauseShare = 0.4
 	// fullCost is the milliseconds that each request too many for a worker's slots
--- a/placer/engine_test.go
+++ b/placer/engine_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -19,6 +20,7 @@
 	queue   []*stream
 	running []*stream
 	parts   map[uint64]bool
+	rate    float64 // prompt tokens a millisecond
 }
 
 // stream is one request at an engine.
@@ -36,7 +38,6 @@
 }
 
 const (
-	engineRate    = 41.4 // prompt tokens a millisecond
 	engineChunk   = 2048
 	engineStep    = 4.7    // milliseconds
 	engineEvent   = 4      // tokens
@@ -57,7 +58,7 @@
 		n := min(chunk, s.unread)
 		s.unread -= n
 		chunk -= n
-		ms += float64(n)/engineRate + enginePairs*float64(n)*float64(s.ask.Prompt-s.unread)/1e6
+		ms += float64(n)/e.rate + enginePairs*float64(n)*float64(s.ask.Prompt-s.unread)/1e6
 		if s.unread > 0 {
 			break
 		}
@@ -154,8 +155,14 @@
 func (random) begun(time.Duration, *stream) {}
 func (random) ended(time.Duration, *stream) {}
 
-// load is a heavy day's traffic: plans and chats, a second.
-type load struct{ plans, chats float64 }
+// load is a heavy day's traffic: plans and chats, a second, on so many engines that
+// read so many prompt tokens a millisecond, with the streams' targets for pauses.
+type load struct {
+	plans, chats     float64
+	engines          int
+	rate             float64
+	planGap, chatGap time.Duration
+}
 
 // outcome is what callers got.
 type outcome struct{ plans, chats, plansInTime, chatsInTime, refused int }
@@ -169,10 +176,10 @@
 	r := rand.New(rand.NewPCG(seed, 1))
 	all := map[string]*engine{}
 	var names []string
-	for i := range 12 {
+	for i := range l.engines {
 		name := fmt.Sprintf("e-%02d", i)
 		names = append(names, name)
-		all[name] = &engine{parts: map[uint64]bool{}}
+		all[name] = &engine{parts: map[uint64]bool{}, rate: l.rate}
 	}
 	c := of(names, r)
 	var todo agenda
@@ -198,6 +205,10 @@
 		}
 	}
 	var streams []*stream
+	var sizes [117]int // of the second parts
+	for i := range sizes {
+		sizes[i] = skewed(r, 3780, 0.7, 11300)
+	}
 	arrive := func(rate float64, make func() placer.Ask) {
 		for at := time.Duration(0); at < length; at += time.Duration(r.ExpFloat64() / rate * float64(time.Second)) {
 			s := &stream{ask: make(), id: uint64(len(streams) + 1), at: at}
@@ -229,14 +240,15 @@
 	arrive(l.plans, func() placer.Ask {
 		second := uint64(1000 + r.IntN(117))
 		a := plan(second)
-		a.Parts[0].Key = 1 + second%4
-		a.Output = 52
+		a.Parts = []placer.Part{{Key: 1 + second%4, Tokens: 2000 + 300*int(second%4)}, {Key: second, Tokens: sizes[second-1000]}}
+		a.Prompt = a.Parts[0].Tokens + a.Parts[1].Tokens + skewed(r, 2890, 1, 18300)
+		a.Output, a.Gap = engineEvent*skewed(r, 13, 1, 52), l.planGap
 		return a
 	})
 	arrive(l.chats, func() placer.Ask {
 		return placer.Ask{
-			Service: "lm", Prompt: 830, Output: 292, Left: 15 * time.Second, Patience: 2 * time.Second, Target: 300 * time.Millisecond,
-			Gap: 250 * time.Millisecond, Parts: []placer.Part{{Key: uint64(5000 + r.IntN(20)), Tokens: 120}},
+			Service: "lm", Prompt: 200 + skewed(r, 628, 1, 3310), Output: engineEvent * skewed(r, 73, 0.7, 195), Left: 15 * time.Second,
+			Patience: 2 * time.Second, Target: 300 * time.Millisecond, Gap: l.chatGap, Parts: []placer.Part{{Key: uint64(5000 + r.IntN(20)), Tokens: 120}},
 		}
 	})
 	for len(todo) > 0 {
@@ -249,7 +261,7 @@
 		if s.refused {
 			o.refused++
 		}
-		if s.ask.Prompt > 1000 {
+		if len(s.ask.Parts) > 1 {
 			o.plans++
 			if ok {
 				o.plansInTime++
@@ -264,6 +276,11 @@
 	return o
 }
 
+// skewed is a size that is log-normal about a mean, at most most.
+func skewed(r *rand.Rand, mean, spread, most float64) int {
+	return int(math.Max(1, math.Min(mean*math.Exp(spread*r.NormFloat64()-spread*spread/2), most)))
+}
+
 func oursWithout(what string) func([]string, *rand.Rand) chooser {
 	return func(names []string, _ *rand.Rand) chooser {
 		v := placer.New("a")
@@ -275,7 +292,10 @@
 func atRandom(names []string, r *rand.Rand) chooser { return random{names: names, r: r} }
 
 // heavy is a burst of plans at twice the usual, on top of the usual chats.
-var heavy = load{plans: 50, chats: 40}
+var heavy = load{plans: 50, chats: 40, engines: 12, rate: 41.4, planGap: 400 * time.Millisecond, chatGap: 250 * time.Millisecond}
+
+// tight is the same on fewer and faster engines, with tighter targets.
+var tight = load{plans: 44, chats: 30, engines: 9, rate: 52.4, planGap: 300 * time.Millisecond, chatGap: 200 * time.Millisecond}
 
 // On a heavy day long prompts fill the engines' reading, and chats that run beside
 // them get a pause in each event. Callers see a stream that stutters.
