Long watches of the store, with the system's probes on its connections

Cause: watches of 2.5 s and a read of the configuration each 5 s were there only for connections that go silent; each call has a price. Ruled out: fewer hosts that watch (a death would hide changes).

--- a/publisher/follower.go
+++ b/publisher/follower.go
@@ -257,6 +257,9 @@
 		for err == nil {
 			failures = 0
 			f.latest(ctx, objects)
+			if len(objects) == 0 && f.Head().Generation > 0 {
+				f.put(ctx, HeadUnchanged{}) // the platform answered that there is nothing newer
+			}
 			objects, revision, err = f.store.Watch(ctx, f.source.Key, revision, f.source.Wait)
 		}
 		if errors.Is(err, storer.ErrConflict) && failures == 0 {
--- a/runner/following.go
+++ b/runner/following.go
@@ -33,6 +33,9 @@
 func newFollowing(s loader.Host, store storer.Store, m sender, log *zap.Logger, ready func(bool), enforce func(*loader.Folder, uint64)) *following {
 	g := &following{settings: s, log: log, sender: m}
 	timing := publisher.Timing{Confirm: s.Limits.Confirm.Std()}
+	if s.Dialect == loader.DialectPlatform {
+		timing.Poll = operatorPoll
+	}
 	g.Follower = publisher.NewFollower(store, timing, log, publisher.Actions{Enforce: enforce, Ask: g.ask, Ready: ready})
 	if s.Dialect == loader.DialectPlatform {
 		g.SetSource(operatorSource())
--- a/runner/listing.go
+++ b/runner/listing.go
@@ -13,9 +13,9 @@
 )
 
 const (
-	// listWait is how long a watch of the workers' entries waits: a connection that
-	// went silent hides a worker that leaves for so long.
-	listWait = 2500 * time.Millisecond
+	// listWait is how long a watch of the workers' entries waits. A connection that
+	// went silent is broken by probes long before.
+	listWait = 10 * time.Second
 	// listRetry is the pause after a failed call.
 	listRetry = 250 * time.Millisecond
 )
--- a/runner/operator.go
+++ b/runner/operator.go
@@ -13,10 +13,12 @@
 )
 
 const (
-	// operatorWait is how long a watch of the operator's configuration waits. It is
-	// short: a connection that went silent hides a change for so long, and a change
-	// is to be in force within seconds. Each watch costs one read.
-	operatorWait = 2500 * time.Millisecond
+	// operatorWait is how long a watch of the operator's configuration waits: less
+	// than a host may go without word before it is unready. Each watch costs one
+	// read; a connection that went silent is broken by probes long before.
+	operatorWait = 8 * time.Second
+	// operatorPoll is the pause between reads behind the watch.
+	operatorPoll = 25 * time.Second
 	// operatorRetries bounds the pause after failed watches to a second: after an
 	// outage of the platform a change is to be in force within seconds, too.
 	operatorRetries = 1
