Refuse long prompts while their queue is over half their target; short watches again

Change: (1) placer.refuse, unless a worker without tight streams has room; (2) watches of 2.5 s, the probes stay, a read behind each 25 s.

--- a/commander/command.go
+++ b/commander/command.go
@@ -37,7 +37,7 @@
 }
 
 // commands is every command, in the order of the help page.
-var commands = []command{cmdServe, cmdCheck, cmdDiff, cmdPull, cmdPush, cmdKey, cmdStatus, cmdDump, cmdDrain, cmdVersion}
+var commands = []command{cmdServe, cmdCheck, cmdDiff, cmdPull, cmdPush, cmdKey, cmdStatus, cmdDump, cmdDrain, cmdExplain, cmdVersion}
 
 // exitError carries an exit code.
 type exitError struct {
--- a/placer/cost.go
+++ b/placer/cost.go
@@ -65,6 +65,9 @@
 	// refuseShare is the part of a request's time within which its first event must
 	// be expected.
 	refuseShare = 0.9
+	// queueShare is the part of its target that a long prompt may wait for others to
+	// be read.
+	queueShare = 0.5
 	// afterLeast is the least time that a refused caller is told to stay away.
 	afterLeast = 100 * time.Millisecond
 )
@@ -75,8 +78,15 @@
 	if w.Memory == 0 {
 		return v.plainWait(w)
 	}
-	queue := math.Max(inMilliseconds(w.readUntil.Sub(now)), 0)
-	return queue + w.overdue(now) + w.readTime(w.unread(a)) + baseTime
+	return w.queue(now) + w.readTime(w.unread(a)) + baseTime
+}
+
+// queue is the milliseconds until an engine has read what was sent to it before.
+func (w *worker) queue(now time.Time) float64 {
+	if w.Memory == 0 {
+		return 0
+	}
+	return math.Max(inMilliseconds(w.readUntil.Sub(now)), 0) + w.overdue(now)
 }
 
 // plainWait is the milliseconds until a plain worker's answer.
@@ -140,16 +150,24 @@
 	return min(milliseconds(queue+stepPause), time.Duration(pauseShare*float64(a.Target)))
 }
 
-// refuse says that a request can't be served in time by the worker that would
-// serve it soonest. To send it all the same would take its reading from those
-// that still can.
-func refuse(a Ask, wait time.Duration) *Refusal {
+// refuse says that a request should not be sent to a worker. Where its first event would come after its caller has left, sending it
+// would take reading from those that can still be served. And a long prompt that
+// would wait for most of its target makes all that follow it late as well: sent
+// away for as long as that, it finds the queue short again, and is served no later
+// than it would have been. What is read quickly is not worth sending away. The bound
+// is on the queue alone, so that long prompts are not refused for their length.
+func (v *View) refuse(now time.Time, w *worker, a Ask) *Refusal {
+	wait, queue, own := milliseconds(v.wait(now, w, a)), w.queue(now), w.readTime(w.unread(a))
 	bound := a.Left
 	if a.Patience > 0 {
 		bound = min(bound, a.Patience)
 	}
-	if bound = time.Duration(refuseShare * float64(bound)); wait <= bound {
-		return nil
+	room := queueShare * inMilliseconds(a.Target)
+	switch {
+	case wait > time.Duration(refuseShare*float64(bound)):
+		return &Refusal{After: max(wait-min(a.Target, bound), afterLeast), Why: "overload"}
+	case a.Target > 0 && own >= pacedLeast && queue > room:
+		return &Refusal{After: max(milliseconds(queue-room/2), afterLeast), Why: "queue"}
 	}
-	return &Refusal{After: max(wait-min(a.Target, bound), afterLeast), Why: "overload"}
+	return nil
 }
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -165,11 +165,8 @@
 
 // Place picks a worker for a request and counts it there.
 func (v *View) Place(now time.Time, id uint64, a Ask) (Choice, *Refusal) {
-	best, wait := v.best(now, a)
+	best, wait, refusal := v.best(now, a)
 	if best == nil {
-		return Choice{}, &Refusal{After: noneAfter, Why: "no_workers"}
-	}
-	if refusal := refuse(a, wait); refusal != nil {
 		return Choice{}, refusal
 	}
 	pause := best.pause(now, a)
@@ -178,24 +175,38 @@
 	return Choice{Worker: best.Worker, Flight: f, Wait: wait, Pause: pause}, nil
 }
 
-// best is the worker with the least cost for a request, and the wait expected
-// there.
-func (v *View) best(now time.Time, a Ask) (*worker, time.Duration) {
+// best is the worker with the least cost for a request and the wait expected there.
+// Where that one should not get it, any other that has room for it and no stream
+// that it would disturb does; else the request is refused. To send it to the streams'
+// workers instead was tried: it makes them late in the place of what was refused.
+func (v *View) best(now time.Time, a Ask) (*worker, time.Duration, *Refusal) {
+	best := v.cheapest(now, a, func(*worker) bool { return true })
+	if best == nil {
+		return nil, 0, &Refusal{After: noneAfter, Why: "no_workers"}
+	}
+	if refusal := v.refuse(now, best, a); refusal != nil {
+		best = v.cheapest(now, a, func(w *worker) bool { return w.tight() == 0 && v.refuse(now, w, a) == nil })
+		if best == nil {
+			return nil, 0, refusal
+		}
+	}
+	return best, milliseconds(v.wait(now, best, a)), nil
+}
+
+// cheapest is the worker with the least cost among those that may.
+func (v *View) cheapest(now time.Time, a Ask, may func(*worker) bool) *worker {
 	var best *worker
 	least := math.Inf(1)
 	for _, w := range v.workers {
-		if w.Service != a.Service || excluded(a, w.Name) {
+		if w.Service != a.Service || excluded(a, w.Name) || !may(w) {
 			continue
 		}
 		c := v.cost(now, w, a)
-		if c < least || c == least && w.Name < best.Name {
+		if best == nil || c < least || c == least && w.Name < best.Name {
 			best, least = w, c
 		}
 	}
-	if best == nil {
-		return nil, 0
-	}
-	return best, milliseconds(v.wait(now, best, a))
+	return best
 }
 
 func excluded(a Ask, worker string) bool {
--- a/router/trip.go
+++ b/router/trip.go
@@ -10,6 +10,8 @@
 	"strings"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/cicadawood/cicadawood/connector"
 	"github.com/cicadawood/cicadawood/placer"
 )
@@ -83,13 +85,24 @@
 		if !errors.Is(err, connector.ErrNotSent) {
 			t.arrivals++
 		}
-		if f, final := t.final(caller, ctx, err); final {
+		f, final := t.final(caller, ctx, err)
+		t.log(place, final)
+		if final {
 			return f
 		}
 		t.q.ask.Exclude = append(t.q.ask.Exclude, place.Worker.Name)
 	}
 }
 
+// log tells of a send that failed: what it was decided by, and whether it was the
+// last.
+func (t *trip) log(p Place, final bool) {
+	t.router.Log.Warn("send", zap.String("request", t.q.ID), zap.Int("send", t.sends), zap.String("worker", p.Worker.Name),
+		zap.String("address", p.Worker.Address), zap.Bool("kept", t.kept), zap.Duration("age", p.Age), zap.Duration("expected", p.Wait),
+		zap.Int("read", p.Read), zap.Bool("exposed", t.exposed), zap.Bool("passed", t.delivery.begun), zap.String("last", t.last),
+		zap.Bool("repeatable", t.q.Repeatable()), zap.Duration("left", t.q.left(time.Now())), zap.Bool("final", final), zap.Error(t.cause))
+}
+
 // wait waits; false where ctx ends first.
 func wait(ctx context.Context, d time.Duration) bool {
 	if d <= 0 {
--- a/runner/listing.go
+++ b/runner/listing.go
@@ -13,9 +13,9 @@
 )
 
 const (
-	// listWait is how long a watch of the workers' entries waits. A connection that
-	// went silent is broken by probes long before.
-	listWait = 10 * time.Second
+	// listWait is how long a watch of the workers' entries waits: as for the
+	// operator's configuration, one that is deaf hides a worker that leaves.
+	listWait = 2500 * time.Millisecond
 	// listRetry is the pause after a failed call.
 	listRetry = 250 * time.Millisecond
 )
@@ -25,6 +25,7 @@
 	store storer.Store
 	log   *zap.Logger
 	tell  func(entriesSeen)
+	away  time.Time // since when the store does not answer; zero while it does
 }
 
 // entriesSeen is what a call of the store told of the workers' entries.
@@ -40,6 +41,10 @@
 func (l *listing) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		objects, revision, err := l.store.List(ctx, platform.WorkersPrefix)
+		if err == nil && !l.away.IsZero() {
+			l.log.Info("workers listed again", zap.Duration("after", time.Since(l.away)), zap.Uint64("version", revision))
+			l.away = time.Time{}
+		}
 		for whole := true; err == nil; whole = false {
 			l.tell(l.decode(objects, whole))
 			objects, revision, err = l.store.Watch(ctx, platform.WorkersPrefix, revision, listWait)
@@ -47,7 +52,10 @@
 		if ctx.Err() != nil {
 			return
 		}
-		l.log.Info("workers can't be listed", zap.Error(err))
+		if l.away.IsZero() {
+			l.away = time.Now()
+			l.log.Warn("workers can't be listed", zap.Error(err))
+		}
 		l.tell(entriesSeen{failed: true})
 		pause(ctx, listRetry/2+rand.N(listRetry))
 	}
--- a/runner/operator.go
+++ b/runner/operator.go
@@ -13,10 +13,11 @@
 )
 
 const (
-	// operatorWait is how long a watch of the operator's configuration waits: less
-	// than a host may go without word before it is unready. Each watch costs one
-	// read; a connection that went silent is broken by probes long before.
-	operatorWait = 8 * time.Second
+	// operatorWait is how long a watch of the operator's configuration waits. Failure:
+	// the platform drops its history while changes are made, and a watch that waits
+	// hears nothing of them and is not told; a change is to be in force within
+	// seconds, so that no watch may wait much longer. Each costs one read.
+	operatorWait = 2500 * time.Millisecond
 	// operatorPoll is the pause between reads behind the watch.
 	operatorPoll = 25 * time.Second
 	// operatorRetries bounds the pause after failed watches to a second: after an
