One place for hop headers, the holders of keys and the bound on unacknowledged bytes

Cause: router, connector and loader stood beside copies in server and forwarder. Change: server uses router.Onward (which also drops what Connection names), both indexes loader.Folder.Holders, forwarder connector.BoundUnacknowledged.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -14,7 +14,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -73,24 +72,10 @@
 
 // New returns an empty pool and its clean-up.
 func New() (*Pool, func()) {
-	p := &Pool{idle: map[string][]*conn{}, dialer: net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: boundUnacknowledged}}
+	p := &Pool{idle: map[string][]*conn{}, dialer: net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: BoundUnacknowledged(unacknowledged)}}
 	return p, p.close
 }
 
-// tcpUserTimeout is Linux's TCP_USER_TIMEOUT, which package syscall lacks.
-const tcpUserTimeout = 0x12
-
-// boundUnacknowledged has the system break a connection whose other end has not
-// acknowledged what was sent. A connection that something in between forgot shows
-// so when a request is sent over it; the system would else resend it for minutes.
-func boundUnacknowledged(_, _ string, c syscall.RawConn) error {
-	var failed error
-	err := c.Control(func(fd uintptr) {
-		failed = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(unacknowledged.Milliseconds()))
-	})
-	return errors.Join(err, failed)
-}
-
 // Do sends a request to the backend server at address and returns its answer's
 // head. The caller ends the answer with Close or Finish.
 func (p *Pool) Do(ctx context.Context, address string, call Call) (*Answer, error) {
--- a/forwarder/lane.go
+++ b/forwarder/lane.go
@@ -1,13 +1,13 @@
 package forwarder
 
 import (
-	"errors"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
+
+	"github.com/cicadawood/cicadawood/connector"
 )
 
 const (
@@ -40,7 +40,7 @@
 	dialer := &net.Dialer{
 		Timeout:         dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: bound, Interval: probeEvery, Count: probeMost},
-		Control:         boundUnacknowledged(bound),
+		Control:         connector.BoundUnacknowledged(bound),
 	}
 	t := &http.Transport{
 		DialContext:            dialer.DialContext,
@@ -54,23 +54,6 @@
 	return &lane{transport: t, client: &http.Client{Transport: t, CheckRedirect: noRedirect}}
 }
 
-// tcpUserTimeout is Linux's TCP_USER_TIMEOUT, which package syscall lacks.
-const tcpUserTimeout = 0x12
-
-// boundUnacknowledged has the system break a connection whose other end has not
-// acknowledged what was sent for bound. A connection that was forgotten while it
-// lay idle shows so when a request is sent over it; without the bound the system
-// would send it again for a quarter of an hour.
-func boundUnacknowledged(bound time.Duration) func(network, address string, c syscall.RawConn) error {
-	return func(_, _ string, c syscall.RawConn) error {
-		var failed error
-		err := c.Control(func(fd uintptr) {
-			failed = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(bound.Milliseconds()))
-		})
-		return errors.Join(err, failed)
-	}
-}
-
 // lanes is the lanes by address. The zero value is empty.
 type lanes struct {
 	mu   sync.Mutex
--- a/loader/folder.go
+++ b/loader/folder.go
@@ -122,3 +122,17 @@
 	sum := sha256.Sum256([]byte(key))
 	return "sha256:" + hex.EncodeToString(sum[:])
 }
+
+// Holders is the organisations by the hash of each of their API keys.
+func (f *Folder) Holders() map[[sha256.Size]byte]string {
+	holders := map[[sha256.Size]byte]string{}
+	for name, o := range f.Organisations {
+		for _, k := range o.Keys {
+			var hash [sha256.Size]byte
+			if n, err := hex.Decode(hash[:], []byte(strings.TrimPrefix(k, "sha256:"))); err == nil && n == len(hash) {
+				holders[hash] = name
+			}
+		}
+	}
+	return holders
+}
--- a/router/header.go
+++ b/router/header.go
@@ -12,8 +12,8 @@
 	"Transfer-Encoding", "Upgrade", "Content-Length", "Expect", "Host",
 }
 
-// onward is a copy of a header without what concerns one connection only.
-func onward(h http.Header) http.Header {
+// Onward is a copy of a header without what concerns one connection only.
+func Onward(h http.Header) http.Header {
 	out := h.Clone()
 	for _, list := range h["Connection"] {
 		for _, name := range strings.Split(list, ",") {
--- a/router/index.go
+++ b/router/index.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"crypto/sha256"
-	"encoding/hex"
 	"net"
 	"slices"
 	"strings"
@@ -26,7 +25,7 @@
 }
 
 func newIndex(f *loader.Folder, generation uint64) *index {
-	x := &index{folder: f, generation: generation, hosts: map[string][]target{}, keys: map[[sha256.Size]byte]string{}}
+	x := &index{folder: f, generation: generation, hosts: map[string][]target{}, keys: f.Holders()}
 	for name, r := range f.Routes {
 		x.hosts[r.Host] = append(x.hosts[r.Host], target{HostRoute: r, name: name})
 	}
@@ -35,14 +34,6 @@
 			return cmp.Or(cmp.Compare(len(b.Prefix), len(a.Prefix)), cmp.Compare(a.name, b.name))
 		})
 	}
-	for name, o := range f.Organisations {
-		for _, k := range o.Keys {
-			var hash [sha256.Size]byte
-			if n, err := hex.Decode(hash[:], []byte(strings.TrimPrefix(k, "sha256:"))); err == nil && n == len(hash) {
-				x.keys[hash] = name
-			}
-		}
-	}
 	return x
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -162,7 +162,7 @@
 		// connection is used again after chunks.
 		w.Header().Set("Connection", "close")
 	}
-	q.header = onward(req.Header)
+	q.header = Onward(req.Header)
 	if f := r.readBody(q, w, req); f != nil {
 		return f
 	}
--- a/server/delivery.go
+++ b/server/delivery.go
@@ -7,18 +7,12 @@
 	"time"
 
 	"github.com/cicadawood/cicadawood/forwarder"
+	"github.com/cicadawood/cicadawood/router"
 )
 
-// hopHeaders are the headers of one connection, which are not passed on
-// (RFC 9110, section 7.6.1).
-var hopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade"}
-
 // passed is the headers of a caller that a backend server gets.
 func passed(h http.Header) http.Header {
-	out := h.Clone()
-	for _, name := range hopHeaders {
-		out.Del(name)
-	}
+	out := router.Onward(h)
 	out.Del("Authorization")
 	out.Del(HeaderClass)
 	out.Del(HeaderDeadline)
@@ -61,13 +55,10 @@
 // head begins the answer with a backend server's head.
 func (d *delivery) head(a *forwarder.Answer, length int64) {
 	h := d.w.Header()
-	for k, v := range a.Header {
+	for k, v := range router.Onward(a.Header) {
 		h[k] = v
 	}
-	for _, name := range hopHeaders {
-		h.Del(name)
-	}
-	for _, name := range []string{"Content-Length", forwarder.HeaderResumed, forwarder.HeaderRun} {
+	for _, name := range []string{forwarder.HeaderResumed, forwarder.HeaderRun} {
 		h.Del(name)
 	}
 	if length >= 0 {
--- a/server/index.go
+++ b/server/index.go
@@ -2,7 +2,6 @@
 
 import (
 	"crypto/sha256"
-	"encoding/hex"
 	"maps"
 	"net/http"
 	"slices"
@@ -26,15 +25,7 @@
 }
 
 func newIndex(f *loader.Folder) *index {
-	x := &index{folder: f, keys: map[[sha256.Size]byte]string{}, models: map[string]target{}}
-	for name, o := range f.Organisations {
-		for _, k := range o.Keys {
-			var hash [sha256.Size]byte
-			if n, err := hex.Decode(hash[:], []byte(strings.TrimPrefix(k, "sha256:"))); err == nil && n == len(hash) {
-				x.keys[hash] = name
-			}
-		}
-	}
+	x := &index{folder: f, keys: f.Holders(), models: map[string]target{}}
 	for _, name := range slices.Sorted(maps.Keys(f.Services)) {
 		x.addModels(name, f.Services[name])
 	}
