--- a/connector/answer.go
+++ b/connector/answer.go
@@ -60,13 +60,20 @@
 	a.conn.pool.put(a.conn)
 }
 
+// writtenWait is how long the end of a request's writing is waited for once its
+// answer is whole. The bytes have long left, as a rule; on a busy host the
+// goroutine that wrote them may only not have said so yet.
+const writtenWait = 5 * time.Millisecond
+
 // wrote says that the request went out whole. An early answer may come before
 // that: the server would take the next request for the rest of this one.
 func (a *Answer) wrote() bool {
+	timer := time.NewTimer(writtenWait)
+	defer timer.Stop()
 	select {
 	case err := <-a.written:
 		return err == nil
-	default:
+	case <-timer.C:
 		return false
 	}
 }
--- a/placer/cost.go
+++ b/placer/cost.go
@@ -31,8 +31,11 @@
 	stepPause = 24.0
 	// pauseShare is the part of its target that a prompt is held back at most.
 	pauseShare = 0.4
-	// fullCost is the milliseconds that each request too many for a worker's slots
-	// or memory counts.
+	// slotCost is the milliseconds that each request too many for an engine's slots
+	// counts. It waits there, or takes a less urgent one's place in mid-stream; that
+	// is dearer than any pause.
+	slotCost = 1000.0
+	// fullCost is the milliseconds that an engine whose memory is full counts.
 	fullCost = 100.0
 	// memoryShare is the part of an engine's memory that running requests may fill
 	// before it takes them off again.
@@ -113,7 +116,7 @@
 	}
 	c += readWeight*w.readTime(w.unread(a)) + w.harm(now, a)
 	if over := len(w.flights) + 1 - w.Slots; over > 0 {
-		c += fullCost * float64(over)
+		c += slotCost * float64(over)
 	}
 	if room := memoryShare * float64(w.Memory); float64(w.hold+a.Prompt+a.Output) > room {
 		c += fullCost
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -142,6 +142,33 @@
 		Expect(refusal.Why).To(Equal("no_workers"))
 	})
 
+	// Streams with tight pauses gather on few workers. Beyond a worker's slots the more
+	// urgent ones would break into the others' streams there.
+	It("fills no worker beyond its slots while others have room", func() {
+		workers := engines("e-1", "e-2", "e-3")
+		for i := range workers {
+			workers[i].Slots = 4
+		}
+		v.SetWorkers(start, workers)
+		for id := range uint64(24) { // e-1 and e-2 were given much to read
+			f := placer.Flight{ID: 100 + id, Worker: []string{"e-1", "e-2"}[id%2], Read: 9000, Left: 9 * time.Second}
+			v.Heard(start, "other", f)
+			v.Begun(start, f.ID)
+			v.Ended(start, f.ID, placer.Answered)
+		}
+		chat := placer.Ask{Service: "lm", Prompt: 800, Output: 300, Left: 10 * time.Second, Target: 300 * time.Millisecond, Gap: 200 * time.Millisecond}
+		held := map[string]int{}
+		for range 10 {
+			c, refusal := place(start.Add(400*time.Millisecond), chat)
+			Expect(refusal).To(BeNil())
+			v.Begun(start.Add(400*time.Millisecond), c.Flight.ID)
+			held[c.Worker.Name]++
+		}
+		for _, n := range held {
+			Expect(n).To(BeNumerically("<=", 4))
+		}
+	})
+
 	It("keeps long prompts away from streams whose pauses they would stretch", func() {
 		v.SetWorkers(start, engines("e-1", "e-2"))
 		chat := placer.Ask{Service: "lm", Prompt: 800, Output: 300, Left: 10 * time.Second, Target: 300 * time.Millisecond, Gap: 200 * time.Millisecond}
