Say when a host is full; tell the roster's loss and return once

Change: a line for each such request; one line when the roster can't be read and one when it can again. Figures: specs of registrar, server and runner pass.

--- a/registrar/follow.go
+++ b/registrar/follow.go
@@ -24,14 +24,22 @@
 // follow reads all records, then watches them, and starts anew where the watch
 // has a gap.
 func (r *Registrar) follow(ctx context.Context) {
+	var away time.Time // since when the store does not answer
 	for ctx.Err() == nil {
 		objects, revision, err := r.config.Store.List(ctx, Prefix)
 		if err == nil {
+			if !away.IsZero() {
+				r.config.Log.Info("roster read again", zap.Duration("after", time.Since(away)))
+				away = time.Time{}
+			}
 			r.stored(objects)
 			err = r.watch(ctx, revision)
 		}
 		if err != nil && ctx.Err() == nil {
-			r.config.Log.Warn("roster", zap.Error(err))
+			if away.IsZero() {
+				away = time.Now()
+				r.config.Log.Warn("roster", zap.Error(err))
+			}
 			wait(ctx, jitter(retryWait))
 		}
 	}
--- a/router/trip.go
+++ b/router/trip.go
@@ -68,11 +68,11 @@
 		t.q.ask.Left = t.q.left(time.Now())
 		place, err := t.router.Placer.Place(ctx, t.q.ask, t.arrivals > 0)
 		if err != nil {
-			return t.unplaced(caller, ctx, err)
+			return t.unplaced(caller, err)
 		}
 		if !wait(ctx, place.Pause) {
 			t.router.Placer.Ended(place, placer.Dropped)
-			return t.timedOut(caller, ctx)
+			return t.timedOut(caller)
 		}
 		t.sends++
 		t.worker, t.expected, t.read = place.Worker.Name, place.Wait, place.Read
@@ -119,10 +119,10 @@
 }
 
 // unplaced is the answer to a request that got no further worker.
-func (t *trip) unplaced(caller, ctx context.Context, err error) *failure {
+func (t *trip) unplaced(caller context.Context, err error) *failure {
 	var refused Refused
 	if !errors.As(err, &refused) {
-		return t.timedOut(caller, ctx)
+		return t.timedOut(caller)
 	}
 	if t.pass() {
 		return nil
@@ -137,7 +137,7 @@
 }
 
 // timedOut is the answer to a request whose caller has left or whose time is up.
-func (t *trip) timedOut(caller, _ context.Context) *failure {
+func (t *trip) timedOut(caller context.Context) *failure {
 	if caller.Err() != nil {
 		return &failure{status: statusGone, code: codeGone}
 	}
@@ -156,7 +156,7 @@
 		if t.pass() {
 			return nil, true
 		}
-		return t.timedOut(caller, ctx), true
+		return t.timedOut(caller), true
 	case errors.Is(err, connector.ErrNotSent), errors.Is(err, errNotRun):
 		return gaveUp(t.exposed, codeNotRun, comeBackSoon), t.sends >= sendsMost
 	}
--- a/server/server.go
+++ b/server/server.go
@@ -68,7 +68,8 @@
 // routed counts a request of a host route as in flight, within the host's room.
 func (s *Server) routed(w http.ResponseWriter, r *http.Request) {
 	defer s.calls.Add(-1)
-	if s.calls.Add(1) > int64(s.limits.Calls) {
+	if n := s.calls.Add(1); n > int64(s.limits.Calls) {
+		s.log.Warn("host full", zap.String("path", r.URL.Path), zap.Int64("calls", n), zap.Int("limit", s.limits.Calls))
 		w.Header().Set("Retry-After", "1")
 		http.Error(w, "this host has too many requests in flight", http.StatusServiceUnavailable)
 		return
