--- /dev/null
+++ b/router/router_test.go
@@ -0,0 +1,265 @@
+package router_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"github.com/cicadawood/cicadawood/connector"
+	"github.com/cicadawood/cicadawood/loader"
+	"github.com/cicadawood/cicadawood/placer"
+	"github.com/cicadawood/cicadawood/router"
+)
+
+func TestRouter(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "router")
+}
+
+// plainDialect names headers in the simplest way.
+type plainDialect struct{}
+
+func (plainDialect) Key(h http.Header) (string, bool) { return h.Get("Key"), h.Get("Key") != "" }
+func (plainDialect) Read(h http.Header) router.Intake {
+	return router.Intake{ID: h.Get("Id"), Deadline: 2 * time.Second}
+}
+
+func (plainDialect) Write(h http.Header, o router.Order) {
+	h.Set("Organisation", o.Organisation)
+	h.Set("Tier", fmt.Sprint(o.Tier))
+}
+
+func (plainDialect) Judge(_ int, h http.Header) router.Verdict {
+	return router.Verdict{ID: h.Get("Id"), Sealed: h.Get("Seal") != "", NotRun: h.Get("Not-Run") != ""}
+}
+
+func (plainDialect) Answer(h http.Header, _ string, after time.Duration) {
+	if after > 0 {
+		h.Set("Retry-After", fmt.Sprint(after.Seconds()))
+	}
+}
+
+// listPlacer hands out its workers in order, as often as the budget allows.
+type listPlacer struct {
+	mu       sync.Mutex
+	workers  []placer.Worker
+	pause    time.Duration
+	budget   int // of repeats
+	asks     []placer.Ask
+	outcomes []placer.Outcome
+}
+
+func (p *listPlacer) Place(_ context.Context, a placer.Ask, again bool) (router.Place, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.asks = append(p.asks, a)
+	if again {
+		if p.budget--; p.budget < 0 {
+			return router.Place{}, router.Refused{Why: "retry_budget", After: time.Second}
+		}
+	}
+	for _, w := range p.workers {
+		if !strings.Contains(strings.Join(a.Exclude, " "), w.Name) {
+			return router.Place{Worker: w, Pause: p.pause}, nil
+		}
+	}
+	return router.Place{}, router.Refused{Why: "no_workers", After: time.Second}
+}
+
+func (p *listPlacer) Begun(router.Place) {}
+
+func (p *listPlacer) Ended(_ router.Place, o placer.Outcome) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.outcomes = append(p.outcomes, o)
+}
+
+func (p *listPlacer) ended() []placer.Outcome {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]placer.Outcome(nil), p.outcomes...)
+}
+
+// fixed is a configuration that does not change.
+type fixed struct{ folder *loader.Folder }
+
+func (f fixed) Folder() (*loader.Folder, uint64) { return f.folder, 1 }
+
+func folder() *loader.Folder {
+	route := func(prefix string, change func(*loader.HostRoute)) loader.HostRoute {
+		r := loader.HostRoute{
+			Host: "h.example", Prefix: prefix, Tier: 3, Attempts: 2, Whole: loader.Duration(2 * time.Second),
+			Services: []loader.Split{{Service: strings.Trim(prefix, "/"), Weight: 1}},
+		}
+		if change != nil {
+			change(&r)
+		}
+		return r
+	}
+	urgent := 0
+	return &loader.Folder{
+		Routes: map[string]loader.HostRoute{
+			"a": route("/a/", nil), "ab": route("/a/b/", nil),
+			"once": route("/once/", func(r *loader.HostRoute) { r.Once, r.Attempts = true, 1 }),
+			"split": route("/split/", func(r *loader.HostRoute) {
+				r.Services = []loader.Split{{Service: "x", Weight: 90}, {Service: "y", Weight: 10}, {Service: "z", Weight: 0}}
+			}),
+		},
+		Organisations: map[string]loader.Organisation{
+			"small": {Keys: []string{loader.HashKey("s")}}, "large": {Keys: []string{loader.HashKey("l")}, Tier: &urgent},
+		},
+	}
+}
+
+var _ = Describe("Router", func() {
+	var (
+		place *listPlacer
+		url   string
+		seen  chan *http.Request
+	)
+	worker := func(name string, h http.HandlerFunc) {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			seen <- r
+			w.Header().Set("Id", r.Header.Get("Id"))
+			h(w, r)
+		}))
+		DeferCleanup(s.Close)
+		place.workers = append(place.workers, placer.Worker{Name: name, Address: strings.TrimPrefix(s.URL, "http://")})
+	}
+	status := func(code int, headers ...string) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) {
+			for _, h := range headers {
+				w.Header().Set(h, "1")
+			}
+			w.WriteHeader(code)
+			_, _ = io.WriteString(w, "body")
+		}
+	}
+	BeforeEach(func() {
+		place, seen = &listPlacer{budget: 100}, make(chan *http.Request, 2000)
+		pool, clean := connector.New()
+		DeferCleanup(clean)
+		r := router.New(router.Config{
+			Dialect: plainDialect{}, Configuration: fixed{folder()}, Placer: place, Pool: pool, Log: zap.NewNop(),
+			Metrics: router.NewMetrics(prometheus.NewRegistry()), Answer: 1 << 20, Stall: time.Second, Buffer: 1 << 20,
+		})
+		s := httptest.NewServer(r)
+		DeferCleanup(s.Close)
+		url = s.URL
+	})
+	call := func(ctx context.Context, path, key string) (int, http.Header, error) {
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, url+path, nil)
+		Expect(err).NotTo(HaveOccurred())
+		req.Host = "H.example:80"
+		req.Header.Set("Id", "1")
+		req.Header.Set("Key", key)
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			return 0, nil, err
+		}
+		defer resp.Body.Close()
+		_, err = io.Copy(io.Discard, resp.Body)
+		return resp.StatusCode, resp.Header, err
+	}
+	bg := context.Background()
+
+	It("goes by the longest prefix of the path, and by the weights of its services", func() {
+		worker("w", status(http.StatusOK, "Seal"))
+		for path, service := range map[string]string{"/a/x": "a", "/a/b/x": "a/b", "/a/bc": "a"} {
+			code, _, err := call(bg, path, "s")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(code).To(Equal(http.StatusOK))
+			Expect(place.asks[len(place.asks)-1].Service).To(Equal(service))
+		}
+		count := map[string]int{}
+		for range 400 {
+			_, _, err := call(bg, "/split/x", "s")
+			Expect(err).NotTo(HaveOccurred())
+			count[place.asks[len(place.asks)-1].Service]++
+		}
+		Expect(count["x"]).To(BeNumerically("~", 360, 35))
+		Expect(count).NotTo(HaveKey("z"))
+	})
+
+	It("takes an organisation's tier before the route's", func() {
+		worker("w", status(http.StatusOK, "Seal"))
+		for key, tier := range map[string]string{"s": "3", "l": "0"} {
+			_, _, err := call(bg, "/a/x", key)
+			Expect(err).NotTo(HaveOccurred())
+			Expect((<-seen).Header.Get("Tier")).To(Equal(tier))
+		}
+	})
+
+	// A worker answers with a status that promises callers that the request was not
+	// run, but does not vouch for that itself. The promise must not be passed on.
+	DescribeTable("passes no promise on that the worker does not make", func(code int) {
+		worker("w", status(code, "Seal"))
+		got, h, err := call(bg, "/once/x", "s")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(got).To(Equal(http.StatusBadGateway))
+		Expect(h).NotTo(HaveKey("Retry-After"))
+		Expect(h).NotTo(HaveKey("Seal"))
+		Expect(seen).To(HaveLen(1))
+	}, Entry(nil, 429), Entry(nil, 503), Entry(nil, 408))
+
+	It("passes a worker's own failure on as it is, where no other may be asked", func() {
+		worker("w", status(http.StatusInternalServerError, "Seal"))
+		code, h, err := call(bg, "/once/x", "s")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(code).To(Equal(http.StatusInternalServerError))
+		Expect(h.Get("Seal")).To(Equal("1"))
+		code, _, err = call(bg, "/a/x", "s") // may be repeated, but nobody else is there
+		Expect(err).NotTo(HaveOccurred())
+		Expect(code).To(Equal(http.StatusInternalServerError))
+		Expect(place.ended()).To(Equal([]placer.Outcome{placer.Errored, placer.Errored}))
+	})
+
+	It("repeats within the budget only, and then gives what it has", func() {
+		worker("w-1", status(http.StatusInternalServerError, "Seal"))
+		worker("w-2", status(http.StatusOK, "Seal"))
+		place.budget = 1
+		code, _, err := call(bg, "/a/x", "s")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(code).To(Equal(http.StatusOK))
+		code, _, err = call(bg, "/a/x", "s")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(code).To(Equal(http.StatusInternalServerError))
+	})
+
+	It("promises that a request was not run only where all workers did", func() {
+		worker("w-1", status(http.StatusServiceUnavailable, "Not-Run"))
+		code, h, err := call(bg, "/once/x", "s")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(code).To(Equal(http.StatusServiceUnavailable))
+		Expect(h.Get("Retry-After")).To(Equal("1"))
+		worker("w-2", status(http.StatusServiceUnavailable)) // says nothing
+		code, h, err = call(bg, "/once/x", "s")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(code).To(Equal(http.StatusBadGateway))
+		Expect(h).NotTo(HaveKey("Retry-After"))
+	})
+
+	// A long prompt is held back for its worker, and its caller leaves meanwhile. It
+	// must not reach the worker any more.
+	It("sends nothing whose caller left while it was held back", func() {
+		worker("w", status(http.StatusOK, "Seal"))
+		place.pause = 300 * time.Millisecond
+		ctx, leave := context.WithTimeout(bg, 50*time.Millisecond)
+		defer leave()
+		_, _, err := call(ctx, "/a/x", "s")
+		Expect(err).To(MatchError(context.DeadlineExceeded))
+		Eventually(place.ended, time.Second).Should(Equal([]placer.Outcome{placer.Dropped}))
+		Expect(seen).To(BeEmpty())
+	})
+})
