A request's rank is its organisation's tier, and within that its route's

Cause: engines were told the tier alone.

Ruled out: memory (chats, about 30,000 of 262,000 tokens); a dearer slot (in force, did not mend it).

The spec of tiers is replaced by one as strict that also tells routes apart.

--- a/router/index.go
+++ b/router/index.go
@@ -16,6 +16,8 @@
 	generation uint64
 	hosts      map[string][]target          // the longest prefix first
 	keys       map[[sha256.Size]byte]string // organisation by the hash of a key
+	tiers      []int                        // that requests may have, ascending
+	routeTiers []int                        // that routes have, ascending
 }
 
 // target is a route with its name.
@@ -34,9 +36,26 @@
 			return cmp.Or(cmp.Compare(len(b.Prefix), len(a.Prefix)), cmp.Compare(a.name, b.name))
 		})
 	}
+	x.tiers, x.routeTiers = tiersOf(f)
 	return x
 }
 
+// tiersOf is the tiers that requests may have, and those of routes alone.
+func tiersOf(f *loader.Folder) (all, routes []int) {
+	for _, r := range f.Routes {
+		routes = append(routes, r.Tier)
+	}
+	all = slices.Clone(routes)
+	for _, o := range f.Organisations {
+		if o.Tier != nil {
+			all = append(all, *o.Tier)
+		}
+	}
+	slices.Sort(all)
+	slices.Sort(routes)
+	return slices.Compact(all), slices.Compact(routes)
+}
+
 // route is the route of a request for host, with or without a port, and path.
 func (x *index) route(host, path string) (target, bool) {
 	if name, _, err := net.SplitHostPort(host); err == nil {
@@ -66,6 +85,20 @@
 	return t.Tier
 }
 
+// rank is the place of a request among all in the order of urgency: by its tier, and
+// among those of one tier by the route's. Failure: an engine with more requests than
+// slots takes the least urgent off its streams, and knows what is urgent from us
+// alone. Told the tier only, it takes off whichever came last: a chat in mid-stream,
+// while a long plan of an organisation of the same tier runs on.
+func (x *index) rank(t target, organisation string) int {
+	tier, _ := slices.BinarySearch(x.tiers, x.tier(t, organisation))
+	route, _ := slices.BinarySearch(x.routeTiers, t.Tier)
+	return tier*len(x.routeTiers) + route
+}
+
+// ranks is the number of ranks.
+func (x *index) ranks() int { return len(x.tiers) * len(x.routeTiers) }
+
 // service picks a route's service by the weights. share is from 0 to 1.
 func (t target) service(share float64) string {
 	sum := 0
--- a/router/port.go
+++ b/router/port.go
@@ -38,7 +38,8 @@
 	Left         time.Duration // nobody waits for the answer any longer
 	Organisation string        // "" where the route asks for no key
 	Engine       bool
-	Tier         int
+	Rank         int    // among Ranks; 0 is the most urgent
+	Ranks        int    // that the configuration in force tells apart
 	After        string // the stream is to go on after this event; "" leaves the caller's
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -63,6 +63,7 @@
 	service      string
 	organisation string
 	tier         int
+	rank         int // among the index's ranks
 	started      time.Time
 	method       string
 	uri          string
@@ -174,6 +175,7 @@
 // identify finds the organisation of a request by its key.
 func (r *Router) identify(q *request, h http.Header) *failure {
 	q.tier = q.Tier
+	q.rank = q.index.rank(q.target, "")
 	if q.Public || len(q.index.folder.Organisations) == 0 {
 		return nil
 	}
@@ -185,6 +187,7 @@
 		return &failure{status: http.StatusUnauthorized, code: codeKey}
 	}
 	q.tier = q.index.tier(q.target, q.organisation)
+	q.rank = q.index.rank(q.target, q.organisation)
 	return nil
 }
 
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -37,7 +37,7 @@
 
 func (plainDialect) Write(h http.Header, o router.Order) {
 	h.Set("Organisation", o.Organisation)
-	h.Set("Tier", fmt.Sprint(o.Tier))
+	h.Set("Rank", fmt.Sprintf("%d of %d", o.Rank, o.Ranks))
 }
 
 func (plainDialect) Judge(_ int, h http.Header) router.Verdict {
@@ -111,6 +111,7 @@
 	return &loader.Folder{
 		Routes: map[string]loader.HostRoute{
 			"a": route("/a/", nil), "ab": route("/a/b/", nil),
+			"late": route("/late/", func(r *loader.HostRoute) { r.Tier = 5 }),
 			"once": route("/once/", func(r *loader.HostRoute) { r.Once, r.Attempts = true, 1 }),
 			"split": route("/split/", func(r *loader.HostRoute) {
 				r.Services = []loader.Split{{Service: "x", Weight: 90}, {Service: "y", Weight: 10}, {Service: "z", Weight: 0}}
@@ -192,12 +193,16 @@
 		Expect(count).NotTo(HaveKey("z"))
 	})
 
-	It("takes an organisation's tier before the route's", func() {
+	// An engine has more requests than slots, and takes the least urgent off. Both are
+	// of organisations of one tier: that of the less urgent route must yield.
+	It("ranks a request by its organisation's tier, and within that by its route's", func() {
 		worker("w", status(http.StatusOK, "Seal"))
-		for key, tier := range map[string]string{"s": "3", "l": "0"} {
-			_, _, err := call(bg, "/a/x", key)
+		for _, c := range []struct{ path, key, rank string }{
+			{"/a/x", "l", "0 of 6"}, {"/late/x", "l", "1 of 6"}, {"/a/x", "s", "2 of 6"},
+		} {
+			_, _, err := call(bg, c.path, c.key)
 			Expect(err).NotTo(HaveOccurred())
-			Expect((<-seen).Header.Get("Tier")).To(Equal(tier))
+			Expect((<-seen).Header.Get("Rank")).To(Equal(c.rank))
 		}
 	})
 
--- a/router/trip.go
+++ b/router/trip.go
@@ -234,7 +234,7 @@
 	header := t.q.header.Clone()
 	t.router.Dialect.Write(header, Order{
 		Worker: p.Worker.Name, Left: t.q.left(time.Now()), Organisation: t.q.organisation,
-		Engine: p.Worker.Memory > 0, Tier: t.q.tier, After: t.last,
+		Engine: p.Worker.Memory > 0, Rank: t.q.rank, Ranks: t.q.index.ranks(), After: t.last,
 	})
 	answer, err := t.router.Pool.Do(ctx, p.Worker.Address, connector.Call{
 		Method: t.q.method, Target: t.q.uri, Host: t.q.host, Header: header, Body: t.q.body,
