Three hosts watch the platform's store for all, and pass on what changes

Cause: every host watched the workers' entries and the configuration for itself.

Change: package relayer. Up to three hosts, by rendezvous over the roster, watch and pass each answer on as all that changed after one revision, up to another. A host that misses a revision asks the store from where it is; one that hears no watcher for 1.5 s watches for itself, and so does everyone when a watcher's calls fail. Hosts learn of a new configuration by the generation in the frames, as before, and read it.

--- a/messenger/message.go
+++ b/messenger/message.go
@@ -171,6 +171,8 @@
 		return decode[Fetched](e)
 	case kindShared:
 		return decode[Shared](e)
+	case kindWord:
+		return decode[Word](e)
 	default:
 		if m, ok, err := decodeMember(e); ok {
 			return m, err
--- /dev/null
+++ b/messenger/message_word.go
@@ -0,0 +1,23 @@
+package messenger
+
+const kindWord = "word"
+
+// Word tells another host what the platform's store told this one of a list: all
+// that changed after one revision, up to another.
+type Word struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
+	After    uint64   `msgpack:"after"`
+	Upto     uint64   `msgpack:"upto"`
+	Changed  []Change `msgpack:"changed"` // in the order of their revisions
+}
+
+// Change is one object of the list that changed.
+type Change struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
+	Key      string   `msgpack:"key"`
+	Value    []byte   `msgpack:"value"`
+	Version  uint64   `msgpack:"version"`
+	Deleted  bool     `msgpack:"deleted"`
+}
+
+func (Word) kind() string { return kindWord }
--- a/publisher/follower.go
+++ b/publisher/follower.go
@@ -20,6 +20,7 @@
 	watchRetry   = 500 * time.Millisecond
 	watchRetries = 4 // doublings of watchRetry
 	tickEvery    = 250 * time.Millisecond
+	turnEvery    = 250 * time.Millisecond // between looks at whose turn it is to watch
 	inputBacklog = 256
 )
 
@@ -32,6 +33,9 @@
 	Wait time.Duration
 	// Retries is how often the pause after a failed watch doubles.
 	Retries int
+	// Turn says whether this host is to watch: others learn of a change by the
+	// generation in its frames, and read the head then. Nil is always.
+	Turn func() bool
 }
 
 // Pushed is the source of configurations that operators push.
@@ -260,8 +264,14 @@
 			if len(objects) == 0 && f.Head().Generation > 0 {
 				f.put(ctx, HeadUnchanged{}) // the platform answered that there is nothing newer
 			}
+			if f.waitTurn(ctx) {
+				break // others watched meanwhile: list anew
+			}
 			objects, revision, err = f.store.Watch(ctx, f.source.Key, revision, f.source.Wait)
 		}
+		if err == nil {
+			continue
+		}
 		if errors.Is(err, storer.ErrConflict) && failures == 0 {
 			failures++
 			continue // a gap: the revision is forgotten
@@ -273,6 +283,16 @@
 	}
 }
 
+// waitTurn waits until it is this host's turn to watch, and says whether it had to.
+func (f *Follower) waitTurn(ctx context.Context) bool {
+	waited := false
+	for f.source.Turn != nil && !f.source.Turn() && ctx.Err() == nil {
+		waited = true
+		pause(ctx, turnEvery)
+	}
+	return waited
+}
+
 // latest takes the last event of the head, if there is one.
 func (f *Follower) latest(ctx context.Context, objects []storer.Object) {
 	for i := len(objects) - 1; i >= 0; i-- {
--- /dev/null
+++ b/relayer/relayer.go
@@ -0,0 +1,124 @@
+// Package relayer lets a few hosts follow a list in the platform's store for all of
+// them.
+//
+// The few watch the list and pass on each answer as a Word. Every host keeps a Relay,
+// which takes words from any of them in any order, knows by the store's revisions
+// whether it missed one, and then, or when the few fall silent, has its host call the
+// store itself. So a fleet makes as many calls as the few do while all is well, and
+// no host depends on another to learn what the store holds.
+//
+// A Relay is pure: time is an argument, and it does no I/O.
+package relayer
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cicadawood/cicadawood/registrar"
+	"github.com/cicadawood/cicadawood/storer"
+)
+
+const (
+	// watchers is how many hosts watch for all, at most: one may be frozen and another
+	// cut off from the store in the moment that a third is missed.
+	watchers = 3
+	// BeatEvery is how often a watcher says that it is up to date.
+	BeatEvery = 500 * time.Millisecond
+	// silence is how long no word may come before a host calls the store itself: three
+	// beats.
+	silence = 3 * BeatEvery
+	// catchAfter is how long a host waits for a word that it missed: it may be on its
+	// way on another connection.
+	catchAfter = 50 * time.Millisecond
+	// answerAge is how old a watcher's last answer of the store may be for it to speak.
+	answerAge = 4 * time.Second
+)
+
+// Word is all that changed in a list after one revision of the store, up to another.
+type Word struct {
+	After, Upto uint64
+	Changed     []storer.Object // in the order of their revisions
+}
+
+// Relay is one host's part in following a list.
+type Relay struct {
+	ledger   ledger
+	self     string
+	list     string
+	turn     bool
+	heard    time.Time // the last word that left nothing out
+	answered time.Time // the store's last answer
+	missed   time.Time // since when a change is known of that did not come; zero for none
+	told     uint64    // the highest revision that a word named
+}
+
+// New returns the relay of a host for a list. Until it is enrolled it is alone.
+func New(self, list string) *Relay { return &Relay{self: self, list: list, turn: true} }
+
+// Enroll takes the hosts that are there, and from them whose turn it is to watch.
+func (r *Relay) Enroll(hosts registrar.Roster) {
+	r.turn = false
+	for i := range watchers {
+		owner, ok := hosts.Owner(fmt.Sprintf("%s/%d", r.list, i))
+		r.turn = r.turn || !ok || owner.Name == r.self
+	}
+}
+
+// Watching says that this host watches the list for all.
+func (r *Relay) Watching() bool { return r.turn }
+
+// Next says whether the host is to call the store now, and from which revision on.
+// Behind says that it is for a change that did not come: there is nothing to wait for.
+func (r *Relay) Next(now time.Time) (after uint64, call, behind bool) {
+	behind = !r.missed.IsZero() && now.Sub(r.missed) >= catchAfter
+	return r.ledger.upto, r.turn || behind || !r.Hearing(now), behind
+}
+
+// Hearing says that the watchers were heard of lately.
+func (r *Relay) Hearing(now time.Time) bool { return !r.heard.IsZero() && now.Sub(r.heard) < silence }
+
+// Listed takes the whole list at a revision. What words told of later is asked for
+// again: the list may be older.
+func (r *Relay) Listed(now time.Time, revision uint64, all []storer.Object) {
+	r.ledger.list(revision, all)
+	r.answered = now
+	r.settle(now)
+}
+
+// Watched takes an answer of the store, and returns what was not known before.
+func (r *Relay) Watched(now time.Time, w Word) []storer.Object {
+	r.answered = now
+	fresh, _ := r.ledger.take(w)
+	r.settle(now)
+	return fresh
+}
+
+// Heard takes another host's word, and returns what was not known before. Where
+// something before it is missing, nothing of it is taken, and it returns false.
+func (r *Relay) Heard(now time.Time, w Word) ([]storer.Object, bool) {
+	r.told = max(r.told, w.After)
+	fresh, whole := r.ledger.take(w)
+	if whole {
+		r.heard = now
+	}
+	r.settle(now)
+	return fresh, whole
+}
+
+// settle notes whether a word told of a revision that this host did not reach.
+func (r *Relay) settle(now time.Time) {
+	switch {
+	case r.told <= r.ledger.upto:
+		r.missed = time.Time{}
+	case r.missed.IsZero():
+		r.missed = now
+	}
+}
+
+// Beat is the word that a watcher is up to date; false where this host can't say so.
+func (r *Relay) Beat(now time.Time) (Word, bool) {
+	if !r.turn || r.answered.IsZero() || now.Sub(r.answered) > answerAge {
+		return Word{}, false
+	}
+	return Word{After: r.ledger.upto, Upto: r.ledger.upto}, true
+}
--- /dev/null
+++ b/relayer/relayer_test.go
@@ -0,0 +1,224 @@
+package relayer_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cicadawood/cicadawood/registrar"
+	"github.com/cicadawood/cicadawood/relayer"
+	"github.com/cicadawood/cicadawood/storer"
+)
+
+var start = time.Unix(1000, 0)
+
+func object(key string, version uint64) storer.Object {
+	return storer.Object{Key: key, Version: version}
+}
+
+func gone(key string, version uint64) storer.Object {
+	return storer.Object{Key: key, Version: version, Deleted: true}
+}
+
+func word(after, upto uint64, changed ...storer.Object) relayer.Word {
+	return relayer.Word{After: after, Upto: upto, Changed: changed}
+}
+
+// fleet is a roster of so many hosts.
+func fleet(n int) registrar.Roster {
+	var hosts []registrar.Record
+	for i := range n {
+		hosts = append(hosts, registrar.Record{Name: fmt.Sprintf("h-%02d", i)})
+	}
+	return registrar.NewRoster(hosts...)
+}
+
+// listener is a relay of a host that others watch for, with a list at revision 10.
+func listener(objects ...storer.Object) *relayer.Relay {
+	for i := range 74 {
+		r := relayer.New(fmt.Sprintf("h-%02d", i), "list")
+		r.Enroll(fleet(74))
+		if !r.Watching() {
+			r.Listed(start, 10, objects)
+			return r
+		}
+	}
+	panic("every host watches")
+}
+
+var _ = Describe("Relay", func() {
+	It("has few hosts of many watch, and each host where it is alone", func() {
+		watching := 0
+		for i := range 74 {
+			r := relayer.New(fmt.Sprintf("h-%02d", i), "list")
+			Expect(r.Watching()).To(BeTrue())
+			r.Enroll(fleet(74))
+			if r.Watching() {
+				watching++
+			}
+		}
+		Expect(watching).To(And(BeNumerically(">=", 1), BeNumerically("<=", 3)))
+		alone := relayer.New("h-00", "list")
+		alone.Enroll(fleet(1))
+		Expect(alone.Watching()).To(BeTrue())
+	})
+
+	It("takes each change once, whoever tells of it and how often", func() {
+		r := listener()
+		fresh, whole := r.Heard(start, word(10, 12, object("a", 11), object("b", 12)))
+		Expect(whole).To(BeTrue())
+		Expect(fresh).To(HaveLen(2))
+		fresh, whole = r.Heard(start, word(9, 13, object("a", 11), object("b", 12), object("c", 13)))
+		Expect(whole).To(BeTrue())
+		Expect(fresh).To(ConsistOf(object("c", 13)))
+	})
+
+	// The three watchers die in one moment, or are cut off from the store. Nobody tells
+	// of workers that leave, and requests are sent to them for as long.
+	It("has a host call the store itself once the watchers fall silent", func() {
+		r := listener()
+		r.Heard(start, word(10, 10))
+		_, call, _ := r.Next(start.Add(1400 * time.Millisecond))
+		Expect(call).To(BeFalse())
+		after, call, behind := r.Next(start.Add(1600 * time.Millisecond))
+		Expect(call).To(BeTrue())
+		Expect(behind).To(BeFalse())
+		Expect(after).To(BeEquivalentTo(10))
+		r.Heard(start.Add(1700*time.Millisecond), word(10, 10))
+		_, call, _ = r.Next(start.Add(1800 * time.Millisecond))
+		Expect(call).To(BeFalse())
+	})
+
+	// A word is lost with its connection. What follows must not hide the change in it.
+	It("takes nothing after a gap, and has the host ask for what is missing", func() {
+		r := listener()
+		r.Heard(start, word(10, 10))
+		fresh, whole := r.Heard(start, word(14, 15, object("c", 15)))
+		Expect(whole).To(BeFalse())
+		Expect(fresh).To(BeEmpty())
+		_, call, _ := r.Next(start.Add(10 * time.Millisecond))
+		Expect(call).To(BeFalse(), "the word may be on its way")
+		after, call, behind := r.Next(start.Add(60 * time.Millisecond))
+		Expect(call).To(BeTrue())
+		Expect(behind).To(BeTrue())
+		Expect(after).To(BeEquivalentTo(10))
+		Expect(r.Watched(start.Add(70*time.Millisecond), word(10, 16, gone("b", 12), object("c", 15)))).To(HaveLen(2))
+		_, call, _ = r.Next(start.Add(200 * time.Millisecond))
+		Expect(call).To(BeFalse())
+	})
+
+	// A watcher was frozen for seconds. It wakes up, and tells of a worker that has left
+	// since; requests would go to whoever has its address now.
+	It("does not bring back what is gone by a word that comes late", func() {
+		r := listener(object("a", 5))
+		r.Heard(start, word(10, 12, object("a", 11)))
+		fresh, _ := r.Heard(start, word(12, 13, gone("a", 11)))
+		Expect(fresh).To(HaveLen(1))
+		fresh, _ = r.Heard(start, word(10, 11, object("a", 11)))
+		Expect(fresh).To(BeEmpty())
+		r.Listed(start, 20, nil)
+		fresh, _ = r.Heard(start, word(10, 19, object("b", 18)))
+		Expect(fresh).To(BeEmpty(), "the list at 20 has no b")
+		fresh, _ = r.Heard(start, word(20, 22, object("a", 22)))
+		Expect(fresh).To(HaveLen(1), "registered anew")
+		fresh, _ = r.Heard(start, word(11, 13, gone("a", 11)))
+		Expect(fresh).To(BeEmpty())
+	})
+
+	It("asks again for what words told while an older list was on its way", func() {
+		r := listener(object("a", 5))
+		r.Heard(start, word(10, 15, gone("a", 14)))
+		r.Listed(start, 12, []storer.Object{object("a", 5)})
+		r.Heard(start, word(15, 15))
+		after, call, behind := r.Next(start.Add(100 * time.Millisecond))
+		Expect(call && behind).To(BeTrue())
+		Expect(after).To(BeEquivalentTo(12))
+	})
+
+	It("has a watcher speak only while the store answers it", func() {
+		r := relayer.New("h-00", "list")
+		_, ok := r.Beat(start)
+		Expect(ok).To(BeFalse())
+		r.Listed(start, 10, nil)
+		w, ok := r.Beat(start.Add(time.Second))
+		Expect(ok).To(BeTrue())
+		Expect(w).To(Equal(word(10, 10)))
+		_, ok = r.Beat(start.Add(5 * time.Second))
+		Expect(ok).To(BeFalse())
+	})
+
+	// Words of three watchers come in any order, twice or not at all, with lists of any
+	// age between. What a host believes must be what the store holds, once it has caught up.
+	It("ends with what the store holds, whatever came in which order", func() {
+		for seed := range uint64(2000) {
+			play(rand.New(rand.NewPCG(seed, 7)), seed)
+		}
+	})
+})
+
+// play changes a store at random, has three watchers tell of it, and one host hear
+// them badly.
+func play(r *rand.Rand, seed uint64) {
+	type change = storer.Object
+	var history []change
+	content := map[string]uint64{}
+	between := func(after, upto uint64) []change { return history[after:upto] }
+	for range 60 {
+		key, version := fmt.Sprint(r.IntN(6)), uint64(len(history)+1)
+		if known, ok := content[key]; ok && r.IntN(2) == 0 {
+			delete(content, key)
+			if r.IntN(2) == 0 {
+				version = known // some stores give a deletion the version that it ended
+			}
+			history = append(history, gone(key, version))
+			continue
+		}
+		content[key] = version
+		history = append(history, object(key, version))
+	}
+	list := func(upto uint64) []change {
+		at := map[string]change{}
+		for _, c := range history[:upto] {
+			if delete(at, c.Key); !c.Deleted {
+				at[c.Key] = c
+			}
+		}
+		var all []change
+		for _, c := range at {
+			all = append(all, c)
+		}
+		return all
+	}
+	relay, believed := relayer.New("h", "list"), map[string]uint64{}
+	take := func(fresh []change) {
+		for _, c := range fresh {
+			if delete(believed, c.Key); !c.Deleted {
+				believed[c.Key] = c.Version
+			}
+		}
+	}
+	relist := func(upto uint64) {
+		relay.Listed(start, upto, list(upto))
+		clear(believed)
+		take(list(upto))
+	}
+	end := uint64(len(history))
+	relist(uint64(r.IntN(10)))
+	for range 80 {
+		after := uint64(r.IntN(int(end)))
+		upto := after + uint64(r.IntN(int(end-after)+1))
+		switch fresh, _ := relay.Heard(start, word(after, upto, between(after, upto)...)); r.IntN(20) {
+		case 0:
+			take(fresh)
+			relist(uint64(r.IntN(int(end))))
+		default:
+			take(fresh)
+		}
+	}
+	after, _, _ := relay.Next(start)
+	take(relay.Watched(start, word(after, end, between(after, end)...)))
+	Expect(believed).To(Equal(content), "seed %d", seed)
+}
--- a/runner/choosing.go
+++ b/runner/choosing.go
@@ -13,6 +13,7 @@
 	"github.com/cicadawood/cicadawood/observer"
 	"github.com/cicadawood/cicadawood/placer"
 	"github.com/cicadawood/cicadawood/registrar"
+	"github.com/cicadawood/cicadawood/relayer"
 	"github.com/cicadawood/cicadawood/retrier"
 	"github.com/cicadawood/cicadawood/router"
 )
@@ -43,10 +44,13 @@
 	events chan event
 	ended  chan struct{}
 	known  atomic.Bool // the workers were listed
+	calls  atomic.Bool // the host watches the store: nobody does it for it
 
 	view      *placer.View
 	directory observer.Directory
-	listed    time.Time // when the source last answered
+	relay     *relayer.Relay
+	beaten    time.Time // when a watcher last said that it is up to date
+	listed    time.Time // when the source, or a host that watches it, last told of it
 	folder    *loader.Folder
 	self      string
 	roster    registrar.Roster
@@ -85,11 +89,14 @@
 }
 
 func newChoosing(self, zone string, s sender, p loader.Repeat, log *zap.Logger) *choosing {
-	return &choosing{
+	c := &choosing{
 		self: self, sender: s, log: log, events: make(chan event, eventBacklog), ended: make(chan struct{}),
 		repeat: policyOf(p),
 		view:   placer.New(zone), windows: map[string]*retrier.Window{}, hosts: hostsLeast,
+		relay: relayer.New(self, entriesList),
 	}
+	c.calls.Store(true)
+	return c
 }
 
 func policyOf(p loader.Repeat) retrier.WindowPolicy {
@@ -181,6 +188,10 @@
 		p.hear(now, e)
 	case entriesSeen:
 		p.see(now, e)
+	case wordHeard:
+		p.hearWord(now, e)
+	case nextAsked:
+		e.reply <- p.callNext(now)
 	case rosterChanged:
 		p.enroll(now, e.roster)
 	case settingsChanged:
@@ -247,6 +258,11 @@
 	p.shareAt = time.Time{}
 	m := p.shared
 	p.shared = messenger.Shared{}
+	p.toOthers(m)
+}
+
+// toOthers sends a message to every other host that can be reached.
+func (p *choosing) toOthers(m messenger.Message) {
 	for _, h := range p.roster.Hosts() {
 		if h.Name == p.self || h.Parted {
 			continue
@@ -278,33 +294,10 @@
 		}
 	}
 	p.roster = r
+	p.relay.Enroll(r)
 	p.hosts = max(p.hosts, len(r.Hosts()))
 }
 
-// see takes what the platform's store told of the workers' entries.
-func (p *choosing) see(now time.Time, e entriesSeen) {
-	if e.failed {
-		p.directory.Failed()
-		return
-	}
-	p.listed = now
-	if e.whole {
-		p.directory.Listed(now, e.changed)
-		p.known.Store(true)
-		p.setWorkers(now)
-		return
-	}
-	for _, x := range e.changed {
-		p.directory.Changed(now, x)
-	}
-	for _, name := range e.removed {
-		p.directory.Removed(now, name)
-	}
-	if len(e.changed)+len(e.removed) > 0 {
-		p.setWorkers(now)
-	}
-}
-
 // setWorkers gives the view the workers that may get requests.
 func (p *choosing) setWorkers(now time.Time) {
 	var workers []placer.Worker
@@ -327,6 +320,8 @@
 }
 
 func (p *choosing) sweep(now time.Time) {
+	p.beat(now)
+	p.calls.Store(p.callNext(now).call)
 	p.view.Sweep(now)
 	if p.directory.Sweep(now) {
 		p.setWorkers(now)
@@ -337,4 +332,3 @@
 func (sendBegun) event()   {}
 func (sendEnded) event()   {}
 func (sharedHeard) event() {}
-func (entriesSeen) event() {}
--- /dev/null
+++ b/runner/entries.go
@@ -0,0 +1,154 @@
+package runner
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/cicadawood/cicadawood/messenger"
+	"github.com/cicadawood/cicadawood/observer"
+	"github.com/cicadawood/cicadawood/platform"
+	"github.com/cicadawood/cicadawood/relayer"
+	"github.com/cicadawood/cicadawood/storer"
+)
+
+// entriesList is the list of the workers' entries, as far as hosts share the watching.
+const entriesList = "watch/workers"
+
+// nextAsked asks whether the host is to call the store.
+type nextAsked struct{ reply chan<- callNext }
+
+// wordHeard is another host's word of the workers' entries.
+type wordHeard struct {
+	from string
+	word messenger.Word
+}
+
+// next implements listing's question of when to call.
+func (p *choosing) next(ctx context.Context) callNext {
+	reply := make(chan callNext, 1)
+	if !p.post(nextAsked{reply: reply}) {
+		return callNext{}
+	}
+	select {
+	case n := <-reply:
+		return n
+	case <-p.ended:
+	case <-ctx.Done():
+	}
+	return callNext{}
+}
+
+// callNext is the relay's answer to next.
+func (p *choosing) callNext(now time.Time) callNext {
+	after, call, behind := p.relay.Next(now)
+	if behind {
+		return callNext{after: after, call: call, wait: catchWait}
+	}
+	return callNext{after: after, call: call, wait: listWait}
+}
+
+// see takes what the platform's store told of the workers' entries.
+func (p *choosing) see(now time.Time, e entriesSeen) {
+	switch {
+	case e.failed:
+		// While the watchers speak, the store is there, if not for this host.
+		if !p.relay.Hearing(now) {
+			p.directory.Failed()
+		}
+	case e.whole:
+		p.relay.Listed(now, e.word.Upto, e.word.Changed)
+		p.listed = now
+		p.directory.Listed(now, p.decode(e.word.Changed).changed)
+		p.known.Store(true)
+		p.setWorkers(now)
+	default:
+		p.change(now, p.relay.Watched(now, e.word))
+		if p.relay.Watching() && e.word.Upto > e.word.After {
+			p.spread(e.word)
+		}
+	}
+}
+
+// hearWord takes another host's word of the entries.
+func (p *choosing) hearWord(now time.Time, e wordHeard) {
+	w := relayer.Word{After: e.word.After, Upto: e.word.Upto}
+	for _, c := range e.word.Changed {
+		w.Changed = append(w.Changed, storer.Object{Key: c.Key, Value: c.Value, Version: c.Version, Deleted: c.Deleted})
+	}
+	if fresh, whole := p.relay.Heard(now, w); whole {
+		p.change(now, fresh)
+	}
+}
+
+// change takes changed entries, those new to this host only.
+func (p *choosing) change(now time.Time, objects []storer.Object) {
+	p.listed = now
+	d := p.decode(objects)
+	for _, x := range d.changed {
+		p.directory.Changed(now, x)
+	}
+	for _, name := range d.removed {
+		p.directory.Removed(now, name)
+	}
+	if len(objects) > 0 {
+		p.setWorkers(now)
+	}
+}
+
+// spread tells all other hosts a word.
+func (p *choosing) spread(w relayer.Word) {
+	m := messenger.Word{After: w.After, Upto: w.Upto}
+	for _, o := range w.Changed {
+		m.Changed = append(m.Changed, messenger.Change{Key: o.Key, Value: o.Value, Version: o.Version, Deleted: o.Deleted})
+	}
+	p.toOthers(m)
+}
+
+// beat tells the others that this host, if it watches for them, is up to date.
+func (p *choosing) beat(now time.Time) {
+	if now.Sub(p.beaten) < relayer.BeatEvery {
+		return
+	}
+	p.beaten = now
+	if w, ok := p.relay.Beat(now); ok {
+		p.spread(w)
+	}
+}
+
+// decoded is entries of the store, read.
+type decoded struct {
+	changed []observer.Entry
+	removed []string // names
+}
+
+// decode takes the entries of a call, the last word on each worker. One that can't
+// be read names no worker; the others hold.
+func (p *choosing) decode(objects []storer.Object) decoded {
+	var d decoded
+	last := map[string]int{}
+	for i, o := range objects {
+		last[o.Key] = i
+	}
+	for i, o := range objects {
+		if last[o.Key] != i {
+			continue
+		}
+		e, err := platform.DecodeWorker(o)
+		switch {
+		case o.Deleted:
+			d.removed = append(d.removed, platform.NameOf(o))
+		case err != nil:
+			p.log.Warn("worker's entry", zap.String("worker", platform.NameOf(o)), zap.Uint64("version", o.Version), zap.Error(err))
+			d.removed = append(d.removed, platform.NameOf(o))
+		default:
+			d.changed = append(d.changed, e)
+		}
+	}
+	return d
+}
+
+func (nextAsked) event()   {}
+func (wordHeard) event()   {}
+func (entriesSeen) event() {}
--- a/runner/following.go
+++ b/runner/following.go
@@ -23,6 +23,9 @@
 	log      *zap.Logger
 
 	sender sender
+	// calls says whether this host is to watch the store, as no other does so for it;
+	// nil is always.
+	calls func() bool
 
 	mu     sync.Mutex
 	roster registrar.Roster
@@ -38,7 +41,7 @@
 	}
 	g.Follower = publisher.NewFollower(store, timing, log, publisher.Actions{Enforce: enforce, Ask: g.ask, Ready: ready})
 	if s.Dialect == loader.DialectPlatform {
-		g.SetSource(operatorSource())
+		g.SetSource(operatorSource(func() bool { return g.calls == nil || g.calls() }))
 	}
 	return g
 }
--- a/runner/host.go
+++ b/runner/host.go
@@ -144,6 +144,7 @@
 	h.server.SetOnce(h.control)
 	if s.Dialect == loader.DialectPlatform {
 		h.routing = newRouting(s, store, m, h.following, h.log, registry)
+		h.following.calls = h.routing.choosing.calls.Load
 		h.server.SetRoutes(h.routing.router)
 	}
 	h.registerMetrics(registry)
--- a/runner/listing.go
+++ b/runner/listing.go
@@ -7,8 +7,8 @@
 
 	"go.uber.org/zap"
 
-	"github.com/cicadawood/cicadawood/observer"
 	"github.com/cicadawood/cicadawood/platform"
+	"github.com/cicadawood/cicadawood/relayer"
 	"github.com/cicadawood/cicadawood/storer"
 )
 
@@ -16,24 +16,36 @@
 	// listWait is how long a watch of the workers' entries waits: as for the
 	// operator's configuration, one that is deaf hides a worker that leaves.
 	listWait = 2500 * time.Millisecond
+	// catchWait is how long a call waits that is made for a change that is there.
+	catchWait = 10 * time.Millisecond
 	// listRetry is the pause after a failed call.
 	listRetry = 250 * time.Millisecond
+	// turnEvery is how often a host that others watch for looks whether it is to call.
+	turnEvery = 100 * time.Millisecond
 )
 
-// listing follows the workers' entries in the platform's store.
+// listing calls the platform's store for the workers' entries, when the host's relay
+// has it call.
 type listing struct {
 	store storer.Store
 	log   *zap.Logger
 	tell  func(entriesSeen)
+	next  func(context.Context) callNext
 	away  time.Time // since when the store does not answer; zero while it does
 }
 
 // entriesSeen is what a call of the store told of the workers' entries.
 type entriesSeen struct {
-	failed  bool             // the call failed; nothing else is set
-	whole   bool             // changed is every entry
-	changed []observer.Entry // new or changed
-	removed []string         // names
+	failed bool         // the call failed; nothing else is set
+	whole  bool         // the word is every entry at its last revision
+	word   relayer.Word // what changed
+}
+
+// callNext is whether a host is to call the store, and from which revision on.
+type callNext struct {
+	after uint64
+	call  bool
+	wait  time.Duration // for a change
 }
 
 // run lists the entries, watches them from there, and starts anew where the watch
@@ -41,13 +53,10 @@
 func (l *listing) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		objects, revision, err := l.store.List(ctx, platform.WorkersPrefix)
-		if err == nil && !l.away.IsZero() {
-			l.log.Info("workers listed again", zap.Duration("after", time.Since(l.away)), zap.Uint64("version", revision))
-			l.away = time.Time{}
-		}
-		for whole := true; err == nil; whole = false {
-			l.tell(l.decode(objects, whole))
-			objects, revision, err = l.store.Watch(ctx, platform.WorkersPrefix, revision, listWait)
+		if err == nil {
+			l.answered(revision)
+			l.tell(entriesSeen{whole: true, word: relayer.Word{Upto: revision, Changed: objects}})
+			err = l.watch(ctx)
 		}
 		if ctx.Err() != nil {
 			return
@@ -61,30 +70,30 @@
 	}
 }
 
-// decode takes the entries of a call, the last word on each worker. One that can't
-// be read names no worker; the others hold.
-func (l *listing) decode(objects []storer.Object, whole bool) entriesSeen {
-	seen := entriesSeen{whole: whole}
-	last := map[string]int{}
-	for i, o := range objects {
-		last[o.Key] = i
-	}
-	for i, o := range objects {
-		if last[o.Key] != i {
+// watch watches the entries whenever the host is to call, until a call fails.
+func (l *listing) watch(ctx context.Context) error {
+	for ctx.Err() == nil {
+		n := l.next(ctx)
+		if !n.call {
+			pause(ctx, turnEvery)
 			continue
 		}
-		e, err := platform.DecodeWorker(o)
-		switch {
-		case o.Deleted:
-			seen.removed = append(seen.removed, platform.NameOf(o))
-		case err != nil:
-			l.log.Warn("worker's entry", zap.String("worker", platform.NameOf(o)), zap.Uint64("version", o.Version), zap.Error(err))
-			seen.removed = append(seen.removed, platform.NameOf(o))
-		default:
-			seen.changed = append(seen.changed, e)
+		objects, revision, err := l.store.Watch(ctx, platform.WorkersPrefix, n.after, n.wait)
+		if err != nil {
+			return err
 		}
+		l.tell(entriesSeen{word: relayer.Word{After: n.after, Upto: revision, Changed: objects}})
+	}
+	return ctx.Err()
+}
+
+// answered notes that the store answers again.
+func (l *listing) answered(revision uint64) {
+	if l.away.IsZero() {
+		return
 	}
-	return seen
+	l.log.Info("workers listed again", zap.Duration("after", time.Since(l.away)), zap.Uint64("version", revision))
+	l.away = time.Time{}
 }
 
 func pause(ctx context.Context, d time.Duration) {
--- a/runner/operator.go
+++ b/runner/operator.go
@@ -28,9 +28,11 @@
 )
 
 // operatorSource is the configuration that the operator writes to the platform's
-// store.
-func operatorSource() publisher.Source {
-	return publisher.Source{Key: platform.ConfigurationKey, Decode: decodeOperator, Wait: operatorWait, Retries: operatorRetries}
+// store; turn says whether this host is to watch it.
+func operatorSource(turn func() bool) publisher.Source {
+	return publisher.Source{
+		Key: platform.ConfigurationKey, Decode: decodeOperator, Wait: operatorWait, Retries: operatorRetries, Turn: turn,
+	}
 }
 
 // decodeOperator makes one file of the operator's configuration, so that hosts
--- a/runner/routing.go
+++ b/runner/routing.go
@@ -32,7 +32,7 @@
 func newRouting(s loader.Host, store storer.Store, m sender, f *following, log *zap.Logger, registry prometheus.Registerer) *routing {
 	g := &routing{choosing: newChoosing(s.Name, s.Zone, m, s.Repeat, log)}
 	g.pool, g.close = connector.New()
-	g.listing = &listing{store: store, log: log, tell: func(e entriesSeen) { g.choosing.post(e) }}
+	g.listing = &listing{store: store, log: log, tell: func(e entriesSeen) { g.choosing.post(e) }, next: g.choosing.next}
 	g.router = router.New(router.Config{
 		Dialect: platform.Wire{}, Configuration: f, Placer: g.choosing, Pool: g.pool, Log: log, Metrics: router.NewMetrics(registry),
 		Answer: s.Limits.Answer, Stall: s.Limits.Stall.Std(), Buffer: s.Limits.Buffer,
@@ -42,11 +42,17 @@
 
 // hear takes a frame of another host, and says whether it was for the routing.
 func (g *routing) hear(from string, m messenger.Message) bool {
-	shared, ok := m.(messenger.Shared)
-	if g == nil || !ok {
+	if g == nil {
+		return false
+	}
+	switch m := m.(type) {
+	case messenger.Shared:
+		g.choosing.post(sharedHeard{from: from, shared: m})
+	case messenger.Word:
+		g.choosing.post(wordHeard{from: from, word: m})
+	default:
 		return false
 	}
-	g.choosing.post(sharedHeard{from: from, shared: shared})
 	return true
 }
 
