A watcher that the store turns away says so at once; watches wait 0.75 s

Ruled out: a deaf watch (the first calls of the other hosts found the new version at once).

Change: a watcher whose last answer is over 1.15 s old, or whose call failed, tells all that it is blind; each watcher counts by itself, one that left the roster not at all; a watch waits 0.75 s, a beat comes each 0.4 s. Specs: "once no watcher is answered" (relayer), "does not watch while others do" (publisher).

--- a/messenger/message_word.go
+++ b/messenger/message_word.go
@@ -9,6 +9,7 @@
 	After    uint64   `msgpack:"after"`
 	Upto     uint64   `msgpack:"upto"`
 	Changed  []Change `msgpack:"changed"` // in the order of their revisions
+	Blind    bool     `msgpack:"blind"`   // the store answers this host no more; nothing else is set
 }
 
 // Change is one object of the list that changed.
--- a/publisher/follower.go
+++ b/publisher/follower.go
@@ -20,7 +20,7 @@
 	watchRetry   = 500 * time.Millisecond
 	watchRetries = 4 // doublings of watchRetry
 	tickEvery    = 250 * time.Millisecond
-	turnEvery    = 250 * time.Millisecond // between looks at whose turn it is to watch
+	turnEvery    = 100 * time.Millisecond // between looks at whose turn it is to watch
 	inputBacklog = 256
 )
 
--- a/publisher/follower_test.go
+++ b/publisher/follower_test.go
@@ -34,8 +34,8 @@
 	asked chan string
 }
 
-// follow starts a follower that ends with the spec.
-func follow(s storer.Store, t publisher.Timing) *member {
+// follow starts a follower that ends with the spec; change, if any, changes its source.
+func follow(s storer.Store, t publisher.Timing, change ...func(*publisher.Source)) *member {
 	m := &member{asked: make(chan string, 64)}
 	m.Follower = publisher.NewFollower(s, t, zap.NewNop(), publisher.Actions{
 		Enforce: func(*loader.Folder, uint64) {},
@@ -47,6 +47,11 @@
 		},
 		Ready: m.ready.Store,
 	})
+	source := publisher.Pushed()
+	for _, f := range change {
+		f(&source)
+	}
+	m.SetSource(source)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -104,6 +109,25 @@
 		Eventually(m.ready.Load, 5*time.Second).Should(BeTrue())
 	})
 
+	// Others watch for this host: until one of them tells of a change, it makes no
+	// call. Then they are gone, and what came meanwhile must not be missed.
+	It("does not watch while others do, and lists anew when it is to", func() {
+		var turn atomic.Bool
+		g := push("a")
+		m := follow(store, publisher.Timing{Gather: 10 * time.Millisecond, Poll: time.Hour}, func(s *publisher.Source) { s.Turn = turn.Load })
+		Eventually(generation(m), 5*time.Second).Should(Equal(g))
+		g = push("b")
+		before, _ := platform.Calls()
+		Consistently(generation(m), time.Second).ShouldNot(Equal(g))
+		after, _ := platform.Calls()
+		Expect(after).To(Equal(before))
+		m.Confirmed("h2", g, time.Now())
+		Eventually(generation(m), 5*time.Second).Should(Equal(g))
+		g = push("c")
+		turn.Store(true)
+		Eventually(generation(m), 5*time.Second).Should(Equal(g))
+	})
+
 	// Something between host and platform forgets the watch's connection: it stays
 	// open and tells nothing. The host would serve old settings for good.
 	It("puts each push in force by its poll where the watch is silent", Label(prover.Cell(prover.Watched, prover.Silence)), func() {
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -23,15 +23,21 @@
 	// cut off from the store in the moment that a third is missed.
 	watchers = 3
 	// BeatEvery is how often a watcher says that it is up to date.
-	BeatEvery = 500 * time.Millisecond
-	// silence is how long no word may come before a host calls the store itself: three
-	// beats.
+	BeatEvery = 400 * time.Millisecond
+	// silence is how long a watcher may say nothing before it does not count any more:
+	// three beats. A change has to be known within 2 s.
 	silence = 3 * BeatEvery
 	// catchAfter is how long a host waits for a word that it missed: it may be on its
 	// way on another connection.
 	catchAfter = 50 * time.Millisecond
-	// answerAge is how old a watcher's last answer of the store may be for it to speak.
-	answerAge = 4 * time.Second
+	// WatchWait is how long a watch waits. Failure: the store drops its history while
+	// changes are made, and a watch that waits hears nothing of them and is not told;
+	// or it turns a watcher away by silence. A change is to be in force within seconds,
+	// so that no watch may wait much longer. Each costs one read.
+	WatchWait = 750 * time.Millisecond
+	// answerAge is how old a watcher's last answer of the store may be for it to speak:
+	// a watch and the slowest answer of a store in trouble.
+	answerAge = WatchWait + 400*time.Millisecond
 )
 
 // Word is all that changed in a list after one revision of the store, up to another.
@@ -46,14 +52,16 @@
 	self     string
 	list     string
 	turn     bool
-	heard    time.Time // the last word that left nothing out
-	answered time.Time // the store's last answer
-	missed   time.Time // since when a change is known of that did not come; zero for none
-	told     uint64    // the highest revision that a word named
+	heard    map[string]time.Time // the last word that left nothing out, by host
+	answered time.Time            // the store's last answer; zero after a failure
+	missed   time.Time            // since when a change is known of that did not come; zero for none
+	told     uint64               // the highest revision that a word named
 }
 
 // New returns the relay of a host for a list. Until it is enrolled it is alone.
-func New(self, list string) *Relay { return &Relay{self: self, list: list, turn: true} }
+func New(self, list string) *Relay {
+	return &Relay{self: self, list: list, turn: true, heard: map[string]time.Time{}}
+}
 
 // Enroll takes the hosts that are there, and from them whose turn it is to watch.
 func (r *Relay) Enroll(hosts registrar.Roster) {
@@ -62,6 +70,11 @@
 		owner, ok := hosts.Owner(fmt.Sprintf("%s/%d", r.list, i))
 		r.turn = r.turn || !ok || owner.Name == r.self
 	}
+	for host := range r.heard {
+		if _, ok := hosts.Find(host); !ok {
+			delete(r.heard, host)
+		}
+	}
 }
 
 // Watching says that this host watches the list for all.
@@ -74,8 +87,15 @@
 	return r.ledger.upto, r.turn || behind || !r.Hearing(now), behind
 }
 
-// Hearing says that the watchers were heard of lately.
-func (r *Relay) Hearing(now time.Time) bool { return !r.heard.IsZero() && now.Sub(r.heard) < silence }
+// Hearing says that a watcher whom the store answers was heard of lately.
+func (r *Relay) Hearing(now time.Time) bool {
+	for _, at := range r.heard {
+		if now.Sub(at) < silence {
+			return true
+		}
+	}
+	return false
+}
 
 // Listed takes the whole list at a revision. What words told of later is asked for
 // again: the list may be older.
@@ -93,13 +113,21 @@
 	return fresh
 }
 
+// Failed takes that a call of the store failed.
+func (r *Relay) Failed() { r.answered = time.Time{} }
+
+// Blind takes that the store does not answer another host any more, or that it does
+// not watch any more. Failure: the store turns away just those that watch, by
+// silence. Their last words would count for as long as words do.
+func (r *Relay) Blind(from string) { delete(r.heard, from) }
+
 // Heard takes another host's word, and returns what was not known before. Where
 // something before it is missing, nothing of it is taken, and it returns false.
-func (r *Relay) Heard(now time.Time, w Word) ([]storer.Object, bool) {
+func (r *Relay) Heard(now time.Time, from string, w Word) ([]storer.Object, bool) {
 	r.told = max(r.told, w.After)
 	fresh, whole := r.ledger.take(w)
 	if whole {
-		r.heard = now
+		r.heard[from] = now
 	}
 	r.settle(now)
 	return fresh, whole
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -68,10 +68,10 @@
 
 	It("takes each change once, whoever tells of it and how often", func() {
 		r := listener()
-		fresh, whole := r.Heard(start, word(10, 12, object("a", 11), object("b", 12)))
+		fresh, whole := r.Heard(start, "w-1", word(10, 12, object("a", 11), object("b", 12)))
 		Expect(whole).To(BeTrue())
 		Expect(fresh).To(HaveLen(2))
-		fresh, whole = r.Heard(start, word(9, 13, object("a", 11), object("b", 12), object("c", 13)))
+		fresh, whole = r.Heard(start, "w-1", word(9, 13, object("a", 11), object("b", 12), object("c", 13)))
 		Expect(whole).To(BeTrue())
 		Expect(fresh).To(ConsistOf(object("c", 13)))
 	})
@@ -80,23 +80,41 @@
 	// of workers that leave, and requests are sent to them for as long.
 	It("has a host call the store itself once the watchers fall silent", func() {
 		r := listener()
-		r.Heard(start, word(10, 10))
-		_, call, _ := r.Next(start.Add(1400 * time.Millisecond))
+		r.Heard(start, "w-1", word(10, 10))
+		_, call, _ := r.Next(start.Add(1100 * time.Millisecond))
 		Expect(call).To(BeFalse())
-		after, call, behind := r.Next(start.Add(1600 * time.Millisecond))
+		after, call, behind := r.Next(start.Add(1300 * time.Millisecond))
 		Expect(call).To(BeTrue())
 		Expect(behind).To(BeFalse())
 		Expect(after).To(BeEquivalentTo(10))
-		r.Heard(start.Add(1700*time.Millisecond), word(10, 10))
+		r.Heard(start.Add(1700*time.Millisecond), "w-1", word(10, 10))
 		_, call, _ = r.Next(start.Add(1800 * time.Millisecond))
 		Expect(call).To(BeFalse())
 	})
 
+	// The store turns away just the hosts that watch. Two say so; the third is silent.
+	// A key is revoked in that moment, and is taken for as long as nobody looks.
+	It("has a host call the store itself once no watcher is answered", func() {
+		r := listener()
+		for _, w := range []string{"w-1", "w-2", "w-3"} {
+			r.Heard(start, w, word(10, 10))
+		}
+		calls := func(after time.Duration) bool {
+			_, call, _ := r.Next(start.Add(after))
+			return call
+		}
+		r.Blind("w-1")
+		r.Blind("w-2")
+		Expect(calls(100 * time.Millisecond)).To(BeFalse())
+		r.Enroll(fleet(74)) // without w-3
+		Expect(calls(100 * time.Millisecond)).To(BeTrue())
+	})
+
 	// A word is lost with its connection. What follows must not hide the change in it.
 	It("takes nothing after a gap, and has the host ask for what is missing", func() {
 		r := listener()
-		r.Heard(start, word(10, 10))
-		fresh, whole := r.Heard(start, word(14, 15, object("c", 15)))
+		r.Heard(start, "w-1", word(10, 10))
+		fresh, whole := r.Heard(start, "w-1", word(14, 15, object("c", 15)))
 		Expect(whole).To(BeFalse())
 		Expect(fresh).To(BeEmpty())
 		_, call, _ := r.Next(start.Add(10 * time.Millisecond))
@@ -114,25 +132,25 @@
 	// since; requests would go to whoever has its address now.
 	It("does not bring back what is gone by a word that comes late", func() {
 		r := listener(object("a", 5))
-		r.Heard(start, word(10, 12, object("a", 11)))
-		fresh, _ := r.Heard(start, word(12, 13, gone("a", 11)))
+		r.Heard(start, "w-1", word(10, 12, object("a", 11)))
+		fresh, _ := r.Heard(start, "w-1", word(12, 13, gone("a", 11)))
 		Expect(fresh).To(HaveLen(1))
-		fresh, _ = r.Heard(start, word(10, 11, object("a", 11)))
+		fresh, _ = r.Heard(start, "w-1", word(10, 11, object("a", 11)))
 		Expect(fresh).To(BeEmpty())
 		r.Listed(start, 20, nil)
-		fresh, _ = r.Heard(start, word(10, 19, object("b", 18)))
+		fresh, _ = r.Heard(start, "w-1", word(10, 19, object("b", 18)))
 		Expect(fresh).To(BeEmpty(), "the list at 20 has no b")
-		fresh, _ = r.Heard(start, word(20, 22, object("a", 22)))
+		fresh, _ = r.Heard(start, "w-1", word(20, 22, object("a", 22)))
 		Expect(fresh).To(HaveLen(1), "registered anew")
-		fresh, _ = r.Heard(start, word(11, 13, gone("a", 11)))
+		fresh, _ = r.Heard(start, "w-1", word(11, 13, gone("a", 11)))
 		Expect(fresh).To(BeEmpty())
 	})
 
 	It("asks again for what words told while an older list was on its way", func() {
 		r := listener(object("a", 5))
-		r.Heard(start, word(10, 15, gone("a", 14)))
+		r.Heard(start, "w-1", word(10, 15, gone("a", 14)))
 		r.Listed(start, 12, []storer.Object{object("a", 5)})
-		r.Heard(start, word(15, 15))
+		r.Heard(start, "w-1", word(15, 15))
 		after, call, behind := r.Next(start.Add(100 * time.Millisecond))
 		Expect(call && behind).To(BeTrue())
 		Expect(after).To(BeEquivalentTo(12))
@@ -146,7 +164,11 @@
 		w, ok := r.Beat(start.Add(time.Second))
 		Expect(ok).To(BeTrue())
 		Expect(w).To(Equal(word(10, 10)))
-		_, ok = r.Beat(start.Add(5 * time.Second))
+		_, ok = r.Beat(start.Add(1200 * time.Millisecond))
+		Expect(ok).To(BeFalse())
+		r.Listed(start, 10, nil)
+		r.Failed()
+		_, ok = r.Beat(start)
 		Expect(ok).To(BeFalse())
 	})
 
@@ -210,7 +232,7 @@
 	for range 80 {
 		after := uint64(r.IntN(int(end)))
 		upto := after + uint64(r.IntN(int(end-after)+1))
-		switch fresh, _ := relay.Heard(start, word(after, upto, between(after, upto)...)); r.IntN(20) {
+		switch fresh, _ := relay.Heard(start, "w-1", word(after, upto, between(after, upto)...)); r.IntN(20) {
 		case 0:
 			take(fresh)
 			relist(uint64(r.IntN(int(end))))
--- a/runner/choosing.go
+++ b/runner/choosing.go
@@ -27,8 +27,9 @@
 	// restWithin is how long first events and ends wait: the same message takes all
 	// that happened meanwhile. Later than that costs less than one plan in 100.
 	restWithin = 20 * time.Millisecond
-	// sweepEvery is how often what is overdue is forgotten.
-	sweepEvery = 250 * time.Millisecond
+	// sweepEvery is how often what is overdue is forgotten, and at most how late a
+	// watcher beats.
+	sweepEvery = 200 * time.Millisecond
 	// hostsLeast is the fewest hosts that the repeats of a service are shared
 	// between. A host that can reach nobody knows only itself, and must not take
 	// the whole budget.
@@ -49,7 +50,8 @@
 	view      *placer.View
 	directory observer.Directory
 	relay     *relayer.Relay
-	beaten    time.Time // when a watcher last said that it is up to date
+	beaten    time.Time // when this host last said that it is up to date
+	watching  bool      // it said so, and has not taken it back
 	listed    time.Time // when the source, or a host that watches it, last told of it
 	folder    *loader.Folder
 	self      string
--- a/runner/entries.go
+++ b/runner/entries.go
@@ -46,13 +46,15 @@
 	if behind {
 		return callNext{after: after, call: call, wait: catchWait}
 	}
-	return callNext{after: after, call: call, wait: listWait}
+	return callNext{after: after, call: call, wait: relayer.WatchWait}
 }
 
 // see takes what the platform's store told of the workers' entries.
 func (p *choosing) see(now time.Time, e entriesSeen) {
 	switch {
 	case e.failed:
+		p.relay.Failed()
+		p.beat(now)
 		// While the watchers speak, the store is there, if not for this host.
 		if !p.relay.Hearing(now) {
 			p.directory.Failed()
@@ -73,11 +75,16 @@
 
 // hearWord takes another host's word of the entries.
 func (p *choosing) hearWord(now time.Time, e wordHeard) {
+	if e.word.Blind {
+		p.relay.Blind(e.from)
+		p.calls.Store(p.callNext(now).call)
+		return
+	}
 	w := relayer.Word{After: e.word.After, Upto: e.word.Upto}
 	for _, c := range e.word.Changed {
 		w.Changed = append(w.Changed, storer.Object{Key: c.Key, Value: c.Value, Version: c.Version, Deleted: c.Deleted})
 	}
-	if fresh, whole := p.relay.Heard(now, w); whole {
+	if fresh, whole := p.relay.Heard(now, e.from, w); whole {
 		p.change(now, fresh)
 	}
 }
@@ -106,14 +113,17 @@
 	p.toOthers(m)
 }
 
-// beat tells the others that this host, if it watches for them, is up to date.
+// beat tells the others that this host, if it watches for them, is up to date, and
+// at once when it is so no more.
 func (p *choosing) beat(now time.Time) {
-	if now.Sub(p.beaten) < relayer.BeatEvery {
-		return
-	}
-	p.beaten = now
-	if w, ok := p.relay.Beat(now); ok {
+	w, ok := p.relay.Beat(now)
+	switch {
+	case ok && now.Sub(p.beaten) >= relayer.BeatEvery:
+		p.beaten, p.watching = now, true
 		p.spread(w)
+	case !ok && p.watching:
+		p.watching = false
+		p.toOthers(messenger.Word{Blind: true})
 	}
 }
 
--- a/runner/listing.go
+++ b/runner/listing.go
@@ -13,9 +13,6 @@
 )
 
 const (
-	// listWait is how long a watch of the workers' entries waits: as for the
-	// operator's configuration, one that is deaf hides a worker that leaves.
-	listWait = 2500 * time.Millisecond
 	// catchWait is how long a call waits that is made for a change that is there.
 	catchWait = 10 * time.Millisecond
 	// listRetry is the pause after a failed call.
--- a/runner/operator.go
+++ b/runner/operator.go
@@ -9,15 +9,11 @@
 	"github.com/cicadawood/cicadawood/loader"
 	"github.com/cicadawood/cicadawood/platform"
 	"github.com/cicadawood/cicadawood/publisher"
+	"github.com/cicadawood/cicadawood/relayer"
 	"github.com/cicadawood/cicadawood/storer"
 )
 
 const (
-	// operatorWait is how long a watch of the operator's configuration waits. Failure:
-	// the platform drops its history while changes are made, and a watch that waits
-	// hears nothing of them and is not told; a change is to be in force within
-	// seconds, so that no watch may wait much longer. Each costs one read.
-	operatorWait = 2500 * time.Millisecond
 	// operatorPoll is the pause between reads behind the watch.
 	operatorPoll = 25 * time.Second
 	// operatorRetries bounds the pause after failed watches to a second: after an
@@ -31,7 +27,7 @@
 // store; turn says whether this host is to watch it.
 func operatorSource(turn func() bool) publisher.Source {
 	return publisher.Source{
-		Key: platform.ConfigurationKey, Decode: decodeOperator, Wait: operatorWait, Retries: operatorRetries, Turn: turn,
+		Key: platform.ConfigurationKey, Decode: decodeOperator, Wait: relayer.WatchWait, Retries: operatorRetries, Turn: turn,
 	}
 }
 
