dump, status and metrics show what a host believes on the platform

Cause: an operator could see neither how old a host's word of the workers is, nor whether it or others watch the store, nor what sends failed by.

Change: `beliefs` in a dump, three notes in status, metrics of store calls by call and result, failed sends by cause, longest pauses, predicted against seen; a log line when a host begins or ends to watch the store by itself. Specs on loopback and of the router alone.

--- a/commander/cmd_status.go
+++ b/commander/cmd_status.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"text/tabwriter"
+	"time"
 
 	"github.com/spf13/cobra"
 	"golang.org/x/sync/errgroup"
@@ -21,6 +22,10 @@
 // fetchedAtOnce bounds the hosts that status asks at the same time.
 const fetchedAtOnce = 32
 
+// listedOld is how old a host's word of the workers may be before status notes it:
+// watches of them are answered each second.
+const listedOld = 5 * time.Second
+
 // cmdStatus is `cicadawood status`.
 var cmdStatus = command{
 	use:   "status [ADDRESS]",
@@ -66,6 +71,7 @@
 	Notes      []string `json:"notes"`
 
 	configuration publisher.Status
+	beliefs       *runner.Beliefs
 }
 
 // gather reads the head and the roster.
@@ -123,6 +129,7 @@
 	return hostStatus{
 		Name: s.Name, Zone: s.Zone, Reachable: true, Ready: s.Ready, Leaving: s.Leaving,
 		Generation: s.Configuration.Generation, Inflight: s.Inflight, Roles: s.Roles, configuration: s.Configuration,
+		beliefs: s.Beliefs,
 	}
 }
 
@@ -142,6 +149,11 @@
 	note(head != 0 && h.Generation > head, "ahead of the platform")
 	note(k.Reason != "", "refused generation %d: %s", k.Rejected, firstLine(k.Reason))
 	note(!k.Platform, "platform can't be read")
+	if b := h.beliefs; b != nil {
+		note(b.Listed < 0, "knows no workers")
+		note(b.Listed > listedOld, "last heard of workers %s ago", b.Listed.Round(time.Second))
+		note(b.Calls && !b.ForAll, "watches the store by itself")
+	}
 	return list
 }
 
--- a/router/metrics.go
+++ b/router/metrics.go
@@ -1,9 +1,14 @@
 package router
 
 import (
+	"context"
+	"errors"
+	"strconv"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/cicadawood/cicadawood/connector"
 )
 
 // Metrics is the router's metrics. Labels are kinds of request and outcomes only:
@@ -12,6 +17,9 @@
 	requests *prometheus.CounterVec
 	firsts   *prometheus.HistogramVec
 	wholes   *prometheus.HistogramVec
+	pauses   prometheus.Histogram
+	errors   prometheus.Histogram
+	failed   *prometheus.CounterVec
 }
 
 // NewMetrics registers the router's metrics.
@@ -28,7 +36,17 @@
 			Name: "cicadawood_routed_whole_seconds", Help: "Time to the end of an answer that was whole.", Buckets: buckets,
 		}, []string{"kind"}),
 	}
-	r.MustRegister(m.requests, m.firsts, m.wholes)
+	m.pauses = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "cicadawood_routed_pause_seconds", Help: "Longest pause between two pieces of a stream.", Buckets: buckets,
+	})
+	m.errors = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "cicadawood_routed_prediction_ratio", Help: "Time to an engine's first event as seen, in parts of what was expected.",
+		Buckets: prometheus.ExponentialBuckets(0.125, 2, 8),
+	})
+	m.failed = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "cicadawood_routed_failed_sends_total", Help: "Requests that a worker did not answer, by cause and by whether they were sent again.",
+	}, []string{"cause", "again"})
+	r.MustRegister(m.requests, m.firsts, m.wholes, m.pauses, m.errors, m.failed)
 	return m
 }
 
@@ -47,7 +65,8 @@
 	return "repeatable"
 }
 
-func (m *Metrics) request(q *request, d *delivery, outcome string) {
+func (m *Metrics) request(t *trip, outcome string) {
+	q, d := t.q, t.delivery
 	kind := q.kind()
 	m.requests.WithLabelValues(kind, outcome).Inc()
 	if !d.first.IsZero() {
@@ -56,4 +75,32 @@
 	if outcome == "answered" {
 		m.wholes.WithLabelValues(kind).Observe(time.Since(q.started).Seconds())
 	}
+	if d.pause > 0 {
+		m.pauses.Observe(d.pause.Seconds())
+	}
+	if t.seen > 0 && t.expected > 0 {
+		m.errors.Observe(float64(t.seen) / float64(t.expected))
+	}
+}
+
+// send counts a send that failed; again says that another follows.
+func (m *Metrics) send(err error, again bool) {
+	m.failed.WithLabelValues(causeOf(err), strconv.FormatBool(again)).Inc()
+}
+
+// causeOf names what a send failed by.
+func causeOf(err error) string {
+	for _, c := range []struct {
+		err  error
+		name string
+	}{
+		{errCaller, "caller"}, {connector.ErrNotSent, "not_sent"}, {errMisled, "other_worker"}, {errNotRun, "not_run"}, {errSilent, "silent"},
+		{errFailed, "failed"}, {errUnsealed, "unsealed"}, {errPromise, "false_promise"}, {errShort, "short"}, {errEncoded, "encoded"},
+		{context.Canceled, "caller"}, {context.DeadlineExceeded, "timeout"},
+	} {
+		if errors.Is(err, c.err) {
+			return c.name
+		}
+	}
+	return "broken"
 }
--- a/router/router.go
+++ b/router/router.go
@@ -106,7 +106,7 @@
 			f.write(t.delivery.w, r.Dialect, t.q.ID)
 		}
 	}
-	r.Metrics.request(t.q, t.delivery, code)
+	r.Metrics.request(t, code)
 	r.log(t, code, status, f)
 	if abort {
 		panic(http.ErrAbortHandler)
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -125,9 +125,10 @@
 
 var _ = Describe("Router", func() {
 	var (
-		place *listPlacer
-		url   string
-		seen  chan *http.Request
+		place    *listPlacer
+		url      string
+		seen     chan *http.Request
+		registry *prometheus.Registry
 	)
 	worker := func(name string, h http.HandlerFunc) {
 		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -148,12 +149,12 @@
 		}
 	}
 	BeforeEach(func() {
-		place, seen = &listPlacer{budget: 100}, make(chan *http.Request, 2000)
+		place, seen, registry = &listPlacer{budget: 100}, make(chan *http.Request, 2000), prometheus.NewRegistry()
 		pool, clean := connector.New()
 		DeferCleanup(clean)
 		r := router.New(router.Config{
 			Dialect: plainDialect{}, Configuration: fixed{folder()}, Placer: place, Pool: pool, Log: zap.NewNop(),
-			Metrics: router.NewMetrics(prometheus.NewRegistry()), Answer: 1 << 20, Stall: time.Second, Buffer: 1 << 20,
+			Metrics: router.NewMetrics(registry), Answer: 1 << 20, Stall: time.Second, Buffer: 1 << 20,
 		})
 		s := httptest.NewServer(r)
 		DeferCleanup(s.Close)
@@ -242,6 +243,25 @@
 		Expect(code).To(Equal(http.StatusInternalServerError))
 	})
 
+	It("counts what sends failed by, and whether another followed", func() {
+		worker("w-1", status(http.StatusServiceUnavailable, "Not-Run"))
+		worker("w-2", status(http.StatusInternalServerError, "Seal"))
+		_, _, err := call(bg, "/once/x", "s")
+		Expect(err).NotTo(HaveOccurred())
+		families, err := registry.Gather()
+		Expect(err).NotTo(HaveOccurred())
+		counted := map[string]float64{}
+		for _, f := range families {
+			if f.GetName() != "cicadawood_routed_failed_sends_total" {
+				continue
+			}
+			for _, m := range f.GetMetric() {
+				counted[m.GetLabel()[1].GetValue()+" "+m.GetLabel()[0].GetValue()] = m.GetCounter().GetValue()
+			}
+		}
+		Expect(counted).To(Equal(map[string]float64{"not_run true": 1, "failed false": 1}))
+	})
+
 	It("promises that a request was not run only where all workers did", func() {
 		worker("w-1", status(http.StatusServiceUnavailable, "Not-Run"))
 		code, h, err := call(bg, "/once/x", "s")
--- a/router/stream.go
+++ b/router/stream.go
@@ -6,6 +6,7 @@
 	"io"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/cicadawood/cicadawood/connector"
 )
@@ -32,6 +33,7 @@
 			if first {
 				first = false
 				t.heard()
+				t.seen = time.Since(t.sent)
 				t.router.Placer.Begun(p)
 			}
 			if err := t.passEvents(a, events, resumed); err != nil {
--- a/router/trip.go
+++ b/router/trip.go
@@ -42,8 +42,10 @@
 	exposed  bool // a worker may have run it
 	cause    error
 	worker   string
-	kept     bool // its connection had served before
-	expected time.Duration
+	kept     bool          // its connection had served before
+	expected time.Duration // until the first event, of the last send
+	sent     time.Time
+	seen     time.Duration // until the first event, as it came; 0 before
 	read     int
 	last     string // id of the last event passed
 	failed   *keptAnswer
@@ -76,6 +78,7 @@
 		}
 		t.sends++
 		t.worker, t.expected, t.read = place.Worker.Name, place.Wait, place.Read
+		t.sent = time.Now()
 		err = t.send(ctx, place)
 		t.router.Placer.Ended(place, t.outcome(caller, err))
 		if err == nil {
@@ -87,6 +90,7 @@
 		}
 		f, final := t.final(caller, ctx, err)
 		t.log(place, final)
+		t.router.Metrics.send(err, !final)
 		if final {
 			return f
 		}
--- /dev/null
+++ b/runner/beliefs.go
@@ -0,0 +1,49 @@
+package runner
+
+import (
+	"time"
+
+	"github.com/cicadawood/cicadawood/placer"
+)
+
+// Beliefs is what a host that serves host routes believes, for operators. Ages are of
+// the moment that it was asked.
+type Beliefs struct {
+	Listed   time.Duration   `json:"listed"`   // age of the last word of the workers' entries; -1ns where none came
+	Revision uint64          `json:"revision"` // of the store that it brought
+	Calls    bool            `json:"calls"`    // the host watches the store itself
+	ForAll   bool            `json:"for_all"`  // and for the others
+	Sharing  int             `json:"sharing"`  // hosts that the budget of repeats is shared between
+	Workers  []placer.Belief `json:"workers"`
+}
+
+// beliefsAsked asks for what the host believes.
+type beliefsAsked struct{ reply chan<- Beliefs }
+
+// beliefs is what the host believes now; the zero Beliefs where it is ending.
+func (p *choosing) beliefs() Beliefs {
+	reply := make(chan Beliefs, 1)
+	if !p.post(beliefsAsked{reply: reply}) {
+		return Beliefs{}
+	}
+	select {
+	case b := <-reply:
+		return b
+	case <-p.ended:
+		return Beliefs{}
+	}
+}
+
+// believe is the answer to beliefs.
+func (p *choosing) believe(now time.Time) Beliefs {
+	after, _, _ := p.relay.Next(now)
+	b := Beliefs{
+		Listed: -1, Revision: after, Calls: p.calls.Load(), ForAll: p.relay.Watching(), Sharing: p.hosts, Workers: p.view.Beliefs(now),
+	}
+	if !p.listed.IsZero() {
+		b.Listed = now.Sub(p.listed)
+	}
+	return b
+}
+
+func (beliefsAsked) event() {}
--- a/runner/choosing.go
+++ b/runner/choosing.go
@@ -192,6 +192,8 @@
 		p.see(now, e)
 	case wordHeard:
 		p.hearWord(now, e)
+	case beliefsAsked:
+		e.reply <- p.believe(now)
 	case nextAsked:
 		e.reply <- p.callNext(now)
 	case rosterChanged:
@@ -323,7 +325,7 @@
 
 func (p *choosing) sweep(now time.Time) {
 	p.beat(now)
-	p.calls.Store(p.callNext(now).call)
+	p.takeTurn(now, "watchers and words")
 	p.view.Sweep(now)
 	if p.directory.Sweep(now) {
 		p.setWorkers(now)
--- a/runner/entries.go
+++ b/runner/entries.go
@@ -40,6 +40,16 @@
 	return callNext{}
 }
 
+// takeTurn notes whether this host is to watch the store, and logs a change of that.
+func (p *choosing) takeTurn(now time.Time, why string) {
+	call := p.callNext(now).call
+	if p.calls.Swap(call) == call {
+		return
+	}
+	p.log.Info("watching the store", zap.Bool("self", call), zap.Bool("for_all", p.relay.Watching()), zap.String("why", why),
+		zap.Duration("age", now.Sub(p.listed)))
+}
+
 // callNext is the relay's answer to next.
 func (p *choosing) callNext(now time.Time) callNext {
 	after, call, behind := p.relay.Next(now)
@@ -77,7 +87,7 @@
 func (p *choosing) hearWord(now time.Time, e wordHeard) {
 	if e.word.Blind {
 		p.relay.Blind(e.from)
-		p.calls.Store(p.callNext(now).call)
+		p.takeTurn(now, "watcher blind")
 		return
 	}
 	w := relayer.Word{After: e.word.After, Upto: e.word.Upto}
--- a/runner/host.go
+++ b/runner/host.go
@@ -98,6 +98,8 @@
 	if s.Dialect == loader.DialectPlatform {
 		s.Name = processName(s.Name)
 	}
+	registry := prometheus.NewRegistry()
+	store = metered(store, registry)
 	h.control = newControl(s.Name, incarnation, nil, h.log)
 	h.observing = newObserving(h.control, s.Platform, h.log)
 	forward.OnRefused(h.observing.refused)
@@ -137,7 +139,6 @@
 			h.routing.enroll(r)
 		},
 	})
-	registry := prometheus.NewRegistry()
 	h.server = server.New(s.Limits, h.following, h.control, forward, h.log, server.NewMetrics(registry))
 	h.server.SetLimiter(limits{&h.control.limiting.gates})
 	h.control.keeping = newKeeping(h.control, store, forward, s.Limits.Once, newKeepingMetrics(registry), h.log)
--- a/runner/leaving.go
+++ b/runner/leaving.go
@@ -98,5 +98,9 @@
 	s.Zone, s.Ready, s.Leaving, s.Inflight = h.settings.Zone, h.server.Ready(), h.server.Draining(), h.server.Calls()
 	s.Membership, s.Messenger = h.registrar.Counts(), h.messenger.Counts()
 	s.Configuration = h.following.Status()
+	if h.routing != nil {
+		b := h.routing.choosing.beliefs()
+		s.Beliefs = &b
+	}
 	return s
 }
--- a/runner/metrics.go
+++ b/runner/metrics.go
@@ -5,8 +5,18 @@
 
 	"github.com/cicadawood/cicadawood/messenger"
 	"github.com/cicadawood/cicadawood/registrar"
+	"github.com/cicadawood/cicadawood/storer"
 )
 
+// metered counts the calls of the platform's store.
+func metered(s storer.Store, r prometheus.Registerer) storer.Store {
+	calls := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "cicadawood_store_calls_total", Help: "Calls of the platform's store that ended, by call and result.",
+	}, []string{"call", "result"})
+	r.MustRegister(calls)
+	return storer.Metered{Store: s, Count: func(call, result string) { calls.WithLabelValues(call, result).Inc() }}
+}
+
 // registerMetrics registers the metrics of membership and of the connections
 // between hosts. None has a label that grows with hosts or organisations.
 func (h *Host) registerMetrics(r *prometheus.Registry) {
--- a/runner/state.go
+++ b/runner/state.go
@@ -32,6 +32,8 @@
 
 	Configuration publisher.Status `json:"configuration"`
 
+	Beliefs *Beliefs `json:"beliefs,omitempty"` // of a host that serves host routes
+
 	Limits map[string]limiter.Rates `json:"limits"` // what limited organisations may use here, a second
 
 	Keepers map[int]keeper.Summary `json:"keepers"` // by partition
--- /dev/null
+++ b/storer/metered.go
@@ -0,0 +1,80 @@
+package storer
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// Metered is a Store whose calls are counted.
+type Metered struct {
+	Store Store
+	// Count is told of each call that ended: what it was, and its result.
+	Count func(call, result string)
+}
+
+// Get implements Store.
+func (m Metered) Get(ctx context.Context, key string) (Object, error) {
+	o, err := m.Store.Get(ctx, key)
+	m.Count("get", resultOf(err))
+	return o, err
+}
+
+// Changed reads an object unless it still has the version have; false then.
+func (m Metered) Changed(ctx context.Context, key string, have uint64) (Object, bool, error) {
+	c, ok := m.Store.(interface {
+		Changed(ctx context.Context, key string, have uint64) (Object, bool, error)
+	})
+	if !ok {
+		o, err := m.Get(ctx, key)
+		return o, err == nil && o.Version != have, err
+	}
+	o, changed, err := c.Changed(ctx, key, have)
+	m.Count("get", resultOf(err))
+	return o, changed, err
+}
+
+// Put implements Store.
+func (m Metered) Put(ctx context.Context, key string, value []byte, c Condition) (uint64, error) {
+	version, err := m.Store.Put(ctx, key, value, c)
+	m.Count("put", resultOf(err))
+	return version, err
+}
+
+// Delete implements Store.
+func (m Metered) Delete(ctx context.Context, key string, c Condition) error {
+	err := m.Store.Delete(ctx, key, c)
+	m.Count("delete", resultOf(err))
+	return err
+}
+
+// List implements Store. A list of several pages counts once.
+func (m Metered) List(ctx context.Context, prefix string) ([]Object, uint64, error) {
+	all, revision, err := m.Store.List(ctx, prefix)
+	m.Count("list", resultOf(err))
+	return all, revision, err
+}
+
+// Watch implements Store.
+func (m Metered) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Object, uint64, error) {
+	changed, revision, err := m.Store.Watch(ctx, prefix, after, wait)
+	m.Count("watch", resultOf(err))
+	return changed, revision, err
+}
+
+// resultOf names a call's error for a metric.
+func resultOf(err error) string {
+	switch {
+	case err == nil:
+		return "ok"
+	case errors.Is(err, ErrNotFound):
+		return "not_found"
+	case errors.Is(err, ErrConflict):
+		return "conflict"
+	case errors.Is(err, ErrUnavailable):
+		return "unavailable"
+	case errors.Is(err, ErrUnknown):
+		return "unknown"
+	}
+	return "failed"
+}
