--- a/commander/command.go
+++ b/commander/command.go
@@ -57,6 +57,9 @@
 
 // Main runs the command line and returns the exit code.
 func Main(args []string, stdin io.Reader, stdout, stderr io.Writer) int {
+	if len(args) > 0 && args[0] == "serve" {
+		catchHangups()
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	root := newRoot()
--- a/commander/reload.go
+++ b/commander/reload.go
@@ -17,6 +17,12 @@
 // without a signal.
 const settingsEvery = 5 * time.Second
 
+// catchHangups keeps SIGHUP from ending the process, from now to its end. Failure: a
+// host is told to look at its settings while it drains, when nothing reads them any
+// more; the signal's default would end it, and break off all that it has under way. In
+// the first 4 ms of a process, before the runtime takes signals, nothing can help.
+func catchHangups() { signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP) }
+
 // reloads is the settings of a file each time that they change, until ctx ends:
 // at a SIGHUP, or found by a look now and then. A file that is bad, or half
 // written, leaves the settings as they are.
--- a/faker/worker.go
+++ b/faker/worker.go
@@ -1,6 +1,7 @@
 package faker
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -24,7 +25,8 @@
 	Slots   int
 	Events  int           // of a stream; 0 answers by one body
 	Work    time.Duration // before the answer, or before each event
-	Address string        // IP:port, once started
+	Address string        // IP:port, once started; what callers are told
+	Born    int           // differs after a restart
 
 	mu    sync.Mutex
 	flaws Flaws
@@ -60,7 +62,7 @@
 func (k *Worker) Register(p *Platform, state string) {
 	k.mu.Lock()
 	k.seq++
-	e := platform.Entry{Service: k.Service, Address: k.Address, Zone: k.Zone, Slots: k.Slots, State: state, Seq: k.seq}
+	e := platform.Entry{Service: k.Service, Address: k.Address, Zone: k.Zone, Slots: k.Slots, State: state, Born: json.RawMessage(strconv.Itoa(k.Born)), Seq: k.seq}
 	k.mu.Unlock()
 	p.Put(strings.TrimSuffix(platform.WorkersPrefix, "/"), k.ID, e)
 }
--- a/scripter/scripter_test.go
+++ b/scripter/scripter_test.go
@@ -20,6 +20,7 @@
 	"freeze":     cmdSignal(syscall.SIGSTOP),
 	"thaw":       cmdSignal(syscall.SIGCONT),
 	"term":       cmdSignal(syscall.SIGTERM),
+	"hangup":     cmdSignal(syscall.SIGHUP),
 	"gone":       cmdGone,
 	"platform":   cmdPlatform,
 	"fault":      cmdFault,
