--- /dev/null
+++ b/runner/deciding_test.go
@@ -0,0 +1,136 @@
+package runner_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cicadawood/cicadawood/messenger"
+	"github.com/cicadawood/cicadawood/placer"
+	"github.com/cicadawood/cicadawood/registrar"
+	"github.com/cicadawood/cicadawood/runner"
+)
+
+// sent is one message on its way.
+type sent struct {
+	to string
+	m  messenger.Message
+}
+
+var _ = Describe("A host of a fleet in which a few decide", func() {
+	const hosts = 20
+	var (
+		now     time.Time
+		roster  registrar.Roster
+		names   []string // the deciders, then the other hosts
+		out     []sent
+		quote   = placer.Ask{Service: "desk", Left: time.Second, Target: 300 * time.Millisecond}
+		workers = []placer.Worker{{Name: "d-1", Service: "desk", Zone: "z", Slots: 8}, {Name: "d-2", Service: "desk", Zone: "z", Slots: 8}}
+	)
+	choosing := func(name string, r registrar.Roster) runner.Choosing {
+		c := runner.NewChoosing(name, workers, func(to string, m messenger.Message) { out = append(out, sent{to, m}) })
+		c.Enroll(now, r)
+		return c
+	}
+	seek := func() (sent, messenger.Seek) {
+		Expect(out).NotTo(BeEmpty())
+		last := out[len(out)-1]
+		return last, last.m.(messenger.Seek)
+	}
+	BeforeEach(func() {
+		now, out, names = time.Now(), nil, nil
+		var records []registrar.Record
+		for i := range hosts {
+			n := fmt.Sprintf("h-%02d", i)
+			records = append(records, registrar.Record{Name: n, Zone: "z", Control: n})
+		}
+		roster = registrar.NewRoster(records...)
+		for _, h := range roster.Owners("decide", hosts) {
+			names = append(names, h.Name)
+		}
+	})
+
+	It("asks one that decides, and takes its answer", func() {
+		c := choosing(names[10], roster)
+		got := c.Ask(now, quote)
+		to, s := seek()
+		Expect(names[:3]).To(ContainElement(to.to))
+		Consistently(got, 50*time.Millisecond).ShouldNot(Receive())
+		c.Hear(now, to.to, messenger.Sought{ID: s.ID, Flight: 7, Worker: "d-2"})
+		Eventually(got).Should(Receive(Equal("d-2 by " + to.to)))
+		got = c.Ask(now, quote)
+		to, s = seek()
+		c.Hear(now, to.to, messenger.Sought{ID: s.ID, Why: "overload", After: time.Second})
+		Eventually(got).Should(Receive(Equal("refused overload")))
+	})
+
+	It("decides for itself in a small fleet, and where it is one of the few", func() {
+		small := registrar.NewRoster(roster.Hosts()[:16]...)
+		Eventually(choosing("h-03", small).Ask(now, quote)).Should(Receive(HaveSuffix(" by ")))
+		Eventually(choosing(names[1], roster).Ask(now, quote)).Should(Receive(HaveSuffix(" by ")))
+	})
+
+	// A decider is killed. Until its death is known, each request that asked it would
+	// wait for nothing.
+	It("asks another where one is silent, and at last decides by what it knows", func() {
+		c := choosing(names[10], roster)
+		got := c.Ask(now, quote)
+		asked := map[string]bool{}
+		for range 3 {
+			to, s := seek()
+			asked[to.to] = true
+			c.Silent(now, s.ID)
+		}
+		Expect(asked).To(HaveLen(3))
+		Eventually(got).Should(Receive(HaveSuffix(" by ")))
+		before := len(out)
+		Eventually(c.Ask(now, quote)).Should(Receive(HaveSuffix(" by ")), "none is asked again at once")
+		Expect(out).To(HaveLen(before))
+		c.Ask(now.Add(2*time.Second), quote)
+		Expect(len(out)).To(BeNumerically(">", before), "but after a while")
+	})
+
+	// The answer comes after its request went elsewhere. The place is taken at every
+	// listener, and would be for as long as the request could have lasted.
+	It("gives back a place that comes too late", func() {
+		c := choosing(names[10], roster)
+		c.Ask(now, quote)
+		to, s := seek()
+		c.Silent(now, s.ID)
+		c.Hear(now, to.to, messenger.Sought{ID: s.ID, Flight: 7, Worker: "d-2"})
+		out = nil
+		c.Tell()
+		Expect(out).To(HaveLen(5), "the deciders and two that come after them")
+		for _, x := range out {
+			Expect(names[:5]).To(ContainElement(x.to))
+			Expect(x.m.(messenger.Shared).Ended).To(Equal([]messenger.Ending{{ID: 7, Outcome: int(placer.Dropped)}}))
+		}
+	})
+
+	// A host is killed with requests under way. Its workers drop them; who decides must
+	// not count them any longer.
+	It("counts requests under the host that sends them, until it is gone", func() {
+		c := choosing(names[0], roster)
+		for id := range uint64(4) {
+			c.Hear(now, names[10], messenger.Seek{ID: id, Reply: names[10], Service: "desk", Left: time.Minute})
+		}
+		c.Tell()
+		shared := out[len(out)-1].m.(messenger.Shared)
+		Expect(shared.Sent).To(HaveLen(4))
+		other := choosing(names[1], roster)
+		other.Hear(now, names[0], shared)
+		for _, x := range []runner.Choosing{c, other} {
+			Expect(x.Flights(now, "d-1") + x.Flights(now, "d-2")).To(Equal(4))
+			var rest []registrar.Record
+			for _, h := range roster.Hosts() {
+				if h.Name != names[10] {
+					rest = append(rest, h)
+				}
+			}
+			x.Enroll(now, registrar.NewRoster(rest...))
+			Expect(x.Flights(now, "d-1") + x.Flights(now, "d-2")).To(BeZero())
+		}
+	})
+})
--- a/runner/export_test.go
+++ b/runner/export_test.go
@@ -9,6 +9,7 @@
 	"github.com/cicadawood/cicadawood/keeper"
 	"github.com/cicadawood/cicadawood/loader"
 	"github.com/cicadawood/cicadawood/messenger"
+	"github.com/cicadawood/cicadawood/placer"
 	"github.com/cicadawood/cicadawood/registrar"
 	"github.com/cicadawood/cicadawood/server"
 )
@@ -130,3 +131,54 @@
 	}
 	return out
 }
+
+// Choosing is a host's choice of workers, driven by hand.
+type Choosing struct{ c *choosing }
+
+// NewChoosing returns the choosing of a host that sends by send; its workers are known.
+func NewChoosing(self string, workers []placer.Worker, send func(address string, m messenger.Message)) Choosing {
+	c := newChoosing(self, "z", sendFunc(send), loader.Repeat{}, zap.NewNop())
+	c.share = time.NewTimer(time.Hour)
+	c.view.SetWorkers(time.Now(), workers)
+	return Choosing{c}
+}
+
+// Enroll takes the hosts that are there.
+func (x Choosing) Enroll(now time.Time, r registrar.Roster) { x.c.take(now, rosterChanged{roster: r}) }
+
+// Ask asks for a worker; the result comes at once or later.
+func (x Choosing) Ask(now time.Time, a placer.Ask) <-chan string {
+	reply, out := make(chan workerReply, 1), make(chan string, 1)
+	x.c.take(now, workerAsked{ask: a, reply: reply})
+	go func() {
+		if r := <-reply; r.refused != nil {
+			out <- "refused " + r.refused.Why
+		} else {
+			out <- r.place.Worker.Name + " by " + r.place.By
+		}
+	}()
+	return out
+}
+
+// Hear takes a message of another host.
+func (x Choosing) Hear(now time.Time, from string, m messenger.Message) {
+	g := &routing{choosing: x.c}
+	g.hear(from, m)
+	x.c.take(now, <-x.c.events)
+}
+
+// Silent has the time pass that a decider has to answer a question.
+func (x Choosing) Silent(now time.Time, id uint64) { x.c.take(now, seekLate{id: id}) }
+
+// Tell tells the others what happened since it last did.
+func (x Choosing) Tell() { x.c.tell() }
+
+// Flights is the requests that the host counts at a worker.
+func (x Choosing) Flights(now time.Time, worker string) int {
+	for _, b := range x.c.view.Beliefs(now) {
+		if b.Worker == worker {
+			return b.Flights
+		}
+	}
+	return 0
+}
