--- a/runner/beliefs.go
+++ b/runner/beliefs.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"context"
 	"time"
 
 	"github.com/cicadawood/cicadawood/placer"
@@ -23,16 +24,7 @@
 
 // beliefs is what the host believes now; the zero Beliefs where it is ending.
 func (p *choosing) beliefs() Beliefs {
-	reply := make(chan Beliefs, 1)
-	if !p.post(beliefsAsked{reply: reply}) {
-		return Beliefs{}
-	}
-	select {
-	case b := <-reply:
-		return b
-	case <-p.ended:
-		return Beliefs{}
-	}
+	return askChoosing(context.Background(), p, func(reply chan<- Beliefs) event { return beliefsAsked{reply: reply} })
 }
 
 // believe is the answer to beliefs.
--- a/runner/choosing.go
+++ b/runner/choosing.go
@@ -155,6 +155,21 @@
 	}
 }
 
+// askChoosing asks the goroutine for something; the zero T where it or ctx ends first.
+func askChoosing[T any](ctx context.Context, p *choosing, question func(chan<- T) event) T {
+	reply := make(chan T, 1)
+	var answer T
+	if !p.post(question(reply)) {
+		return answer
+	}
+	select {
+	case answer = <-reply:
+	case <-p.ended:
+	case <-ctx.Done():
+	}
+	return answer
+}
+
 // run takes events until ctx ends.
 func (p *choosing) run(ctx context.Context) {
 	defer close(p.ended)
@@ -269,10 +284,7 @@
 
 func sendingOf(f placer.Flight) messenger.Sending {
 	s := messenger.Sending{ID: f.ID, Worker: f.Worker, Read: f.Read, Hold: f.Hold, Left: f.Left, Gap: f.Gap}
-	for _, part := range f.Parts {
-		s.Keys = append(s.Keys, part.Key)
-		s.Tokens = append(s.Tokens, part.Tokens)
-	}
+	s.Keys, s.Tokens = keysOf(f.Parts)
 	return s
 }
 
--- a/runner/deciding.go
+++ b/runner/deciding.go
@@ -190,10 +190,7 @@
 		ID: id, Reply: self.Control, Zone: self.Zone, Service: a.Service, Prompt: a.Prompt, Output: a.Output, Tier: a.Tier,
 		Left: a.Left, Patience: a.Patience, Target: a.Target, Gap: a.Gap, Exclude: a.Exclude,
 	}
-	for _, part := range a.Parts {
-		s.Keys = append(s.Keys, part.Key)
-		s.Tokens = append(s.Tokens, part.Tokens)
-	}
+	s.Keys, s.Tokens = keysOf(a.Parts)
 	return s
 }
 
@@ -204,6 +201,14 @@
 	}
 }
 
+func keysOf(parts []placer.Part) (keys []uint64, tokens []int) {
+	for _, part := range parts {
+		keys = append(keys, part.Key)
+		tokens = append(tokens, part.Tokens)
+	}
+	return keys, tokens
+}
+
 func partsOf(keys []uint64, tokens []int) []placer.Part {
 	var out []placer.Part
 	for i := range min(len(keys), len(tokens)) {
--- a/runner/entries.go
+++ b/runner/entries.go
@@ -27,17 +27,7 @@
 
 // next implements listing's question of when to call.
 func (p *choosing) next(ctx context.Context) callNext {
-	reply := make(chan callNext, 1)
-	if !p.post(nextAsked{reply: reply}) {
-		return callNext{}
-	}
-	select {
-	case n := <-reply:
-		return n
-	case <-p.ended:
-	case <-ctx.Done():
-	}
-	return callNext{}
+	return askChoosing(ctx, p, func(reply chan<- callNext) event { return nextAsked{reply: reply} })
 }
 
 // takeTurn notes whether this host is to watch the store, and logs a change of that.
