Hosts that others watch for do not watch the roster's records either

Hosts that start or come back together each woke the record watches of all others.

Change: registrar.Config.Turn, as for the configuration; a watch rests 250 ms after a change. Membership spreads by the hosts' own facts as before; records are listed every minute. Spec "learns of others without a watch where they watch for it".

--- a/registrar/follow.go
+++ b/registrar/follow.go
@@ -19,6 +19,11 @@
 	watchWait  = 20 * time.Second
 	relistWait = 60 * time.Second // at most between two lists, against changes that a watch lost
 	retryWait  = 500 * time.Millisecond
+	// joinWait is how long a watch rests after a change: hosts that start together
+	// write their records one after the other, and each would wake every watch.
+	joinWait = 250 * time.Millisecond
+	// turnWait is the pause between looks at whose turn it is to watch.
+	turnWait = time.Second
 )
 
 // follow reads all records, then watches them, and starts anew where the watch
@@ -49,12 +54,19 @@
 func (r *Registrar) watch(ctx context.Context, after uint64) error {
 	until := time.Now().Add(jitter(relistWait))
 	for ctx.Err() == nil && time.Now().Before(until) {
+		if r.config.Turn != nil && !r.config.Turn() {
+			wait(ctx, turnWait)
+			continue
+		}
 		objects, revision, err := r.config.Store.Watch(ctx, Prefix, after, watchWait)
 		if err != nil {
 			return err
 		}
 		r.stored(objects)
 		after = revision
+		if len(objects) > 0 {
+			wait(ctx, joinWait)
+		}
 	}
 	return nil
 }
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -37,6 +37,9 @@
 	// Peers is control addresses of other hosts: whom to ask for the roster while
 	// this host knows nobody, as when it starts while the platform is down.
 	Peers []string
+	// Turn says whether this host is to watch the records: those that do pass on what
+	// they learn with their facts. Nil is always.
+	Turn func() bool
 	// Notify is called with each new roster. It must not block for long.
 	Notify func(Roster)
 }
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	adapter "github.com/cicadawood/cicadawood/platform"
@@ -26,6 +27,7 @@
 	hosts map[string]*registrar.Registrar
 	cut   bool
 	lease time.Duration
+	turn  func() bool // of hosts that join from now on
 }
 
 type end struct {
@@ -52,7 +54,7 @@
 func (w *wire) join(store storer.Store, name string, incarnation uint64) (*registrar.Registrar, func()) {
 	r := registrar.New(registrar.Config{
 		Self: registrar.Record{Name: name, Zone: name, Control: name, Incarnation: incarnation},
-		Beat: 50 * time.Millisecond, Lease: w.lease, Store: store, Transport: end{w, name},
+		Beat: 50 * time.Millisecond, Lease: w.lease, Turn: w.turn, Store: store, Transport: end{w, name},
 		Log: zap.NewNop(), Peers: peers, Notify: func(registrar.Roster) {},
 	})
 	w.mu.Lock()
@@ -104,6 +106,25 @@
 		return r
 	}
 
+	// Story: hosts that start together wake the watches of all others with each record.
+	// A host that others watch for makes no call for it, and still learns who joins.
+	It("learns of others without a watch where they watch for it", func() {
+		w.lease = time.Minute
+		w.join(store, "a", 7)
+		w.turn = func() bool { return false }
+		var watches atomic.Int32
+		b, _ := w.join(storer.Metered{Store: store, Count: func(call, _ string) {
+			if call == "watch" {
+				watches.Add(1)
+			}
+		}}, "b", 9)
+		Eventually(func() map[string]uint64 { return incarnations(b) }).WithTimeout(10 * time.Second).Should(HaveLen(2))
+		w.turn = nil
+		w.join(store, "c", 3)
+		Eventually(func() map[string]uint64 { return incarnations(b) }).WithTimeout(10 * time.Second).Should(HaveLen(3))
+		Expect(watches.Load()).To(BeZero())
+	})
+
 	// Story: a host joins, leaves its record and goes while replies of the store are
 	// lost. A record that stays behind would make others look for a host that is not
 	// there; one that is missing would hide a host that is.
--- a/runner/host.go
+++ b/runner/host.go
@@ -133,11 +133,15 @@
 			h.control.post(waited)
 		}
 	})
+	var turn func() bool
+	if s.Dialect == loader.DialectPlatform {
+		turn = func() bool { return h.routing.choosing.calls.Load() }
+	}
 	h.registrar = registrar.New(registrar.Config{
 		Self: registrar.Record{
 			Name: s.Name, Zone: s.Zone, Region: s.Region, Control: s.Control, Admin: s.Admin, Incarnation: incarnation,
 		},
-		Beat: s.Limits.Beat.Std(), Lease: s.Limits.Lease.Std(), Store: store, Transport: m, Log: h.log, Peers: s.Peers,
+		Beat: s.Limits.Beat.Std(), Lease: s.Limits.Lease.Std(), Store: store, Transport: m, Log: h.log, Peers: s.Peers, Turn: turn,
 		Notify: func(r registrar.Roster) {
 			h.following.enroll(r)
 			h.control.post(rosterChanged{roster: r})
