An engine whose slots are taken gets no request more

Cause: a slot too many only cost a second in the comparison, so that all went somewhere when all were full: the engine preempts another, which is read in again.

Change: refused as `slots`, to come back after half the target. Spec "refuses what finds the slots of all engines taken".

--- a/placer/cost.go
+++ b/placer/cost.go
@@ -168,6 +168,10 @@
 	}
 	room := queueShare * inMilliseconds(a.Target)
 	switch {
+	case w.Memory > 0 && len(w.flights) >= w.Slots:
+		// An engine whose slots are taken runs one request more only in the place of
+		// another, which it then reads in again.
+		return &Refusal{After: max(a.Target/2, afterLeast), Why: "slots"}
 	case wait > time.Duration(refuseShare*float64(bound)):
 		return &Refusal{After: max(wait-min(a.Target, bound), afterLeast), Why: "overload"}
 	case a.Target > 0 && own >= pacedLeast && queue > room:
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -169,6 +169,31 @@
 		}
 	})
 
+	// Chats at six times the usual rate fill all engines. One more runs only in the place
+	// of another, which is read in again: both are late, and the next one too.
+	It("refuses what finds the slots of all engines taken", func() {
+		workers := engines("e-1", "e-2")
+		for i := range workers {
+			workers[i].Slots = 4
+		}
+		v.SetWorkers(start, workers)
+		chat := placer.Ask{Service: "lm", Prompt: 800, Output: 300, Left: 10 * time.Second, Target: 300 * time.Millisecond, Gap: 200 * time.Millisecond}
+		now, last := start, placer.Choice{}
+		for range 8 {
+			c, refusal := place(now, chat)
+			Expect(refusal).To(BeNil())
+			now = now.Add(50 * time.Millisecond)
+			v.Begun(now, c.Flight.ID)
+			last = c
+		}
+		_, refusal := place(now, chat)
+		Expect(refusal).To(Equal(&placer.Refusal{After: 150 * time.Millisecond, Why: "slots"}))
+		v.Ended(now, last.Flight.ID, placer.Answered)
+		c, refusal := place(now, chat)
+		Expect(refusal).To(BeNil())
+		Expect(c.Worker.Name).To(Equal(last.Worker.Name))
+	})
+
 	It("keeps long prompts away from streams whose pauses they would stretch", func() {
 		v.SetWorkers(start, engines("e-1", "e-2"))
 		chat := placer.Ask{Service: "lm", Prompt: 800, Output: 300, Left: 10 * time.Second, Target: 300 * time.Millisecond, Gap: 200 * time.Millisecond}
