--- a/router/metrics.go
+++ b/router/metrics.go
@@ -94,9 +94,18 @@
 		err  error
 		name string
 	}{
-		{errCaller, "caller"}, {connector.ErrNotSent, "not_sent"}, {errMisled, "other_worker"}, {errNotRun, "not_run"}, {errSilent, "silent"},
-		{errFailed, "failed"}, {errUnsealed, "unsealed"}, {errPromise, "false_promise"}, {errShort, "short"}, {errEncoded, "encoded"},
-		{context.Canceled, "caller"}, {context.DeadlineExceeded, "timeout"},
+		{errCaller, "caller"},
+		{connector.ErrNotSent, "not_sent"},
+		{errMisled, "other_worker"},
+		{errNotRun, "not_run"},
+		{errSilent, "silent"},
+		{errFailed, "failed"},
+		{errUnsealed, "unsealed"},
+		{errPromise, "false_promise"},
+		{errShort, "short"},
+		{errEncoded, "encoded"},
+		{context.Canceled, "caller"},
+		{context.DeadlineExceeded, "timeout"},
 	} {
 		if errors.Is(err, c.err) {
 			return c.name
