--- a/runner/deciding.go
+++ b/runner/deciding.go
@@ -71,6 +71,11 @@
 	}
 	owners := r.Owners(decidersRole, listeners)
 	d.deciders, d.listeners = owners[:min(deciders, len(owners))], owners
+	for name := range d.doubted {
+		if _, ok := r.Find(name); !ok {
+			delete(d.doubted, name)
+		}
+	}
 }
 
 // others is where the hosts listen that are told of all, but for the host itself.
