The spec of watchers that are turned away tests its guard

Ruled out: the same for ranks and slots: both specs are red without their guards.

Change: two specs in place of one, each red with its guard taken out. No program changed.

--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -92,7 +92,7 @@
 		Expect(call).To(BeFalse())
 	})
 
-	// The store turns away just the hosts that watch. Two say so; the third is silent.
+	// The store turns away just the hosts that watch, and they say so one by one.
 	// A key is revoked in that moment, and is taken for as long as nobody looks.
 	It("has a host call the store itself once no watcher is answered", func() {
 		r := listener()
@@ -106,10 +106,20 @@
 		r.Blind("w-1")
 		r.Blind("w-2")
 		Expect(calls(100 * time.Millisecond)).To(BeFalse())
-		r.Enroll(fleet(74)) // without w-3
+		r.Blind("w-3")
 		Expect(calls(100 * time.Millisecond)).To(BeTrue())
 	})
 
+	It("does not count on a watcher that has left the roster", func() {
+		r := listener()
+		r.Heard(start, "gone", word(10, 10))
+		_, call, _ := r.Next(start)
+		Expect(call).To(BeFalse())
+		r.Enroll(fleet(74))
+		_, call, _ = r.Next(start)
+		Expect(call).To(BeTrue())
+	})
+
 	// A word is lost with its connection. What follows must not hide the change in it.
 	It("takes nothing after a gap, and has the host ask for what is missing", func() {
 		r := listener()
