Engines keep slots for more urgent routes

Ruled out: the queue (107 refusals, of chats behind an urgent organisation's plans); slots kept by rank (1,112 of 5,170 chats refused: chats of most organisations rank behind an urgent one's plans). Change: a request may not take the slots that the spread of more urgent routes' requests asks for (two square roots of their mean number on an engine, a quarter of its slots at most). Spec red without it.

--- a/messenger/message_seek.go
+++ b/messenger/message_seek.go
@@ -24,6 +24,7 @@
 	Target   time.Duration `msgpack:"target"`
 	Gap      time.Duration `msgpack:"gap"`
 	Exclude  []string      `msgpack:"exclude"` // workers
+	Tier     int           `msgpack:"tier"`    // of the route
 }
 
 // Sought answers a Seek: a worker, or why none.
--- a/messenger/message_share.go
+++ b/messenger/message_share.go
@@ -29,6 +29,7 @@
 	Host     string        `msgpack:"host"`  // that sends it
 	Rank     int           `msgpack:"rank"`  // 0 is the most urgent
 	Fetch    int           `msgpack:"fetch"` // tokens that the worker fetches from another
+	Tier     int           `msgpack:"tier"`  // of its route
 }
 
 // Ending is one request that ended.
--- a/placer/cost.go
+++ b/placer/cost.go
@@ -175,7 +175,7 @@
 	}
 	room := queueShare * inMilliseconds(a.Target)
 	switch {
-	case o.Memory > 0 && len(o.flights) >= o.Slots:
+	case o.Memory > 0 && len(o.flights)+o.kept >= o.Slots:
 		// An engine whose slots are taken runs one request more only in the place of
 		// another, which it then reads in again.
 		return &Refusal{After: max(a.Target/2, afterLeast), Why: "slots"}
--- a/placer/option.go
+++ b/placer/option.go
@@ -11,6 +11,10 @@
 	fetchSetup = 5.0
 	// fetchLeast is the fewest tokens worth a fetch: fewer are read about as soon.
 	fetchLeast = 1000
+	// keptSpreads is how many times the spread of more urgent requests is kept free of an
+	// engine's slots, and keptMost the part of its slots that are kept at most.
+	keptSpreads = 2.0
+	keptMost    = 0.25
 	// fetchFar is how many times longer a fetch between availability zones takes.
 	fetchFar = 2.0
 )
@@ -26,11 +30,32 @@
 	fetching float64 // fetching, beside the reading of others
 	queue    float64 // reading what comes before the request
 	all      float64 // reading all that it was sent
+	kept     int     // slots that are kept for more urgent requests
 	tight    float64 // streams there whose pauses long reading breaks, weighed
 	equals   float64 // reading what is as urgent as the request, or more
 	cost     float64
 }
 
+// keepSlots keeps slots of each engine for requests of more urgent routes: as many more
+// as may come soon, which is the spread of their number there now. Failure: less urgent
+// ones fill all slots, and the more urgent are refused until one ends. Where none that is
+// more urgent is there, nothing is kept. The route decides, not the organisation: the long
+// prompts of an urgent organisation would keep out the short ones of all others.
+func keepSlots(options []option, tier int) {
+	urgent := 0
+	for i := range options {
+		urgent += options[i].urgent(tier)
+	}
+	if urgent == 0 {
+		return
+	}
+	spread := math.Sqrt(float64(urgent) / float64(len(options)))
+	for i := range options {
+		o := &options[i]
+		o.kept = int(math.Ceil(math.Min(keptSpreads*spread, keptMost*float64(o.Slots))))
+	}
+}
+
 // option is what a request would make the worker do. What holder keeps of its prompt,
 // and this worker does not, is fetched where that takes less time than reading it.
 func (w *worker) option(now time.Time, a Ask, holder *worker, held int) option {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -41,6 +41,7 @@
 	Prompt   int           // tokens, all parts included; 0 for a plain service
 	Output   int           // tokens, guessed
 	Rank     int           // among all that engines are told; 0 is the most urgent
+	Tier     int           // of its route alone; 0 is the most urgent
 	Left     time.Duration // until nobody waits for the answer any more
 	Patience time.Duration // until the caller leaves for want of a first event; 0 is Left
 	Target   time.Duration // for the answer, or a stream's first event
@@ -59,6 +60,7 @@
 	Left   time.Duration // its answer is over by then
 	Gap    time.Duration // target for the longest pause in its stream; 0 is none
 	Rank   int           // 0 is the most urgent
+	Tier   int           // of its route alone
 	Fetch  int           // tokens of the prompt that the worker fetches from another
 }
 
@@ -190,7 +192,7 @@
 		return Choice{}, refusal
 	}
 	f := Flight{
-		ID: id, Worker: best.Name, Parts: a.Parts, Read: best.read, Hold: a.Prompt + a.Output, Left: a.Left, Gap: a.Gap, Rank: a.Rank,
+		ID: id, Worker: best.Name, Parts: a.Parts, Read: best.read, Hold: a.Prompt + a.Output, Left: a.Left, Gap: a.Gap, Rank: a.Rank, Tier: a.Tier,
 		Fetch: best.fetch,
 	}
 	c := Choice{Worker: best.Worker, Flight: f, Wait: milliseconds(v.wait(best)), Pause: best.pause(a), Source: best.source}
@@ -233,6 +235,7 @@
 		o.cost = v.cost(now, &o, a)
 		options = append(options, o)
 	}
+	keepSlots(options, a.Tier)
 	v.options = options
 	return options
 }
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -231,6 +231,37 @@
 		Expect(chosen(8, 0)).To(Equal("e-2"))
 	})
 
+	// Long prompts at eight times the usual fill the slots of every engine. The next short,
+	// more urgent one is refused until one of them ends, while more of them begin.
+	It("keeps slots for more urgent routes, whatever the organisation", func() {
+		workers := engines("e-1", "e-2")
+		for i := range workers {
+			workers[i].Slots = 16
+		}
+		v.SetWorkers(start, workers)
+		now := start
+		long := placer.Ask{Service: "lm", Prompt: 9000, Output: 300, Left: 20 * time.Second, Target: 10 * time.Second, Rank: 1, Tier: 1}
+		chat := placer.Ask{Service: "lm", Prompt: 300, Output: 300, Left: 20 * time.Second, Target: 300 * time.Millisecond, Rank: 2}
+		fill := func(a placer.Ask) (sent int) {
+			for {
+				c, refusal := place(now, a)
+				if refusal != nil {
+					Expect(refusal.Why).To(Equal("slots"))
+					return sent
+				}
+				sent++
+				now = now.Add(400 * time.Millisecond)
+				v.Begun(now, c.Flight.ID)
+			}
+		}
+		for range 4 {
+			c, _ := place(now, chat)
+			v.Begun(now, c.Flight.ID)
+		}
+		Expect(fill(long)).To(Equal(32 - 4 - 2*3)) // two spreads of two, 2.8, on each engine
+		Expect(fill(chat)).To(Equal(2 * 3))
+	})
+
 	It("keeps long prompts away from streams whose pauses they would stretch", func() {
 		v.SetWorkers(start, engines("e-1", "e-2"))
 		chat := placer.Ask{Service: "lm", Prompt: 800, Output: 300, Left: 10 * time.Second, Target: 300 * time.Millisecond, Gap: 200 * time.Millisecond}
--- a/placer/worker.go
+++ b/placer/worker.go
@@ -119,6 +119,17 @@
 	return float64(max(w.Event, 1)) * w.readTime(chunk, chunk)
 }
 
+// urgent is the number of requests there whose routes are more urgent than a tier.
+func (w *worker) urgent(tier int) int {
+	n := 0
+	for _, f := range w.flights {
+		if f.Tier < tier {
+			n++
+		}
+	}
+	return n
+}
+
 // tight is the number of streams at the worker whose target for pauses a stretch
 // of reading breaks. Those more urgent than a rank count urgentWeight times.
 func (w *worker) tight(rank int) float64 {
--- a/router/router.go
+++ b/router/router.go
@@ -251,7 +251,7 @@
 // ask is the request as its placer sees it.
 func (r *Router) ask(q *request) placer.Ask {
 	a := placer.Ask{
-		Service: q.service, Prompt: q.Prompt, Output: q.Output, Rank: q.rank,
+		Service: q.service, Prompt: q.Prompt, Output: q.Output, Rank: q.rank, Tier: q.Tier,
 		Target: q.First.Std(),
 	}
 	if q.Hint > 0 && (q.Hint < q.Output || q.Output == 0) {
--- a/runner/choosing.go
+++ b/runner/choosing.go
@@ -295,14 +295,14 @@
 }
 
 func sendingOf(f placer.Flight) messenger.Sending {
-	s := messenger.Sending{ID: f.ID, Worker: f.Worker, Read: f.Read, Hold: f.Hold, Left: f.Left, Gap: f.Gap, Rank: f.Rank, Fetch: f.Fetch}
+	s := messenger.Sending{ID: f.ID, Worker: f.Worker, Read: f.Read, Hold: f.Hold, Left: f.Left, Gap: f.Gap, Rank: f.Rank, Fetch: f.Fetch, Tier: f.Tier}
 	s.Keys, s.Tokens = keysOf(f.Parts)
 	return s
 }
 
 func flightOf(s messenger.Sending) placer.Flight {
 	return placer.Flight{
-		ID: s.ID, Worker: s.Worker, Parts: partsOf(s.Keys, s.Tokens), Read: s.Read, Hold: s.Hold, Left: s.Left, Gap: s.Gap, Rank: s.Rank, Fetch: s.Fetch,
+		ID: s.ID, Worker: s.Worker, Parts: partsOf(s.Keys, s.Tokens), Read: s.Read, Hold: s.Hold, Left: s.Left, Gap: s.Gap, Rank: s.Rank, Fetch: s.Fetch, Tier: s.Tier,
 	}
 }
 
