Refusals counted by tier and cause; one look at each request for a decision

Cause: operators could not see that less urgent requests are refused for more urgent ones; a decision looked at each request under way four times. Spec of the counter in router; decisions unchanged by the specs of placer.

--- a/placer/belief.go
+++ b/placer/belief.go
@@ -29,7 +29,7 @@
 		b := Belief{
 			Worker: w.Name, Service: w.Service, Address: w.Address, Zone: w.Zone, Born: w.Born,
 			Flights: len(w.flights), Reading: w.reading, Hold: w.hold, Kept: w.parts.tokens,
-			Queue: milliseconds(w.queue(now, lastRank)), Avoided: milliseconds(w.avoided(now)),
+			Queue: milliseconds(w.line.before(now, lastRank) + w.others(now, Ask{}).overdue), Avoided: milliseconds(w.avoided(now)),
 		}
 		if w.Memory > 0 {
 			b.Rate = chunk / w.readTime(chunk, chunk)
--- a/placer/cost.go
+++ b/placer/cost.go
@@ -92,14 +92,6 @@
 	afterLeast = 100 * time.Millisecond
 )
 
-// queue is the milliseconds until an engine comes to read a request of a rank.
-func (w *worker) queue(now time.Time, rank int) float64 {
-	if w.Memory == 0 {
-		return 0
-	}
-	return w.line.before(now, rank) + w.overdue(now, lastRank)
-}
-
 // plainWait is the milliseconds until a plain worker's answer.
 func (v *View) plainWait(w *worker) float64 {
 	pace, ok := v.pace[w.Service]
@@ -167,7 +159,7 @@
 // not worth sending away. The bound is on the queue alone, so that long prompts are not
 // refused for their length; and on what is as urgent or more, as to refuse a request for
 // a less urgent one that is being read helps nobody.
-func (v *View) refuse(now time.Time, o *option, a Ask) *Refusal {
+func (v *View) refuse(o *option, a Ask) *Refusal {
 	wait := milliseconds(v.wait(o))
 	bound := a.Left
 	if a.Patience > 0 {
@@ -181,7 +173,7 @@
 		return &Refusal{After: max(a.Target/2, afterLeast), Why: "slots"}
 	case wait > time.Duration(refuseShare*float64(bound)):
 		return &Refusal{After: max(wait-min(a.Target, bound), afterLeast), Why: "overload"}
-	case a.Target > 0 && o.own >= pacedLeast && o.equals+o.overdue(now, a.Rank) > room:
+	case a.Target > 0 && o.own >= pacedLeast && o.equals > room:
 		return &Refusal{After: max(milliseconds(o.equals-room/2), afterLeast), Why: "queue"}
 	}
 	return nil
--- a/placer/engine_test.go
+++ b/placer/engine_test.go
@@ -620,21 +620,26 @@
 	})
 })
 
-// BenchmarkPlace is one placing among 12 engines with 130 requests under way.
+// BenchmarkPlace is one placing among 9 and 90 engines, with fifteen requests under way at
+// each.
 func BenchmarkPlace(b *testing.B) {
-	v := placer.New("a")
-	var names []string
-	for i := range 12 {
-		names = append(names, fmt.Sprintf("e-%02d", i))
-	}
-	v.SetWorkers(start, engines(names...))
-	now := start
-	for i := range uint64(b.N) {
-		now = now.Add(10 * time.Millisecond)
-		_, _ = v.Place(now, i, plan(1000+i%117))
-		v.Begun(now, i)
-		if i > 130 {
-			v.Ended(now, i-130, placer.Answered)
-		}
+	for _, n := range []int{9, 90} {
+		b.Run(fmt.Sprintf("%d workers", n), func(b *testing.B) {
+			v := placer.New("a")
+			var names []string
+			for i := range n {
+				names = append(names, fmt.Sprintf("e-%02d", i))
+			}
+			v.SetWorkers(start, engines(names...))
+			now, last := start, uint64(15*n)
+			for i := range uint64(b.N) {
+				now = now.Add(100 * time.Millisecond / time.Duration(n))
+				_, _ = v.Place(now, i, plan(1000+i%117))
+				v.Begun(now, i)
+				if i > last {
+					v.Ended(now, i-last, placer.Answered)
+				}
+			}
+		})
 	}
 }
--- a/placer/option.go
+++ b/placer/option.go
@@ -23,6 +23,7 @@
 // Times are in milliseconds.
 type option struct {
 	*worker
+	others
 	read     int     // tokens of the prompt that it would read
 	fetch    int     // tokens that it would fetch from another worker
 	source   string  // address of that one
@@ -31,7 +32,6 @@
 	queue    float64 // reading what comes before the request
 	all      float64 // reading all that it was sent
 	kept     int     // slots that are kept for more urgent requests
-	tight    float64 // streams there whose pauses long reading breaks, weighed
 	equals   float64 // reading what is as urgent as the request, or more
 	cost     float64
 }
@@ -41,10 +41,10 @@
 // ones fill all slots, and the more urgent are refused until one ends. Where none that is
 // more urgent is there, nothing is kept. The route decides, not the organisation: the long
 // prompts of an urgent organisation would keep out the short ones of all others.
-func keepSlots(options []option, tier int) {
+func keepSlots(options []option) {
 	urgent := 0
 	for i := range options {
-		urgent += options[i].urgent(tier)
+		urgent += options[i].urgent
 	}
 	if urgent == 0 {
 		return
@@ -59,15 +59,15 @@
 // option is what a request would make the worker do. What holder keeps of its prompt,
 // and this worker does not, is fetched where that takes less time than reading it.
 func (w *worker) option(now time.Time, a Ask, holder *worker, held int) option {
-	o := option{worker: w}
+	o := option{worker: w, others: w.others(now, a)}
 	if w.Memory == 0 {
 		return o
 	}
 	kept := w.parts.covered(a.Parts)
 	o.read = max(a.Prompt-kept, 1)
 	o.own = w.readTime(o.read, a.Prompt+a.Output)
-	o.queue, o.all, o.equals = w.queue(now, a.Rank), w.line.before(now, lastRank), w.line.equals(now, a.Rank)
-	o.tight = w.tight(a.Rank)
+	o.queue, o.all = w.line.before(now, a.Rank)+o.overdue, w.line.before(now, lastRank)
+	o.equals = w.line.equals(now, a.Rank) + o.equal
 	if holder == nil || holder == w || held-kept < fetchLeast {
 		return o
 	}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -210,11 +210,11 @@
 	if best == nil {
 		return nil, &Refusal{After: noneAfter, Why: "no_workers"}
 	}
-	refusal := v.refuse(now, best, a)
+	refusal := v.refuse(best, a)
 	if refusal == nil {
 		return best, nil
 	}
-	best = cheapest(options, func(o *option) bool { return o.tight == 0 && v.refuse(now, o, a) == nil })
+	best = cheapest(options, func(o *option) bool { return o.tight == 0 && v.refuse(o, a) == nil })
 	if best == nil {
 		refusal.After = v.book(now, a, options, refusal.After)
 		return nil, refusal
@@ -235,7 +235,7 @@
 		o.cost = v.cost(now, &o, a)
 		options = append(options, o)
 	}
-	keepSlots(options, a.Tier)
+	keepSlots(options)
 	v.options = options
 	return options
 }
--- a/placer/worker.go
+++ b/placer/worker.go
@@ -119,46 +119,6 @@
 	return float64(max(w.Event, 1)) * w.readTime(chunk, chunk)
 }
 
-// urgent is the number of requests there whose routes are more urgent than a tier.
-func (w *worker) urgent(tier int) int {
-	n := 0
-	for _, f := range w.flights {
-		if f.Tier < tier {
-			n++
-		}
-	}
-	return n
-}
-
-// tight is the number of streams at the worker whose target for pauses a stretch
-// of reading breaks. Those more urgent than a rank count urgentWeight times.
-func (w *worker) tight(rank int) float64 {
-	n := 0.0
-	stretch := milliseconds(tightShare * w.stretch())
-	for _, f := range w.flights {
-		if f.Gap == 0 || f.Gap >= stretch {
-			continue
-		}
-		n++
-		if f.Rank < rank {
-			n += urgentWeight - 1
-		}
-	}
-	return n
-}
-
-// overdue is the milliseconds by which the worker is behind what was predicted for
-// requests of a rank, and more urgent ones.
-func (w *worker) overdue(now time.Time, rank int) float64 {
-	worst := 0.0
-	for _, f := range w.flights {
-		if !f.begun && !f.readBy.IsZero() && f.Rank <= rank {
-			worst = math.Max(worst, inMilliseconds(now.Sub(f.readBy))-w.rest())
-		}
-	}
-	return worst
-}
-
 // judge takes how a flight ended. Trouble fades by itself, so that a worker that
 // has recovered is tried again.
 func (w *worker) judge(now time.Time, o Outcome) {
--- a/router/metrics.go
+++ b/router/metrics.go
@@ -11,8 +11,8 @@
 	"github.com/cicadawood/cicadawood/connector"
 )
 
-// Metrics is the router's metrics. Labels are kinds of request and outcomes only:
-// their number does not grow with routes or organisations.
+// Metrics is the router's metrics. Labels are kinds of request, outcomes and tiers
+// only: their number does not grow with routes or organisations.
 type Metrics struct {
 	requests *prometheus.CounterVec
 	firsts   *prometheus.HistogramVec
@@ -20,6 +20,7 @@
 	pauses   prometheus.Histogram
 	errors   prometheus.Histogram
 	failed   *prometheus.CounterVec
+	refused  *prometheus.CounterVec
 }
 
 // NewMetrics registers the router's metrics.
@@ -46,7 +47,10 @@
 	m.failed = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "cicadawood_routed_failed_sends_total", Help: "Requests that a worker did not answer, by cause and by whether they were sent again.",
 	}, []string{"cause", "again"})
-	r.MustRegister(m.requests, m.firsts, m.wholes, m.pauses, m.errors, m.failed)
+	m.refused = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "cicadawood_routed_refused_total", Help: "Requests that no worker got, by the tier of their route and by cause.",
+	}, []string{"tier", "cause"})
+	r.MustRegister(m.requests, m.firsts, m.wholes, m.pauses, m.errors, m.failed, m.refused)
 	return m
 }
 
@@ -83,6 +87,11 @@
 	}
 }
 
+// refuse counts a request that no worker got.
+func (m *Metrics) refuse(q *request, cause string) {
+	m.refused.WithLabelValues(strconv.Itoa(q.Tier), cause).Inc()
+}
+
 // send counts a send that failed; again says that another follows.
 func (m *Metrics) send(err error, again bool) {
 	m.failed.WithLabelValues(causeOf(err), strconv.FormatBool(again)).Inc()
--- a/router/router.go
+++ b/router/router.go
@@ -130,6 +130,9 @@
 	if q.index != nil {
 		fields = append(fields, zap.Uint64("generation", q.index.generation))
 	}
+	if t.source != "" {
+		fields = append(fields, zap.String("source", t.source))
+	}
 	if t.by != "" {
 		fields = append(fields, zap.String("by", t.by))
 	}
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -14,6 +14,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
 	"go.uber.org/zap"
 
 	"github.com/cicadawood/cicadawood/connector"
@@ -194,6 +195,20 @@
 		Expect(count).NotTo(HaveKey("z"))
 	})
 
+	It("counts what no worker got by its route's tier and by cause", func() {
+		for path, key := range map[string]string{"/a/x": "l", "/late/x": "s"} {
+			code, _, err := call(bg, path, key)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(code).To(Equal(http.StatusServiceUnavailable))
+		}
+		Expect(testutil.GatherAndCompare(registry, strings.NewReader(`
+			# HELP cicadawood_routed_refused_total Requests that no worker got, by the tier of their route and by cause.
+			# TYPE cicadawood_routed_refused_total counter
+			cicadawood_routed_refused_total{cause="no_workers",tier="3"} 1
+			cicadawood_routed_refused_total{cause="no_workers",tier="5"} 1
+		`), "cicadawood_routed_refused_total")).To(Succeed())
+	})
+
 	// An engine has more requests than slots, and takes the least urgent off. Both are
 	// of organisations of one tier: that of the less urgent route must yield.
 	It("ranks a request by its organisation's tier, and within that by its route's", func() {
--- a/router/trip.go
+++ b/router/trip.go
@@ -48,6 +48,7 @@
 	seen     time.Duration // until the first event, as it came; 0 before
 	read     int
 	by       string // host that chose the worker; "" is this one
+	source   string // address of the worker that it fetched memory from; "" is none
 	last     string // id of the last event passed
 	failed   *keptAnswer
 	arrivals int    // sends that left
@@ -78,7 +79,7 @@
 			return t.timedOut(caller)
 		}
 		t.sends++
-		t.worker, t.expected, t.read, t.by = place.Worker.Name, place.Wait, place.Read, place.By
+		t.worker, t.expected, t.read, t.by, t.source = place.Worker.Name, place.Wait, place.Read, place.By, place.Source
 		t.sent = time.Now()
 		err = t.send(ctx, place)
 		t.router.Placer.Ended(place, t.outcome(caller, err))
@@ -129,6 +130,7 @@
 	if !errors.As(err, &refused) {
 		return t.timedOut(caller)
 	}
+	t.router.Metrics.refuse(t.q, refused.Why)
 	if t.pass() {
 		return nil
 	}
