--- a/placer/engine_test.go
+++ b/placer/engine_test.go
@@ -221,7 +221,6 @@
 	slots            int     // of an engine; 0 is 96
 	planRank         int     // how urgent plans are; chats are 0
 	reviews          float64 // a second; still longer prompts, the least urgent, with a longer target
-	fetch            bool    // engines fetch memory from one another
 	sessions         int     // second parts that plans share; 0 is 117
 }
 
@@ -305,6 +304,9 @@
 		sizes[i] = skewed(r, 3780, 0.7, 11300)
 	}
 	arrive := func(rate float64, make func() placer.Ask) {
+		if rate == 0 {
+			return
+		}
 		for at := time.Duration(0); at < length; at += time.Duration(r.ExpFloat64() / rate * float64(time.Second)) {
 			s := &stream{ask: make(), id: uint64(len(streams) + 1), at: at}
 			s.review = s.ask.Target > time.Second
@@ -364,9 +366,7 @@
 			Patience: 2 * time.Second, Target: 300 * time.Millisecond, Gap: l.chatGap, Parts: []placer.Part{{Key: uint64(5000 + r.IntN(20)), Tokens: 120}},
 		}
 	})
-	if l.reviews > 0 {
-		arrive(l.reviews, func() placer.Ask { return review(r) })
-	}
+	arrive(l.reviews, func() placer.Ask { return review(r) })
 	for len(todo) > 0 {
 		m := heap.Pop(&todo).(moment)
 		m.do(m.at)
@@ -590,6 +590,28 @@
 	})
 })
 
+// Many ask for the same long parts, which one engine keeps. The others read them again,
+// and the queue behind grows; with the parts fetched, more are in time.
+var _ = Describe("A burst of prompts that share long parts", func() {
+	It("is read once and fetched, where engines can", func() {
+		burst := load{chats: 20, reviews: 45, engines: 9, rate: 93, chatGap: 250 * time.Millisecond}
+		linked := func(names []string, _ *rand.Rand) chooser {
+			v := placer.New("a")
+			v.SetWorkers(start, linked(names...))
+			return ours{view: v}
+		}
+		for seed := range uint64(3) {
+			with := play(burst, 301+seed, 8*time.Second, linked)
+			without := play(burst, 301+seed, 8*time.Second, oursWithout(""))
+			AddReportEntry("fetched", fmt.Sprintf("reviews %s; %d read in all", with.reviews, with.readAgain))
+			AddReportEntry("read", fmt.Sprintf("reviews %s; %d read in all", without.reviews, without.readAgain))
+			Expect(with.readAgain).To(BeNumerically("<", without.readAgain))
+			Expect(with.reviews.share()).To(BeNumerically(">", without.reviews.share()+0.05))
+			Expect(with.reviews.refused).To(BeNumerically("<", without.reviews.refused))
+		}
+	})
+})
+
 // crowd is a burst of plans at three times the usual on many small engines.
 var crowd = load{
 	plans: 505, chats: 84, engines: 90, rate: 41.4, planGap: 400 * time.Millisecond, chatGap: 250 * time.Millisecond, slots: 24, sessions: 846,
--- a/placer/fit.go
+++ b/placer/fit.go
@@ -90,9 +90,9 @@
 	x := termsOf(read, tokens)
 	predicted := f.predict(x)
 	seen := math.Min(math.Max(took, predicted/outlier), predicted*outlier)
-	weight := 1 / math.Pow(predicted+fitLeast, 2)
+	weight := 1 / squared(predicted+fitLeast)
 	if ratio := math.Max(seen/predicted, predicted/seen); ratio > common {
-		weight *= math.Pow(common/ratio, 2)
+		weight *= squared(common / ratio)
 	}
 	for i := range x {
 		for j := range x {
@@ -109,7 +109,7 @@
 // Gauss-Seidel).
 func (f *fit) sweep() {
 	for i := range f.factor {
-		own := startWeight * math.Pow(factorReach[i]/startScale, 2)
+		own := startWeight * squared(factorReach[i]/startScale)
 		top, bottom := f.right[i]+own*factorStart[i], f.square[i][i]+own
 		for j := range f.factor {
 			if j != i {
@@ -119,3 +119,5 @@
 		f.factor[i] = math.Min(math.Max(top/bottom, factorLeast[i]), factorMost[i])
 	}
 }
+
+func squared(x float64) float64 { return x * x }
