--- a/placer/returning.go
+++ b/placer/returning.go
@@ -18,8 +18,7 @@
 }
 
 // book is when a refused request is to come back: when there is room, and when those
-// that were refused before it have been read: what one takes is its mean reading time
-// over the workers, which all of them share. Failure: callers that were refused
+// that were refused before it have been read. Failure: callers that were refused
 // together come back together, and all but the first are refused again. The less urgent
 // do not make the more urgent wait.
 func (v *View) book(now time.Time, a Ask, options []option, after time.Duration) time.Duration {
