Plain services: the time of an answer is learned without its wait

Cause: a plain worker's answer was timed with the wait that it had there, and multiplied by the rounds before the next request again; in a large fleet the time held, besides, what word of the end takes (50 ms for 60 ms of work).

Change: learned is what its host saw, divided by the rounds predicted when it was sent. As the wrong wait had kept queues short, a bound does so now: refused beyond 0.65 of the tightest target of callers as urgent, or more.

--- a/placer/cost.go
+++ b/placer/cost.go
@@ -88,18 +88,26 @@
 	// queueShare is the part of its target that a long prompt may wait for others to
 	// be read.
 	queueShare = 0.5
+	// plainShare is the part of its target that a plain service's answer may be expected
+	// to take, and plainRounds how often the work of one may pass before it is refused
+	// where the target is shorter than that.
+	plainShare  = 0.65
+	plainRounds = 2.0
 	// afterLeast is the least time that a refused caller is told to stay away.
 	afterLeast = 100 * time.Millisecond
 )
 
 // plainWait is the milliseconds until a plain worker's answer.
 func (v *View) plainWait(w *worker) float64 {
-	pace, ok := v.pace[w.Service]
-	if !ok {
-		pace = serviceStart
-	}
-	rounds := 1 + math.Max(float64(len(w.flights)+1-w.Slots), 0)/float64(w.Slots)
-	return rounds * inMilliseconds(pace)
+	return w.rounds() * inMilliseconds(v.paceOf(w.Service))
+}
+
+// plainMost is the milliseconds that a plain service's answer may be expected to take.
+// The worker answers in order: of callers that are as urgent as one another, those with
+// the longer target would keep the queue beyond what the others can bear, and they alone
+// would be served. So the tightest target counts for all, and for the less urgent.
+func (v *View) plainMost(a Ask) float64 {
+	return math.Max(plainShare*inMilliseconds(v.demands.tightest(a)), plainRounds*inMilliseconds(v.paceOf(a.Service)))
 }
 
 // cost is what decides between workers, in milliseconds.
@@ -171,6 +179,11 @@
 		// An engine whose slots are taken runs one request more only in the place of
 		// another, which it then reads in again.
 		return &Refusal{After: max(a.Target/2, afterLeast), Why: "slots"}
+	case o.Memory == 0 && a.Target > 0 && v.wait(o) > v.plainMost(a):
+		// Failure: more comes than the service can do, its queue grows to what callers
+		// wait for at most, and all answers are late. With a short queue as many are
+		// answered, in time.
+		return &Refusal{After: max(wait-a.Target/2, afterLeast), Why: "overload"}
 	case wait > time.Duration(refuseShare*float64(bound)):
 		return &Refusal{After: max(wait-min(a.Target, bound), afterLeast), Why: "overload"}
 	case a.Target > 0 && o.own >= pacedLeast && o.equals > room:
--- /dev/null
+++ b/placer/demand.go
@@ -0,0 +1,50 @@
+package placer
+
+import "time"
+
+// demandFor is how long it is remembered that requests with a target came: a burst's
+// pauses are shorter.
+const demandFor = 10 * time.Second
+
+// demands is the targets of the requests that came lately, by service.
+type demands map[string][]demand
+
+// demand is that requests of a rank came with a target.
+type demand struct {
+	rank   int
+	target time.Duration
+	at     time.Time // the last one
+}
+
+// note takes that a request came.
+func (d demands) note(now time.Time, a Ask) {
+	if a.Target <= 0 {
+		return
+	}
+	kept := d[a.Service][:0]
+	known := false
+	for _, x := range d[a.Service] {
+		if x.rank == a.Rank && x.target == a.Target {
+			known, x.at = true, now
+		}
+		if now.Sub(x.at) < demandFor {
+			kept = append(kept, x)
+		}
+	}
+	if !known {
+		kept = append(kept, demand{rank: a.Rank, target: a.Target, at: now})
+	}
+	d[a.Service] = kept
+}
+
+// tightest is the shortest target of requests that came lately and are as urgent as this
+// one, or more; 0 where none has a target.
+func (d demands) tightest(a Ask) time.Duration {
+	least := a.Target
+	for _, x := range d[a.Service] {
+		if x.rank <= a.Rank && x.target < least {
+			least = x.target
+		}
+	}
+	return least
+}
--- a/placer/option.go
+++ b/placer/option.go
@@ -27,7 +27,7 @@
 	read     int     // tokens of the prompt that it would read
 	fetch    int     // tokens that it would fetch from another worker
 	source   string  // address of that one
-	own      float64 // reading the request
+	own      float64 // reading the request, or a plain worker's whole time for it
 	fetching float64 // fetching, beside the reading of others
 	queue    float64 // reading what comes before the request
 	all      float64 // reading all that it was sent
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -115,7 +115,8 @@
 	pace    map[string]time.Duration // of plain services: time of an answer
 	fits    map[string]*fit          // of services with engines: time to the first event
 	options []option                 // of the request under way; kept for its memory
-	booked  map[class]time.Time      // when the refused will have been read that were told to come back
+	demands demands
+	booked  map[class]time.Time // when the refused will have been read that were told to come back
 }
 
 // flight is a Flight as the view keeps it.
@@ -123,16 +124,18 @@
 	Flight
 	from   string // host; "" for this one
 	at     time.Time
-	unread float64   // milliseconds of reading that are left, as predicted
-	readBy time.Time // when it must have been read; zero before
-	alone  bool      // nothing else was read from its sending to its first event
-	begun  bool      // its first event was seen
+	unread float64       // milliseconds of reading that are left, as predicted
+	readBy time.Time     // when it must have been read; zero before
+	alone  bool          // nothing else was read from its sending to its first event
+	begun  bool          // its first event was seen
+	rounds float64       // of work that its plain worker needed to come to its answer, as predicted
+	took   time.Duration // until its first event or its answer, as its host saw; 0 before
 }
 
 // New returns a view that knows no worker. Workers of the host's own zone go first
 // where nothing else decides.
 func New(zone string) *View {
-	return &View{zone: zone, workers: map[string]*worker{}, flights: map[uint64]*flight{}, over: map[uint64]time.Time{}, pace: map[string]time.Duration{}, fits: map[string]*fit{}, booked: map[class]time.Time{}}
+	return &View{zone: zone, workers: map[string]*worker{}, flights: map[uint64]*flight{}, over: map[uint64]time.Time{}, pace: map[string]time.Duration{}, fits: map[string]*fit{}, booked: map[class]time.Time{}, demands: demands{}}
 }
 
 // SetWorkers takes the workers that may get requests. What is known of those that
@@ -205,6 +208,7 @@
 // else it is refused. To send it to the streams' workers instead was tried: it makes
 // them late in the place of what was refused.
 func (v *View) best(now time.Time, a Ask) (*option, *Refusal) {
+	v.demands.note(now, a)
 	options := v.weigh(now, a)
 	best := cheapest(options, func(*option) bool { return true })
 	if best == nil {
@@ -232,6 +236,9 @@
 			continue
 		}
 		o := w.option(now, a, holder, held)
+		if o.Memory == 0 {
+			o.own = inMilliseconds(v.paceOf(a.Service)) / float64(max(o.Slots, 1))
+		}
 		o.cost = v.cost(now, &o, a)
 		options = append(options, o)
 	}
@@ -308,7 +315,7 @@
 	if f == nil || f.begun {
 		return
 	}
-	f.begun = true
+	f.begun, f.took = true, took
 	if w := v.workers[f.Worker]; w != nil {
 		w.began(now, f, took)
 	}
@@ -329,17 +336,29 @@
 	w.drop(now, f)
 	w.judge(now, o)
 	if w.Memory == 0 && o == Answered {
-		v.learn(w.Service, now.Sub(f.at))
+		v.learn(w.Service, f)
+	}
+}
+
+// learn takes the time of a plain service's answer, without the time that it waited for
+// others: that is multiplied by the rounds before the next request again. Failure: each
+// wait makes the next one look longer, and callers are refused for one that is not there.
+// It is the time that the request's host saw, as word of its end comes late.
+func (v *View) learn(service string, f *flight) {
+	if f.took <= 0 {
+		return // a host of an older version does not say
 	}
+	sample := time.Duration(float64(f.took) / f.rounds)
+	known := v.paceOf(service)
+	v.pace[service] = known + time.Duration(paceWeight*float64(sample-known))
 }
 
-// learn takes the time of a plain service's answer.
-func (v *View) learn(service string, took time.Duration) {
-	known, ok := v.pace[service]
-	if !ok {
-		known = serviceStart
+// paceOf is the time of a plain service's answer that waits for no other.
+func (v *View) paceOf(service string) time.Duration {
+	if v.pace[service] == 0 {
+		v.pace[service] = serviceStart
 	}
-	v.pace[service] = known + time.Duration(paceWeight*float64(took-known))
+	return v.pace[service]
 }
 
 // Lost forgets what a host that is gone had under way: workers drop requests
--- /dev/null
+++ b/placer/plain_test.go
@@ -0,0 +1,218 @@
+package placer_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cicadawood/cicadawood/placer"
+)
+
+// counter is a stand-in of a plain service: so many workers, each of which works at
+// so many requests at once, for so long each, and takes the others in order.
+type counter struct {
+	workers, slots int
+	work           time.Duration
+	rate           float64  // requests a second
+	late           lateness // of what hosts tell one another
+}
+
+// job is one request at a plain worker.
+type job struct {
+	id        uint64
+	host      int
+	worker    *clerk
+	asked     time.Duration // when its caller first asked
+	at        time.Duration // when it was sent
+	refused   bool
+	predicted time.Duration
+}
+
+// clerk is one plain worker.
+type clerk struct {
+	running int
+	waiting []*job
+}
+
+// counted is what callers of a plain service got.
+type counted struct {
+	asked, inTime, refused int
+	served                 int
+	back                   int           // of those refused, served when they came back
+	predicted, seen        time.Duration // sums over what was served
+}
+
+// waits is the time until an answer on average, as predicted and as seen.
+func (c counted) waits() (predicted, seen time.Duration) {
+	return c.predicted / time.Duration(c.served), c.seen / time.Duration(c.served)
+}
+
+func (c counted) String() string {
+	predicted, seen := c.waits()
+	return fmt.Sprintf("%d asked, %d served, %d in time, %d refusals, %d served after one; %s expected, %s seen",
+		c.asked, c.served, c.inTime, c.refused, c.back, predicted, seen)
+}
+
+// serve plays a load on a plain service before eight hosts, each with a view of its own.
+func (c counter) serve(seed uint64, length time.Duration, a placer.Ask) counted {
+	const hosts = 8
+	r := rand.New(rand.NewPCG(seed, 2))
+	clerks, workers := map[string]*clerk{}, []placer.Worker{}
+	for i := range c.workers {
+		w := placer.Worker{Name: fmt.Sprintf("d-%d", i), Service: a.Service, Zone: "a", Slots: c.slots}
+		workers = append(workers, w)
+		clerks[w.Name] = &clerk{}
+	}
+	var views []*placer.View
+	for range hosts {
+		v := placer.New("a")
+		v.SetWorkers(start, workers)
+		views = append(views, v)
+	}
+	var todo agenda
+	do := func(at time.Duration, f func(time.Duration)) { heap.Push(&todo, moment{at, f}) }
+	tell := func(at time.Duration, from int, say func(*placer.View, time.Time)) {
+		do(at, func(now time.Duration) {
+			for i, v := range views {
+				if i != from {
+					say(v, start.Add(now))
+				}
+			}
+		})
+	}
+	var out counted
+	var begin func(now time.Duration, j *job)
+	end := func(j *job) func(time.Duration) {
+		return func(now time.Duration) {
+			took := now - j.at
+			out.served++
+			out.seen, out.predicted = out.seen+took, out.predicted+j.predicted
+			if now-j.asked <= a.Target {
+				out.inTime++
+			}
+			if j.refused {
+				out.back++
+			}
+			told := func(v *placer.View, at time.Time) {
+				v.BegunAfter(at, j.id, took)
+				v.Ended(at, j.id, placer.Answered)
+			}
+			told(views[j.host], start.Add(now))
+			tell(now+c.late.rest, j.host, told)
+			j.worker.running--
+			if w := j.worker.waiting; len(w) > 0 {
+				j.worker.waiting = w[1:]
+				begin(now, w[0])
+			}
+		}
+	}
+	begin = func(now time.Duration, j *job) {
+		j.worker.running++
+		do(now+time.Duration(skewed(r, float64(c.work), 0.5, 8*float64(c.work))), end(j))
+	}
+	for at := time.Duration(0); at < length; at += time.Duration(r.ExpFloat64() / c.rate * float64(time.Second)) {
+		out.asked++
+		j := &job{id: uint64(out.asked), host: r.IntN(hosts), asked: at}
+		var try func(now time.Duration)
+		try = func(now time.Duration) {
+			ask := a
+			ask.Left -= now - j.asked
+			choice, refusal := views[j.host].Place(start.Add(now), j.id, ask)
+			if refusal != nil {
+				// A caller comes back once, if that is within a third of its time.
+				if !j.refused && refusal.After <= ask.Left/3 {
+					do(now+refusal.After, try)
+				}
+				out.refused++
+				j.refused = true
+				return
+			}
+			tell(now+c.late.sent, j.host, func(v *placer.View, at time.Time) { v.Heard(at, fmt.Sprint(j.host), choice.Flight) })
+			j.predicted, j.worker, j.at = choice.Wait, clerks[choice.Worker.Name], now
+			if j.worker.running < c.slots {
+				begin(now, j)
+				return
+			}
+			j.worker.waiting = append(j.worker.waiting, j)
+		}
+		do(at, try)
+	}
+	for len(todo) > 0 {
+		m := heap.Pop(&todo).(moment)
+		m.do(m.at)
+	}
+	return out
+}
+
+// A plain service gets a little more than it can do for some seconds, and callers wait.
+// Its answers take longer for that; taken as the time of its work, that time is
+// multiplied by the queue once more, and the longer the wait is believed to be, the
+// longer it is learned. Callers are refused for a wait of over a second, where those
+// served see a quarter of one.
+var _ = Describe("A plain service that is asked for all that it can do", func() {
+	const (
+		most   = 400.0 // requests a second: 24 slots of 60 ms
+		length = 15 * time.Second
+	)
+	busy := counter{workers: 4, slots: 6, work: 60 * time.Millisecond, rate: 0.97 * most, late: lateness{3 * time.Millisecond, 50 * time.Millisecond}}
+	hold := placer.Ask{Service: "app", Left: time.Second, Target: 300 * time.Millisecond}
+
+	It("is expected to take what it takes, and refuses next to nobody for good", func() {
+		for seed := range uint64(3) {
+			o := busy.serve(401+seed, length, hold)
+			AddReportEntry("near its limit", o.String())
+			predicted, seen := o.waits()
+			Expect(predicted).To(BeNumerically("~", seen, seen/3))
+			Expect(o.served).To(BeNumerically(">", o.asked*99/100))
+			Expect(o.inTime).To(BeNumerically(">", o.asked*95/100))
+		}
+	})
+
+	It("answers what it can do where twice as much comes, and those not refused in time", func() {
+		flood := busy
+		flood.rate = 2 * most
+		for seed := range uint64(3) {
+			o := flood.serve(401+seed, length, hold)
+			AddReportEntry("twice its limit", o.String())
+			Expect(o.served).To(BeNumerically(">", most*length.Seconds()*95/100))
+			Expect(o.inTime).To(BeNumerically(">", (o.served-o.back)*95/100))
+		}
+	})
+
+	// Two kinds of callers, as urgent as each other, ask one plain service for twice what it
+	// can do. It answers in order; let in by its own target, the kind with the longer one
+	// keeps the queue beyond the other's, which is never served.
+	It("serves callers with a tight target as often as those with a longer one", func() {
+		for _, rank := range []int{0, 1} {
+			v := placer.New("a")
+			v.SetWorkers(start, desks("d-1"))
+			tight, loose := hold, hold
+			tight.Target, loose.Target, loose.Rank = 150*time.Millisecond, 600*time.Millisecond, rank
+			served := map[time.Duration]int{}
+			now, id, r := start, uint64(0), rand.New(rand.NewPCG(501, 2))
+			var under []placer.Flight
+			for round := range 200 {
+				callers := []placer.Ask{loose, tight}
+				r.Shuffle(len(callers), func(i, j int) { callers[i], callers[j] = callers[j], callers[i] })
+				for _, a := range callers {
+					id++
+					if c, refusal := v.Place(now, id, a); refusal == nil {
+						under = append(under, c.Flight)
+						served[a.Target]++
+					}
+				}
+				now = now.Add(20 * time.Millisecond)
+				if round%2 == 1 && len(under) > 0 { // two slots of 40 ms each answer one of two that ask
+					v.BegunAfter(now, under[0].ID, 40*time.Millisecond*time.Duration(1+max(len(under)-2, 0)/2))
+					v.Ended(now, under[0].ID, placer.Answered)
+					under = under[1:]
+				}
+			}
+			Expect(served[tight.Target]).To(BeNumerically(">=", served[loose.Target]*3/4), fmt.Sprint("loose ones of rank ", rank))
+		}
+	})
+})
--- a/placer/worker.go
+++ b/placer/worker.go
@@ -28,7 +28,7 @@
 
 // take counts a flight.
 func (w *worker) take(now time.Time, f *flight) {
-	f.alone = w.reading == 0
+	f.alone, f.rounds = w.reading == 0, w.rounds()
 	if !f.alone {
 		w.crowd()
 	}
@@ -44,6 +44,13 @@
 	w.parts.add(f, max(w.Memory-w.hold, w.Memory/4))
 }
 
+// rounds is how many times the work of one request passes until a plain worker has
+// answered one that it is sent now: its own, and a part of one for each that waits.
+func (w *worker) rounds() float64 {
+	over := len(w.flights) + 1 - w.Slots
+	return 1 + float64(max(over, 0))/float64(max(w.Slots, 1))
+}
+
 // crowd notes that what the worker reads is not read alone: its time tells nothing.
 func (w *worker) crowd() {
 	for _, f := range w.flights {
