The end of what was sent to a filling worker is told at once

The calls take 0.5 ms each; that one ended was told after up to 50 ms, in which twenty came for sixteen slots. A real fault, on any small and quick service.

Ruled out: load of the machine (it fails on an idle one, and passes more often beside load); an end that is lost or heard before its sending (flights fall to none after 50 ms; the guard of that is in place).

Change: a decision says whether half of its worker's slots are taken or more; the end of such a request is told as soon as what is sent (1 ms, 3 ms by deciders). What is told late of those sent before can fill half of the slots at most.

The new spec of deciding is red with the guard out.

--- a/messenger/message_seek.go
+++ b/messenger/message_seek.go
@@ -35,10 +35,11 @@
 	Worker   string        `msgpack:"worker"`
 	Wait     time.Duration `msgpack:"wait"`
 	Pause    time.Duration `msgpack:"pause"`
-	Read     int           `msgpack:"read"`   // tokens
-	Why      string        `msgpack:"why"`    // it was refused
-	After    time.Duration `msgpack:"after"`  // when there may be room
-	Source   string        `msgpack:"source"` // address of the worker to fetch memory from; "" for none
+	Read     int           `msgpack:"read"`    // tokens
+	Why      string        `msgpack:"why"`     // it was refused
+	After    time.Duration `msgpack:"after"`   // when there may be room
+	Source   string        `msgpack:"source"`  // address of the worker to fetch memory from; "" for none
+	Filling  bool          `msgpack:"filling"` // half of the worker's slots are taken, or more
 }
 
 func (Seek) kind() string   { return kindSeek }
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -72,11 +72,12 @@
 
 // Choice is where a request goes.
 type Choice struct {
-	Worker Worker
-	Flight Flight
-	Wait   time.Duration // expected until its first event, or its answer
-	Pause  time.Duration // it is to be sent only then
-	Source string        // address of the worker that it is to fetch memory from; "" where it reads all
+	Worker  Worker
+	Flight  Flight
+	Wait    time.Duration // expected until its first event, or its answer
+	Pause   time.Duration // it is to be sent only then
+	Source  string        // address of the worker that it is to fetch memory from; "" where it reads all
+	Filling bool          // with it, half of its worker's slots are taken or more
 }
 
 // Outcome is how a request at a worker ended.
@@ -102,6 +103,9 @@
 	contextTime = 0.016
 	// serviceStart is the time of a plain service's answer until its own is known.
 	serviceStart = 40 * time.Millisecond
+	// fillingShare is the part of a worker's slots from which on it is filling. What is
+	// told late of requests sent before that can't fill the other half.
+	fillingShare = 0.5
 	// paceWeight is the part of a new sample in what a worker takes.
 	paceWeight = 0.1
 )
@@ -198,7 +202,8 @@
 		ID: id, Worker: best.Name, Parts: a.Parts, Read: best.read, Hold: a.Prompt + a.Output, Left: a.Left, Gap: a.Gap, Rank: a.Rank, Tier: a.Tier,
 		Fetch: best.fetch,
 	}
-	c := Choice{Worker: best.Worker, Flight: f, Wait: milliseconds(v.wait(best)), Pause: best.pause(a), Source: best.source}
+	filling := fillingShare*float64(best.Slots) <= float64(len(best.flights)+1)
+	c := Choice{Filling: filling, Worker: best.Worker, Flight: f, Wait: milliseconds(v.wait(best)), Pause: best.pause(a), Source: best.source}
 	v.add(now, from, f)
 	return c, nil
 }
--- a/router/port.go
+++ b/router/port.go
@@ -84,6 +84,7 @@
 	Age     time.Duration // of the list of workers that it was chosen from
 	Source  string        // address of the worker that it is to fetch memory from; "" for none
 	By      string        // host that chose it; "" is this one
+	Filling bool          // half of the worker's slots are taken, or more
 }
 
 // Refused is the error of a request that no worker should get now.
--- a/runner/choosing.go
+++ b/runner/choosing.go
@@ -92,6 +92,7 @@
 	sendEnded struct {
 		id      uint64
 		outcome placer.Outcome
+		filling bool // half of the worker's slots were taken, or more
 	}
 )
 
@@ -154,7 +155,9 @@
 }
 
 // Ended implements router.Placer.
-func (p *choosing) Ended(x router.Place, o placer.Outcome) { p.post(sendEnded{id: x.ID, outcome: o}) }
+func (p *choosing) Ended(x router.Place, o placer.Outcome) {
+	p.post(sendEnded{id: x.ID, outcome: o, filling: x.Filling})
+}
 
 // post gives the goroutine an event; false where it has ended.
 func (p *choosing) post(e event) bool {
@@ -219,7 +222,7 @@
 		p.tellWithin(now, p.within(restWithin, restToDeciders))
 	case sendEnded:
 		p.view.Ended(now, e.id, e.outcome)
-		p.tellEnded(now, e.id, e.outcome)
+		p.tellEnded(now, e)
 	case sharedHeard:
 		p.hear(now, e)
 	case entriesSeen:
@@ -276,7 +279,7 @@
 	}
 	p.tellSent(now, p.self, choice.Flight)
 	return workerReply{place: router.Place{
-		ID: choice.Flight.ID, Service: a.Service, Worker: choice.Worker, Wait: choice.Wait, Pause: choice.Pause, Source: choice.Source, Read: choice.Flight.Read, Age: now.Sub(p.listed),
+		ID: choice.Flight.ID, Service: a.Service, Worker: choice.Worker, Wait: choice.Wait, Pause: choice.Pause, Source: choice.Source, Read: choice.Flight.Read, Filling: choice.Filling, Age: now.Sub(p.listed),
 	}}
 }
 
@@ -288,10 +291,17 @@
 	p.tellWithin(now, p.within(sentWithin, sentByDeciders))
 }
 
-// tellEnded has the others told how a request at a worker ended.
-func (p *choosing) tellEnded(now time.Time, id uint64, o placer.Outcome) {
-	p.shared.Ended = append(p.shared.Ended, messenger.Ending{ID: id, Outcome: int(o)})
-	p.tellWithin(now, p.within(restWithin, restToDeciders))
+// tellEnded has the others told how a request at a worker ended. Failure: short requests
+// come faster than it is told that they ended. Each counts until then, all slots seem
+// taken, and callers are refused before idle workers. So the end of what was sent to a
+// worker that is filling is told as soon as what is sent.
+func (p *choosing) tellEnded(now time.Time, e sendEnded) {
+	p.shared.Ended = append(p.shared.Ended, messenger.Ending{ID: e.id, Outcome: int(e.outcome)})
+	within := p.within(restWithin, restToDeciders)
+	if e.filling {
+		within = p.within(sentWithin, sentByDeciders)
+	}
+	p.tellWithin(now, within)
 }
 
 func sendingOf(f placer.Flight) messenger.Sending {
--- a/runner/deciding.go
+++ b/runner/deciding.go
@@ -154,7 +154,7 @@
 		answer.Why, answer.After = refusal.Why, refusal.After
 	} else {
 		answer.Flight, answer.Worker, answer.Wait = choice.Flight.ID, choice.Worker.Name, choice.Wait
-		answer.Pause, answer.Read, answer.Source = choice.Pause, choice.Flight.Read, choice.Source
+		answer.Pause, answer.Read, answer.Source, answer.Filling = choice.Pause, choice.Flight.Read, choice.Source, choice.Filling
 		p.tellSent(now, e.from, choice.Flight)
 	}
 	if err := p.sender.Send(s.Reply, answer); err != nil {
@@ -174,10 +174,10 @@
 	case s.Flight == 0:
 	case waiting && known:
 		x.asked.reply <- workerReply{place: router.Place{
-			ID: s.Flight, Service: x.asked.ask.Service, Worker: w, Wait: s.Wait, Pause: s.Pause, Source: s.Source, Read: s.Read, Age: now.Sub(p.listed), By: e.from,
+			ID: s.Flight, Service: x.asked.ask.Service, Worker: w, Wait: s.Wait, Pause: s.Pause, Source: s.Source, Read: s.Read, Filling: s.Filling, Age: now.Sub(p.listed), By: e.from,
 		}}
 	default:
-		p.tellEnded(now, s.Flight, placer.Dropped)
+		p.tellEnded(now, sendEnded{id: s.Flight, outcome: placer.Dropped})
 		if waiting {
 			x.asked.reply <- p.decide(now, x.asked.ask)
 		}
--- a/runner/deciding_test.go
+++ b/runner/deciding_test.go
@@ -10,6 +10,7 @@
 	"github.com/cicadawood/cicadawood/messenger"
 	"github.com/cicadawood/cicadawood/placer"
 	"github.com/cicadawood/cicadawood/registrar"
+	"github.com/cicadawood/cicadawood/router"
 	"github.com/cicadawood/cicadawood/runner"
 )
 
@@ -133,4 +134,29 @@
 			Expect(x.Flights(now, "d-1") + x.Flights(now, "d-2")).To(BeZero())
 		}
 	})
+
+	// Short requests come faster than it is told that they ended: sixteen in the time that
+	// an end waits to be told with others. All slots seem taken, and the next caller is
+	// refused before two idle workers. The end of what fills a worker is told at once.
+	It("tells at once of the end of what was sent to a worker that fills", func() {
+		const soon = 5 * time.Millisecond
+		small := choosing("h-03", registrar.NewRoster(roster.Hosts()[:16]...))
+		decider := choosing(names[0], roster)
+		for _, c := range []runner.Choosing{small, decider} {
+			var places []router.Place
+			for range 8 { // half the slots of both
+				p, ok := c.Place(now, quote)
+				Expect(ok).To(BeTrue())
+				places = append(places, p)
+			}
+			c.Tell()
+			c.End(now, places[0])
+			Expect(c.Due(now)).To(BeNumerically(">", soon), "the worker had room")
+			c.End(now, places[7])
+			Expect(c.Due(now)).To(BeNumerically("<", soon))
+		}
+		// What another host sends, the decider tells it of.
+		decider.Hear(now, names[10], messenger.Seek{ID: 1, Reply: names[10], Service: "desk", Left: time.Minute})
+		Expect(out[len(out)-1].m.(messenger.Sought).Filling).To(BeTrue())
+	})
 })
--- a/runner/export_test.go
+++ b/runner/export_test.go
@@ -11,6 +11,7 @@
 	"github.com/cicadawood/cicadawood/messenger"
 	"github.com/cicadawood/cicadawood/placer"
 	"github.com/cicadawood/cicadawood/registrar"
+	"github.com/cicadawood/cicadawood/router"
 	"github.com/cicadawood/cicadawood/server"
 )
 
@@ -160,6 +161,26 @@
 	return out
 }
 
+// Place asks for a worker and returns what came at once; false where nothing did.
+func (x Choosing) Place(now time.Time, a placer.Ask) (router.Place, bool) {
+	reply := make(chan workerReply, 1)
+	x.c.take(now, workerAsked{ask: a, reply: reply})
+	select {
+	case r := <-reply:
+		return r.place, r.refused == nil
+	default:
+		return router.Place{}, false
+	}
+}
+
+// End ends a request at its place.
+func (x Choosing) End(now time.Time, p router.Place) {
+	x.c.take(now, sendEnded{id: p.ID, outcome: placer.Answered, filling: p.Filling})
+}
+
+// Due is how long after now the others are told of what happened.
+func (x Choosing) Due(now time.Time) time.Duration { return x.c.shareAt.Sub(now) }
+
 // Hear takes a message of another host. Time passes by hand, see Silent: what a real
 // timer says is dropped.
 func (x Choosing) Hear(now time.Time, from string, m messenger.Message) {
