A plain request heard of before its worker teaches nothing

A flight heard of before the host knows the workers has no rounds; its time was divided by them. Change: such a flight teaches nothing. The spec is red without it.

--- a/placer/placer.go
+++ b/placer/placer.go
@@ -350,8 +350,8 @@
 // wait makes the next one look longer, and callers are refused for one that is not there.
 // It is the time that the request's host saw, as word of its end comes late.
 func (v *View) learn(service string, f *flight) {
-	if f.took <= 0 {
-		return // a host of an older version does not say
+	if f.took <= 0 || f.rounds <= 0 {
+		return // a host of an older version does not say, or the worker was not known yet
 	}
 	sample := time.Duration(float64(f.took) / f.rounds)
 	known := v.paceOf(service)
--- a/placer/plain_test.go
+++ b/placer/plain_test.go
@@ -215,4 +215,20 @@
 			Expect(served[tight.Target]).To(BeNumerically(">=", served[loose.Target]*3/4), fmt.Sprint("loose ones of rank ", rank))
 		}
 	})
+
+	// A host that has just started hears of requests before it knows the workers. How many
+	// rounds such a request took is not known to it; taken for none, the time of an answer
+	// becomes infinite, and the host refuses all callers of the service for good.
+	It("learns nothing of requests that were sent before it knew their worker", func() {
+		v := placer.New("a")
+		v.Heard(start, "other", placer.Flight{ID: 1, Worker: "d-1", Left: time.Second})
+		v.SetWorkers(start, desks("d-1"))
+		v.BegunAfter(start, 1, 60*time.Millisecond)
+		v.Ended(start, 1, placer.Answered)
+		for id := range uint64(4) {
+			c, refusal := v.Place(start, 10+id, hold)
+			Expect(refusal).To(BeNil())
+			Expect(c.Wait).To(And(BeNumerically(">", 0), BeNumerically("<", hold.Target)))
+		}
+	})
 })
