--- a/placer/cost.go
+++ b/placer/cost.go
@@ -183,7 +183,7 @@
 		// Failure: more comes than the service can do, its queue grows to what callers
 		// wait for at most, and all answers are late. With a short queue as many are
 		// answered, in time.
-		return &Refusal{After: max(wait-a.Target/2, afterLeast), Why: "overload"}
+		return &Refusal{After: max(wait-a.Target/2, afterLeast), Why: "queue"}
 	case wait > time.Duration(refuseShare*float64(bound)):
 		return &Refusal{After: max(wait-min(a.Target, bound), afterLeast), Why: "overload"}
 	case a.Target > 0 && o.own >= pacedLeast && o.equals > room:
--- a/runner/choosing.go
+++ b/runner/choosing.go
@@ -1,7 +1,6 @@
 package runner
 
 import (
-	"cmp"
 	"context"
 	"math/rand/v2"
 	"sync/atomic"
@@ -20,20 +19,6 @@
 )
 
 const (
-	// sentWithin is how long what this host sent to a worker waits to be told to the
-	// others. Until they hear of it they pick the same worker: with 74 hosts and 590
-	// requests a second that is a dozen at once at 20 ms, and plans in time fall from
-	// 85 to 65 of 100 in the stand-in.
-	sentWithin = time.Millisecond
-	// restWithin is how long first events and ends wait: the same message takes all
-	// that happened meanwhile. Later than that costs less than one plan in 100.
-	restWithin = 20 * time.Millisecond
-	// restToDeciders is the same where a few decide for all. Failure: a listener gets
-	// such a message from every host; at 64 hosts and 20 ms these are 3,200 a second,
-	// and in a burst deciders on small hosts fell silent.
-	restToDeciders = 50 * time.Millisecond
-	// sentByDeciders is how long what was sent waits there: a decider tells four others.
-	sentByDeciders = 3 * time.Millisecond
 	// sweepEvery is how often what is overdue is forgotten, and at most how late a
 	// watcher beats.
 	sweepEvery = 200 * time.Millisecond
@@ -96,12 +81,6 @@
 	}
 )
 
-// sharedHeard is what another host sent to workers.
-type sharedHeard struct {
-	from   string
-	shared messenger.Shared
-}
-
 func newChoosing(self, zone string, s sender, p loader.Repeat, log *zap.Logger) *choosing {
 	c := &choosing{
 		self: self, sender: s, log: log, events: make(chan event, eventBacklog), ended: make(chan struct{}),
@@ -283,100 +262,6 @@
 	}}
 }
 
-// tellSent has the others told of a request that a host sends to a worker.
-func (p *choosing) tellSent(now time.Time, host string, f placer.Flight) {
-	s := sendingOf(f)
-	s.Host = host
-	p.shared.Sent = append(p.shared.Sent, s)
-	p.tellWithin(now, p.within(sentWithin, sentByDeciders))
-}
-
-// tellEnded has the others told how a request at a worker ended. Failure: short requests
-// come faster than it is told that they ended. Each counts until then, all slots seem
-// taken, and callers are refused before idle workers. So the end of what was sent to a
-// worker that is filling is told as soon as what is sent.
-func (p *choosing) tellEnded(now time.Time, e sendEnded) {
-	p.shared.Ended = append(p.shared.Ended, messenger.Ending{ID: e.id, Outcome: int(e.outcome)})
-	within := p.within(restWithin, restToDeciders)
-	if e.filling {
-		within = p.within(sentWithin, sentByDeciders)
-	}
-	p.tellWithin(now, within)
-}
-
-func sendingOf(f placer.Flight) messenger.Sending {
-	s := messenger.Sending{ID: f.ID, Worker: f.Worker, Read: f.Read, Hold: f.Hold, Left: f.Left, Gap: f.Gap, Rank: f.Rank, Fetch: f.Fetch, Tier: f.Tier}
-	s.Keys, s.Tokens = keysOf(f.Parts)
-	return s
-}
-
-func flightOf(s messenger.Sending) placer.Flight {
-	return placer.Flight{
-		ID: s.ID, Worker: s.Worker, Parts: partsOf(s.Keys, s.Tokens), Read: s.Read, Hold: s.Hold, Left: s.Left, Gap: s.Gap, Rank: s.Rank, Fetch: s.Fetch, Tier: s.Tier,
-	}
-}
-
-// within is a wait where each host decides for itself, or where few do for all.
-func (p *choosing) within(each, few time.Duration) time.Duration {
-	if len(p.deciding.deciders) == 0 {
-		return each
-	}
-	return few
-}
-
-// tellWithin has the other hosts told of what happened within a time.
-func (p *choosing) tellWithin(now time.Time, within time.Duration) {
-	at := now.Add(within)
-	if p.shareAt.IsZero() || at.Before(p.shareAt) {
-		p.shareAt = at
-		p.share.Reset(within)
-	}
-}
-
-// tell tells the other hosts of what happened here.
-func (p *choosing) tell() {
-	p.shareAt = time.Time{}
-	m := p.shared
-	p.shared = messenger.Shared{}
-	if len(p.deciding.deciders) == 0 {
-		p.toOthers(m)
-		return
-	}
-	if err := p.sender.SendAll(p.deciding.others(p.self), m); err != nil {
-		p.log.Debug("tell deciders", zap.Error(err))
-	}
-}
-
-// toOthers sends a message to every other host that can be reached.
-func (p *choosing) toOthers(m messenger.Message) {
-	var addresses []string
-	for _, h := range p.roster.Hosts() {
-		if h.Name != p.self && !h.Parted {
-			addresses = append(addresses, h.Control)
-		}
-	}
-	if err := p.sender.SendAll(addresses, m); err != nil {
-		p.log.Debug("tell hosts", zap.Error(err))
-	}
-}
-
-// hear takes what another host sent to workers.
-func (p *choosing) hear(now time.Time, e sharedHeard) {
-	for _, s := range e.shared.Sent {
-		p.view.Heard(now, cmp.Or(s.Host, e.from), flightOf(s))
-	}
-	for i, id := range e.shared.Begun {
-		took := time.Duration(0) // a host of an older version does not say
-		if i < len(e.shared.Took) {
-			took = e.shared.Took[i]
-		}
-		p.view.BegunAfter(now, id, took)
-	}
-	for _, x := range e.shared.Ended {
-		p.view.Ended(now, x.ID, placer.Outcome(x.Outcome))
-	}
-}
-
 // enroll takes a new roster, and forgets what hosts that are gone had under way.
 func (p *choosing) enroll(now time.Time, r registrar.Roster) {
 	for _, h := range p.roster.Hosts() {
@@ -424,4 +309,3 @@
 func (workerAsked) event() {}
 func (sendBegun) event()   {}
 func (sendEnded) event()   {}
-func (sharedHeard) event() {}
