A command whose output is not taken fails, and says so

Cause: errors of writing to standard output were dropped in ten places, so that 'cicadawood status > file' on a full disk ended with 0 and half a page. Change: Main wraps standard output once and ends with 1 and the first error; oncebench returns its errors.

--- a/cmd/oncebench/main.go
+++ b/cmd/oncebench/main.go
@@ -8,6 +8,7 @@
 
 import (
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"os"
 	"slices"
@@ -24,22 +25,33 @@
 )
 
 func main() {
-	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', tabwriter.AlignRight)
+	if err := run(os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "oncebench: "+err.Error())
+		os.Exit(1)
+	}
+}
+
+// run prints both tables and the time of a take-over.
+func run(out io.Writer) error {
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(w, "one partition: calls/s\twrites a call\tof baseline\twrites/s\tkB/s written\tadded p50\tadded p99\t")
 	for _, rate := range []float64{1, 10, 100, 1000} {
 		row(w, fmt.Sprint(rate), runs(rate), 1)
 	}
-	_ = w.Flush()
-	fmt.Printf("\nsize to design for, %d partitions:\n", partition)
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	if _, err := fmt.Fprintf(out, "\nsize to design for, %d partitions:\n", partition); err != nil {
+		return err
+	}
 	fmt.Fprintln(w, "once-calls/s\twrites a call\tof baseline\twrites/s\tkB/s written\tadded p50\tadded p99\t")
 	for _, share := range []float64{0.02, 0.1, 1} {
 		row(w, fmt.Sprintf("%.0f", peak*share), runs(peak*share/partition), partition)
 	}
-	_ = w.Flush()
-	if err := takeover(os.Stdout); err != nil {
-		fmt.Fprintln(os.Stderr, "oncebench: "+err.Error())
-		os.Exit(1)
+	if err := w.Flush(); err != nil {
+		return err
 	}
+	return takeover(out)
 }
 
 func runs(rate float64) []figures {
--- a/commander/command.go
+++ b/commander/command.go
@@ -57,7 +57,8 @@
 
 // Main runs the command line and returns the exit code.
 func Main(args []string, stdin io.Reader, stdout, stderr io.Writer) int {
-	if len(args) > 0 && args[0] == "serve" {
+	serves := len(args) > 0 && args[0] == "serve"
+	if serves {
 		catchHangups()
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
@@ -65,12 +66,19 @@
 	root := newRoot()
 	root.SetArgs(args)
 	root.SetIn(stdin)
-	root.SetOut(stdout)
+	out := &output{w: stdout}
+	root.SetOut(out)
+	if serves {
+		root.SetOut(stdout) // its log may be lost without its being any worse a host
+	}
 	root.SetErr(stderr)
 	err := known(root, args)
 	if err == nil {
 		err = root.ExecuteContext(ctx)
 	}
+	if err == nil {
+		err = out.err
+	}
 	if err == nil {
 		return ExitOK
 	}
