Streams that no engine would end before their callers leave are refused

Change: the end is predicted by the tokens that the caller expects (it says so) and the part of its time for which the engine reads, no more than the mean of all; beyond what is left it is refused as overload. Nothing where the caller says no length, or resumes.

Specs are red without.

--- a/messenger/message_seek.go
+++ b/messenger/message_seek.go
@@ -23,8 +23,9 @@
 	Patience time.Duration `msgpack:"patience"`
 	Target   time.Duration `msgpack:"target"`
 	Gap      time.Duration `msgpack:"gap"`
-	Exclude  []string      `msgpack:"exclude"` // workers
-	Tier     int           `msgpack:"tier"`    // of the route
+	Exclude  []string      `msgpack:"exclude"`  // workers
+	Tier     int           `msgpack:"tier"`     // of the route
+	Expected int           `msgpack:"expected"` // tokens of output that the caller expects
 }
 
 // Sought answers a Seek: a worker, or why none.
--- a/placer/cost.go
+++ b/placer/cost.go
@@ -97,6 +97,10 @@
 	afterLeast = 100 * time.Millisecond
 )
 
+// forgetWeight is what reading again costs that an engine would forget for a request, as a
+// part of the time that it takes: all of it. Specs play loads without.
+var forgetWeight = 1.0
+
 // plainWait is the milliseconds until a plain worker's answer.
 func (v *View) plainWait(w *worker) float64 {
 	return w.rounds() * inMilliseconds(v.paceOf(w.Service))
@@ -122,7 +126,7 @@
 	if o.Memory == 0 {
 		return c + loadCost*float64(len(o.flights))/float64(o.Slots)
 	}
-	c += readWeight*o.own + fetchWeight*o.fetching + o.evicting(a) + o.harm(now, a)
+	c += readWeight*o.own + fetchWeight*o.fetching + forgetWeight*o.evicting(a) + o.harm(now, a)
 	if over := len(o.flights) + 1 - o.Slots; over > 0 {
 		c += slotCost * float64(over)
 	}
@@ -174,7 +178,7 @@
 
 // refuse says that a request should not be sent to a worker. Where its first event
 // would come after its caller has left, sending it would take reading from those that
-// can still be served. And a long prompt that would wait for most of its target makes
+// can still be served; so it is where its last one would. And a long prompt that would wait for most of its target makes
 // all that follow it late as well: sent away for as long as that, it finds the queue
 // short again, and is served no later than it would have been. What is read quickly is
 // not worth sending away. The bound is on the queue alone, so that long prompts are not
@@ -199,6 +203,11 @@
 		return &Refusal{After: max(wait-a.Target/2, afterLeast), Why: "queue"}
 	case wait > time.Duration(refuseShare*float64(bound)):
 		return &Refusal{After: max(wait-min(a.Target, bound), afterLeast), Why: "overload"}
+	case o.Memory > 0 && a.Expected > 0 && milliseconds(o.finish(v.wait(o), a)) > a.Left:
+		// Failure: in a flood of prompts engines read without a pause, streams get a token
+		// with each chunk, and the long ones are cut when their callers leave. Not sent, they
+		// leave their reading to those that can be served.
+		return &Refusal{After: max(milliseconds(o.finish(v.wait(o), a))-a.Left, afterLeast), Why: "overload"}
 	case a.Target > 0 && o.own >= pacedLeast && o.equals > room:
 		return &Refusal{After: max(milliseconds(o.equals-room/2), afterLeast), Why: "queue"}
 	}
--- a/placer/option.go
+++ b/placer/option.go
@@ -33,6 +33,7 @@
 	all      float64 // reading all that it was sent
 	kept     int     // slots that are kept for more urgent requests
 	equals   float64 // reading what is as urgent as the request, or more
+	duty     float64 // the part of its time for which it will read, as far as it was given lately
 	cost     float64
 }
 
@@ -56,6 +57,28 @@
 	}
 }
 
+// shareDuty sets for how much of its time each engine will read: what it was given lately,
+// and no more than the mean of all, as what comes next goes where there is less.
+func shareDuty(now time.Time, options []option) {
+	mean := 0.0
+	for i := range options {
+		o := &options[i]
+		o.duty = o.readLately(now) / inMilliseconds(readFades)
+		mean += o.duty / float64(len(options))
+	}
+	for i := range options {
+		options[i].duty = min(options[i].duty, mean, 1)
+	}
+}
+
+// finish is the milliseconds until the last token that a caller expects of its stream: while
+// the engine reads, a token takes as long as a chunk of a prompt.
+func (o *option) finish(wait float64, a Ask) float64 {
+	step := stepTime + contextTime*float64(o.hold)/1000
+	reading := max(o.readTime(chunk, chunk), step)
+	return wait + float64(a.Expected)*(step+o.duty*(reading-step))
+}
+
 // option is what a request would make the worker do. What holder keeps of its prompt,
 // and this worker does not, is fetched where that takes less time than reading it.
 func (w *worker) option(now time.Time, a Ask, holder *worker, held int) option {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -40,6 +40,7 @@
 	Parts    []Part
 	Prompt   int           // tokens, all parts included; 0 for a plain service
 	Output   int           // tokens, guessed
+	Expected int           // tokens of output that the caller expects; 0 where it does not say
 	Rank     int           // among all that engines are told; 0 is the most urgent
 	Tier     int           // of its route alone; 0 is the most urgent
 	Left     time.Duration // until nobody waits for the answer any more
@@ -248,6 +249,7 @@
 		options = append(options, o)
 	}
 	keepSlots(options)
+	shareDuty(now, options)
 	v.options = options
 	return options
 }
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -308,4 +308,41 @@
 		Expect(chosen(1)).To(Equal("e-1"), "parts that one request alone had")
 		Expect(chosen(2)).To(Equal("e-2"))
 	})
+
+	// All engines were given prompts without a pause. A stream gets a token with each chunk
+	// that is read, and one with a long answer is cut when its caller leaves, after its
+	// prompt was read for nothing.
+	It("refuses a stream that would not end before its caller leaves, and only where it says so", func() {
+		v.SetWorkers(start, engines("e-1", "e-2"))
+		now := start
+		read := func(names ...string) {
+			for id := range uint64(40) {
+				for _, name := range names {
+					f := placer.Flight{ID: 100 + 2*id + uint64(len(name)), Worker: name, Read: 5000, Hold: 5000, Left: 9 * time.Second}
+					v.Heard(now, "other", f)
+					now = now.Add(60 * time.Millisecond)
+					v.BegunAfter(now, f.ID, 120*time.Millisecond)
+					v.Ended(now, f.ID, placer.Answered)
+				}
+			}
+		}
+		long := placer.Ask{Service: "lm", Prompt: 800, Output: 400, Expected: 400, Left: 8 * time.Second, Target: time.Second}
+		short, unsaid := long, long
+		short.Expected, unsaid.Expected = 40, 0
+		read("e-1")
+		c, refusal := place(now, long)
+		Expect(refusal).To(BeNil())
+		Expect(c.Worker.Name).To(Equal("e-2"), "which reads nothing")
+		read("e-1", "e-2")
+		_, refusal = place(now, long)
+		Expect(refusal).NotTo(BeNil())
+		Expect(refusal.Why).To(Equal("overload"))
+		Expect(refusal.After).To(BeNumerically("<=", long.Left/3))
+		for _, a := range []placer.Ask{short, unsaid} {
+			_, refusal = place(now, a)
+			Expect(refusal).To(BeNil())
+		}
+		_, refusal = place(now.Add(4*time.Second), long)
+		Expect(refusal).To(BeNil(), "the flood is over")
+	})
 })
--- a/router/router.go
+++ b/router/router.go
@@ -260,6 +260,9 @@
 	if q.Hint > 0 && (q.Hint < q.Output || q.Output == 0) {
 		a.Output = q.Hint
 	}
+	if q.Hint > 0 && q.After == "" {
+		a.Expected = a.Output // how much of it a resumed stream lacks is not known
+	}
 	if q.Stream {
 		a.Patience, a.Gap = patience(q.target), q.Gap.Std()
 	}
--- a/router/trip.go
+++ b/router/trip.go
@@ -70,6 +70,9 @@
 	defer cancel()
 	for {
 		t.q.ask.Left = t.q.left(time.Now())
+		if t.last != "" {
+			t.q.ask.Expected = 0 // how much of it is left is not known
+		}
 		place, err := t.router.Placer.Place(ctx, t.q.ask, t.arrivals > 0)
 		if err != nil {
 			return t.unplaced(caller, err)
--- a/runner/deciding.go
+++ b/runner/deciding.go
@@ -193,7 +193,7 @@
 func seekOf(id uint64, self registrar.Record, a placer.Ask) messenger.Seek {
 	s := messenger.Seek{
 		ID: id, Reply: self.Control, Zone: self.Zone, Service: a.Service, Prompt: a.Prompt, Output: a.Output, Rank: a.Rank,
-		Left: a.Left, Patience: a.Patience, Target: a.Target, Gap: a.Gap, Exclude: a.Exclude, Tier: a.Tier,
+		Left: a.Left, Patience: a.Patience, Target: a.Target, Gap: a.Gap, Exclude: a.Exclude, Tier: a.Tier, Expected: a.Expected,
 	}
 	s.Keys, s.Tokens = keysOf(a.Parts)
 	return s
@@ -202,7 +202,7 @@
 func askOf(s messenger.Seek) placer.Ask {
 	return placer.Ask{
 		Service: s.Service, Zone: s.Zone, Parts: partsOf(s.Keys, s.Tokens), Prompt: s.Prompt, Output: s.Output, Rank: s.Rank,
-		Left: s.Left, Patience: s.Patience, Target: s.Target, Gap: s.Gap, Exclude: s.Exclude, Tier: s.Tier,
+		Left: s.Left, Patience: s.Patience, Target: s.Target, Gap: s.Gap, Exclude: s.Exclude, Tier: s.Tier, Expected: s.Expected,
 	}
 }
 
