Predictions of streams' ends are corrected by how long streams lasted

Change: each service's ratio of seen to predicted lengths, fading with samples, streams that were given up at their deadline among them, multiplies the prediction.

The spec is red without it.

--- a/placer/cost.go
+++ b/placer/cost.go
@@ -203,11 +203,11 @@
 		return &Refusal{After: max(wait-a.Target/2, afterLeast), Why: "queue"}
 	case wait > time.Duration(refuseShare*float64(bound)):
 		return &Refusal{After: max(wait-min(a.Target, bound), afterLeast), Why: "overload"}
-	case o.Memory > 0 && a.Expected > 0 && milliseconds(o.finish(v.wait(o), a)) > a.Left:
+	case o.Memory > 0 && a.Expected > 0 && o.end(v.wait(o), a) > a.Left:
 		// Failure: in a flood of prompts engines read without a pause, streams get a token
 		// with each chunk, and the long ones are cut when their callers leave. Not sent, they
 		// leave their reading to those that can be served.
-		return &Refusal{After: max(milliseconds(o.finish(v.wait(o), a))-a.Left, afterLeast), Why: "overload"}
+		return &Refusal{After: max(o.end(v.wait(o), a)-a.Left, afterLeast), Why: "overload"}
 	case a.Target > 0 && o.own >= pacedLeast && o.equals > room:
 		return &Refusal{After: max(milliseconds(o.equals-room/2), afterLeast), Why: "queue"}
 	}
--- a/placer/fit.go
+++ b/placer/fit.go
@@ -29,6 +29,9 @@
 	// fitLeast is the milliseconds added to what is predicted before samples are weighed
 	// by it: short ones are no more exact than that.
 	fitLeast = 20.0
+	// endStart is the milliseconds for which the prediction of streams' ends counts as it
+	// stands, until samples tell better: about one stream.
+	endStart = 1000.0
 	// rateStart is the prompt tokens that an engine reads in a millisecond, and
 	// restStart the milliseconds besides, until samples tell better: between what engines
 	// of all sizes seen take.
@@ -56,6 +59,8 @@
 	square [terms]factors // sums of products of the terms, fading
 	right  factors        // sums of the terms times what was seen, fading
 	factor factors
+
+	ends, ended float64 // sums of times until streams' last events, predicted and seen, fading
 }
 
 func newFit() *fit { return &fit{factor: factorStart} }
@@ -105,6 +110,17 @@
 	}
 }
 
+// learnEnd takes until when a stream was predicted to last, and until when it did.
+func (f *fit) learnEnd(predicted, took float64) {
+	f.ends = fitFades*f.ends + predicted
+	f.ended = fitFades*f.ended + took
+}
+
+// lasting is how many times longer than predicted streams last, as seen lately. Failure:
+// what is read while a stream runs is less than was read before it, as floods ebb, and
+// streams are refused that would have ended in time.
+func (f *fit) lasting() float64 { return (f.ended + endStart) / (f.ends + endStart) }
+
 // sweep sets each factor to the best within its bounds, given the others (projected
 // Gauss-Seidel).
 func (f *fit) sweep() {
--- a/placer/option.go
+++ b/placer/option.go
@@ -79,6 +79,12 @@
 	return wait + float64(a.Expected)*(step+o.duty*(reading-step))
 }
 
+// end is when the stream's last token is expected: finish, as far as such predictions held
+// lately.
+func (o *option) end(wait float64, a Ask) time.Duration {
+	return milliseconds(o.fit.lasting() * o.finish(wait, a))
+}
+
 // option is what a request would make the worker do. What holder keeps of its prompt,
 // and this worker does not, is fetched where that takes less time than reading it.
 func (w *worker) option(now time.Time, a Ask, holder *worker, held int) option {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -134,6 +134,7 @@
 	alone  bool          // nothing else was read from its sending to its first event
 	begun  bool          // its first event was seen
 	rounds float64       // of work that its plain worker needed to come to its answer, as predicted
+	ends   float64       // milliseconds until its last event, as predicted from what engines read; 0 where that is not known
 	took   time.Duration // until its first event or its answer, as its host saw; 0 before
 }
 
@@ -206,6 +207,9 @@
 	filling := fillingShare*float64(best.Slots) <= float64(len(best.flights)+1)
 	c := Choice{Filling: filling, Worker: best.Worker, Flight: f, Wait: milliseconds(v.wait(best)), Pause: best.pause(a), Source: best.source}
 	v.add(now, from, f)
+	if a.Expected > 0 && best.Memory > 0 {
+		v.flights[id].ends = best.finish(v.wait(best), a)
+	}
 	return c, nil
 }
 
@@ -342,6 +346,7 @@
 	}
 	w.drop(now, f)
 	w.judge(now, o)
+	w.learnEnd(f, inMilliseconds(now.Sub(f.at)), o)
 	if w.Memory == 0 && o == Answered {
 		v.learn(w.Service, f)
 	}
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -339,9 +339,24 @@
 		Expect(refusal.Why).To(Equal("overload"))
 		Expect(refusal.After).To(BeNumerically("<=", long.Left/3))
 		for _, a := range []placer.Ask{short, unsaid} {
-			_, refusal = place(now, a)
+			c, refusal = place(now, a)
 			Expect(refusal).To(BeNil())
+			v.Ended(now, c.Flight.ID, placer.Dropped)
 		}
+		// Streams last a third of what was expected: what was read before is not read again.
+		middle := long
+		middle.Expected = 100
+		for range 40 {
+			c, refusal := place(now, middle)
+			Expect(refusal).To(BeNil())
+			v.BegunAfter(now, c.Flight.ID, 120*time.Millisecond)
+			v.Ended(now.Add(250*time.Millisecond), c.Flight.ID, placer.Answered)
+			read("e-1", "e-2")
+		}
+		longer := long
+		longer.Output, longer.Expected = 1500, 1500
+		_, refusal = place(now, longer)
+		Expect(refusal).To(BeNil())
 		_, refusal = place(now.Add(4*time.Second), long)
 		Expect(refusal).To(BeNil(), "the flood is over")
 	})
--- a/placer/worker.go
+++ b/placer/worker.go
@@ -86,6 +86,14 @@
 	w.slowness += paceWeight * (seen - w.slowness)
 }
 
+// learnEnd takes how long after it was sent a stream ended, or was given up at its deadline.
+func (w *worker) learnEnd(f *flight, took float64, o Outcome) {
+	if f.ends <= 0 || o != Answered && (o != Dropped || took < refuseShare*inMilliseconds(f.Left)) {
+		return
+	}
+	w.fit.learnEnd(f.ends, took)
+}
+
 // drop takes a flight off.
 func (w *worker) drop(now time.Time, f *flight) {
 	if w.flights[f.ID] == nil {
