Only the least urgent route's streams are refused for their length

Chats have the longest answers; what slowed them was the reading of plans, less urgent and let in. Change: a view remembers which tiers of routes came lately; length counts only for the last. The spec is red without it.

--- a/placer/cost.go
+++ b/placer/cost.go
@@ -178,12 +178,13 @@
 
 // refuse says that a request should not be sent to a worker. Where its first event
 // would come after its caller has left, sending it would take reading from those that
-// can still be served; so it is where its last one would. And a long prompt that would wait for most of its target makes
-// all that follow it late as well: sent away for as long as that, it finds the queue
-// short again, and is served no later than it would have been. What is read quickly is
-// not worth sending away. The bound is on the queue alone, so that long prompts are not
-// refused for their length; and on what is as urgent or more, as to refuse a request for
-// a less urgent one that is being read helps nobody.
+// can still be served; so it is where its last one would. And a long prompt that would
+// wait for most of its target makes all that follow it late as well: sent away for as
+// long as that, it finds the queue short again, and is served no later than it would
+// have been. What is read quickly is not worth sending away. That bound is on the queue
+// alone, so that long prompts are not refused for the time that they take to read; and
+// on what is as urgent or more, as to refuse a request for a less urgent one that is
+// being read helps nobody.
 func (v *View) refuse(o *option, a Ask) *Refusal {
 	wait := milliseconds(v.wait(o))
 	bound := a.Left
@@ -203,10 +204,11 @@
 		return &Refusal{After: max(wait-a.Target/2, afterLeast), Why: "queue"}
 	case wait > time.Duration(refuseShare*float64(bound)):
 		return &Refusal{After: max(wait-min(a.Target, bound), afterLeast), Why: "overload"}
-	case o.Memory > 0 && a.Expected > 0 && o.end(v.wait(o), a) > a.Left:
+	case o.Memory > 0 && a.Expected > 0 && v.demands.last(a) && o.end(v.wait(o), a) > a.Left:
 		// Failure: in a flood of prompts engines read without a pause, streams get a token
 		// with each chunk, and the long ones are cut when their callers leave. Not sent, they
-		// leave their reading to those that can be served.
+		// leave their reading to those that can be served. Of the least urgent route alone:
+		// the streams of others are slowed by its prompts, and must not be refused for them.
 		return &Refusal{After: max(o.end(v.wait(o), a)-a.Left, afterLeast), Why: "length"}
 	case a.Target > 0 && o.own >= pacedLeast && o.equals > room:
 		return &Refusal{After: max(milliseconds(o.equals-room/2), afterLeast), Why: "queue"}
--- a/placer/demand.go
+++ b/placer/demand.go
@@ -1,30 +1,30 @@
 package placer
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // demandFor is how long it is remembered that requests with a target came: a burst's
 // pauses are shorter.
 const demandFor = 10 * time.Second
 
-// demands is the targets of the requests that came lately, by service.
+// demands is what requests came lately, by service.
 type demands map[string][]demand
 
-// demand is that requests of a rank came with a target.
+// demand is that requests of a rank and a route's tier came with a target.
 type demand struct {
-	rank   int
-	target time.Duration
-	at     time.Time // the last one
+	rank, tier int
+	target     time.Duration
+	at         time.Time // the last one
 }
 
 // note takes that a request came.
 func (d demands) note(now time.Time, a Ask) {
-	if a.Target <= 0 {
-		return
-	}
 	kept := d[a.Service][:0]
 	known := false
 	for _, x := range d[a.Service] {
-		if x.rank == a.Rank && x.target == a.Target {
+		if x.rank == a.Rank && x.tier == a.Tier && x.target == a.Target {
 			known, x.at = true, now
 		}
 		if now.Sub(x.at) < demandFor {
@@ -32,7 +32,7 @@
 		}
 	}
 	if !known {
-		kept = append(kept, demand{rank: a.Rank, target: a.Target, at: now})
+		kept = append(kept, demand{rank: a.Rank, tier: a.Tier, target: a.Target, at: now})
 	}
 	d[a.Service] = kept
 }
@@ -42,9 +42,14 @@
 func (d demands) tightest(a Ask) time.Duration {
 	least := a.Target
 	for _, x := range d[a.Service] {
-		if x.rank <= a.Rank && x.target < least {
+		if x.rank <= a.Rank && x.target > 0 && x.target < least {
 			least = x.target
 		}
 	}
 	return least
 }
+
+// last says that no request of a less urgent route came lately.
+func (d demands) last(a Ask) bool {
+	return !slices.ContainsFunc(d[a.Service], func(x demand) bool { return x.tier > a.Tier })
+}
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -338,11 +338,17 @@
 		Expect(refusal).NotTo(BeNil())
 		Expect(refusal.Why).To(Equal("length"))
 		Expect(refusal.After).To(BeNumerically("<=", long.Left/3))
-		for _, a := range []placer.Ask{short, unsaid} {
+		urgent, less := long, long
+		less.Expected, less.Tier = 0, 1
+		for _, a := range []placer.Ask{short, unsaid, less, urgent} { // once a less urgent one came
 			c, refusal = place(now, a)
 			Expect(refusal).To(BeNil())
 			v.Ended(now, c.Flight.ID, placer.Dropped)
 		}
+		now = now.Add(11 * time.Second) // no less urgent one came for long
+		read("e-1", "e-2")
+		_, refusal = place(now, long)
+		Expect(refusal).NotTo(BeNil())
 		// Streams last a third of what was expected: what was read before is not read again.
 		middle := long
 		middle.Expected = 100
