A host whose lease is not written yet is not dead

With the store down before the first lease of a host was written, the first who looked after the outage found none, took that for lapsed and declared the host dead. So it is for any host that comes in an outage and loses its peers then. Ruled out: a lease that could not be renewed in the outage (one that is there and not renewed is watched for a whole lease). Change: a lease that is not there is watched as long as one that is not renewed. The new spec is red 3 of 3 without, green 2 of 2; the package is green.

--- a/registrar/recorder.go
+++ b/registrar/recorder.go
@@ -183,17 +183,17 @@
 }
 
 // lapsed watches a host's lease for as long as a lease runs, by this host's own
-// clock, and says whether it was gone or never renewed. While the store can't be
-// read it says nothing: an outage must kill nobody.
+// clock, and says whether it was never renewed. While the store can't be read it says
+// nothing: an outage must kill nobody. One that is not there counts as one that is not
+// renewed. Failure: a host that came in an outage writes its lease when the store is back,
+// and is declared dead by who looks a moment before.
 func (c *recorder) lapsed(ctx context.Context, name string) bool {
 	var version uint64
 	var since time.Time
 	for ctx.Err() == nil {
-		o, err := c.store.Get(ctx, LeasePrefix+name)
+		o, err := c.store.Get(ctx, LeasePrefix+name) // version 0 where it is not there
 		switch {
-		case errors.Is(err, storer.ErrNotFound):
-			return true
-		case err != nil:
+		case err != nil && !errors.Is(err, storer.ErrNotFound):
 			return false
 		case since.IsZero():
 			version, since = o.Version, time.Now()
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -197,6 +197,26 @@
 		Consistently(deaths).WithTimeout(5 * time.Second).Should(BeZero())
 	})
 
+	// Story: a host comes while the store is down, so that its lease is not written, and
+	// loses the other ones. The store is back, and the first who looks finds no lease. It
+	// comes a moment later: nobody dies.
+	It("declares nobody dead by a lease that was not written yet", Label(
+		prover.Pair(prover.Renewed, prover.StoreDown, prover.Renewed, prover.CutBoth)), func() {
+		w.lease = 3 * time.Second
+		platform.SetFaults(faker.Faults{Down: true})
+		a, _ := w.join(store, "a", 7)
+		b, _ := w.join(store, "b", 9)
+		both := map[string]uint64{"a": 7, "b": 9}
+		Eventually(func() map[string]uint64 { return incarnations(a) }).WithTimeout(5 * time.Second).Should(Equal(both))
+		Eventually(func() map[string]uint64 { return incarnations(b) }).WithTimeout(5 * time.Second).Should(Equal(both))
+		w.mu.Lock()
+		w.cut = true
+		w.mu.Unlock()
+		Eventually(func() uint64 { return a.Counts().Suspicions }).WithTimeout(5 * time.Second).Should(BeNumerically(">", 0))
+		platform.SetFaults(faker.Faults{})
+		Consistently(func() uint64 { return a.Counts().Deaths + b.Counts().Deaths }).WithTimeout(5 * time.Second).Should(BeZero())
+	})
+
 	// Story: a host is replaced while the platform is down. The new one can read no
 	// record; it must find the others through the peers of its settings.
 	It("joins through its peers while the store is down", Label(prover.Cell(prover.Taken, prover.StoreDown)), func() {
