A request counts only at the process that it was sent to; a lost word teaches nothing

Cause, found in reading the change: a flight that was sent before its worker restarted under its name, or before the view knew the worker, was counted off when it began; the new process then read fewer than none, never seemed idle, and nothing more was learned of its speed. And a stream whose end nobody told of was forgotten as given up, which counted as one that was cut at its deadline: others seemed longer and were refused for it. Change: begun and ended count only where the flight is; what is swept, or lost with its host, ends without teaching. One guard takes the place of the one on rounds. Specs: -1 prompts read, and a refusal of a stream, before; each guard taken out alone is red.

--- a/placer/placer.go
+++ b/placer/placer.go
@@ -327,7 +327,7 @@
 		return
 	}
 	f.begun, f.took = true, took
-	if w := v.workers[f.Worker]; w != nil {
+	if w := v.workers[f.Worker]; w != nil && w.has(f) {
 		w.began(now, f, took)
 	}
 }
@@ -339,12 +339,10 @@
 		v.over[id] = now
 		return
 	}
-	delete(v.flights, id)
-	w := v.workers[f.Worker]
+	w := v.forget(now, f)
 	if w == nil {
 		return
 	}
-	w.drop(now, f)
 	w.judge(now, o)
 	w.learnEnd(f, inMilliseconds(now.Sub(f.at)), o)
 	if w.Memory == 0 && o == Answered {
@@ -352,13 +350,25 @@
 	}
 }
 
+// forget takes a flight off and returns the worker that had it; nil where the view knows
+// none, or only one that started after it was sent.
+func (v *View) forget(now time.Time, f *flight) *worker {
+	delete(v.flights, f.ID)
+	w := v.workers[f.Worker]
+	if w == nil || !w.has(f) {
+		return nil
+	}
+	w.drop(now, f)
+	return w
+}
+
 // learn takes the time of a plain service's answer, without the time that it waited for
 // others: that is multiplied by the rounds before the next request again. Failure: each
 // wait makes the next one look longer, and callers are refused for one that is not there.
 // It is the time that the request's host saw, as word of its end comes late.
 func (v *View) learn(service string, f *flight) {
-	if f.took <= 0 || f.rounds <= 0 {
-		return // a host of an older version does not say, or the worker was not known yet
+	if f.took <= 0 {
+		return // a host of an older version does not say
 	}
 	sample := time.Duration(float64(f.took) / f.rounds)
 	known := v.paceOf(service)
@@ -376,9 +386,9 @@
 // Lost forgets what a host that is gone had under way: workers drop requests
 // whose connections end.
 func (v *View) Lost(now time.Time, host string) {
-	for id, f := range v.flights {
+	for _, f := range v.flights {
 		if f.from == host && host != "" {
-			v.Ended(now, id, Dropped)
+			v.forget(now, f)
 		}
 	}
 }
@@ -391,9 +401,9 @@
 			delete(v.over, id)
 		}
 	}
-	for id, f := range v.flights {
+	for _, f := range v.flights {
 		if now.Sub(f.at) > f.Left+overdueMost {
-			v.Ended(now, id, Dropped)
+			v.forget(now, f)
 		}
 	}
 }
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -366,4 +366,40 @@
 		_, refusal = place(now.Add(4*time.Second), long)
 		Expect(refusal).To(BeNil(), "the flood is over")
 	})
+
+	// A worker restarts under its name, and what was sent to the process before still
+	// begins and ends at other hosts. Counted at the new one, it reads fewer than none: it
+	// never seems idle again, and nothing more is learned of how fast it reads.
+	It("counts nothing at a worker that was sent to the process before it", func() {
+		workers := engines("e-1")
+		workers[0].Born = "1"
+		v.SetWorkers(start, workers)
+		old, _ := place(start, plan(7))
+		workers[0].Born = "2"
+		v.SetWorkers(start, workers)
+		v.Begun(start.Add(time.Second), old.Flight.ID)
+		Expect(v.Beliefs(start.Add(time.Second))[0].Reading).To(BeZero())
+		v.Ended(start.Add(time.Second), old.Flight.ID, placer.Broken)
+		Expect(v.Beliefs(start.Add(time.Second))[0].Avoided).To(BeZero())
+	})
+
+	// The word of a stream's end is lost, and the view forgets the stream after its time.
+	// Taken for one that was cut at its deadline, it makes all others look longer, and
+	// callers are refused for their length.
+	It("learns nothing of a stream whose end was not heard of", func() {
+		v.SetWorkers(start, engines("e-1"))
+		now := start
+		ask := placer.Ask{Service: "lm", Prompt: 800, Output: 60, Expected: 60, Left: 8 * time.Second, Target: time.Second}
+		for range 20 {
+			c, refusal := place(now, ask)
+			Expect(refusal).To(BeNil())
+			v.BegunAfter(now, c.Flight.ID, 50*time.Millisecond)
+			now = now.Add(10 * time.Second)
+			v.Sweep(now)
+		}
+		longer := ask
+		longer.Output, longer.Expected = 400, 400
+		_, refusal := place(now, longer)
+		Expect(refusal).To(BeNil())
+	})
 })
--- a/placer/worker.go
+++ b/placer/worker.go
@@ -88,17 +88,19 @@
 
 // learnEnd takes how long after it was sent a stream ended, or was given up at its deadline.
 func (w *worker) learnEnd(f *flight, took float64, o Outcome) {
-	if f.ends <= 0 || o != Answered && (o != Dropped || took < refuseShare*inMilliseconds(f.Left)) {
+	if f.ends <= 0 || o != Answered && (o != Dropped || took < deadlineShare*inMilliseconds(f.Left)) {
 		return
 	}
 	w.fit.learnEnd(f.ends, took)
 }
 
+// has says whether a flight is counted here. Failure: one that was sent before the worker
+// restarted under its name, or before the view knew it, begins and ends later; counted off,
+// it leaves less than nothing, and the worker never seems idle again.
+func (w *worker) has(f *flight) bool { return w.flights[f.ID] == f }
+
 // drop takes a flight off.
 func (w *worker) drop(now time.Time, f *flight) {
-	if w.flights[f.ID] == nil {
-		return
-	}
 	delete(w.flights, f.ID)
 	w.hold -= f.Hold
 	if !f.begun {
