placer: a file a concept; times worked out once

A newcomer's reading: placer.go held types, a view, flights and plain services in 403 lines (195 now; ask, flight, plain, refusing, ending beside it); the wait of an option was worked out up to six times and passed along; an accessor wrote to its map; a variable of the package was there for a spec alone (a field of the view now); "forget" stood for evict, `last` for the least urgent route; two thresholds shared one name.

--- a/placer/cost.go
+++ b/placer/cost.go
@@ -35,9 +35,10 @@
 	// readFades is the time in which what was read lately falls to a third: about as
 	// long as a stream lasts.
 	readFades = 2 * time.Second
-	// pacedLeast is the milliseconds of reading from which a prompt is held back for
-	// the worker to come to its streams: shorter ones stretch nothing.
-	pacedLeast = 30.0
+	// longLeast is the milliseconds of reading from which a prompt is held back for the
+	// worker to come to its streams, or sent away from a long queue: shorter ones stretch
+	// nothing, and make nobody wait.
+	longLeast = 30.0
 	// stepPause is the milliseconds that a worker gets for its streams between two
 	// long prompts: four steps, so that one event comes.
 	stepPause = 24.0
@@ -73,50 +74,11 @@
 	// slownessLeast and slownessMost bound how one worker differs from its service's.
 	slownessLeast = 0.5
 	slownessMost  = 4.0
-	// overdueMost is how long after its end a flight that nobody ended is kept.
-	overdueMost = time.Second
-
-	// overFor is how long it is remembered that a request ended of which nothing else was
-	// heard: words of different hosts pass one another by less.
-	overFor = 2 * time.Second
-
-	// noneAfter is what a caller is told where a service has no worker.
-	noneAfter = 500 * time.Millisecond
-	// refuseShare is the part of a request's time within which its first event must
-	// be expected.
-	refuseShare = 0.9
-	// queueShare is the part of its target that a long prompt may wait for others to
-	// be read.
-	queueShare = 0.5
-	// plainShare is the part of its target that a plain service's answer may be expected
-	// to take, and plainRounds how often the work of one may pass before it is refused
-	// where the target is shorter than that.
-	plainShare  = 0.65
-	plainRounds = 2.0
-	// afterLeast is the least time that a refused caller is told to stay away.
-	afterLeast = 100 * time.Millisecond
 )
 
-// forgetWeight is what reading again costs that an engine would forget for a request, as a
-// part of the time that it takes: all of it. Specs play loads without.
-var forgetWeight = 1.0
-
-// plainWait is the milliseconds until a plain worker's answer.
-func (v *View) plainWait(w *worker) float64 {
-	return w.rounds() * inMilliseconds(v.paceOf(w.Service))
-}
-
-// plainMost is the milliseconds that a plain service's answer may be expected to take.
-// The worker answers in order: of callers that are as urgent as one another, those with
-// the longer target would keep the queue beyond what the others can bear, and they alone
-// would be served. So the tightest target counts for all, and for the less urgent.
-func (v *View) plainMost(a Ask) float64 {
-	return math.Max(plainShare*inMilliseconds(v.demands.tightest(a)), plainRounds*inMilliseconds(v.paceOf(a.Service)))
-}
-
 // cost is what decides between workers, in milliseconds.
 func (v *View) cost(now time.Time, o *option, a Ask) float64 {
-	c := v.wait(o) + o.avoided(now)
+	c := o.wait + o.avoided(now)
 	if o.Zone != cmp.Or(a.Zone, v.zone) {
 		c += zoneCost
 	}
@@ -126,7 +88,10 @@
 	if o.Memory == 0 {
 		return c + loadCost*float64(len(o.flights))/float64(o.Slots)
 	}
-	c += readWeight*o.own + fetchWeight*o.fetching + forgetWeight*o.evicting(a) + o.harm(now, a)
+	c += readWeight*o.own + fetchWeight*o.fetching + o.harm(now, a)
+	if !v.evictsFreely {
+		c += o.evicting(a)
+	}
 	if over := len(o.flights) + 1 - o.Slots; over > 0 {
 		c += slotCost * float64(over)
 	}
@@ -136,12 +101,13 @@
 	return c
 }
 
-// evicting is the milliseconds that it takes to read again what an engine would forget for
+// evicting is the milliseconds that it takes to read again what the engine would evict for
 // the request, of parts that other requests use. Failure: engines whose memory is full are
 // given more, as their queue is short for a moment, while others have room; what they
-// forget is read again for the next ones, and the queues grow for that.
+// evict is read again for the next ones, and the queues grow for that.
 func (o *option) evicting(a Ask) float64 {
-	fresh := -(a.Prompt - o.read - o.fetch)
+	kept := a.Prompt - o.read - o.fetch
+	fresh := -kept
 	for _, p := range a.Parts {
 		fresh += p.Tokens
 	}
@@ -170,48 +136,8 @@
 // it was sent before, where reading both in one stretch would break the target for
 // pauses of streams at the worker. Between the two their next tokens come.
 func (o *option) pause(a Ask) time.Duration {
-	if o.own < pacedLeast || o.all == 0 || o.own+o.all <= longRead*o.stretch() || o.tight == 0 {
+	if o.own < longLeast || o.all == 0 || o.own+o.all <= longRead*o.stretch() || o.tight == 0 {
 		return 0
 	}
 	return min(milliseconds(o.all+stepPause), time.Duration(pauseShare*float64(a.Target)))
 }
-
-// refuse says that a request should not be sent to a worker. Where its first event
-// would come after its caller has left, sending it would take reading from those that
-// can still be served; so it is where its last one would. And a long prompt that would
-// wait for most of its target makes all that follow it late as well: sent away for as
-// long as that, it finds the queue short again, and is served no later than it would
-// have been. What is read quickly is not worth sending away. That bound is on the queue
-// alone, so that long prompts are not refused for the time that they take to read; and
-// on what is as urgent or more, as to refuse a request for a less urgent one that is
-// being read helps nobody.
-func (v *View) refuse(o *option, a Ask) *Refusal {
-	wait := milliseconds(v.wait(o))
-	bound := a.Left
-	if a.Patience > 0 {
-		bound = min(bound, a.Patience)
-	}
-	room := queueShare * inMilliseconds(a.Target)
-	switch {
-	case o.Memory > 0 && len(o.flights)+o.kept >= o.Slots:
-		// An engine whose slots are taken runs one request more only in the place of
-		// another, which it then reads in again.
-		return &Refusal{After: max(a.Target/2, afterLeast), Why: "slots"}
-	case o.Memory == 0 && a.Target > 0 && v.wait(o) > v.plainMost(a):
-		// Failure: more comes than the service can do, its queue grows to what callers
-		// wait for at most, and all answers are late. With a short queue as many are
-		// answered, in time.
-		return &Refusal{After: max(wait-a.Target/2, afterLeast), Why: "queue"}
-	case wait > time.Duration(refuseShare*float64(bound)):
-		return &Refusal{After: max(wait-min(a.Target, bound), afterLeast), Why: "overload"}
-	case o.Memory > 0 && a.Expected > 0 && v.demands.last(a) && o.end(v.wait(o), a) > a.Left:
-		// Failure: in a flood of prompts engines read without a pause, streams get a token
-		// with each chunk, and the long ones are cut when their callers leave. Not sent, they
-		// leave their reading to those that can be served. Of the least urgent route alone:
-		// the streams of others are slowed by its prompts, and must not be refused for them.
-		return &Refusal{After: max(o.end(v.wait(o), a)-a.Left, afterLeast), Why: "length"}
-	case a.Target > 0 && o.own >= pacedLeast && o.equals > room:
-		return &Refusal{After: max(milliseconds(o.equals-room/2), afterLeast), Why: "queue"}
-	}
-	return nil
-}
--- a/placer/demand.go
+++ b/placer/demand.go
@@ -38,7 +38,7 @@
 }
 
 // tightest is the shortest target of requests that came lately and are as urgent as this
-// one, or more; 0 where none has a target.
+// one, or more, its own among them.
 func (d demands) tightest(a Ask) time.Duration {
 	least := a.Target
 	for _, x := range d[a.Service] {
@@ -49,7 +49,7 @@
 	return least
 }
 
-// last says that no request of a less urgent route came lately.
-func (d demands) last(a Ask) bool {
+// leastUrgent says that no request of a less urgent route than this one's came lately.
+func (d demands) leastUrgent(a Ask) bool {
 	return !slices.ContainsFunc(d[a.Service], func(x demand) bool { return x.tier > a.Tier })
 }
--- a/placer/engine_test.go
+++ b/placer/engine_test.go
@@ -683,11 +683,12 @@
 	It("leaves parts where they are wanted", func() {
 		const seeds = 8
 		burst := load{chats: 21, reviews: 34, engines: 9, rate: 93, chatGap: 200 * time.Millisecond, memory: 300_000}
-		served := func(name string) (all tally, read int) {
+		served := func(name string, prepare func(*placer.View)) (all tally, read int) {
 			for seed := range uint64(seeds) {
 				o := play(burst, 601+seed, 12*time.Second, func(names []string, _ *rand.Rand) chooser {
 					v := placer.New("a")
 					v.SetWorkers(start, linked(names...))
+					prepare(v)
 					return ours{view: v}
 				})
 				all, read = all.plus(o.reviews), read+o.readAgain
@@ -695,9 +696,8 @@
 			AddReportEntry(name, fmt.Sprintf("%s; %d read in all", all, read))
 			return all, read
 		}
-		with, read := served("counted")
-		DeferCleanup(placer.WithoutForgetting())
-		without, more := served("not counted")
+		with, read := served("counted", func(*placer.View) {})
+		without, more := served("not counted", (*placer.View).EvictFreely)
 		Expect(read).To(BeNumerically("<", more))
 		Expect(with.inTime).To(BeNumerically(">", without.inTime))
 		Expect(with.refused).To(BeNumerically("<", without.refused))
--- a/placer/fit.go
+++ b/placer/fit.go
@@ -32,9 +32,6 @@
 	// endStart is the milliseconds for which the prediction of streams' ends counts as it
 	// stands, until samples tell better: about one stream.
 	endStart = 1000.0
-	// deadlineShare is the part of its time from which on a stream that its caller left was
-	// given up at its deadline: word of that takes some of it.
-	deadlineShare = 0.9
 	// rateStart is the prompt tokens that an engine reads in a millisecond, and
 	// restStart the milliseconds besides, until samples tell better: between what engines
 	// of all sizes seen take.
--- a/placer/option.go
+++ b/placer/option.go
@@ -34,6 +34,7 @@
 	kept     int     // slots that are kept for more urgent requests
 	equals   float64 // reading what is as urgent as the request, or more
 	duty     float64 // the part of its time for which it will read, as far as it was given lately
+	wait     float64 // until the request's first event, or a plain service's answer
 	cost     float64
 }
 
@@ -57,36 +58,7 @@
 	}
 }
 
-// shareDuty sets for how much of its time each engine will read: what it was given lately,
-// and no more than the mean of all, as what comes next goes where there is less.
-func shareDuty(now time.Time, options []option) {
-	mean := 0.0
-	for i := range options {
-		o := &options[i]
-		o.duty = o.readLately(now) / inMilliseconds(readFades)
-		mean += o.duty / float64(len(options))
-	}
-	for i := range options {
-		options[i].duty = min(options[i].duty, mean, 1)
-	}
-}
-
-// finish is the milliseconds until the last token that a caller expects of its stream: while
-// the engine reads, a token takes as long as a chunk of a prompt.
-func (o *option) finish(wait float64, a Ask) float64 {
-	step := stepTime + contextTime*float64(o.hold)/1000
-	reading := max(o.readTime(chunk, chunk), step)
-	return wait + float64(a.Expected)*(step+o.duty*(reading-step))
-}
-
-// end is when the stream's last token is expected: finish, as far as such predictions held
-// lately.
-func (o *option) end(wait float64, a Ask) time.Duration {
-	return milliseconds(o.fit.lasting() * o.finish(wait, a))
-}
-
-// option is what a request would make the worker do. What holder keeps of its prompt,
-// and this worker does not, is fetched where that takes less time than reading it.
+// option is what a request would make an engine do; a plain worker's is set by plain.
 func (w *worker) option(now time.Time, a Ask, holder *worker, held int) option {
 	o := option{worker: w, others: w.others(now, a)}
 	if w.Memory == 0 {
@@ -97,15 +69,21 @@
 	o.own = w.readTime(o.read, a.Prompt+a.Output)
 	o.queue, o.all = w.line.before(now, a.Rank)+o.overdue, w.line.before(now, lastRank)
 	o.equals = w.line.equals(now, a.Rank) + o.equal
-	if holder == nil || holder == w || held-kept < fetchLeast {
-		return o
+	if holder != nil && holder != w && held-kept >= fetchLeast {
+		o.fetchFrom(holder, held, kept, a)
 	}
+	o.wait = math.Max(o.queue, o.fetching) + o.own + w.rest()
+	return o
+}
+
+// fetchFrom has the worker fetch what another holds of a prompt beyond what it keeps
+// itself, where that takes less time than reading it.
+func (o *option) fetchFrom(holder *worker, held, kept int, a Ask) {
 	read := max(a.Prompt-held, 1)
-	own, fetching := w.readTime(read, a.Prompt+a.Output), w.fetchTime(held-kept, holder)
+	own, fetching := o.readTime(read, a.Prompt+a.Output), o.fetchTime(held-kept, holder)
 	if own+fetching < o.own {
 		o.read, o.fetch, o.source, o.own, o.fetching = read, held-kept, holder.Address, own, fetching
 	}
-	return o
 }
 
 // fetchTime is how long the worker takes to fetch so many tokens from another.
@@ -133,12 +111,3 @@
 	}
 	return holder, held
 }
-
-// wait is the milliseconds until a request's first event, or a plain service's
-// answer, if the worker got it now.
-func (v *View) wait(o *option) float64 {
-	if o.Memory == 0 {
-		return v.plainWait(o.worker)
-	}
-	return math.Max(o.queue, o.fetching) + o.own + o.rest()
-}
--- a/placer/worker.go
+++ b/placer/worker.go
@@ -44,13 +44,6 @@
 	w.parts.add(f, w.room(w.hold))
 }
 
-// rounds is how many times the work of one request passes until a plain worker has
-// answered one that it is sent now: its own, and a part of one for each that waits.
-func (w *worker) rounds() float64 {
-	over := len(w.flights) + 1 - w.Slots
-	return 1 + float64(max(over, 0))/float64(max(w.Slots, 1))
-}
-
 // room is the tokens that the engine has for parts that no request uses.
 func (w *worker) room(hold int) int { return max(w.Memory-hold, w.Memory/4) }
 
@@ -86,14 +79,6 @@
 	w.slowness += paceWeight * (seen - w.slowness)
 }
 
-// learnEnd takes how long after it was sent a stream ended, or was given up at its deadline.
-func (w *worker) learnEnd(f *flight, took float64, o Outcome) {
-	if f.ends <= 0 || o != Answered && (o != Dropped || took < deadlineShare*inMilliseconds(f.Left)) {
-		return
-	}
-	w.fit.learnEnd(f.ends, took)
-}
-
 // has says whether a flight is counted here. Failure: one that was sent before the worker
 // restarted under its name, or before the view knew it, begins and ends later; counted off,
 // it leaves less than nothing, and the worker never seems idle again.
