--- a/placer/plain_test.go
+++ b/placer/plain_test.go
@@ -12,34 +12,34 @@
 	"github.com/cicadawood/cicadawood/placer"
 )
 
-// counter is a stand-in of a plain service: so many workers, each of which works at
+// plainLoad is a stand-in of a plain service: so many workers, each of which works at
 // so many requests at once, for so long each, and takes the others in order.
-type counter struct {
+type plainLoad struct {
 	workers, slots int
 	work           time.Duration
 	rate           float64  // requests a second
 	late           lateness // of what hosts tell one another
 }
 
-// job is one request at a plain worker.
-type job struct {
+// plainRequest is one request at a plain worker.
+type plainRequest struct {
 	id        uint64
 	host      int
-	worker    *clerk
+	worker    *plainWorker
 	asked     time.Duration // when its caller first asked
 	at        time.Duration // when it was sent
 	refused   bool
 	predicted time.Duration
 }
 
-// clerk is one plain worker.
-type clerk struct {
+// plainWorker is one plain worker.
+type plainWorker struct {
 	running int
-	waiting []*job
+	waiting []*plainRequest
 }
 
-// counted is what callers of a plain service got.
-type counted struct {
+// plainOutcome is what callers of a plain service got.
+type plainOutcome struct {
 	asked, inTime, refused int
 	served                 int
 	back                   int           // of those refused, served when they came back
@@ -47,25 +47,25 @@
 }
 
 // waits is the time until an answer on average, as predicted and as seen.
-func (c counted) waits() (predicted, seen time.Duration) {
+func (c plainOutcome) waits() (predicted, seen time.Duration) {
 	return c.predicted / time.Duration(c.served), c.seen / time.Duration(c.served)
 }
 
-func (c counted) String() string {
+func (c plainOutcome) String() string {
 	predicted, seen := c.waits()
 	return fmt.Sprintf("%d asked, %d served, %d in time, %d refusals, %d served after one; %s expected, %s seen",
 		c.asked, c.served, c.inTime, c.refused, c.back, predicted, seen)
 }
 
 // serve plays a load on a plain service before eight hosts, each with a view of its own.
-func (c counter) serve(seed uint64, length time.Duration, a placer.Ask) counted {
+func (c plainLoad) serve(seed uint64, length time.Duration, a placer.Ask) plainOutcome {
 	const hosts = 8
 	r := rand.New(rand.NewPCG(seed, 2))
-	clerks, workers := map[string]*clerk{}, []placer.Worker{}
+	all, workers := map[string]*plainWorker{}, []placer.Worker{}
 	for i := range c.workers {
 		w := placer.Worker{Name: fmt.Sprintf("d-%d", i), Service: a.Service, Zone: "a", Slots: c.slots}
 		workers = append(workers, w)
-		clerks[w.Name] = &clerk{}
+		all[w.Name] = &plainWorker{}
 	}
 	var views []*placer.View
 	for range hosts {
@@ -84,9 +84,9 @@
 			}
 		})
 	}
-	var out counted
-	var begin func(now time.Duration, j *job)
-	end := func(j *job) func(time.Duration) {
+	var out plainOutcome
+	var begin func(now time.Duration, j *plainRequest)
+	end := func(j *plainRequest) func(time.Duration) {
 		return func(now time.Duration) {
 			took := now - j.at
 			out.served++
@@ -110,13 +110,13 @@
 			}
 		}
 	}
-	begin = func(now time.Duration, j *job) {
+	begin = func(now time.Duration, j *plainRequest) {
 		j.worker.running++
 		do(now+time.Duration(skewed(r, float64(c.work), 0.5, 8*float64(c.work))), end(j))
 	}
 	for at := time.Duration(0); at < length; at += time.Duration(r.ExpFloat64() / c.rate * float64(time.Second)) {
 		out.asked++
-		j := &job{id: uint64(out.asked), host: r.IntN(hosts), asked: at}
+		j := &plainRequest{id: uint64(out.asked), host: r.IntN(hosts), asked: at}
 		var try func(now time.Duration)
 		try = func(now time.Duration) {
 			ask := a
@@ -132,7 +132,7 @@
 				return
 			}
 			tell(now+c.late.sent, j.host, func(v *placer.View, at time.Time) { v.Heard(at, fmt.Sprint(j.host), choice.Flight) })
-			j.predicted, j.worker, j.at = choice.Wait, clerks[choice.Worker.Name], now
+			j.predicted, j.worker, j.at = choice.Wait, all[choice.Worker.Name], now
 			if j.worker.running < c.slots {
 				begin(now, j)
 				return
@@ -158,7 +158,7 @@
 		most   = 400.0 // requests a second: 24 slots of 60 ms
 		length = 15 * time.Second
 	)
-	busy := counter{workers: 4, slots: 6, work: 60 * time.Millisecond, rate: 0.97 * most, late: lateness{3 * time.Millisecond, 50 * time.Millisecond}}
+	busy := plainLoad{workers: 4, slots: 6, work: 60 * time.Millisecond, rate: 0.97 * most, late: lateness{3 * time.Millisecond, 50 * time.Millisecond}}
 	hold := placer.Ask{Service: "app", Left: time.Second, Target: 300 * time.Millisecond}
 
 	It("is expected to take what it takes, and refuses next to nobody for good", func() {
