Specs: what a caller expects of a stream reaches the decision, and not on a resume

Cause: the guard that a resumed stream is not judged by its whole length, and the field that carries the expectation between hosts, had no spec; either could go unseen. Specs: router, with each of the two guards taken out: red; deciding, with the field left out of the question: red.

--- a/router/router_test.go
+++ b/router/router_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -33,7 +34,9 @@
 
 func (plainDialect) Key(h http.Header) (string, bool) { return h.Get("Key"), h.Get("Key") != "" }
 func (plainDialect) Read(h http.Header) router.Intake {
-	return router.Intake{ID: h.Get("Id"), Deadline: 2 * time.Second}
+	output, _ := strconv.Atoi(h.Get("Output")) // 0 where there is none
+	hint, _ := strconv.Atoi(h.Get("Hint"))
+	return router.Intake{ID: h.Get("Id"), Deadline: 2 * time.Second, Output: output, Hint: hint, After: h.Get("After")}
 }
 
 func (plainDialect) Write(h http.Header, o router.Order) {
@@ -113,6 +116,7 @@
 		Routes: map[string]loader.HostRoute{
 			"a": route("/a/", nil), "ab": route("/a/b/", nil),
 			"late": route("/late/", func(r *loader.HostRoute) { r.Tier = 5 }),
+			"flow": route("/flow/", func(r *loader.HostRoute) { r.Stream, r.Resume = true, true }),
 			"once": route("/once/", func(r *loader.HostRoute) { r.Once, r.Attempts = true, 1 }),
 			"split": route("/split/", func(r *loader.HostRoute) {
 				r.Services = []loader.Split{{Service: "x", Weight: 90}, {Service: "y", Weight: 10}, {Service: "z", Weight: 0}}
@@ -161,12 +165,15 @@
 		DeferCleanup(s.Close)
 		url = s.URL
 	})
-	call := func(ctx context.Context, path, key string) (int, http.Header, error) {
+	call := func(ctx context.Context, path, key string, header ...string) (int, http.Header, error) {
 		req, err := http.NewRequestWithContext(ctx, http.MethodGet, url+path, nil)
 		Expect(err).NotTo(HaveOccurred())
 		req.Host = "H.example:80"
 		req.Header.Set("Id", "1")
 		req.Header.Set("Key", key)
+		for i := 0; i+1 < len(header); i += 2 {
+			req.Header.Set(header[i], header[i+1])
+		}
 		resp, err := http.DefaultClient.Do(req)
 		if err != nil {
 			return 0, nil, err
@@ -302,4 +309,39 @@
 		Eventually(place.ended, time.Second).Should(Equal([]placer.Outcome{placer.Dropped}))
 		Expect(seen).To(BeEmpty())
 	})
+
+	// A long stream breaks after most of it, and goes on at another worker. Judged by its
+	// whole length, it would be refused there as one that can't end in time, and its caller
+	// be left with a part.
+	It("tells the placer what a caller expects, and of a resumed stream nothing", func() {
+		broken := true
+		events := func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", "text/event-stream")
+			w.Header().Set("Seal", "1")
+			_, _ = io.WriteString(w, "id: 1\ndata: a\n\n")
+			w.(http.Flusher).Flush()
+			if broken {
+				broken = false
+				panic(http.ErrAbortHandler)
+			}
+		}
+		worker("w", events)
+		worker("w-2", events)
+		expected := func(header ...string) []int {
+			place.asks = nil
+			code, _, err := call(bg, "/flow/x", "s", header...)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(code).To(Equal(http.StatusOK))
+			var out []int
+			for _, a := range place.asks {
+				out = append(out, a.Expected)
+			}
+			return out
+		}
+		Expect(expected("Output", "400", "Hint", "120")).To(Equal([]int{120, 0}))
+		Expect(expected("Output", "400", "Hint", "120")).To(Equal([]int{120}))
+		Expect(expected("Output", "400", "Hint", "900")).To(Equal([]int{400}), "the most that it may get")
+		Expect(expected("Output", "400")).To(Equal([]int{0}), "it does not say")
+		Expect(expected("Output", "400", "Hint", "120", "After", "7")).To(Equal([]int{0}))
+	})
 })
--- a/runner/deciding_test.go
+++ b/runner/deciding_test.go
@@ -159,4 +159,18 @@
 		decider.Hear(now, names[10], messenger.Seek{ID: 1, Reply: names[10], Service: "desk", Left: time.Minute})
 		Expect(out[len(out)-1].m.(messenger.Sought).Filling).To(BeTrue())
 	})
+
+	// What a caller said is lost between the host that it reached and the one that decides:
+	// it is judged as if it had said nothing.
+	It("hands on all that a request says", func() {
+		c := choosing(names[10], roster)
+		ask := placer.Ask{
+			Service: "desk", Zone: "z", Parts: []placer.Part{{Key: 1, Tokens: 20}, {Key: 2, Tokens: 30}}, Prompt: 60, Output: 70, Expected: 65,
+			Rank: 4, Tier: 2, Left: time.Second, Patience: 900 * time.Millisecond, Target: 300 * time.Millisecond, Gap: 200 * time.Millisecond,
+			Exclude: []string{"d-1"},
+		}
+		c.Ask(now, ask)
+		_, s := seek()
+		Expect(runner.AskOf(s)).To(Equal(ask))
+	})
 })
--- a/runner/export_test.go
+++ b/runner/export_test.go
@@ -198,6 +198,9 @@
 // Silent has the time pass that a decider has to answer a question.
 func (x Choosing) Silent(now time.Time, id uint64) { x.c.take(now, seekLate{id: id}) }
 
+// AskOf is the request that a question of another host is about.
+func AskOf(s messenger.Seek) placer.Ask { return askOf(s) }
+
 // Tell tells the others what happened since it last did.
 func (x Choosing) Tell() { x.c.tell() }
 
