Errors of writing and recording are told; status says why a host is not reached

Cause: diff dropped the error of writing its answer and ended with 4 ("differs") on a full disk; status dropped why a host's state could not be fetched; times beyond a histogram's range were dropped from the very percentile they belong to (path, traffic), and tables' errors with them. Ruled out: the header written to a buffer (connector) can't fail, as its comment says; sleeps in benchmarks are the windows that are measured (publisher's have names now). Change: an output that nobody could read goes before any other outcome of a command; one histogram of times for both tools, the longest time counted as the longest. Specs: diff on a full disk 4 in place of 1 before; the others check the new words.

--- a/cmd/faker/cmd_traffic.go
+++ b/cmd/faker/cmd_traffic.go
@@ -17,7 +17,9 @@
 		if err != nil {
 			return err
 		}
-		report.Print(c.OutOrStdout())
+		if err := report.Print(c.OutOrStdout()); err != nil {
+			return err
+		}
 		if !report.Good() {
 			return fmt.Errorf("requests were lost or doubled")
 		}
--- a/commander/cmd_diff.go
+++ b/commander/cmd_diff.go
@@ -41,7 +41,10 @@
 			}
 		} else {
 			for _, k := range changes {
-				_, _ = c.OutOrStdout().Write(diff.Diff("head/"+k.File, []byte(head.Files[k.File]), "folder/"+k.File, []byte(merged[k.File])))
+				shown := diff.Diff("head/"+k.File, []byte(head.Files[k.File]), "folder/"+k.File, []byte(merged[k.File]))
+				if _, err := c.OutOrStdout().Write(shown); err != nil {
+					return err
+				}
 			}
 		}
 		if len(changes) > 0 {
--- a/commander/cmd_status.go
+++ b/commander/cmd_status.go
@@ -8,11 +8,11 @@
 	"maps"
 	"slices"
 	"strings"
+	"sync"
 	"text/tabwriter"
 	"time"
 
 	"github.com/spf13/cobra"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/cicadawood/cicadawood/publisher"
 	"github.com/cicadawood/cicadawood/registrar"
@@ -72,6 +72,7 @@
 
 	configuration publisher.Status
 	beliefs       *runner.Beliefs
+	failure       error // why it is not reachable
 }
 
 // gather reads the head and the roster.
@@ -110,21 +111,28 @@
 
 func askAll(ctx context.Context, records []registrar.Record) []hostStatus {
 	hosts := make([]hostStatus, len(records))
-	var g errgroup.Group
-	g.SetLimit(fetchedAtOnce)
+	var asking sync.WaitGroup
+	free := make(chan struct{}, fetchedAtOnce)
 	for i, r := range records {
-		g.Go(func() error {
-			hosts[i] = hostStatus{Name: r.Name, Zone: r.Zone, Leaving: r.Leaving, Roles: []string{}}
-			if s, err := fetchState(ctx, r.Admin); err == nil {
-				hosts[i] = statusOf(s)
-			}
-			return nil
+		free <- struct{}{}
+		asking.Go(func() {
+			defer func() { <-free }()
+			hosts[i] = askHost(ctx, r)
 		})
 	}
-	_ = g.Wait()
+	asking.Wait()
 	return hosts
 }
 
+// askHost is what a host says of itself, or why it does not.
+func askHost(ctx context.Context, r registrar.Record) hostStatus {
+	s, err := fetchState(ctx, r.Admin)
+	if err != nil {
+		return hostStatus{Name: r.Name, Zone: r.Zone, Leaving: r.Leaving, Roles: []string{}, failure: err}
+	}
+	return statusOf(s)
+}
+
 func statusOf(s runner.State) hostStatus {
 	return hostStatus{
 		Name: s.Name, Zone: s.Zone, Reachable: true, Ready: s.Ready, Leaving: s.Leaving,
@@ -142,7 +150,7 @@
 		}
 	}
 	if !h.Reachable {
-		return append(list, "unreachable")
+		return append(list, fmt.Sprintf("unreachable: %v", h.failure))
 	}
 	k := h.configuration
 	note(h.Generation < max(head, k.Newer), "behind")
--- a/commander/command.go
+++ b/commander/command.go
@@ -76,8 +76,8 @@
 	if err == nil {
 		err = root.ExecuteContext(ctx)
 	}
-	if err == nil {
-		err = out.err
+	if out.err != nil {
+		err = out.err // whatever else was to be told: nobody could read the answer
 	}
 	if err == nil {
 		return ExitOK
--- a/commander/commander_test.go
+++ b/commander/commander_test.go
@@ -1,17 +1,23 @@
 package commander_test
 
 import (
+	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"strings"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/cicadawood/cicadawood/commander"
 	"github.com/cicadawood/cicadawood/faker"
+	adapter "github.com/cicadawood/cicadawood/platform"
 	"github.com/cicadawood/cicadawood/prover"
+	"github.com/cicadawood/cicadawood/registrar"
+	"github.com/cicadawood/cicadawood/storer"
 )
 
 var _ = DescribeTable("Exit codes for wrong calls",
@@ -84,6 +90,10 @@
 		out, _, code := run("", "diff", ben)
 		Expect(code).To(Equal(commander.ExitDiffers))
 		Expect(out).To(ContainSubstring(`+{"classes": {"chat"`))
+		for _, args := range [][]string{{"diff", ben}, {"diff", "--json", ben}} {
+			code := commander.Main(args, strings.NewReader(""), fullDisk{}, io.Discard)
+			Expect(code).To(Equal(commander.ExitFailed), "differences that nobody could read")
+		}
 		out, _, _ = run("", "diff", "--json", ben)
 		Expect(out).To(MatchJSON(`[{"file": "20.json", "change": "added"}]`))
 		out, _, code = run("", "push", ben)
@@ -91,6 +101,19 @@
 		Expect(out).To(HavePrefix("generation "))
 	})
 
+	// A host's record is there, but its admin address does not answer. Why must be told: a
+	// wrong address in its settings and a host that is gone look alike otherwise.
+	It("see why a host can't be reached", func() {
+		store, clean := adapter.NewStore(os.Getenv("CICADAWOOD_PLATFORM"))
+		DeferCleanup(clean)
+		record := `{"name": "h-1", "zone": "z", "admin": "127.0.0.1:1"}`
+		_, err := store.Put(context.Background(), registrar.Prefix+"h-1", []byte(record), storer.Condition{})
+		Expect(err).NotTo(HaveOccurred())
+		out, _, code := run("", "status")
+		Expect(code).To(Equal(commander.ExitOK))
+		Expect(out).To(MatchRegexp(`h-1 .*unreachable: .*connection refused`))
+	})
+
 	// The platform takes the write, its reply is lost, and it goes down.
 	It("are told when a push may have landed", Label(prover.Pair(prover.Pushed, prover.LostReply, prover.Written, prover.StoreDown)), func() {
 		write(ben, "20.json", `{"classes": {"chat": {"tier": 1, "whole": "9s"}}}`)
--- a/driver/path.go
+++ b/driver/path.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -12,8 +13,6 @@
 	"sync/atomic"
 	"text/tabwriter"
 	"time"
-
-	"github.com/HdrHistogram/hdrhistogram-go"
 )
 
 // openAtOnce bounds the streams that wait for their first token together.
@@ -61,7 +60,9 @@
 		}
 	}
 	if p.Rounds > 0 {
-		p.print(out, ways)
+		if err := p.print(out, ways); err != nil {
+			return err
+		}
 	}
 	if p.Streams == 0 {
 		return nil
@@ -71,19 +72,20 @@
 
 // latency runs a round of calls one after the other.
 func (p Path) latency(ctx context.Context, client *http.Client, w *way) error {
-	first, whole := newHistogram(), newHistogram()
+	first, whole := newTimes(), newTimes()
 	for i := range p.Calls {
 		f, all, _, err := p.call(ctx, client, w.address, p.Tokens, fmt.Sprint(i))
 		if err != nil {
 			return err
 		}
-		_ = first.RecordValue(f.Nanoseconds())
-		_ = whole.RecordValue(all.Nanoseconds())
+		if err := errors.Join(first.record(f), whole.record(all)); err != nil {
+			return err
+		}
 	}
-	w.first = append(w.first, milliseconds(first, 50))
-	w.first99 = append(w.first99, milliseconds(first, 99))
-	w.whole = append(w.whole, milliseconds(whole, 50))
-	w.whole99 = append(w.whole99, milliseconds(whole, 99))
+	w.first = append(w.first, first.milliseconds(50))
+	w.first99 = append(w.first99, first.milliseconds(99))
+	w.whole = append(w.whole, whole.milliseconds(50))
+	w.whole99 = append(w.whole99, whole.milliseconds(99))
 	return nil
 }
 
@@ -206,7 +208,7 @@
 	return nil
 }
 
-func (p Path) print(out io.Writer, ways []*way) {
+func (p Path) print(out io.Writer, ways []*way) error {
 	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintf(w, "median of %d rounds (lowest to highest)\tdirect\thost\thost-direct\thost/direct\t\n", p.Rounds)
 	d, h := ways[0], ways[1]
@@ -222,15 +224,7 @@
 	fmt.Fprintf(w, "host's cores in use\t\t%s\t\t\t\n", spread(h.core))
 	fmt.Fprintf(w, "requests a second a core\t\t%s\t\t\t\n", spread(ratio(h.rate, h.core)))
 	fmt.Fprintf(w, "tokens a second a core\t\t%s\t\t\t\n", spread(ratio(h.tokens, h.core)))
-	_ = w.Flush()
-}
-
-func newHistogram() *hdrhistogram.Histogram {
-	return hdrhistogram.New(1000, time.Minute.Nanoseconds(), 3)
-}
-
-func milliseconds(h *hdrhistogram.Histogram, q float64) float64 {
-	return float64(h.ValueAtQuantile(q)) / 1e6
+	return w.Flush()
 }
 
 func ratio(a, b []float64) []float64 {
--- a/driver/report.go
+++ b/driver/report.go
@@ -6,8 +6,6 @@
 	"sync"
 	"text/tabwriter"
 	"time"
-
-	"github.com/HdrHistogram/hdrhistogram-go"
 )
 
 // Report is what became of a Traffic.
@@ -57,25 +55,30 @@
 }
 
 // Print writes a table by class and the closing line.
-func (r *Report) Print(out io.Writer) {
+func (r *Report) Print(out io.Writer) error {
 	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(w, "class\tsent\tanswered\trefused\tunknown\tattainment\twasted tokens\tp50\tp99\t")
 	for _, k := range mix {
-		r.row(w, k)
+		if err := r.row(w, k); err != nil {
+			return err
+		}
+	}
+	if err := w.Flush(); err != nil {
+		return err
 	}
-	_ = w.Flush()
 	if n := r.count(wrong); n > 0 {
 		fmt.Fprintf(out, "called whole, but with wrong tokens: %d\n", n)
 	}
 	if r.untrue > 0 {
 		fmt.Fprintf(out, "told not run, but ran: %d\n", r.untrue)
 	}
-	fmt.Fprintf(out, "demo: sent=%d whole=%d refused=%d unknown=%d lost=%d doubled=%d\n",
+	_, err := fmt.Fprintf(out, "demo: sent=%d whole=%d refused=%d unknown=%d lost=%d doubled=%d\n",
 		len(r.results), r.count(whole), r.count(refused), r.count(unknown), r.count(lost), r.doubled)
+	return err
 }
 
-func (r *Report) row(w io.Writer, k kind) {
-	h := hdrhistogram.New(1, int64(2*time.Minute/time.Microsecond), 3)
+func (r *Report) row(w io.Writer, k kind) error {
+	took := newTimes()
 	sent, answered, shed, unsure, met, wasted := 0, 0, 0, 0, 0, 0
 	for _, x := range r.results {
 		if x.kind.class != k.class {
@@ -86,7 +89,9 @@
 		switch x.verdict {
 		case whole:
 			answered++
-			_ = h.RecordValue(x.took.Microseconds())
+			if err := took.record(x.took); err != nil {
+				return err
+			}
 			if x.took <= k.target {
 				met++
 			}
@@ -96,9 +101,8 @@
 			unsure++
 		}
 	}
-	at := func(q float64) time.Duration {
-		return (time.Duration(h.ValueAtQuantile(q)) * time.Microsecond).Round(time.Millisecond)
-	}
-	fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%.1f%%\t%d\t%s\t%s\t\n", k.class, sent, answered, shed, unsure,
+	at := func(percent float64) time.Duration { return took.at(percent).Round(time.Millisecond) }
+	_, err := fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%.1f%%\t%d\t%s\t%s\t\n", k.class, sent, answered, shed, unsure,
 		100*float64(met)/float64(max(sent, 1)), wasted, at(50), at(99))
+	return err
 }
--- a/driver/slope.go
+++ b/driver/slope.go
@@ -64,12 +64,14 @@
 		series[p.Series] = append(series[p.Series], p)
 	}
 	for _, name := range order {
-		printSeries(out, name, series[name])
+		if err := printSeries(out, name, series[name]); err != nil {
+			return err
+		}
 	}
 	return nil
 }
 
-func printSeries(out io.Writer, name string, points []Point) {
+func printSeries(out io.Writer, name string, points []Point) error {
 	slices.SortStableFunc(points, func(a, b Point) int { return cmp.Compare(a.Size, b.Size) })
 	sizes := make([]float64, len(points))
 	for i, p := range points {
@@ -94,8 +96,11 @@
 		base, slope, spread := fit(sizes, values)
 		fmt.Fprintf(w, "%.4g\t%.4g\t%.2g\t\n", base, slope, spread)
 	}
-	_ = w.Flush()
-	fmt.Fprintln(out)
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintln(out)
+	return err
 }
 
 // at is the values measured at one size.
--- a/publisher/bench_test.go
+++ b/publisher/bench_test.go
@@ -73,6 +73,13 @@
 
 // BenchmarkReads counts what followers ask of the platform: at rest, and for one
 // change.
+const (
+	// quietWindow is how long reads are counted where nothing changes.
+	quietWindow = 10 * time.Second
+	// changeWindow is how long reads after a change are counted once all have it.
+	changeWindow = 500 * time.Millisecond
+)
+
 func BenchmarkReads(b *testing.B) {
 	for _, n := range []int{4, 16, 64, 360} {
 		b.Run(fmt.Sprintf("hosts=%d", n), func(b *testing.B) {
@@ -102,13 +109,13 @@
 			awaitAll(followers, g)
 			for b.Loop() {
 				before, _ := platform.Calls()
-				time.Sleep(10 * time.Second)
+				time.Sleep(quietWindow)
 				after, _ := platform.Calls()
-				b.ReportMetric(float64(after-before)/10/float64(n), "reads/s/host")
+				b.ReportMetric(float64(after-before)/quietWindow.Seconds()/float64(n), "reads/s/host")
 				start := time.Now()
 				awaitAll(followers, push(after))
 				b.ReportMetric(float64(time.Since(start).Milliseconds()), "ms-to-all")
-				time.Sleep(500 * time.Millisecond)
+				time.Sleep(changeWindow)
 				end, _ := platform.Calls()
 				b.ReportMetric(float64(end-after)/float64(n), "reads/host/change")
 			}
