--- a/publisher/bench_test.go
+++ b/publisher/bench_test.go
@@ -71,8 +71,6 @@
 	}
 }
 
-// BenchmarkReads counts what followers ask of the platform: at rest, and for one
-// change.
 const (
 	// quietWindow is how long reads are counted where nothing changes.
 	quietWindow = 10 * time.Second
@@ -80,6 +78,8 @@
 	changeWindow = 500 * time.Millisecond
 )
 
+// BenchmarkReads counts what followers ask of the platform: at rest, and for one
+// change.
 func BenchmarkReads(b *testing.B) {
 	for _, n := range []int{4, 16, 64, 360} {
 		b.Run(fmt.Sprintf("hosts=%d", n), func(b *testing.B) {
