A refusal says what it was decided by

Callers saw: 503 with a cause, and nobody could tell why: "outcome=slots ... worker= expected=0s". Cause: the decision's inputs were dropped with the refusal; refused requests told no other host that they had been asked for. Change: Choice.Basis (nearest worker, its slots, queue and bound; free and wanted slots of all, what is offered, the age of what others told), from a decider too; in the log line, so in explain; histograms by tier and cause. What is asked for (sent and refused, by all hosts) is counted by tier: placer/offer.go; refusals go to other hosts with the next word. Specs: placer/basis_test.go, red before (no such field).

--- a/messenger/message_seek.go
+++ b/messenger/message_seek.go
@@ -41,6 +41,24 @@
 	After    time.Duration `msgpack:"after"`   // when there may be room
 	Source   string        `msgpack:"source"`  // address of the worker to fetch memory from; "" for none
 	Filling  bool          `msgpack:"filling"` // half of the worker's slots are taken, or more
+	Basis    *Basis        `msgpack:"basis"`   // what a refusal was decided by; nil where it is none
+}
+
+// Basis is what a refusal was decided by; see placer.Basis.
+type Basis struct {
+	Worker  string
+	Slots   int
+	Taken   int
+	Kept    int
+	Queue   time.Duration
+	Wait    time.Duration
+	Bound   time.Duration
+	End     time.Duration
+	Free    int
+	Wanted  int
+	Offered float64
+	Held    time.Duration
+	Age     time.Duration
 }
 
 func (Seek) kind() string   { return kindSeek }
--- a/messenger/message_share.go
+++ b/messenger/message_share.go
@@ -13,6 +13,18 @@
 	Ended    []Ending  `msgpack:"ended"`
 	// Took is how long each of Begun took to its first event, in that order.
 	Took []time.Duration `msgpack:"took"`
+	// Refused is what no worker got, a sum for each service and tier.
+	Refused []Offer `msgpack:"refused"`
+}
+
+// Offer is requests of one service and route's tier.
+type Offer struct {
+	_msgpack struct{}      `msgpack:",as_array"` //nolint:unused // read by msgpack
+	Service  string        `msgpack:"service"`
+	Tier     int           `msgpack:"tier"`
+	Count    int           `msgpack:"count"`
+	Output   int           `msgpack:"output"` // tokens that all of them expect
+	Read     time.Duration `msgpack:"read"`   // that an engine would have to read for all of them
 }
 
 // Sending is one request on its way to a worker.
@@ -26,10 +38,11 @@
 	Gap      time.Duration `msgpack:"gap"`  // target for the longest pause in its stream
 	Keys     []uint64      `msgpack:"keys"` // of the prompt's parts, in order
 	Tokens   []int         `msgpack:"tokens"`
-	Host     string        `msgpack:"host"`  // that sends it
-	Rank     int           `msgpack:"rank"`  // 0 is the most urgent
-	Fetch    int           `msgpack:"fetch"` // tokens that the worker fetches from another
-	Tier     int           `msgpack:"tier"`  // of its route
+	Host     string        `msgpack:"host"`   // that sends it
+	Rank     int           `msgpack:"rank"`   // 0 is the most urgent
+	Fetch    int           `msgpack:"fetch"`  // tokens that the worker fetches from another
+	Tier     int           `msgpack:"tier"`   // of its route
+	Output   int           `msgpack:"output"` // tokens, guessed
 }
 
 // Ending is one request that ended.
--- a/placer/ask.go
+++ b/placer/ask.go
@@ -54,6 +54,7 @@
 	Rank   int           // 0 is the most urgent
 	Tier   int           // of its route alone
 	Fetch  int           // tokens of the prompt that the worker fetches from another
+	Output int           // tokens, guessed
 }
 
 // Refusal says that no worker should get a request now.
@@ -70,6 +71,7 @@
 	Pause   time.Duration // it is to be sent only then
 	Source  string        // address of the worker that it is to fetch memory from; "" where it reads all
 	Filling bool          // with it, half of its worker's slots are taken or more
+	Basis   Basis         // what it was decided by, where it was refused
 }
 
 // Outcome is how a request at a worker ended.
--- /dev/null
+++ b/placer/basis_test.go
@@ -0,0 +1,54 @@
+package placer_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cicadawood/cicadawood/placer"
+)
+
+// Guards against a refusal that nobody can explain.
+var _ = Describe("What a refusal was decided by", func() {
+	It("is the slots, the queue and what is asked for, with the age of what others told", func() {
+		v := placer.New("a")
+		workers := engines("e-1")
+		workers[0].Slots = 4
+		v.SetWorkers(start, workers)
+		for id := range uint64(4) {
+			v.Heard(start, "other", placer.Flight{ID: 100 + id, Worker: "e-1", Read: 800, Hold: 900, Output: 100, Left: 9 * time.Second})
+		}
+		later := start.Add(20 * time.Millisecond)
+		long := plan(7)
+		long.Rank, long.Tier = 1, 1
+		c, refusal := v.Place(later, 1, long)
+		Expect(refusal.Why).To(Equal("slots"))
+		b := c.Basis
+		Expect(b.Worker).To(Equal("e-1"))
+		Expect([]int{b.Slots, b.Taken, b.Free}).To(Equal([]int{4, 4, 0}))
+		Expect(b.Kept).To(Equal(1))
+		Expect(b.Queue).To(BeNumerically(">", 50*time.Millisecond))
+		Expect(b.Bound).To(Equal(300 * time.Millisecond))
+		Expect(b.Wait).To(BeNumerically(">", b.Queue))
+		Expect(b.Offered).To(BeNumerically("~", 8, 1))
+		Expect(b.Held).To(BeNumerically(">", 400*time.Millisecond))
+		Expect(b.Age).To(Equal(20 * time.Millisecond))
+	})
+
+	It("is told to other hosts as what is asked for", func() {
+		v := placer.New("a")
+		v.SetWorkers(start, engines("e-1"))
+		refused := 0
+		for id := range uint64(40) {
+			if _, refusal := v.Place(start, id, plan(7)); refusal != nil {
+				refused++
+			}
+		}
+		told := v.Refused()
+		Expect(told).To(HaveLen(1))
+		Expect(told[0].Count).To(And(Equal(refused), BeNumerically(">", 0)))
+		Expect(told[0].Output).To(Equal(60 * refused))
+		Expect(v.Refused()).To(BeEmpty())
+	})
+})
--- a/placer/flight.go
+++ b/placer/flight.go
@@ -20,6 +20,7 @@
 	alone  bool          // nothing else was read from its sending to its first event
 	begun  bool          // its first event was seen
 	rounds float64       // of work that its plain worker needed to come to its answer, as predicted
+	token  float64       // milliseconds that a token took as it was sent
 	ends   float64       // milliseconds until its last event, as predicted by this host; 0 where that is not known
 	took   time.Duration // until its first event or its answer, as its host saw; 0 before
 }
@@ -32,8 +33,13 @@
 		delete(v.over, f.ID)
 		return
 	}
-	if v.flights[f.ID] == nil {
-		v.add(now, from, f)
+	v.told = now
+	if v.flights[f.ID] != nil {
+		return
+	}
+	x := v.add(now, from, f)
+	if w := v.workers[f.Worker]; w != nil {
+		v.offers.note(now, Offer{Service: w.Service, Tier: f.Tier, Count: 1, Output: f.Output, Read: milliseconds(x.unread)})
 	}
 }
 
@@ -43,6 +49,7 @@
 	v.flights[f.ID] = x
 	if w := v.workers[f.Worker]; w != nil {
 		w.take(now, x)
+		v.give(now, w, x)
 	}
 	return x
 }
@@ -80,6 +87,7 @@
 		return
 	}
 	w.judge(now, o)
+	v.learnLength(now, w, f, o)
 	w.learnEnd(f, inMilliseconds(now.Sub(f.at)), o)
 	if w.Memory == 0 && o == Answered {
 		v.learnPlain(w.Service, f)
--- a/placer/option.go
+++ b/placer/option.go
@@ -11,10 +11,6 @@
 	fetchSetup = 5.0
 	// fetchLeast is the fewest tokens worth a fetch: fewer are read about as soon.
 	fetchLeast = 1000
-	// keptSpreads is how many times the spread of more urgent requests is kept free of an
-	// engine's slots, and keptMost the part of its slots that are kept at most.
-	keptSpreads = 2.0
-	keptMost    = 0.25
 	// fetchFar is how many times longer a fetch between availability zones takes.
 	fetchFar = 2.0
 )
@@ -38,26 +34,6 @@
 	cost     float64
 }
 
-// keepSlots keeps slots of each engine for requests of more urgent routes: as many more
-// as may come soon, which is the spread of their number there now. Failure: less urgent
-// ones fill all slots, and the more urgent are refused until one ends. Where none that is
-// more urgent is there, nothing is kept. The route decides, not the organisation: the long
-// prompts of an urgent organisation would keep out the short ones of all others.
-func keepSlots(options []option) {
-	urgent := 0
-	for i := range options {
-		urgent += options[i].urgent
-	}
-	if urgent == 0 {
-		return
-	}
-	spread := math.Sqrt(float64(urgent) / float64(len(options)))
-	for i := range options {
-		o := &options[i]
-		o.kept = int(math.Ceil(math.Min(keptSpreads*spread, keptMost*float64(o.Slots))))
-	}
-}
-
 // option is what a request would make an engine do; a plain worker's is set by plain.
 func (w *worker) option(now time.Time, a Ask, holder *worker, held int) option {
 	o := option{worker: w, others: w.others(now, a)}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -34,6 +34,10 @@
 	fits    map[string]*fit          // of services with engines: time to the first event
 	options []option                 // of the request under way; kept for its memory
 	demands demands                  // what came lately
+	offers  offers                   // how much is asked for
+	refused []Offer                  // what was refused and not told of yet
+	guard   protection               // of the request under way
+	told    time.Time                // when another host last told what it sent
 	booked  map[class]time.Time      // when the refused will have been read that were told to come back
 
 	evictsFreely bool // what engines would evict costs nothing; for specs that play both
@@ -44,7 +48,7 @@
 func New(zone string) *View {
 	return &View{
 		zone: zone, workers: map[string]*worker{}, flights: map[uint64]*flight{}, over: map[uint64]time.Time{},
-		pace: map[string]time.Duration{}, fits: map[string]*fit{}, booked: map[class]time.Time{}, demands: demands{},
+		pace: map[string]time.Duration{}, fits: map[string]*fit{}, booked: map[class]time.Time{}, demands: demands{}, offers: offers{},
 	}
 }
 
@@ -101,12 +105,14 @@
 // PlaceFor is Place for a request that another host sends.
 func (v *View) PlaceFor(now time.Time, from string, id uint64, a Ask) (Choice, *Refusal) {
 	best, refusal := v.best(now, a)
+	v.offers.note(now, a.offer(best))
 	if refusal != nil {
-		return Choice{}, refusal
+		v.count(a.offer(best))
+		return Choice{Basis: v.basis(now, a, best)}, refusal
 	}
 	f := Flight{
 		ID: id, Worker: best.Name, Parts: a.Parts, Read: best.read, Hold: a.Prompt + a.Output, Left: a.Left, Gap: a.Gap, Rank: a.Rank, Tier: a.Tier,
-		Fetch: best.fetch,
+		Fetch: best.fetch, Output: a.Output,
 	}
 	c := Choice{
 		Worker: best.Worker, Flight: f, Wait: milliseconds(best.wait), Pause: best.pause(a), Source: best.source,
@@ -119,7 +125,7 @@
 
 // best is the option with the least cost for a request. Where the request should not
 // go there, any other that has room for it and no stream that it would disturb does;
-// else it is refused. To send it to the streams' workers instead was tried: it makes
+// else it is refused: then the option is the one that it would have got. To send it to the streams' workers instead was tried: it makes
 // them late in the place of what was refused.
 func (v *View) best(now time.Time, a Ask) (*option, *Refusal) {
 	v.demands.note(now, a)
@@ -132,12 +138,12 @@
 	if refusal == nil {
 		return best, nil
 	}
-	best = cheapest(options, func(o *option) bool { return o.tight == 0 && v.refuse(o, a) == nil })
-	if best == nil {
+	other := cheapest(options, func(o *option) bool { return o.tight == 0 && v.refuse(o, a) == nil })
+	if other == nil {
 		refusal.After = v.book(now, a, options, refusal.After)
-		return nil, refusal
+		return best, refusal
 	}
-	return best, nil
+	return other, nil
 }
 
 // weigh is what a request would make each worker of its service do, and what that
@@ -156,8 +162,8 @@
 		o.cost = v.cost(now, &o, a)
 		options = append(options, o)
 	}
-	keepSlots(options)
 	shareDuty(now, options)
+	v.guard = v.protect(now, options, a)
 	v.options = options
 	return options
 }
--- a/placer/refusing.go
+++ b/placer/refusing.go
@@ -30,13 +30,13 @@
 	if a.Patience > 0 {
 		bound = min(bound, a.Patience)
 	}
-	room := queueShare * inMilliseconds(a.Target)
+	room := v.bound(o, a)
 	switch {
-	case o.Memory > 0 && len(o.flights)+o.kept >= o.Slots:
+	case !o.hasSlot():
 		// An engine whose slots are taken runs one request more only in the place of
 		// another, which it then reads in again.
 		return refusal("slots", a.Target/2)
-	case o.Memory == 0 && a.Target > 0 && o.wait > v.plainMost(a):
+	case o.Memory == 0 && a.Target > 0 && o.wait > room:
 		// Failure: more comes than the service can do, its queue grows to what callers
 		// wait for at most, and all answers are late. With a short queue as many are
 		// answered, in time.
--- a/router/metrics.go
+++ b/router/metrics.go
@@ -21,6 +21,9 @@
 	errors   prometheus.Histogram
 	failed   *prometheus.CounterVec
 	refused  *prometheus.CounterVec
+	waits    *prometheus.HistogramVec
+	taken    *prometheus.HistogramVec
+	wanted   *prometheus.HistogramVec
 }
 
 // NewMetrics registers the router's metrics.
@@ -50,7 +53,18 @@
 	m.refused = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "cicadawood_routed_refused_total", Help: "Requests that no worker got, by the tier of their route and by cause.",
 	}, []string{"tier", "cause"})
-	r.MustRegister(m.requests, m.firsts, m.wholes, m.pauses, m.errors, m.failed, m.refused)
+	m.waits = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name: "cicadawood_routed_refused_wait_seconds", Help: "Wait that a refused request would have had, by the tier of its route and by cause.", Buckets: buckets,
+	}, []string{"tier", "cause"})
+	m.taken = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name: "cicadawood_routed_refused_taken_ratio", Help: "Slots taken and kept of the worker that a refused request came nearest to, in parts of all its slots.",
+		Buckets: prometheus.LinearBuckets(0.25, 0.25, 6),
+	}, []string{"tier", "cause"})
+	m.wanted = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name: "cicadawood_routed_refused_wanted_slots", Help: "Slots that more urgent routes want beside those that they have, as a request was refused.",
+		Buckets: prometheus.ExponentialBuckets(1, 4, 6),
+	}, []string{"tier", "cause"})
+	r.MustRegister(m.requests, m.firsts, m.wholes, m.pauses, m.errors, m.failed, m.refused, m.waits, m.taken, m.wanted)
 	return m
 }
 
@@ -88,8 +102,14 @@
 }
 
 // refuse counts a request that no worker got.
-func (m *Metrics) refuse(q *request, cause string) {
-	m.refused.WithLabelValues(strconv.Itoa(q.Tier), cause).Inc()
+func (m *Metrics) refuse(q *request, r Refused) {
+	tier, b := strconv.Itoa(q.Tier), r.Basis
+	m.refused.WithLabelValues(tier, r.Why).Inc()
+	m.waits.WithLabelValues(tier, r.Why).Observe(b.Wait.Seconds())
+	if b.Slots > 0 {
+		m.taken.WithLabelValues(tier, r.Why).Observe(float64(b.Taken+b.Kept) / float64(b.Slots))
+	}
+	m.wanted.WithLabelValues(tier, r.Why).Observe(float64(b.Wanted))
 }
 
 // send counts a send that failed; again says that another follows.
--- a/router/port.go
+++ b/router/port.go
@@ -91,6 +91,8 @@
 type Refused struct {
 	Why   string
 	After time.Duration
+	By    string       // host that refused it; "" is this one
+	Basis placer.Basis // what that was decided by
 }
 
 // Error implements error.
--- a/router/router.go
+++ b/router/router.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
@@ -139,6 +140,9 @@
 	if t.cause != nil {
 		fields = append(fields, zap.String("cause", t.cause.Error()))
 	}
+	if t.refused != nil {
+		fields = append(fields, basisFields(*t.refused)...)
+	}
 	if f != nil && f.after > 0 {
 		fields = append(fields, zap.Duration("after", f.after))
 	}
@@ -149,6 +153,21 @@
 	r.Log.Info("request", fields...)
 }
 
+// basisFields is what a refusal was decided by.
+func basisFields(r Refused) []zap.Field {
+	b := r.Basis
+	fields := []zap.Field{
+		zap.String("nearest", b.Worker), zap.Int("slots", b.Slots), zap.Int("taken", b.Taken), zap.Int("kept", b.Kept),
+		zap.Duration("queue", b.Queue), zap.Duration("bound", b.Bound), zap.Duration("wait", b.Wait), zap.Duration("end", b.End),
+		zap.Int("free", b.Free), zap.Int("wanted", b.Wanted), zap.Float64("offered", math.Round(b.Offered)), zap.Duration("held", b.Held),
+		zap.Duration("age", b.Age),
+	}
+	if r.By != "" {
+		fields = append(fields, zap.String("by", r.By))
+	}
+	return fields
+}
+
 // check finds the route of a request, and refuses what may not pass.
 func (r *Router) check(q *request, w http.ResponseWriter, req *http.Request) *failure {
 	q.index = r.look()
--- a/router/trip.go
+++ b/router/trip.go
@@ -51,8 +51,9 @@
 	source   string // address of the worker that it fetched memory from; "" is none
 	last     string // id of the last event passed
 	failed   *keptAnswer
-	arrivals int    // sends that left
-	heard    func() // ends the bound on the silence of the send under way
+	refused  *Refused // that no worker was to get it
+	arrivals int      // sends that left
+	heard    func()   // ends the bound on the silence of the send under way
 }
 
 // keptAnswer is a worker's failure that is passed only where no other worker does
@@ -133,7 +134,8 @@
 	if !errors.As(err, &refused) {
 		return t.timedOut(caller)
 	}
-	t.router.Metrics.refuse(t.q, refused.Why)
+	t.router.Metrics.refuse(t.q, refused)
+	t.refused = &refused
 	if t.pass() {
 		return nil
 	}
--- a/runner/choosing.go
+++ b/runner/choosing.go
@@ -254,7 +254,8 @@
 func (p *choosing) decide(now time.Time, a placer.Ask) workerReply {
 	choice, refusal := p.view.Place(now, rand.Uint64(), a)
 	if refusal != nil {
-		return refusedBy(*refusal)
+		p.tellWithin(now, p.within(restWithin, restToDeciders))
+		return refusedBy("", *refusal, choice.Basis)
 	}
 	p.tellSent(now, p.self, choice.Flight)
 	return workerReply{place: router.Place{
--- a/runner/deciding.go
+++ b/runner/deciding.go
@@ -151,7 +151,8 @@
 	answer := messenger.Sought{ID: s.ID}
 	choice, refusal := p.view.PlaceFor(now, e.from, rand.Uint64(), askOf(s))
 	if refusal != nil {
-		answer.Why, answer.After = refusal.Why, refusal.After
+		answer.Why, answer.After, answer.Basis = refusal.Why, refusal.After, basisTo(choice.Basis)
+		p.tellWithin(now, p.within(restWithin, restToDeciders))
 	} else {
 		answer.Flight, answer.Worker, answer.Wait = choice.Flight.ID, choice.Worker.Name, choice.Wait
 		answer.Pause, answer.Read, answer.Source, answer.Filling = choice.Pause, choice.Flight.Read, choice.Source, choice.Filling
@@ -170,7 +171,7 @@
 	w, known := p.view.Worker(s.Worker)
 	switch {
 	case s.Flight == 0 && waiting:
-		x.asked.reply <- refusedBy(placer.Refusal{Why: s.Why, After: s.After})
+		x.asked.reply <- refusedBy(e.from, placer.Refusal{Why: s.Why, After: s.After}, basisOf(s.Basis))
 	case s.Flight == 0:
 	case waiting && known:
 		x.asked.reply <- workerReply{place: router.Place{
@@ -186,8 +187,21 @@
 
 // refusedBy is the reply to a request that a view refused. Callers that were refused
 // together must not come back together.
-func refusedBy(r placer.Refusal) workerReply {
-	return workerReply{refused: &router.Refused{Why: r.Why, After: retrier.Jitter(r.After, rand.Float64())}}
+func refusedBy(host string, r placer.Refusal, b placer.Basis) workerReply {
+	return workerReply{refused: &router.Refused{Why: r.Why, After: retrier.Jitter(r.After, rand.Float64()), By: host, Basis: b}}
+}
+
+// basisOf is what another host refused a request by; one of an older version does not say.
+func basisOf(b *messenger.Basis) placer.Basis {
+	if b == nil {
+		return placer.Basis{}
+	}
+	return placer.Basis(*b)
+}
+
+func basisTo(b placer.Basis) *messenger.Basis {
+	m := messenger.Basis(b)
+	return &m
 }
 
 func seekOf(id uint64, self registrar.Record, a placer.Ask) messenger.Seek {
--- a/runner/sharing.go
+++ b/runner/sharing.go
@@ -55,17 +55,33 @@
 }
 
 func sendingOf(f placer.Flight) messenger.Sending {
-	s := messenger.Sending{ID: f.ID, Worker: f.Worker, Read: f.Read, Hold: f.Hold, Left: f.Left, Gap: f.Gap, Rank: f.Rank, Fetch: f.Fetch, Tier: f.Tier}
+	s := messenger.Sending{ID: f.ID, Worker: f.Worker, Read: f.Read, Hold: f.Hold, Left: f.Left, Gap: f.Gap, Rank: f.Rank, Fetch: f.Fetch, Tier: f.Tier, Output: f.Output}
 	s.Keys, s.Tokens = keysOf(f.Parts)
 	return s
 }
 
 func flightOf(s messenger.Sending) placer.Flight {
 	return placer.Flight{
-		ID: s.ID, Worker: s.Worker, Parts: partsOf(s.Keys, s.Tokens), Read: s.Read, Hold: s.Hold, Left: s.Left, Gap: s.Gap, Rank: s.Rank, Fetch: s.Fetch, Tier: s.Tier,
+		ID: s.ID, Worker: s.Worker, Parts: partsOf(s.Keys, s.Tokens), Read: s.Read, Hold: s.Hold, Left: s.Left, Gap: s.Gap, Rank: s.Rank, Fetch: s.Fetch, Tier: s.Tier, Output: s.Output,
 	}
 }
 
+func offersOf(list []placer.Offer) []messenger.Offer {
+	var out []messenger.Offer
+	for _, x := range list {
+		out = append(out, messenger.Offer{Service: x.Service, Tier: x.Tier, Count: x.Count, Output: x.Output, Read: x.Read})
+	}
+	return out
+}
+
+func takenOf(list []messenger.Offer) []placer.Offer {
+	var out []placer.Offer
+	for _, x := range list {
+		out = append(out, placer.Offer{Service: x.Service, Tier: x.Tier, Count: x.Count, Output: x.Output, Read: x.Read})
+	}
+	return out
+}
+
 // within is a wait where each host decides for itself, or where few do for all.
 func (p *choosing) within(each, few time.Duration) time.Duration {
 	if len(p.deciding.deciders) == 0 {
@@ -87,6 +103,7 @@
 func (p *choosing) tell() {
 	p.shareAt = time.Time{}
 	m := p.shared
+	m.Refused = offersOf(p.view.Refused())
 	p.shared = messenger.Shared{}
 	if len(p.deciding.deciders) == 0 {
 		p.toOthers(m)
@@ -122,6 +139,7 @@
 		}
 		p.view.BegunAfter(now, id, took)
 	}
+	p.view.Offered(now, takenOf(e.shared.Refused))
 	for _, x := range e.shared.Ended {
 		p.view.Ended(now, x.ID, placer.Outcome(x.Outcome))
 	}
