--- a/placer/option.go
+++ b/placer/option.go
@@ -77,7 +77,7 @@
 func (v *View) holder(a Ask) (*worker, int) {
 	var holder *worker
 	held := 0
-	for _, w := range v.workers {
+	for _, w := range v.order {
 		if w.Service != a.Service || w.Link <= 0 || w.Token <= 0 {
 			continue
 		}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -7,7 +7,12 @@
 // goroutine of a host owns it.
 package placer
 
-import "time"
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
 
 const (
 	// chunk is the prompt tokens that an engine reads between two steps of decoding.
@@ -28,6 +33,7 @@
 type View struct {
 	zone    string
 	workers map[string]*worker // by name
+	order   []*worker          // the same, by name, so that what is decided repeats
 	flights map[uint64]*flight
 	over    map[uint64]time.Time     // when requests ended of which nothing else was heard
 	pace    map[string]time.Duration // of plain services: time of an answer
@@ -68,6 +74,7 @@
 		x.Worker, x.fit = w, v.fitOf(w.Service)
 		v.workers[w.Name] = x
 	}
+	v.order = slices.SortedFunc(maps.Values(v.workers), func(a, b *worker) int { return cmp.Compare(a.Name, b.Name) })
 	for name, x := range old {
 		if v.workers[name] == nil {
 			gone = append(gone, x.Worker)
@@ -151,7 +158,7 @@
 func (v *View) weigh(now time.Time, a Ask) []option {
 	options := v.options[:0]
 	holder, held := v.holder(a)
-	for _, w := range v.workers {
+	for _, w := range v.order {
 		if w.Service != a.Service || excluded(a, w.Name) {
 			continue
 		}
