Slots are kept for what more urgent routes are asked for

Cause: less urgent prompts are read without a pause; a stream gets a token with each chunk of 22 ms in place of each step of 5, so that the urgent hold slots three times longer, and then are refused. Change: what more urgent routes will want is their offered rate (refused ones too, of all hosts) times how long one holds a slot, while what is as urgent as the request, or more, is read beside it; a request is refused where that leaves it none. Tried first and worse: by the reading of all (plans refused for nothing: 28 of 101), a token's time as a mean over tokens (4 s for 1.5 seen).

--- a/placer/play_test.go
+++ b/placer/play_test.go
@@ -36,12 +36,15 @@
 	engines          int
 	rate             float64
 	planGap, chatGap time.Duration
-	slots            int     // of an engine; 0 is 96
-	planRank         int     // how urgent plans are; chats are 0
-	reviews          float64 // a second; still longer prompts, the least urgent, with a longer target
-	sessions         int     // second parts that plans share; 0 is 117
-	memory           int     // tokens that an engine keeps; 0 is endless
-	hints            bool    // callers say how long an answer they expect
+	slots            int           // of an engine; 0 is 96
+	planRank         int           // how urgent plans are; chats are 0
+	reviews          float64       // a second; still longer prompts, the least urgent, with a longer target
+	sessions         int           // second parts that plans share; 0 is 117
+	memory           int           // tokens that an engine keeps; 0 is endless
+	hints            bool          // callers say how long an answer they expect
+	tiers            bool          // chats, plans and reviews are of routes of tiers 0, 1 and 2
+	organisations    int           // of all callers, whose tier goes before the route's; 0 is one
+	quiet            time.Duration // a tenth comes before and after so long a time
 }
 
 // tally is what callers of one class got.
@@ -83,8 +86,9 @@
 type outcome struct {
 	plans, chats, reviews tally
 	refused               int
-	over                  int // engines that ever had more requests than slots
-	readAgain             int // tokens of shared parts that were read, in all
+	over                  int        // engines that ever had more requests than slots
+	seconds               [][3]tally // of chats, plans and reviews, by when they asked
+	readAgain             int        // tokens of shared parts that were read, in all
 }
 
 func (o outcome) share() (plans, chats float64) { return o.plans.share(), o.chats.share() }
@@ -121,6 +125,9 @@
 	d.arrive(l.plans, length, d.plan)
 	d.arrive(l.chats, length, d.chat)
 	d.arrive(l.reviews, length, func() placer.Ask { return l.review(d.r) })
+	for _, s := range d.streams {
+		d.urgency(s)
+	}
 	for len(d.todo) > 0 {
 		m := heap.Pop(&d.todo).(moment)
 		m.do(m.at)
@@ -148,12 +155,42 @@
 	})
 }
 
+// urgency sets the tiers and ranks of a request, where routes have tiers.
+func (d *day) urgency(s *stream) {
+	if !d.load.tiers {
+		return
+	}
+	s.ask.Tier = s.kind()
+	s.ask.Rank = s.ask.Tier
+	if n := d.load.organisations; n > 0 {
+		s.ask.Rank += 3 * d.r.IntN(n)
+	}
+}
+
+// kind is 0 for a chat, 1 for a plan, 2 for a review.
+func (s *stream) kind() int {
+	switch {
+	case s.review:
+		return 2
+	case len(s.ask.Parts) > 1:
+		return 1
+	}
+	return 0
+}
+
 // arrive has requests come at random, so many a second.
 func (d *day) arrive(rate float64, length time.Duration, ask func() placer.Ask) {
 	if rate == 0 {
 		return
 	}
-	for at := time.Duration(0); at < length; at += time.Duration(d.r.ExpFloat64() / rate * float64(time.Second)) {
+	next := func(at time.Duration) time.Duration {
+		now := rate
+		if at < d.load.quiet || length-at < d.load.quiet {
+			now = rate / 10
+		}
+		return time.Duration(d.r.ExpFloat64() / now * float64(time.Second))
+	}
+	for at := time.Duration(0); at < length; at += next(at) {
 		s := &stream{ask: ask(), id: uint64(len(d.streams) + 1), at: at}
 		s.review, s.whole = s.ask.Target > time.Second, s.ask.Left
 		d.streams = append(d.streams, s)
@@ -234,14 +271,12 @@
 		if s.refused > 0 {
 			o.refused++
 		}
-		t := &o.chats
-		switch {
-		case s.review:
-			t = &o.reviews
-		case len(s.ask.Parts) > 1:
-			t = &o.plans
+		[]*tally{&o.chats, &o.plans, &o.reviews}[s.kind()].count(s, ok, late)
+		second := int(s.at / time.Second)
+		for len(o.seconds) <= second {
+			o.seconds = append(o.seconds, [3]tally{})
 		}
-		t.count(s, ok, late)
+		o.seconds[second][s.kind()].count(s, ok, late)
 	}
 	return o
 }
--- a/placer/protecting.go
+++ b/placer/protecting.go
@@ -10,6 +10,8 @@
 	// slots, and keptMost the part of one engine's slots that are kept for it at most.
 	keptSpreads = 2.0
 	keptMost    = 0.25
+	// keptPooled is the same of all engines together: a request may go to any of them.
+	keptPooled = 3.0
 )
 
 // protection is the slots of a service's engines that more urgent routes than a
@@ -87,7 +89,7 @@
 		return
 	}
 	n := float64(len(options))
-	kept := keptSpreads * math.Sqrt(float64(p.there)/n)
+	kept := min(keptSpreads*math.Sqrt(float64(p.there)/n), keptPooled*math.Sqrt(float64(p.there))/n)
 	for i := range options {
 		o := &options[i]
 		o.kept = int(math.Ceil(math.Min(kept, keptMost*float64(o.Slots))))
@@ -103,6 +105,9 @@
 	return need + keptSpreads*math.Sqrt(need) - float64(p.there)
 }
 
+// closed says that what is free is wanted by more urgent routes.
+func (p protection) closed() bool { return p.rate > 0 && float64(p.free) <= p.wanted() }
+
 // offer is a request as what is asked for. What it would have to read is what the engine
 // that comes nearest would.
 func (a Ask) offer(o *option) Offer {
--- a/placer/refusing.go
+++ b/placer/refusing.go
@@ -36,6 +36,8 @@
 		// An engine whose slots are taken runs one request more only in the place of
 		// another, which it then reads in again.
 		return refusal("slots", a.Target/2)
+	case o.Memory > 0 && v.guard.closed():
+		return refusal("slots", max(a.Target/2, milliseconds(v.guard.held)))
 	case o.Memory == 0 && a.Target > 0 && o.wait > room:
 		// Failure: more comes than the service can do, its queue grows to what callers
 		// wait for at most, and all answers are late. With a short queue as many are
