A request is refused for slots only where no engine has one

Cause: the cheapest engine was judged alone; where it was full, only engines without tight streams were tried instead. Change: engines that have a slot come first. Spec red before ("slots").

--- a/placer/placer.go
+++ b/placer/placer.go
@@ -137,7 +137,10 @@
 func (v *View) best(now time.Time, a Ask) (*option, *Refusal) {
 	v.demands.note(now, a)
 	options := v.weigh(now, a)
-	best := cheapest(options, func(*option) bool { return true })
+	best := cheapest(options, (*option).hasSlot)
+	if best == nil {
+		best = cheapest(options, func(*option) bool { return true })
+	}
 	if best == nil {
 		return nil, &Refusal{After: noneAfter, Why: "no_workers"}
 	}
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -262,6 +262,24 @@
 		Expect(fill(chat)).To(Equal(2 * 3))
 	})
 
+	// Guards against a request that is refused for slots while another engine has some.
+	It("takes a slot at an engine with tight streams where the others have none", func() {
+		workers := engines("e-1", "e-2")
+		workers[0].Slots = 4
+		v.SetWorkers(start, workers)
+		for id := range uint64(34) {
+			f := placer.Flight{ID: 100 + id, Worker: "e-1", Hold: 800, Left: 9 * time.Second}
+			if id >= 4 {
+				f.Worker, f.Gap = "e-2", 50*time.Millisecond
+			}
+			v.Heard(start, "other", f)
+			v.Begun(start, f.ID)
+		}
+		c, refusal := place(start, plan(7))
+		Expect(refusal).To(BeNil())
+		Expect(c.Worker.Name).To(Equal("e-2"))
+	})
+
 	It("keeps long prompts away from streams whose pauses they would stretch", func() {
 		v.SetWorkers(start, engines("e-1", "e-2"))
 		chat := placer.Ask{Service: "lm", Prompt: 800, Output: 300, Left: 10 * time.Second, Target: 300 * time.Millisecond, Gap: 200 * time.Millisecond}
