The more urgent go beside streams before they are refused for a queue

Cause: prompts of up to 63,000 tokens are read for 1.5 s; what is sent behind one waits, and the engines with streams, which would read it at once, were closed to every long prompt. Change: closed only to the least urgent route's that came lately. Spec red before ("queue").

--- a/placer/placer.go
+++ b/placer/placer.go
@@ -132,7 +132,8 @@
 
 // best is the option with the least cost for a request. Where the request should not
 // go there, any other that has room for it and no stream that it would disturb does;
-// else it is refused: then the option is the one that it would have got. To send it to the streams' workers instead was tried: it makes
+// else it is refused: then the option is the one that it would have got. One that is more
+// urgent than others that come goes to streams' workers before it is refused. To send it to the streams' workers instead was tried: it makes
 // them late in the place of what was refused.
 func (v *View) best(now time.Time, a Ask) (*option, *Refusal) {
 	v.demands.note(now, a)
@@ -148,7 +149,8 @@
 	if refusal == nil {
 		return best, nil
 	}
-	other := cheapest(options, func(o *option) bool { return o.tight == 0 && v.refuse(o, a) == nil })
+	least := v.demands.leastUrgent(a)
+	other := cheapest(options, func(o *option) bool { return (o.tight == 0 || !least) && v.refuse(o, a) == nil })
 	if other == nil {
 		refusal.After = v.book(now, a, options, refusal.After)
 		return best, refusal
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -280,6 +280,32 @@
 		Expect(c.Worker.Name).To(Equal("e-2"))
 	})
 
+	// Guards against the more urgent being refused for a queue while the less urgent are read.
+	It("sends the more urgent to engines with tight streams before it refuses them", func() {
+		outcome := func(less ...placer.Ask) string {
+			v = placer.New("a")
+			v.SetWorkers(start, engines("e-1", "e-2"))
+			for id := range uint64(10) {
+				f := placer.Flight{ID: 100 + id, Worker: "e-2", Hold: 800, Left: 9 * time.Second, Gap: 50 * time.Millisecond}
+				v.Heard(start, "other", f)
+				v.Begun(start, f.ID)
+			}
+			v.Heard(start, "other", placer.Flight{ID: 99, Worker: "e-1", Read: 15_000, Hold: 15_000, Left: 9 * time.Second})
+			for _, a := range less {
+				place(start, a)
+			}
+			c, refusal := place(start, plan(7))
+			if refusal != nil {
+				return refusal.Why
+			}
+			return c.Worker.Name
+		}
+		long := plan(8)
+		long.Prompt, long.Tier, long.Rank, long.Target = 40_000, 1, 1, time.Millisecond
+		Expect(outcome()).To(Equal("queue"))
+		Expect(outcome(long)).To(Equal("e-2"))
+	})
+
 	It("keeps long prompts away from streams whose pauses they would stretch", func() {
 		v.SetWorkers(start, engines("e-1", "e-2"))
 		chat := placer.Ask{Service: "lm", Prompt: 800, Output: 300, Left: 10 * time.Second, Target: 300 * time.Millisecond, Gap: 200 * time.Millisecond}
