A decider whose answer is late is not held for dead

Ruled out: slow deciders (the big hosts' times), memory. Cause: after 60 ms an answer was taken for a death, of each decider in turn; for a second the host decided by its own view, which knows nothing of what the others send. Change: a late answer clears the doubt; how long one may take follows from how long they take (smoothed round trip and four deviations, 60 to 200 ms). Elsewhere: the dispatcher's entries ask again after silence but do not decide; they are not hit. Spec red before (the decider is not asked again).

--- a/runner/choosing.go
+++ b/runner/choosing.go
@@ -273,6 +273,7 @@
 	p.roster = r
 	p.relay.Enroll(r)
 	p.deciding.enroll(r)
+	p.view.Share(len(p.deciding.deciders), p.deciding.place(p.self))
 	p.hosts = max(p.hosts, len(r.Hosts()))
 }
 
@@ -302,6 +303,7 @@
 	p.beat(now)
 	p.takeTurn(now, "watchers and words")
 	p.view.Sweep(now)
+	p.deciding.sweep(now)
 	if p.directory.Sweep(now) {
 		p.setWorkers(now)
 	}
--- a/runner/deciding.go
+++ b/runner/deciding.go
@@ -27,9 +27,19 @@
 	// listeners is how many hosts are told of all that is sent and ends, the deciders
 	// first: who comes after them must know as much when it takes a place.
 	listeners = 5
-	// decideWithin is how long a decider may take to answer before another is asked:
-	// twenty round trips between zones, a fifth of the tightest target.
+	// decideWithin is how long a decider may take to answer at least before another is
+	// asked: twenty round trips between zones, a fifth of the tightest target.
 	decideWithin = 60 * time.Millisecond
+	// decideMost is the same at most, where answers take long.
+	decideMost = 200 * time.Millisecond
+	// roundWeight and spreadWeight are the parts of a new sample in the round trip and in
+	// its deviation, and spreads how many of these an answer may be late (as in RFC 6298).
+	roundWeight  = 1.0 / 8
+	spreadWeight = 1.0 / 4
+	spreads      = 4
+	// answerMost is how long after a question its answer is still waited for, to learn
+	// how long answers take.
+	answerMost = 2 * time.Second
 	// doubtFor is how long a decider that did not answer is not asked: about as long as
 	// a death takes to be known.
 	doubtFor = time.Second
@@ -41,12 +51,16 @@
 	listeners []registrar.Record   // the deciders and those that come after them
 	doubted   map[string]time.Time // until then, by name
 	pending   map[uint64]seeking   // questions under way
+	round     time.Duration        // that an answer takes, smoothed
+	deviation time.Duration        // of round
 }
 
 // seeking is a request that waits for a decider's answer.
 type seeking struct {
 	asked workerAsked
 	by    string
+	at    time.Time
+	late  bool // another was asked since
 }
 
 // seekHeard and soughtHeard are frames of other hosts; seekLate is a question whose
@@ -94,6 +108,39 @@
 	return len(d.deciders) == 0 || slices.ContainsFunc(d.deciders, func(h registrar.Record) bool { return h.Name == name })
 }
 
+// within is how long a decider may take to answer. Failure: in a flood a host's own link
+// is what is slow; deciders that answer after the least time would be held for dead, and
+// the host would decide by itself, though it knows next to nothing of what others send.
+func (d *deciding) within() time.Duration {
+	return min(max(d.round+spreads*d.deviation, decideWithin), decideMost)
+}
+
+// answered takes that a decider's answer took so long: late or not, it is alive.
+func (d *deciding) answered(by string, took time.Duration) {
+	delete(d.doubted, by)
+	if d.round == 0 {
+		d.round, d.deviation = took, took/2
+		return
+	}
+	off := took - d.round
+	d.deviation += time.Duration(spreadWeight * float64(off.Abs()-d.deviation))
+	d.round += time.Duration(roundWeight * float64(off))
+}
+
+// sweep forgets questions that nobody answers any more.
+func (d *deciding) sweep(now time.Time) {
+	for id, x := range d.pending {
+		if x.late && now.Sub(x.at) > answerMost {
+			delete(d.pending, id)
+		}
+	}
+}
+
+// place is which of the deciders a host is, from 0; -1 where it is none.
+func (d *deciding) place(name string) int {
+	return slices.IndexFunc(d.deciders, func(h registrar.Record) bool { return h.Name == name })
+}
+
 // pick is a decider that answers; false where none does.
 func (d *deciding) pick(now time.Time) (registrar.Record, bool) {
 	for _, i := range rand.Perm(len(d.deciders)) {
@@ -123,8 +170,8 @@
 	if d.pending == nil {
 		d.pending, d.doubted = map[uint64]seeking{}, map[string]time.Time{}
 	}
-	d.pending[id] = seeking{asked: e, by: decider.Name}
-	time.AfterFunc(decideWithin, func() { p.post(seekLate{id: id}) })
+	d.pending[id] = seeking{asked: e, by: decider.Name, at: now}
+	time.AfterFunc(d.within(), func() { p.post(seekLate{id: id}) })
 	return true
 }
 
@@ -135,9 +182,10 @@
 	if !ok {
 		return
 	}
-	delete(p.deciding.pending, e.id)
+	x.late = true
+	p.deciding.pending[e.id] = x
 	if !now.Before(p.deciding.doubted[x.by]) {
-		p.log.Warn("decider silent", zap.String("peer", x.by), zap.Duration("waited", decideWithin))
+		p.log.Warn("decider silent", zap.String("peer", x.by), zap.Duration("waited", now.Sub(x.at)), zap.Duration("usual", p.deciding.round))
 	}
 	p.deciding.doubted[x.by] = now.Add(doubtFor)
 	if !p.seek(now, x.asked) {
@@ -166,14 +214,18 @@
 // hearSought takes a decider's answer. One that comes too late is given back.
 func (p *choosing) hearSought(now time.Time, e soughtHeard) {
 	s := e.sought
-	x, waiting := p.deciding.pending[s.ID]
+	x, known := p.deciding.pending[s.ID]
 	delete(p.deciding.pending, s.ID)
-	w, known := p.view.Worker(s.Worker)
+	if known {
+		p.deciding.answered(x.by, now.Sub(x.at))
+	}
+	waiting := known && !x.late
+	w, there := p.view.Worker(s.Worker)
 	switch {
 	case s.Flight == 0 && waiting:
 		x.asked.reply <- refusedBy(e.from, placer.Refusal{Why: s.Why, After: s.After}, basisOf(s.Basis))
 	case s.Flight == 0:
-	case waiting && known:
+	case waiting && there:
 		x.asked.reply <- workerReply{place: router.Place{
 			ID: s.Flight, Service: x.asked.ask.Service, Worker: w, Wait: s.Wait, Pause: s.Pause, Source: s.Source, Read: s.Read, Filling: s.Filling, Age: now.Sub(p.listed), By: e.from,
 		}}
--- a/runner/deciding_test.go
+++ b/runner/deciding_test.go
@@ -93,6 +93,30 @@
 		Expect(len(out)).To(BeNumerically(">", before), "but after a while")
 	})
 
+	// Guards against a host whose own link is slow deciding by itself, blind, as if the deciders
+	// were dead.
+	It("asks a decider again whose answer came late, and waits for it longer", func() {
+		c := choosing(names[10], roster)
+		c.Ask(now, quote)
+		late := map[string]uint64{}
+		for range 3 {
+			to, s := seek()
+			late[to.to] = s.ID
+			c.Silent(now, s.ID)
+		}
+		least := c.Patience()
+		for name, id := range late {
+			c.Hear(now.Add(90*time.Millisecond), name, messenger.Sought{ID: id, Why: "slots", After: time.Second})
+		}
+		Expect(c.Patience()).To(And(BeNumerically(">", least), BeNumerically("<=", 200*time.Millisecond)))
+		before := len(out)
+		got := c.Ask(now.Add(100*time.Millisecond), quote)
+		Expect(len(out)).To(Equal(before + 1))
+		to, s := seek()
+		c.Hear(now.Add(103*time.Millisecond), to.to, messenger.Sought{ID: s.ID, Flight: 9, Worker: "d-2"})
+		Eventually(got).Should(Receive(Equal("d-2 by " + to.to)))
+	})
+
 	// The answer comes after its request went elsewhere. The place is taken at every
 	// listener, and would be for as long as the request could have lasted.
 	It("gives back a place that comes too late", func() {
--- a/runner/export_test.go
+++ b/runner/export_test.go
@@ -198,6 +198,9 @@
 // Silent has the time pass that a decider has to answer a question.
 func (x Choosing) Silent(now time.Time, id uint64) { x.c.take(now, seekLate{id: id}) }
 
+// Patience is how long a decider may take to answer.
+func (x Choosing) Patience() time.Duration { return x.c.deciding.within() }
+
 // AskOf is the request that a question of another host is about.
 func AskOf(s messenger.Seek) placer.Ask { return askOf(s) }
 
