The last slots of an engine are one decider's

Evidence: engine i-59e13ed7c9 had 24 slots and 26 requests at 6.338 s; the last three came within 1 ms from three deciders. Cause: several deciders see the same free slot and fill it before they hear of one another. Change: as many of the last slots as there are other deciders are one's alone, by a hash. Spec red before (12 requests on four last slots).

--- a/placer/option.go
+++ b/placer/option.go
@@ -28,6 +28,7 @@
 	queue    float64 // reading what comes before the request
 	all      float64 // reading all that it was sent
 	kept     int     // slots that are kept for more urgent requests
+	margin   int     // slots that are left to other hosts
 	equals   float64 // reading what is as urgent as the request, or more
 	duty     float64 // the part of its time for which it will read, as far as it was given lately
 	wait     float64 // until the request's first event, or a plain service's answer
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -44,6 +44,8 @@
 	refused []Offer                  // what was refused and not told of yet
 	guard   protection               // of the request under way
 	told    time.Time                // when another host last told what it sent
+	sharers int                      // hosts that decide, where these share slots
+	self    int                      // which of them this is
 	booked  map[class]time.Time      // when the refused will have been read that were told to come back
 
 	evictsFreely bool // what engines would evict costs nothing; for specs that play both
@@ -168,6 +170,7 @@
 			continue
 		}
 		o := w.option(now, a, holder, held)
+		o.margin = v.margin(w)
 		if o.Memory == 0 {
 			v.plain(&o)
 		}
--- a/placer/protecting.go
+++ b/placer/protecting.go
@@ -96,8 +96,10 @@
 	}
 }
 
-// hasSlot says that an engine has a slot besides those that are kept.
-func (o *option) hasSlot() bool { return o.Memory == 0 || len(o.flights)+o.kept < o.Slots }
+// hasSlot says that an engine has a slot besides those that are kept, or left to others.
+func (o *option) hasSlot() bool {
+	return o.Memory == 0 || len(o.flights)+max(o.kept, o.margin) < o.Slots
+}
 
 // wanted is the slots that more urgent routes will want besides those that they have.
 func (p protection) wanted() float64 {
--- /dev/null
+++ b/placer/sharing_test.go
@@ -0,0 +1,50 @@
+package placer_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cicadawood/cicadawood/placer"
+)
+
+// Guards against several hosts that fill an engine's last slot at once, and streams that are
+// taken off for it.
+var _ = Describe("Hosts that decide at once", func() {
+	It("fill no engine beyond its slots before they hear of one another", func() {
+		const hosts, slots = 3, 24
+		names := []string{"e-1", "e-2", "e-3", "e-4"}
+		workers := engines(names...)
+		for i := range workers {
+			workers[i].Slots = slots
+		}
+		var views []*placer.View
+		for i := range hosts {
+			v := placer.New("a")
+			v.Share(hosts, i)
+			v.SetWorkers(start, workers)
+			for id := range uint64(len(names) * (slots - 1)) {
+				f := placer.Flight{ID: 100 + id, Worker: names[id%4], Hold: 800, Output: 300, Left: 9 * time.Second}
+				v.Heard(start, "other", f)
+				v.Begun(start, f.ID)
+			}
+			views = append(views, v)
+		}
+		taken := map[string]int{}
+		placed := 0
+		for i, v := range views {
+			for id := range uint64(8) {
+				chat := placer.Ask{Service: "lm", Prompt: 800, Output: 300, Left: 10 * time.Second, Patience: 2 * time.Second, Target: 300 * time.Millisecond}
+				if c, refusal := v.Place(start, 1000*uint64(i+1)+id, chat); refusal == nil {
+					taken[c.Worker.Name]++
+					placed++
+				}
+			}
+		}
+		Expect(placed).To(Equal(len(names)), "each last slot is somebody's")
+		for _, n := range taken {
+			Expect(n).To(Equal(1))
+		}
+	})
+})
