--- a/runner/deciding_test.go
+++ b/runner/deciding_test.go
@@ -111,7 +111,7 @@
 		Expect(c.Patience()).To(And(BeNumerically(">", least), BeNumerically("<=", 200*time.Millisecond)))
 		before := len(out)
 		got := c.Ask(now.Add(100*time.Millisecond), quote)
-		Expect(len(out)).To(Equal(before + 1))
+		Expect(out).To(HaveLen(before + 1))
 		to, s := seek()
 		c.Hear(now.Add(103*time.Millisecond), to.to, messenger.Sought{ID: s.ID, Flight: 9, Worker: "d-2"})
 		Eventually(got).Should(Receive(Equal("d-2 by " + to.to)))
