Streams of a host that lost its power count until they must have ended

Evidence: in krilo's log the dead were known at 12.50 and 12.56 s, and preemptions began at 13.2 s; by the lines of the living hosts no engine ever had more than its 128 requests. Ruled out: hosts that start again (14.7 s, after it). Cause: the flights of a dead host were forgotten at once, as workers drop requests whose connections end; those of a host without power do not end. Change: at engines they count until they must have ended, by their length and what a token takes.

--- a/placer/flight.go
+++ b/placer/flight.go
@@ -20,6 +20,7 @@
 	alone  bool          // nothing else was read from its sending to its first event
 	begun  bool          // its first event was seen
 	rounds float64       // of work that its plain worker needed to come to its answer, as predicted
+	until  time.Time     // its host is gone, and it must have ended by then; zero else
 	token  float64       // milliseconds that a token took as it was sent
 	ends   float64       // milliseconds until its last event, as predicted by this host; 0 where that is not known
 	took   time.Duration // until its first event or its answer, as its host saw; 0 before
@@ -27,20 +28,28 @@
 
 // Heard takes a flight that another host told of.
 func (v *View) Heard(now time.Time, from string, f Flight) {
+	x := v.hear(now, from, f)
+	if x == nil {
+		return
+	}
+	if w := v.workers[f.Worker]; w != nil {
+		v.offers.note(now, Offer{Service: w.Service, Tier: f.Tier, Count: 1, Output: f.Output, Read: milliseconds(x.unread)})
+	}
+}
+
+// hear counts a flight that another host told of; nil where it is over or known.
+func (v *View) hear(now time.Time, from string, f Flight) *flight {
+	v.told = now
 	if _, over := v.over[f.ID]; over {
 		// Failure: one host tells that a request was sent, another that it ended, and the
 		// second word comes first. Taken in that order, the request never ends.
 		delete(v.over, f.ID)
-		return
+		return nil
 	}
-	v.told = now
 	if v.flights[f.ID] != nil {
-		return
-	}
-	x := v.add(now, from, f)
-	if w := v.workers[f.Worker]; w != nil {
-		v.offers.note(now, Offer{Service: w.Service, Tier: f.Tier, Count: 1, Output: f.Output, Read: milliseconds(x.unread)})
+		return nil
 	}
+	return v.add(now, from, f)
 }
 
 // add counts a flight at its worker, and returns it as the view keeps it.
@@ -106,16 +115,30 @@
 	return w
 }
 
-// Lost forgets what a host that is gone had under way: workers drop requests
-// whose connections end.
+// Lost takes that a host is gone. Workers drop requests whose connections end, so that
+// what it had under way at plain services is forgotten. Failure: the connections of a host
+// that lost its power do not end, and engines go on with its streams; forgotten at once,
+// their slots are given away, and streams are taken off for it. So these count until they
+// must have ended.
 func (v *View) Lost(now time.Time, host string) {
 	for _, f := range v.flights {
-		if f.from == host && host != "" {
-			v.forget(now, f)
+		if f.from != host || host == "" {
+			continue
+		}
+		if w := v.workers[f.Worker]; w != nil && w.Memory > 0 && w.has(f) {
+			f.until = f.at.Add(v.lasts(w, f))
+			continue
 		}
+		v.forget(now, f)
 	}
 }
 
+// lasts is how long after it was sent a flight to an engine is expected to end.
+func (v *View) lasts(w *worker, f *flight) time.Duration {
+	tokens := float64(f.Output) * v.offers.of(w.Service, f.Tier).told()
+	return min(milliseconds(f.unread+w.rest()+tokens*f.token), f.Left)
+}
+
 // Sweep forgets flights that must be over, as what other hosts said of their end
 // was lost.
 func (v *View) Sweep(now time.Time) {
@@ -125,7 +148,7 @@
 		}
 	}
 	for _, f := range v.flights {
-		if now.Sub(f.at) > f.Left+overdueMost {
+		if now.Sub(f.at) > f.Left+overdueMost || !f.until.IsZero() && now.After(f.until) {
 			v.forget(now, f)
 		}
 	}
--- /dev/null
+++ b/placer/flight_test.go
@@ -0,0 +1,27 @@
+package placer_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cicadawood/cicadawood/placer"
+)
+
+var _ = Describe("A flight", func() {
+	// Guards against slots given away while engines go on with the streams of a host that lost
+	// its power.
+	It("counts at engines after its host is lost, until it must have ended", func() {
+		v := placer.New("a")
+		v.SetWorkers(start, engines("e-1"))
+		v.Heard(start, "other", placer.Flight{ID: 1, Worker: "e-1", Read: 800, Hold: 1100, Output: 300, Left: 15 * time.Second})
+		v.Begun(start.Add(50*time.Millisecond), 1)
+		v.Lost(start.Add(time.Second), "other")
+		Expect(v.Beliefs(start)[0].Flights).To(Equal(1))
+		v.Sweep(start.Add(1200 * time.Millisecond))
+		Expect(v.Beliefs(start)[0].Flights).To(Equal(1))
+		v.Sweep(start.Add(4 * time.Second))
+		Expect(v.Beliefs(start)[0].Flights).To(BeZero())
+	})
+})
--- a/placer/offer.go
+++ b/placer/offer.go
@@ -106,9 +106,12 @@
 
 // length is the tokens of output of one request, as far as expectations held lately.
 func (x *offered) length() float64 {
-	return x.output * (x.seen + lengthStart) / (x.expected + lengthStart)
+	return x.output * x.told()
 }
 
+// told is the part of the tokens of output that requests expect which they have.
+func (x *offered) told() float64 { return (x.seen + lengthStart) / (x.expected + lengthStart) }
+
 // given is the milliseconds of reading a second that a service's engines are given.
 func (o offers) given(now time.Time, service string) float64 {
 	sum := 0.0
