A host that starts is told what is under way

Cause: a host that starts, or begins to decide or listen, knows nothing of what is at the engines. Change: where each host decides, each tells the new one what it sends itself; where few do, the first that listened before tells all. Not learned from, not taken for demand, parts left out. Specs red before.

--- a/messenger/message_share.go
+++ b/messenger/message_share.go
@@ -15,6 +15,8 @@
 	Took []time.Duration `msgpack:"took"`
 	// Refused is what no worker got, a sum for each service and tier.
 	Refused []Offer `msgpack:"refused"`
+	// Running is what was sent before the receiver started, or began to listen.
+	Running []Sending `msgpack:"running"`
 }
 
 // Offer is requests of one service and route's tier.
@@ -43,6 +45,7 @@
 	Fetch    int           `msgpack:"fetch"`  // tokens that the worker fetches from another
 	Tier     int           `msgpack:"tier"`   // of its route
 	Output   int           `msgpack:"output"` // tokens, guessed
+	Begun    bool          `msgpack:"begun"`  // its first event was seen
 }
 
 // Ending is one request that ended.
--- /dev/null
+++ b/placer/running_test.go
@@ -0,0 +1,43 @@
+package placer_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cicadawood/cicadawood/placer"
+)
+
+var _ = Describe("What is under way", func() {
+	chat := placer.Ask{Service: "lm", Prompt: 800, Output: 300, Left: 10 * time.Second, Patience: 2 * time.Second, Target: 300 * time.Millisecond}
+
+	// Guards against a host that starts, takes all engines for empty and fills them beyond
+	// their slots.
+	It("is known to a host that starts, and is not taken for what is asked for", func() {
+		workers := engines("e-1", "e-2")
+		old, fresh := placer.New("a"), placer.New("a")
+		old.SetWorkers(start, workers)
+		fresh.SetWorkers(start, workers)
+		for id := range uint64(12) {
+			old.Place(start, id, chat)
+			if id < 10 {
+				old.Begun(start.Add(50*time.Millisecond), id)
+			}
+		}
+		later := start.Add(time.Second)
+		for _, r := range old.Running(later, false) {
+			fresh.HeardRunning(later, "old", r)
+		}
+		Expect(fresh.Beliefs(later)[0].Flights + fresh.Beliefs(later)[1].Flights).To(Equal(12))
+		long := plan(7)
+		long.Tier, long.Rank, long.Target = 1, 1, time.Millisecond
+		c, refusal := fresh.Place(later, 99, long)
+		Expect(refusal).NotTo(BeNil())
+		Expect(c.Basis.Offered).To(BeZero())
+		for id := range uint64(12) {
+			fresh.Ended(later, id, placer.Answered)
+		}
+		Expect(fresh.Beliefs(later)[0].Flights + fresh.Beliefs(later)[1].Flights).To(BeZero())
+	})
+})
--- /dev/null
+++ b/runner/catching_test.go
@@ -0,0 +1,89 @@
+package runner_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cicadawood/cicadawood/messenger"
+	"github.com/cicadawood/cicadawood/placer"
+	"github.com/cicadawood/cicadawood/registrar"
+	"github.com/cicadawood/cicadawood/runner"
+)
+
+// Guards against a host that starts, or begins to decide, knowing nothing of what is at workers.
+var _ = Describe("A host that has just started", func() {
+	workers := []placer.Worker{{Name: "d-1", Service: "desk", Zone: "z", Slots: 8}}
+	quote := placer.Ask{Service: "desk", Left: time.Second, Target: 300 * time.Millisecond}
+	roster := func(hosts ...int) registrar.Roster {
+		var records []registrar.Record
+		for _, i := range hosts {
+			n := fmt.Sprintf("h-%02d", i)
+			records = append(records, registrar.Record{Name: n, Zone: "z", Control: n})
+		}
+		return registrar.NewRoster(records...)
+	}
+	span := func(n int) []int {
+		out := make([]int, n)
+		for i := range out {
+			out[i] = i
+		}
+		return out
+	}
+	// told is what each host was told that is under way.
+	told := func(out []sent) map[string]int {
+		n := map[string]int{}
+		for _, s := range out {
+			if m, ok := s.m.(messenger.Shared); ok {
+				n[s.to] += len(m.Running)
+			}
+		}
+		return n
+	}
+
+	It("is told by each of a few hosts what that one has under way", func() {
+		var out []sent
+		now := time.Now()
+		c := runner.NewChoosing("h-00", workers, func(to string, m messenger.Message) { out = append(out, sent{to, m}) })
+		c.Enroll(now, roster(span(4)...))
+		for range 3 {
+			Eventually(c.Ask(now, quote)).Should(Receive())
+		}
+		out = nil
+		c.Enroll(now, roster(0, 1, 2, 3, 9))
+		Expect(told(out)).To(Equal(map[string]int{"h-09": 3}))
+		fresh := runner.NewChoosing("h-09", workers, func(string, messenger.Message) {})
+		for _, s := range out {
+			fresh.Hear(now, "h-00", s.m)
+		}
+		Expect(fresh.Flights(now, "d-1")).To(Equal(3))
+	})
+
+	It("is told all by one that listened before, where it begins to listen in a large fleet", func() {
+		now := time.Now()
+		before := roster(span(20)...)
+		owners := before.Owners("decide", 20)
+		var left []registrar.Record
+		for _, h := range before.Hosts() {
+			if h.Name != owners[0].Name {
+				left = append(left, h)
+			}
+		}
+		tellers := 0
+		for _, h := range owners[1:] {
+			var out []sent
+			c := runner.NewChoosing(h.Name, workers, func(to string, m messenger.Message) { out = append(out, sent{to, m}) })
+			c.Enroll(now, before)
+			c.Hear(now, owners[0].Name, messenger.Shared{Sent: []messenger.Sending{{ID: 7, Worker: "d-1", Left: time.Second, Host: owners[9].Name}}})
+			out = nil
+			c.Enroll(now, registrar.NewRoster(left...))
+			if n := told(out); len(n) > 0 {
+				tellers++
+				Expect(n).To(Equal(map[string]int{owners[5].Name: 1}))
+			}
+		}
+		Expect(tellers).To(Equal(1))
+	})
+})
--- a/runner/choosing.go
+++ b/runner/choosing.go
@@ -270,9 +270,11 @@
 			p.view.Lost(now, h.Name)
 		}
 	}
+	before, listened := p.roster, p.deciding.listeners
 	p.roster = r
 	p.relay.Enroll(r)
 	p.deciding.enroll(r)
+	p.catchUp(now, before, listened)
 	p.view.Share(len(p.deciding.deciders), p.deciding.place(p.self))
 	p.hosts = max(p.hosts, len(r.Hosts()))
 }
--- a/runner/sharing.go
+++ b/runner/sharing.go
@@ -140,6 +140,9 @@
 		p.view.BegunAfter(now, id, took)
 	}
 	p.view.Offered(now, takenOf(e.shared.Refused))
+	for _, s := range e.shared.Running {
+		p.view.HeardRunning(now, cmp.Or(s.Host, e.from), placer.Running{Flight: flightOf(s), Begun: s.Begun})
+	}
 	for _, x := range e.shared.Ended {
 		p.view.Ended(now, x.ID, placer.Outcome(x.Outcome))
 	}
