--- a/placer/flight.go
+++ b/placer/flight.go
@@ -14,6 +14,7 @@
 type flight struct {
 	Flight
 	from   string // host; "" for this one
+	index  int    // among its worker's
 	at     time.Time
 	unread float64       // milliseconds of reading that are left, as predicted
 	readBy time.Time     // when it must have been read; zero before
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -34,6 +34,7 @@
 	zone    string
 	workers map[string]*worker // by name
 	order   []*worker          // the same, by name, so that what is decided repeats
+	counts  map[string]int     // workers, by service
 	flights map[uint64]*flight
 	over    map[uint64]time.Time     // when requests ended of which nothing else was heard
 	pace    map[string]time.Duration // of plain services: time of an answer
@@ -77,6 +78,10 @@
 		v.workers[w.Name] = x
 	}
 	v.order = slices.SortedFunc(maps.Values(v.workers), func(a, b *worker) int { return cmp.Compare(a.Name, b.Name) })
+	v.counts = map[string]int{}
+	for _, x := range v.order {
+		v.counts[x.Service]++
+	}
 	for name, x := range old {
 		if v.workers[name] == nil {
 			gone = append(gone, x.Worker)
@@ -96,15 +101,7 @@
 }
 
 // Workers is the number of workers of a service.
-func (v *View) Workers(service string) int {
-	n := 0
-	for _, w := range v.workers {
-		if w.Service == service {
-			n++
-		}
-	}
-	return n
-}
+func (v *View) Workers(service string) int { return v.counts[service] }
 
 // Place picks a worker for a request and counts it there.
 func (v *View) Place(now time.Time, id uint64, a Ask) (Choice, *Refusal) {
--- a/placer/protecting.go
+++ b/placer/protecting.go
@@ -35,21 +35,27 @@
 	if len(options) == 0 || options[0].Memory == 0 {
 		return p
 	}
+	hold := 0
 	for i := range options {
 		o := &options[i]
 		p.there += o.urgent
 		p.free += max(o.Slots-len(o.flights), 0)
+		hold += o.hold
+	}
+	n := float64(len(options))
+	tokens, reading := p.want(now, v.offers[a.Service], a.Tier)
+	if p.rate > 0 {
+		f := options[0].fit
+		p.held = f.rest() + tokens/p.rate*f.token(float64(hold)/n, reading/n/1000)
 	}
-	p.want(now, v.offers[a.Service], options, a.Tier)
 	p.spread(options)
 	return p
 }
 
-// want sets how many more urgent requests are asked for, and for how long one of them
-// takes a slot. What is less urgent still than the request is not read beside them for
-// long: it is refused first.
-func (p *protection) want(now time.Time, list []offered, options []option, tier int) {
-	tokens, reading := 0.0, 0.0
+// want sets how many more urgent requests are asked for, and returns the tokens a second of
+// their output and the milliseconds a second that engines read beside them. What is less
+// urgent still than the request is not read for long: it is refused first.
+func (p *protection) want(now time.Time, list []offered, tier int) (tokens, reading float64) {
 	for i := range list {
 		x := &list[i]
 		switch {
@@ -62,24 +68,18 @@
 			reading += x.givenNow(now)
 		}
 	}
-	if p.rate > 0 {
-		p.held = options[0].rest() + tokens/p.rate*token(options, reading)
-	}
+	return tokens, reading
 }
 
-// token is the milliseconds that a stream's token takes at engines that are given so many
-// milliseconds of reading a second in all: while they read, a token comes with each chunk,
+// token is the milliseconds that a stream's token takes at an engine that holds so many
+// tokens and reads for a part of its time: while it reads, a token comes with each chunk,
 // and else with each step.
-func token(options []option, reading float64) float64 {
-	step, read := 0.0, 0.0
-	for i := range options {
-		w := options[i].worker
-		step += stepTime + contextTime*float64(w.hold)/1000
-		read += w.readTime(chunk, chunk)
-	}
-	n := float64(len(options))
-	duty := min(reading/n/1000, 1)
-	return 1 / (duty/max(read/n, step/n) + (1-duty)/(step/n))
+func (f *fit) token(hold, duty float64) float64 {
+	context := contextTime * hold / 1000
+	step := stepTime + context
+	reading := max(f.reading(chunk, chunk)+context, step)
+	duty = min(duty, 1)
+	return 1 / (duty/reading + (1-duty)/step)
 }
 
 // spread keeps slots of each engine for as many more urgent requests as may come soon: the
@@ -132,7 +132,8 @@
 // tokenOf is the milliseconds that a stream's token takes at the engines of a worker's
 // service, by what they are given.
 func (v *View) tokenOf(now time.Time, w *worker) float64 {
-	return token([]option{{worker: w}}, v.offers.given(now, w.Service)/float64(max(v.Workers(w.Service), 1)))
+	reading := v.offers.given(now, w.Service) / float64(max(v.Workers(w.Service), 1))
+	return w.fit.token(float64(w.hold), reading/1000)
 }
 
 // learnLength takes how many tokens a stream that was whole had: its time, in parts of what
--- a/placer/worker.go
+++ b/placer/worker.go
@@ -9,9 +9,9 @@
 type worker struct {
 	Worker
 	coldUntil time.Time
-	flights   map[uint64]*flight
-	reading   int // flights whose first event was not seen
-	hold      int // tokens that flights take up
+	flights   []*flight // each knows its index
+	reading   int       // flights whose first event was not seen
+	hold      int       // tokens that flights take up
 	line      line
 	fit       *fit    // of its service
 	slowness  float64 // how long it takes, as a multiple of what the fit says
@@ -23,7 +23,7 @@
 }
 
 func newWorker() *worker {
-	return &worker{flights: map[uint64]*flight{}, slowness: 1}
+	return &worker{slowness: 1}
 }
 
 // take counts a flight.
@@ -32,7 +32,8 @@
 	if !f.alone {
 		w.crowd()
 	}
-	w.flights[f.ID] = f
+	f.index = len(w.flights)
+	w.flights = append(w.flights, f)
 	w.reading++
 	w.hold += f.Hold
 	if w.Memory == 0 {
@@ -82,11 +83,15 @@
 // has says whether a flight is counted here. Failure: one that was sent before the worker
 // restarted under its name, or before the view knew it, begins and ends later; counted off,
 // it leaves less than nothing, and the worker never seems idle again.
-func (w *worker) has(f *flight) bool { return w.flights[f.ID] == f }
+func (w *worker) has(f *flight) bool { return f.index < len(w.flights) && w.flights[f.index] == f }
 
 // drop takes a flight off.
 func (w *worker) drop(now time.Time, f *flight) {
-	delete(w.flights, f.ID)
+	last := len(w.flights) - 1
+	w.flights[f.index] = w.flights[last]
+	w.flights[f.index].index = f.index
+	w.flights[last] = nil
+	w.flights = w.flights[:last]
 	w.hold -= f.Hold
 	if !f.begun {
 		w.reading--
