--- a/placer/flood_test.go
+++ b/placer/flood_test.go
@@ -65,4 +65,20 @@
 		Entry("of organisations that rank crosswise", func() load { l := flood; l.organisations = 2; return l }()),
 		Entry("at half the strength", times(0.5)),
 	)
+
+	// Guards against the least urgent, or the longest prompts, staying shut out.
+	It("serves the least urgent again two seconds after it, the longest too", func() {
+		l := flood
+		l.quiet = 3 * time.Second
+		var after, long tally
+		for seed := range uint64(6) {
+			o := play(l, 811+seed, 12*time.Second, memories)
+			report(o)
+			after = after.plus(o.seconds[len(o.seconds)-1][2])
+			long = long.plus(o.long)
+		}
+		AddReportEntry("after", fmt.Sprintf("reviews %s; the longest %s", after, long))
+		Expect(after.served()).To(BeNumerically(">=", 11.0/12))
+		Expect(long.served()).To(BeNumerically(">=", 11.0/12))
+	})
 })
--- a/placer/play_test.go
+++ b/placer/play_test.go
@@ -88,6 +88,7 @@
 	refused               int
 	over                  int        // engines that ever had more requests than slots
 	seconds               [][3]tally // of chats, plans and reviews, by when they asked
+	long                  tally      // of reviews of the longest fifth that asked in the last second
 	readAgain             int        // tokens of shared parts that were read, in all
 }
 
@@ -105,11 +106,15 @@
 	streams []*stream
 	again   int   // tokens of shared parts that were read
 	sizes   []int // of the second parts of plans
+	length  time.Duration
 }
 
+// longReview is the prompt tokens of which one in five reviews has more.
+const longReview = 18_500
+
 // play plays a load for a time.
 func play(l load, seed uint64, length time.Duration, of func([]string, *rand.Rand) chooser) outcome {
-	d := &day{load: l, r: rand.New(rand.NewPCG(seed, 1)), engines: map[string]*engine{}, busy: map[*engine]bool{}}
+	d := &day{load: l, r: rand.New(rand.NewPCG(seed, 1)), engines: map[string]*engine{}, busy: map[*engine]bool{}, length: length}
 	for i := range l.engines {
 		name := fmt.Sprintf("e-%02d", i)
 		d.names = append(d.names, name)
@@ -277,6 +282,9 @@
 			o.seconds = append(o.seconds, [3]tally{})
 		}
 		o.seconds[second][s.kind()].count(s, ok, late)
+		if s.review && s.ask.Prompt > longReview && s.at > d.length-time.Second {
+			o.long.count(s, ok, late)
+		}
 	}
 	return o
 }
--- a/runner/catching.go
+++ b/runner/catching.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -18,41 +19,40 @@
 // that listened before tells all.
 func (p *choosing) catchUp(now time.Time, before registrar.Roster, listened []registrar.Record) {
 	few := len(p.deciding.deciders) > 0
+	if len(listened) == 0 {
+		listened = before.Hosts() // each heard all
+	}
 	if few && !p.tellsAll(listened) {
 		return
 	}
-	var fresh []string
-	for _, h := range p.hearers() {
-		if _, known := before.Find(h.Name); known && !(few && !contains(listened, h.Name)) || h.Name == p.self {
-			continue
-		}
-		fresh = append(fresh, h.Control)
-	}
+	fresh := p.fresh(listened)
 	running := p.view.Running(now, few)
 	if len(fresh) == 0 || len(running) == 0 {
 		return
 	}
 	p.log.Info("tell running", zap.Strings("hosts", fresh), zap.Int("requests", len(running)))
-	var m messenger.Shared
-	for _, r := range running {
-		s := sendingOf(r.Flight)
-		s.Host, s.Begun = r.Host, r.Begun
-		m.Running = append(m.Running, s)
-		if len(m.Running) == runningMost {
-			p.tellFresh(fresh, m)
-			m = messenger.Shared{}
+	for part := range slices.Chunk(running, runningMost) {
+		var m messenger.Shared
+		for _, r := range part {
+			s := sendingOf(r.Flight)
+			s.Host, s.Begun = r.Host, r.Begun
+			m.Running = append(m.Running, s)
+		}
+		if err := p.sender.SendAll(fresh, m); err != nil {
+			p.log.Warn("tell running", zap.Error(err))
 		}
 	}
-	p.tellFresh(fresh, m)
 }
 
-func (p *choosing) tellFresh(fresh []string, m messenger.Shared) {
-	if len(m.Running) == 0 {
-		return
-	}
-	if err := p.sender.SendAll(fresh, m); err != nil {
-		p.log.Warn("tell running", zap.Error(err))
+// fresh is the addresses of hosts that are told of what is sent, and were not before.
+func (p *choosing) fresh(listened []registrar.Record) []string {
+	var out []string
+	for _, h := range p.hearers() {
+		if h.Name != p.self && !contains(listened, h.Name) {
+			out = append(out, h.Control)
+		}
 	}
+	return out
 }
 
 // hearers is the hosts that are told of what is sent.
@@ -74,10 +74,5 @@
 }
 
 func contains(hosts []registrar.Record, name string) bool {
-	for _, h := range hosts {
-		if h.Name == name {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(hosts, func(h registrar.Record) bool { return h.Name == name })
 }
