Requests of a lost host do not make its engines look slow

Cause: nobody tells that such requests have begun; each counted as overdue, more so with time. Change: they count for slots, not for what is overdue. Spec red before (refused for a queue of 1.3 s).

--- a/placer/flight_test.go
+++ b/placer/flight_test.go
@@ -24,4 +24,21 @@
 		v.Sweep(start.Add(4 * time.Second))
 		Expect(v.Beliefs(start)[0].Flights).To(BeZero())
 	})
+
+	// Guards against engines that seem far behind, as nobody tells that a lost host's requests
+	// have begun.
+	It("makes its engine look no slower after its host is lost", func() {
+		v := placer.New("a")
+		v.SetWorkers(start, engines("e-1"))
+		for id := range uint64(3) {
+			v.Heard(start, "other", placer.Flight{ID: id, Worker: "e-1", Read: 800, Hold: 1100, Output: 1000, Left: 15 * time.Second})
+		}
+		v.Lost(start.Add(time.Second), "other")
+		chat := placer.Ask{Service: "lm", Prompt: 300, Output: 30, Left: 9 * time.Second, Patience: 2 * time.Second, Target: 300 * time.Millisecond}
+		first, _ := v.Place(start.Add(1400*time.Millisecond), 98, chat)
+		v.Ended(start.Add(1450*time.Millisecond), first.Flight.ID, placer.Answered)
+		c, refusal := v.Place(start.Add(1500*time.Millisecond), 99, plan(7))
+		Expect(refusal).To(BeNil())
+		Expect(c.Wait).To(BeNumerically("<", 400*time.Millisecond))
+	})
 })
--- a/placer/others.go
+++ b/placer/others.go
@@ -29,8 +29,8 @@
 		if f.Gap > 0 && f.Gap < stretch {
 			o.tight += f.weight(a.Rank)
 		}
-		if f.begun || f.readBy.IsZero() {
-			continue
+		if f.begun || f.readBy.IsZero() || !f.until.IsZero() {
+			continue // nobody will tell that one of a lost host has begun
 		}
 		behind := inMilliseconds(now.Sub(f.readBy)) - rest
 		o.overdue = math.Max(o.overdue, behind)
