server: the spec of a caller that stops reading gives its worker the whole time

Traced: a try has 400 ms for its first byte (four times the class's target of 100 ms, and the bound on silence); beside load a worker that makes 16 MiB takes longer, and a repeatable call is rightly tried again. Provoked: with a target of 1 us the same, four uses. Change: no such bound in this spec; its check and the bound that it is about (the caller's stall) are as they were.

--- a/server/harness_test.go
+++ b/server/harness_test.go
@@ -193,6 +193,7 @@
 	limits  func(*loader.Limits)
 	limiter server.Limiter
 	silence time.Duration // 0 is the default
+	target  time.Duration // for the first byte of class hold; 0 is the default
 }
 
 func newStand(o options) *stand {
@@ -237,7 +238,7 @@
 	f := &loader.Folder{
 		Classes: map[string]loader.Class{
 			"chat": {Tier: 1, First: loader.Duration(100 * time.Millisecond), Whole: loader.Duration(20 * time.Second)},
-			"hold": {Tier: 0, First: loader.Duration(100 * time.Millisecond), Whole: loader.Duration(20 * time.Second)},
+			"hold": {Tier: 0, First: loader.Duration(cmp.Or(o.target, 100*time.Millisecond)), Whole: loader.Duration(20 * time.Second)},
 			"plan": {Tier: 2, Whole: loader.Duration(20 * time.Second)},
 		},
 		Organisations: map[string]loader.Organisation{"dock": {Keys: []string{loader.HashKey(key)}, Classes: []string{"chat", "hold", "plan"}}},
--- a/server/preempt_test.go
+++ b/server/preempt_test.go
@@ -95,7 +95,11 @@
 	// A caller that takes nothing holds its place, its engine's slot and its
 	// buffers, until the bound on a stalled caller ends it.
 	It("that stops reading is cut off within its bound", Label(prover.Cell(prover.Acked, prover.Silence), prover.Cell(prover.Acked, prover.Slow), prover.Cell(prover.Acked, prover.Freeze)), func() {
-		s := stood(options{limits: func(l *loader.Limits) { l.Stall = loader.Duration(silence) }})
+		s := stood(options{
+			limits: func(l *loader.Limits) { l.Stall = loader.Duration(silence) },
+			// The worker has the whole time: a second try would hide which bound ended the call.
+			silence: 10 * time.Second, target: 10 * time.Second,
+		})
 		r := s.request(context.Background(), "/services/desk/log?size=16777216", "")
 		_, err := s.client.Do(r)
 		Expect(err).NotTo(HaveOccurred())
