Membership costs a host the same few messages for a restart elsewhere; an address has one process

Cause, from profiles of a fleet that restarts host by host (BenchmarkRestarts): each fact had each host sort and hash its whole roster twice and lay out the ring of all hosts (62% of the time), and each fact went to four hosts drawn anew, so that 4.4 new connections a host were made for one restart. While hosts restart digests always differ for a moment, and hosts sent one another all they know. Records of before a loss stood in the store and counted as alive until they were found silent.

Change: the digest is a sum of each host's part; the roster is made a few times a tick and the ring once; the neighbours that get news are fixed by rendezvous; news that come together go together; a digest that differs is borne longer while one's own changes; no notice to the dead whose address another process has. Of two processes at one address the one with the lower incarnation is gone; a host that finds one at its own address that looks newer goes above it, and takes its record away.

--- a/registrar/fleet_test.go
+++ b/registrar/fleet_test.go
@@ -38,6 +38,7 @@
 	now    time.Duration
 	agenda faker.Agenda
 	names  []string
+	past   []string // names of processes that left their records behind
 	nodes  map[string]*node
 	random *rand.Rand
 
@@ -50,7 +51,8 @@
 	storeWait time.Duration
 	gap       bool // watches lose changes; lists do not
 
-	died    []string // host@incarnation, as concluded by others
+	links   map[string]bool // from and to, of processes that ever spoke
+	died    []string        // host@incarnation, as concluded by others
 	rejoins int
 }
 
@@ -58,7 +60,7 @@
 
 // newFleet starts hosts spread over zones and regions, and lets them settle.
 func newFleet(hosts, zones, regions int) *fleet {
-	f := &fleet{nodes: map[string]*node{}, random: rand.New(rand.NewPCG(1, 2)), cut: map[string]bool{}, delay: latency, records: map[string]registrar.Record{}}
+	f := &fleet{nodes: map[string]*node{}, random: rand.New(rand.NewPCG(1, 2)), cut: map[string]bool{}, delay: latency, records: map[string]registrar.Record{}, links: map[string]bool{}}
 	for i := range hosts {
 		name := fmt.Sprintf("h%02d", i)
 		f.names = append(f.names, name)
@@ -83,7 +85,7 @@
 
 func (f *fleet) listed() []registrar.Record {
 	var out []registrar.Record
-	for _, name := range f.names {
+	for _, name := range slices.Concat(f.names, f.past) {
 		if r, ok := f.records[name]; ok && !f.storeDown {
 			out = append(out, r)
 		}
@@ -183,6 +185,10 @@
 			if r := f.records[o.Host.Name]; r.Incarnation <= o.Host.Incarnation && !f.storeDown {
 				delete(f.records, o.Host.Name)
 			}
+		case registrar.Succeeded:
+			if !f.storeDown {
+				delete(f.records, o.Host.Name)
+			}
 		case registrar.Rejoined:
 			f.rejoins++
 			f.store(o.Self)
@@ -200,6 +206,9 @@
 
 func (f *fleet) send(n *node, from, to string, m messenger.Message) {
 	x := f.nodes[to]
+	if from != "" {
+		f.links[from+">"+to] = true
+	}
 	reach := func(ok bool) {
 		f.do(n, from, func(now time.Time) []registrar.Output { return n.m.Reach(now, to, ok) })
 	}
--- a/registrar/hearing.go
+++ b/registrar/hearing.go
@@ -1,17 +1,11 @@
 package registrar
 
 import (
-	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/cicadawood/cicadawood/messenger"
 )
 
-// fanout is how many hosts, besides its observers, each host passes news on to.
-const fanout = 4
-
 // Hear takes a message of another host.
 func (m *Members) Hear(now time.Time, from string, msg messenger.Message) []Output {
 	switch msg := msg.(type) {
@@ -59,12 +53,22 @@
 	if digest == m.digest {
 		x.mismatch = 0
 	}
-	if x.mismatch >= mismatches {
+	if x.mismatch >= m.patienceWith(now) {
 		m.sync(now, from)
 	}
 	return true
 }
 
+// patienceWith is how many heartbeats with another digest are borne. Failure: while hosts
+// restart one after another digests always differ for a moment, and all hosts send one
+// another all they know.
+func (m *Members) patienceWith(now time.Time) int {
+	if now.Sub(m.altered) < m.after(mismatches) {
+		return churnMismatches
+	}
+	return mismatches
+}
+
 // confirmed ends this host's doubt whether it still counts.
 func (m *Members) confirmed(now time.Time) {
 	if !m.doubt.IsZero() {
@@ -123,24 +127,3 @@
 		m.send(to, messenger.News{Facts: lacking})
 	}
 }
-
-// spread passes facts on to this host's observers and a few others. Every host
-// does so once for each fact, so it reaches all in a few steps, at a constant
-// cost for each.
-func (m *Members) spread(from string, facts []messenger.Fact) {
-	targets := slices.Clone(m.ring.observers[m.self.fact.Name])
-	names := m.names()
-	seed := facts[0].Name + m.self.fact.Name
-	for i := 0; i < fanout && len(names) > 0; i++ {
-		seed += "."
-		name := names[xxhash.Sum64String(seed)%uint64(len(names))]
-		if !slices.Contains(targets, name) {
-			targets = append(targets, name)
-		}
-	}
-	for _, to := range targets {
-		if to != from {
-			m.send(to, messenger.News{Facts: facts})
-		}
-	}
-}
--- a/registrar/members.go
+++ b/registrar/members.go
@@ -2,10 +2,12 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
+	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/cicadawood/cicadawood/messenger"
 )
 
@@ -24,10 +26,16 @@
 	voteBeats    = 8   // that another observer's suspicion counts
 	syncBeats    = 4   // least between two Syncs
 	mismatches   = 2   // beats with another digest before a Sync
-	remoteEvery  = 4   // beats between those to another region
-	partnerTurns = 240 // beats with one partner in another region
+	// churnMismatches is the same while this host's own digest changes.
+	churnMismatches = 12
+	remoteEvery     = 4   // beats between those to another region
+	partnerTurns    = 240 // beats with one partner in another region
 )
 
+// rebuildsPerTick is how often a roster is made between two ticks: once for a host, and again
+// where word of it is corrected.
+const rebuildsPerTick = 3
+
 // tombstoneAge is how long a host that is gone is remembered.
 const tombstoneAge = time.Hour
 
@@ -59,6 +67,9 @@
 // Died says that this host concluded that another is dead.
 type Died struct{ Host Record }
 
+// Succeeded says that a process that ran at this host's address before it is no more.
+type Succeeded struct{ Host Record }
+
 // Rejoined says that this host was declared dead and is back under a new incarnation.
 type Rejoined struct{ Self Record }
 
@@ -70,6 +81,7 @@
 func (Suspected) output()  {}
 func (Doubted) output()    {}
 func (Died) output()       {}
+func (Succeeded) output()  {}
 func (Rejoined) output()   {}
 func (Superseded) output() {}
 
@@ -81,9 +93,10 @@
 	suspected time.Time // zero where it is not
 	since     time.Time // of the fact
 	votes     map[string]time.Time
-	unreached bool // the messenger gets no connection
-	parted    bool // counts as out of reach
-	mismatch  int  // beats with another digest than ours
+	hash      uint64 // of the name
+	unreached bool   // the messenger gets no connection
+	parted    bool   // counts as out of reach
+	mismatch  int    // beats with another digest than ours
 }
 
 // Members decides who is alive, as one host sees it. It is pure: time comes in
@@ -93,9 +106,18 @@
 	beat    time.Duration
 	self    *member
 	members map[string]*member // this host included
+	sorted  []*member          // the same, by name
+	holders map[string]*member // those that are not gone, by control address
 	roster  Roster
+	rebuilt int  // how often the roster was made since the last tick
+	late    bool // it is to be made at the next tick
 	ring    ring
+	ringed  time.Time // when the ring was last made
+	unsound bool      // the ring is to be made anew
 	digest  uint64
+	altered time.Time // when the digest last changed
+	news    []news    // to be passed on
+	told    time.Time // when news were last passed on
 	// introduced is the incarnation of each observer that was sent this host's fact.
 	introduced map[string]uint64
 	ticked     time.Time
@@ -113,9 +135,9 @@
 
 // NewMembers returns the members as a host that knows only itself sees them.
 func NewMembers(now time.Time, self Record, beat time.Duration) *Members {
-	m := &Members{beat: beat, members: map[string]*member{}, ticked: now}
-	m.self = &member{fact: factOf(self), since: now}
-	m.members[self.Name] = m.self
+	m := &Members{beat: beat, members: map[string]*member{}, holders: map[string]*member{}, ticked: now}
+	m.self = m.enter(now, factOf(self))
+	m.hold(m.self)
 	m.rebuild(now)
 	return m
 }
@@ -173,7 +195,8 @@
 
 func (m *Members) own(now time.Time, status uint8) {
 	m.self.fact.Status, m.self.since = status, now
-	m.spread("", []messenger.Fact{m.self.fact})
+	m.spread(m.self.fact.Name, "")
+	m.pass(now)
 	m.rebuild(now)
 }
 
@@ -228,15 +251,17 @@
 // new. Facts only ever grow, so hosts that hear each other converge whatever
 // the order in which facts reach them.
 func (m *Members) merge(now time.Time, from string, facts []messenger.Fact) {
-	var fresh []messenger.Fact
+	fresh := false
 	for _, f := range facts {
 		switch x := m.members[f.Name]; {
 		case x == m.self:
-			m.told(now, from, f)
+			m.hearOfSelf(now, from, f)
 		case x == nil && f.Status == gone: // else tombstones would go round for ever
 		case x == nil:
-			m.members[f.Name] = &member{fact: f, heard: now, since: now}
-			fresh = append(fresh, f)
+			x = m.enter(now, f)
+			m.spread(f.Name, from)
+			m.settle(now, x)
+			fresh = true
 		case newer(f, x.fact):
 			if f.Control == "" { // a bare death notice
 				f.Zone, f.Region, f.Control, f.Admin = x.fact.Zone, x.fact.Region, x.fact.Control, x.fact.Admin
@@ -244,13 +269,18 @@
 			if f.Incarnation > x.fact.Incarnation {
 				x.trust(now)
 			}
+			if f.Control != x.fact.Control {
+				m.release(x)
+			}
 			x.fact, x.since = f, now
-			fresh = append(fresh, f)
+			m.spread(f.Name, from)
+			m.settle(now, x)
+			fresh = true
 		}
 	}
-	if len(fresh) > 0 {
-		m.rebuild(now)
-		m.spread(from, fresh)
+	if fresh {
+		m.renew(now)
+		m.passSoon(now)
 	}
 }
 
@@ -265,34 +295,89 @@
 	return names
 }
 
+// enter takes a host that was not known.
+func (m *Members) enter(now time.Time, f messenger.Fact) *member {
+	x := &member{fact: f, heard: now, since: now, hash: xxhash.Sum64String(f.Name)}
+	m.members[f.Name] = x
+	at, _ := slices.BinarySearchFunc(m.sorted, f.Name, func(y *member, name string) int { return strings.Compare(y.fact.Name, name) })
+	m.sorted = slices.Insert(m.sorted, at, x)
+	return x
+}
+
+// tick is the time between two ticks.
+func (m *Members) tick() time.Duration { return m.beat / TicksPerBeat }
+
+// renew has what follows from the facts renewed: now, or at the next tick where that was
+// done a few times since the last. Failure: all hosts restart, and each of hundreds of facts has each
+// host work through its whole roster; small hosts do nothing else for seconds.
+func (m *Members) renew(now time.Time) {
+	if m.rebuilt >= rebuildsPerTick {
+		m.late = true
+		return
+	}
+	m.rebuild(now)
+}
+
 // rebuild renews what follows from the facts.
 func (m *Members) rebuild(now time.Time) {
-	var all, counted []Record
-	for name, x := range m.members {
+	m.late = false
+	m.rebuilt++
+	m.expire(now)
+	var digest uint64
+	r := Roster{hosts: make([]Record, 0, len(m.sorted)), hashes: make([]uint64, 0, len(m.sorted))}
+	for _, x := range m.sorted {
 		if x.fact.Status == gone {
-			if x != m.self && now.Sub(x.since) > tombstoneAge {
-				delete(m.members, name)
-			}
 			continue
 		}
-		all = append(all, x.record())
+		digest += x.digest()
 		if x != m.self || m.counts() {
-			counted = append(counted, x.record())
+			r.hosts = append(r.hosts, x.record())
+			r.hashes = append(r.hashes, x.hash)
 		}
 	}
-	digest := NewRoster(all...).Digest()
 	if digest != m.digest {
-		m.digest = digest
-		m.ring = newRing(all)
-		m.introduce()
+		m.digest, m.altered, m.unsound = digest, now, true
+		m.connect(now)
 	}
-	r := NewRoster(counted...)
 	if !slices.Equal(r.hosts, m.roster.hosts) {
 		m.roster = r
 		m.out = append(m.out, Changed{Roster: r})
 	}
 }
 
+// digest is a host's part of the digest: equal for the same incarnation and leaving.
+func (m *member) digest() uint64 {
+	return mix(m.hash ^ mix(m.fact.Incarnation<<1|uint64(m.fact.Status)))
+}
+
+// expire forgets hosts that have been gone for long.
+func (m *Members) expire(now time.Time) {
+	m.sorted = slices.DeleteFunc(m.sorted, func(x *member) bool {
+		old := x != m.self && x.fact.Status == gone && now.Sub(x.since) > tombstoneAge
+		if old {
+			delete(m.members, x.fact.Name)
+		}
+		return old
+	})
+}
+
+// connect renews the ring, not more than once between two ticks: the next one does what
+// is left.
+func (m *Members) connect(now time.Time) {
+	if !m.unsound || now.Sub(m.ringed) < m.tick() {
+		return
+	}
+	m.unsound, m.ringed = false, now
+	var all []*member
+	for _, x := range m.sorted {
+		if x.fact.Status != gone {
+			all = append(all, x)
+		}
+	}
+	m.ring = newRing(all, m.self)
+	m.introduce()
+}
+
 func (m *Members) counts() bool { return !m.outcast && !m.replaced && m.doubt.IsZero() }
 
 // introduce sends this host's fact to observers that are new, or new under their
@@ -311,10 +396,4 @@
 
 // sortedMembers is every member in name order, so that decisions come out the
 // same each time.
-func (m *Members) sortedMembers() []*member {
-	var out []*member
-	for _, name := range slices.Sorted(maps.Keys(m.members)) {
-		out = append(out, m.members[name])
-	}
-	return out
-}
+func (m *Members) sortedMembers() []*member { return m.sorted }
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -204,6 +204,9 @@
 			r.deaths.Add(1)
 			r.config.Log.Warn("dead", zap.String("peer", o.Host.Name), zap.Uint64("incarnation", o.Host.Incarnation))
 			r.recorder.bury(o.Host)
+		case Succeeded:
+			r.config.Log.Info("succeeded", zap.String("peer", o.Host.Name), zap.Uint64("incarnation", o.Host.Incarnation))
+			r.recorder.bury(o.Host)
 		case Rejoined:
 			r.rejoins.Add(1)
 			r.config.Log.Warn("rejoined", zap.Uint64("incarnation", o.Self.Incarnation))
--- a/registrar/rejoining.go
+++ b/registrar/rejoining.go
@@ -13,10 +13,10 @@
 	lastPatience  = 120
 )
 
-// told takes what others say of this host. Failure: this host was frozen, others
+// hearOfSelf takes what others say of this host. Failure: this host was frozen, others
 // declared it dead and took its roles; it shows as a fact "gone" of its present
 // incarnation. That is final, so it comes back as a new one.
-func (m *Members) told(now time.Time, from string, f messenger.Fact) {
+func (m *Members) hearOfSelf(now time.Time, from string, f messenger.Fact) {
 	switch {
 	case m.ended || m.replaced:
 	case f.Incarnation < m.self.fact.Incarnation:
@@ -49,7 +49,8 @@
 	m.self.since = now
 	m.outcast, m.doubt = false, time.Time{}
 	m.rebuild(now)
-	m.spread("", []messenger.Fact{m.self.fact})
+	m.spread(m.self.fact.Name, "")
+	m.pass(now)
 	m.send(from, messenger.News{Facts: []messenger.Fact{m.self.fact}}) // which may be gone in turn, as seen from here
 	m.out = append(m.out, Rejoined{Self: m.self.record()})
 }
--- a/registrar/roster.go
+++ b/registrar/roster.go
@@ -7,8 +7,6 @@
 package registrar
 
 import (
-	"cmp"
-	"encoding/binary"
 	"slices"
 	"strings"
 
@@ -84,25 +82,23 @@
 // the whole fleet is no burden that the smallest should bear.
 func (r Roster) Owners(role string, n int) []Record {
 	hash := xxhash.Sum64String(role)
-	var at []int
 	most := 0
-	for i, h := range r.hosts {
-		if !h.Leaving && !h.Parted {
+	at := make([]int, 0, len(r.hosts))
+	for i := range r.hosts {
+		if h := &r.hosts[i]; !h.Leaving && !h.Parted {
 			at = append(at, i)
 			most = max(most, h.Weight)
 		}
 	}
-	small := func(i int) int {
-		if 2*r.hosts[i].Weight < most {
-			return 1
-		}
-		return 0
+	pick := func(n int, large bool) []int {
+		return highest(at, n, func(i int) (uint64, bool) {
+			return mix(hash ^ r.hashes[i]), (2*r.hosts[i].Weight >= most) == large
+		})
 	}
-	slices.SortFunc(at, func(a, b int) int {
-		return cmp.Or(cmp.Compare(small(a), small(b)), cmp.Compare(mix(hash^r.hashes[b]), mix(hash^r.hashes[a])))
-	})
+	owners := pick(n, true)
+	owners = append(owners, pick(n-len(owners), false)...)
 	var out []Record
-	for _, i := range at[:min(n, len(at))] {
+	for _, i := range owners {
 		out = append(out, r.hosts[i])
 	}
 	return out
@@ -116,20 +112,3 @@
 	x = (x ^ x>>27) * 0x94d049bb133111eb
 	return x ^ x>>31
 }
-
-// Digest is equal for two rosters of the same hosts, incarnations and leavings;
-// which hosts are parted does not count.
-func (r Roster) Digest() uint64 {
-	d := xxhash.New()
-	var number [9]byte
-	for _, h := range r.hosts {
-		binary.BigEndian.PutUint64(number[:], h.Incarnation)
-		number[8] = 0
-		if h.Leaving {
-			number[8] = 1
-		}
-		_, _ = d.WriteString(h.Name)
-		_, _ = d.Write(number[:])
-	}
-	return d.Sum64()
-}
--- a/registrar/ticking.go
+++ b/registrar/ticking.go
@@ -19,6 +19,12 @@
 	}
 	m.resume(now)
 	m.ticked = now
+	if m.late {
+		m.rebuild(now)
+	}
+	m.rebuilt = 0
+	m.connect(now)
+	m.pass(now)
 	if !m.doubt.IsZero() && now.Sub(m.doubt) > m.after(doubtBeats) {
 		m.confirmed(now) // nobody contradicts
 	}
@@ -31,7 +37,7 @@
 	if m.outcast {
 		m.rejoin(now, "")
 	}
-	for _, host := range m.ring.observed[m.self.fact.Name] {
+	for _, host := range m.ring.observed {
 		if x := m.members[host]; x != nil && x.fact.Status != gone {
 			m.judge(now, x)
 		}
@@ -54,11 +60,12 @@
 // tellGone tells one host that is gone that it is, in turn. Failure: hosts lost
 // each other in two groups, each of which declared the other dead. When the
 // connections work again nobody would speak to the other side; this way both
-// rejoin, also without the store.
+// rejoin, also without the store. Where another process has the address since, there is
+// nobody to tell.
 func (m *Members) tellGone(now time.Time) {
 	var dead []*member
 	for _, x := range m.sortedMembers() {
-		if x != m.self && x.fact.Status == gone && x.fact.Control != "" && now.Sub(x.since) < tellAge {
+		if x != m.self && x.fact.Status == gone && m.holders[x.fact.Control] == nil && x.fact.Control != "" && now.Sub(x.since) < tellAge {
 			dead = append(dead, x)
 		}
 	}
@@ -141,9 +148,10 @@
 
 func (m *Members) conclude(now time.Time, x *member) {
 	dead := x.record()
-	x.fact.Status, x.since = gone, now
+	m.end(now, x)
 	m.out = append(m.out, Died{Host: dead})
-	m.spread(x.fact.Name, []messenger.Fact{x.fact})
+	m.spread(x.fact.Name, x.fact.Name)
+	m.pass(now)
 	m.rebuild(now)
 }
 
