A process that comes back costs the store four calls less; hosts lost together are one line

A new process looked for a record of its name, which is new in nearly all cases, and the record and lease of the process before it were read before they were removed. Both are done at once now: created where there is none, and removed by name, as nobody writes under that name any more. After a loss of all power each of 195 hosts logged 184 lines; it is one line with their names.

The spec of what is left behind fails where the call is left out.

--- a/registrar/recorder.go
+++ b/registrar/recorder.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -30,13 +31,15 @@
 	log   *zap.Logger
 	wake  chan struct{}
 
-	mu   sync.Mutex
-	self Record // to be stored; a zero Record stores nothing
-	dead map[string]uint64
+	mu     sync.Mutex
+	self   Record // to be stored; a zero Record stores nothing
+	dead   map[string]uint64
+	before []string // names of processes that ran at this host's address
 
 	// run's goroutine only
 	renewals uint64
 	stored   Record // as it was last seen in the store
+	tried    bool   // to create it
 }
 
 func newRecorder(s storer.Store, self Record, lease time.Duration, log *zap.Logger) *recorder {
@@ -59,6 +62,15 @@
 	c.poke()
 }
 
+// bequeath has the record and lease removed soon that a process at this host's address left
+// behind. Nobody writes these any more, so that they need not be read first.
+func (c *recorder) bequeath(name string) {
+	c.mu.Lock()
+	c.before = append(c.before, name)
+	c.mu.Unlock()
+	c.poke()
+}
+
 func (c *recorder) poke() {
 	select {
 	case c.wake <- struct{}{}:
@@ -99,6 +111,9 @@
 			return err
 		}
 	}
+	if err := c.removeBefore(ctx); err != nil {
+		return err
+	}
 	for name, incarnation := range dead {
 		if err := c.removeDead(ctx, name, incarnation); err != nil {
 			return err
@@ -141,6 +156,12 @@
 // condition on what was read prevents it.
 func (c *recorder) record(ctx context.Context, self Record) error {
 	c.stored = Record{}
+	if !c.tried {
+		c.tried = true // most processes are new under their names
+		if created, err := c.create(ctx, self); created || err != nil {
+			return err
+		}
+	}
 	o, err := c.store.Get(ctx, Prefix+self.Name)
 	if err != nil && !errors.Is(err, storer.ErrNotFound) {
 		return fmt.Errorf("read record: %w", err)
@@ -151,18 +172,55 @@
 		return nil
 	}
 	if stored != self {
-		value, err := json.Marshal(self)
-		if err != nil {
-			return fmt.Errorf("write record: %w", err)
-		}
-		if _, err := c.store.Put(ctx, Prefix+self.Name, value, storer.Condition{Match: o.Version, Absent: o.Version == 0}); err != nil {
-			return fmt.Errorf("write record: %w", err)
+		if err := c.put(ctx, self, storer.Condition{Match: o.Version, Absent: o.Version == 0}); err != nil {
+			return err
 		}
 	}
 	c.stored = self
 	return nil
 }
 
+// create writes the record where the store has none of this name.
+func (c *recorder) create(ctx context.Context, self Record) (bool, error) {
+	err := c.put(ctx, self, storer.Condition{Absent: true})
+	if errors.Is(err, storer.ErrConflict) {
+		return false, nil
+	}
+	if err == nil {
+		c.stored = self
+	}
+	return err == nil, err
+}
+
+func (c *recorder) put(ctx context.Context, self Record, condition storer.Condition) error {
+	value, err := json.Marshal(self)
+	if err != nil {
+		return fmt.Errorf("write record: %w", err)
+	}
+	if _, err := c.store.Put(ctx, Prefix+self.Name, value, condition); err != nil {
+		return fmt.Errorf("write record: %w", err)
+	}
+	return nil
+}
+
+// removeBefore removes what processes before this one left behind.
+func (c *recorder) removeBefore(ctx context.Context) error {
+	c.mu.Lock()
+	names := slices.Clone(c.before)
+	c.mu.Unlock()
+	for _, name := range names {
+		for _, prefix := range []string{Prefix, LeasePrefix} {
+			if err := c.store.Delete(ctx, prefix+name, storer.Condition{}); err != nil && !errors.Is(err, storer.ErrNotFound) {
+				return fmt.Errorf("remove %s: %w", name, err)
+			}
+		}
+		c.mu.Lock()
+		c.before = slices.DeleteFunc(c.before, func(n string) bool { return n == name })
+		c.mu.Unlock()
+	}
+	return nil
+}
+
 // removeDead removes the record and lease of an incarnation that is gone, and
 // nothing of a newer one.
 func (c *recorder) removeDead(ctx context.Context, name string, incarnation uint64) error {
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -245,6 +245,32 @@
 		Eventually(func() map[string]uint64 { return incarnations(b) }).WithTimeout(5 * time.Second).Should(Equal(both))
 	})
 
+	// Guards against records and leases of processes of before a loss of power staying in the
+	// store, which drops nothing by itself.
+	It("takes away what a process at its address left behind, and no more", func() {
+		leave := func(name, control string) {
+			value, err := json.Marshal(registrar.Record{Name: name, Control: control, Incarnation: 1})
+			Expect(err).NotTo(HaveOccurred())
+			for _, prefix := range []string{registrar.Prefix, registrar.LeasePrefix} {
+				_, err = store.Put(context.Background(), prefix+name, value, storer.Condition{})
+				Expect(err).NotTo(HaveOccurred())
+			}
+		}
+		leave("before", "a")
+		leave("elsewhere", "b")
+		a, _ := w.join(store, "a", 7)
+		there := func(key string) bool {
+			_, err := store.Get(context.Background(), key)
+			return err == nil
+		}
+		Eventually(func() bool {
+			return there(registrar.Prefix+"before") || there(registrar.LeasePrefix+"before")
+		}).WithTimeout(5 * time.Second).Should(BeFalse())
+		Expect(incarnations(a)).NotTo(HaveKey("before"))
+		Expect(there(registrar.Prefix + "elsewhere")).To(BeTrue())
+		Expect(there(registrar.LeasePrefix + "elsewhere")).To(BeTrue())
+	})
+
 	It("a new host does not believe in records that dead hosts left behind", func() {
 		for _, name := range []string{"x", "y"} {
 			value, err := json.Marshal(registrar.Record{Name: name, Control: name, Incarnation: 1})
--- a/runner/control.go
+++ b/runner/control.go
@@ -220,25 +220,38 @@
 	c.ownAll(now)
 }
 
-// enroll takes a new roster: what hosts that are gone held is taken back, calls
-// whose cell has a new owner are registered there, and this host's dispatchers
-// of cells that have another owner now end: every entry registers with the
-// owner when it sees the roster, and a late one makes this host dispatch anew.
-func (c *control) enroll(now time.Time, r registrar.Roster) {
-	old := c.roster
-	c.roster = r
-	c.limiting.enroll(now, old, r)
+// lose takes back what hosts held that were on the old roster and are not on the new one.
+func (c *control) lose(now time.Time, old, r registrar.Roster) {
+	var lost []string
 	for _, h := range old.Hosts() {
 		if n, ok := r.Find(h.Name); h.Name == c.self || ok && n.Incarnation == h.Incarnation {
 			continue
 		}
-		c.log.Info("host lost", zap.String("peer", h.Name))
+		lost = append(lost, h.Name)
 		for _, d := range c.owned {
 			out := d.Lost(now, h.Name)
 			c.awaits(d)
 			c.emit(now, out)
 		}
 	}
+	switch len(lost) {
+	case 0:
+	case 1:
+		c.log.Info("host lost", zap.String("peer", lost[0]))
+	default: // a line each would keep a small host busy when all come back at once
+		c.log.Info("hosts lost", zap.Int("count", len(lost)), zap.Strings("peers", lost))
+	}
+}
+
+// enroll takes a new roster: what hosts that are gone held is taken back, calls
+// whose cell has a new owner are registered there, and this host's dispatchers
+// of cells that have another owner now end: every entry registers with the
+// owner when it sees the roster, and a late one makes this host dispatch anew.
+func (c *control) enroll(now time.Time, r registrar.Roster) {
+	old := c.roster
+	c.roster = r
+	c.limiting.enroll(now, old, r)
+	c.lose(now, old, r)
 	c.rejoin(now, r)
 	for name := range c.owned {
 		if owner, ok := r.Owner(name); ok && owner.Name != c.self {
