A host that joins waits for the others before it watches the store

The first list now stands for a watcher's word until one was heard; a host whose turn it is begins half a second after its first list. A change is known no later than after a watcher fell silent, as before. The spec is new; those of silent and blind watchers are unchanged.

--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -35,6 +35,10 @@
 	// or it turns a watcher away by silence. A change is to be in force within seconds,
 	// so that no watch may wait much longer. Each costs one read.
 	WatchWait = 750 * time.Millisecond
+	// joinFor is how long after its first list a host does not watch. Failure: all hosts come
+	// back at once, each knows only itself, and all watch all lists for all. By then it knows
+	// the others, and a watcher's first word was due.
+	joinFor = BeatEvery + 100*time.Millisecond
 	// answerAge is how old a watcher's last answer of the store may be for it to speak:
 	// a watch and the slowest answer of a store in trouble.
 	answerAge = WatchWait + 400*time.Millisecond
@@ -53,6 +57,8 @@
 	list     string
 	turn     bool
 	heard    map[string]time.Time // the last word that left nothing out, by host
+	joined   time.Time            // the first list; zero before
+	spoken   bool                 // a watcher was ever heard
 	answered time.Time            // the store's last answer; zero after a failure
 	missed   time.Time            // since when a change is known of that did not come; zero for none
 	told     uint64               // the highest revision that a word named
@@ -81,7 +87,20 @@
 // Behind says that it is for a change that did not come: there is nothing to wait for.
 func (r *Relay) Next(now time.Time) (after uint64, call, behind bool) {
 	behind = !r.missed.IsZero() && now.Sub(r.missed) >= catchAfter
-	return r.ledger.upto, r.turn || behind || !r.Hearing(now), behind
+	return r.ledger.upto, behind || r.due(now), behind
+}
+
+// due says whether it is this host's turn to watch: it is one of the few, or those are not
+// heard. Until any was, its own first list stands for their word.
+func (r *Relay) due(now time.Time) bool {
+	age := now.Sub(r.joined)
+	switch {
+	case r.spoken:
+		return r.turn || !r.Hearing(now)
+	case r.turn:
+		return age >= joinFor
+	}
+	return age >= silence
 }
 
 // Hearing says that a watcher whom the store answers was heard of lately.
@@ -98,6 +117,9 @@
 // again: the list may be older.
 func (r *Relay) Listed(now time.Time, revision uint64, all []storer.Object) {
 	r.ledger.list(revision, all)
+	if r.joined.IsZero() {
+		r.joined = now
+	}
 	r.answered = now
 	r.settle(now)
 }
@@ -124,7 +146,7 @@
 	r.told = max(r.told, w.After)
 	fresh, whole := r.ledger.take(w)
 	if whole {
-		r.heard[from] = now
+		r.heard[from], r.spoken = now, true
 	}
 	r.settle(now)
 	return fresh, whole
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -92,6 +92,24 @@
 		Expect(call).To(BeFalse())
 	})
 
+	// Guards against every host watching for itself when all come back at once.
+	It("has a host that joins wait for the others before it watches", func() {
+		r := relayer.New("h-00", "list")
+		due := func(after time.Duration) bool {
+			_, call, _ := r.Next(start.Add(after))
+			return call
+		}
+		Expect(due(0)).To(BeTrue(), "nothing was listed")
+		r.Listed(start, 10, nil)
+		Expect(due(400 * time.Millisecond)).To(BeFalse())
+		Expect(due(500*time.Millisecond)).To(BeTrue(), "it is alone")
+		other := listener()
+		_, call, _ := other.Next(start.Add(1100 * time.Millisecond))
+		Expect(call).To(BeFalse())
+		_, call, _ = other.Next(start.Add(1200 * time.Millisecond))
+		Expect(call).To(BeTrue(), "nobody spoke")
+	})
+
 	// The store turns away just the hosts that watch, and they say so one by one.
 	// A key is revoked in that moment, and is taken for as long as nobody looks.
 	It("has a host call the store itself once no watcher is answered", func() {
--- a/runner/choosing.go
+++ b/runner/choosing.go
@@ -37,7 +37,7 @@
 	events chan event
 	ended  chan struct{}
 	known  atomic.Bool // the workers were listed
-	calls  atomic.Bool // the host watches the store: nobody does it for it
+	calls  atomic.Bool // the host watches the store: nobody does it for it; false until its first list
 
 	view      *placer.View
 	directory observer.Directory
@@ -88,7 +88,6 @@
 		view:   placer.New(zone), windows: map[string]*retrier.Window{}, hosts: hostsLeast,
 		relay: relayer.New(self, entriesList),
 	}
-	c.calls.Store(true)
 	return c
 }
 
