--- a/placer/placer.go
+++ b/placer/placer.go
@@ -129,11 +129,9 @@
 	return c, nil
 }
 
-// best is the option with the least cost for a request. Where the request should not
-// go there, any other that has room for it and no stream that it would disturb does;
-// else it is refused: then the option is the one that it would have got. One that is more
-// urgent than others that come goes to streams' workers before it is refused. To send it to the streams' workers instead was tried: it makes
-// them late in the place of what was refused.
+// best is the option with the least cost for a request. Where the request should not go
+// there, another does: one without streams that it would disturb, or, where less urgent
+// requests come, any. Else it is refused; then the option is the one that it would have got.
 func (v *View) best(now time.Time, a Ask) (*option, *Refusal) {
 	v.demands.note(now, a)
 	options := v.weigh(now, a)
--- /dev/null
+++ b/registrar/renewing.go
@@ -0,0 +1,119 @@
+package registrar
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/cicadawood/cicadawood/messenger"
+)
+
+// rebuildsPerTick is how often a roster is made between two ticks: once for a host, and again
+// where word of it is corrected.
+const rebuildsPerTick = 3
+
+// alone says that no other host counts as alive.
+func (m *Members) alone() bool {
+	return !slices.ContainsFunc(m.roster.hosts, func(h Record) bool { return h.Name != m.self.fact.Name })
+}
+
+// enter takes a host that was not known.
+func (m *Members) enter(now time.Time, f messenger.Fact) *member {
+	x := &member{fact: f, heard: now, since: now, hash: xxhash.Sum64String(f.Name)}
+	m.members[f.Name] = x
+	at, _ := slices.BinarySearchFunc(m.sorted, f.Name, func(y *member, name string) int { return strings.Compare(y.fact.Name, name) })
+	m.sorted = slices.Insert(m.sorted, at, x)
+	return x
+}
+
+// tick is the time between two ticks.
+func (m *Members) tick() time.Duration { return m.beat / TicksPerBeat }
+
+// renew has what follows from the facts renewed: now, or at the next tick where that was
+// done a few times since the last. Failure: all hosts restart, and each of hundreds of facts has each
+// host work through its whole roster; small hosts do nothing else for seconds.
+func (m *Members) renew(now time.Time) {
+	if m.rebuilt >= rebuildsPerTick {
+		m.late = true
+		return
+	}
+	m.rebuild(now)
+}
+
+// rebuild renews what follows from the facts.
+func (m *Members) rebuild(now time.Time) {
+	m.late = false
+	m.rebuilt++
+	m.expire(now)
+	var digest uint64
+	r := Roster{hosts: make([]Record, 0, len(m.sorted)), hashes: make([]uint64, 0, len(m.sorted))}
+	for _, x := range m.sorted {
+		if x.fact.Status == gone {
+			continue
+		}
+		digest += x.digest()
+		if x != m.self || m.counts() {
+			r.hosts = append(r.hosts, x.record())
+			r.hashes = append(r.hashes, x.hash)
+		}
+	}
+	if digest != m.digest {
+		m.digest, m.altered, m.unsound = digest, now, true
+		m.connect(now)
+	}
+	if !slices.Equal(r.hosts, m.roster.hosts) {
+		m.roster = r
+		m.out = append(m.out, Changed{Roster: r})
+	}
+}
+
+// digest is a host's part of the digest: equal for the same incarnation and leaving.
+func (m *member) digest() uint64 {
+	return mix(m.hash ^ mix(m.fact.Incarnation<<1|uint64(m.fact.Status)))
+}
+
+// expire forgets hosts that have been gone for long.
+func (m *Members) expire(now time.Time) {
+	m.sorted = slices.DeleteFunc(m.sorted, func(x *member) bool {
+		old := x != m.self && x.fact.Status == gone && now.Sub(x.since) > tombstoneAge
+		if old {
+			delete(m.members, x.fact.Name)
+		}
+		return old
+	})
+}
+
+// connect renews the ring, not more than once between two ticks: the next one does what
+// is left.
+func (m *Members) connect(now time.Time) {
+	if !m.unsound || now.Sub(m.ringed) < m.tick() {
+		return
+	}
+	m.unsound, m.ringed = false, now
+	var all []*member
+	for _, x := range m.sorted {
+		if x.fact.Status != gone {
+			all = append(all, x)
+		}
+	}
+	m.ring = newRing(all, m.self)
+	m.introduce()
+}
+
+func (m *Members) counts() bool { return !m.outcast && !m.replaced && m.doubt.IsZero() }
+
+// introduce sends this host's fact to observers that are new, or new under their
+// name: they may know nothing of it yet, and could not answer its heartbeats.
+func (m *Members) introduce() {
+	known := m.introduced
+	m.introduced = map[string]uint64{}
+	for _, o := range m.ring.observers[m.self.fact.Name] {
+		incarnation := m.members[o].fact.Incarnation
+		m.introduced[o] = incarnation
+		if known[o] != incarnation {
+			m.send(o, messenger.News{Facts: []messenger.Fact{m.self.fact}})
+		}
+	}
+}
--- a/registrar/ticking.go
+++ b/registrar/ticking.go
@@ -91,7 +91,7 @@
 			x.suspected, x.votes = time.Time{}, nil
 		}
 	}
-	if pause < m.after(suspectBeats) || len(m.names()) == 0 {
+	if pause < m.after(suspectBeats) || m.alone() {
 		return
 	}
 	m.doubt = now
