--- a/publisher/follower.go
+++ b/publisher/follower.go
@@ -256,15 +256,11 @@
 	}
 }
 
-// watch follows the platform's changes when it is this host's turn: a list, then watches
-// from its revision. Any error starts over with a list, so that what happened in between
-// shows. The first configuration is read beside it.
+// watch follows the platform's changes: a list, then watches from its revision.
+// Any error starts over with a list, so that what happened in between shows.
 func (f *Follower) watch(ctx context.Context) {
 	failures := 0
 	for ctx.Err() == nil {
-		if f.waitTurn(ctx); ctx.Err() != nil {
-			return
-		}
 		objects, revision, err := f.store.List(ctx, f.source.Key)
 		for err == nil {
 			failures = 0
