A host that found no configuration asks who has one

Cause: the operator wrote the first configuration 0.4 s after they had looked. Until lately each watched for 0.75 s at its start and saw it; since a host that joins waits for the others it does not, and two older faults show: a host without a configuration asked just any peers four times a second, which put off for good the question to the platform or the peer that had told of one, and any peers were always the first by name, who knew nothing either. The question to any peers has a time of its own now, and draws them at random.

--- a/publisher/tracker.go
+++ b/publisher/tracker.go
@@ -29,7 +29,8 @@
 
 	wanted   PeerSeen  // the newest generation that a peer told of
 	toldAt   time.Time // when a peer last did
-	askedAt  time.Time // when a peer was last asked
+	askedAt  time.Time // when a peer, or the platform for what it told of, was last asked
+	begged   time.Time // when just any peers were last asked
 	rejected uint64    // newest generation that could not be used
 	refusal  error
 	wentBack bool // the platform holds an older generation; reported once
@@ -208,10 +209,10 @@
 		t.reading = now
 		out = append(out, ReadPlatform{})
 	}
-	if t.generation == 0 && now.Sub(t.askedAt) >= t.timing.Fetch/4 {
+	if t.generation == 0 && now.Sub(t.begged) >= t.timing.Fetch/4 {
 		// Often: the roster fills in the first moments, and a host without a
-		// configuration serves nobody.
-		t.askedAt = now
+		// configuration serves nobody. It must not put off the question of who has one.
+		t.begged = now
 		out = append(out, AskPeer{})
 	}
 	return append(out, t.fetch(now)...)
--- a/publisher/tracker_test.go
+++ b/publisher/tracker_test.go
@@ -305,3 +305,20 @@
 		}
 	})
 }
+
+// Guards against a host without a configuration that asks just any peers so often that it
+// never asks for the one that it was told of.
+var _ = Describe("A host that found no configuration", func() {
+	It("reads the platform as soon as a peer tells of one", func() {
+		at := time.Unix(1000, 0)
+		t := publisher.NewTracker(publisher.Timing{}, func() float64 { return 0 }, at)
+		t.Handle(at, publisher.Tick{})
+		t.Handle(at.Add(10*time.Millisecond), publisher.HeadRead{})
+		for range 8 {
+			at = at.Add(250 * time.Millisecond)
+			t.Handle(at, publisher.Tick{})
+		}
+		out := t.Handle(at.Add(50*time.Millisecond), publisher.PeerSeen{Peer: "h9", Generation: 4})
+		Expect(out).To(ContainElement(publisher.ReadPlatform{}))
+	})
+})
--- a/runner/following.go
+++ b/runner/following.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -102,8 +103,9 @@
 		return []string{h.Control}
 	}
 	var found []string
-	for _, h := range g.roster.Hosts() {
-		if h.Name != g.settings.Name && len(found) < peersAsked {
+	hosts := g.roster.Hosts()
+	for _, i := range rand.Perm(len(hosts)) { // the same few each time may know nothing either
+		if h := hosts[i]; h.Name != g.settings.Name && len(found) < peersAsked {
 			found = append(found, h.Control)
 		}
 	}
