A superseded host's roster stays up to date; names of membership's fields

Read as a newcomer: ringed, unsound, altered, told, begged say little; they are ringAt, ringStale, digestAt, passedAt, anyAsked. A process that another one replaced under its name ticks no more, and since rosters are made a few times a tick its own would have stood still after three changes; its spec fails without.

--- a/publisher/tracker.go
+++ b/publisher/tracker.go
@@ -30,7 +30,7 @@
 	wanted   PeerSeen  // the newest generation that a peer told of
 	toldAt   time.Time // when a peer last did
 	askedAt  time.Time // when a peer, or the platform for what it told of, was last asked
-	begged   time.Time // when just any peers were last asked
+	anyAsked time.Time // when just any peers were last asked
 	rejected uint64    // newest generation that could not be used
 	refusal  error
 	wentBack bool // the platform holds an older generation; reported once
@@ -209,10 +209,10 @@
 		t.reading = now
 		out = append(out, ReadPlatform{})
 	}
-	if t.generation == 0 && now.Sub(t.begged) >= t.timing.Fetch/4 {
+	if t.generation == 0 && now.Sub(t.anyAsked) >= t.timing.Fetch/4 {
 		// Often: the roster fills in the first moments, and a host without a
 		// configuration serves nobody. It must not put off the question of who has one.
-		t.begged = now
+		t.anyAsked = now
 		out = append(out, AskPeer{})
 	}
 	return append(out, t.fetch(now)...)
--- a/registrar/hearing.go
+++ b/registrar/hearing.go
@@ -53,17 +53,17 @@
 	if digest == m.digest {
 		x.mismatch = 0
 	}
-	if x.mismatch >= m.patienceWith(now) {
+	if x.mismatch >= m.mismatchesBorne(now) {
 		m.sync(now, from)
 	}
 	return true
 }
 
-// patienceWith is how many heartbeats with another digest are borne. Failure: while hosts
+// mismatchesBorne is how many heartbeats with another digest are borne. Failure: while hosts
 // restart one after another digests always differ for a moment, and all hosts send one
 // another all they know.
-func (m *Members) patienceWith(now time.Time) int {
-	if now.Sub(m.altered) < m.after(mismatches) {
+func (m *Members) mismatchesBorne(now time.Time) int {
+	if now.Sub(m.digestAt) < m.after(mismatches) {
 		return churnMismatches
 	}
 	return mismatches
--- a/registrar/members.go
+++ b/registrar/members.go
@@ -95,21 +95,21 @@
 // as an argument and what is to be done comes out. It is not safe for
 // concurrent use.
 type Members struct {
-	beat    time.Duration
-	self    *member
-	members map[string]*member // this host included
-	sorted  []*member          // the same, by name
-	holders map[string]*member // those that are not gone, by control address
-	roster  Roster
-	rebuilt int  // how often the roster was made since the last tick
-	late    bool // it is to be made at the next tick
-	ring    ring
-	ringed  time.Time // when the ring was last made
-	unsound bool      // the ring is to be made anew
-	digest  uint64
-	altered time.Time // when the digest last changed
-	news    []news    // to be passed on
-	told    time.Time // when news were last passed on
+	beat        time.Duration
+	self        *member
+	members     map[string]*member // this host included
+	sorted      []*member          // the same, by name
+	holders     map[string]*member // those that are not gone, by control address
+	roster      Roster
+	rebuilds    int  // how often the roster was made since the last tick
+	rosterStale bool // it is to be made at the next tick
+	ring        ring
+	ringAt      time.Time // when the ring was last made
+	ringStale   bool      // the ring is to be made anew
+	digest      uint64
+	digestAt    time.Time // when the digest last changed
+	pending     []news    // to be passed on
+	passedAt    time.Time // when news were last passed on
 	// introduced is the incarnation of each observer that was sent this host's fact.
 	introduced map[string]uint64
 	ticked     time.Time
@@ -131,7 +131,7 @@
 	m.self = m.enter(now, factOf(self))
 	m.hold(m.self)
 	m.rebuild(now)
-	m.ringed = time.Time{} // the first hosts that it hears of are told of it at once
+	m.ringAt = time.Time{} // the first hosts that it hears of are told of it at once
 	return m
 }
 
--- a/registrar/members_test.go
+++ b/registrar/members_test.go
@@ -313,6 +313,20 @@
 		Entry("of an unknown host", uint8(0), messenger.Beat{}, "a", "b"),
 	)
 
+	// Guards against a superseded process that goes by a roster of long ago.
+	It("keeps the roster of a superseded host up to date", func() {
+		m := registrar.NewMembers(epoch(0), registrar.Record{Name: "a", Control: "a", Incarnation: 1}, beat)
+		hear := func(name string, incarnation uint64) {
+			m.Hear(epoch(0), "c", messenger.News{Facts: []messenger.Fact{{Name: name, Control: name, Incarnation: incarnation}}})
+		}
+		hear("a", 2)
+		for i := range 8 {
+			hear(fmt.Sprint("h", i), 1)
+			m.Tick(epoch(time.Duration(i) * beat))
+		}
+		Expect(m.Roster().Hosts()).To(HaveLen(8))
+	})
+
 	It("rosters converge after every pair of faults", func() {
 		for _, a := range everyFault() {
 			for _, b := range everyFault() {
--- a/registrar/recorder.go
+++ b/registrar/recorder.go
@@ -31,10 +31,10 @@
 	log   *zap.Logger
 	wake  chan struct{}
 
-	mu     sync.Mutex
-	self   Record // to be stored; a zero Record stores nothing
-	dead   map[string]uint64
-	before []string // names of processes that ran at this host's address
+	mu           sync.Mutex
+	self         Record // to be stored; a zero Record stores nothing
+	dead         map[string]uint64
+	predecessors []string // names of processes that ran at this host's address
 
 	// run's goroutine only
 	renewals uint64
@@ -62,11 +62,11 @@
 	c.poke()
 }
 
-// bequeath has the record and lease removed soon that a process at this host's address left
+// succeed has the record and lease removed soon that a process at this host's address left
 // behind. Nobody writes these any more, so that they need not be read first.
-func (c *recorder) bequeath(name string) {
+func (c *recorder) succeed(name string) {
 	c.mu.Lock()
-	c.before = append(c.before, name)
+	c.predecessors = append(c.predecessors, name)
 	c.mu.Unlock()
 	c.poke()
 }
@@ -111,7 +111,7 @@
 			return err
 		}
 	}
-	if err := c.removeBefore(ctx); err != nil {
+	if err := c.removePredecessors(ctx); err != nil {
 		return err
 	}
 	for name, incarnation := range dead {
@@ -203,10 +203,10 @@
 	return nil
 }
 
-// removeBefore removes what processes before this one left behind.
-func (c *recorder) removeBefore(ctx context.Context) error {
+// removePredecessors removes what processes before this one left behind.
+func (c *recorder) removePredecessors(ctx context.Context) error {
 	c.mu.Lock()
-	names := slices.Clone(c.before)
+	names := slices.Clone(c.predecessors)
 	c.mu.Unlock()
 	for _, name := range names {
 		for _, prefix := range []string{Prefix, LeasePrefix} {
@@ -215,7 +215,7 @@
 			}
 		}
 		c.mu.Lock()
-		c.before = slices.DeleteFunc(c.before, func(n string) bool { return n == name })
+		c.predecessors = slices.DeleteFunc(c.predecessors, func(n string) bool { return n == name })
 		c.mu.Unlock()
 	}
 	return nil
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -206,7 +206,7 @@
 			r.recorder.bury(o.Host)
 		case Succeeded:
 			r.config.Log.Info("succeeded", zap.String("peer", o.Host.Name), zap.Uint64("incarnation", o.Host.Incarnation))
-			r.recorder.bequeath(o.Host.Name)
+			r.recorder.succeed(o.Host.Name)
 		case Rejoined:
 			r.rejoins.Add(1)
 			r.config.Log.Warn("rejoined", zap.Uint64("incarnation", o.Self.Incarnation))
--- a/registrar/renewing.go
+++ b/registrar/renewing.go
@@ -34,9 +34,10 @@
 // renew has what follows from the facts renewed: now, or at the next tick where that was
 // done a few times since the last. Failure: all hosts restart, and each of hundreds of facts has each
 // host work through its whole roster; small hosts do nothing else for seconds.
+// A host that was superseded ticks no more.
 func (m *Members) renew(now time.Time) {
-	if m.rebuilt >= rebuildsPerTick {
-		m.late = true
+	if m.rebuilds >= rebuildsPerTick && !m.ended && !m.replaced {
+		m.rosterStale = true
 		return
 	}
 	m.rebuild(now)
@@ -44,8 +45,8 @@
 
 // rebuild renews what follows from the facts.
 func (m *Members) rebuild(now time.Time) {
-	m.late = false
-	m.rebuilt++
+	m.rosterStale = false
+	m.rebuilds++
 	m.expire(now)
 	var digest uint64
 	r := Roster{hosts: make([]Record, 0, len(m.sorted)), hashes: make([]uint64, 0, len(m.sorted))}
@@ -60,7 +61,7 @@
 		}
 	}
 	if digest != m.digest {
-		m.digest, m.altered, m.unsound = digest, now, true
+		m.digest, m.digestAt, m.ringStale = digest, now, true
 		m.connect(now)
 	}
 	if !slices.Equal(r.hosts, m.roster.hosts) {
@@ -88,10 +89,10 @@
 // connect renews the ring, not more than once between two ticks: the next one does what
 // is left.
 func (m *Members) connect(now time.Time) {
-	if !m.unsound || now.Sub(m.ringed) < m.tick() {
+	if !m.ringStale || now.Sub(m.ringAt) < m.tick() {
 		return
 	}
-	m.unsound, m.ringed = false, now
+	m.ringStale, m.ringAt = false, now
 	var all []*member
 	for _, x := range m.sorted {
 		if x.fact.Status != gone {
--- a/registrar/spreading.go
+++ b/registrar/spreading.go
@@ -14,13 +14,13 @@
 }
 
 // spread has a host's fact passed on.
-func (m *Members) spread(host, from string) { m.news = append(m.news, news{host, from}) }
+func (m *Members) spread(host, from string) { m.pending = append(m.pending, news{host, from}) }
 
 // passSoon passes on what is to be: now, or at the next tick where that was done since the
 // last. Failure: all hosts restart, and each passes on hundreds of facts in as many
 // messages to each of its neighbours.
 func (m *Members) passSoon(now time.Time) {
-	if now.Sub(m.told) >= m.tick() {
+	if now.Sub(m.passedAt) >= m.tick() {
 		m.pass(now)
 	}
 }
@@ -28,7 +28,7 @@
 // pass passes facts on to this host's observers and its neighbours. Every host does so
 // once for each fact, so it reaches all in a few steps, at a constant cost for each.
 func (m *Members) pass(now time.Time) {
-	if len(m.news) == 0 {
+	if len(m.pending) == 0 {
 		return
 	}
 	for _, to := range m.ring.targets() {
@@ -36,19 +36,19 @@
 			m.send(to, messenger.News{Facts: facts})
 		}
 	}
-	m.news, m.told = nil, now
+	m.pending, m.passedAt = nil, now
 }
 
 // factsFor is the facts to pass on that a host did not tell itself.
 func (m *Members) factsFor(to string) []messenger.Fact {
 	var out []messenger.Fact
 	known := map[string]bool{}
-	for _, n := range m.news {
+	for _, n := range m.pending {
 		if n.from == to {
 			known[n.host] = true
 		}
 	}
-	for _, n := range m.news {
+	for _, n := range m.pending {
 		if x := m.members[n.host]; x != nil && !known[n.host] {
 			known[n.host] = true
 			out = append(out, x.fact)
--- a/registrar/ticking.go
+++ b/registrar/ticking.go
@@ -19,10 +19,10 @@
 	}
 	m.resume(now)
 	m.ticked = now
-	if m.late {
+	if m.rosterStale {
 		m.rebuild(now)
 	}
-	m.rebuilt = 0
+	m.rebuilds = 0
 	m.connect(now)
 	m.pass(now)
 	if !m.doubt.IsZero() && now.Sub(m.doubt) > m.after(doubtBeats) {
