Router: what an answer says of its worker's availability is read, logged and counted

Answers' Server-Leaving and a 503's Retry-After are read by the dialect, also in skipped answers to earlier requests (connector.Call.Skipped). The lines request and send have leaving and retry_after, and cicadawood_routed_unavailable_answers_total counts them. No decision uses them yet: which worker gets a request is unchanged.

--- a/connector/conn.go
+++ b/connector/conn.go
@@ -132,6 +132,9 @@
 		}
 		mismatched = true
 		skipped++
+		if call.Skipped != nil {
+			call.Skipped(resp.StatusCode, resp.Header)
+		}
 		if skipped > maxMismatched || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 			return nil, true, ErrMismatched
 		}
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -60,6 +60,9 @@
 	// Matches reports whether an answer's header belongs to this request. Other answers
 	// are skipped: a late answer to an earlier request may arrive first.
 	Matches func(http.Header) bool
+	// Skipped, if set, gets the head of each skipped answer. What a server states about
+	// itself there still holds.
+	Skipped func(status int, h http.Header)
 	// FreshOnly requires a connection that has been idle only briefly. It is set for
 	// requests that must not be repeated, which are lost if the server closes the
 	// connection while they are being sent.
--- a/router/metrics.go
+++ b/router/metrics.go
@@ -21,6 +21,7 @@
 	predictions   prometheus.Histogram
 	failedSends   *prometheus.CounterVec
 	refused       *prometheus.CounterVec
+	unavailable   *prometheus.CounterVec
 	refusedWaits  *prometheus.HistogramVec
 	refusedTaken  *prometheus.HistogramVec
 	refusedWanted *prometheus.HistogramVec
@@ -53,6 +54,9 @@
 	m.refused = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "cicadawood_routed_refused_total", Help: "Requests that no worker got, by the tier of their route and by cause.",
 	}, []string{"tier", "cause"})
+	m.unavailable = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "cicadawood_routed_unavailable_answers_total", Help: "Answers in which a worker said that it wants no more requests, by whether it is leaving or for how long it said so.",
+	}, []string{"cause"})
 	m.refusedWaits = prometheus.NewHistogramVec(prometheus.HistogramOpts{
 		Name: "cicadawood_routed_refused_wait_seconds", Help: "Wait that a refused request would have had, by the tier of its route and by cause.", Buckets: buckets,
 	}, []string{"tier", "cause"})
@@ -64,7 +68,7 @@
 		Name: "cicadawood_routed_refused_wanted_slots", Help: "Slots that more urgent routes want beside those that they have, as a request was refused.",
 		Buckets: prometheus.ExponentialBuckets(1, 4, 6),
 	}, []string{"tier", "cause"})
-	r.MustRegister(m.requests, m.firstByte, m.completed, m.pauses, m.predictions, m.failedSends, m.refused, m.refusedWaits, m.refusedTaken, m.refusedWanted)
+	r.MustRegister(m.requests, m.firstByte, m.completed, m.pauses, m.predictions, m.failedSends, m.refused, m.unavailable, m.refusedWaits, m.refusedTaken, m.refusedWanted)
 	return m
 }
 
@@ -113,6 +117,9 @@
 	m.refusedWanted.WithLabelValues(tier, r.Reason).Observe(float64(b.Wanted))
 }
 
+// observeUnavailable counts an answer whose worker wants no more requests.
+func (m *Metrics) observeUnavailable(cause string) { m.unavailable.WithLabelValues(cause).Inc() }
+
 // observeFailedSend counts a failed send; resent reports whether another send follows.
 func (m *Metrics) observeFailedSend(err error, resent bool) {
 	m.failedSends.WithLabelValues(causeLabel(err), strconv.FormatBool(resent)).Inc()
--- a/router/port.go
+++ b/router/port.go
@@ -58,6 +58,15 @@
 	OtherWorker bool   // the address now belongs to another worker
 	Load        Load
 	Limit       Limit
+	Leaving     bool // the worker shuts down and wants no new requests
+	RetryAfter  RetryAfter
+}
+
+// RetryAfter is the time for which a worker that refused a request wants no other from
+// this host.
+type RetryAfter struct {
+	Delay   time.Duration // 0 is none
+	Invalid string        // reported value that can't be parsed
 }
 
 // Limit is the rate that a worker reports to accept from all hosts together.
--- a/router/router.go
+++ b/router/router.go
@@ -141,6 +141,7 @@
 	if t.placedBy != "" {
 		fields = append(fields, zap.String("by", t.placedBy))
 	}
+	fields = append(fields, t.availabilityFields()...)
 	if t.cause != nil {
 		fields = append(fields, zap.String("cause", t.cause.Error()))
 	}
--- a/router/trip.go
+++ b/router/trip.go
@@ -55,6 +55,9 @@
 	refused          *Refused // set if no further worker was found
 	transmitted      int      // number of sends that left this host
 	stopSilenceTimer func()   // stops the silence timeout of the current send
+
+	workerLeaving bool          // an answer to the last send reported that its worker is leaving
+	retryAfter    time.Duration // for which an answer to the last send wanted no more requests; 0 is none
 }
 
 // storedAnswer is a worker's error response, passed to the caller only if no other
@@ -86,6 +89,7 @@
 		t.sends++
 		t.worker, t.expectedWait, t.promptTokens, t.placedBy, t.source = placement.Worker.Name, placement.ExpectedWait, placement.PromptTokens, placement.PlacedBy, placement.Source
 		t.sentAt = time.Now()
+		t.workerLeaving, t.retryAfter = false, 0
 		err = t.send(ctx, placement)
 		t.router.Placer.Ended(placement, t.outcome(caller, err))
 		if err == nil {
@@ -108,11 +112,14 @@
 // log records a failed send, with the figures behind the decision and whether it was the
 // last.
 func (t *transaction) log(p Placement, final bool) {
-	t.router.Log.Warn("send", zap.String("request", t.q.ID), zap.Stringer("fingerprint", t.q.fingerprint), zap.Int("send", t.sends), zap.String("worker", p.Worker.Name),
+	fields := []zap.Field{
+		zap.String("request", t.q.ID), zap.Stringer("fingerprint", t.q.fingerprint), zap.Int("send", t.sends), zap.String("worker", p.Worker.Name),
 		zap.Duration("after", time.Since(t.sentAt)), zap.Bool("ended", errors.Is(t.cause, connector.ErrClosedByPeer)),
 		zap.String("address", p.Worker.Address), zap.Bool("kept", t.reused), zap.Duration("age", p.ListAge), zap.Duration("expected", p.ExpectedWait),
 		zap.Int("read", p.PromptTokens), zap.Bool("exposed", t.mayHaveRun), zap.Bool("passed", t.delivery.headSent), zap.String("last", t.lastEventID),
-		zap.Bool("repeatable", t.q.Repeatable()), zap.Duration("left", t.q.timeLeft(time.Now())), zap.Bool("final", final), zap.Error(t.cause))
+		zap.Bool("repeatable", t.q.Repeatable()), zap.Duration("left", t.q.timeLeft(time.Now())), zap.Bool("final", final), zap.Error(t.cause),
+	}
+	t.router.Log.Warn("send", append(fields, t.availabilityFields()...)...)
 }
 
 // sleep waits for d. It returns false if ctx ends first.
@@ -261,6 +268,9 @@
 			id := t.router.Dialect.ReadAnswer(0, h).ID
 			return id == "" || id == t.q.ID
 		},
+		Skipped: func(status int, h http.Header) {
+			t.noteAvailability(p, t.router.Dialect.ReadAnswer(status, h))
+		},
 		FreshOnly: !t.q.Repeatable(),
 	})
 	if err != nil {
@@ -288,6 +298,7 @@
 func (t *transaction) handleAnswer(p Placement, a *connector.Answer) error {
 	v := t.router.Dialect.ReadAnswer(a.Status, a.Header)
 	t.reportRate(p, v.Limit)
+	t.noteAvailability(p, v)
 	ok := a.Status >= http.StatusOK && a.Status < http.StatusMultipleChoices
 	switch {
 	case v.NotRun:
@@ -320,6 +331,39 @@
 	}
 }
 
+// noteAvailability records what the head of an answer states about further requests for
+// its worker. The address of another worker's answer says nothing about the one that the
+// request was placed on.
+func (t *transaction) noteAvailability(p Placement, v AnswerHead) {
+	if v.OtherWorker {
+		return
+	}
+	if v.RetryAfter.Invalid != "" {
+		t.router.Log.Warn("retry-after", zap.String("request", t.q.ID), zap.String("worker", p.Worker.Name), zap.String("state", "unreadable"), zap.String("said", v.RetryAfter.Invalid))
+	}
+	if v.Leaving {
+		t.workerLeaving = true
+		t.router.Metrics.observeUnavailable("leaving")
+	}
+	if v.RetryAfter.Delay > 0 {
+		t.retryAfter = max(t.retryAfter, v.RetryAfter.Delay)
+		t.router.Metrics.observeUnavailable("retry_after")
+	}
+}
+
+// availabilityFields returns the log fields for what the answers to the last send stated
+// about further requests for its worker.
+func (t *transaction) availabilityFields() []zap.Field {
+	var fields []zap.Field
+	if t.workerLeaving {
+		fields = append(fields, zap.Bool("leaving", true))
+	}
+	if t.retryAfter > 0 {
+		fields = append(fields, zap.Duration("retry_after", t.retryAfter))
+	}
+	return fields
+}
+
 // discard reads a short answer to its end, so that its connection can be reused.
 func (t *transaction) discard(a *connector.Answer) {
 	const maxDiscard = 16 << 10
