Red: a worker that says it leaves, or asks for rest, gets requests all the same

Stand-in workers say Server-Leaving in all answers and Retry-After with a refusal, and count what hosts send them meanwhile.

What rules a host is bound by is the platform's: 2 s for leaving, two requests from half a second on.

--- a/faker/worker.go
+++ b/faker/worker.go
@@ -36,7 +36,9 @@
 	headers    map[string]http.Header // of the last run of a request
 	limit      float64                // requests per second, reported in its answers; 0 reports none
 	limitSince time.Time              // when it began to report a limit
+	leaving    bool                   // its answers report that it is leaving
 	arrivals   []arrival              // requests received, in order
+	refusals   []refusal              // requests refused with Retry-After, in order
 	canceled   int                    // requests whose caller disconnected before the answer
 	seq        int
 	crash      func() // closes the listener and all connections, as a crash does
@@ -44,13 +46,14 @@
 
 // WorkerFaults are the faults of a Worker.
 type WorkerFaults struct {
-	Reject          bool // refuses the request and reports that it was not run
-	BreakConnection bool // runs the request and breaks the connection
-	NeverAnswer     bool // runs the request and never answers
-	Unsealed        bool // answers without its seal
-	AnswerError     bool // answers with status 500
-	CutAtEvent      int  // breaks the connection inside the event with this number; 0 breaks none
-	ExtraAnswer     bool // sends a second answer, of another request, after each
+	Reject          bool          // refuses the request and reports that it was not run
+	RetryAfter      time.Duration // reported with a refusal; 0 reports none
+	BreakConnection bool          // runs the request and breaks the connection
+	NeverAnswer     bool          // runs the request and never answers
+	Unsealed        bool          // answers without its seal
+	AnswerError     bool          // answers with status 500
+	CutAtEvent      int           // breaks the connection inside the event with this number; 0 breaks none
+	ExtraAnswer     bool          // sends a second answer, of another request, after each
 }
 
 // Start serves on a loopback port and returns a function that stops it.
@@ -87,6 +90,14 @@
 	k.faults = f
 }
 
+// SetLeaving makes the worker report in all answers from now on that it is leaving, or no
+// longer. It serves in either case.
+func (k *Worker) SetLeaving(leaving bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.leaving = leaving
+}
+
 // SetLimit makes the worker report a limit in requests per second in all answers from now
 // on; 0 means that it reports none.
 func (k *Worker) SetLimit(rate float64) {
@@ -105,33 +116,6 @@
 	return k.limitSince
 }
 
-// arrival is one request received.
-type arrival struct {
-	id string
-	at time.Time
-}
-
-// MaxArrivals returns the maximum number of requests received in any window between from and
-// to. It counts those for which include returns true.
-func (k *Worker) MaxArrivals(from, to time.Time, window time.Duration, include func(id string) bool) int {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	var times []time.Time
-	for _, a := range k.arrivals {
-		if !a.at.Before(from) && a.at.Before(to) && include(a.id) {
-			times = append(times, a.at)
-		}
-	}
-	highest, first := 0, 0
-	for i, at := range times {
-		for at.Sub(times[first]) >= window {
-			first++
-		}
-		highest = max(highest, i-first+1)
-	}
-	return highest
-}
-
 // RunsOf returns how often the worker ran a request.
 func (k *Worker) RunsOf(request string) int {
 	k.mu.Lock()
@@ -168,13 +152,18 @@
 func (k *Worker) serve(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get(platform.HeaderRequestID)
 	w.Header().Set(platform.HeaderRequestID, id)
+	worker := r.Header.Get(platform.HeaderTargetWorker)
+	misdirected := worker != "" && worker != k.ID
 	k.mu.Lock()
-	k.arrivals = append(k.arrivals, arrival{id, time.Now()})
+	k.arrivals = append(k.arrivals, arrival{id: id, at: time.Now(), misdirected: misdirected})
 	if k.limit > 0 {
 		w.Header().Set(platform.HeaderLimit, strconv.FormatFloat(k.limit, 'f', -1, 64))
 	}
+	if k.leaving {
+		w.Header().Set(platform.HeaderLeaving, "1")
+	}
 	k.mu.Unlock()
-	if worker := r.Header.Get(platform.HeaderTargetWorker); worker != "" && worker != k.ID {
+	if misdirected {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -191,8 +180,7 @@
 	k.mu.Unlock()
 	switch {
 	case f.Reject:
-		w.Header().Set(platform.HeaderNotRun, "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
+		k.refuse(w, id, f.RetryAfter)
 		return
 	case k.Poison != "" && strings.Contains(string(body), k.Poison):
 		sleep(r, k.Delay)
@@ -214,6 +202,19 @@
 	k.answer(w, r, f)
 }
 
+// refuse answers that the request was not run. With a retryAfter it asks for no more
+// requests for that time.
+func (k *Worker) refuse(w http.ResponseWriter, id string, retryAfter time.Duration) {
+	if retryAfter > 0 {
+		w.Header().Set(platform.HeaderRetryAfter, strconv.FormatFloat(retryAfter.Seconds(), 'f', -1, 64))
+		k.mu.Lock()
+		k.refusals = append(k.refusals, refusal{id: id, at: time.Now(), retryAfter: retryAfter})
+		k.mu.Unlock()
+	}
+	w.Header().Set(platform.HeaderNotRun, "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
 func (k *Worker) answer(w http.ResponseWriter, r *http.Request, f WorkerFaults) {
 	switch {
 	case f.AnswerError:
