Host routes: a worker that says in an answer that it leaves gets nothing new

Cause: hosts heard of a leaving worker from its entry in the store alone, and read no such word in answers.

Now the head of every answer counts, also of refusals, errors, broken streams and skipped answers to earlier requests. What it says goes to observer.Directory, beside the entries and over them: an entry written again, expired, or restored does not make that process available, another process under the name does. The other hosts are told with the next flight update, and hosts that start with what is under way; a decider that still picks it is told again.

--- a/observer/directory.go
+++ b/observer/directory.go
@@ -26,6 +26,7 @@
 	recoveredAt time.Time                // when the source could be read again
 	loaded      bool                     // the source was read at least once
 	removedAt   map[string]time.Time     // when an entry was removed, by name
+	leaving     map[Process]time.Time    // when each leaving process was last known to have an entry
 }
 
 // trackedEntry is an entry with its state at the source.
@@ -126,6 +127,7 @@
 // that an older snapshot restored and that are still at the source after staleHold. It reports
 // whether there were any.
 func (d *Directory) Sweep(now time.Time) bool {
+	d.sweepLeaving(now)
 	for name, at := range d.removedAt {
 		if now.Sub(at) >= removedRetention {
 			delete(d.removedAt, name)
@@ -154,7 +156,7 @@
 func (d *Directory) Available() []Entry {
 	out := []Entry{}
 	for _, r := range d.entries {
-		if r.available() {
+		if r.available() && !d.IsLeaving(r.process()) {
 			out = append(out, r.Entry)
 		}
 	}
--- a/router/port.go
+++ b/router/port.go
@@ -126,6 +126,8 @@
 	// RateReported reports the request rate that the worker stated in its answer; 0 if
 	// it stated none. It is called only if there is or was a limit.
 	RateReported(p Placement, rate float64)
+	// LeavingReported reports that the worker stated in an answer that it is leaving.
+	LeavingReported(p Placement)
 	// Ended reports how a placed request ended. It is called once for each Placement.
 	Ended(p Placement, o placer.Outcome)
 }
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -45,7 +45,7 @@
 }
 
 func (plainDialect) ReadAnswer(_ int, h http.Header) router.AnswerHead {
-	return router.AnswerHead{ID: h.Get("Id"), Sealed: h.Get("Seal") != "", NotRun: h.Get("Not-Run") != ""}
+	return router.AnswerHead{ID: h.Get("Id"), Sealed: h.Get("Seal") != "", NotRun: h.Get("Not-Run") != "", OtherWorker: h.Get("Other") != "", Leaving: h.Get("Leaving") != ""}
 }
 
 func (plainDialect) WriteAnswer(h http.Header, _ string, retryAfter time.Duration) {
@@ -62,6 +62,7 @@
 	budget   int // maximum number of repeats
 	requests []placer.Request
 	outcomes []placer.Outcome
+	leaving  []string // workers reported as leaving
 }
 
 func (p *listPlacer) Place(_ context.Context, a placer.Request, retry bool) (router.Placement, error) {
@@ -85,6 +86,12 @@
 
 func (p *listPlacer) RateReported(router.Placement, float64) {}
 
+func (p *listPlacer) LeavingReported(x router.Placement) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.leaving = append(p.leaving, x.Worker.Name)
+}
+
 func (p *listPlacer) Ended(_ router.Placement, o placer.Outcome) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -186,6 +193,46 @@
 	}
 	bg := context.Background()
 
+	// Guards against losing what an answer states of its worker because the answer itself is
+	// of no use to the caller.
+	DescribeTable("reports a worker that states that it is leaving", func(path string, h http.HandlerFunc) {
+		worker("w", h)
+		_, _, _ = call(bg, path, "s") // how it ends differs
+		Expect(fakePlacer.leaving).NotTo(BeEmpty())
+		Expect(fakePlacer.leaving).To(HaveEach("w"))
+	},
+		Entry("in a whole answer", "/a/x", status(http.StatusOK, "Seal", "Leaving")),
+		Entry("in an error", "/a/x", status(http.StatusInternalServerError, "Seal", "Leaving")),
+		Entry("in a refusal", "/a/x", status(http.StatusServiceUnavailable, "Not-Run", "Leaving")),
+		Entry("in a refusal that does not say that it was not run", "/once/x", status(http.StatusServiceUnavailable, "Leaving")),
+		Entry("in an unsealed answer", "/once/x", status(http.StatusOK, "Leaving")),
+		Entry("in an encoded answer", "/once/x", status(http.StatusOK, "Seal", "Leaving", "Content-Encoding")),
+		Entry("in the head of a stream that breaks off", "/flow/x", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Seal", "1")
+			w.Header().Set("Leaving", "1")
+			w.Header().Set("Content-Type", "text/event-stream")
+			_, _ = io.WriteString(w, "id: 1\ndata: x\n\nid: 2\nda")
+			_ = http.NewResponseController(w).Flush() // the connection is aborted next
+			panic(http.ErrAbortHandler)
+		}),
+		Entry("in a late answer to another request", "/once/x", func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				return
+			}
+			defer conn.Close()
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: 0\r\nLeaving: 1\r\nContent-Length: 0\r\n\r\n")
+		}),
+	)
+
+	It("reports no worker for an answer by which the address is another worker's", func() {
+		worker("w", status(http.StatusMisdirectedRequest, "Not-Run", "Other", "Leaving"))
+		code, _, err := call(bg, "/a/x", "s")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(code).To(Equal(http.StatusServiceUnavailable))
+		Expect(fakePlacer.leaving).To(BeEmpty())
+	})
+
 	It("routes by the longest path prefix, and by the weights of the services", func() {
 		worker("w", status(http.StatusOK, "Seal"))
 		for path, service := range map[string]string{"/a/x": "a", "/a/b/x": "a/b", "/a/bc": "a"} {
--- a/router/trip.go
+++ b/router/trip.go
@@ -344,6 +344,7 @@
 	if v.Leaving {
 		t.workerLeaving = true
 		t.router.Metrics.observeUnavailable("leaving")
+		t.router.Placer.LeavingReported(p)
 	}
 	if v.RetryAfter.Delay > 0 {
 		t.retryAfter = max(t.retryAfter, v.RetryAfter.Delay)
--- a/runner/beliefs.go
+++ b/runner/beliefs.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/cicadawood/cicadawood/observer"
 	"github.com/cicadawood/cicadawood/placer"
 )
 
@@ -19,6 +20,7 @@
 	BudgetHosts   int                  `json:"sharing"`  // number of hosts that share the retry budget
 	Workers       []placer.WorkerState `json:"workers"`
 
+	Leaving    []observer.Process   `json:"leaving"`    // workers that reported in an answer that they are leaving
 	Quarantine []QuarantinedRequest `json:"quarantine"` // requests in quarantine
 }
 
@@ -36,6 +38,7 @@
 	b := RoutingState{
 		ListAge: -1, Era: after.Era(), Revision: after.Revision(), WatchesStore: p.watchesStore.Load(), WatchesForAll: p.relay.Watching(), Decides: p.deciderSet.decides(p.self), BudgetHosts: p.maxHosts, Workers: p.view.WorkerStates(now),
 	}
+	b.Leaving = p.directory.Leaving()
 	b.Quarantine = p.quarantine.state(now)
 	if !p.updatedAt.IsZero() {
 		b.ListAge = now.Sub(p.updatedAt)
--- a/runner/catching.go
+++ b/runner/catching.go
@@ -14,8 +14,8 @@
 // messages, of a few hundred kilobytes, would keep a small host's link busy.
 const maxRunningPerMessage = 500
 
-// catchUp sends the running requests, and the limits that workers reported, to hosts that
-// have just started or become listeners. Where each host decides, each sends its own
+// catchUp sends the running requests, and the limits and leaving workers that answers
+// reported, to hosts that have just started or become listeners. Where each host decides, each sends its own
 // requests; where a few decide, the first of those that were listeners before sends all.
 func (p *selector) catchUp(now time.Time, previousRoster registrar.Roster, previousListeners []registrar.Record) {
 	hasDeciders := len(p.deciderSet.deciders) > 0
@@ -28,13 +28,14 @@
 	added := p.newListeners(previousListeners)
 	running := p.view.RunningFlights(now, hasDeciders)
 	limits := limitMessages(p.view.Limits())
-	if len(added) == 0 || len(running) == 0 && len(limits) == 0 {
+	leaving := processMessages(p.directory.Leaving())
+	if len(added) == 0 || len(running) == 0 && len(limits) == 0 && len(leaving) == 0 {
 		return
 	}
-	p.log.Info("sending running requests", zap.Strings("hosts", added), zap.Int("requests", len(running)), zap.Int("limits", len(limits)))
-	if len(limits) > 0 {
-		if err := p.sender.SendAll(added, messenger.FlightUpdate{Limits: limits}); err != nil {
-			p.log.Warn("sending limits failed", zap.Error(err))
+	p.log.Info("sending running requests", zap.Strings("hosts", added), zap.Int("requests", len(running)), zap.Int("limits", len(limits)), zap.Int("leaving", len(leaving)))
+	if len(limits) > 0 || len(leaving) > 0 {
+		if err := p.sender.SendAll(added, messenger.FlightUpdate{Limits: limits, Leaving: leaving}); err != nil {
+			p.log.Warn("sending limits and leaving workers failed", zap.Error(err))
 		}
 	}
 	for part := range slices.Chunk(running, maxRunningPerMessage) {
--- a/runner/choosing.go
+++ b/runner/choosing.go
@@ -139,6 +139,8 @@
 		p.scheduleUpdate(now, p.delayFor(updateDelay, updateDelayToListeners))
 	case limitReported:
 		p.updateLimit(now, e)
+	case leavingReported:
+		p.reportLeaving(now, e.process)
 	case flightEnded:
 		p.view.Ended(now, e.id, e.outcome)
 		p.addEnded(now, e)
--- a/runner/choosing_port.go
+++ b/runner/choosing_port.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/cicadawood/cicadawood/observer"
 	"github.com/cicadawood/cicadawood/placer"
 	"github.com/cicadawood/cicadawood/router"
 )
@@ -52,6 +53,11 @@
 	p.post(limitReported{worker: x.Worker.Name, rate: rate, previous: x.RateLimit})
 }
 
+// LeavingReported implements router.Placer.
+func (p *selector) LeavingReported(x router.Placement) {
+	p.post(leavingReported{process: observer.Process{Name: x.Worker.Name, Incarnation: x.Worker.Incarnation}})
+}
+
 // Ended implements router.Placer.
 func (p *selector) Ended(x router.Placement, o placer.Outcome) {
 	p.post(flightEnded{id: x.ID, outcome: o, halfFull: x.HalfFull})
--- a/runner/deciding.go
+++ b/runner/deciding.go
@@ -238,6 +238,7 @@
 			ID: s.Flight, Service: x.requested.request.Service, Worker: w, ExpectedWait: s.Wait, Delay: s.Delay, Source: s.Source, PromptTokens: s.Prefill, HalfFull: s.HalfFull, ListAge: now.Sub(p.updatedAt), PlacedBy: e.from, RateLimit: s.RateLimit,
 		}}
 	default:
+		p.remindOfLeaving(now, s.Worker)
 		p.addEnded(now, flightEnded{id: s.Flight, outcome: placer.Canceled})
 		if waiting {
 			x.requested.reply <- p.decide(now, x.requested.request)
