Host routes: a worker that refuses with Retry-After gets nothing from that host meanwhile

Cause: nobody read Retry-After. A refusal added 150 ms to what the worker costs, which fades with 1.5 s; with three workers it was the cheapest again after half a second. The logs' send=1 ruled out repeats, the two kinds of worker in the operators' record a fault of one service.

Now each host records the time by worker process (placer.Backoffs) and takes that worker for none until it is over: where it chooses itself, where it asks a decider (the request says which workers to leave out), where a decider's answer names such a worker, and for a prompt that waited for its delay. The other hosts are not told: the worker may take their requests. Where all workers of a service want nothing, callers are refused at once with the time until the first does (before: 100 ms, again and again).

--- a/placer/ask.go
+++ b/placer/ask.go
@@ -43,6 +43,7 @@
 	Target            time.Duration // time to the answer, or to a stream's first event
 	Gap               time.Duration // maximum pause in a stream; 0 is no target
 	Exclude           []string      // workers that already had the request
+	Backoffs          []Backoff     // workers that want no requests from the sending host
 
 	Fingerprint quarantiner.Fingerprint // of the request's content; 0 if unknown
 }
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -160,7 +160,7 @@
 		best = cheapest(candidates, anyCandidate)
 	}
 	if best == nil {
-		return nil, &Refusal{RetryAfter: noWorkersRetryAfter, Reason: "no_workers"}
+		return nil, v.refuseUnplaceable(req)
 	}
 	refusal := v.refuse(best, req)
 	if refusal == nil {
@@ -182,7 +182,7 @@
 	holder, heldTokens := v.holder(req)
 	copyAt := v.workerOfCopy(req)
 	for _, w := range v.sorted {
-		if w.Service != req.Service || excluded(req, w.Name) || copyAt != "" && w.Name != copyAt {
+		if w.Service != req.Service || excluded(req, w.Name) || req.backoff(w.Name) > 0 || copyAt != "" && w.Name != copyAt {
 			continue
 		}
 		c := w.candidate(now, req, holder, heldTokens)
--- a/router/port.go
+++ b/router/port.go
@@ -128,6 +128,12 @@
 	RateReported(p Placement, rate float64)
 	// LeavingReported reports that the worker stated in an answer that it is leaving.
 	LeavingReported(p Placement)
+	// BackoffReported reports that the worker refused the request and wants no other from
+	// this host for a time.
+	BackoffReported(p Placement, d time.Duration)
+	// Accepts reports whether the worker still accepts requests. It is called before a
+	// request is sent that waited for its Delay.
+	Accepts(ctx context.Context, p Placement) bool
 	// Ended reports how a placed request ended. It is called once for each Placement.
 	Ended(p Placement, o placer.Outcome)
 }
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -45,7 +45,8 @@
 }
 
 func (plainDialect) ReadAnswer(_ int, h http.Header) router.AnswerHead {
-	return router.AnswerHead{ID: h.Get("Id"), Sealed: h.Get("Seal") != "", NotRun: h.Get("Not-Run") != "", OtherWorker: h.Get("Other") != "", Leaving: h.Get("Leaving") != ""}
+	delay, _ := time.ParseDuration(h.Get("Wait")) // 0 if missing
+	return router.AnswerHead{ID: h.Get("Id"), Sealed: h.Get("Seal") != "", NotRun: h.Get("Not-Run") != "", OtherWorker: h.Get("Other") != "", Leaving: h.Get("Leaving") != "", RetryAfter: router.RetryAfter{Delay: delay}}
 }
 
 func (plainDialect) WriteAnswer(h http.Header, _ string, retryAfter time.Duration) {
@@ -63,6 +64,9 @@
 	requests []placer.Request
 	outcomes []placer.Outcome
 	leaving  []string // workers reported as leaving
+	backoffs []string // workers and times reported
+
+	declining string // first worker, which no longer accepts requests after their delay; "" is none
 }
 
 func (p *listPlacer) Place(_ context.Context, a placer.Request, retry bool) (router.Placement, error) {
@@ -86,6 +90,22 @@
 
 func (p *listPlacer) RateReported(router.Placement, float64) {}
 
+func (p *listPlacer) BackoffReported(x router.Placement, d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.backoffs = append(p.backoffs, fmt.Sprint(x.Worker.Name, " ", d))
+}
+
+func (p *listPlacer) Accepts(_ context.Context, x router.Placement) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if x.Worker.Name != p.declining {
+		return true
+	}
+	p.workers = p.workers[1:]
+	return false
+}
+
 func (p *listPlacer) LeavingReported(x router.Placement) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -225,6 +245,33 @@
 		}),
 	)
 
+	It("reports how long a worker that refused wants no requests", func() {
+		refuse := func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Not-Run", "1")
+			w.Header().Set("Wait", "3s")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+		worker("w", refuse)
+		worker("x", status(http.StatusOK, "Seal"))
+		code, _, err := call(bg, "/once/x", "s")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(code).To(Equal(http.StatusOK))
+		Expect(fakePlacer.backoffs).To(Equal([]string{"w 3s"}))
+	})
+
+	// Guards against a request that waits for its delay and is then sent to a worker that no
+	// longer accepts any.
+	It("places a request again whose worker no longer accepts it after its delay", func() {
+		worker("w", status(http.StatusOK, "Seal"))
+		worker("x", status(http.StatusOK, "Seal"))
+		fakePlacer.pause, fakePlacer.declining = 10*time.Millisecond, "w"
+		code, _, err := call(bg, "/once/x", "s")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(code).To(Equal(http.StatusOK))
+		Expect(seen).To(HaveLen(1))
+		Expect(fakePlacer.ended()).To(Equal([]placer.Outcome{placer.Canceled, placer.Answered}))
+	})
+
 	It("reports no worker for an answer by which the address is another worker's", func() {
 		worker("w", status(http.StatusMisdirectedRequest, "Not-Run", "Other", "Leaving"))
 		code, _, err := call(bg, "/a/x", "s")
--- a/router/trip.go
+++ b/router/trip.go
@@ -86,6 +86,10 @@
 			t.router.Placer.Ended(placement, placer.Canceled)
 			return t.timedOut(caller)
 		}
+		if placement.Delay > 0 && !t.router.Placer.Accepts(ctx, placement) {
+			t.router.Placer.Ended(placement, placer.Canceled)
+			continue
+		}
 		t.sends++
 		t.worker, t.expectedWait, t.promptTokens, t.placedBy, t.source = placement.Worker.Name, placement.ExpectedWait, placement.PromptTokens, placement.PlacedBy, placement.Source
 		t.sentAt = time.Now()
@@ -349,6 +353,7 @@
 	if v.RetryAfter.Delay > 0 {
 		t.retryAfter = max(t.retryAfter, v.RetryAfter.Delay)
 		t.router.Metrics.observeUnavailable("retry_after")
+		t.router.Placer.BackoffReported(p, v.RetryAfter.Delay)
 	}
 }
 
--- a/runner/choosing.go
+++ b/runner/choosing.go
@@ -53,6 +53,7 @@
 	maxHosts      int // highest number of hosts that the roster had
 	deciderSet    deciderSet
 	windows       map[string]*retrier.Window
+	backoffs      placer.Backoffs // of workers towards this host
 	pendingUpdate messenger.FlightUpdate
 	quarantine    *quarantineSync
 	updateTimer   *time.Timer
@@ -141,6 +142,10 @@
 		p.updateLimit(now, e)
 	case leavingReported:
 		p.reportLeaving(now, e.process)
+	case backoffReported:
+		p.recordBackoff(now, e)
+	case acceptsRequested:
+		e.reply <- p.accepts(now, e.worker)
 	case flightEnded:
 		p.view.Ended(now, e.id, e.outcome)
 		p.addEnded(now, e)
@@ -204,6 +209,7 @@
 
 // decide selects a worker by this host's view.
 func (p *selector) decide(now time.Time, a placer.Request) workerReply {
+	a.Backoffs = p.view.Backoffs(now, a.Service, &p.backoffs)
 	choice, refusal := p.view.Place(now, rand.Uint64(), a)
 	if refusal != nil {
 		p.scheduleUpdate(now, p.delayFor(updateDelay, updateDelayToListeners))
@@ -258,6 +264,7 @@
 	p.sendHeartbeat(now)
 	p.updateWatching(now, "watchers and words")
 	p.view.Sweep(now)
+	p.backoffs.Sweep(now)
 	p.quarantine.sweep(now)
 	p.deciderSet.sweep(now)
 	if p.directory.Sweep(now) {
--- a/runner/choosing_port.go
+++ b/runner/choosing_port.go
@@ -58,6 +58,16 @@
 	p.post(leavingReported{process: observer.Process{Name: x.Worker.Name, Incarnation: x.Worker.Incarnation}})
 }
 
+// BackoffReported implements router.Placer.
+func (p *selector) BackoffReported(x router.Placement, d time.Duration) {
+	p.post(backoffReported{worker: x.Worker, duration: d})
+}
+
+// Accepts implements router.Placer.
+func (p *selector) Accepts(ctx context.Context, x router.Placement) bool {
+	return askSelector(ctx, p, func(reply chan<- bool) event { return acceptsRequested{worker: x.Worker, reply: reply} })
+}
+
 // Ended implements router.Placer.
 func (p *selector) Ended(x router.Placement, o placer.Outcome) {
 	p.post(flightEnded{id: x.ID, outcome: o, halfFull: x.HalfFull})
--- a/runner/deciding.go
+++ b/runner/deciding.go
@@ -170,7 +170,9 @@
 		return false
 	}
 	id := rand.Uint64()
-	if err := p.sender.Send(decider.Control, encodeRequest(id, self, e.request)); err != nil {
+	request := e.request
+	request.Backoffs = p.view.Backoffs(now, request.Service, &p.backoffs)
+	if err := p.sender.Send(decider.Control, encodeRequest(id, self, request)); err != nil {
 		p.log.Debug("seek", zap.String("decider", decider.Name), zap.Error(err))
 		return false
 	}
@@ -229,6 +231,7 @@
 	}
 	waiting := known && !x.timedOut
 	w, available := p.view.Worker(s.Worker)
+	available = available && p.backoffs.Left(now, w) == 0
 	switch {
 	case s.Flight == 0 && waiting:
 		x.requested.reply <- refusedBy(e.from, placer.Refusal{Reason: s.Reason, RetryAfter: s.RetryAfter}, decodeBasis(s.Basis))
@@ -273,15 +276,22 @@
 		Fingerprint: uint64(a.Fingerprint),
 	}
 	s.Keys, s.Tokens = splitParts(a.Parts)
+	for _, b := range a.Backoffs {
+		s.Backoffs = append(s.Backoffs, messenger.WorkerBackoff{Worker: b.Worker, Left: b.Left})
+	}
 	return s
 }
 
 func decodeRequest(s messenger.PlacementRequest) placer.Request {
-	return placer.Request{
+	a := placer.Request{
 		Service: s.Service, Zone: s.Zone, Parts: joinParts(s.Keys, s.Tokens), Prompt: s.Prompt, Output: s.Output, Rank: s.Rank,
 		Left: s.Left, FirstEventTimeout: s.FirstEventTimeout, Target: s.Target, Gap: s.Gap, Exclude: s.Exclude, Tier: s.Tier, Expected: s.Expected,
 		Fingerprint: quarantiner.Fingerprint(s.Fingerprint),
 	}
+	for _, b := range s.Backoffs {
+		a.Backoffs = append(a.Backoffs, placer.Backoff{Worker: b.Worker, Left: b.Left})
+	}
+	return a
 }
 
 func splitParts(parts []placer.Part) (keys []uint64, tokens []int) {
