Own interface: a backend server's refusal holds for as long as its Retry-After asks

The refusal's Retry-After goes with it to the dispatchers of the server's cells (observer.Observer.Refused, messenger.WorkerRefused) and lengthens the hold, to a minute at most: a backend server has the same name after a restart.

Seen red: with the time left out of the hold, 2 specs of observer.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -82,7 +82,7 @@
 // Forwarder is the HTTP adapter for engines and plain services.
 type Forwarder struct {
 	silenceTimeout time.Duration
-	onRefused      func(address string) // may be nil
+	onRefused      func(address string, retryAfter time.Duration) // may be nil
 	backends       backends
 }
 
@@ -110,7 +110,7 @@
 	if err == nil {
 		err = checkAnswer(resp, c.RequestID, b)
 		if errors.Is(err, ErrNotRun) && !errors.Is(err, ErrStale) {
-			f.reportRefused(address)
+			f.reportRefused(address, resp.Header)
 		}
 	}
 	if err != nil {
--- a/forwarder/refused.go
+++ b/forwarder/refused.go
@@ -1,11 +1,35 @@
 package forwarder
 
+import (
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// maxRetryAfter bounds the time for which a backend server may ask for no calls. After a
+// restart it has the same name and address, and can't withdraw what it asked for before.
+const maxRetryAfter = time.Minute
+
 // OnRefused sets a function that is called with the address of each backend server that
-// answers that it did not run a call. It must be called before the first Do.
-func (f *Forwarder) OnRefused(report func(address string)) { f.onRefused = report }
+// answers that it did not run a call, and the time for which it wants no others; 0 if it
+// states none. It must be called before the first Do.
+func (f *Forwarder) OnRefused(report func(address string, retryAfter time.Duration)) {
+	f.onRefused = report
+}
 
-func (f *Forwarder) reportRefused(address string) {
+func (f *Forwarder) reportRefused(address string, h http.Header) {
 	if f.onRefused != nil {
-		f.onRefused(address)
+		f.onRefused(address, retryAfter(h))
+	}
+}
+
+// retryAfter returns the time in a Retry-After header in seconds. Anything else counts as no
+// time: the refusal itself keeps new calls away for a while.
+func retryAfter(h http.Header) time.Duration {
+	seconds, err := strconv.ParseFloat(h.Get("Retry-After"), 64)
+	if err != nil || math.IsNaN(seconds) || seconds < 0 {
+		return 0
 	}
+	return time.Duration(min(seconds, maxRetryAfter.Seconds()) * float64(time.Second))
 }
--- a/observer/observer.go
+++ b/observer/observer.go
@@ -17,7 +17,7 @@
 )
 
 const (
-	// refusalHold is how long a refusal alone keeps new work away from a worker. A load
+	// refusalHold is how long a refusal keeps new work away from a worker, at least. A load
 	// report may be older than the refusal, so no report ends the hold early.
 	refusalHold = 3 * time.Second
 	// silentRetention is how long a worker that is missing from the host list is kept after
@@ -53,7 +53,7 @@
 	configured      bool      // listed in the configuration
 	missingSince    time.Time // zero while it is in the host list
 	lastReport      time.Time // received by this host; zero before the first
-	refusedAt       time.Time // zero before the first refusal
+	refusedUntil    time.Time // end of the hold of its refusals; zero before the first
 	listedLeaving   bool      // the host list reports it as leaving
 	reportedLeaving bool      // it reports itself as leaving
 	report          Report
@@ -62,7 +62,7 @@
 // available reports whether the worker may get new work. It may not as soon as any source
 // reports it as leaving, and only the same source can revoke that.
 func (w *worker) available(now time.Time) bool {
-	return !w.listedLeaving && !w.reportedLeaving && (w.refusedAt.IsZero() || now.Sub(w.refusedAt) >= refusalHold)
+	return !w.listedLeaving && !w.reportedLeaving && !now.Before(w.refusedUntil)
 }
 
 // Observer is the set of workers of all services. The zero Observer has none. It is not safe
@@ -129,10 +129,14 @@
 	return changed
 }
 
-// Refused records that a worker answered a call with "not run".
-func (o *Observer) Refused(now time.Time, address string) {
+// Refused records that a worker answered a call with "not run", and for how long it wants no
+// others; 0 if it stated no time.
+func (o *Observer) Refused(now time.Time, address string, retryAfter time.Duration) {
+	until := now.Add(max(refusalHold, retryAfter))
 	for _, x := range o.byAddress(address) {
-		x.refusedAt = now
+		if until.After(x.refusedUntil) {
+			x.refusedUntil = until
+		}
 	}
 }
 
--- a/observer/observer_test.go
+++ b/observer/observer_test.go
@@ -47,7 +47,9 @@
 	case "report":
 		o.Reported(at(a.at), name, observer.Report{Leaving: leaving})
 	case "refuse":
-		o.Refused(at(a.at), name)
+		worker, retryAfter, _ := strings.Cut(name, " ")
+		d, _ := time.ParseDuration(retryAfter) // 0 if missing
+		o.Refused(at(a.at), worker, d)
 	case "sweep":
 		o.Sweep(at(a.at))
 	}
@@ -84,6 +86,10 @@
 		Entry("the report says leaving", 2.0, "b fixed", event{0, "list", "a b"}, event{1, "report", "a!"}),
 		Entry("a refusal says leaving", 2.0, "b fixed", event{0, "list", "a b"}, event{1, "refuse", "a"}),
 		Entry("a refusal alone expires", 6.0, "a b fixed", event{0, "list", "a b"}, event{1, "refuse", "a"}),
+		Entry("a refusal holds as long as it asks for", 10.9, "b fixed", event{0, "list", "a b"}, event{1, "refuse", "a 10s"}),
+		Entry("and no longer", 11.0, "a b fixed", event{0, "list", "a b"}, event{1, "refuse", "a 10s"}),
+		Entry("a refusal that asks for less does not end it", 10.9, "b fixed", event{0, "list", "a b"}, event{1, "refuse", "a 10s"}, event{2, "refuse", "a 1s"}),
+		Entry("a refusal that asks for less than the usual hold has that", 3.9, "b fixed", event{0, "list", "a b"}, event{1, "refuse", "a 1s"}),
 		Entry("a report that is older than the refusal changes nothing", 2.0, "b fixed", event{0, "list", "a b"}, event{1, "refuse", "a"}, event{1.5, "report", "a"}),
 		Entry("a late list does not revoke what the report says", Label(prover.Cell(prover.Granted, prover.LateHostList), prover.Cell(prover.Sent, prover.LateHostList), prover.Cell(prover.Draining, prover.LateHostList)),
 			3.0, "b fixed", event{0, "list", "a b"}, event{1, "report", "a!"}, event{2, "list", "a b"}),
@@ -133,7 +139,7 @@
 					o.Reported(at(second), "a", observer.Report{Leaving: report})
 				case 2:
 					refused = second
-					o.Refused(at(second), "a")
+					o.Refused(at(second), "a", 0)
 				case 3:
 					o.Sweep(at(second))
 				case 4:
--- a/runner/control.go
+++ b/runner/control.go
@@ -169,7 +169,7 @@
 	case messenger.Preempt:
 		c.handlePreempt(m)
 	case messenger.WorkerRefused:
-		c.observer.Refused(now, m.Address)
+		c.observer.Refused(now, m.Address, m.RetryAfter)
 		c.handleWorkerEvent(now, nil)
 	case messenger.Borrow:
 		c.lend(now, from, m)
--- a/runner/observing.go
+++ b/runner/observing.go
@@ -31,7 +31,10 @@
 }
 
 // workerRefused is a worker's answer that it did not run a call.
-type workerRefused struct{ address string }
+type workerRefused struct {
+	address    string
+	retryAfter time.Duration // for which it wants no calls; 0 if it stated none
+}
 
 // pollTargetsRequested asks which workers this host polls for load reports.
 type pollTargetsRequested struct{ reply chan<- pollTargets }
@@ -67,7 +70,9 @@
 func (o *workerPoller) leavingCount() int64 { return o.unavailable.Load() }
 
 // postRefusal passes on that a worker refused a call of this host's entry.
-func (o *workerPoller) postRefusal(address string) { o.control.post(workerRefused{address: address}) }
+func (o *workerPoller) postRefusal(address string, retryAfter time.Duration) {
+	o.control.post(workerRefused{address: address, retryAfter: retryAfter})
+}
 
 func (o *workerPoller) run(ctx context.Context) {
 	client, closeClient := observer.NewClient(o.platform)
@@ -143,7 +148,7 @@
 			return
 		}
 	case workerRefused:
-		c.forwardRefusal(now, e.address)
+		c.forwardRefusal(now, e)
 	case pollTargetsRequested:
 		e.reply <- c.pollTargets()
 		removed = c.observer.Sweep(now)
@@ -204,12 +209,12 @@
 }
 
 // forwardRefusal reports a worker's refusal to the dispatchers of its cells.
-func (c *control) forwardRefusal(now time.Time, address string) {
-	c.observer.Refused(now, address)
+func (c *control) forwardRefusal(now time.Time, e workerRefused) {
+	c.observer.Refused(now, e.address, e.retryAfter)
 	for name, cell := range c.cells {
 		for _, w := range cell.Workers {
-			if owner, ok := c.roster.Owner(name); ok && w.Address == address && owner.Name != c.self {
-				c.send(now, owner.Name, messenger.WorkerRefused{Address: address})
+			if owner, ok := c.roster.Owner(name); ok && w.Address == e.address && owner.Name != c.self {
+				c.send(now, owner.Name, messenger.WorkerRefused{Address: e.address, RetryAfter: e.retryAfter})
 			}
 		}
 	}
