Soak, matrix, promises: workers that leave by their answers, or refuse with Retry-After

The soak has a worker say in its answers alone that it leaves (then it restarts under its ID), or refuse with Retry-After, and judges both by what callers and workers saw. A drained or crashed worker that another fault restarted meanwhile is no longer registered again by the earlier fault.

The matrix has both faults with 8 cells.

--- a/faker/worker.go
+++ b/faker/worker.go
@@ -37,6 +37,7 @@
 	limit      float64                // requests per second, reported in its answers; 0 reports none
 	limitSince time.Time              // when it began to report a limit
 	leaving    bool                   // its answers report that it is leaving
+	leftAt     time.Time              // when they began to
 	arrivals   []arrival              // requests received, in order
 	refusals   []refusal              // requests refused with Retry-After, in order
 	canceled   int                    // requests whose caller disconnected before the answer
@@ -95,6 +96,9 @@
 func (k *Worker) SetLeaving(leaving bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if leaving && !k.leaving {
+		k.leftAt = time.Now()
+	}
 	k.leaving = leaving
 }
 
--- a/faker/worker_arrivals.go
+++ b/faker/worker_arrivals.go
@@ -49,6 +49,14 @@
 	return false
 }
 
+// LeavingBy reports whether the worker's answers stated that it is leaving from before the
+// given time.
+func (k *Worker) LeavingBy(at time.Time) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return !k.leftAt.IsZero() && k.leftAt.Before(at)
+}
+
 // Refusals returns the number of requests refused with Retry-After.
 func (k *Worker) Refusals() int {
 	k.mu.Lock()
--- a/prover/cells.go
+++ b/prover/cells.go
@@ -31,6 +31,8 @@
 	{LateHostList, []Step{Granted, Sent, Draining}, "the host list decides only which worker gets a new request, and which is leaving"},
 	{Reorder, []Step{Received, Queued, Asked, Granted, IntentRecorded, Sent, FirstToken, MidStream, Answered, OutcomeRecorded, Acked, Watched, InForce, LeaseRenewed, RoleTaken, RoleHandedOver, Draining}, "the step is reached by no frame, answer or reply that could come twice or late"},
 	{MismatchedAnswer, []Step{Sent, FirstToken, MidStream, Answered, Acked}, "only what answers a call that was sent can belong to another request"},
+	{LeavingAnswer, []Step{Asked, Granted, Sent, FirstToken, Answered}, "it changes which worker gets a call, and is stated in the head of an answer"},
+	{RetryAfter, []Step{Asked, Granted, Sent}, "it changes which worker gets a call, and is stated in a refusal"},
 	{PushRace, configSteps, "operators race each other in pushes only"},
 }
 
--- a/prover/prover.go
+++ b/prover/prover.go
@@ -62,6 +62,8 @@
 	LateHostList     Fault = "latelist" // the platform's host list is out of date
 	Reorder          Fault = "reorder"  // a frame is duplicated or arrives out of order
 	MismatchedAnswer Fault = "crossed"  // an answer belongs to another request
+	LeavingAnswer    Fault = "leaving"  // a backend server states in an answer that it is leaving
+	RetryAfter       Fault = "backoff"  // a backend server refuses a call and states for how long it wants no others
 	PushRace         Fault = "race"     // operators push at the same time
 )
 
@@ -75,7 +77,7 @@
 
 // Faults returns all faults.
 func Faults() []Fault {
-	return []Fault{Kill, Freeze, CutOneWay, CutBothWays, Blackhole, Slow, LostReply, StoreDown, StoreSlow, WatchGap, LateHostList, Reorder, MismatchedAnswer, PushRace}
+	return []Fault{Kill, Freeze, CutOneWay, CutBothWays, Blackhole, Slow, LostReply, StoreDown, StoreSlow, WatchGap, LateHostList, Reorder, MismatchedAnswer, LeavingAnswer, RetryAfter, PushRace}
 }
 
 const (
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -21,6 +21,7 @@
 	"github.com/cicadawood/cicadawood/connector"
 	"github.com/cicadawood/cicadawood/loader"
 	"github.com/cicadawood/cicadawood/placer"
+	"github.com/cicadawood/cicadawood/prover"
 	"github.com/cicadawood/cicadawood/router"
 )
 
@@ -223,7 +224,7 @@
 	},
 		Entry("in a whole answer", "/a/x", status(http.StatusOK, "Seal", "Leaving")),
 		Entry("in an error", "/a/x", status(http.StatusInternalServerError, "Seal", "Leaving")),
-		Entry("in a refusal", "/a/x", status(http.StatusServiceUnavailable, "Not-Run", "Leaving")),
+		Entry("in a refusal", Label(prover.Cell(prover.Sent, prover.LeavingAnswer)), "/a/x", status(http.StatusServiceUnavailable, "Not-Run", "Leaving")),
 		Entry("in a refusal that does not say that it was not run", "/once/x", status(http.StatusServiceUnavailable, "Leaving")),
 		Entry("in an unsealed answer", "/once/x", status(http.StatusOK, "Leaving")),
 		Entry("in an encoded answer", "/once/x", status(http.StatusOK, "Seal", "Leaving", "Content-Encoding")),
@@ -261,7 +262,7 @@
 
 	// Guards against a request that waits for its delay and is then sent to a worker that no
 	// longer accepts any.
-	It("places a request again whose worker no longer accepts it after its delay", func() {
+	It("places a request again whose worker no longer accepts it after its delay", Label(prover.Cell(prover.Granted, prover.RetryAfter), prover.Cell(prover.Granted, prover.LeavingAnswer)), func() {
 		worker("w", status(http.StatusOK, "Seal"))
 		worker("x", status(http.StatusOK, "Seal"))
 		fakePlacer.pause, fakePlacer.declining = 10*time.Millisecond, "w"
--- a/soaker/caller_test.go
+++ b/soaker/caller_test.go
@@ -22,8 +22,10 @@
 type exchange struct {
 	id, route, key string
 	host           *host
-	sentAt         time.Time
-	undisturbed    bool // no signal or start disturbed the host's process in the undisturbedTime before
+	sentAt, endAt  time.Time
+	processSince   time.Time // when the host's process had last been disturbed before the request was sent
+	leavingWorker  string    // worker whose answer states that it is leaving; "" for none
+	undisturbed    bool      // no signal or start disturbed the host's process in the undisturbedTime before
 	status         int
 	body           string
 	err            error // no response, or one that was cut off
@@ -82,7 +84,10 @@
 
 // send sends a request with an ID to a route, for the resource called name.
 func send(h *host, id, route, key, name, body string) exchange {
-	e := exchange{id: id, route: route, key: key, host: h, sentAt: time.Now(), undisturbed: h.processUndisturbedSince(time.Now().Add(-undisturbedTime))}
+	e := exchange{
+		id: id, route: route, key: key, host: h, sentAt: time.Now(), undisturbed: h.processUndisturbedSince(time.Now().Add(-undisturbedTime)),
+		processSince: h.processSince(),
+	}
 	method := http.MethodPost
 	if route == "quote" {
 		method = http.MethodGet
@@ -106,6 +111,9 @@
 	defer resp.Body.Close()
 	e.status = resp.StatusCode
 	data, err := io.ReadAll(resp.Body)
-	e.body, e.err = string(data), err
+	e.body, e.err, e.endAt = string(data), err, time.Now()
+	if resp.Header.Get(platform.HeaderLeaving) != "" {
+		e.leavingWorker = resp.Header.Get(platform.HeaderSeal)
+	}
 	return e
 }
--- a/soaker/fault_test.go
+++ b/soaker/fault_test.go
@@ -91,16 +91,24 @@
 	}},
 	{"crash a worker and restart it under its ID", func(c *cluster, r *rand.Rand) func() {
 		x := c.anyWorker(r)
-		x.stopOnce()
+		if !c.stopWorker(x) {
+			return func() {} // another fault has stopped it
+		}
 		return func() {
 			c.startWorker(&faker.Worker{ID: x.ID, Service: x.Service, Slots: x.Slots, Events: x.Events, Delay: x.Delay, Incarnation: x.Incarnation + 1})
 		}
 	}},
 	{"have a worker report a rate limit", func(c *cluster, r *rand.Rand) func() { return c.limitWorker(r) }},
+	{"have a worker leave by its answers only", func(c *cluster, r *rand.Rand) func() { return c.leaveByAnswers(r) }},
+	{"have a worker refuse with Retry-After", func(c *cluster, r *rand.Rand) func() { return c.refuseForATime(r) }},
 	{"drain a worker", func(c *cluster, r *rand.Rand) func() {
 		x := c.anyWorker(r)
 		x.Register(c.store, platform.StateDraining)
-		return func() { x.Register(c.store, platform.StateReady) }
+		return func() {
+			if !c.isStopped(x) { // another process may be registered under its ID
+				x.Register(c.store, platform.StateReady)
+			}
+		}
 	}},
 	{"register a malformed worker entry", func(c *cluster, _ *rand.Rand) func() {
 		c.store.Put("servers", "x-1", map[string]any{"service": "desk", "slots": "many"})
--- a/soaker/judge_test.go
+++ b/soaker/judge_test.go
@@ -59,6 +59,8 @@
 		violations = append(violations, fmt.Sprintf("a request that had crashed three workers was run %d more times", lateRuns))
 	}
 	violations = append(violations, c.workersOverLimit()...)
+	violations = append(violations, c.requestsToLeavingWorkers()...)
+	violations = append(violations, c.requestsInRetryAfter()...)
 	for _, h := range c.hosts {
 		select {
 		case <-h.exited:
--- a/soaker/world_test.go
+++ b/soaker/world_test.go
@@ -118,6 +118,24 @@
 	c.workers = append(c.workers, x)
 }
 
+// stopWorker stops a worker. It returns false if the worker has stopped already.
+func (c *cluster) stopWorker(x *worker) bool {
+	c.mu.Lock()
+	stopped := x.stopped
+	x.stopped = true
+	c.mu.Unlock()
+	if !stopped {
+		x.stop()
+	}
+	return !stopped
+}
+
+func (c *cluster) isStopped(x *worker) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return x.stopped
+}
+
 // stopOnce stops the worker unless it has stopped already.
 func (x *worker) stopOnce() {
 	if !x.stopped {
@@ -239,6 +257,13 @@
 	return h.processDisturbedAt.Before(since)
 }
 
+// processSince returns when the host's process was last signalled or started.
+func (h *host) processSince() time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.processDisturbedAt
+}
+
 // pollReady queries the host's readiness endpoint, as a load balancer does, and records
 // the result.
 func (h *host) pollReady() bool {
