Frames: leaving workers and backoffs have messages of their own

Hosts of the version before can't read the longer arrays (msgpack: number of fields in array-encoded struct has changed), so that in a fleet that is updated host by host, placements and reports of flights would have failed between versions.

Now LeavingWorkers and WorkerBackoff are kinds that such hosts skip, and a host leaves workers in backoff out of what it asks a decider for (Exclude); where all of them want nothing it refuses by itself.

--- a/messenger/member.go
+++ b/messenger/member.go
@@ -1,7 +1,5 @@
 package messenger
 
-import "time"
-
 // Heartbeat reports that its sender, in this incarnation, was alive when it was
 // sent.
 type Heartbeat struct {
@@ -66,9 +64,6 @@
 type WorkerRefused struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
 	Address  string
-	// RetryAfter is the time for which the backend server wants no calls; 0 if
-	// it stated none.
-	RetryAfter time.Duration
 }
 
 func (WorkerRefused) kind() string { return "away" }
--- a/messenger/message.go
+++ b/messenger/message.go
@@ -190,6 +190,10 @@
 		return decode[WorkerReport](e)
 	case kindQuarantine:
 		return decode[Quarantine](e)
+	case kindLeavingWorkers:
+		return decode[LeavingWorkers](e)
+	case kindWorkerBackoff:
+		return decode[WorkerBackoff](e)
 	default:
 		if m, ok, err := decodeMembership(e); ok {
 			return m, err
--- a/messenger/message_seek.go
+++ b/messenger/message_seek.go
@@ -28,16 +28,6 @@
 	Expected          int           `msgpack:"expected"` // tokens of output that the caller expects
 
 	Fingerprint uint64 `msgpack:"fingerprint"` // of the request's content; 0 if unknown
-
-	Backoffs []WorkerBackoff `msgpack:"backoffs"` // workers that want no requests from the asking host
-}
-
-// WorkerBackoff is the remaining time for which a worker wants no requests
-// from one host.
-type WorkerBackoff struct {
-	_msgpack struct{}      `msgpack:",as_array"` //nolint:unused // read by msgpack
-	Worker   string        `msgpack:"worker"`
-	Left     time.Duration `msgpack:"left"`
 }
 
 // PlacementReply answers a PlacementRequest with a worker, or with the reason
--- a/messenger/message_share.go
+++ b/messenger/message_share.go
@@ -22,16 +22,6 @@
 	Running []Flight `msgpack:"running"`
 	// Limits is the rate limits that workers named, or no longer name.
 	Limits []WorkerLimit `msgpack:"limits"`
-	// Leaving is the worker processes that reported in an answer that they are
-	// leaving.
-	Leaving []WorkerProcess `msgpack:"leaving"`
-}
-
-// WorkerProcess identifies one process of a worker; see observer.Process.
-type WorkerProcess struct {
-	_msgpack    struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
-	Worker      string   `msgpack:"worker"`
-	Incarnation string   `msgpack:"incarnation"`
 }
 
 // WorkerLimit is the rate of requests that a worker accepts from all hosts
--- a/runner/backoff.go
+++ b/runner/backoff.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -29,6 +30,16 @@
 	}
 }
 
+// excludeBackoffs adds the workers that want no requests from this host, of which a decider
+// does not know, to those that a request is not placed on.
+func excludeBackoffs(exclude []string, backoffs []placer.Backoff) []string {
+	out := slices.Clone(exclude)
+	for _, b := range backoffs {
+		out = append(out, b.Worker)
+	}
+	return out
+}
+
 // accepts reports whether a worker accepts requests from this host.
 func (p *selector) accepts(now time.Time, w placer.Worker) bool {
 	x, ok := p.view.Worker(w.Name)
--- a/runner/catching.go
+++ b/runner/catching.go
@@ -28,14 +28,19 @@
 	added := p.newListeners(previousListeners)
 	running := p.view.RunningFlights(now, hasDeciders)
 	limits := limitMessages(p.view.Limits())
-	leaving := processMessages(p.directory.Leaving())
+	leaving := p.directory.Leaving()
 	if len(added) == 0 || len(running) == 0 && len(limits) == 0 && len(leaving) == 0 {
 		return
 	}
 	p.log.Info("sending running requests", zap.Strings("hosts", added), zap.Int("requests", len(running)), zap.Int("limits", len(limits)), zap.Int("leaving", len(leaving)))
-	if len(limits) > 0 || len(leaving) > 0 {
-		if err := p.sender.SendAll(added, messenger.FlightUpdate{Limits: limits, Leaving: leaving}); err != nil {
-			p.log.Warn("sending limits and leaving workers failed", zap.Error(err))
+	if len(limits) > 0 {
+		if err := p.sender.SendAll(added, messenger.FlightUpdate{Limits: limits}); err != nil {
+			p.log.Warn("sending limits failed", zap.Error(err))
+		}
+	}
+	if len(leaving) > 0 {
+		if err := p.sender.SendAll(added, encodeProcesses(leaving)); err != nil {
+			p.log.Warn("sending leaving workers failed", zap.Error(err))
 		}
 	}
 	for part := range slices.Chunk(running, maxRunningPerMessage) {
--- a/runner/choosing.go
+++ b/runner/choosing.go
@@ -142,6 +142,8 @@
 		p.updateLimit(now, e)
 	case leavingReported:
 		p.reportLeaving(now, e.process)
+	case leavingReceived:
+		p.receiveLeaving(now, e)
 	case backoffReported:
 		p.recordBackoff(now, e)
 	case acceptsRequested:
--- a/runner/control.go
+++ b/runner/control.go
@@ -169,6 +169,9 @@
 	case messenger.Preempt:
 		c.handlePreempt(m)
 	case messenger.WorkerRefused:
+		c.observer.Refused(now, m.Address, 0)
+		c.handleWorkerEvent(now, nil)
+	case messenger.WorkerBackoff:
 		c.observer.Refused(now, m.Address, m.RetryAfter)
 		c.handleWorkerEvent(now, nil)
 	case messenger.Borrow:
--- a/runner/deciding.go
+++ b/runner/deciding.go
@@ -165,13 +165,17 @@
 	if d.decides(p.self) || !known {
 		return false
 	}
+	backoffs := p.view.Backoffs(now, e.request.Service, &p.backoffs)
+	if len(backoffs) > 0 && len(backoffs) == p.view.WorkerCount(e.request.Service) {
+		return false // only this host knows when the first worker accepts requests again
+	}
 	decider, ok := d.pick(now)
 	if !ok {
 		return false
 	}
 	id := rand.Uint64()
 	request := e.request
-	request.Backoffs = p.view.Backoffs(now, request.Service, &p.backoffs)
+	request.Exclude = excludeBackoffs(request.Exclude, backoffs)
 	if err := p.sender.Send(decider.Control, encodeRequest(id, self, request)); err != nil {
 		p.log.Debug("seek", zap.String("decider", decider.Name), zap.Error(err))
 		return false
@@ -241,7 +245,7 @@
 			ID: s.Flight, Service: x.requested.request.Service, Worker: w, ExpectedWait: s.Wait, Delay: s.Delay, Source: s.Source, PromptTokens: s.Prefill, HalfFull: s.HalfFull, ListAge: now.Sub(p.updatedAt), PlacedBy: e.from, RateLimit: s.RateLimit,
 		}}
 	default:
-		p.remindOfLeaving(now, s.Worker)
+		p.remindOfLeaving(s.Worker)
 		p.addEnded(now, flightEnded{id: s.Flight, outcome: placer.Canceled})
 		if waiting {
 			x.requested.reply <- p.decide(now, x.requested.request)
@@ -276,22 +280,15 @@
 		Fingerprint: uint64(a.Fingerprint),
 	}
 	s.Keys, s.Tokens = splitParts(a.Parts)
-	for _, b := range a.Backoffs {
-		s.Backoffs = append(s.Backoffs, messenger.WorkerBackoff{Worker: b.Worker, Left: b.Left})
-	}
 	return s
 }
 
 func decodeRequest(s messenger.PlacementRequest) placer.Request {
-	a := placer.Request{
+	return placer.Request{
 		Service: s.Service, Zone: s.Zone, Parts: joinParts(s.Keys, s.Tokens), Prompt: s.Prompt, Output: s.Output, Rank: s.Rank,
 		Left: s.Left, FirstEventTimeout: s.FirstEventTimeout, Target: s.Target, Gap: s.Gap, Exclude: s.Exclude, Tier: s.Tier, Expected: s.Expected,
 		Fingerprint: quarantiner.Fingerprint(s.Fingerprint),
 	}
-	for _, b := range s.Backoffs {
-		a.Backoffs = append(a.Backoffs, placer.Backoff{Worker: b.Worker, Left: b.Left})
-	}
-	return a
 }
 
 func splitParts(parts []placer.Part) (keys []uint64, tokens []int) {
--- a/runner/leaving_workers.go
+++ b/runner/leaving_workers.go
@@ -12,12 +12,18 @@
 // leavingReported is a worker's statement in an answer that it is leaving.
 type leavingReported struct{ process observer.Process }
 
+// leavingReceived is another host's report of leaving workers.
+type leavingReceived struct {
+	from      string
+	processes []observer.Process
+}
+
 // reportLeaving applies a worker's statement that it is leaving, and forwards it to the
 // other hosts if it is news: until the worker's entry in the store states it, they may have
 // no answer that does.
 func (p *selector) reportLeaving(now time.Time, x observer.Process) {
 	if p.applyLeaving(now, "", x) {
-		p.announceLeaving(now, x)
+		p.announceLeaving(x)
 	}
 }
 
@@ -32,34 +38,50 @@
 	return true
 }
 
-func (p *selector) announceLeaving(now time.Time, x observer.Process) {
-	p.pendingUpdate.Leaving = append(p.pendingUpdate.Leaving, messenger.WorkerProcess{Worker: x.Name, Incarnation: x.Incarnation})
-	p.scheduleUpdate(now, p.delayFor(sentDelay, sentDelayToListeners))
+// announceLeaving sends leaving workers to the hosts that receive flight updates.
+func (p *selector) announceLeaving(leaving ...observer.Process) {
+	var addresses []string
+	for _, h := range p.flightListeners() {
+		if h.Name != p.self && !h.Unreachable {
+			addresses = append(addresses, h.Control)
+		}
+	}
+	if err := p.sender.SendAll(addresses, encodeProcesses(leaving)); err != nil {
+		p.log.Warn("sending leaving workers failed", zap.Error(err))
+	}
 }
 
 // remindOfLeaving announces a leaving worker again, as a decider placed a request there.
-func (p *selector) remindOfLeaving(now time.Time, worker string) {
+func (p *selector) remindOfLeaving(worker string) {
 	for _, x := range p.directory.Leaving() {
 		if x.Name == worker {
-			p.announceLeaving(now, x)
+			p.announceLeaving(x)
 		}
 	}
 }
 
 // receiveLeaving applies what workers stated to another host.
-func (p *selector) receiveLeaving(now time.Time, from string, processes []messenger.WorkerProcess) {
-	for _, x := range processes {
-		p.applyLeaving(now, from, observer.Process{Name: x.Worker, Incarnation: x.Incarnation})
+func (p *selector) receiveLeaving(now time.Time, e leavingReceived) {
+	for _, x := range e.processes {
+		p.applyLeaving(now, e.from, x)
 	}
 }
 
-// processMessages converts worker processes to their messages.
-func processMessages(list []observer.Process) []messenger.WorkerProcess {
-	var out []messenger.WorkerProcess
+func encodeProcesses(list []observer.Process) messenger.LeavingWorkers {
+	var m messenger.LeavingWorkers
 	for _, x := range list {
-		out = append(out, messenger.WorkerProcess{Worker: x.Name, Incarnation: x.Incarnation})
+		m.Processes = append(m.Processes, messenger.WorkerProcess{Worker: x.Name, Incarnation: x.Incarnation})
+	}
+	return m
+}
+
+func decodeProcesses(m messenger.LeavingWorkers) []observer.Process {
+	var out []observer.Process
+	for _, x := range m.Processes {
+		out = append(out, observer.Process{Name: x.Worker, Incarnation: x.Incarnation})
 	}
 	return out
 }
 
 func (leavingReported) event() {}
+func (leavingReceived) event() {}
--- a/runner/observing.go
+++ b/runner/observing.go
@@ -214,7 +214,10 @@
 	for name, cell := range c.cells {
 		for _, w := range cell.Workers {
 			if owner, ok := c.roster.Owner(name); ok && w.Address == e.address && owner.Name != c.self {
-				c.send(now, owner.Name, messenger.WorkerRefused{Address: e.address, RetryAfter: e.retryAfter})
+				c.send(now, owner.Name, messenger.WorkerRefused{Address: e.address})
+				if e.retryAfter > 0 {
+					c.send(now, owner.Name, messenger.WorkerBackoff{Address: e.address, RetryAfter: e.retryAfter})
+				}
 			}
 		}
 	}
--- a/runner/routing.go
+++ b/runner/routing.go
@@ -55,6 +55,8 @@
 		g.selector.post(placementReplied{from: from, reply: m})
 	case messenger.Quarantine:
 		g.selector.post(quarantineReceived{from: from, entries: decodeQuarantine(m)})
+	case messenger.LeavingWorkers:
+		g.selector.post(leavingReceived{from: from, processes: decodeProcesses(m)})
 	case messenger.ListUpdate:
 		g.selector.post(listUpdateReceived{from: from, update: m})
 	case messenger.ListSnapshot:
--- a/runner/sharing.go
+++ b/runner/sharing.go
@@ -135,7 +135,6 @@
 // receiveFlights applies another host's flight update to the view.
 func (p *selector) receiveFlights(now time.Time, e flightsReceived) {
 	p.receiveLimits(now, e.from, e.update.Limits)
-	p.receiveLeaving(now, e.from, e.update.Leaving)
 	for _, s := range e.update.Sent {
 		p.view.Receive(now, cmp.Or(s.Host, e.from), decodeFlight(s))
 	}
