Own interface: the end of a worker is counted before the call goes on

So the host that had crashed three servers always tried a fourth (in each trace: w-0 to w-3, the quarantine in place before the fourth was sent), and while the reports were under way to the owner (1 to 5 ms) other hosts tried more. Copies sent one after another were taken for sent together where reports crossed by 14 to 286 us.

Now the entry, or the keeper, waits until the owner of the role has counted the end (ReportsFlush, 100 ms at most), which sends what it holds back to all hosts before it confirms. Copies that follow are then sent after the mark, as the tracker takes them to be.

Seen red before: "is sent to no fourth by the host that it crashed three through", 3 of 3 runs with 4.

--- a/messenger/message.go
+++ b/messenger/message.go
@@ -190,6 +190,10 @@
 		return decode[WorkerReport](e)
 	case kindQuarantine:
 		return decode[Quarantine](e)
+	case kindReportsFlush:
+		return decode[ReportsFlush](e)
+	case kindReportsFlushed:
+		return decode[ReportsFlushed](e)
 	case kindLeavingWorkers:
 		return decode[LeavingWorkers](e)
 	case kindWorkerBackoff:
--- a/messenger/message_quarantine.go
+++ b/messenger/message_quarantine.go
@@ -41,3 +41,24 @@
 
 func (WorkerReport) kind() string { return kindWorkerReport }
 func (Quarantine) kind() string   { return kindQuarantine }
+
+const (
+	kindReportsFlush   = "flush"
+	kindReportsFlushed = "flushed"
+)
+
+// ReportsFlush asks the receiver to confirm that it has counted all WorkerReports
+// that the sender sent it before.
+type ReportsFlush struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
+	ID       uint64   `msgpack:"id"`
+}
+
+// ReportsFlushed answers a ReportsFlush. What the reports led to was sent before.
+type ReportsFlushed struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
+	ID       uint64   `msgpack:"id"`
+}
+
+func (ReportsFlush) kind() string   { return kindReportsFlush }
+func (ReportsFlushed) kind() string { return kindReportsFlushed }
--- a/messenger/version_test.go
+++ b/messenger/version_test.go
@@ -21,6 +21,8 @@
 	"entries":     2,
 	"fetch":       2,
 	"fetched":     1,
+	"flush":       1,
+	"flushed":     1,
 	"grant":       8,
 	"leaving":     1,
 	"lend":        4,
--- a/runner/allocator.go
+++ b/runner/allocator.go
@@ -34,7 +34,12 @@
 }
 
 // Release implements server.Allocator.
-func (c *control) Release(p server.Place, u server.Usage) { c.post(placeReleased{place: p, usage: u}) }
+func (c *control) Release(p server.Place, u server.Usage) {
+	if u.ClosedByPeer {
+		c.reportCrash(p.Worker.Name, u.Fingerprint, time.Now().Add(-u.Took))
+	}
+	c.post(placeReleased{place: p, usage: u})
+}
 
 // stoppingRefusal is the refusal of requests after the control goroutine has ended.
 func stoppingRefusal() server.Refusal {
--- a/runner/control.go
+++ b/runner/control.go
@@ -127,6 +127,8 @@
 		c.startCall(now, e)
 	case placeCanceled:
 		c.cancelCall(now, e.request)
+	case workerCrashed:
+		c.quarantine.handleCrash(now, e)
 	case placeReleased:
 		c.finishCall(now, e)
 	case progressReported:
@@ -180,6 +182,10 @@
 		c.receiveLoan(now, m)
 	case messenger.WorkerReport:
 		c.quarantine.recordReport(now, m)
+	case messenger.ReportsFlush:
+		c.send(now, from, messenger.ReportsFlushed{ID: m.ID})
+	case messenger.ReportsFlushed:
+		c.quarantine.handleFlushed(m)
 	case messenger.Quarantine:
 		c.quarantine.receive(now, quarantineReceived{from: from, entries: decodeQuarantine(m)})
 	case messenger.Moved:
--- a/runner/export_test.go
+++ b/runner/export_test.go
@@ -10,6 +10,7 @@
 	"github.com/cicadawood/cicadawood/keeper"
 	"github.com/cicadawood/cicadawood/loader"
 	"github.com/cicadawood/cicadawood/messenger"
+	"github.com/cicadawood/cicadawood/observer"
 	"github.com/cicadawood/cicadawood/placer"
 	"github.com/cicadawood/cicadawood/quarantiner"
 	"github.com/cicadawood/cicadawood/registrar"
@@ -80,6 +81,27 @@
 	k.c.handle(now, placeReleased{place: p, usage: server.Usage{Tokens: 10, FirstByte: 50 * time.Millisecond}})
 }
 
+// StartQuarantine makes the host track which calls crash workers.
+func (k Control) StartQuarantine() {
+	k.c.startQuarantine(k.c.sender, nil, prometheus.NewRegistry())
+}
+
+// Crash reports that a worker crashed with a call. The channel is closed when that is counted.
+func (k Control) Crash(now time.Time, worker string, f quarantiner.Fingerprint, sentAt time.Time) <-chan struct{} {
+	counted := make(chan struct{})
+	k.c.handle(now, workerCrashed{worker: worker, fingerprint: f, sentAt: sentAt, counted: counted})
+	return counted
+}
+
+// UnconfirmedCrashes returns the number of crashes whose confirmation the host awaits.
+func (k Control) UnconfirmedCrashes() int { return len(k.c.quarantine.unconfirmed) }
+
+// Quarantined reports whether the host refuses a call.
+func (k Control) Quarantined(f quarantiner.Fingerprint) bool {
+	_, quarantined := k.c.quarantine.Quarantined(f)
+	return quarantined
+}
+
 // Progress reports how many tokens a call has produced.
 func (k Control) Progress(now time.Time, p server.Place, tokens int) {
 	k.c.handle(now, progressReported{place: p, tokens: tokens})
@@ -170,6 +192,22 @@
 	return out
 }
 
+// List applies a list of workers.
+func (x Selector) List(now time.Time, workers []observer.Entry) {
+	x.c.directory.Listed(now, workers)
+	x.c.setWorkers(now)
+}
+
+// ReportLeaving reports that a worker stated in an answer that it is leaving.
+func (x Selector) ReportLeaving(now time.Time, p observer.Process) {
+	x.c.handle(now, leavingReported{process: p})
+}
+
+// ReportBackoff reports that a worker refused a request and wants no others for a time.
+func (x Selector) ReportBackoff(now time.Time, w placer.Worker, d time.Duration) {
+	x.c.handle(now, backoffReported{worker: w, duration: d})
+}
+
 // Place requests a worker and returns the immediate result; false where there is none.
 func (x Selector) Place(now time.Time, a placer.Request) (router.Placement, bool) {
 	reply := make(chan workerReply, 1)
--- a/runner/once_place.go
+++ b/runner/once_place.go
@@ -15,6 +15,7 @@
 	"github.com/cicadawood/cicadawood/forwarder"
 	"github.com/cicadawood/cicadawood/keeper"
 	"github.com/cicadawood/cicadawood/messenger"
+	"github.com/cicadawood/cicadawood/quarantiner"
 	"github.com/cicadawood/cicadawood/server"
 )
 
@@ -107,7 +108,11 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), limit)
 		defer cancel()
+		sentAt := time.Now()
 		result, answer, err := k.callWorker(ctx, place.Worker.Address, c)
+		if errors.Is(err, forwarder.ErrClosedByPeer) {
+			k.control.reportCrash(place.Worker.Name, fingerprintOf(m), sentAt)
+		}
 		k.control.post(callFinished{keeper: p, message: m, closedByPeer: errors.Is(err, forwarder.ErrClosedByPeer), answered: keeper.Answered{ID: o.ID, Attempt: o.Attempt, Result: result, Answer: answer}})
 	}()
 }
@@ -127,7 +132,7 @@
 	if x := e.keeper.acquisitions[attempt{a.ID, a.Attempt}]; x != nil && x.place != nil {
 		x.usage = server.Usage{
 			Failed: a.Result != keeper.CallRan, FirstByte: now.Sub(x.grantedAt), ClosedByPeer: e.closedByPeer, Took: now.Sub(x.grantedAt),
-			Fingerprint: server.Fingerprint(e.message.Ask.Organisation, e.message.Service, e.message.Method, e.message.Path, e.message.Body),
+			Fingerprint: fingerprintOf(e.message),
 		}
 		if a.Answer != nil {
 			x.usage.Tokens = len(a.Answer.Body) / 4
@@ -144,6 +149,10 @@
 	k.handle(now, e.keeper, a)
 }
 
+func fingerprintOf(m messenger.Once) quarantiner.Fingerprint {
+	return server.Fingerprint(m.Ask.Organisation, m.Service, m.Method, m.Path, m.Body)
+}
+
 // callWorker sends one call and returns what is known of its outcome. An answer whose
 // end can't be distinguished from a broken connection counts as cut off.
 func (k *onceManager) callWorker(ctx context.Context, address string, c forwarder.Call) (keeper.CallResult, *keeper.Answer, error) {
--- a/runner/quarantine.go
+++ b/runner/quarantine.go
@@ -33,8 +33,9 @@
 	roster  registrar.Roster
 	count   atomic.Int64 // quarantined requests
 
-	published atomic.Pointer[map[quarantiner.Fingerprint]time.Time] // end of each quarantine, for other goroutines
-	sweepDue  time.Time                                             // when the next sweep is due, if nothing else calls sweep
+	published   atomic.Pointer[map[quarantiner.Fingerprint]time.Time] // end of each quarantine, for other goroutines
+	unconfirmed map[uint64]unconfirmedCrash                           // by the ID of the ReportsFlush
+	sweepDue    time.Time                                             // when the next sweep is due, if nothing else calls sweep
 }
 
 func newQuarantineSync(self string, s sender, store storer.Store, tracker *quarantiner.Tracker, log *zap.Logger) *quarantineSync {
@@ -63,6 +64,7 @@
 
 // sweep releases entries that have expired and updates the store.
 func (q *quarantineSync) sweep(now time.Time) {
+	q.sweepUnconfirmed(now)
 	q.tracker.Sweep(now)
 	for _, f := range q.tracker.DrainReleased() {
 		q.log.Info("quarantine", zap.Stringer("fingerprint", f), zap.String("state", "let go"), zap.String("why", "its time is over"))
--- a/runner/quarantine_reports.go
+++ b/runner/quarantine_reports.go
@@ -8,6 +8,7 @@
 
 	"github.com/cicadawood/cicadawood/messenger"
 	"github.com/cicadawood/cicadawood/quarantiner"
+	"github.com/cicadawood/cicadawood/registrar"
 	"github.com/cicadawood/cicadawood/server"
 	"github.com/cicadawood/cicadawood/storer"
 )
@@ -29,17 +30,15 @@
 	c.quarantine.sweepDue = time.Now()
 }
 
-// reportUsage records how a request of this host ended at a worker, and reports it to the
-// owner of the role, which counts for all hosts.
+// reportUsage records how a request of this host ended at a worker that did not crash, and
+// reports it to the owner of the role, which counts for all hosts.
 func (q *quarantineSync) reportUsage(now time.Time, worker string, u server.Usage) {
-	if q == nil || u.Took == 0 {
-		return
+	if q == nil || u.Took == 0 || u.ClosedByPeer {
+		return // a crash was reported as it was noticed
 	}
 	m := messenger.WorkerReport{Fingerprint: uint64(u.Fingerprint), Worker: worker, Took: u.Took}
 	succeeded := u.FirstByte > 0 && !u.Failed
 	switch {
-	case u.ClosedByPeer:
-		m.Event = messenger.WorkerCrashed
 	case succeeded && q.tracker.Suspected(u.Fingerprint):
 		m.Event, m.Took = messenger.WorkerAnswered, u.Took-u.FirstByte
 	case succeeded && q.tracker.Alive(now, worker, now.Add(u.FirstByte-u.Took)):
@@ -48,11 +47,22 @@
 		return
 	}
 	q.recordReport(now, m)
-	if owner, ok := q.roster.Owner(quarantineRole); ok && owner.Name != q.self {
-		// If the report is lost, the request can crash one more worker.
-		if err := q.sender.Send(owner.Control, m); err != nil {
-			q.log.Warn("mark", zap.String("peer", owner.Name), zap.Error(err))
-		}
+	if owner, ok := q.otherOwner(); ok {
+		q.sendReport(owner, m)
+	}
+}
+
+// otherOwner returns the owner of the role if that is another host.
+func (q *quarantineSync) otherOwner() (registrar.Record, bool) {
+	owner, ok := q.roster.Owner(quarantineRole)
+	return owner, ok && owner.Name != q.self
+}
+
+// sendReport sends a report to the owner of the role. If it is lost, the request can crash one
+// more worker.
+func (q *quarantineSync) sendReport(owner registrar.Record, m messenger.Message) {
+	if err := q.sender.Send(owner.Control, m); err != nil {
+		q.log.Warn("mark", zap.String("peer", owner.Name), zap.Error(err))
 	}
 }
 
--- a/runner/quarantine_test.go
+++ b/runner/quarantine_test.go
@@ -23,8 +23,9 @@
 		maxCrashes = 3
 		inFlight   = 1 // a copy that was sent before all hosts were notified
 	)
-	DescribeTable("is quarantined after the third crash, by all hosts", func(path string, keyed bool) {
-		var crashes atomic.Int64
+	// startHosts starts hosts before five workers that crash on a poison request.
+	startHosts := func(names ...string) (*fixture, *atomic.Int64) {
+		crashes := &atomic.Int64{}
 		t := &fixture{platform: faker.NewPlatform(), hosts: map[string]*runningHost{}}
 		t.url = serve(t.platform.Handler())
 		var workers []string
@@ -48,10 +49,28 @@
 	"organisations": {"dock": {"keys": [%q], "classes": ["quote"]}},
 	"services": {"app": {"kind": "plain", "owner": "ops", "routes": [{"class": "quote", "path": "/holds", "once": true}, {"class": "quote"}], "workers": [%s]}}}`,
 			loader.HashKey(key), strings.Join(workers, ",")))
-		for _, name := range []string{"a", "b", "c"} {
+		for _, name := range names {
 			t.start(name, "a", nil)
 		}
-		Eventually(t.settled(3), 20*time.Second, 50*time.Millisecond).Should(Succeed())
+		Eventually(t.settled(len(names)), 20*time.Second, 50*time.Millisecond).Should(Succeed())
+		return t, crashes
+	}
+
+	// Guards against one try more than allowed, because a host sends a call again before it has
+	// counted what the last try did.
+	It("is sent to no fourth by the host that it crashed three through", func() {
+		t, crashes := startHosts("a")
+		req, err := http.NewRequest(http.MethodPost, "http://"+t.hosts["a"].listen+"/services/app/quote", strings.NewReader("poison"))
+		Expect(err).NotTo(HaveOccurred())
+		req.Header.Set("Authorization", "Bearer "+key)
+		resp, err := http.DefaultClient.Do(req)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.Body.Close()).To(Succeed())
+		Expect(crashes.Load()).To(BeEquivalentTo(maxCrashes))
+	})
+
+	DescribeTable("is quarantined after the third crash, by all hosts", func(path string, keyed bool) {
+		t, crashes := startHosts("a", "b", "c")
 		status, text, calls := 0, "", 0
 		call := func(h *runningHost, body string) (int, string) {
 			req, err := http.NewRequest(http.MethodPost, "http://"+h.listen+path, strings.NewReader(body))
