--- a/placer/backoff.go
+++ b/placer/backoff.go
@@ -53,7 +53,10 @@
 	}
 	var out []Backoff
 	for _, w := range v.sorted {
-		if left := b.Left(now, w.Worker); left > 0 && w.Service == service {
+		if w.Service != service {
+			continue
+		}
+		if left := b.Left(now, w.Worker); left > 0 {
 			out = append(out, Backoff{Worker: w.Name, Left: left})
 		}
 	}
