--- a/forwarder/refused.go
+++ b/forwarder/refused.go
@@ -1,10 +1,10 @@
 package forwarder
 
 import (
-	"math"
 	"net/http"
-	"strconv"
 	"time"
+
+	"github.com/cicadawood/cicadawood/retrier"
 )
 
 // maxRetryAfter bounds the time for which a backend server may ask for no calls. After a
@@ -27,9 +27,6 @@
 // retryAfter returns the time in a Retry-After header in seconds. Anything else counts as no
 // time: the refusal itself keeps new calls away for a while.
 func retryAfter(h http.Header) time.Duration {
-	seconds, err := strconv.ParseFloat(h.Get("Retry-After"), 64)
-	if err != nil || math.IsNaN(seconds) || seconds < 0 {
-		return 0
-	}
-	return time.Duration(min(seconds, maxRetryAfter.Seconds()) * float64(time.Second))
+	d, _ := retrier.ParseSeconds(h.Get("Retry-After"), maxRetryAfter) // 0 if it has none
+	return d
 }
