Connections: dials counted by result; addresses translated by host; links that ignore or refuse handshakes

What the logs and metrics of the incident lack to tell its hypotheses apart: nothing counted how attempts to connect to workers end. cicadawood_worker_connects_total does, by result (connected, timeout, refused, failed). No decision changes.

The emulator could cut a worker from all hosts, but not one host from a worker. Hosts may now reach a backend server under another address (setting translate, as behind address translation), so that a spec gives each pair a link of its own. A link can be unreachable (handshakes get no answer, open connections hang), refuse all, or refuse new connections only.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -11,7 +11,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -33,10 +32,6 @@
 )
 
 const (
-	// dialTimeout bounds the time to connect. A worker that is gone may not answer a
-	// handshake at all. The outside systems document no bound, so this is a multiple of
-	// the slowest network path within a region.
-	dialTimeout = 400 * time.Millisecond
 	// userTimeout is how long sent data may stay unacknowledged before the system closes
 	// the connection.
 	userTimeout = 3 * time.Second
@@ -52,11 +47,12 @@
 
 // Call is one request for a backend server.
 type Call struct {
-	Method string
-	Target string // path and query, as received from the caller
-	Host   string
-	Header http.Header
-	Body   []byte
+	Request string // ID of the request, for logs
+	Method  string
+	Target  string // path and query, as received from the caller
+	Host    string
+	Header  http.Header
+	Body    []byte
 	// Matches reports whether an answer's header belongs to this request. Other answers
 	// are skipped: a late answer to an earlier request may arrive first.
 	Matches func(http.Header) bool
@@ -74,21 +70,21 @@
 	mu     sync.Mutex
 	idle   map[string][]*conn // by address; the most recently used last
 	closed bool
-	dialer net.Dialer
+	dialer Dialer
 
 	created, reused uint64
 }
 
 // New returns an empty pool and its clean-up function.
-func New() (*Pool, func()) {
-	p := &Pool{idle: map[string][]*conn{}, dialer: net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: UserTimeoutControl(userTimeout)}}
+func New(d Dialer) (*Pool, func()) {
+	p := &Pool{idle: map[string][]*conn{}, dialer: d}
 	return p, p.close
 }
 
 // Do sends a request to the backend server at address and returns the head of its
 // answer. The caller must end the answer with Close or Finish.
 func (p *Pool) Do(ctx context.Context, address string, call Call) (*Answer, error) {
-	c, err := p.get(ctx, address, call.FreshOnly)
+	c, err := p.get(ctx, Target{Address: address, Request: call.Request}, call.FreshOnly)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %v", ErrNotSent, err)
 	}
@@ -128,9 +124,9 @@
 }
 
 // get returns a usable idle connection, or makes a new one.
-func (p *Pool) get(ctx context.Context, address string, freshOnly bool) (*conn, error) {
+func (p *Pool) get(ctx context.Context, t Target, freshOnly bool) (*conn, error) {
 	for {
-		c := p.take(address)
+		c := p.take(t.Address)
 		if c == nil {
 			break
 		}
@@ -140,14 +136,14 @@
 		}
 		c.close()
 	}
-	raw, err := p.dialer.DialContext(ctx, "tcp", address)
+	raw, err := p.dialer.Dial(ctx, t)
 	if err != nil {
 		return nil, err
 	}
 	p.mu.Lock()
 	p.created++
 	p.mu.Unlock()
-	return newConn(p, address, raw), nil
+	return newConn(p, t.Address, raw), nil
 }
 
 func (p *Pool) take(address string) *conn {
--- a/connector/connector_test.go
+++ b/connector/connector_test.go
@@ -81,7 +81,7 @@
 	var pool *connector.Pool
 	BeforeEach(func() {
 		var clean func()
-		pool, clean = connector.New()
+		pool, clean = connector.New(connector.Direct{})
 		DeferCleanup(clean)
 	})
 	do := func(ctx context.Context, w *worker, id string) (string, error) {
--- a/faker/link.go
+++ b/faker/link.go
@@ -10,13 +10,15 @@
 // Link is a TCP link that can fail: it listens on an address and forwards bytes to a
 // target.
 type Link struct {
-	listener net.Listener
-	target   string
+	address string
+	target  string
 
-	mu    sync.Mutex
-	mode  LinkMode
-	delay time.Duration
-	conns map[*conn]bool
+	mu       sync.Mutex
+	listener net.Listener // nil while connections are refused
+	mode     LinkMode
+	delay    time.Duration
+	conns    map[*conn]bool
+	fillers  []net.Conn // fill the queue of handshakes while the link is Unreachable
 }
 
 // LinkMode is what a Link does with bytes.
@@ -29,6 +31,12 @@
 	SilenceOpen  LinkMode = "silent-open" // drops the bytes of the connections open now; new ones work
 	ForwardOnly  LinkMode = "forward"     // forwards bytes towards the target only
 	BackwardOnly LinkMode = "backward"    // forwards bytes from the target only
+	// Unreachable holds back all bytes, and handshakes of new connections get no answer.
+	Unreachable LinkMode = "unreachable"
+	// RefuseAll closes every connection, and new ones are refused.
+	RefuseAll LinkMode = "refuse"
+	// RefuseNew leaves the connections open now as they are, and new ones are refused.
+	RefuseNew LinkMode = "refuse-new"
 )
 
 // conn is one connection through a Link.
@@ -44,25 +52,31 @@
 	if err != nil {
 		return nil, nil, fmt.Errorf("link: %w", err)
 	}
-	k := &Link{listener: l, target: target, mode: Pass, conns: map[*conn]bool{}}
-	go k.accept()
-	return k, func() {
-		_ = l.Close()
-		k.Set(Cut, 0)
-	}, nil
+	k := &Link{address: l.Addr().String(), listener: l, target: target, mode: Pass, conns: map[*conn]bool{}}
+	go k.accept(l)
+	return k, k.close, nil
+}
+
+// close stops the link.
+func (k *Link) close() {
+	k.Set(Cut, 0)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.stopListening()
 }
 
 // Address returns the address on which the link listens.
-func (k *Link) Address() string { return k.listener.Addr().String() }
+func (k *Link) Address() string { return k.address }
 
 // Set changes the mode and the delay with immediate effect.
 func (k *Link) Set(m LinkMode, delay time.Duration) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.mode, k.delay = m, delay
+	k.setListener()
 	for c := range k.conns {
 		switch m {
-		case Cut:
+		case Cut, RefuseAll:
 			_ = c.client.Close()
 			_ = c.server.Close()
 		case SilenceOpen:
@@ -74,9 +88,9 @@
 	}
 }
 
-func (k *Link) accept() {
+func (k *Link) accept(l net.Listener) {
 	for {
-		near, err := k.listener.Accept()
+		near, err := l.Accept()
 		if err != nil {
 			return
 		}
@@ -118,6 +132,7 @@
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := src.Read(buf)
+		k.waitReachable()
 		k.mu.Lock()
 		drop, delay := c.silenced || k.mode == blocked, k.delay
 		k.mu.Unlock()
@@ -132,3 +147,20 @@
 		}
 	}
 }
+
+// holdInterval is the interval at which bytes that are held back are tried again.
+const holdInterval = 5 * time.Millisecond
+
+// waitReachable waits while the link is Unreachable. The system at the sender's end would
+// send the bytes again until then.
+func (k *Link) waitReachable() {
+	for {
+		k.mu.Lock()
+		held := k.mode == Unreachable
+		k.mu.Unlock()
+		if !held {
+			return
+		}
+		time.Sleep(holdInterval)
+	}
+}
--- a/loader/host.go
+++ b/loader/host.go
@@ -29,9 +29,26 @@
 	Dialect string `json:"dialect,omitempty"`
 	// Peers are control addresses, IP:port, of other hosts. A host that starts during an
 	// outage of the platform requests the configuration and the roster from them.
-	Peers  []string `json:"peers,omitempty"`
-	Limits Limits   `json:"limits"`
-	Repeat Repeat   `json:"repeat"`
+	Peers []string `json:"peers,omitempty"`
+	// Translate lists the backend servers that this host reaches under another address.
+	Translate []Translation `json:"translate,omitempty"`
+	Limits    Limits        `json:"limits"`
+	Repeat    Repeat        `json:"repeat"`
+}
+
+// Translation is the address under which a host reaches a backend server; both IP:port.
+type Translation struct {
+	Own  string `json:"own"`  // as the backend server states it
+	Here string `json:"here"` // to which this host connects
+}
+
+// Translations returns the addresses to connect to by the backend servers' own.
+func (h Host) Translations() map[string]string {
+	out := map[string]string{}
+	for _, t := range h.Translate {
+		out[t.Own] = t.Here
+	}
+	return out
 }
 
 // Values of Host.Dialect.
@@ -219,6 +236,13 @@
 			report(fmt.Sprintf("%q is not IP:port", p), "peers", strconv.Itoa(i))
 		}
 	}
+	for i, t := range h.Translate {
+		for _, a := range []string{t.Own, t.Here} {
+			if _, err := netip.ParseAddrPort(a); err != nil {
+				report(fmt.Sprintf("%q is not IP:port", a), "translate", strconv.Itoa(i))
+			}
+		}
+	}
 	return append(found, h.Limits.problems(d)...)
 }
 
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -185,7 +185,7 @@
 	}
 	BeforeEach(func() {
 		fakePlacer, seen, registry = &listPlacer{budget: 100}, make(chan *http.Request, 2000), prometheus.NewRegistry()
-		pool, clean := connector.New()
+		pool, clean := connector.New(connector.Direct{})
 		DeferCleanup(clean)
 		r := router.New(router.Config{
 			Dialect: plainDialect{}, Configuration: fixedConfiguration{folder()}, Placer: fakePlacer, Pool: pool, Log: zap.NewNop(),
--- a/runner/host_routes.go
+++ b/runner/host_routes.go
@@ -32,7 +32,7 @@
 func newHostRoutes(s loader.Host, store storer.Store, m sender, f *configFollower, log *zap.Logger, registry prometheus.Registerer) *hostRoutes {
 	g := &hostRoutes{selector: newSelector(s.Name, s.Zone, m, store, s.Repeat, log)}
 	g.selector.quarantine.register(registry)
-	g.pool, g.close = connector.New()
+	g.pool, g.close = connector.New(connector.Direct{Translate: s.Translations(), Observe: countConnects(registry)})
 	g.storeWatch = &storeWatch{store: store, log: log, report: func(e storeResult) { g.selector.post(e) }, nextCall: g.selector.nextCall}
 	g.router = router.New(router.Config{
 		Dialect: platform.Wire{}, Configuration: f, Placer: g.selector, Pool: g.pool, Log: log, Metrics: router.NewMetrics(registry),
--- a/runner/metrics.go
+++ b/runner/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/cicadawood/cicadawood/connector"
 	"github.com/cicadawood/cicadawood/messenger"
 	"github.com/cicadawood/cicadawood/registrar"
 	"github.com/cicadawood/cicadawood/storer"
@@ -17,6 +18,16 @@
 	return storer.Metered{Store: s, Count: func(call, kind, result string) { calls.WithLabelValues(call, kind, result).Inc() }}
 }
 
+// countConnects registers a metric of attempts to connect to backend servers, and returns
+// the function that counts one.
+func countConnects(r prometheus.Registerer) func(connector.ConnectResult) {
+	connects := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "cicadawood_worker_connects_total", Help: "Attempts of this host to connect to backend servers, by result.",
+	}, []string{"result"})
+	r.MustRegister(connects)
+	return func(result connector.ConnectResult) { connects.WithLabelValues(string(result)).Inc() }
+}
+
 // registerMetrics registers the metrics of membership and of the connections
 // between hosts. None has a label that grows with hosts or organisations.
 func (h *Host) registerMetrics(r *prometheus.Registry) {
