Host routes: a host that has lost its links to the workers connects through another host

Cause: a host took a worker that it could not connect to for one that is down, learned nothing that outlasts a second, and had no other way to a worker than its own connection. Seven other hosts reached the same addresses in the same seconds.

A dial that has no connection after 50 ms is raced by tunnels through other hosts (package tunneler): a TCP connection between two hosts that stands for one to a worker. A worker that no host connects to is avoided for a second, without a penalty that others hear of, unless a host that has lost nothing itself can't connect to it either. Both hosts log the request's id.

--- a/connector/conn.go
+++ b/connector/conn.go
@@ -31,11 +31,16 @@
 	reader    *bufio.Reader
 	keepAlive time.Duration // how long the server keeps the connection idle
 	idleSince time.Time     // time of the last completed answer
+	via       string        // host through which it leads; "" for a direct connection
 	reused    bool          // the connection has served a request before
 }
 
 func newConn(p *Pool, address string, raw net.Conn) *conn {
-	return &conn{pool: p, address: address, raw: raw, reader: bufio.NewReaderSize(raw, readBufferBytes), keepAlive: defaultKeepAlive}
+	c := &conn{pool: p, address: address, raw: raw, reader: bufio.NewReaderSize(raw, readBufferBytes), keepAlive: defaultKeepAlive}
+	if d, ok := raw.(interface{ Via() string }); ok {
+		c.via = d.Via()
+	}
+	return c
 }
 
 func (c *conn) close() { _ = c.raw.Close() }
@@ -97,7 +102,7 @@
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
 		Framed: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.Body == http.NoBody,
 		conn:   c, body: resp.Body, ctx: ctx, stop: stop, written: written,
-		closeAfter: resp.Close || mismatched,
+		closeAfter: resp.Close || mismatched || c.via != "",
 	}, nil
 }
 
@@ -110,6 +115,9 @@
 	if errors.Is(err, ErrMismatched) {
 		return fmt.Errorf("%w: %w", ErrLost, err)
 	}
+	if errors.Is(err, ErrDetour) {
+		return fmt.Errorf("%w: %w", ErrLost, err)
+	}
 	if ClosedByPeer(err) {
 		return fmt.Errorf("%w: %w: kept=%t: %v", ErrLost, ErrClosedByPeer, c.reused, err)
 	}
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -21,6 +21,12 @@
 var (
 	// ErrNotSent means that no connection was made and no byte of the request was sent.
 	ErrNotSent = errors.New("no connection to the backend server")
+	// ErrNoPath means that this host can't connect, and that this says nothing about the
+	// backend server. It is wrapped together with ErrNotSent.
+	ErrNoPath = errors.New("no path to the backend server")
+	// ErrDetour means that a connection through another host failed before it reached the
+	// backend server, or between the hosts: it says nothing about the backend server.
+	ErrDetour = errors.New("the connection through another host failed")
 	// ErrLost means that the connection failed or went silent after the request was
 	// sent.
 	ErrLost = errors.New("the connection broke; the request may have run")
@@ -48,11 +54,14 @@
 // Call is one request for a backend server.
 type Call struct {
 	Request string // ID of the request, for logs
-	Method  string
-	Target  string // path and query, as received from the caller
-	Host    string
-	Header  http.Header
-	Body    []byte
+	// Connected, if set, gets the name of the host through which the connection leads, or
+	// "" for a direct one.
+	Connected func(via string)
+	Method    string
+	Target    string // path and query, as received from the caller
+	Host      string
+	Header    http.Header
+	Body      []byte
 	// Matches reports whether an answer's header belongs to this request. Other answers
 	// are skipped: a late answer to an earlier request may arrive first.
 	Matches func(http.Header) bool
@@ -86,8 +95,14 @@
 func (p *Pool) Do(ctx context.Context, address string, call Call) (*Answer, error) {
 	c, err := p.get(ctx, Target{Address: address, Request: call.Request}, call.FreshOnly)
 	if err != nil {
+		if errors.Is(err, ErrNoPath) {
+			return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+		}
 		return nil, fmt.Errorf("%w: %v", ErrNotSent, err)
 	}
+	if call.Connected != nil {
+		call.Connected(c.via)
+	}
 	a, err := c.exchange(ctx, call)
 	if err != nil {
 		c.close()
--- a/connector/timeout.go
+++ b/connector/timeout.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net"
 	"syscall"
 	"time"
 )
@@ -22,3 +23,12 @@
 		return errors.Join(err, sockoptErr)
 	}
 }
+
+// SetUserTimeout sets the time-out of UserTimeoutControl on an open connection.
+func SetUserTimeout(c *net.TCPConn, timeout time.Duration) error {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return UserTimeoutControl(timeout)("", "", raw)
+}
--- a/messenger/config.go
+++ b/messenger/config.go
@@ -1,6 +1,10 @@
 package messenger
 
-import "time"
+import (
+	"io"
+	"net"
+	"time"
+)
 
 // Config is the settings of a Messenger. Zero fields take the defaults of
 // withDefaults.
@@ -24,6 +28,10 @@
 	// OnReachability is called when a peer becomes reachable or unreachable, on
 	// the goroutine that sends to the peer.
 	OnReachability func(address string, reachable bool)
+	// OnTunnel is called with a connection that began with TunnelPreface, and with its
+	// further bytes. The connection is closed when it returns, and when the messenger is
+	// closed. Nil closes it immediately.
+	OnTunnel func(conn net.Conn, r io.Reader)
 }
 
 func (c Config) withDefaults() Config {
--- a/messenger/frame.go
+++ b/messenger/frame.go
@@ -18,6 +18,10 @@
 	ackLength    = 8 // bytes of an acknowledgement
 )
 
+// TunnelPreface begins a connection that is not for messages; see Config.OnTunnel. As the
+// length of a frame it would be over MaxFrame.
+const TunnelPreface = "CWT1"
+
 // ErrFrame is returned for a frame or message that can't be encoded or decoded.
 // A connection on which it occurs is closed.
 var ErrFrame = errors.New("bad frame")
@@ -46,8 +50,8 @@
 	Body       []byte
 }
 
-// writeFrame writes v as one frame and returns the number of bytes written.
-func writeFrame(w io.Writer, v any) (int, error) {
+// WriteFrame writes v as one frame and returns the number of bytes written.
+func WriteFrame(w io.Writer, v any) (int, error) {
 	body, err := encode(v)
 	if err != nil {
 		return 0, fmt.Errorf("%w: %v", ErrFrame, err)
@@ -71,8 +75,8 @@
 	return b.Bytes(), err
 }
 
-// readFrame reads one frame into v and returns the number of bytes read.
-func readFrame(r io.Reader, v any) (int, error) {
+// ReadFrame reads one frame into v and returns the number of bytes read.
+func ReadFrame(r io.Reader, v any) (int, error) {
 	var head [headerLength]byte
 	if _, err := io.ReadFull(r, head[:]); err != nil {
 		return 0, err
--- a/messenger/inbox.go
+++ b/messenger/inbox.go
@@ -84,9 +84,13 @@
 	defer m.tasks.Done()
 	defer m.closeConnection(conn)
 	r := bufio.NewReader(conn)
-	var h hello
 	_ = conn.SetDeadline(time.Now().Add(2 * m.config.AckTimeout))
-	n, err := readFrame(r, &h)
+	if start, err := r.Peek(len(TunnelPreface)); err == nil && string(start) == TunnelPreface {
+		m.serveTunnel(conn, r)
+		return
+	}
+	var h hello
+	n, err := ReadFrame(r, &h)
 	m.received.Add(uint64(n))
 	if err != nil {
 		return
@@ -97,7 +101,7 @@
 		return
 	}
 	defer i.detach(conn)
-	n, err = writeFrame(conn, welcome{Incarnation: m.config.Incarnation, Received: received})
+	n, err = WriteFrame(conn, welcome{Incarnation: m.config.Incarnation, Received: received})
 	m.sent.Add(uint64(n))
 	if err != nil {
 		return
@@ -109,12 +113,23 @@
 	}
 }
 
+// serveTunnel hands a tunnel over.
+func (m *Messenger) serveTunnel(conn net.Conn, r *bufio.Reader) {
+	if m.config.OnTunnel == nil {
+		return
+	}
+	if _, err := r.Discard(len(TunnelPreface)); err != nil {
+		return
+	}
+	m.config.OnTunnel(conn, r)
+}
+
 // receive reads one frame and passes its message to the handler. It returns
 // false if the connection must end.
 func (m *Messenger) receive(i *inbox, h hello, conn net.Conn, r *bufio.Reader, a *acker) bool {
 	var p messageFrame
 	_ = conn.SetReadDeadline(time.Now().Add(2 * m.config.IdleTimeout))
-	n, err := readFrame(r, &p)
+	n, err := ReadFrame(r, &p)
 	m.received.Add(uint64(n))
 	if err != nil {
 		return false
--- a/messenger/peer.go
+++ b/messenger/peer.go
@@ -121,12 +121,12 @@
 func (p *peer) handshake(conn net.Conn) (welcome, error) {
 	var w welcome
 	_ = conn.SetDeadline(time.Now().Add(p.m.config.AckTimeout))
-	n, err := writeFrame(conn, hello{Name: p.m.config.Name, Incarnation: p.m.config.Incarnation})
+	n, err := WriteFrame(conn, hello{Name: p.m.config.Name, Incarnation: p.m.config.Incarnation})
 	p.m.sent.Add(uint64(n))
 	if err != nil {
 		return w, err
 	}
-	n, err = readFrame(conn, &w)
+	n, err = ReadFrame(conn, &w)
 	p.m.received.Add(uint64(n))
 	_ = conn.SetDeadline(time.Time{})
 	return w, err
@@ -173,7 +173,7 @@
 		if resent {
 			p.m.resent.Add(1)
 		}
-		n, err := writeFrame(w, messageFrame{Sequence: i.sequence, Generation: p.m.generation.Load(), Kind: i.kind, Body: i.body})
+		n, err := WriteFrame(w, messageFrame{Sequence: i.sequence, Generation: p.m.generation.Load(), Kind: i.kind, Body: i.body})
 		p.m.sent.Add(uint64(n))
 		if err != nil {
 			return err
--- a/placer/backoff.go
+++ b/placer/backoff.go
@@ -2,10 +2,12 @@
 
 import "time"
 
-// Backoff is the remaining time for which a worker wants no requests from one host.
+// Backoff is the remaining time for which one host sends a worker no requests: it wants none,
+// or no connection to it can be made.
 type Backoff struct {
 	Worker string
 	Left   time.Duration
+	NoPath bool // no host connects to the worker
 }
 
 // process identifies one process of a worker.
@@ -63,35 +65,40 @@
 	return out
 }
 
-// backoff returns the time for which a worker wants no requests from the sending host; 0 is none.
-func (r Request) backoff(worker string) time.Duration {
+// backoff returns why the sending host sends a worker no requests; that of none is zero.
+func (r Request) backoff(worker string) Backoff {
 	for _, b := range r.Backoffs {
 		if b.Worker == worker {
-			return b.Left
+			return b
 		}
 	}
-	return 0
+	return Backoff{}
 }
 
 // refuseUnplaceable refuses a request for which there is no candidate. If all workers that it
-// could go to want no requests, its caller may return when the first one does.
+// could go to want no requests, or are not connected to, its caller may return when the first
+// one may be.
 func (v *View) refuseUnplaceable(req Request) *Refusal {
 	copyAt := v.workerOfCopy(req)
-	soonest := time.Duration(0)
+	soonest, reason := time.Duration(0), "backoff"
 	for _, w := range v.sorted {
 		if w.Service != req.Service || copyAt != "" && w.Name != copyAt {
 			continue
 		}
-		left := req.backoff(w.Name)
+		held := req.backoff(w.Name)
+		left := held.Left
 		if left == 0 {
 			return &Refusal{RetryAfter: noWorkersRetryAfter, Reason: "no_workers"}
 		}
 		if soonest == 0 || left < soonest {
 			soonest = left
+			if held.NoPath {
+				reason = "no_path"
+			}
 		}
 	}
 	if soonest == 0 {
 		return &Refusal{RetryAfter: noWorkersRetryAfter, Reason: "no_workers"}
 	}
-	return newRefusal("backoff", soonest)
+	return newRefusal(reason, soonest)
 }
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -182,7 +182,7 @@
 	holder, heldTokens := v.holder(req)
 	copyAt := v.workerOfCopy(req)
 	for _, w := range v.sorted {
-		if w.Service != req.Service || excluded(req, w.Name) || req.backoff(w.Name) > 0 || copyAt != "" && w.Name != copyAt {
+		if w.Service != req.Service || excluded(req, w.Name) || req.backoff(w.Name).Left > 0 || copyAt != "" && w.Name != copyAt {
 			continue
 		}
 		c := w.candidate(now, req, holder, heldTokens)
@@ -224,6 +224,27 @@
 	return false
 }
 
+// WorkersOf returns the workers of a service, ordered by name.
+func (v *View) WorkersOf(service string) []Worker {
+	var out []Worker
+	for _, w := range v.sorted {
+		if w.Service == service {
+			out = append(out, w.Worker)
+		}
+	}
+	return out
+}
+
+// WorkerAt returns the worker with an address, and whether it exists.
+func (v *View) WorkerAt(address string) (Worker, bool) {
+	for _, w := range v.sorted {
+		if w.Address == address {
+			return w.Worker, true
+		}
+	}
+	return Worker{}, false
+}
+
 // Worker returns a worker by its name, and whether it exists.
 func (v *View) Worker(name string) (Worker, bool) {
 	w := v.workers[name]
--- a/router/port.go
+++ b/router/port.go
@@ -101,6 +101,7 @@
 	Source       string        // address of the worker to fetch the prompt's KV cache from; "" for none
 	PlacedBy     string        // host that made the choice; "" is this host
 	HalfFull     bool          // at least half of the worker's slots are in use
+	Via          string        // host through which the request was sent; "" for none
 	RateLimit    float64       // requests per second that the worker reported to accept; 0 is unlimited
 }
 
@@ -138,6 +139,21 @@
 	Ended(p Placement, o placer.Outcome)
 }
 
+// Reach is the port to the component that knows which workers this host reaches.
+type Reach interface {
+	// Lost reports whether this host can't connect to the worker at an address, for a reason
+	// other than that the worker is down.
+	Lost(address string) bool
+	// Suspect has it checked whether this host still reaches the worker at an address.
+	Suspect(address string)
+}
+
+// reachable is the Reach of a host that reaches all workers.
+type reachable struct{}
+
+func (reachable) Lost(string) bool { return false }
+func (reachable) Suspect(string)   {}
+
 // Configuration is the port to the configuration in force.
 type Configuration interface {
 	// Folder returns the configuration in force and its generation; nil before the first
--- a/router/router.go
+++ b/router/router.go
@@ -26,6 +26,7 @@
 	Configuration Configuration
 	Placer        Placer
 	Pool          *connector.Pool
+	Reach         Reach // nil reaches all workers
 	Log           *zap.Logger
 	Metrics       *Metrics
 	MaxAnswer     int64         // maximum bytes of an answer that is buffered until it is whole
@@ -41,7 +42,12 @@
 }
 
 // New returns a Router.
-func New(c Config) *Router { return &Router{Config: c} }
+func New(c Config) *Router {
+	if c.Reach == nil {
+		c.Reach = reachable{}
+	}
+	return &Router{Config: c}
+}
 
 // currentIndex returns the index of the configuration in force, or nil before the first
 // is loaded.
@@ -138,6 +144,9 @@
 	if t.source != "" {
 		fields = append(fields, zap.String("source", t.source))
 	}
+	if t.via != "" {
+		fields = append(fields, zap.String("via", t.via))
+	}
 	if t.placedBy != "" {
 		fields = append(fields, zap.String("by", t.placedBy))
 	}
--- a/router/transaction.go
+++ b/router/transaction.go
@@ -48,6 +48,7 @@
 	sentAt           time.Time
 	timeToFirst      time.Duration // measured until the first event; 0 before it
 	promptTokens     int
+	via              string // host through which the last send went; "" for none
 	placedBy         string // host that chose the worker; "" is this host
 	source           string // address of the worker that the KV cache was fetched from; "" for none
 	lastEventID      string // ID of the last event passed to the caller
@@ -93,13 +94,16 @@
 		t.sends++
 		t.worker, t.expectedWait, t.promptTokens, t.placedBy, t.source = placement.Worker.Name, placement.ExpectedWait, placement.PromptTokens, placement.PlacedBy, placement.Source
 		t.sentAt = time.Now()
-		t.workerLeaving, t.retryAfter = false, 0
+		t.workerLeaving, t.retryAfter, t.via = false, 0, ""
 		err = t.send(ctx, placement)
-		t.router.Placer.Ended(placement, t.outcome(caller, err))
+		t.router.Placer.Ended(placement, t.outcome(caller, placement, err))
 		if err == nil {
 			return nil
 		}
 		t.cause = err
+		if t.via == "" && errors.Is(err, connector.ErrLost) {
+			t.router.Reach.Suspect(placement.Worker.Address)
+		}
 		if !errors.Is(err, connector.ErrNotSent) {
 			t.transmitted++
 		}
@@ -210,10 +214,12 @@
 }
 
 // outcome returns the outcome of a send, from which the placer assesses the worker.
-func (t *transaction) outcome(caller context.Context, err error) placer.Outcome {
+func (t *transaction) outcome(caller context.Context, p Placement, err error) placer.Outcome {
 	switch {
 	case err == nil:
 		return placer.Answered
+	case t.pathFailed(p, err):
+		return placer.Canceled
 	case caller.Err() != nil, errors.Is(err, errCallerWrite):
 		return placer.Canceled
 	case errors.Is(err, errOtherWorker):
@@ -261,12 +267,15 @@
 		defer timer.Stop()
 		t.stopSilenceTimer = func() { timer.Stop() }
 	}
+	suspicion := t.suspectSilence(p)
+	defer suspicion.Stop()
 	header := t.q.header.Clone()
 	t.router.Dialect.WriteRequest(header, WorkerHead{
 		Worker: p.Worker.Name, TimeLeft: t.q.timeLeft(time.Now()), Organisation: t.q.organisation,
 		Engine: p.Worker.CacheTokens > 0, Rank: t.q.rank, Ranks: t.q.index.ranks(), LastEventID: t.lastEventID, Source: p.Source,
 	})
 	answer, err := t.router.Pool.Do(ctx, p.Worker.Address, connector.Call{
+		Request: t.q.ID, Connected: func(via string) { t.via, p.Via = via, via },
 		Method: t.q.method, Target: t.q.uri, Host: t.q.host, Header: header, Body: t.q.body,
 		Matches: func(h http.Header) bool {
 			id := t.router.Dialect.ReadAnswer(0, h).ID
@@ -281,6 +290,7 @@
 		return t.recordFailure(err)
 	}
 	defer answer.Close()
+	suspicion.Stop()
 	t.reused = answer.Reused()
 	return t.handleAnswer(p, answer)
 }
--- a/runner/backoff.go
+++ b/runner/backoff.go
@@ -14,6 +14,7 @@
 type backoffReported struct {
 	worker   placer.Worker
 	duration time.Duration
+	via      string // host through which the request was sent; "" for none
 }
 
 // acceptsRequested asks whether a worker still accepts requests from this host.
@@ -22,11 +23,22 @@
 	reply  chan<- bool
 }
 
-// recordBackoff applies a worker's refusal. It concerns this host alone: the other hosts are
-// not told, as the worker may accept their requests.
+// recordBackoff applies a worker's refusal. It concerns this host alone, and the one through
+// which the request was sent: the others are not told, as the worker may accept their
+// requests.
 func (p *selector) recordBackoff(now time.Time, e backoffReported) {
-	if p.backoffs.Report(now, e.worker, e.duration) {
-		p.log.Info("worker backoff", zap.String("worker", e.worker.Name), zap.Duration("for", e.duration))
+	if e.via != "" {
+		p.tellHelper(e)
+	}
+	p.applyBackoff(now, e.worker, e.duration, e.via)
+}
+
+// applyBackoff holds back requests of this host, and tunnels through it, for a time. other is
+// the host that the refused request came from, or went through.
+func (p *selector) applyBackoff(now time.Time, w placer.Worker, d time.Duration, other string) {
+	p.tunnels.Rest(w.Address, now.Add(d))
+	if p.backoffs.Report(now, w, d) {
+		p.log.Info("worker backoff", zap.String("worker", w.Name), zap.Duration("for", d), zap.String("other", other))
 	}
 }
 
@@ -43,7 +55,7 @@
 // accepts reports whether a worker accepts requests from this host.
 func (p *selector) accepts(now time.Time, w placer.Worker) bool {
 	x, ok := p.view.Worker(w.Name)
-	return ok && x.Incarnation == w.Incarnation && p.backoffs.Left(now, w) == 0
+	return ok && x.Incarnation == w.Incarnation && p.sendsTo(now, w)
 }
 
 func (backoffReported) event()  {}
--- a/runner/deciders.go
+++ b/runner/deciders.go
@@ -165,7 +165,7 @@
 	if d.decides(p.self) || !known {
 		return false
 	}
-	backoffs := p.view.Backoffs(now, e.request.Service, &p.backoffs)
+	backoffs := p.heldBack(now, e.request.Service)
 	if len(backoffs) > 0 && len(backoffs) == p.view.WorkerCount(e.request.Service) {
 		return false // only this host knows when the first worker accepts requests again
 	}
@@ -235,7 +235,7 @@
 	}
 	waiting := known && !x.timedOut
 	w, available := p.view.Worker(s.Worker)
-	available = available && p.backoffs.Left(now, w) == 0
+	available = available && p.sendsTo(now, w)
 	switch {
 	case s.Flight == 0 && waiting:
 		x.requested.reply <- refusedBy(e.from, placer.Refusal{Reason: s.Reason, RetryAfter: s.RetryAfter}, decodeBasis(s.Basis))
--- a/runner/host.go
+++ b/runner/host.go
@@ -13,6 +13,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
+	"github.com/cicadawood/cicadawood/connector"
 	"github.com/cicadawood/cicadawood/forwarder"
 	"github.com/cicadawood/cicadawood/loader"
 	"github.com/cicadawood/cicadawood/messenger"
@@ -20,6 +21,7 @@
 	"github.com/cicadawood/cicadawood/registrar"
 	"github.com/cicadawood/cicadawood/server"
 	"github.com/cicadawood/cicadawood/storer"
+	"github.com/cicadawood/cicadawood/tunneler"
 )
 
 // ackDelay is how long the acknowledgement of a frame from another host is delayed, so that
@@ -27,6 +29,10 @@
 // after which a connection is replaced.
 const ackDelay = 100 * time.Millisecond
 
+// servedShare is the number of requests in flight that a host may have for each tunnel that
+// other hosts may open through it: their callers must not displace its own.
+const servedShare = 4
+
 // Host is one running host.
 type Host struct {
 	settings       loader.Host
@@ -38,6 +44,7 @@
 	messenger      *messenger.Messenger
 	server         *server.Server
 	poller         *workerPoller
+	tunnels        *tunneler.Dialer
 	registry       *prometheus.Registry
 	routes         *hostRoutes // nil where the host speaks the product's own dialect
 	era            eraTracker
@@ -111,6 +118,10 @@
 	h.control = newControl(s.Name, incarnation, nil, h.log)
 	h.poller = newWorkerPoller(h.control, s.Platform, h.log)
 	forward.OnRefused(h.poller.postRefusal)
+	h.tunnels = tunneler.New(tunneler.Config{
+		Self: s.Name, Zone: s.Zone, Direct: connector.Direct{Translate: s.Translations(), Observe: countConnects(registry)},
+		MaxServed: max(s.Limits.MaxCalls/servedShare, 1), Log: h.log, Metrics: tunneler.NewMetrics(registry),
+	})
 	connected := make(chan struct{})
 	m, closeMessenger, err := messenger.Open(messenger.Config{
 		Name: s.Name, Incarnation: incarnation, Address: s.Control, AckTimeout: s.Limits.AckTimeout.Std(), AckDelay: ackDelay,
@@ -118,6 +129,7 @@
 			<-connected
 			h.registrar.SetReachable(address, reachable)
 		},
+		OnTunnel: h.tunnels.Serve,
 	}, func(e messenger.Envelope, msg messenger.Message) {
 		<-connected
 		h.receive(e, msg)
@@ -162,7 +174,7 @@
 		h.server.SetQuarantine(h.control.quarantine)
 	}
 	if s.Dialect == loader.DialectPlatform {
-		h.routes = newHostRoutes(s, store, m, h.follower, h.log, registry)
+		h.routes = newHostRoutes(s, store, m, h.follower, h.tunnels, h.log, registry)
 		h.follower.shouldWatch = h.routes.selector.watchesStore.Load
 		h.routes.selector.onEra = h.era.advance
 		h.server.SetRoutes(h.routes.router)
@@ -201,6 +213,7 @@
 	var tasks, membership sync.WaitGroup
 	tasks.Go(func() { h.control.run(roles) })
 	tasks.Go(func() { h.follower.Run(roles) })
+	tasks.Go(func() { h.tunnels.Run(roles) })
 	stopRouting, err := h.runRoutes(roles, &tasks)
 	if err != nil {
 		return err
--- a/runner/host_routes.go
+++ b/runner/host_routes.go
@@ -18,6 +18,7 @@
 	"github.com/cicadawood/cicadawood/registrar"
 	"github.com/cicadawood/cicadawood/router"
 	"github.com/cicadawood/cicadawood/storer"
+	"github.com/cicadawood/cicadawood/tunneler"
 )
 
 // hostRoutes are the parts of a host that serve host routes.
@@ -29,13 +30,14 @@
 	close      func()
 }
 
-func newHostRoutes(s loader.Host, store storer.Store, m sender, f *configFollower, log *zap.Logger, registry prometheus.Registerer) *hostRoutes {
-	g := &hostRoutes{selector: newSelector(s.Name, s.Zone, m, store, s.Repeat, log)}
+func newHostRoutes(s loader.Host, store storer.Store, m sender, f *configFollower, d *tunneler.Dialer, log *zap.Logger, registry prometheus.Registerer) *hostRoutes {
+	g := &hostRoutes{selector: newSelector(s.Name, s.Zone, m, store, s.Repeat, d, log)}
 	g.selector.quarantine.register(registry)
-	g.pool, g.close = connector.New(connector.Direct{Translate: s.Translations(), Observe: countConnects(registry)})
+	g.pool, g.close = connector.New(d)
+	d.OnLost(g.pool.CloseIdle)
 	g.storeWatch = &storeWatch{store: store, log: log, report: func(e storeResult) { g.selector.post(e) }, nextCall: g.selector.nextCall}
 	g.router = router.New(router.Config{
-		Dialect: platform.Wire{}, Configuration: f, Placer: g.selector, Pool: g.pool, Log: log, Metrics: router.NewMetrics(registry),
+		Dialect: platform.Wire{}, Configuration: f, Placer: g.selector, Pool: g.pool, Reach: d, Log: log, Metrics: router.NewMetrics(registry),
 		MaxAnswer: s.Limits.MaxAnswer, WriteTimeout: s.Limits.WriteTimeout.Std(), MaxBuffered: s.Limits.MaxBuffered,
 	})
 	return g
@@ -57,6 +59,8 @@
 		g.selector.post(quarantineReceived{from: from, entries: decodeQuarantine(m)})
 	case messenger.LeavingWorkers:
 		g.selector.post(leavingReceived{from: from, processes: decodeProcesses(m)})
+	case messenger.WorkerBackoff:
+		g.selector.post(backoffReceived{from: from, address: m.Address, duration: m.RetryAfter})
 	case messenger.ListUpdate:
 		g.selector.post(listUpdateReceived{from: from, update: m})
 	case messenger.ListSnapshot:
--- a/runner/selector.go
+++ b/runner/selector.go
@@ -17,6 +17,7 @@
 	"github.com/cicadawood/cicadawood/retrier"
 	"github.com/cicadawood/cicadawood/router"
 	"github.com/cicadawood/cicadawood/storer"
+	"github.com/cicadawood/cicadawood/tunneler"
 )
 
 const (
@@ -54,6 +55,7 @@
 	deciderSet    deciderSet
 	windows       map[string]*retrier.Window
 	backoffs      placer.Backoffs // of workers towards this host
+	tunnels       *tunneler.Dialer
 	pendingUpdate messenger.FlightUpdate
 	quarantine    *quarantineSync
 	updateTimer   *time.Timer
@@ -86,9 +88,9 @@
 	}
 )
 
-func newSelector(self, zone string, s sender, store storer.Store, p loader.Repeat, log *zap.Logger) *selector {
+func newSelector(self, zone string, s sender, store storer.Store, p loader.Repeat, d *tunneler.Dialer, log *zap.Logger) *selector {
 	c := &selector{
-		self: self, sender: s, log: log, events: make(chan event, eventBacklog), ended: make(chan struct{}),
+		self: self, sender: s, tunnels: d, log: log, events: make(chan event, eventBacklog), ended: make(chan struct{}),
 		retryPolicy: retryPolicyOf(p),
 		view:        placer.New(zone), windows: map[string]*retrier.Window{}, maxHosts: minBudgetHosts,
 		relay: relayer.New(self, workersList),
@@ -146,6 +148,8 @@
 		p.receiveLeaving(now, e)
 	case backoffReported:
 		p.recordBackoff(now, e)
+	case backoffReceived:
+		p.receiveBackoff(now, e)
 	case acceptsRequested:
 		e.reply <- p.accepts(now, e.worker)
 	case flightEnded:
@@ -211,7 +215,7 @@
 
 // decide selects a worker by this host's view.
 func (p *selector) decide(now time.Time, a placer.Request) workerReply {
-	a.Backoffs = p.view.Backoffs(now, a.Service, &p.backoffs)
+	a.Backoffs = p.heldBack(now, a.Service)
 	choice, refusal := p.view.Place(now, rand.Uint64(), a)
 	if refusal != nil {
 		p.scheduleUpdate(now, p.delayFor(updateDelay, updateDelayToListeners))
@@ -233,6 +237,7 @@
 	previousRoster, previousListeners := p.roster, p.deciderSet.listeners
 	p.roster = r
 	p.relay.SetHosts(r)
+	p.tunnels.SetHosts(helpersOf(r, p.self))
 	p.deciderSet.setRoster(r)
 	p.catchUp(now, previousRoster, previousListeners)
 	p.quarantine.setRoster(now, r)
@@ -254,6 +259,7 @@
 		workers = append(workers, w)
 	}
 	added, removed := p.view.SetWorkers(now, workers)
+	setTunnelWorkers(p.tunnels, workers)
 	for _, w := range added {
 		p.log.Info("worker", zap.String("worker", w.Name), zap.String("service", w.Service), zap.String("address", w.Address), zap.String("state", "present"))
 	}
--- a/runner/selector_placer.go
+++ b/runner/selector_placer.go
@@ -60,7 +60,7 @@
 
 // BackoffReported implements router.Placer.
 func (p *selector) BackoffReported(x router.Placement, d time.Duration) {
-	p.post(backoffReported{worker: x.Worker, duration: d})
+	p.post(backoffReported{worker: x.Worker, duration: d, via: x.Via})
 }
 
 // Accepts implements router.Placer.
--- a/runner/shutdown.go
+++ b/runner/shutdown.go
@@ -28,6 +28,7 @@
 func (h *Host) shutdown(abort <-chan struct{}) error {
 	h.log.Info("leaving", zap.Int64("inflight", h.server.InFlight()))
 	h.server.Drain()
+	h.tunnels.Stop()
 	h.registrar.Leave()
 	limit := h.settings.Limits.UnreadyDelay.Std() + h.settings.Limits.DrainTimeout.Std()
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
@@ -42,6 +43,10 @@
 	if err := h.server.Shutdown(ctx); err != nil {
 		return h.abort(err)
 	}
+	if remaining := h.tunnels.WaitIdle(ctx); remaining > 0 {
+		h.log.Error("left", zap.Int64("tunnels", remaining), zap.Int64("cut", 0))
+		return fmt.Errorf("%w: %d tunnels of other hosts", ErrAborted, remaining)
+	}
 	if remaining := h.control.waitOnceIdle(ctx); remaining > 0 {
 		h.log.Error("left", zap.Int("operations", remaining), zap.Int64("cut", 0))
 		return fmt.Errorf("%w: %d operations of other hosts", ErrAborted, remaining)
