--- a/connector/dialer.go
+++ b/connector/dialer.go
@@ -1,6 +1,7 @@
 package connector
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -26,6 +27,8 @@
 	// Translate has the address to connect to in place of a backend server's own, where
 	// this host reaches it under another one.
 	Translate map[string]string
+	// Timeout is the time to connect; 0 means DialTimeout.
+	Timeout time.Duration
 	// Observe, if set, is called with the result of each attempt.
 	Observe func(ConnectResult)
 }
@@ -36,7 +39,7 @@
 	if !ok {
 		address = t.Address
 	}
-	dialer := net.Dialer{Timeout: DialTimeout, KeepAlive: -1, Control: UserTimeoutControl(userTimeout)}
+	dialer := net.Dialer{Timeout: cmp.Or(d.Timeout, DialTimeout), KeepAlive: -1, Control: UserTimeoutControl(userTimeout)}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if d.Observe != nil {
 		d.Observe(ConnectResultOf(err))
--- a/forwarder/backend.go
+++ b/forwarder/backend.go
@@ -1,6 +1,9 @@
 package forwarder
 
 import (
+	"context"
+	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"sync"
@@ -11,7 +14,6 @@
 )
 
 const (
-	dialTimeout     = time.Second
 	idleTimeout     = 30 * time.Second
 	maxIdleConns    = 256      // idle connections per backend server
 	maxHeaderBytes  = 64 << 10 // of an answer's header
@@ -21,6 +23,9 @@
 	maxProbes       = 2
 )
 
+// errDial marks the errors of calls for which there was no connection.
+var errDial = errors.New("no connection")
+
 // backend holds the connections to one backend server. Each server has its own
 // transport, so that its idle connections can be closed without affecting others.
 type backend struct {
@@ -31,19 +36,21 @@
 	echoesID atomic.Bool
 }
 
-func newBackend(silenceTimeout time.Duration) *backend {
+func newBackend(d connector.Dialer, silenceTimeout time.Duration) *backend {
 	// An answer that is not streamed may take long, so a time-out can't distinguish a silent
 	// connection from a lost one. TCP keep-alive probes detect a connection whose
 	// packets are dropped. They are not sent while data is unacknowledged, which
 	// UserTimeoutControl covers.
 	bound := max(silenceTimeout, probeInterval)
-	dialer := &net.Dialer{
-		Timeout:         dialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: bound, Interval: probeInterval, Count: maxProbes},
-		Control:         connector.UserTimeoutControl(bound),
+	dial := func(ctx context.Context, _, address string) (net.Conn, error) {
+		conn, err := d.Dial(ctx, connector.Target{Address: address})
+		if err != nil {
+			return nil, fmt.Errorf("%w: %w", errDial, err)
+		}
+		return conn, setTimeouts(conn, bound)
 	}
 	t := &http.Transport{
-		DialContext:            dialer.DialContext,
+		DialContext:            dial,
 		MaxIdleConnsPerHost:    maxIdleConns,
 		IdleConnTimeout:        idleTimeout,
 		DisableCompression:     true,
@@ -54,8 +61,21 @@
 	return &backend{transport: t, client: &http.Client{Transport: t, CheckRedirect: noRedirect}}
 }
 
-// backends holds the backend servers by address. The zero value is empty.
+// setTimeouts has the system close a connection whose packets are dropped.
+func setTimeouts(conn net.Conn, bound time.Duration) error {
+	c, ok := conn.(*net.TCPConn)
+	if !ok {
+		return nil // a connection through another host has time-outs of its own
+	}
+	return errors.Join(
+		c.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: bound, Interval: probeInterval, Count: maxProbes}),
+		connector.SetUserTimeout(c, bound),
+	)
+}
+
+// backends holds the backend servers by address.
 type backends struct {
+	dialer    connector.Dialer
 	mu        sync.Mutex
 	byAddress map[string]*backend
 }
@@ -72,7 +92,7 @@
 		l.closeIdle()
 		l.byAddress = map[string]*backend{}
 	}
-	b := newBackend(silenceTimeout)
+	b := newBackend(l.dialer, silenceTimeout)
 	l.byAddress[address] = b
 	return b
 }
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -8,7 +8,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -88,8 +87,8 @@
 
 // New returns a forwarder and its clean-up function. The forwarder gives up on a
 // connection on which nothing is received for silenceTimeout.
-func New(silenceTimeout time.Duration) (*Forwarder, func()) {
-	f := &Forwarder{silenceTimeout: silenceTimeout}
+func New(d connector.Dialer, silenceTimeout time.Duration) (*Forwarder, func()) {
+	f := &Forwarder{silenceTimeout: silenceTimeout, backends: backends{dialer: d}}
 	return f, f.backends.close
 }
 
@@ -189,8 +188,7 @@
 // the backend server: the cause of the silence, such as a middlebox, has most likely
 // dropped them all, and the next try needs a new one.
 func (b *backend) wrapError(ctx context.Context, err error) error {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
+	if errors.Is(err, errDial) {
 		return fmt.Errorf("%w: %v", ErrNotRun, err)
 	}
 	if errors.Is(context.Cause(ctx), ErrSilent) {
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -13,6 +13,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/cicadawood/cicadawood/connector"
 	"github.com/cicadawood/cicadawood/forwarder"
 )
 
@@ -23,7 +24,7 @@
 func read(text string) ([]forwarder.Event, error) {
 	engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, text) }))
 	defer engine.Close()
-	f, clean := forwarder.New(time.Second)
+	f, clean := forwarder.New(connector.Direct{}, time.Second)
 	defer clean()
 	a, err := f.Do(context.Background(), engine.Listener.Addr().String(), forwarder.Call{Method: http.MethodPost, Path: "/", RequestID: id})
 	if err != nil {
@@ -95,7 +96,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	defer l.Close()
-	f, clean := forwarder.New(time.Second)
+	f, clean := forwarder.New(connector.Direct{}, time.Second)
 	defer clean()
 	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
 	defer cancel()
--- a/forwarder/refused_test.go
+++ b/forwarder/refused_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/cicadawood/cicadawood/connector"
 	"github.com/cicadawood/cicadawood/forwarder"
 )
 
@@ -20,7 +21,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}))
 	DeferCleanup(backend.Close)
-	f, clean := forwarder.New(time.Second)
+	f, clean := forwarder.New(connector.Direct{}, time.Second)
 	DeferCleanup(clean)
 	reported := map[string]time.Duration{}
 	f.OnRefused(func(address string, retryAfter time.Duration) { reported[address] = retryAfter })
--- a/forwarder/resend_test.go
+++ b/forwarder/resend_test.go
@@ -13,6 +13,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/cicadawood/cicadawood/connector"
 	"github.com/cicadawood/cicadawood/forwarder"
 )
 
@@ -61,7 +62,7 @@
 		defer l.Close()
 		c := &closingServer{seen: map[string][]string{}}
 		go c.serve(l)
-		f, clean := forwarder.New(5 * time.Second)
+		f, clean := forwarder.New(connector.Direct{}, 5*time.Second)
 		defer clean()
 		do := func(request string) error {
 			h := http.Header{}
--- a/runner/fixture_test.go
+++ b/runner/fixture_test.go
@@ -35,6 +35,7 @@
 	platform *faker.Platform
 	url      string
 	engines  map[string]string // address by name
+	app      string            // address of the plain service
 	counters map[string]*faker.Counter
 	holds    *faker.Counter
 	hosts    map[string]*runningHost
@@ -63,14 +64,14 @@
 		t.engines[e] = strings.TrimPrefix(serve(faker.NewEngine(e, m, t.counters[e]).Handler()), "http://")
 		workers = append(workers, fmt.Sprintf(`{"name": %q, "address": %q, "zone": "a", "slots": 16}`, e, t.engines[e]))
 	}
-	app := strings.TrimPrefix(serve(faker.NewService("app", took, t.holds).Handler()), "http://")
+	t.app = strings.TrimPrefix(serve(faker.NewService("app", took, t.holds).Handler()), "http://")
 	t.push(fmt.Sprintf(`{
 	"classes": {"quote": {"tier": 0, "whole": "10s"}, "chat": {"tier": 1, "whole": "20s"}},
 	"organisations": {"dock": {"keys": [%q], "classes": ["quote", "chat"]}},
 	"services": {
 		"lm": {"kind": "engine", "owner": "ops", "models": ["lm"], "hosts": true, "routes": [{"class": "chat"}], "workers": [%s]},
 		"app": {"kind": "plain", "owner": "ops", "routes": [{"class": "quote", "path": "/holds", "once": true}, {"class": "quote"}], "workers": [{"name": "app", "address": %q, "zone": "a", "slots": 32}]}}}`,
-		loader.HashKey(key), strings.Join(workers, ","), app))
+		loader.HashKey(key), strings.Join(workers, ","), t.app))
 	return t
 }
 
--- a/runner/host.go
+++ b/runner/host.go
@@ -33,6 +33,9 @@
 // other hosts may open through it: their callers must not displace its own.
 const servedShare = 4
 
+// backendDialTimeout bounds the time to connect to a backend server of the own interface.
+const backendDialTimeout = time.Second
+
 // Host is one running host.
 type Host struct {
 	settings       loader.Host
@@ -89,7 +92,7 @@
 	defer adminListener.Close()
 	store, closeStore := platform.NewStore(settings.Platform)
 	defer closeStore()
-	forward, closeForward := forwarder.New(settings.Limits.SilenceTimeout.Std())
+	forward, closeForward := forwarder.New(connector.Direct{Translate: settings.Translations(), Timeout: backendDialTimeout}, settings.Limits.SilenceTimeout.Std())
 	defer closeForward()
 	h := &Host{settings: settings, log: log, drainRequested: make(chan struct{})}
 	h.era.log = log
--- a/server/fixture_test.go
+++ b/server/fixture_test.go
@@ -20,6 +20,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
+	"github.com/cicadawood/cicadawood/connector"
 	"github.com/cicadawood/cicadawood/faker"
 	"github.com/cicadawood/cicadawood/forwarder"
 	"github.com/cicadawood/cicadawood/loader"
@@ -207,7 +208,7 @@
 	if o.limits != nil {
 		o.limits(&limits)
 	}
-	forward, closeForward := forwarder.New(cmp.Or(o.silence, silence))
+	forward, closeForward := forwarder.New(connector.Direct{}, cmp.Or(o.silence, silence))
 	s.clean = append(s.clean, closeForward)
 	s.server = server.New(limits, configuration{f}, s.allocator, forward, zap.NewNop(), server.NewMetrics(prometheus.NewRegistry()))
 	s.server.SetLimiter(o.limiter)
--- a/server/once_test.go
+++ b/server/once_test.go
@@ -16,6 +16,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
+	"github.com/cicadawood/cicadawood/connector"
 	"github.com/cicadawood/cicadawood/forwarder"
 	"github.com/cicadawood/cicadawood/keeper"
 	"github.com/cicadawood/cicadawood/loader"
@@ -72,7 +73,7 @@
 	Expect(err).NotTo(HaveOccurred())
 	settings, err := loader.ParseHost("h", []byte(`{"name": "h", "zone": "a", "platform": "http://127.0.0.1:1", "listen": "127.0.0.1:2", "control": "127.0.0.1:3", "admin": "127.0.0.1:4"}`))
 	Expect(err).NotTo(HaveOccurred())
-	forward, clean := forwarder.New(time.Second)
+	forward, clean := forwarder.New(connector.Direct{}, time.Second)
 	DeferCleanup(clean)
 	s := server.New(settings.Limits, onceFolder{folder}, oncePlace{worker}, forward, zap.NewNop(), server.NewMetrics(prometheus.NewRegistry()))
 	s.SetOnce(k)
