Own interface: entries, and polls of load, reach backend servers through other hosts too

What callers saw: from 3 s after their host was cut from the backend servers that a dispatcher granted it, none was answered.

Cause: as for host routes: what the entry couldn't connect to counted as failed, for the dispatcher too. The cause stood in three more places: reports of failed calls to dispatchers, the dispatcher's polls of load, and the wait of a second for each dial.

Errors on the way (ErrPath) don't blame the backend server. A host is a witness that a worker is down only if it just connected to another one of the same service, and a worker counts as down only when no asked host reaches it.

--- a/connector/dialer.go
+++ b/connector/dialer.go
@@ -17,9 +17,17 @@
 }
 
 // Dialer is the port to the component that connects to backend servers. A Conn that has
-// a method Via() string is not reused.
+// a method Via() string leads through the host that it names, and is not reused.
 type Dialer interface {
+	// Dial connects to a backend server. The error wraps ErrNoPath if it says nothing about
+	// the backend server.
 	Dial(ctx context.Context, t Target) (net.Conn, error)
+	// Lost reports whether this host can't connect to the backend server at an address, for a
+	// reason other than that it is down.
+	Lost(address string) bool
+	// Suspect has it checked whether this host still reaches the backend server at an
+	// address.
+	Suspect(address string)
 }
 
 // Direct is a Dialer that connects from this host. The zero value works.
@@ -47,6 +55,12 @@
 	return conn, err
 }
 
+// Lost implements Dialer: without other hosts, there is no telling.
+func (Direct) Lost(string) bool { return false }
+
+// Suspect implements Dialer.
+func (Direct) Suspect(string) {}
+
 // ConnectResult is how an attempt to connect to a backend server ended.
 type ConnectResult string
 
--- a/forwarder/backend.go
+++ b/forwarder/backend.go
@@ -29,6 +29,8 @@
 // backend holds the connections to one backend server. Each server has its own
 // transport, so that its idle connections can be closed without affecting others.
 type backend struct {
+	address   string
+	dialer    connector.Dialer
 	transport *http.Transport
 	client    *http.Client
 	// echoesID is set once an answer of this server carried the ID of its request. From
@@ -36,7 +38,7 @@
 	echoesID atomic.Bool
 }
 
-func newBackend(d connector.Dialer, silenceTimeout time.Duration) *backend {
+func newBackend(d connector.Dialer, address string, silenceTimeout time.Duration) *backend {
 	// An answer that is not streamed may take long, so a time-out can't distinguish a silent
 	// connection from a lost one. TCP keep-alive probes detect a connection whose
 	// packets are dropped. They are not sent while data is unacknowledged, which
@@ -58,7 +60,7 @@
 		ReadBufferSize:         connBufferBytes,
 		WriteBufferSize:        connBufferBytes,
 	}
-	return &backend{transport: t, client: &http.Client{Transport: t, CheckRedirect: noRedirect}}
+	return &backend{address: address, dialer: d, transport: t, client: &http.Client{Transport: t, CheckRedirect: noRedirect}}
 }
 
 // setTimeouts has the system close a connection whose packets are dropped.
@@ -92,7 +94,7 @@
 		l.closeIdle()
 		l.byAddress = map[string]*backend{}
 	}
-	b := newBackend(l.dialer, silenceTimeout)
+	b := newBackend(l.dialer, address, silenceTimeout)
 	l.byAddress[address] = b
 	return b
 }
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -43,6 +43,10 @@
 	// ErrClosedByPeer means that the backend server closed or reset the connection
 	// during the call. It is wrapped together with ErrUnknown.
 	ErrClosedByPeer = errors.New("the backend server closed the connection")
+	// ErrPath means that the call failed between this host and the backend server, which
+	// says nothing about the backend server. It is wrapped together with ErrNotRun or
+	// ErrUnknown.
+	ErrPath = errors.New("the way to the backend server failed")
 	// ErrSilent means that nothing was received on the connection for longer than
 	// allowed. It is wrapped together with ErrUnknown.
 	ErrSilent = errors.New("connection went silent")
@@ -103,6 +107,8 @@
 		return nil, fmt.Errorf("%w: %v", ErrNotRun, err)
 	}
 	fillRequest(req, c)
+	// A connection through another host is not kept: it would keep that host from stopping.
+	req.Close = f.backends.dialer.Lost(address)
 	b := f.backends.get(address, f.silenceTimeout)
 	sent := time.Now()
 	resp, err := b.send(ctx, req, c.FirstByteTimeout, cancel)
@@ -189,14 +195,23 @@
 // dropped them all, and the next try needs a new one.
 func (b *backend) wrapError(ctx context.Context, err error) error {
 	if errors.Is(err, errDial) {
-		return fmt.Errorf("%w: %v", ErrNotRun, err)
+		return b.markPath(err, fmt.Errorf("%w: %v", ErrNotRun, err))
 	}
+	b.dialer.Suspect(b.address)
 	if errors.Is(context.Cause(ctx), ErrSilent) {
 		b.transport.CloseIdleConnections()
-		return fmt.Errorf("%w: %w", ErrUnknown, ErrSilent)
+		return b.markPath(err, fmt.Errorf("%w: %w", ErrUnknown, ErrSilent))
 	}
 	if connector.ClosedByPeer(err) {
 		return fmt.Errorf("%w: %w: %v", ErrUnknown, ErrClosedByPeer, err)
 	}
-	return fmt.Errorf("%w: %v", ErrUnknown, err)
+	return b.markPath(err, fmt.Errorf("%w: %v", ErrUnknown, err))
+}
+
+// markPath wraps ErrPath too, if err says nothing about the backend server.
+func (b *backend) markPath(err, wrapped error) error {
+	if errors.Is(err, connector.ErrNoPath) || errors.Is(err, connector.ErrDetour) || b.dialer.Lost(b.address) {
+		return fmt.Errorf("%w: %w", wrapped, ErrPath)
+	}
+	return wrapped
 }
--- a/observer/client.go
+++ b/observer/client.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"github.com/cicadawood/cicadawood/connector"
 )
 
 const (
@@ -25,13 +27,29 @@
 // Client reads the platform's host list and workers' load reports.
 type Client struct {
 	platform string
-	http     *http.Client
+	dialer   connector.Dialer
+	http     *http.Client // for the platform
+	workers  *http.Client
 }
 
-// NewClient returns a client and a function that closes its idle connections.
-func NewClient(platform string) (*Client, func()) {
-	t := &http.Transport{DialContext: (&net.Dialer{Timeout: reportTimeout}).DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: 30 * time.Second}
-	return &Client{platform: strings.TrimRight(platform, "/"), http: &http.Client{Transport: t}}, t.CloseIdleConnections
+// NewClient returns a client that connects to workers by d, and a function that closes its
+// idle connections.
+func NewClient(platform string, d connector.Dialer) (*Client, func()) {
+	transport := func(dial func(ctx context.Context, network, address string) (net.Conn, error)) *http.Transport {
+		return &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: 30 * time.Second}
+	}
+	toPlatform := transport((&net.Dialer{Timeout: reportTimeout}).DialContext)
+	toWorkers := transport(func(ctx context.Context, _, address string) (net.Conn, error) {
+		return d.Dial(ctx, connector.Target{Address: address})
+	})
+	c := &Client{
+		platform: strings.TrimRight(platform, "/"), dialer: d,
+		http: &http.Client{Transport: toPlatform}, workers: &http.Client{Transport: toWorkers},
+	}
+	return c, func() {
+		toPlatform.CloseIdleConnections()
+		toWorkers.CloseIdleConnections()
+	}
 }
 
 // List returns the platform's host list.
@@ -39,7 +57,7 @@
 	var body struct {
 		Hosts []Listing `json:"hosts"`
 	}
-	if err := c.get(ctx, c.platform+"/hosts", listTimeout, maxListBytes, &body); err != nil {
+	if err := get(ctx, c.http, c.platform+"/hosts", listTimeout, maxListBytes, false, &body); err != nil {
 		return nil, fmt.Errorf("host list: %w", err)
 	}
 	return body.Hosts, nil
@@ -49,21 +67,25 @@
 // report, the Report is zero.
 func (c *Client) Report(ctx context.Context, address string) (Report, error) {
 	var r Report
-	if err := c.get(ctx, "http://"+address+"/load", reportTimeout, maxReportBytes, &r); err != nil {
+	// A connection through another host is not kept: it would keep that host from stopping.
+	once := c.dialer.Lost(address)
+	if err := get(ctx, c.workers, "http://"+address+"/load", reportTimeout, maxReportBytes, once, &r); err != nil {
 		return r, fmt.Errorf("load report of %s: %w", address, err)
 	}
 	return r, nil
 }
 
-// get reads a JSON document into out, which stays unchanged if the server answers 404.
-func (c *Client) get(ctx context.Context, url string, timeout time.Duration, limit int64, out any) error {
+// get reads a JSON document into out, which stays unchanged if the server answers 404. With
+// once, the connection is not kept.
+func get(ctx context.Context, c *http.Client, url string, timeout time.Duration, limit int64, once bool, out any) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return fmt.Errorf("%w: %v", ErrUnavailable, err)
 	}
-	resp, err := c.http.Do(req)
+	req.Close = once
+	resp, err := c.Do(req)
 	if err != nil {
 		return fmt.Errorf("%w: %v", ErrUnavailable, err)
 	}
--- a/reacher/reacher.go
+++ b/reacher/reacher.go
@@ -20,6 +20,9 @@
 	blockTime = time.Second
 	// downTime is how long the finding holds that a worker is down.
 	downTime = 2 * time.Second
+	// witnessTime is how long a connection to a worker shows that a host has its links to
+	// the workers of a service.
+	witnessTime = time.Second
 	// recentTime is how long a connection shows that there is no need to probe a worker.
 	recentTime = 200 * time.Millisecond
 	// flapWindow is how soon after its return a second loss counts as flapping.
@@ -41,6 +44,7 @@
 
 // path is the reach of one worker.
 type path struct {
+	service      string
 	lost         bool
 	reachedAt    time.Time // last direct connection
 	failedAt     time.Time // last direct attempt that failed
@@ -53,14 +57,23 @@
 	probeAt      time.Time // when it is to be probed; zero for no probe
 }
 
-// SetWorkers replaces the workers, given by address.
-func (t *Table) SetWorkers(addresses []string) {
+// Worker is a worker that this host may connect to.
+type Worker struct {
+	Address string // IP:port
+	Service string
+}
+
+// SetWorkers replaces the workers.
+func (t *Table) SetWorkers(workers []Worker) {
 	old := t.paths
-	t.paths = make(map[string]*path, len(addresses))
-	for _, a := range addresses {
-		if t.paths[a] = old[a]; t.paths[a] == nil {
-			t.paths[a] = &path{}
+	t.paths = make(map[string]*path, len(workers))
+	for _, w := range workers {
+		p := old[w.Address]
+		if p == nil {
+			p = &path{}
 		}
+		p.service = w.Service
+		t.paths[w.Address] = p
 	}
 }
 
@@ -182,14 +195,17 @@
 func (t *Table) Lost(address string) bool { return t.path(address).lost }
 
 // Witness reports whether this host can tell that a worker is down from not connecting to
-// it: whether it has lost no worker itself.
-func (t *Table) Witness(now time.Time) bool {
-	for _, p := range t.paths {
+// it: it has lost no worker itself, and has just connected to another one of the service. A
+// host may lose its links to the workers of one service only.
+func (t *Table) Witness(now time.Time, address string) bool {
+	service, connected := t.path(address).service, false
+	for a, p := range t.paths {
 		if p.lost || now.Before(p.blockedUntil) {
 			return false
 		}
+		connected = connected || a != address && p.service == service && now.Sub(p.reachedAt) < witnessTime
 	}
-	return true
+	return connected
 }
 
 // Suspect has a worker probed whose connections fail or are silent.
--- a/runner/control.go
+++ b/runner/control.go
@@ -14,6 +14,7 @@
 	"github.com/cicadawood/cicadawood/messenger"
 	"github.com/cicadawood/cicadawood/observer"
 	"github.com/cicadawood/cicadawood/registrar"
+	"github.com/cicadawood/cicadawood/tunneler"
 )
 
 const (
@@ -63,7 +64,8 @@
 	nextDispatcherTick time.Time // zero for never
 	nextCallCheck      time.Time // when calls are next checked for a retry or a renewal
 	once               *onceManager
-	quarantine         *quarantineSync // nil where the host serves host routes
+	quarantine         *quarantineSync  // nil where the host serves host routes
+	tunnels            *tunneler.Dialer // nil where the host serves host routes
 }
 
 func newControl(self string, epoch uint64, s sender, log *zap.Logger) *control {
@@ -241,6 +243,7 @@
 			c.register(now, k)
 		}
 	}
+	c.setTunnelWorkers()
 	c.chooser.Retain(known)
 	maps.DeleteFunc(c.cellEpochs, func(cell string, _ uint64) bool { return !known(cell) })
 	c.ownAll(now)
@@ -277,6 +280,9 @@
 func (c *control) setRoster(now time.Time, r registrar.Roster) {
 	old := c.roster
 	c.roster = r
+	if c.tunnels != nil {
+		c.tunnels.SetHosts(helpersOf(r, c.self))
+	}
 	c.limits.setRoster(now, old, r)
 	c.quarantine.setRoster(now, r)
 	c.reclaimLost(now, old, r)
--- a/runner/host.go
+++ b/runner/host.go
@@ -13,7 +13,6 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
-	"github.com/cicadawood/cicadawood/connector"
 	"github.com/cicadawood/cicadawood/forwarder"
 	"github.com/cicadawood/cicadawood/loader"
 	"github.com/cicadawood/cicadawood/messenger"
@@ -29,13 +28,6 @@
 // after which a connection is replaced.
 const ackDelay = 100 * time.Millisecond
 
-// servedShare is the number of requests in flight that a host may have for each tunnel that
-// other hosts may open through it: their callers must not displace its own.
-const servedShare = 4
-
-// backendDialTimeout bounds the time to connect to a backend server of the own interface.
-const backendDialTimeout = time.Second
-
 // Host is one running host.
 type Host struct {
 	settings       loader.Host
@@ -92,9 +84,13 @@
 	defer adminListener.Close()
 	store, closeStore := platform.NewStore(settings.Platform)
 	defer closeStore()
-	forward, closeForward := forwarder.New(connector.Direct{Translate: settings.Translations(), Timeout: backendDialTimeout}, settings.Limits.SilenceTimeout.Std())
+	if settings.Dialect == loader.DialectPlatform {
+		settings.Name = processName(settings.Name)
+	}
+	h := &Host{settings: settings, log: log, registry: prometheus.NewRegistry(), drainRequested: make(chan struct{})}
+	h.tunnels = newTunnels(settings, log, h.registry)
+	forward, closeForward := forwarder.New(h.tunnels, settings.Limits.SilenceTimeout.Std())
 	defer closeForward()
-	h := &Host{settings: settings, log: log, drainRequested: make(chan struct{})}
 	h.era.log = log
 	store.OnEra(func(n uint64) { h.era.advance(n, "store") })
 	closeMessenger, err := h.compose(store, forward)
@@ -113,18 +109,14 @@
 func (h *Host) compose(store storer.Store, forward *forwarder.Forwarder) (func(), error) {
 	s := h.settings
 	incarnation := uint64(time.Now().UnixNano())
-	if s.Dialect == loader.DialectPlatform {
-		s.Name = processName(s.Name)
-	}
-	registry := prometheus.NewRegistry()
+	registry := h.registry
 	store = countStoreCalls(store, registry)
 	h.control = newControl(s.Name, incarnation, nil, h.log)
-	h.poller = newWorkerPoller(h.control, s.Platform, h.log)
+	if s.Dialect != loader.DialectPlatform {
+		h.control.tunnels = h.tunnels
+	}
+	h.poller = newWorkerPoller(h.control, s.Platform, h.tunnels, h.log)
 	forward.OnRefused(h.poller.postRefusal)
-	h.tunnels = tunneler.New(tunneler.Config{
-		Self: s.Name, Zone: s.Zone, Direct: connector.Direct{Translate: s.Translations(), Observe: countConnects(registry)},
-		MaxServed: max(s.Limits.MaxCalls/servedShare, 1), Log: h.log, Metrics: tunneler.NewMetrics(registry),
-	})
 	connected := make(chan struct{})
 	m, closeMessenger, err := messenger.Open(messenger.Config{
 		Name: s.Name, Incarnation: incarnation, Address: s.Control, AckTimeout: s.Limits.AckTimeout.Std(), AckDelay: ackDelay,
--- a/runner/metrics.go
+++ b/runner/metrics.go
@@ -31,7 +31,6 @@
 // registerMetrics registers the metrics of membership and of the connections
 // between hosts. None has a label that grows with hosts or organisations.
 func (h *Host) registerMetrics(r *prometheus.Registry) {
-	h.registry = r
 	r.MustRegister(dispatchMetrics{state: h.State})
 	membership := func(name, help string, value func(registrar.Counts) float64) {
 		r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, func() float64 { return value(h.registrar.Counts()) }))
--- a/runner/reach.go
+++ b/runner/reach.go
@@ -3,8 +3,11 @@
 import (
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
+	"github.com/cicadawood/cicadawood/connector"
+	"github.com/cicadawood/cicadawood/loader"
 	"github.com/cicadawood/cicadawood/messenger"
 	"github.com/cicadawood/cicadawood/placer"
 	"github.com/cicadawood/cicadawood/reacher"
@@ -12,6 +15,18 @@
 	"github.com/cicadawood/cicadawood/tunneler"
 )
 
+// servedShare is the number of requests in flight that a host may have for each tunnel that
+// other hosts may open through it: their callers must not displace its own.
+const servedShare = 4
+
+// newTunnels returns a host's connections to backend servers, and through other hosts.
+func newTunnels(s loader.Host, log *zap.Logger, r prometheus.Registerer) *tunneler.Dialer {
+	return tunneler.New(tunneler.Config{
+		Self: s.Name, Zone: s.Zone, Direct: connector.Direct{Translate: s.Translations(), Observe: countConnects(r)},
+		MaxServed: max(s.Limits.MaxCalls/servedShare, 1), Log: log, Metrics: tunneler.NewMetrics(r),
+	})
+}
+
 // backoffReceived is another host's report that a worker refused a request which it sent
 // through this host, and wants no other from this host for a time.
 type backoffReceived struct {
@@ -74,11 +89,25 @@
 
 // setTunnelWorkers tells the tunneler which workers there are.
 func setTunnelWorkers(d *tunneler.Dialer, workers []placer.Worker) {
-	addresses := make([]string, 0, len(workers))
+	list := make([]reacher.Worker, 0, len(workers))
 	for _, w := range workers {
-		addresses = append(addresses, w.Address)
+		list = append(list, reacher.Worker{Address: w.Address, Service: w.Service})
+	}
+	d.SetWorkers(list)
+}
+
+// setTunnelWorkers tells the tunneler which backend servers the own interface uses.
+func (c *control) setTunnelWorkers() {
+	if c.tunnels == nil {
+		return
+	}
+	var list []reacher.Worker
+	for name, s := range c.observer.Services() {
+		for _, w := range s.Workers {
+			list = append(list, reacher.Worker{Address: w.Address, Service: name})
+		}
 	}
-	d.SetWorkers(addresses)
+	c.tunnels.SetWorkers(list)
 }
 
 func (backoffReceived) event() {}
--- a/runner/worker_poller.go
+++ b/runner/worker_poller.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/cicadawood/cicadawood/connector"
 	"github.com/cicadawood/cicadawood/dispatcher"
 	"github.com/cicadawood/cicadawood/messenger"
 	"github.com/cicadawood/cicadawood/observer"
@@ -56,12 +57,13 @@
 type workerPoller struct {
 	control     *control
 	platform    string
+	dialer      connector.Dialer
 	log         *zap.Logger
 	unavailable atomic.Int64
 }
 
-func newWorkerPoller(c *control, platform string, log *zap.Logger) *workerPoller {
-	o := &workerPoller{control: c, platform: platform, log: log}
+func newWorkerPoller(c *control, platform string, d connector.Dialer, log *zap.Logger) *workerPoller {
+	o := &workerPoller{control: c, platform: platform, dialer: d, log: log}
 	c.unavailable = &o.unavailable
 	return o
 }
@@ -75,7 +77,7 @@
 }
 
 func (o *workerPoller) run(ctx context.Context) {
-	client, closeClient := observer.NewClient(o.platform)
+	client, closeClient := observer.NewClient(o.platform, o.dialer)
 	defer closeClient()
 	ticker := time.NewTicker(reportInterval)
 	defer ticker.Stop()
--- a/server/tries.go
+++ b/server/tries.go
@@ -63,7 +63,7 @@
 
 // blamesWorker reports whether an error is attributed to the worker.
 func blamesWorker(err error) bool {
-	for _, x := range []error{errPreempted, errCallerWrite, forwarder.ErrStale, context.Canceled, context.DeadlineExceeded} {
+	for _, x := range []error{errPreempted, errCallerWrite, forwarder.ErrStale, forwarder.ErrPath, context.Canceled, context.DeadlineExceeded} {
 		if errors.Is(err, x) {
 			return false
 		}
@@ -85,6 +85,7 @@
 		{errUnframed, "unframed"},
 		{errNotResumed, "noresume"},
 		{forwarder.ErrStale, "stale"},
+		{forwarder.ErrPath, "path"},
 		{forwarder.ErrSilent, "silent"},
 		{forwarder.ErrMismatched, "crossed"},
 		{forwarder.ErrNotRun, "notrun"},
--- a/server/try.go
+++ b/server/try.go
@@ -82,7 +82,7 @@
 		Fingerprint: t.q.fingerprint, ClosedByPeer: errors.Is(err, forwarder.ErrClosedByPeer), Took: time.Since(t.sentAt),
 	}
 	if errors.Is(err, context.DeadlineExceeded) {
-		u.Failed = t.timeToHead == 0
+		u.Failed = t.timeToHead == 0 && !errors.Is(err, forwarder.ErrPath)
 	}
 	return u
 }
--- a/tunneler/dialer.go
+++ b/tunneler/dialer.go
@@ -74,11 +74,11 @@
 	d.table.SetHosts(d.self, d.zone, hosts)
 }
 
-// SetWorkers replaces the workers that this host may connect to, given by address.
-func (d *Dialer) SetWorkers(addresses []string) {
+// SetWorkers replaces the workers that this host may connect to.
+func (d *Dialer) SetWorkers(workers []reacher.Worker) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.table.SetWorkers(addresses)
+	d.table.SetWorkers(workers)
 }
 
 // Rest records that a worker wants no requests from this host until a time: this host opens
@@ -125,7 +125,7 @@
 	helper *reacher.Host
 	conn   net.Conn
 	err    error
-	down   bool // the helper, which has lost no worker itself, can't connect either
+	down   bool // the helper, which can tell, can't connect either
 }
 
 // Dial connects to a worker. It starts one attempt after another, each a while after the one
--- a/tunneler/race.go
+++ b/tunneler/race.go
@@ -70,7 +70,7 @@
 			}
 			err = a.err
 			down = down || a.down
-			if !down && r.startNext(ctx) {
+			if r.startNext(ctx) {
 				timer.Reset(raceDelay)
 			}
 		case <-timer.C:
--- a/tunneler/server.go
+++ b/tunneler/server.go
@@ -60,7 +60,7 @@
 	worker, err := d.dialDirect(ctx, connector.Target{Address: o.Address, Request: o.Request})
 	if err != nil {
 		d.serving.Add(-1)
-		return nil, reply{Reason: reacher.Unreached, Witness: d.witness()}
+		return nil, reply{Reason: reacher.Unreached, Witness: d.witness(o.Address)}
 	}
 	return worker, reply{}
 }
@@ -81,10 +81,10 @@
 	return reply{}, false
 }
 
-func (d *Dialer) witness() bool {
+func (d *Dialer) witness(address string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.table.Witness(time.Now())
+	return d.table.Witness(time.Now(), address)
 }
 
 func (d *Dialer) logServed(o open, answer reply, s spliced, err error) {
