Own interface: the first unanswered keep-alive probe no longer ends a connection

Cause: TCP_USER_TIMEOUT equalled the idle time before the first probe. Linux gives up on probes once that time has passed since the last packet, whatever their count, so a backend server that was silent for one probe lost its kept connections. Now it leaves room for all probes. The other dialers: connector and tunneler send no probes beside the option, the store's client sets no option, messenger and the client of load reports neither.

--- a/forwarder/backend.go
+++ b/forwarder/backend.go
@@ -71,7 +71,8 @@
 	}
 	return errors.Join(
 		c.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: bound, Interval: probeInterval, Count: maxProbes}),
-		connector.SetUserTimeout(c, bound),
+		// Linux gives up on unanswered probes at this time, too, whatever their count.
+		connector.SetUserTimeout(c, bound+maxProbes*probeInterval),
 	)
 }
 
