--- a/faker/worker.go
+++ b/faker/worker.go
@@ -40,6 +40,7 @@
 	leftAt     time.Time              // when they began to
 	arrivals   []arrival              // requests received, in order
 	refusals   []refusal              // requests refused with Retry-After, in order
+	silentTill time.Time              // until when it does not go on with any request
 	canceled   int                    // requests whose caller disconnected before the answer
 	seq        int
 	crash      func() // closes the listener and all connections, as a crash does
@@ -113,6 +114,22 @@
 	k.limit = rate
 }
 
+// Silence makes the worker do nothing for a time, as a process that gets no processor time.
+// It accepts connections meanwhile, and goes on with all requests afterwards.
+func (k *Worker) Silence(d time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.silentTill = time.Now().Add(d)
+}
+
+// waitWhileSilent returns when the worker is not silent, or the request ends.
+func (k *Worker) waitWhileSilent(r *http.Request) {
+	k.mu.Lock()
+	till := k.silentTill
+	k.mu.Unlock()
+	sleep(r, max(time.Until(till), 0))
+}
+
 // LimitSince returns when the worker began to report a limit.
 func (k *Worker) LimitSince() time.Time {
 	k.mu.Lock()
@@ -154,6 +171,7 @@
 }
 
 func (k *Worker) serve(w http.ResponseWriter, r *http.Request) {
+	k.waitWhileSilent(r)
 	id := r.Header.Get(platform.HeaderRequestID)
 	w.Header().Set(platform.HeaderRequestID, id)
 	worker := r.Header.Get(platform.HeaderTargetWorker)
@@ -241,6 +259,7 @@
 		if !sleep(r, k.Delay) {
 			return
 		}
+		k.waitWhileSilent(r)
 		event := fmt.Sprintf("id: %d\ndata: piece %d\n\n", i, i)
 		if i == f.CutAtEvent {
 			_, _ = io.WriteString(w, event[:len(event)/2])
@@ -285,3 +304,10 @@
 		return true
 	}
 }
+
+// SilentUntil returns until when the worker is silent, or was.
+func (k *Worker) SilentUntil() time.Time {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.silentTill
+}
