Placing: a silent worker is avoided for a short time that doubles, and ends with its first sign of life

Cause: an answer that did not begin in time, or a handshake without an answer, cost the worker as much as a crash: 400 ms each, decaying over more than five seconds. A dial that the silence cancelled counted as a break.

Change: outcome Silent, for answers, handshakes and deadlines without an answer. The worker is avoided for 300 ms, twice as long each time that it is silent again when tried, 4 s at most; any first event or answer ends it. What waited for the silence to end teaches nothing about the worker's speed.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -21,6 +21,9 @@
 var (
 	// ErrNotSent means that no connection was made and no byte of the request was sent.
 	ErrNotSent = errors.New("no connection to the backend server")
+	// ErrUnanswered means that there was no answer to the handshake in time. It is wrapped
+	// together with ErrNotSent.
+	ErrUnanswered = errors.New("no answer to the handshake")
 	// ErrNoPath means that this host can't connect, and that this says nothing about the
 	// backend server. It is wrapped together with ErrNotSent.
 	ErrNoPath = errors.New("no path to the backend server")
@@ -98,6 +101,12 @@
 		if errors.Is(err, ErrNoPath) {
 			return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 		}
+		if ctx.Err() != nil {
+			return nil, fmt.Errorf("%w: %w", ErrNotSent, context.Cause(ctx))
+		}
+		if ConnectResultOf(err) == ConnectTimeout {
+			return nil, fmt.Errorf("%w: %w: %v", ErrNotSent, ErrUnanswered, err)
+		}
 		return nil, fmt.Errorf("%w: %v", ErrNotSent, err)
 	}
 	if call.Connected != nil {
--- a/placer/quarantine.go
+++ b/placer/quarantine.go
@@ -16,7 +16,7 @@
 		v.quarantine.Alive(now, f.Worker, now.Add(-quarantiner.MaxUpdateDelay))
 	case Refused, WrongWorker:
 		v.quarantine.Alive(now, f.Worker, f.earliestAnswer(0))
-	case Broken, Canceled:
+	case Broken, Canceled, Silent:
 	}
 }
 
--- a/placer/request.go
+++ b/placer/request.go
@@ -95,4 +95,5 @@
 	Broken               // no answer, or an incomplete one
 	Canceled             // the caller went away, or its deadline passed
 	Disconnected         // the worker closed the connection before it answered, as it does when it crashes
+	Silent               // no answer in time, but the worker may go on
 )
--- /dev/null
+++ b/placer/silence_test.go
@@ -0,0 +1,58 @@
+package placer_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cicadawood/cicadawood/placer"
+)
+
+// Guards against a worker that was silent for a moment and is avoided long after it goes on.
+var _ = Describe("A silent worker", func() {
+	now := time.Unix(1000, 0)
+	var v *placer.View
+	var id uint64
+	avoided := func(at time.Time) time.Duration { return v.WorkerStates(at)[0].Avoided }
+	// send sends a request to the only worker and returns its ID.
+	send := func(at time.Time) uint64 {
+		id++
+		_, refusal := v.Place(at, id, placer.Request{Service: "s", Left: time.Minute})
+		ExpectWithOffset(1, refusal).To(BeNil())
+		return id
+	}
+	BeforeEach(func() {
+		v = placer.New("a")
+		v.SetWorkers(now, []placer.Worker{{Name: "w", Service: "s", Slots: 8}})
+	})
+
+	It("is avoided for a time that doubles while it stays silent", func() {
+		at := now
+		for _, length := range []time.Duration{300, 600, 1200, 2400, 4000, 4000} {
+			length *= time.Millisecond
+			first, second := send(at), send(at)
+			v.Ended(at, first, placer.Silent)
+			v.Ended(at.Add(10*time.Millisecond), second, placer.Silent) // of the same silence
+			Expect(avoided(at.Add(length - time.Millisecond))).To(BeNumerically(">", 0), "%v", length)
+			at = at.Add(length)
+			Expect(avoided(at)).To(BeZero(), "%v", length)
+		}
+	})
+
+	It("is no longer avoided as soon as it answers any request", func() {
+		waiting, given := send(now), send(now)
+		v.Ended(now, given, placer.Silent)
+		Expect(avoided(now)).To(BeNumerically(">", 0))
+		v.Begun(now.Add(100*time.Millisecond), waiting)
+		Expect(avoided(now.Add(100 * time.Millisecond))).To(BeZero())
+	})
+
+	It("is still avoided for failures of other kinds", func() {
+		broken, given := send(now), send(now)
+		v.Ended(now, broken, placer.Broken)
+		v.Ended(now, given, placer.Silent)
+		v.Begun(now.Add(10*time.Millisecond), send(now))
+		Expect(avoided(now.Add(10 * time.Millisecond))).To(BeNumerically(">", 0))
+	})
+})
--- a/placer/worker.go
+++ b/placer/worker.go
@@ -21,6 +21,7 @@
 	penalty         float64 // milliseconds, as of penaltyAt
 	penaltyAt       time.Time
 	limit           limit // that the worker states
+	silence         silence
 }
 
 func newWorker() *worker {
@@ -63,11 +64,12 @@
 // firstEvent records a flight's first event, from which the speed of engines in general and of
 // this one is learned.
 func (w *worker) firstEvent(now time.Time, f *flight, took time.Duration) {
+	w.silence.end(now)
 	w.awaitingFirst--
 	if w.CacheTokens == 0 {
 		return
 	}
-	if f.alone && f.Fetch == 0 && took > 0 {
+	if f.alone && f.Fetch == 0 && took > 0 && !w.silence.covers(f.sentAt) {
 		w.learn(f, inMilliseconds(took))
 	}
 	w.queue.remove(now, f)
@@ -139,6 +141,9 @@
 func (w *worker) recordOutcome(now time.Time, o Outcome) {
 	add := 0.0
 	switch o {
+	case Silent:
+		w.silence.note(now)
+		return
 	case Broken, Disconnected:
 		add = brokenCost
 	case Refused:
@@ -148,16 +153,25 @@
 	case WrongWorker:
 		add = wrongWorkerCost
 	case Answered:
-		w.penalty, w.penaltyAt = w.currentPenalty(now)/2, now
+		w.silence.end(now)
+		w.penalty, w.penaltyAt = w.decayedPenalty(now)/2, now
 		return
 	case Canceled:
 		return
 	}
-	w.penalty, w.penaltyAt = math.Min(w.currentPenalty(now)+add, maxPenalty), now
+	w.penalty, w.penaltyAt = math.Min(w.decayedPenalty(now)+add, maxPenalty), now
 }
 
 // currentPenalty returns the worker's penalty in milliseconds, as of now.
 func (w *worker) currentPenalty(now time.Time) float64 {
+	if w.silence.avoided(now) {
+		return max(brokenCost, w.decayedPenalty(now))
+	}
+	return w.decayedPenalty(now)
+}
+
+// decayedPenalty returns the worker's penalty without that of its silence.
+func (w *worker) decayedPenalty(now time.Time) float64 {
 	if w.penalty == 0 {
 		return 0
 	}
--- a/router/transaction.go
+++ b/router/transaction.go
@@ -230,6 +230,8 @@
 		return placer.Errored
 	case errors.Is(err, connector.ErrClosedByPeer):
 		return placer.Disconnected
+	case errors.Is(err, errSilent), errors.Is(err, connector.ErrUnanswered), errors.Is(err, context.DeadlineExceeded):
+		return placer.Silent
 	}
 	return placer.Broken
 }
--- a/tunneler/race.go
+++ b/tunneler/race.go
@@ -56,7 +56,8 @@
 }
 
 // run returns the first attempt that succeeds. If none does, it returns whether a host has
-// found the worker down, and the error of the last attempt.
+// found the worker down, and the error of the direct attempt, or of the last one if there is
+// no direct one.
 func (r *race) run(ctx context.Context) (winner attempt, down bool, err error) {
 	timer := time.NewTimer(raceDelay)
 	defer timer.Stop()
@@ -68,7 +69,9 @@
 				go r.closeOthers()
 				return a, false, nil
 			}
-			err = a.err
+			if a.helper == nil || !r.plan.Direct {
+				err = a.err
+			}
 			down = down || a.down
 			if r.startNext(ctx) {
 				timer.Reset(raceDelay)
