Red: workers that say that they are brittle fall over again and again

The emulator's worker says it, lets none wait, falls over when it turns more away in a second than it says, and is back after 2 s.

--- a/faker/worker.go
+++ b/faker/worker.go
@@ -40,8 +40,9 @@
 	leftAt     time.Time              // when they began to
 	arrivals   []arrival              // requests received, in order
 	refusals   []refusal              // requests refused with Retry-After, in order
-	silentTill time.Time              // until when it does not go on with any request
-	canceled   int                    // requests whose caller disconnected before the answer
+	brittle    brittle
+	silentTill time.Time // until when it does not go on with any request
+	canceled   int       // requests whose caller disconnected before the answer
 	seq        int
 	crash      func() // closes the listener and all connections, as a crash does
 }
@@ -184,7 +185,11 @@
 	if k.leaving {
 		w.Header().Set(platform.HeaderLeaving, "1")
 	}
+	brittleFor := k.brittle.stated()
 	k.mu.Unlock()
+	if brittleFor != "" {
+		w.Header().Set(platform.HeaderBrittle, brittleFor)
+	}
 	if misdirected {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -193,6 +198,15 @@
 	if err != nil {
 		return // the caller broke off the request
 	}
+	enter, fallen := k.enter(time.Now())
+	if fallen {
+		panic(http.ErrAbortHandler)
+	}
+	if !enter {
+		k.refuse(w, id, 0)
+		return
+	}
+	defer k.leave()
 	k.mu.Lock()
 	f := k.faults
 	if !f.Reject {
--- a/placer/silence_test.go
+++ b/placer/silence_test.go
@@ -34,7 +34,7 @@
 			first, second := send(at), send(at)
 			v.Ended(at, first, placer.Silent)
 			v.Ended(at.Add(10*time.Millisecond), second, placer.Silent) // of the same silence
-			Expect(avoided(at.Add(length - time.Millisecond))).To(BeNumerically(">", 0), "%v", length)
+			Expect(avoided(at.Add(length-time.Millisecond))).To(BeNumerically(">", 0), "%v", length)
 			at = at.Add(length)
 			Expect(avoided(at)).To(BeZero(), "%v", length)
 		}
