Placing: brittle workers are filled within what all hosts together know of their room

What callers saw: workers that say that they fall over when they turn many requests away fell 4 to 6 times in 4 s (2 are allowed), and what ran there was lost each time.

Cause: nobody read Server-Brittle, and a refusal only costs 150 ms.

Change: while workers of a service say it, a worker is let have no waiting requests; a refusal, of any host, halves its room, which grows again slowly, and half of what it may turn away in a second stops new requests for that second. What comes free at once is shared: each host uses its part until it hears of the others' requests, and after a refusal they take turns by chance. Refusals are reported to other hosts at once. What a worker says travels with the limits under a name that hosts of before know no worker of. Its word counts for all of its service, and ends with an answer without it.

Callers who get no room are told when to come back, and were not run.

--- a/faker/worker.go
+++ b/faker/worker.go
@@ -206,7 +206,8 @@
 		k.refuse(w, id, 0)
 		return
 	}
-	defer k.leave()
+	leave := sync.OnceFunc(k.leave)
+	defer leave()
 	k.mu.Lock()
 	f := k.faults
 	if !f.Reject {
@@ -235,7 +236,7 @@
 	if !f.Unsealed {
 		w.Header().Set(platform.HeaderSeal, k.ID)
 	}
-	k.answer(w, r, f)
+	k.answer(w, r, f, leave)
 }
 
 // refuse answers that the request was not run. With a retryAfter it asks for no more
@@ -251,22 +252,25 @@
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
-func (k *Worker) answer(w http.ResponseWriter, r *http.Request, f WorkerFaults) {
+// answer answers the request. It calls leave before the last bytes: who has them may send the
+// next request.
+func (k *Worker) answer(w http.ResponseWriter, r *http.Request, f WorkerFaults, leave func()) {
 	switch {
 	case f.AnswerError:
 		w.WriteHeader(http.StatusInternalServerError)
 	case k.Events > 0:
-		k.stream(w, r, f)
+		k.stream(w, r, f, leave)
 	case f.ExtraAnswer:
 		k.answerTwice(w)
 	default:
 		sleep(r, k.Delay)
+		leave()
 		_, _ = fmt.Fprintf(w, "%s of %s", r.URL.RequestURI(), k.ID)
 	}
 }
 
 // stream sends the events after the one that the request's Last-Event-Id names.
-func (k *Worker) stream(w http.ResponseWriter, r *http.Request, f WorkerFaults) {
+func (k *Worker) stream(w http.ResponseWriter, r *http.Request, f WorkerFaults, leave func()) {
 	after, _ := strconv.Atoi(r.Header.Get(platform.HeaderLastEvent))
 	w.Header().Set("Content-Type", "text/event-stream")
 	for i := after + 1; i <= k.Events; i++ {
@@ -280,6 +284,9 @@
 			flush(w)
 			panic(http.ErrAbortHandler)
 		}
+		if i == k.Events {
+			leave()
+		}
 		_, _ = io.WriteString(w, event)
 		flush(w)
 	}
--- a/messenger/message_flight.go
+++ b/messenger/message_flight.go
@@ -24,6 +24,11 @@
 	Limits []WorkerLimit `msgpack:"limits"`
 }
 
+// BrittlePrefix precedes the name of a worker in a WorkerLimit whose Rate is the
+// number of requests that it may turn away in a second. Hosts of an older
+// version know no worker of that name, and ignore the entry.
+const BrittlePrefix = "brittle/"
+
 // WorkerLimit is the rate of requests that a worker accepts from all hosts
 // together.
 type WorkerLimit struct {
--- a/placer/candidate.go
+++ b/placer/candidate.go
@@ -33,6 +33,7 @@
 	prefillShare  float64 // predicted part of its time for which it prefills
 	wait          float64 // to the request's first event, or to a plain service's answer
 	cost          float64
+	full          bool          // the worker is brittle, and has no room
 	limitWait     time.Duration // until the worker may get a request by its limit
 }
 
--- a/placer/limit.go
+++ b/placer/limit.go
@@ -145,11 +145,11 @@
 	return rate
 }
 
-// withinLimit returns the candidates that may get a request.
+// withinLimit returns the candidates that may get a request by what they state.
 func withinLimit(candidates []candidate) []candidate {
 	out := candidates[:0]
 	for i := range candidates {
-		if !candidates[i].atLimit() {
+		if !candidates[i].atLimit() && !candidates[i].full {
 			out = append(out, candidates[i])
 		}
 	}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -58,6 +58,9 @@
 	lastReceived  time.Time                 // when another host last reported what it sent
 	deciders      int                       // number of hosts that decide by views of their own
 	self          int                       // index of this host among them
+	hosts         int                       // number of hosts that send requests by views of their own
+	hostIndex     int                       // index of this host among them
+	chance        float64                   // for the current request, from 0 to 1, by its random ID
 	nextRetries   map[serviceRank]time.Time // when the refused requests that were asked to retry will have been prefilled
 
 	ignoreEvictions bool // evictions cost nothing, so that specs can compare
@@ -125,6 +128,7 @@
 	if remaining, quarantined := v.quarantine.Quarantined(now, req.Fingerprint); quarantined {
 		return Choice{}, newRefusal("quarantine", remaining)
 	}
+	v.chance = float64(id>>11) / (1 << 53)
 	best, refusal := v.best(now, req)
 	v.offered.note(now, req.offeredLoad(best))
 	if refusal != nil {
@@ -141,6 +145,7 @@
 	}
 	predictedEnd := best.predictEnd(req)
 	v.add(now, host, f).predictedEnd = predictedEnd
+	best.brittle.sent(now)
 	return c, nil
 }
 
@@ -154,6 +159,9 @@
 	if refusal := v.refuseByLimit(now, candidates, req); refusal != nil {
 		return cheapest(candidates, anyCandidate), refusal
 	}
+	if refusal := refuseByBrittle(candidates); refusal != nil {
+		return cheapest(candidates, anyCandidate), refusal
+	}
 	candidates = withinLimit(candidates)
 	best := cheapest(candidates, (*candidate).hasSlot)
 	if best == nil {
@@ -187,6 +195,7 @@
 		}
 		c := w.candidate(now, req, holder, heldTokens)
 		c.margin = v.margin(w)
+		c.full = v.full(now, w)
 		if c.CacheTokens == 0 {
 			v.setPlainTimes(&c)
 		}
--- a/placer/state.go
+++ b/placer/state.go
@@ -21,6 +21,8 @@
 	Avoided     time.Duration `json:"avoided"` // current penalty for its failures
 	Rate        float64       `json:"rate"`    // prompt tokens that it prefills per millisecond
 
+	Brittle int `json:"brittle,omitempty"` // requests that it may turn away in a second; 0 if it does not say so
+
 	Limit float64 `json:"limit,omitempty"` // requests per second that it accepts from all hosts
 }
 
@@ -31,7 +33,7 @@
 		s := WorkerState{
 			Worker: w.Name, Service: w.Service, Address: w.Address, Zone: w.Zone, Incarnation: w.Incarnation,
 			Flights: len(w.flights), Reading: w.awaitingFirst, Hold: w.hold, Kept: w.cache.tokens,
-			Queue: milliseconds(w.queue.timeAhead(now, maxRank) + w.contention(now, Request{}).lag), Avoided: milliseconds(w.currentPenalty(now)), Limit: w.limit.rate,
+			Queue: milliseconds(w.queue.timeAhead(now, maxRank) + w.contention(now, Request{}).lag), Avoided: milliseconds(w.currentPenalty(now)), Limit: w.limit.rate, Brittle: w.brittle.allowed,
 		}
 		if w.CacheTokens > 0 {
 			s.Rate = chunkTokens / w.prefillTime(chunkTokens, chunkTokens)
--- a/placer/worker.go
+++ b/placer/worker.go
@@ -22,6 +22,7 @@
 	penaltyAt       time.Time
 	limit           limit // that the worker states
 	silence         silence
+	brittle         brittle
 }
 
 func newWorker() *worker {
@@ -147,6 +148,7 @@
 	case Broken, Disconnected:
 		add = brokenCost
 	case Refused:
+		w.brittle.turned(now, len(w.flights), w.Slots)
 		add = refusedCost
 	case Errored:
 		add = erroredCost
--- a/router/availability.go
+++ b/router/availability.go
@@ -12,6 +12,7 @@
 	if v.RetryAfter.Invalid != "" {
 		t.router.Log.Warn("retry-after", zap.String("request", t.q.ID), zap.String("worker", p.Worker.Name), zap.String("state", "unreadable"), zap.String("said", v.RetryAfter.Invalid))
 	}
+	t.noteBrittle(p, v.Brittle)
 	if v.Leaving {
 		t.workerLeaving = true
 		t.router.Metrics.observeUnavailable("leaving")
@@ -24,6 +25,16 @@
 	}
 }
 
+// noteBrittle reports to the placer whether the worker is brittle.
+func (t *transaction) noteBrittle(p Placement, b Brittle) {
+	switch {
+	case b.Invalid != "":
+		t.router.Log.Warn("brittle", zap.String("request", t.q.ID), zap.String("worker", p.Worker.Name), zap.String("state", "unreadable"), zap.String("said", b.Invalid))
+	case b.Allowed > 0 || p.Brittle:
+		t.router.Placer.BrittleReported(p, t.sentAt, b.Allowed)
+	}
+}
+
 // availabilityFields returns the log fields for what the answers to the last send stated
 // about further requests for its worker.
 func (t *transaction) availabilityFields() []zap.Field {
--- a/router/port.go
+++ b/router/port.go
@@ -60,6 +60,14 @@
 	Limit       Limit
 	Leaving     bool // the worker shuts down and wants no new requests
 	RetryAfter  RetryAfter
+	Brittle     Brittle
+}
+
+// Brittle is the number of requests that a worker may turn away in a second, for all hosts
+// together, without falling over.
+type Brittle struct {
+	Allowed int    // 0 if it does not say so
+	Invalid string // reported value that can't be parsed
 }
 
 // RetryAfter is the time for which a worker that refused a request wants no other from
@@ -102,6 +110,7 @@
 	PlacedBy     string        // host that made the choice; "" is this host
 	HalfFull     bool          // at least half of the worker's slots are in use
 	Via          string        // host through which the request was sent; "" for none
+	Brittle      bool          // the worker was known to be brittle
 	RateLimit    float64       // requests per second that the worker reported to accept; 0 is unlimited
 }
 
@@ -132,6 +141,9 @@
 	// BackoffReported reports that the worker refused the request and wants no other from
 	// this host for a time.
 	BackoffReported(p Placement, d time.Duration)
+	// BrittleReported reports how many requests the worker may turn away in a second; 0 if its
+	// answer to a request sent at a time did not say. It is called only if it does or did.
+	BrittleReported(p Placement, sentAt time.Time, allowed int)
 	// Accepts reports whether the worker still accepts requests. It is called before a
 	// request is sent that waited for its Delay.
 	Accepts(ctx context.Context, p Placement) bool
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -107,6 +107,8 @@
 	return false
 }
 
+func (p *listPlacer) BrittleReported(router.Placement, time.Time, int) {}
+
 func (p *listPlacer) LeavingReported(x router.Placement) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/runner/catch_up.go
+++ b/runner/catch_up.go
@@ -28,6 +28,9 @@
 	added := p.newListeners(previousListeners)
 	running := p.view.RunningFlights(now, hasDeciders)
 	limits := limitMessages(p.view.Limits())
+	for _, b := range p.view.Brittle() {
+		limits = append(limits, brittleMessage(b))
+	}
 	leaving := p.directory.Leaving()
 	if len(added) == 0 || len(running) == 0 && len(limits) == 0 && len(leaving) == 0 {
 		return
--- a/runner/deciders.go
+++ b/runner/deciders.go
@@ -147,6 +147,22 @@
 	return slices.IndexFunc(d.deciders, func(h registrar.Record) bool { return h.Name == name })
 }
 
+// count returns the number of hosts that select workers by views of their own.
+func (d *deciderSet) count(r registrar.Roster) int {
+	if len(d.deciders) > 0 {
+		return len(d.deciders)
+	}
+	return len(r.Hosts())
+}
+
+// position returns the position of a host among those, or -1 if it is none.
+func (d *deciderSet) position(r registrar.Roster, name string) int {
+	if len(d.deciders) > 0 {
+		return d.index(name)
+	}
+	return slices.IndexFunc(r.Hosts(), func(h registrar.Record) bool { return h.Name == name })
+}
+
 // pick returns a random decider that is not in backoff, or false if there is none.
 func (d *deciderSet) pick(now time.Time) (registrar.Record, bool) {
 	for _, i := range rand.Perm(len(d.deciders)) {
@@ -242,7 +258,7 @@
 	case s.Flight == 0:
 	case waiting && available:
 		x.requested.reply <- workerReply{placement: router.Placement{
-			ID: s.Flight, Service: x.requested.request.Service, Worker: w, ExpectedWait: s.Wait, Delay: s.Delay, Source: s.Source, PromptTokens: s.Prefill, HalfFull: s.HalfFull, ListAge: now.Sub(p.updatedAt), PlacedBy: e.from, RateLimit: s.RateLimit,
+			ID: s.Flight, Service: x.requested.request.Service, Worker: w, ExpectedWait: s.Wait, Delay: s.Delay, Source: s.Source, PromptTokens: s.Prefill, HalfFull: s.HalfFull, ListAge: now.Sub(p.updatedAt), PlacedBy: e.from, Brittle: p.view.IsBrittle(s.Worker), RateLimit: s.RateLimit,
 		}}
 	default:
 		p.remindOfLeaving(s.Worker)
--- a/runner/flight_updates.go
+++ b/runner/flight_updates.go
@@ -51,7 +51,7 @@
 func (p *selector) addEnded(now time.Time, e flightEnded) {
 	p.pendingUpdate.Ended = append(p.pendingUpdate.Ended, messenger.FlightEnd{ID: e.id, Outcome: int(e.outcome)})
 	delay := p.delayFor(updateDelay, updateDelayToListeners)
-	if e.halfFull || e.outcome == placer.Disconnected {
+	if e.halfFull || e.outcome == placer.Disconnected || e.outcome == placer.Refused {
 		delay = p.delayFor(sentDelay, sentDelayToListeners)
 	}
 	p.scheduleUpdate(now, delay)
--- a/runner/rate_limits.go
+++ b/runner/rate_limits.go
@@ -35,6 +35,9 @@
 // receiveLimits applies the limits that workers reported to another host.
 func (p *selector) receiveLimits(now time.Time, from string, limits []messenger.WorkerLimit) {
 	for _, l := range limits {
+		if p.receiveBrittle(now, from, l) {
+			continue
+		}
 		if oldRate := p.view.RateLimit(l.Worker); oldRate != l.Rate {
 			p.log.Info("limit", zap.String("worker", l.Worker), zap.Float64("was", oldRate), zap.Float64("rate", l.Rate), zap.String("by", from))
 		}
--- a/runner/selector.go
+++ b/runner/selector.go
@@ -142,6 +142,8 @@
 		p.scheduleUpdate(now, p.delayFor(updateDelay, updateDelayToListeners))
 	case limitReported:
 		p.updateLimit(now, e)
+	case brittleReported:
+		p.updateBrittle(now, e)
 	case leavingReported:
 		p.reportLeaving(now, e.process)
 	case leavingReceived:
@@ -223,7 +225,7 @@
 	}
 	p.addSent(now, p.self, choice.Flight)
 	return workerReply{placement: router.Placement{
-		ID: choice.Flight.ID, Service: a.Service, Worker: choice.Worker, ExpectedWait: choice.Wait, Delay: choice.Delay, Source: choice.Source, PromptTokens: choice.Flight.Prefill, HalfFull: choice.Filling, ListAge: now.Sub(p.updatedAt), RateLimit: p.view.RateLimit(choice.Worker.Name),
+		ID: choice.Flight.ID, Service: a.Service, Worker: choice.Worker, ExpectedWait: choice.Wait, Delay: choice.Delay, Source: choice.Source, PromptTokens: choice.Flight.Prefill, HalfFull: choice.Filling, ListAge: now.Sub(p.updatedAt), Brittle: p.view.IsBrittle(choice.Worker.Name), RateLimit: p.view.RateLimit(choice.Worker.Name),
 	}}
 }
 
@@ -242,6 +244,7 @@
 	p.catchUp(now, previousRoster, previousListeners)
 	p.quarantine.setRoster(now, r)
 	p.view.SetDeciders(len(p.deciderSet.deciders), p.deciderSet.index(p.self))
+	p.view.SetHosts(p.deciderSet.count(r), p.deciderSet.position(r, p.self))
 	p.maxHosts = max(p.maxHosts, len(r.Hosts()))
 }
 
--- a/runner/selector_placer.go
+++ b/runner/selector_placer.go
@@ -53,6 +53,11 @@
 	p.post(limitReported{worker: x.Worker.Name, rate: rate, previous: x.RateLimit})
 }
 
+// BrittleReported implements router.Placer.
+func (p *selector) BrittleReported(x router.Placement, sentAt time.Time, allowed int) {
+	p.post(brittleReported{worker: x.Worker.Name, sentAt: sentAt, allowed: allowed})
+}
+
 // LeavingReported implements router.Placer.
 func (p *selector) LeavingReported(x router.Placement) {
 	p.post(leavingReported{process: observer.Process{Name: x.Worker.Name, Incarnation: x.Worker.Incarnation}})
