Reach: streams under way are resumed when their host loses its links; connections closed at once count as lost

Cause: only a dial that failed counted as evidence. A quiet stream waited without end; a connection that was accepted counted as reach.

Change: while a worker sends nothing it is probed, and a repeatable send ends once the worker is found lost, and goes on through another host by event id. A probe's connection must last 50 ms; suspicion is not withheld because connections were just made. As a worker is found lost, all idle connections go: a resumed stream hung on the next one.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -147,6 +147,20 @@
 	}
 }
 
+// CloseAllIdle closes all idle connections. It is called when this host has lost its links
+// to a server: the others may hang as well.
+func (p *Pool) CloseAllIdle() {
+	p.mu.Lock()
+	idle := p.idle
+	p.idle = map[string][]*conn{}
+	p.mu.Unlock()
+	for _, list := range idle {
+		for _, c := range list {
+			c.close()
+		}
+	}
+}
+
 // get returns a usable idle connection, or makes a new one.
 func (p *Pool) get(ctx context.Context, t Target, freshOnly bool) (*conn, error) {
 	for {
--- a/reacher/helpers.go
+++ b/reacher/helpers.go
@@ -130,11 +130,11 @@
 	}
 }
 
-// Opened and Closed count the connections through a host.
+// Opened counts a connection through a host, until Released.
 func (t *Table) Opened(host string) { t.count(host, 1) }
 
-// Closed is the counterpart of Opened.
-func (t *Table) Closed(host string) { t.count(host, -1) }
+// Released is the counterpart of Opened.
+func (t *Table) Released(host string) { t.count(host, -1) }
 
 func (t *Table) count(host string, n int) {
 	if h := t.hosts[host]; h != nil {
--- a/reacher/reacher.go
+++ b/reacher/reacher.go
@@ -46,6 +46,7 @@
 type path struct {
 	service      string
 	lost         bool
+	closing      bool      // the last connection that was probed was closed at once
 	reachedAt    time.Time // last direct connection
 	failedAt     time.Time // last direct attempt that failed
 	helpedAt     time.Time // last connection through another host
@@ -54,6 +55,7 @@
 	hold         time.Duration
 	blockedUntil time.Time // no host connects to it
 	downUntil    time.Time // a witness found it down
+	suspectedAt  time.Time // when it was last probed for that
 	probeAt      time.Time // when it is to be probed; zero for no probe
 }
 
@@ -110,9 +112,14 @@
 	Returned
 )
 
-// Connected records a direct connection to a worker.
-func (t *Table) Connected(now time.Time, address string) Change {
+// Connected records a direct connection to a worker; lasting reports whether it was seen to
+// last. One that was not shows nothing after another was closed at once.
+func (t *Table) Connected(now time.Time, address string, lasting bool) Change {
 	p := t.path(address)
+	if p.closing && !lasting {
+		return Unchanged
+	}
+	p.closing = false
 	p.reachedAt, p.blockedUntil, p.downUntil, p.probeAt = now, time.Time{}, time.Time{}, time.Time{}
 	if !p.lost {
 		return Unchanged
@@ -129,6 +136,12 @@
 	return Returned
 }
 
+// Closed records a direct connection to a worker that was closed at once.
+func (t *Table) Closed(now time.Time, address string) Change {
+	t.path(address).closing = true
+	return t.Failed(now, address)
+}
+
 // Failed records a direct attempt to connect to a worker that failed.
 func (t *Table) Failed(now time.Time, address string) Change {
 	p := t.path(address)
@@ -208,10 +221,11 @@
 	return connected
 }
 
-// Suspect has a worker probed whose connections fail or are silent.
+// Suspect has a worker probed whose connections fail or are silent. That it was just connected
+// to shows nothing: what stands between may accept connections.
 func (t *Table) Suspect(now time.Time, address string) {
-	if p := t.path(address); now.Sub(p.reachedAt) > recentTime && now.Sub(p.failedAt) > probeInterval && p.probeAt.IsZero() {
-		p.probeAt = now
+	if p := t.path(address); now.Sub(p.suspectedAt) >= probeInterval && p.probeAt.IsZero() {
+		p.suspectedAt, p.probeAt = now, now
 	}
 }
 
--- a/router/stream.go
+++ b/router/stream.go
@@ -27,6 +27,7 @@
 	buffer := make([]byte, streamBufferBytes)
 	for first := true; ; {
 		n, err := a.Read(buffer)
+		t.path.progress()
 		pending = append(pending, buffer[:n]...)
 		if end := bytes.LastIndex(pending, eventEnd); end >= 0 {
 			events := pending[:end+len(eventEnd)]
--- a/router/transaction.go
+++ b/router/transaction.go
@@ -49,6 +49,7 @@
 	timeToFirst      time.Duration // measured until the first event; 0 before it
 	promptTokens     int
 	via              string // host through which the last send went; "" for none
+	path             *pathWatch
 	placedBy         string // host that chose the worker; "" is this host
 	source           string // address of the worker that the KV cache was fetched from; "" for none
 	lastEventID      string // ID of the last event passed to the caller
@@ -269,15 +270,21 @@
 		defer timer.Stop()
 		t.stopSilenceTimer = func() { timer.Stop() }
 	}
-	suspicion := t.suspectSilence(p)
-	defer suspicion.Stop()
+	t.path = t.watchPath(p, cancel)
+	defer t.path.stop()
 	header := t.q.header.Clone()
 	t.router.Dialect.WriteRequest(header, WorkerHead{
 		Worker: p.Worker.Name, TimeLeft: t.q.timeLeft(time.Now()), Organisation: t.q.organisation,
 		Engine: p.Worker.CacheTokens > 0, Rank: t.q.rank, Ranks: t.q.index.ranks(), LastEventID: t.lastEventID, Source: p.Source,
 	})
 	answer, err := t.router.Pool.Do(ctx, p.Worker.Address, connector.Call{
-		Request: t.q.ID, Connected: func(via string) { t.via, p.Via = via, via },
+		Request: t.q.ID,
+		Connected: func(via string) {
+			t.via, p.Via = via, via
+			if via != "" {
+				t.path.stop()
+			}
+		},
 		Method: t.q.method, Target: t.q.uri, Host: t.q.host, Header: header, Body: t.q.body,
 		Matches: func(h http.Header) bool {
 			id := t.router.Dialect.ReadAnswer(0, h).ID
@@ -292,7 +299,6 @@
 		return t.recordFailure(err)
 	}
 	defer answer.Close()
-	suspicion.Stop()
 	t.reused = answer.Reused()
 	return t.handleAnswer(p, answer)
 }
--- a/runner/host_routes.go
+++ b/runner/host_routes.go
@@ -34,7 +34,7 @@
 	g := &hostRoutes{selector: newSelector(s.Name, s.Zone, m, store, s.Repeat, d, log)}
 	g.selector.quarantine.register(registry)
 	g.pool, g.close = connector.New(d)
-	d.OnLost(g.pool.CloseIdle)
+	d.OnLost(g.pool.CloseAllIdle)
 	g.storeWatch = &storeWatch{store: store, log: log, report: func(e storeResult) { g.selector.post(e) }, nextCall: g.selector.nextCall}
 	g.router = router.New(router.Config{
 		Dialect: platform.Wire{}, Configuration: f, Placer: g.selector, Pool: g.pool, Reach: d, Log: log, Metrics: router.NewMetrics(registry),
--- a/tunneler/dialer.go
+++ b/tunneler/dialer.go
@@ -41,7 +41,7 @@
 	maxServed int
 	log       *zap.Logger
 	metrics   *Metrics
-	onLost    func(address string)
+	onLost    func()
 	serving   atomic.Int64 // tunnels that other hosts have open through this one
 	stopping  atomic.Bool
 
@@ -59,13 +59,13 @@
 		self: c.Self, zone: c.Zone, direct: c.Direct, maxServed: c.MaxServed, log: c.Log, metrics: c.Metrics,
 		resting: map[string]time.Time{},
 	}
-	d.onLost = func(string) {}
+	d.onLost = func() {}
 	return d
 }
 
-// OnLost sets a function that is called with the address of each worker that is found lost.
-// It must not block. It is set before the Dialer is used.
-func (d *Dialer) OnLost(f func(address string)) { d.onLost = f }
+// OnLost sets a function that is called when a worker is found lost. It must not block. It is
+// set before the Dialer is used.
+func (d *Dialer) OnLost(f func()) { d.onLost = f }
 
 // SetHosts replaces the other hosts that may help.
 func (d *Dialer) SetHosts(hosts []reacher.Host) {
@@ -132,9 +132,14 @@
 // before or as that fails, and takes the first connection. The error wraps
 // connector.ErrNoPath if it says nothing about the worker.
 func (d *Dialer) Dial(ctx context.Context, t connector.Target) (net.Conn, error) {
+	return d.dial(ctx, t, true)
+}
+
+// dial is Dial, with or without a direct attempt.
+func (d *Dialer) dial(ctx context.Context, t connector.Target, direct bool) (net.Conn, error) {
 	limited, cancel := context.WithTimeout(ctx, connector.DialTimeout)
 	defer cancel()
-	r := d.startRace(limited, t)
+	r := d.startRace(limited, t, direct)
 	winner, down, err := r.run(limited)
 	switch {
 	case winner.conn != nil:
@@ -157,7 +162,7 @@
 	return &conn{Conn: a.conn, helper: host, onEnd: func() {
 		d.mu.Lock()
 		defer d.mu.Unlock()
-		d.table.Closed(host)
+		d.table.Released(host)
 	}}
 }
 
@@ -191,7 +196,7 @@
 	d.mu.Lock()
 	change := reacher.Unchanged
 	if err == nil {
-		change = d.table.Connected(now, t.Address)
+		change = d.table.Connected(now, t.Address, false)
 	} else {
 		change = d.table.Failed(now, t.Address)
 	}
@@ -227,7 +232,7 @@
 	switch change {
 	case reacher.Lost:
 		d.log.Warn("reach", zap.String("address", address), zap.String("state", "lost"), zap.String("via", helper))
-		d.onLost(address)
+		d.onLost()
 	case reacher.Returned:
 		d.log.Info("reach", zap.String("address", address), zap.String("state", "returned"))
 	}
--- a/tunneler/probe.go
+++ b/tunneler/probe.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"errors"
+	"net"
+	"os"
 	"time"
 
 	"github.com/cicadawood/cicadawood/connector"
+	"github.com/cicadawood/cicadawood/reacher"
 )
 
 const (
@@ -12,6 +16,8 @@
 	probeTick = 50 * time.Millisecond
 	// maxProbes is the maximum number of probes at a time.
 	maxProbes = 8
+	// probeLinger is how long a probe's connection must last: several round trips.
+	probeLinger = 50 * time.Millisecond
 )
 
 // Run probes workers until ctx ends.
@@ -54,22 +60,50 @@
 		d.mu.Unlock()
 	}()
 	t := connector.Target{Address: address}
-	direct, cancel := context.WithTimeout(ctx, connector.DialTimeout)
-	conn, err := d.dialDirect(direct, t)
-	cancel()
-	if err == nil {
-		_ = conn.Close()
-		return
-	}
-	if ctx.Err() != nil || d.onlyLost(address) {
+	if d.probeDirect(ctx, t) || ctx.Err() != nil || d.onlyLost(address) {
 		return
 	}
-	conn, err = d.Dial(ctx, t)
-	if err == nil {
+	if conn, err := d.dial(ctx, t, false); err == nil {
 		_ = conn.Close()
 	}
 }
 
+// probeDirect connects to a worker from this host, records the result, and returns whether the
+// connection lasts: what stands between may accept it and close it at once.
+func (d *Dialer) probeDirect(ctx context.Context, t connector.Target) bool {
+	limited, cancel := context.WithTimeout(ctx, connector.DialTimeout)
+	defer cancel()
+	conn, err := d.direct.Dial(limited, t)
+	if ctx.Err() != nil {
+		return false
+	}
+	lasts := err == nil && outlasts(conn, probeLinger)
+	now := time.Now()
+	d.mu.Lock()
+	var change reacher.Change
+	switch {
+	case lasts:
+		change = d.table.Connected(now, t.Address, true)
+	case err == nil:
+		change = d.table.Closed(now, t.Address)
+	default:
+		change = d.table.Failed(now, t.Address)
+	}
+	d.mu.Unlock()
+	d.noteChange(t.Address, change, "")
+	return lasts
+}
+
+// outlasts reports whether a connection is still open after a time, and closes it.
+func outlasts(conn net.Conn, d time.Duration) bool {
+	defer conn.Close()
+	if err := conn.SetReadDeadline(time.Now().Add(d)); err != nil {
+		return false
+	}
+	_, err := conn.Read(make([]byte, 1))
+	return err == nil || errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // onlyLost reports whether other hosts reach a worker that is lost to this one.
 func (d *Dialer) onlyLost(address string) bool {
 	d.mu.Lock()
--- a/tunneler/race.go
+++ b/tunneler/race.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/cicadawood/cicadawood/connector"
 	"github.com/cicadawood/cicadawood/reacher"
 )
 
+// errNoHelper means that there is no other host to ask.
+var errNoHelper = errors.New("no other host to connect through")
+
 // race is the attempts to make one connection.
 type race struct {
 	dialer  *Dialer
@@ -18,10 +22,11 @@
 	ended   int
 }
 
-func (d *Dialer) startRace(ctx context.Context, t connector.Target) *race {
+func (d *Dialer) startRace(ctx context.Context, t connector.Target, direct bool) *race {
 	d.mu.Lock()
 	plan := d.table.Plan(time.Now(), t.Address)
 	d.mu.Unlock()
+	plan.Direct = plan.Direct && direct
 	r := &race{dialer: d, target: t, plan: plan, results: make(chan attempt, 1+len(plan.Helpers))}
 	r.startNext(ctx)
 	return r
@@ -59,6 +64,7 @@
 // found the worker down, and the error of the direct attempt, or of the last one if there is
 // no direct one.
 func (r *race) run(ctx context.Context) (winner attempt, down bool, err error) {
+	err = errNoHelper
 	timer := time.NewTimer(raceDelay)
 	defer timer.Stop()
 	for r.ended < r.started {
@@ -82,7 +88,7 @@
 			}
 		case <-ctx.Done():
 			go r.closeOthers()
-			if err == nil {
+			if errors.Is(err, errNoHelper) {
 				err = context.Cause(ctx)
 			}
 			return attempt{}, down, err
