Soak, matrix: hosts cut from all workers, workers silent for a second, brittle workers

Soak gives each host a link of its own to each worker. It cuts one to all but one of the hosts for 5 s and more, in four ways, and compares what first tries at these and at the others got from 3 s on; silences a worker for a second, by its process or its link; and makes a service's workers brittle, counting falls. Matrix: three faults, nine cells.

--- a/prover/cells.go
+++ b/prover/cells.go
@@ -33,6 +33,9 @@
 	{MismatchedAnswer, []Step{Sent, FirstToken, MidStream, Answered, Acked}, "only what answers a call that was sent can belong to another request"},
 	{LeavingAnswer, []Step{Asked, Granted, Sent, FirstToken, Answered}, "it changes which worker gets a call, and is stated in the head of an answer"},
 	{RetryAfter, []Step{Asked, Granted, Sent}, "it changes which worker gets a call, and is stated in a refusal"},
+	{CutFromWorkers, []Step{Asked, Granted, Sent, MidStream, Draining}, "it changes the way of a call to its worker, and what a helping host has under way"},
+	{SilentWorker, []Step{Sent}, "it changes when an answer begins"},
+	{BrittleWorker, []Step{Asked, Granted, Sent}, "it changes which worker gets a call, and is stated in an answer"},
 	{PushRace, configSteps, "operators race each other in pushes only"},
 }
 
--- a/prover/prover.go
+++ b/prover/prover.go
@@ -64,6 +64,9 @@
 	MismatchedAnswer Fault = "crossed"  // an answer belongs to another request
 	LeavingAnswer    Fault = "leaving"  // a backend server states in an answer that it is leaving
 	RetryAfter       Fault = "backoff"  // a backend server refuses a call and states for how long it wants no others
+	CutFromWorkers   Fault = "apart"    // a host has lost its links to the backend servers, while other hosts reach them
+	SilentWorker     Fault = "pause"    // a backend server is silent for a second and goes on
+	BrittleWorker    Fault = "brittle"  // a backend server states that it falls over if it turns many calls away
 	PushRace         Fault = "race"     // operators push at the same time
 )
 
@@ -77,7 +80,7 @@
 
 // Faults returns all faults.
 func Faults() []Fault {
-	return []Fault{Kill, Freeze, CutOneWay, CutBothWays, Blackhole, Slow, LostReply, StoreDown, StoreSlow, WatchGap, LateHostList, Reorder, MismatchedAnswer, LeavingAnswer, RetryAfter, PushRace}
+	return []Fault{Kill, Freeze, CutOneWay, CutBothWays, Blackhole, Slow, LostReply, StoreDown, StoreSlow, WatchGap, LateHostList, Reorder, MismatchedAnswer, LeavingAnswer, RetryAfter, CutFromWorkers, SilentWorker, BrittleWorker, PushRace}
 }
 
 const (
--- a/soaker/check_test.go
+++ b/soaker/check_test.go
@@ -61,6 +61,8 @@
 	violations = append(violations, c.workersOverLimit()...)
 	violations = append(violations, c.requestsToLeavingWorkers()...)
 	violations = append(violations, c.requestsInRetryAfter()...)
+	violations = append(violations, c.badlyServedCuts()...)
+	violations = append(violations, c.fallenWorkers()...)
 	for _, h := range c.hosts {
 		select {
 		case <-h.exited:
--- a/soaker/cluster_test.go
+++ b/soaker/cluster_test.go
@@ -45,6 +45,9 @@
 	faults          []string   // names of the faults injected
 	poisonExchanges []exchange // of the poison request
 	limits          []rateLimit
+	hostModes       []faker.LinkMode // of each host's links to all workers
+	cuts            []hostCut
+	brittleTimes    []brittleTime
 	crashes         []time.Time    // when the poison crashed a worker
 	restarts        sync.WaitGroup // of workers that the poison crashed
 }
@@ -52,9 +55,10 @@
 // worker is a fake backend server, reached through a link.
 type worker struct {
 	*faker.Worker
-	link    *faker.Link
-	stop    func()
-	stopped bool
+	link      *faker.Link
+	hostLinks []*faker.Link // of each host; empty if hosts reach it directly
+	stop      func()
+	stopped   bool
 }
 
 // host is a real host process and its link to the store.
@@ -76,6 +80,9 @@
 
 func newCluster(seed uint64) *cluster {
 	c := &cluster{seed: seed, random: rand.New(rand.NewPCG(seed, 2)), store: faker.NewPlatform(), keys: []string{"key-0"}, revoked: map[string]time.Time{}}
+	for range *hostCount {
+		c.hostModes = append(c.hostModes, faker.Pass)
+	}
 	s := httptest.NewServer(c.store.Handler())
 	DeferCleanup(s.Close)
 	DeferCleanup(s.CloseClientConnections)
@@ -107,15 +114,22 @@
 	x := &worker{Worker: f}
 	f.Poison, f.OnCrash = poison, func() { c.workerCrashed(x) }
 	x.stop = f.Start()
-	link, closeLink, err := faker.NewLink("127.0.0.1:0", f.Address)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n, address := len(c.workers), "127.0.0.1:0"
+	if n < maxWorkers {
+		address = c.workerAddress(0, n)
+	}
+	link, closeLink, err := faker.NewLink(address, f.Address)
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(closeLink)
 	DeferCleanup(x.stopOnce)
 	x.link, f.Address = link, link.Address()
-	f.Register(c.store, platform.StateReady)
-	c.mu.Lock()
-	defer c.mu.Unlock()
+	if n < maxWorkers {
+		x.hostLinks = c.linkHosts(n, f.Address)
+	}
 	c.workers = append(c.workers, x)
+	f.Register(c.store, platform.StateReady)
 }
 
 // stopWorker stops a worker. It returns false if the worker has stopped already.
@@ -184,7 +198,7 @@
 	h := &host{name: fmt.Sprintf("h-%d", i), url: "http://" + c.address(i, 1), readyURL: "http://" + c.address(i, 4) + "/ready", storeLink: link}
 	text, err := json.Marshal(map[string]any{
 		"name": h.name, "zone": fmt.Sprintf("z-%d", i%2), "region": "r", "dialect": "platform", "platform": "http://" + link.Address(),
-		"listen": c.address(i, 1), "control": c.address(i, 2), "admin": c.address(i, 3), "ready": c.address(i, 4), "peers": peers,
+		"listen": c.address(i, 1), "control": c.address(i, 2), "admin": c.address(i, 3), "ready": c.address(i, 4), "peers": peers, "translate": c.translations(i),
 		"repeat": map[string]any{"ratio": 0.2, "slack": 100, "window": "10s"},
 		"limits": map[string]any{"settle": "100ms", "grace": "6s", "lease": "10m"},
 	})
--- a/soaker/fault_test.go
+++ b/soaker/fault_test.go
@@ -101,6 +101,9 @@
 	{"have a worker report a rate limit", func(c *cluster, r *rand.Rand) func() { return c.limitWorker(r) }},
 	{"have a worker leave by its answers only", func(c *cluster, r *rand.Rand) func() { return c.leaveByAnswers(r) }},
 	{"have a worker refuse with Retry-After", func(c *cluster, r *rand.Rand) func() { return c.refuseForATime(r) }},
+	{"cut hosts from all workers", func(c *cluster, r *rand.Rand) func() { return c.cutHosts(r) }},
+	{"have a worker be silent for a second", func(c *cluster, r *rand.Rand) func() { return c.silenceWorker(r) }},
+	{"have a service's workers be brittle", func(c *cluster, r *rand.Rand) func() { return c.makeBrittle(r) }},
 	{"drain a worker", func(c *cluster, r *rand.Rand) func() {
 		x := c.anyWorker(r)
 		x.Register(c.store, platform.StateDraining)
