--- a/forwarder/keepalive_test.go
+++ b/forwarder/keepalive_test.go
@@ -33,12 +33,12 @@
 	return c, err
 }
 
-func (d *recordingDialer) option(level, name int) time.Duration {
+func (d *recordingDialer) option(name int) time.Duration {
 	raw, err := d.last.SyscallConn()
 	Expect(err).NotTo(HaveOccurred())
 	var value int
 	var optErr error
-	Expect(raw.Control(func(fd uintptr) { value, optErr = syscall.GetsockoptInt(int(fd), level, name) })).To(Succeed())
+	Expect(raw.Control(func(fd uintptr) { value, optErr = syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, name) })).To(Succeed())
 	Expect(optErr).NotTo(HaveOccurred())
 	return time.Duration(value)
 }
@@ -54,10 +54,10 @@
 	a, err := f.Do(context.Background(), strings.TrimPrefix(s.URL, "http://"), forwarder.Call{Method: http.MethodGet, Path: "/", RequestID: "cw-1"})
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(a.Body.Close)
-	idle := d.option(syscall.IPPROTO_TCP, syscall.TCP_KEEPIDLE) * time.Second
-	interval := d.option(syscall.IPPROTO_TCP, syscall.TCP_KEEPINTVL) * time.Second
-	probes := d.option(syscall.IPPROTO_TCP, syscall.TCP_KEEPCNT)
-	userTimeout := d.option(syscall.IPPROTO_TCP, tcpUserTimeout) * time.Millisecond
+	idle := d.option(syscall.TCP_KEEPIDLE) * time.Second
+	interval := d.option(syscall.TCP_KEEPINTVL) * time.Second
+	probes := d.option(syscall.TCP_KEEPCNT)
+	userTimeout := d.option(tcpUserTimeout) * time.Millisecond
 	Expect(probes).To(BeNumerically(">", 1))
 	Expect(userTimeout).To(BeNumerically(">=", idle+probes*interval))
 },
--- a/runner/shutdown.go
+++ b/runner/shutdown.go
@@ -102,7 +102,7 @@
 	}
 	s.Zone, s.Ready, s.Leaving, s.Inflight = h.settings.Zone, h.server.Ready(), h.server.Draining(), h.server.InFlight()
 	s.Membership, s.Messenger = h.registrar.Counts(), h.messenger.Counts()
-	s.Configuration = h.follower.Status()
+	s.Configuration, s.Reach = h.follower.Status(), h.tunnels.State()
 	if h.routes != nil {
 		b := h.routes.selector.routingState()
 		s.Routing = &b
--- a/runner/state.go
+++ b/runner/state.go
@@ -12,6 +12,7 @@
 	"github.com/cicadawood/cicadawood/observer"
 	"github.com/cicadawood/cicadawood/publisher"
 	"github.com/cicadawood/cicadawood/registrar"
+	"github.com/cicadawood/cicadawood/tunneler"
 )
 
 // State is a host's complete control state, for operators.
@@ -27,8 +28,10 @@
 	Cells      []dispatcher.State `json:"cells"`
 	Calls      map[string]string  `json:"calls"` // worker by request, "" while it waits
 	Membership registrar.Counts   `json:"membership"`
-	Messenger  messenger.Counts   `json:"messenger"`
-	Workers    []observer.State   `json:"workers"`
+	Reach      tunneler.State     `json:"reach"` // workers that this host reaches, and tunnels through it
+
+	Messenger messenger.Counts `json:"messenger"`
+	Workers   []observer.State `json:"workers"`
 
 	Configuration publisher.Status `json:"configuration"`
 
--- a/tunneler/dialer.go
+++ b/tunneler/dialer.go
@@ -194,7 +194,7 @@
 		return conn, err // the attempt was given up too soon to tell anything
 	}
 	d.mu.Lock()
-	change := reacher.Unchanged
+	var change reacher.Change
 	if err == nil {
 		change = d.table.Connected(now, t.Address, false)
 	} else {
--- a/tunneler/tunneler_test.go
+++ b/tunneler/tunneler_test.go
@@ -112,7 +112,7 @@
 }
 
 func (h *host) dial(w worker) (net.Conn, error) {
-	return h.Dialer.Dial(context.Background(), connector.Target{Address: w.address, Request: "r-1"})
+	return h.Dial(context.Background(), connector.Target{Address: w.address, Request: "r-1"})
 }
 
 func via(c net.Conn) string {
@@ -192,50 +192,43 @@
 		Expect(err).NotTo(MatchError(connector.ErrDetour))
 	})
 
-	// Guards against a helper's end that passes for the end of the worker.
-	It("tells the end of a helper from that of the worker", func() {
+	// connectThrough connects host a through a stand-in for a helper, which ends as afterReply
+	// does.
+	connectThrough := func(afterReply func(net.Conn)) net.Conn {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
-		Expect(err).NotTo(HaveOccurred())
+		ExpectWithOffset(1, err).NotTo(HaveOccurred())
 		DeferCleanup(l.Close)
 		go func() {
 			defer GinkgoRecover()
 			helper, err := l.Accept()
 			Expect(err).NotTo(HaveOccurred())
-			buffer := make([]byte, 4096)
-			_, err = helper.Read(buffer)
+			_, err = helper.Read(make([]byte, 4096))
 			Expect(err).NotTo(HaveOccurred())
 			_, err = messenger.WriteFrame(helper, []any{"", 0, false})
 			Expect(err).NotTo(HaveOccurred())
-			time.Sleep(50 * time.Millisecond)
-			_ = helper.Close()
+			afterReply(helper)
 		}()
-		a.SetHosts([]reacher.Host{{Name: "dying", Address: l.Addr().String()}})
+		a.SetHosts([]reacher.Host{{Name: "helper", Address: l.Addr().String()}})
 		a.links.cut.Store(true)
 		c, err := a.dial(w)
-		Expect(err).NotTo(HaveOccurred())
-		_, err = io.ReadAll(c)
+		ExpectWithOffset(1, err).NotTo(HaveOccurred())
+		return c
+	}
+
+	// Guards against a helper's end that passes for the end of the worker.
+	It("tells the end of a helper from that of the worker", func() {
+		c := connectThrough(func(helper net.Conn) {
+			time.Sleep(50 * time.Millisecond)
+			_ = helper.Close()
+		})
+		_, err := io.ReadAll(c)
 		Expect(err).To(MatchError(connector.ErrDetour))
 	})
 
 	It("finds a frozen helper after a second", func() {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		Expect(err).NotTo(HaveOccurred())
-		DeferCleanup(l.Close)
-		go func() {
-			defer GinkgoRecover()
-			helper, err := l.Accept()
-			Expect(err).NotTo(HaveOccurred())
-			_, err = helper.Read(make([]byte, 4096))
-			Expect(err).NotTo(HaveOccurred())
-			_, err = messenger.WriteFrame(helper, []any{"", 0, false})
-			Expect(err).NotTo(HaveOccurred())
-		}()
-		a.SetHosts([]reacher.Host{{Name: "frozen", Address: l.Addr().String()}})
-		a.links.cut.Store(true)
-		c, err := a.dial(w)
-		Expect(err).NotTo(HaveOccurred())
+		c := connectThrough(func(net.Conn) {})
 		started := time.Now()
-		_, err = c.Read(make([]byte, 1))
+		_, err := c.Read(make([]byte, 1))
 		Expect(err).To(MatchError(connector.ErrDetour))
 		Expect(time.Since(started)).To(BeNumerically("<", 2*time.Second))
 	})
