--- a/runner/export_test.go
+++ b/runner/export_test.go
@@ -291,3 +291,12 @@
 		return nil, nil, nil, false
 	}
 }
+
+// HelpersOf returns the names of the hosts of a roster that may help another one.
+func HelpersOf(r registrar.Roster, self string) []string {
+	var out []string
+	for _, h := range helpersOf(r, self) {
+		out = append(out, h.Name)
+	}
+	return out
+}
--- a/runner/reach.go
+++ b/runner/reach.go
@@ -35,11 +35,12 @@
 	duration time.Duration
 }
 
-// helpersOf returns the hosts of a roster that may help another one.
+// helpersOf returns the hosts of a roster that may help another one. One that could not be
+// reached is among them: only the next attempt shows whether it can be now.
 func helpersOf(r registrar.Roster, self string) []reacher.Host {
 	var out []reacher.Host
 	for _, h := range r.Hosts() {
-		if h.Name != self && !h.Leaving && !h.Unreachable {
+		if h.Name != self && !h.Leaving {
 			out = append(out, reacher.Host{Name: h.Name, Zone: h.Zone, Address: h.Control, Incarnation: h.Incarnation})
 		}
 	}
