Reach, placing: comments say what is, in the field's words; a closed tunnel is logged

Read as a newcomer: comments in which hosts hear, tell or are told now name reports, witnesses and what is set. Serving a tunnel whose deadline can't be set logs that and ends. No decision changes; the packages' specs pass.

--- a/placer/brittle.go
+++ b/placer/brittle.go
@@ -15,7 +15,7 @@
 	// after it has turned a request away, and minBrittleGrowth the minimum, in requests.
 	brittleGrowth    = 1.0 / 16
 	minBrittleGrowth = 0.5
-	// brittleLag is how long other hosts may not have heard of a request.
+	// brittleLag is the longest delay of a report of a sent request to other hosts.
 	brittleLag = 5 * time.Millisecond
 	// pressedTime is how long after a brittle worker turned a request away the hosts take
 	// turns to fill it.
@@ -45,7 +45,7 @@
 
 // turn reports whether this host, one of so many, may send another request while the worker
 // has so much room. As many answers arrive at once, all hosts see the same room at once: each
-// uses its part of it until it hears of the others' requests. With a part of less than one,
+// uses its part of it until it receives reports of the others' requests. With a part of less than one,
 // the hosts take turns by chance once the worker has turned requests away.
 func (b *brittle) turn(now time.Time, room, hosts int, chance float64) bool {
 	for len(b.ownSent) > 0 && now.Sub(b.ownSent[0]) >= brittleLag {
@@ -101,7 +101,7 @@
 func (v *View) SetHosts(count, self int) { v.hosts, v.hostIndex = count, self }
 
 // brittleMargin returns the requests of a brittle worker's room that this host leaves to the
-// others: those that it has not heard of yet. One host, a different one for each worker, leaves
+// others: those whose reports it has not received yet. One host, a different one for each worker, leaves
 // none.
 func (v *View) brittleMargin(w *worker) int {
 	if w.brittle.allowed == 0 || v.hosts < 2 || int(xxhash.Sum64String(w.Name)%uint64(v.hosts)) == v.hostIndex {
--- a/reacher/reacher.go
+++ b/reacher/reacher.go
@@ -207,8 +207,8 @@
 // Lost reports whether a worker is lost to this host: whether another host reaches it.
 func (t *Table) Lost(address string) bool { return t.path(address).lost }
 
-// Witness reports whether this host can tell that a worker is down from not connecting to
-// it: it has lost no worker itself, and has just connected to another one of the service. A
+// Witness reports whether a failed connection of this host shows that a worker is down:
+// it has lost no worker itself, and has just connected to another one of the service. A
 // host may lose its links to the workers of one service only.
 func (t *Table) Witness(now time.Time, address string) bool {
 	service, connected := t.path(address).service, false
--- a/runner/backoff.go
+++ b/runner/backoff.go
@@ -24,7 +24,7 @@
 }
 
 // recordBackoff applies a worker's refusal. It concerns this host alone, and the one through
-// which the request was sent: the others are not told, as the worker may accept their
+// which the request was sent: the others get no report, as the worker may accept their
 // requests.
 func (p *selector) recordBackoff(now time.Time, e backoffReported) {
 	if e.via != "" {
--- a/runner/reach.go
+++ b/runner/reach.go
@@ -88,7 +88,7 @@
 	p.applyBackoff(now, w, e.duration, e.from)
 }
 
-// setTunnelWorkers tells the tunneler which workers there are.
+// setTunnelWorkers sets the workers that the tunneler connects to.
 func setTunnelWorkers(d *tunneler.Dialer, workers []placer.Worker) {
 	list := make([]reacher.Worker, 0, len(workers))
 	for _, w := range workers {
@@ -97,7 +97,7 @@
 	d.SetWorkers(list)
 }
 
-// setTunnelWorkers tells the tunneler which backend servers the own interface uses.
+// setTunnelWorkers sets the backend servers of the own interface that the tunneler connects to.
 func (c *control) setTunnelWorkers() {
 	if c.tunnels == nil {
 		return
--- a/tunneler/dialer.go
+++ b/tunneler/dialer.go
@@ -125,7 +125,7 @@
 	helper *reacher.Host
 	conn   net.Conn
 	err    error
-	down   bool // the helper, which can tell, can't connect either
+	down   bool // the helper is a witness that the worker is down
 }
 
 // Dial connects to a worker. It starts one attempt after another, each a while after the one
@@ -191,7 +191,7 @@
 	conn, err := d.direct.Dial(ctx, t)
 	now := time.Now()
 	if err != nil && (ctx.Err() == context.Canceled || ctx.Err() != nil && now.Sub(started) < minAttempt) {
-		return conn, err // the attempt was given up too soon to tell anything
+		return conn, err // too short to count as failed
 	}
 	d.mu.Lock()
 	var change reacher.Change
--- a/tunneler/server.go
+++ b/tunneler/server.go
@@ -19,7 +19,10 @@
 // bytes that follow. It returns when the tunnel has ended; the caller closes the connection.
 func (d *Dialer) Serve(raw net.Conn, r io.Reader) {
 	var o open
-	_ = raw.SetDeadline(time.Now().Add(openTimeout))
+	if err := raw.SetDeadline(time.Now().Add(openTimeout)); err != nil {
+		d.log.Debug("tunnel", zap.String("state", "closed"), zap.Error(err))
+		return
+	}
 	if _, err := messenger.ReadFrame(r, &o); err != nil {
 		d.log.Debug("tunnel", zap.String("state", "unreadable"), zap.Error(err))
 		return
--- a/tunneler/tunneler.go
+++ b/tunneler/tunneler.go
@@ -53,7 +53,7 @@
 	_msgpack struct{}       `msgpack:",as_array"` //nolint:unused // read by msgpack
 	Reason   reacher.Reason // why it does not help; "" if it is connected to the worker
 	Wait     time.Duration  // for which it should not be asked; 0 if it does not say
-	Witness  bool           // with Unreached: the helper can tell that the worker is down
+	Witness  bool           // with Unreached: see reacher.Table.Witness
 }
 
 // chunkKind is the kind of a chunk of the worker's bytes.
