Membership: a host that was reached while it was off the roster is reachable as it rejoins

Cause: the messenger reports a connection only when it changes. The registrar looked the address up on its roster, so the report that a frozen host answers again was dropped if the host had just been declared dead; it rejoined with the old mark, which nothing took back.

Change: the report counts for all known hosts with the address, on the roster or not.

--- a/registrar/members.go
+++ b/registrar/members.go
@@ -210,6 +210,18 @@
 	return m.takeOutputs()
 }
 
+// SetAddressReachable is SetReachable for the hosts with a control address. Those that are off
+// the roster count too: they may rejoin, and a connection is reported only as it changes.
+func (m *Members) SetAddressReachable(now time.Time, address string, reachable bool) []Output {
+	var out []Output
+	for _, x := range m.sortedMembers() {
+		if x.fact.Control == address {
+			out = append(out, m.SetReachable(now, x.fact.Name, reachable)...)
+		}
+	}
+	return out
+}
+
 // ApplyRecords applies records of the Object API: all of them, or those that changed. A
 // missing record does not prove that its host is dead.
 func (m *Members) ApplyRecords(now time.Time, records []Record) []Output {
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -152,11 +152,7 @@
 // SetReachable reports whether the messenger could reach an address. It blocks until the
 // registrar accepts the input, so that successive results stay in order.
 func (r *Registrar) SetReachable(address string, reachable bool) {
-	for _, h := range r.Roster().hosts {
-		if h.Control == address {
-			r.post(func(now time.Time) []Output { return r.members.SetReachable(now, h.Name, reachable) })
-		}
-	}
+	r.post(func(now time.Time) []Output { return r.members.SetAddressReachable(now, address, reachable) })
 }
 
 // Roster returns the current roster.
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -126,6 +126,32 @@
 		Expect(watches.Load()).To(BeZero())
 	})
 
+	// Guards against a host that stays unreachable on the roster, although it was reached again
+	// while it was off it, as a host that was frozen and declared dead.
+	It("marks a host that rejoins as reachable if it was reached in the meantime", func() {
+		w.leaseDuration = time.Minute
+		a, _ := w.join(store, "a", 7)
+		_, leave := w.join(store, "b", 9)
+		unreachable := func() []string {
+			var out []string
+			for _, h := range a.Roster().Hosts() {
+				if h.Unreachable {
+					out = append(out, h.Name)
+				}
+			}
+			return out
+		}
+		Eventually(func() map[string]uint64 { return incarnations(a) }).WithTimeout(10 * time.Second).Should(HaveLen(2))
+		a.SetReachable("b", false)
+		Eventually(unreachable).WithTimeout(10 * time.Second).Should(ConsistOf("b"))
+		leave()
+		Eventually(func() map[string]uint64 { return incarnations(a) }).WithTimeout(10 * time.Second).Should(HaveLen(1))
+		a.SetReachable("b", true)
+		w.join(store, "b", 11)
+		Eventually(func() map[string]uint64 { return incarnations(a) }).WithTimeout(10 * time.Second).Should(HaveLen(2))
+		Eventually(unreachable).WithTimeout(5 * time.Second).Should(BeEmpty())
+	})
+
 	// Guards against a wrong record after a host joined, left or stopped while replies of the
 	// store were lost. A record that stays behind makes others look for a host that is gone; a
 	// missing one hides a host that runs.
