--- a/reacher/reacher.go
+++ b/reacher/reacher.go
@@ -207,18 +207,43 @@
 // Lost reports whether a worker is lost to this host: whether another host reaches it.
 func (t *Table) Lost(address string) bool { return t.path(address).lost }
 
+// Comparison returns another worker whose connection would show that this host has its links
+// to the workers of a worker's service: one of the same service, or any if there is none. It
+// returns false if there is no other worker.
+func (t *Table) Comparison(address string) (string, bool) {
+	service, best, found := t.path(address).service, "", false
+	bestSame := false
+	for a, p := range t.paths {
+		same := p.service == service
+		if a == address || found && (bestSame && !same || bestSame == same && a > best) {
+			continue
+		}
+		best, bestSame, found = a, same, true
+	}
+	return best, found
+}
+
 // Witness reports whether a failed connection of this host shows that a worker is down:
-// it has lost no worker itself, and has just connected to another one of the service. A
-// host may lose its links to the workers of one service only.
+// it has lost no worker itself, and has just connected to another one of the service, as a
+// host may lose its links to the workers of one service only. Where the service has no other
+// worker, any counts.
 func (t *Table) Witness(now time.Time, address string) bool {
-	service, connected := t.path(address).service, false
+	service := t.path(address).service
+	alone, same, any := true, false, false
 	for a, p := range t.paths {
 		if p.lost || now.Before(p.blockedUntil) {
 			return false
 		}
-		connected = connected || a != address && p.service == service && now.Sub(p.reachedAt) < witnessTime
+		if a == address {
+			continue
+		}
+		connected := now.Sub(p.reachedAt) < witnessTime
+		any = any || connected
+		if p.service == service {
+			alone, same = false, same || connected
+		}
 	}
-	return connected
+	return same || alone && any
 }
 
 // Suspect has a worker probed whose connections fail or are silent. That it was just connected
--- a/reacher/reacher_test.go
+++ b/reacher/reacher_test.go
@@ -142,6 +142,21 @@
 		Expect(t.Blocked(after(600*time.Millisecond), w1)).To(BeZero())
 	})
 
+	It("compares with another worker of the same service, or of another one if there is none", func() {
+		t := newTable(1, 0)
+		other, ok := t.Comparison(w1)
+		Expect(ok).To(BeTrue())
+		Expect(other).To(Equal(w2))
+		other, ok = t.Comparison(w3)
+		Expect(ok).To(BeTrue())
+		Expect(other).To(Equal(w1))
+		t.Connected(now, w1, false)
+		Expect(t.Witness(now, w3)).To(BeTrue(), "its service has no other worker")
+		t.SetWorkers([]reacher.Worker{{Address: w1, Service: "s"}})
+		_, ok = t.Comparison(w1)
+		Expect(ok).To(BeFalse())
+	})
+
 	It("is a witness only if it just connected to another worker of the service, and lost none", func() {
 		t := newTable(1, 0)
 		Expect(t.Witness(now, w1)).To(BeFalse())
--- a/tunneler/dialer.go
+++ b/tunneler/dialer.go
@@ -22,6 +22,10 @@
 // minAttempt is how long an attempt without an answer must last to count as failed.
 const minAttempt = 2 * raceDelay
 
+// answerTime is how long before the opener's deadline a helper gives up connecting: for a
+// comparison with another worker, and for its reply to arrive.
+const answerTime = 2 * raceDelay
+
 // Config configures a Dialer.
 type Config struct {
 	Self      string           // name of this host
@@ -208,7 +212,7 @@
 // dialThrough connects to a worker through another host, and records the result.
 func (d *Dialer) dialThrough(ctx context.Context, t connector.Target, helper reacher.Host) attempt {
 	deadline, _ := ctx.Deadline()
-	conn, answer, err := openTunnel(ctx, helper, open{From: d.self, Address: t.Address, Request: t.Request, Timeout: time.Until(deadline)})
+	conn, answer, err := openTunnel(ctx, helper, open{From: d.self, Address: t.Address, Request: t.Request, Timeout: time.Until(deadline) - answerTime})
 	a := attempt{helper: &helper, conn: conn, err: err, down: answer.Reason == reacher.Unreached && answer.Witness}
 	if ctx.Err() == context.Canceled && err != nil {
 		return a
--- a/tunneler/server.go
+++ b/tunneler/server.go
@@ -84,7 +84,23 @@
 	return reply{}, false
 }
 
+// witness reports whether this host can show that a worker is down that it could not connect
+// to. If it has not connected to another one lately, it tries to.
 func (d *Dialer) witness(address string) bool {
+	d.mu.Lock()
+	known := d.table.Witness(time.Now(), address)
+	other, ok := d.table.Comparison(address)
+	d.mu.Unlock()
+	if known || !ok {
+		return known
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), raceDelay)
+	defer cancel()
+	conn, err := d.dialDirect(ctx, connector.Target{Address: other})
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.table.Witness(time.Now(), address)
--- a/tunneler/tunneler_test.go
+++ b/tunneler/tunneler_test.go
@@ -19,6 +19,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cicadawood/cicadawood/connector"
+	"github.com/cicadawood/cicadawood/faker"
 	"github.com/cicadawood/cicadawood/messenger"
 	"github.com/cicadawood/cicadawood/reacher"
 	"github.com/cicadawood/cicadawood/tunneler"
@@ -280,6 +281,34 @@
 		Expect(err).To(MatchError(errCut))
 	})
 
+	// Guards against a worker that is down and is not taken for down, as no host connected to
+	// another one just now: dispatchers would go on granting it.
+	It("says that a worker is down, also if no host connected to any worker before", func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		gone := worker{address: l.Addr().String()}
+		Expect(l.Close()).To(Succeed())
+		meet([]worker{w, gone}, a, b)
+		_, err = a.dial(gone)
+		Expect(err).To(HaveOccurred())
+		Expect(err).NotTo(MatchError(connector.ErrNoPath))
+		Expect(a.Blocked(time.Now(), gone.address)).To(BeZero())
+	})
+
+	// Guards against a worker that answers no handshake and is not taken for down, as the
+	// helper's word comes too late.
+	It("says that a worker is down that answers no handshake", func() {
+		dark, closeDark, err := faker.NewLink("127.0.0.1:0", w.address)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(closeDark)
+		dark.Set(faker.Unreachable, 0)
+		silent := worker{address: dark.Address()}
+		meet([]worker{w, silent}, a, b)
+		_, err = a.dial(silent)
+		Expect(err).To(HaveOccurred())
+		Expect(err).NotTo(MatchError(connector.ErrNoPath))
+	})
+
 	It("never opens a tunnel for a tunnel", func() {
 		c := newHost("c", 10)
 		meet([]worker{w}, a, b, c)
