--- a/reacher/reacher.go
+++ b/reacher/reacher.go
@@ -152,9 +152,12 @@
 	return t.settle(now, p)
 }
 
-// Helped records a connection to a worker through another host.
-func (t *Table) Helped(now time.Time, host, address string) Change {
+// Helped records a connection to a worker through another host; lasting is as for Connected.
+func (t *Table) Helped(now time.Time, host, address string, lasting bool) Change {
 	p := t.path(address)
+	if p.closing && !lasting {
+		return Unchanged
+	}
 	p.helpedAt, p.blockedUntil, p.downUntil = now, time.Time{}, time.Time{}
 	if h := t.hosts[host]; h != nil {
 		delete(h.unreached, address)
--- a/tunneler/dialer.go
+++ b/tunneler/dialer.go
@@ -222,7 +222,7 @@
 	d.mu.Lock()
 	change := reacher.Unchanged
 	if err == nil {
-		change = d.table.Helped(now, helper.Name, t.Address)
+		change = d.table.Helped(now, helper.Name, t.Address, false)
 	} else {
 		d.table.Declined(now, helper.Name, t.Address, answer.Reason, answer.Wait)
 	}
--- a/tunneler/probe.go
+++ b/tunneler/probe.go
@@ -63,9 +63,15 @@
 	if d.probeDirect(ctx, t) || ctx.Err() != nil || d.onlyLost(address) {
 		return
 	}
-	if conn, err := d.dial(ctx, t, false); err == nil {
-		_ = conn.Close()
+	conn, err := d.dial(ctx, t, false)
+	if err != nil || !outlasts(conn, probeLinger) {
+		return
 	}
+	helper := conn.(interface{ Via() string }).Via()
+	d.mu.Lock()
+	change := d.table.Helped(time.Now(), helper, address, true)
+	d.mu.Unlock()
+	d.noteChange(address, change, helper)
 }
 
 // probeDirect connects to a worker from this host, records the result, and returns whether the
--- a/tunneler/tunneler_test.go
+++ b/tunneler/tunneler_test.go
@@ -309,6 +309,27 @@
 		Expect(err).NotTo(MatchError(connector.ErrNoPath))
 	})
 
+	// Guards against a worker that is down behind something that accepts connections and closes
+	// them, and counts as lost, as helpers connect to the same.
+	It("does not find a worker lost whose connections are closed at once for the helper too", func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(l.Close)
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				_ = c.Close()
+			}
+		}()
+		closing := worker{address: l.Addr().String()}
+		meet([]worker{w, closing}, a, b)
+		a.Suspect(closing.address)
+		Consistently(func() bool { return a.Lost(closing.address) }, time.Second, 20*time.Millisecond).Should(BeFalse())
+	})
+
 	It("never opens a tunnel for a tunnel", func() {
 		c := newHost("c", 10)
 		meet([]worker{w}, a, b, c)
