Placing: a worker that joins a brittle service is filled as carefully as the others

Cause, found by reading: a worker that fell and came back as a new process counted as any other until its first answer, so that the hosts could fill it beyond what it turns away in a second. Spec red before.

Change: it takes over what the others of its service said. Measured: the spec green, the package passes.

--- a/placer/brittle.go
+++ b/placer/brittle.go
@@ -146,6 +146,15 @@
 	}
 }
 
+// inheritBrittle makes workers that have joined a brittle service as brittle as the others.
+func (v *View) inheritBrittle(now time.Time) {
+	for _, w := range v.sorted {
+		if w.brittle.allowed > 0 {
+			v.setBrittle(now, w, w.brittle.allowed)
+		}
+	}
+}
+
 func (v *View) setBrittle(now time.Time, w *worker, allowed int) {
 	if allowed <= 0 {
 		w.brittle = brittle{}
--- a/placer/brittle_test.go
+++ b/placer/brittle_test.go
@@ -75,6 +75,12 @@
 		Expect(v.Brittle()).To(ConsistOf(placer.BrittleWorker{Worker: "w", Allowed: 3}, placer.BrittleWorker{Worker: "w2", Allowed: 3}))
 	})
 
+	It("is as careful with a worker that joins a brittle service and has said nothing yet", func() {
+		v.UpdateBrittle(now, now, "w", 3)
+		v.SetWorkers(now, []placer.Worker{{Name: "w", Service: "s", Slots: slots}, {Name: "new", Service: "s", Slots: slots}, {Name: "other", Service: "o", Slots: slots}})
+		Expect(v.Brittle()).To(ConsistOf(placer.BrittleWorker{Worker: "w", Allowed: 3}, placer.BrittleWorker{Worker: "new", Allowed: 3}))
+	})
+
 	It("gets no more than its room of all hosts at once, when its answers arrive at once", func() {
 		sent := 0
 		for self := range 4 {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -97,6 +97,7 @@
 	for _, x := range v.sorted {
 		v.counts[x.Service]++
 	}
+	v.inheritBrittle(now)
 	for name, x := range old {
 		if v.workers[name] == nil {
 			removed = append(removed, x.Worker)
