Reach: idle connections of the own interface go with a loss; quiet has a lower bound on every route

Found by reading, no spec of its own: as a worker is found lost, host routes closed all idle connections, the own interface none, so that calls hung on them for the silence time. On a route without a latency target, a worker of unknown speed was probed with each request.

Measured: the specs of cut hosts of the own interface, of router and forwarder pass.

--- a/forwarder/backend.go
+++ b/forwarder/backend.go
@@ -106,6 +106,10 @@
 	}
 }
 
+// CloseIdle closes all idle connections. It is called when this host has lost its links to a
+// backend server: the others may hang as well.
+func (f *Forwarder) CloseIdle() { f.backends.close() }
+
 func (l *backends) close() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/router/reach.go
+++ b/router/reach.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// minQuiet is the minimum time without bytes of a stream after which it is checked
-	// whether this host still reaches the worker, and quietGapTargets that time in multiples of
+	// minQuiet is the minimum time without bytes after which it is checked whether this host
+	// still reaches the worker, and quietGapTargets that time within a stream, in multiples of
 	// the route's target for the gap.
 	minQuiet        = 250 * time.Millisecond
 	quietGapTargets = 1
@@ -45,7 +45,7 @@
 
 // watchPath starts the watch of a send, which ends the send by cancel.
 func (t *transaction) watchPath(p Placement, cancel context.CancelCauseFunc) *pathWatch {
-	first := max(silenceWaitFactor*p.ExpectedWait, silenceTargetFactor*t.q.LatencyTarget.Std())
+	first := max(minQuiet, silenceWaitFactor*p.ExpectedWait, silenceTargetFactor*t.q.LatencyTarget.Std())
 	w := &pathWatch{quiet: max(minQuiet, quietGapTargets*t.q.GapTarget.Std())}
 	repeatable := t.q.Repeatable() && t.mayHaveRunCount+1 < t.q.MaxAttempts
 	reach, address := t.router.Reach, p.Worker.Address
--- a/runner/host.go
+++ b/runner/host.go
@@ -114,6 +114,7 @@
 	h.control = newControl(s.Name, incarnation, nil, h.log)
 	if s.Dialect != loader.DialectPlatform {
 		h.control.tunnels = h.tunnels
+		h.tunnels.OnLost(forward.CloseIdle)
 	}
 	h.poller = newWorkerPoller(h.control, s.Platform, h.tunnels, h.log)
 	forward.OnRefused(h.poller.postRefusal)
