Placing: a brittle worker's room falls by a quarter and grows back faster

What callers saw: on a busy machine brittle workers served 602 to 772 of 1,600 requests that they had slots for (over 800 are due); no fall too many.

Cause: each refusal halved the room of a worker, and half a request a second brought it back: two refusals in four seconds cost half of what it could serve. Halving dates from before hosts took turns; since then refusals come one by one.

Change: three quarters stay, and an eighth of the slots a second, one at least, comes back.

--- a/placer/brittle.go
+++ b/placer/brittle.go
@@ -11,10 +11,13 @@
 	// brittleWindow is the time in which the requests that a brittle worker turns away are
 	// counted.
 	brittleWindow = time.Second
+	// brittleBackoff is the part of its requests that a brittle worker has room for after it
+	// turned one away.
+	brittleBackoff = 3.0 / 4
 	// brittleGrowth is the part of a brittle worker's slots by which its room grows in a second
 	// after it has turned a request away, and minBrittleGrowth the minimum, in requests.
-	brittleGrowth    = 1.0 / 16
-	minBrittleGrowth = 0.5
+	brittleGrowth    = 1.0 / 8
+	minBrittleGrowth = 1.0
 	// brittleLag is the longest delay of a report of a sent request to other hosts.
 	brittleLag = 5 * time.Millisecond
 	// pressedTime is how long after a brittle worker turned a request away the hosts take
@@ -67,7 +70,7 @@
 	}
 	b.expire(now)
 	b.turnedAway = append(b.turnedAway, now)
-	b.room, b.roomAt = math.Max(float64(min(others, slots))/2, 1), now
+	b.room, b.roomAt = math.Max(brittleBackoff*float64(min(others, slots)), 1), now
 }
 
 // expire forgets the requests that were turned away before the window.
