--- a/tunneler/tunneler_test.go
+++ b/tunneler/tunneler_test.go
@@ -203,7 +203,11 @@
 			defer GinkgoRecover()
 			helper, err := l.Accept()
 			Expect(err).NotTo(HaveOccurred())
-			_, err = helper.Read(make([]byte, 4096))
+			// With bytes left unread, its end would be a reset.
+			_, err = io.ReadFull(helper, make([]byte, len(messenger.TunnelPreface)))
+			Expect(err).NotTo(HaveOccurred())
+			var open any
+			_, err = messenger.ReadFrame(helper, &open)
 			Expect(err).NotTo(HaveOccurred())
 			_, err = messenger.WriteFrame(helper, []any{"", 0, false})
 			Expect(err).NotTo(HaveOccurred())
