Emulator: workers of several versions side by side, named in their entries and events

The platform's workers may serve at several software versions in one service; the emulator knew none. A worker names its version in its entry (v1 unless a test says otherwise, or none at all) and, where a test sets it, in each event, so that whoever reads a stream sees a mixed one by itself.

--- a/faker/worker.go
+++ b/faker/worker.go
@@ -1,6 +1,7 @@
 package faker
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -27,6 +28,8 @@
 	Delay       time.Duration // before the answer, or before each event
 	Address     string        // IP:port that Register publishes; set by Start
 	Incarnation int           // differs after a restart
+	Version     string        // of its software, named in its entry and in each event; "" names defaultVersion in its entry only
+	Unversioned bool          // its entry has no version
 	Poison      string        // text of a body on which the worker crashes; "" is none
 	OnCrash     func()        // called after such a crash; may be nil
 
@@ -47,6 +50,9 @@
 	crash      func() // closes the listener and all connections, as a crash does
 }
 
+// defaultVersion is the software version of a worker that states none.
+const defaultVersion = "v1"
+
 // WorkerFaults are the faults of a Worker.
 type WorkerFaults struct {
 	Reject          bool          // refuses the request and reports that it was not run
@@ -82,6 +88,9 @@
 	k.mu.Lock()
 	k.seq++
 	e := platform.Entry{Service: k.Service, Address: k.Address, Zone: k.Zone, Slots: k.Slots, State: state, Incarnation: json.RawMessage(strconv.Itoa(k.Incarnation)), Seq: k.seq}
+	if !k.Unversioned {
+		e.Version = json.RawMessage(strconv.Quote(cmp.Or(k.Version, defaultVersion)))
+	}
 	k.mu.Unlock()
 	p.Put(strings.TrimSuffix(platform.WorkersPrefix, "/"), k.ID, e)
 }
@@ -278,7 +287,7 @@
 			return
 		}
 		k.waitWhileSilent(r)
-		event := fmt.Sprintf("id: %d\ndata: piece %d\n\n", i, i)
+		event := k.event(i)
 		if i == f.CutAtEvent {
 			_, _ = io.WriteString(w, event[:len(event)/2])
 			flush(w)
@@ -292,6 +301,18 @@
 	}
 }
 
+// event returns the event with a number. It names the worker's version, so that who reads a
+// stream sees whose events it has.
+func (k *Worker) event(number int) string {
+	if k.Version == "" {
+		return fmt.Sprintf("id: %d\ndata: piece %d\n\n", number, number)
+	}
+	return fmt.Sprintf("id: %d\ndata: piece %d\nversion: %s\n\n", number, number, k.Version)
+}
+
+// Crash closes the listener and all connections, as a process that ends does.
+func (k *Worker) Crash() { k.crash() }
+
 // answerTwice answers the request, and then sends an answer to a request that did not arrive
 // on this connection.
 func (k *Worker) answerTwice(w http.ResponseWriter) {
