--- a/loader/host.go
+++ b/loader/host.go
@@ -32,8 +32,11 @@
 	Peers []string `json:"peers,omitempty"`
 	// Translate lists the backend servers that this host reaches under another address.
 	Translate []Translation `json:"translate,omitempty"`
-	Limits    Limits        `json:"limits"`
-	Repeat    Repeat        `json:"repeat"`
+	// First states that the whole system starts for the first time: no caller has a stream of
+	// an earlier host.
+	First  bool   `json:"first,omitempty"`
+	Limits Limits `json:"limits"`
+	Repeat Repeat `json:"repeat"`
 }
 
 // Translation is the address under which a host reaches a backend server; both IP:port.
--- a/messenger/message.go
+++ b/messenger/message.go
@@ -198,6 +198,14 @@
 		return decode[LeavingWorkers](e)
 	case kindWorkerBackoff:
 		return decode[WorkerBackoff](e)
+	case kindStreamOrigins:
+		return decode[StreamOrigins](e)
+	case kindOriginRequest:
+		return decode[OriginRequest](e)
+	case kindOriginReply:
+		return decode[OriginReply](e)
+	case kindBoundRequest:
+		return decode[BoundRequest](e)
 	default:
 		if m, ok, err := decodeMembership(e); ok {
 			return m, err
--- a/messenger/message_placement.go
+++ b/messenger/message_placement.go
@@ -5,6 +5,7 @@
 const (
 	kindPlacementRequest = "seek2"
 	kindPlacementReply   = "sought2"
+	kindBoundRequest     = "seekbound"
 )
 
 // PlacementRequest asks a host that places requests for others for a worker.
@@ -30,6 +31,17 @@
 	Fingerprint uint64 `msgpack:"fingerprint"` // of the request's content; 0 if unknown
 }
 
+// BoundRequest is a PlacementRequest for a stream that goes on only at the software that began
+// it. It is a message of its own, so that hosts of an older version can't answer it: they would
+// ignore the condition.
+type BoundRequest struct {
+	_msgpack    struct{}         `msgpack:",as_array"` //nolint:unused // read by msgpack
+	Request     PlacementRequest `msgpack:"request"`
+	Worker      string           `msgpack:"worker"` // that began the stream
+	Incarnation string           `msgpack:"incarnation"`
+	Version     string           `msgpack:"version"`
+}
+
 // PlacementReply answers a PlacementRequest with a worker, or with the reason
 // why there is none.
 type PlacementReply struct {
@@ -67,4 +79,5 @@
 }
 
 func (PlacementRequest) kind() string { return kindPlacementRequest }
+func (BoundRequest) kind() string     { return kindBoundRequest }
 func (PlacementReply) kind() string   { return kindPlacementReply }
--- a/messenger/version_test.go
+++ b/messenger/version_test.go
@@ -14,6 +14,7 @@
 	"away":        1,
 	"backoff":     2,
 	"beat":        3,
+	"began":       1,
 	"borrow":      4,
 	"cancel":      3,
 	"claim":       3,
@@ -24,6 +25,7 @@
 	"flush":       1,
 	"flushed":     1,
 	"grant":       8,
+	"hasbegun":    3,
 	"leaving":     1,
 	"lend":        4,
 	"mark":        4,
@@ -39,10 +41,12 @@
 	"quarantine":  1,
 	"refuse":      7,
 	"seek2":       17,
+	"seekbound":   4,
 	"shared3":     7,
 	"sought2":     12,
 	"suspect":     2,
 	"vouch":       2,
+	"whobegan":    3,
 	"word":        4,
 }
 
--- a/observer/directory.go
+++ b/observer/directory.go
@@ -16,6 +16,7 @@
 	Listing
 	Incarnation string        // distinguishes a process from an earlier one with the same name; may be empty
 	WarmUp      time.Duration // time for which it is still slow
+	Version     string        // of its software; "" if it does not state one
 }
 
 // Directory is the set of workers that registered themselves at a source that may be
@@ -152,6 +153,16 @@
 	return swept
 }
 
+// All returns all entries that the source has, or had before an outage, also of workers that are
+// leaving.
+func (d *Directory) All() []Entry {
+	out := make([]Entry, 0, len(d.entries))
+	for _, r := range d.entries {
+		out = append(out, r.Entry)
+	}
+	return out
+}
+
 // Available returns the workers that may get new requests, sorted by service and name.
 func (d *Directory) Available() []Entry {
 	out := []Entry{}
--- a/placer/backoff.go
+++ b/placer/backoff.go
@@ -79,6 +79,9 @@
 // could go to want no requests, or are not connected to, its caller may return when the first
 // one may be.
 func (v *View) refuseUnplaceable(req Request) *Refusal {
+	if refusal := v.refuseBound(req); refusal != nil {
+		return refusal
+	}
 	copyAt := v.workerOfCopy(req)
 	soonest, reason := time.Duration(0), "backoff"
 	for _, w := range v.sorted {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -56,6 +56,8 @@
 	reservation   reservation               // for the current request
 	quarantine    quarantiner.Tracker       // requests that crashed workers
 	lastReceived  time.Time                 // when another host last reported what it sent
+	confirmedAt   time.Time                 // when the list of workers was last known to be current
+	versions      map[string]map[string]int // number of workers, by service and software
 	deciders      int                       // number of hosts that decide by views of their own
 	self          int                       // index of this host among them
 	hosts         int                       // number of hosts that send requests by views of their own
@@ -84,7 +86,7 @@
 	v.workers = make(map[string]*worker, len(workers))
 	for _, w := range workers {
 		x := old[w.Name]
-		if x == nil || x.Incarnation != w.Incarnation || x.Address != w.Address {
+		if x == nil || x.Incarnation != w.Incarnation || x.Address != w.Address || x.Version != w.Version {
 			x = newWorker()
 			x.coldUntil = now.Add(w.WarmUp)
 			added = append(added, w)
@@ -97,6 +99,7 @@
 	for _, x := range v.sorted {
 		v.counts[x.Service]++
 	}
+	v.countVersions()
 	v.inheritBrittle(now)
 	for name, x := range old {
 		if v.workers[name] == nil {
@@ -194,6 +197,9 @@
 		if w.Service != req.Service || excluded(req, w.Name) || req.backoff(w.Name).Left > 0 || copyAt != "" && w.Name != copyAt {
 			continue
 		}
+		if !v.mayContinue(w, req) {
+			continue
+		}
 		c := w.candidate(now, req, holder, heldTokens)
 		c.margin = v.margin(w)
 		c.full = v.full(now, w)
--- a/placer/quarantine.go
+++ b/placer/quarantine.go
@@ -48,7 +48,8 @@
 	}
 	worker, id := "", uint64(0)
 	for _, f := range v.flights {
-		if f.Fingerprint == req.Fingerprint && !excluded(req, f.Worker) && v.workers[f.Worker] != nil && (worker == "" || f.ID < id) {
+		w := v.workers[f.Worker]
+		if f.Fingerprint == req.Fingerprint && !excluded(req, f.Worker) && w != nil && v.mayContinue(w, req) && (worker == "" || f.ID < id) {
 			worker, id = f.Worker, f.ID
 		}
 	}
--- a/placer/request.go
+++ b/placer/request.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/cicadawood/cicadawood/quarantiner"
+	"github.com/cicadawood/cicadawood/resumer"
 )
 
 // Worker is a backend server that may get requests.
@@ -19,6 +20,12 @@
 	LinkMbps    float64       // rate at which it fetches cached tokens from another engine; 0 if it can't
 	WarmUp      time.Duration // remaining time for which it is slow after its start
 	Incarnation string        // changes when the worker restarts under the same name
+	Version     string        // of its software; "" if unknown
+}
+
+// Software returns the worker as package resumer sees it.
+func (w Worker) Software() resumer.Worker {
+	return resumer.Worker{Service: w.Service, Name: w.Name, Incarnation: w.Incarnation, Version: w.Version}
 }
 
 // Part is one part of a prompt. Its Key also covers all parts before it: a cached part is only
@@ -45,6 +52,11 @@
 	Exclude           []string      // workers that already had the request
 	Backoffs          []Backoff     // workers that want no requests from the sending host
 
+	// Resumed states that the request goes on with a stream that its caller has begun to
+	// receive, and Bound which worker began it; nil lets it go on at any worker.
+	Resumed bool
+	Bound   *resumer.Worker
+
 	Fingerprint quarantiner.Fingerprint // of the request's content; 0 if unknown
 }
 
--- /dev/null
+++ b/placer/resume.go
@@ -0,0 +1,95 @@
+package placer
+
+import (
+	"time"
+)
+
+const (
+	// confirmDelay is how long after a connection to a worker broke the list of workers must
+	// have been current for the worker to be the one that is listed: a worker that has started
+	// again may take requests before its new entry is known.
+	confirmDelay = 300 * time.Millisecond
+	// confirmRetryAfter is the retry time of a stream whose workers may have started again.
+	confirmRetryAfter = confirmDelay + 200*time.Millisecond
+)
+
+// Reasons to refuse a stream that goes on only at the version that began it.
+const (
+	// ReasonVersionGone means that no worker of the version is left.
+	ReasonVersionGone = "version_gone"
+	// ReasonUnconfirmed means that its workers may have started again at another version.
+	ReasonUnconfirmed = "version_unconfirmed"
+)
+
+// SetConfirmed records when the list of workers was last known to be current.
+func (v *View) SetConfirmed(at time.Time) { v.confirmedAt = at }
+
+// Confirmed reports whether the worker with a name is the one that is listed: no connection
+// to it broke since the list was last current.
+func (v *View) Confirmed(name string) bool {
+	w := v.workers[name]
+	return w != nil && v.confirmed(w)
+}
+
+func (v *View) confirmed(w *worker) bool {
+	return w.brokenAt.IsZero() || v.confirmedAt.Sub(w.brokenAt) >= confirmDelay
+}
+
+// MayContinue reports whether a request may go to a worker by the software that began its
+// stream, if any.
+func (v *View) MayContinue(w Worker, req Request) bool {
+	x := v.workers[w.Name]
+	return x != nil && v.mayContinue(x, req)
+}
+
+// mayContinue reports whether a request may go to a worker by the software that began its
+// stream, if any.
+func (v *View) mayContinue(w *worker, req Request) bool {
+	return req.Bound == nil || w.Software().Continues(*req.Bound) && v.confirmed(w)
+}
+
+// refuseBound refuses a stream for which there is no worker of the software that began it. It
+// returns nil if there is one.
+func (v *View) refuseBound(req Request) *Refusal {
+	if req.Bound == nil {
+		return nil
+	}
+	left := false
+	for _, w := range v.sorted {
+		if !w.Software().Continues(*req.Bound) || excluded(req, w.Name) {
+			continue
+		}
+		if v.confirmed(w) {
+			return nil
+		}
+		left = true
+	}
+	if left {
+		return &Refusal{RetryAfter: confirmRetryAfter, Reason: ReasonUnconfirmed}
+	}
+	return &Refusal{Reason: ReasonVersionGone}
+}
+
+// countVersions counts the workers of each service by their software.
+func (v *View) countVersions() {
+	v.versions = map[string]map[string]int{}
+	for _, w := range v.sorted {
+		if v.versions[w.Service] == nil {
+			v.versions[w.Service] = map[string]int{}
+		}
+		v.versions[w.Service][w.Software().Software()]++
+	}
+}
+
+// Versions returns the number of workers by service and software version; those without a
+// known version are counted under "".
+func (v *View) Versions() map[string]map[string]int {
+	out := map[string]map[string]int{}
+	for _, w := range v.sorted {
+		if out[w.Service] == nil {
+			out[w.Service] = map[string]int{}
+		}
+		out[w.Service][w.Version]++
+	}
+	return out
+}
--- a/placer/worker.go
+++ b/placer/worker.go
@@ -23,6 +23,7 @@
 	limit           limit // that the worker states
 	silence         silence
 	brittle         brittle
+	brokenAt        time.Time // when a connection to it last broke; zero for never
 }
 
 func newWorker() *worker {
@@ -146,6 +147,7 @@
 		w.silence.note(now)
 		return
 	case Broken, Disconnected:
+		w.brokenAt = now
 		add = brokenCost
 	case Refused:
 		w.brittle.turned(now, len(w.flights), w.Slots)
--- /dev/null
+++ b/resumer/history.go
@@ -0,0 +1,104 @@
+package resumer
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// maxListAge is the age of a host's list of workers up to which the host counts as knowing all
+// workers: the longest usual time between two updates, and a margin.
+const maxListAge = 1500 * time.Millisecond
+
+// history is what a host knows of the software that served in each service.
+type history struct {
+	since     time.Time                       // from when on it is complete; zero before the first list
+	always    bool                            // it is complete from the first start of the system on
+	updatedAt time.Time                       // of the list
+	present   map[string]map[string]bool      // software of the workers listed now, by service
+	gone      map[string]map[string]time.Time // when the last worker of a software went away, by service
+}
+
+// observe applies a complete list of workers that was current at a time.
+func (h *history) observe(now, updatedAt time.Time, workers []Worker) {
+	if h.since.IsZero() {
+		h.since, h.gone = now, map[string]map[string]time.Time{}
+	}
+	h.updatedAt = updatedAt
+	present := map[string]map[string]bool{}
+	for _, w := range workers {
+		if present[w.Service] == nil {
+			present[w.Service] = map[string]bool{}
+		}
+		present[w.Service][w.Software()] = true
+	}
+	for service, list := range h.present {
+		for software := range list {
+			if !present[service][software] {
+				h.leave(now, service, software)
+			}
+		}
+	}
+	h.present = present
+}
+
+// leave records when the last worker of a software was there.
+func (h *history) leave(at time.Time, service, software string) {
+	if h.gone[service] == nil {
+		h.gone[service] = map[string]time.Time{}
+	}
+	if at.After(h.gone[service][software]) {
+		h.gone[service][software] = at
+	}
+}
+
+// expire forgets software that went away before a time.
+func (h *history) expire(before time.Time) {
+	for service, list := range h.gone {
+		maps.DeleteFunc(list, func(_ string, at time.Time) bool { return at.Before(before) })
+		if len(list) == 0 {
+			delete(h.gone, service)
+		}
+	}
+}
+
+// completeFor reports whether the history reaches back a time.
+func (h *history) completeFor(now time.Time, d time.Duration) bool {
+	return h.always || !h.since.IsZero() && now.Sub(h.since) >= d
+}
+
+// fresh reports whether the list that the history ends with is current.
+func (h *history) fresh(now time.Time) bool {
+	return !h.updatedAt.IsZero() && now.Sub(h.updatedAt) <= maxListAge
+}
+
+// software returns the software that served in a service within a time, sorted.
+func (h *history) software(now time.Time, service string, d time.Duration) []string {
+	all := maps.Clone(h.present[service])
+	for s, at := range h.gone[service] {
+		if now.Sub(at) < d {
+			if all == nil {
+				all = map[string]bool{}
+			}
+			all[s] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(all))
+}
+
+// History is what one host knows of the software that served in a service within the longest
+// life of a stream.
+type History struct {
+	Service  string
+	Software []string
+	Complete bool // it knows of all that time
+	Fresh    bool // its list of workers is current
+}
+
+// view returns what the history says of a service.
+func (h *history) view(now time.Time, service string, d time.Duration) History {
+	return History{Service: service, Software: h.software(now, service, d), Complete: h.completeFor(now, d), Fresh: h.fresh(now)}
+}
+
+// one returns whether a single software served, as far as the host knows.
+func (h History) one() bool { return len(h.Software) == 1 }
--- /dev/null
+++ b/resumer/lookup.go
@@ -0,0 +1,213 @@
+package resumer
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// askTimeout is how long a host waits for what others know of a stream: many round trips
+	// between zones, and a fraction of the time that callers wait for the next event.
+	askTimeout = 100 * time.Millisecond
+	// maxLookups bounds the lookups that wait for other hosts.
+	maxLookups = 4096
+	// maxAskKeys is the maximum number of streams in one request.
+	maxAskKeys = 256
+)
+
+// TakenUp is a stream that a caller takes up.
+type TakenUp struct {
+	Stream   Key      // that the caller names; 0 if it names none
+	Services []string // that its route leads to, the one chosen by weight first
+}
+
+// Result is why a stream that is taken up goes on, or does not.
+type Result string
+
+// Results of a lookup.
+const (
+	Pending    Result = "pending"     // other hosts are asked
+	Known      Result = "known"       // the worker that began it is known
+	OneVersion Result = "one_version" // only one version can have begun it
+	Unknown    Result = "unknown"     // it may have begun at another version
+	Moved      Result = "moved"       // its route no longer leads to the service that began it
+)
+
+// Answer states where a stream that is taken up may go on.
+type Answer struct {
+	Result Result
+	Worker Worker        // that began it, if it is Known
+	From   string        // host that knew it; "" is this one
+	Age    time.Duration // of the record
+}
+
+// lookup is a stream that is taken up, for which other hosts are asked.
+type lookup struct {
+	TakenUp
+	reply     func(Answer)
+	askedAt   time.Time
+	asked     int             // hosts that were asked
+	waiting   map[string]bool // hosts that were asked and have not answered
+	histories map[string][]History
+}
+
+// Ask is a request to other hosts for what they know.
+type Ask struct {
+	Keys     []Key
+	Services []string
+}
+
+// Told is another host's answer to an Ask.
+type Told struct {
+	Records   []Record
+	Unknown   []Key
+	Histories []History
+}
+
+// Resolve decides where a stream that is taken up may go on. If other hosts have to be asked,
+// it returns a Pending Answer and calls reply later. askable reports whether there are any.
+func (r *Resumer) Resolve(now time.Time, t TakenUp, askable bool, reply func(Answer)) Answer {
+	if x := r.records.get(t.Stream); x != nil && t.Stream != 0 {
+		return known(now, t, x.Record)
+	}
+	own := r.history.view(now, t.Services[0], r.life(t.Services[0]))
+	if t.Stream == 0 && own.one() && own.Complete && own.Fresh {
+		return Answer{Result: OneVersion}
+	}
+	if !askable || len(r.pending) >= maxLookups {
+		return conclude(own, nil, 0)
+	}
+	if t.Stream == 0 && own.Complete && own.Fresh {
+		return Answer{Result: Unknown}
+	}
+	r.numbers++
+	r.pending[r.numbers] = &lookup{TakenUp: t, reply: reply, askedAt: now, histories: map[string][]History{}}
+	r.queued = append(r.queued, r.numbers)
+	return Answer{Result: Pending}
+}
+
+// known returns the answer for a stream whose beginning is known.
+func known(now time.Time, t TakenUp, x Record) Answer {
+	if !slices.Contains(t.Services, x.Worker.Service) {
+		return Answer{Result: Moved, Worker: x.Worker, From: x.Host}
+	}
+	return Answer{Result: Known, Worker: x.Worker, From: x.Host, Age: now.Sub(x.At)}
+}
+
+// conclude decides on a stream that nobody knows, by what this host and others know of the
+// service's software, of so many that were asked. One of them must know all of a stream's life.
+// If none has a current list, as the store is down, more than half of them must have answered:
+// a host that is cut off might not see a version that the others use.
+func conclude(own History, others []History, asked int) Answer {
+	complete, current := own.Complete, own.Fresh
+	for _, h := range others {
+		if !h.one() || !own.one() || h.Software[0] != own.Software[0] {
+			return Answer{Result: Unknown}
+		}
+		complete = complete || h.Complete
+		current = current || h.Fresh
+	}
+	if own.one() && complete && (current || 2*len(others) > asked) {
+		return Answer{Result: OneVersion}
+	}
+	return Answer{Result: Unknown}
+}
+
+// DrainAsks returns the requests for the lookups since the last call, few for many of them, and
+// notes which hosts get them.
+func (r *Resumer) DrainAsks(hosts []string) []Ask {
+	var out []Ask
+	for part := range slices.Chunk(r.queued, maxAskKeys) {
+		var a Ask
+		for _, n := range part {
+			l := r.pending[n]
+			if l == nil {
+				continue
+			}
+			l.waiting, l.asked = map[string]bool{}, len(hosts)
+			for _, h := range hosts {
+				l.waiting[h] = true
+			}
+			if l.Stream != 0 {
+				a.Keys = append(a.Keys, l.Stream)
+			}
+			if !slices.Contains(a.Services, l.Services[0]) {
+				a.Services = append(a.Services, l.Services[0])
+			}
+		}
+		out = append(out, a)
+	}
+	r.queued = nil
+	return out
+}
+
+// Tell answers another host's request.
+func (r *Resumer) Tell(now time.Time, a Ask) Told {
+	var t Told
+	for _, k := range a.Keys {
+		if x := r.records.get(k); x != nil {
+			t.Records = append(t.Records, x.Record)
+			continue
+		}
+		t.Unknown = append(t.Unknown, k)
+	}
+	for _, s := range a.Services {
+		t.Histories = append(t.Histories, r.history.view(now, s, r.life(s)))
+	}
+	return t
+}
+
+// ReceiveTold applies another host's answer, and answers the lookups that it decides.
+func (r *Resumer) ReceiveTold(now time.Time, from string, t Told) {
+	for _, x := range t.Records {
+		if r.records.get(x.Key) == nil {
+			r.records.put(now, x, false)
+		}
+	}
+	for n, l := range r.pending {
+		if l.waiting == nil || !l.waiting[from] {
+			continue
+		}
+		if x := r.records.get(l.Stream); x != nil && l.Stream != 0 {
+			delete(r.pending, n)
+			l.reply(known(now, l.TakenUp, x.Record))
+			continue
+		}
+		delete(l.waiting, from)
+		for _, h := range t.Histories {
+			if h.Service == l.Services[0] {
+				l.histories[from] = append(l.histories[from], h)
+			}
+		}
+		if a := r.concludeLookup(now, l); a.Result == OneVersion || len(l.waiting) == 0 {
+			delete(r.pending, n)
+			l.reply(a)
+		}
+	}
+}
+
+// concludeLookup decides on a lookup by what is known so far.
+func (r *Resumer) concludeLookup(now time.Time, l *lookup) Answer {
+	var others []History
+	for _, list := range l.histories {
+		others = append(others, list...)
+	}
+	service := l.Services[0]
+	return conclude(r.history.view(now, service, r.life(service)), others, l.asked)
+}
+
+// Expire answers the lookups that have waited too long for other hosts.
+func (r *Resumer) Expire(now time.Time) {
+	for n, l := range r.pending {
+		if now.Sub(l.askedAt) >= askTimeout {
+			delete(r.pending, n)
+			l.reply(r.concludeLookup(now, l))
+		}
+	}
+}
+
+// Waiting returns the number of lookups that wait for other hosts.
+func (r *Resumer) Waiting() int { return len(r.pending) }
+
+// AskTimeout returns how long a lookup waits for other hosts.
+func AskTimeout() time.Duration { return askTimeout }
--- /dev/null
+++ b/resumer/resumer.go
@@ -0,0 +1,137 @@
+package resumer
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// lives is the number of attempts, each of its route's timeout, over which a stream may go
+	// on, and lifeMargin what the hosts' lists may lag behind.
+	lives      = 2
+	lifeMargin = time.Second
+	// defaultTimeout stands for the timeout of a route where none is known.
+	defaultTimeout = 15 * time.Second
+)
+
+// Resumer is one host's knowledge of which workers began the streams that may be taken up.
+type Resumer struct {
+	self     string
+	records  records
+	history  history
+	timeouts map[string]time.Duration // longest timeout of a route with streams, by service
+	one      map[string]bool          // services of which a single software served, as of the last check
+	untold   []Record                 // own records that other hosts were not told yet
+	pending  map[uint64]*lookup       // by number
+	numbers  uint64                   // of lookups
+	queued   []uint64                 // lookups that were not sent yet, by number
+}
+
+// New returns the Resumer of a host that knows no workers. first states that the whole system
+// starts for the first time: no stream began before.
+func New(self string, first bool) *Resumer {
+	return &Resumer{self: self, history: history{always: first}, one: map[string]bool{}, pending: map[uint64]*lookup{}}
+}
+
+// SetTimeouts sets the longest timeout of the routes with streams of each service.
+func (r *Resumer) SetTimeouts(t map[string]time.Duration) { r.timeouts = t }
+
+// life returns the longest time from a service's stream's beginning to the last attempt that
+// may go on with it.
+func (r *Resumer) life(service string) time.Duration {
+	return lives*cmp.Or(r.timeouts[service], defaultTimeout) + lifeMargin
+}
+
+// longestLife returns the longest life of a stream of any service.
+func (r *Resumer) longestLife() time.Duration {
+	longest := lives*defaultTimeout + lifeMargin
+	for service := range r.timeouts {
+		longest = max(longest, r.life(service))
+	}
+	return longest
+}
+
+// SetWorkers applies a complete list of the workers, also of those that are leaving, as it was
+// at a time. Own streams of services that now have a second software are to be told.
+func (r *Resumer) SetWorkers(now, updatedAt time.Time, workers []Worker) {
+	r.history.observe(now, updatedAt, workers)
+	for service := range r.history.present {
+		one := r.isOne(now, service)
+		if r.one[service] && !one {
+			r.tellAll(service)
+		}
+		r.one[service] = one
+	}
+}
+
+// ListUpdated records that the list is still current.
+func (r *Resumer) ListUpdated(at time.Time) { r.history.updatedAt = at }
+
+// isOne reports whether a single software served in a service within the life of its streams.
+func (r *Resumer) isOne(now time.Time, service string) bool {
+	h := r.history.view(now, service, r.life(service))
+	return h.one() && h.Complete
+}
+
+// tellAll marks the own records of a service as not told yet.
+func (r *Resumer) tellAll(service string) {
+	for _, x := range r.records.byKey {
+		if x.own && x.Worker.Service == service {
+			r.untold = append(r.untold, x.Record)
+		}
+	}
+	slices.SortFunc(r.untold, func(a, b Record) int { return a.At.Compare(b.At) })
+}
+
+// Began records that a stream's first event came from a worker, under the keys by which
+// its caller may name it. It reports whether other hosts must be told at once.
+func (r *Resumer) Began(now time.Time, keys []Key, w Worker) bool {
+	tell := !r.isOne(now, w.Service)
+	r.one[w.Service] = !tell
+	for _, k := range keys {
+		if k == 0 {
+			continue
+		}
+		x := Record{Key: k, Worker: w, Host: r.self, At: now}
+		r.records.put(now, x, true)
+		if tell {
+			r.untold = append(r.untold, x)
+		}
+	}
+	return tell
+}
+
+// Ended forgets own records of a stream that was answered whole.
+func (r *Resumer) Ended(keys []Key) {
+	for _, k := range keys {
+		if x := r.records.get(k); x != nil && x.own {
+			r.records.remove(k)
+		}
+	}
+}
+
+// Drain returns the own records that other hosts were not told yet, oldest first.
+func (r *Resumer) Drain() []Record {
+	out := r.untold
+	r.untold = nil
+	return out
+}
+
+// Receive applies a record of another host. The later one of a stream counts.
+func (r *Resumer) Receive(now time.Time, x Record) {
+	if old := r.records.get(x.Key); old != nil && old.own && old.At.After(x.At) {
+		return
+	}
+	r.records.put(now, x, false)
+}
+
+// Len returns the number of records.
+func (r *Resumer) Len() int { return len(r.records.byKey) }
+
+// Sweep forgets what no stream can need any more.
+func (r *Resumer) Sweep(now time.Time) {
+	before := now.Add(-r.longestLife())
+	r.records.expire(before)
+	r.history.expire(before)
+}
--- /dev/null
+++ b/resumer/resumer_test.go
@@ -0,0 +1,197 @@
+package resumer_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cicadawood/cicadawood/resumer"
+)
+
+const (
+	service = "engine"
+	timeout = 4 * time.Second
+	// life is the longest life of a stream of the service: two attempts, and a margin.
+	life = 2*timeout + time.Second
+)
+
+var start = time.Unix(1000, 0)
+
+func worker(name, version string) resumer.Worker {
+	return resumer.Worker{Service: service, Name: name, Incarnation: "1", Version: version}
+}
+
+// newResumer returns the Resumer of a host that has known workers since start.
+func newResumer(self string, first bool, workers ...resumer.Worker) *resumer.Resumer {
+	r := resumer.New(self, first)
+	r.SetTimeouts(map[string]time.Duration{service: timeout})
+	r.SetWorkers(start, start, workers)
+	return r
+}
+
+// resolve takes up a stream at r, which asks the others, and returns what is known in the end.
+func resolve(now time.Time, r *resumer.Resumer, stream resumer.Key, others ...*resumer.Resumer) resumer.Answer {
+	var answer resumer.Answer
+	got := r.Resolve(now, resumer.TakenUp{Stream: stream, Services: []string{service}}, len(others) > 0, func(a resumer.Answer) { answer = a })
+	if got.Result != resumer.Pending {
+		return got
+	}
+	var names []string
+	for i := range others {
+		names = append(names, fmt.Sprint("other ", i))
+	}
+	asks := r.DrainAsks(names)
+	Expect(asks).To(HaveLen(1))
+	for i, o := range others {
+		if o != nil {
+			r.ReceiveTold(now, names[i], o.Tell(now, asks[0]))
+		}
+	}
+	r.Expire(now.Add(resumer.AskTimeout()))
+	Expect(r.Waiting()).To(BeZero())
+	return answer
+}
+
+var _ = Describe("A Resumer", func() {
+	stream := resumer.KeyOf("large", "try-1")
+	v1, v2 := worker("a", "v1"), worker("b", "v2")
+
+	It("knows where a stream began that its host carried, or that it was told of", func() {
+		carrier, other := newResumer("h-1", true, v1, v2), newResumer("h-2", true, v1, v2)
+		Expect(carrier.Began(start, []resumer.Key{stream}, v2)).To(BeTrue(), "others must be told")
+		Expect(resolve(start, carrier, stream).Worker).To(Equal(v2))
+		for _, x := range carrier.Drain() {
+			other.Receive(start, x)
+		}
+		a := resolve(start.Add(time.Second), other, stream)
+		Expect(a).To(Equal(resumer.Answer{Result: resumer.Known, Worker: v2, From: "h-1", Age: time.Second}))
+	})
+
+	It("believes the later one of two records of a stream", func() {
+		r := newResumer("h-1", true, v1, v2)
+		r.Receive(start, resumer.Record{Key: stream, Worker: v1, Host: "h-2", At: start})
+		r.Receive(start, resumer.Record{Key: stream, Worker: v2, Host: "h-2", At: start})
+		Expect(resolve(start, r, stream).Worker).To(Equal(v2))
+	})
+
+	It("asks other hosts for what it was not told", func() {
+		carrier, other, taker := newResumer("h-1", true, v1, v2), newResumer("h-2", true, v1, v2), newResumer("h-3", true, v1, v2)
+		carrier.Began(start, []resumer.Key{stream}, v2)
+		Expect(resolve(start, taker, stream, other, carrier).Worker).To(Equal(v2))
+		Expect(resolve(start, taker, stream).Worker).To(Equal(v2), "and remembers it")
+	})
+
+	Describe("with a stream that nobody knows", func() {
+		It("lets it go on where one version served all its life, without asking if its caller names no attempt", func() {
+			Expect(resolve(start, newResumer("h-1", true, v1, worker("c", "v1")), 0).Result).To(Equal(resumer.OneVersion))
+			r := newResumer("h-1", false, v1)
+			now := start.Add(life)
+			r.ListUpdated(now)
+			Expect(resolve(now, r, 0).Result).To(Equal(resumer.OneVersion))
+			Expect(resolve(now, r, stream).Result).To(Equal(resumer.OneVersion))
+		})
+
+		// Guards against a guess: the stream may have begun at either version.
+		It("refuses it where two versions serve, or did within its life", func() {
+			r := newResumer("h-1", true, v1, v2)
+			Expect(resolve(start, r, 0).Result).To(Equal(resumer.Unknown))
+			Expect(resolve(start, r, stream, newResumer("h-2", true, v1, v2)).Result).To(Equal(resumer.Unknown))
+			r.SetWorkers(start.Add(time.Second), start.Add(time.Second), []resumer.Worker{v2})
+			now := start.Add(life)
+			r.ListUpdated(now)
+			Expect(resolve(now, r, 0).Result).To(Equal(resumer.Unknown))
+			now = now.Add(time.Second)
+			r.ListUpdated(now)
+			r.Sweep(now)
+			Expect(resolve(now, r, 0).Result).To(Equal(resumer.OneVersion))
+		})
+
+		// Guards against a host that started just now and can't see the versions that are gone.
+		It("refuses it at a new host unless another one knows all of its life", func() {
+			taker := newResumer("h-1", false, v2)
+			Expect(resolve(start, taker, 0).Result).To(Equal(resumer.Unknown))
+			Expect(resolve(start, taker, 0, newResumer("h-2", false, v2)).Result).To(Equal(resumer.Unknown))
+			Expect(resolve(start, taker, 0, newResumer("h-2", true, v2)).Result).To(Equal(resumer.OneVersion))
+			seen := newResumer("h-2", true, v1)
+			seen.SetWorkers(start, start, []resumer.Worker{v2})
+			Expect(resolve(start, taker, 0, seen).Result).To(Equal(resumer.Unknown))
+		})
+
+		// Guards against a host that is cut off and does not see a version that others use.
+		It("refuses it while its list is not current, unless most others say the same", func() {
+			stale := start.Add(time.Minute)
+			taker, same := newResumer("h-1", true, v1), newResumer("h-2", true, v1)
+			Expect(resolve(stale, taker, 0).Result).To(Equal(resumer.Unknown))
+			Expect(resolve(stale, taker, 0, nil, nil, same).Result).To(Equal(resumer.Unknown))
+			Expect(resolve(stale, taker, 0, same, same, nil).Result).To(Equal(resumer.OneVersion), "the store is down")
+			Expect(resolve(stale, taker, 0, same, newResumer("h-3", true, v2)).Result).To(Equal(resumer.Unknown))
+		})
+	})
+
+	// Guards against streams that began before a second version came, of which nobody was told.
+	It("tells of its streams once a second version serves", func() {
+		r := newResumer("h-1", true, v1)
+		Expect(r.Began(start, []resumer.Key{stream}, v1)).To(BeFalse())
+		whole := resumer.KeyOf("large", "try-2")
+		r.Began(start, []resumer.Key{whole}, v1)
+		r.Ended([]resumer.Key{whole})
+		Expect(r.Drain()).To(BeEmpty())
+		r.SetWorkers(start, start, []resumer.Worker{v1, v2})
+		Expect(r.Drain()).To(HaveExactElements(HaveField("Key", stream)))
+	})
+
+	It("lets a stream go on only at a service that its route leads to", func() {
+		r := newResumer("h-1", true, v1, v2)
+		r.Began(start, []resumer.Key{stream}, v2)
+		to := func(services ...string) resumer.Result {
+			return r.Resolve(start, resumer.TakenUp{Stream: stream, Services: services}, false, nil).Result
+		}
+		Expect(to("other", service)).To(Equal(resumer.Known))
+		Expect(to("other")).To(Equal(resumer.Moved))
+	})
+
+	It("knows no stream by another organisation's name for it", func() {
+		Expect(resumer.KeyOf("small", "try-1")).NotTo(Equal(stream))
+		Expect(resumer.KeyOf("small", "")).To(BeZero())
+	})
+
+	It("asks for hundreds of streams in few messages, and keeps nothing of made-up ones", func() {
+		r := newResumer("h-1", true, v1, v2)
+		for i := range 600 {
+			r.Resolve(start, resumer.TakenUp{Stream: resumer.KeyOf("large", fmt.Sprint(i)), Services: []string{service}}, true, func(resumer.Answer) {})
+		}
+		Expect(len(r.DrainAsks([]string{"h-2"}))).To(BeNumerically("<=", 3))
+		r.Expire(start.Add(resumer.AskTimeout()))
+		Expect(r.Waiting()).To(BeZero())
+		Expect(r.Len()).To(BeZero())
+	})
+
+	It("keeps records for the life of a stream, and a bounded number of them", func() {
+		r := newResumer("h-1", true, v1, v2)
+		r.Began(start, []resumer.Key{stream}, v1)
+		r.Sweep(start.Add(life))
+		Expect(r.Len()).To(Equal(1))
+		r.Sweep(start.Add(time.Hour))
+		Expect(r.Len()).To(BeZero())
+		for i := range 1 << 17 {
+			r.Began(start, []resumer.Key{resumer.Key(i + 1)}, v1)
+		}
+		Expect(r.Len()).To(Equal(1 << 16))
+		r.Drain()
+	})
+
+	DescribeTable("takes two starts of a worker for the same software only by their version", func(a, b resumer.Worker, same bool) {
+		Expect(a.Continues(b)).To(Equal(same))
+	},
+		Entry("same version, another worker", worker("a", "v1"), worker("b", "v1"), true),
+		Entry("another version, same start", worker("a", "v1"), worker("a", "v2"), false),
+		Entry("no version, same start", worker("a", ""), worker("a", ""), true),
+		Entry("no version, another worker", worker("a", ""), worker("b", ""), false),
+		Entry("no version, another start", worker("a", ""), resumer.Worker{Service: service, Name: "a", Incarnation: "2"}, false),
+		Entry("a version that spells a start", worker("a", ""), worker("b", "start a\x001"), false),
+		Entry("another service", worker("a", "v1"), resumer.Worker{Service: "other", Name: "a", Version: "v1"}, false),
+		Entry("a start that is not certain", worker("a", "v1").Uncertain(), worker("a", "v1"), false),
+	)
+})
--- a/router/index.go
+++ b/router/index.go
@@ -100,6 +100,17 @@
 // ranks returns the number of ranks.
 func (x *index) ranks() int { return len(x.tiers) * len(x.routeTiers) }
 
+// servicesFrom returns the services that the route leads to, first the given one.
+func (t target) servicesFrom(first string) []string {
+	out := []string{first}
+	for _, s := range t.Services {
+		if s.Weight > 0 && s.Service != first {
+			out = append(out, s.Service)
+		}
+	}
+	return out
+}
+
 // service picks one of the route's services by weight. share is in [0, 1).
 func (t target) service(share float64) string {
 	sum := 0
--- a/router/metrics.go
+++ b/router/metrics.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/cicadawood/cicadawood/connector"
+	"github.com/cicadawood/cicadawood/resumer"
 )
 
 // Metrics holds the router's metrics. Labels are only request kinds, outcomes, causes
@@ -25,6 +26,7 @@
 	refusedWaits  *prometheus.HistogramVec
 	refusedTaken  *prometheus.HistogramVec
 	refusedWanted *prometheus.HistogramVec
+	takenUp       *prometheus.CounterVec
 }
 
 // NewMetrics registers the router's metrics.
@@ -68,7 +70,10 @@
 		Name: "cicadawood_routed_refused_wanted_slots", Help: "Slots that more urgent routes want beside those that they have, as a request was refused.",
 		Buckets: prometheus.ExponentialBuckets(1, 4, 6),
 	}, []string{"tier", "cause"})
-	r.MustRegister(m.requests, m.firstByte, m.completed, m.pauses, m.predictions, m.failedSends, m.refused, m.unavailable, m.refusedWaits, m.refusedTaken, m.refusedWanted)
+	m.takenUp = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "cicadawood_routed_streams_taken_up_total", Help: "Streams that callers took up, by why they may go on or not.",
+	}, []string{"result"})
+	r.MustRegister(m.takenUp, m.requests, m.firstByte, m.completed, m.pauses, m.predictions, m.failedSends, m.refused, m.unavailable, m.refusedWaits, m.refusedTaken, m.refusedWanted)
 	return m
 }
 
@@ -106,6 +111,11 @@
 	}
 }
 
+// observeTakenUp counts a stream that a caller took up.
+func (m *Metrics) observeTakenUp(result resumer.Result) {
+	m.takenUp.WithLabelValues(string(result)).Inc()
+}
+
 // observeRefusal counts a request that was placed on no worker.
 func (m *Metrics) observeRefusal(q *request, r Refused) {
 	tier, b := strconv.Itoa(q.Tier), r.Basis
--- a/router/port.go
+++ b/router/port.go
@@ -12,6 +12,7 @@
 
 	"github.com/cicadawood/cicadawood/loader"
 	"github.com/cicadawood/cicadawood/placer"
+	"github.com/cicadawood/cicadawood/resumer"
 )
 
 // Part is one part of a prompt, as identified by the caller.
@@ -30,6 +31,7 @@
 	ExpectedOutput int // expected tokens of output; 0 if not stated
 	Parts          []Part
 	LastEventID    string // last event of a stream that the caller received
+	Resumes        string // ID of the attempt that brought the first event of that stream; "" if not stated
 }
 
 // WorkerHead is the information sent to a worker in addition to the caller's request.
@@ -151,6 +153,28 @@
 	Ended(p Placement, o placer.Outcome)
 }
 
+// Origins is the port to the component that knows which workers began the streams that callers
+// take up at another host.
+type Origins interface {
+	// Resolve returns where a stream that a caller takes up may go on; an Answer that is not
+	// Pending, or the error of ctx.
+	Resolve(ctx context.Context, t resumer.TakenUp) (resumer.Answer, error)
+	// Began reports that a stream's first event came from a worker. The keys are those by
+	// which its caller may name it.
+	Began(keys []resumer.Key, w resumer.Worker)
+	// Finished reports that a stream was answered whole.
+	Finished(keys []resumer.Key)
+}
+
+// noOrigins is the Origins of a host that lets every stream go on at any worker.
+type noOrigins struct{}
+
+func (noOrigins) Resolve(context.Context, resumer.TakenUp) (resumer.Answer, error) {
+	return resumer.Answer{Result: resumer.OneVersion}, nil
+}
+func (noOrigins) Began([]resumer.Key, resumer.Worker) {}
+func (noOrigins) Finished([]resumer.Key)              {}
+
 // Reach is the port to the component that knows which workers this host reaches.
 type Reach interface {
 	// Lost reports whether this host can't connect to the worker at an address, for a reason
--- a/router/router.go
+++ b/router/router.go
@@ -26,7 +26,8 @@
 	Configuration Configuration
 	Placer        Placer
 	Pool          *connector.Pool
-	Reach         Reach // nil reaches all workers
+	Reach         Reach   // nil reaches all workers
+	Origins       Origins // nil lets every stream go on at any worker
 	Log           *zap.Logger
 	Metrics       *Metrics
 	MaxAnswer     int64         // maximum bytes of an answer that is buffered until it is whole
@@ -46,6 +47,9 @@
 	if c.Reach == nil {
 		c.Reach = reachable{}
 	}
+	if c.Origins == nil {
+		c.Origins = noOrigins{}
+	}
 	return &Router{Config: c}
 }
 
@@ -151,6 +155,7 @@
 		fields = append(fields, zap.String("by", t.placedBy))
 	}
 	fields = append(fields, t.availabilityFields()...)
+	fields = append(fields, t.originFields()...)
 	if t.cause != nil {
 		fields = append(fields, zap.String("cause", t.cause.Error()))
 	}
@@ -171,7 +176,7 @@
 func basisFields(r Refused) []zap.Field {
 	b := r.Basis
 	fields := []zap.Field{
-		zap.String("nearest", b.Worker), zap.Int("slots", b.Slots), zap.Int("taken", b.Taken), zap.Int("kept", b.Kept),
+		zap.String("refused", r.Reason), zap.String("nearest", b.Worker), zap.Int("slots", b.Slots), zap.Int("taken", b.Taken), zap.Int("kept", b.Kept),
 		zap.Duration("queue", b.Queue), zap.Duration("bound", b.Bound), zap.Duration("wait", b.Wait), zap.Duration("end", b.End),
 		zap.Int("free", b.Free), zap.Int("wanted", b.Wanted), zap.Float64("offered", math.Round(b.Offered)), zap.Duration("held", b.Held),
 		zap.Duration("age", b.Age),
--- a/router/stream.go
+++ b/router/stream.go
@@ -36,6 +36,7 @@
 				t.stopSilenceTimer()
 				t.timeToFirst = time.Since(t.sentAt)
 				t.router.Placer.Started(p, t.timeToFirst)
+				t.begin(p)
 			}
 			if err := t.passEvents(a, events, resumed); err != nil {
 				return t.recordFailure(err)
--- a/router/transaction.go
+++ b/router/transaction.go
@@ -50,6 +50,7 @@
 	promptTokens     int
 	via              string // host through which the last send went; "" for none
 	path             *pathWatch
+	origin           origin
 	placedBy         string // host that chose the worker; "" is this host
 	source           string // address of the worker that the KV cache was fetched from; "" for none
 	lastEventID      string // ID of the last event passed to the caller
@@ -75,6 +76,9 @@
 func (t *transaction) serve(caller context.Context) *failure {
 	ctx, cancel := t.q.withTimeout(caller)
 	defer cancel()
+	if f := t.resolveOrigin(caller, ctx); f != nil {
+		return f
+	}
 	for {
 		t.q.placement.Left = t.q.timeLeft(time.Now())
 		if t.lastEventID != "" {
@@ -99,6 +103,7 @@
 		err = t.send(ctx, placement)
 		t.router.Placer.Ended(placement, t.outcome(caller, placement, err))
 		if err == nil {
+			t.router.Origins.Finished(t.origin.keys)
 			return nil
 		}
 		t.cause = err
--- a/runner/deciders.go
+++ b/runner/deciders.go
@@ -163,10 +163,11 @@
 	return slices.IndexFunc(r.Hosts(), func(h registrar.Record) bool { return h.Name == name })
 }
 
-// pick returns a random decider that is not in backoff, or false if there is none.
-func (d *deciderSet) pick(now time.Time) (registrar.Record, bool) {
+// pick returns a random decider that is not in backoff and is accepted, or false if there is
+// none.
+func (d *deciderSet) pick(now time.Time, accept func(name string) bool) (registrar.Record, bool) {
 	for _, i := range rand.Perm(len(d.deciders)) {
-		if h := d.deciders[i]; !now.Before(d.backoffUntil[h.Name]) {
+		if h := d.deciders[i]; !now.Before(d.backoffUntil[h.Name]) && accept(h.Name) {
 			return h, true
 		}
 	}
@@ -185,14 +186,14 @@
 	if len(backoffs) > 0 && len(backoffs) == p.view.WorkerCount(e.request.Service) {
 		return false // only this host knows when the first worker accepts requests again
 	}
-	decider, ok := d.pick(now)
+	decider, ok := d.pick(now, func(name string) bool { return e.request.Bound == nil || p.origins.readers[name] })
 	if !ok {
 		return false
 	}
 	id := rand.Uint64()
 	request := e.request
 	request.Exclude = excludeBackoffs(request.Exclude, backoffs)
-	if err := p.sender.Send(decider.Control, encodeRequest(id, self, request)); err != nil {
+	if err := p.sender.Send(decider.Control, encodeBound(encodeRequest(id, self, request), request.Bound)); err != nil {
 		p.log.Debug("seek", zap.String("decider", decider.Name), zap.Error(err))
 		return false
 	}
@@ -218,15 +219,14 @@
 	}
 	p.deciderSet.backoffUntil[x.decider] = now.Add(deciderBackoff)
 	if !p.askDecider(now, x.requested) {
-		x.requested.reply <- p.decide(now, x.requested.request)
+		p.answerOrHold(now, x.requested, p.decide(now, x.requested.request))
 	}
 }
 
 // decideFor decides for another host.
-func (p *selector) decideFor(now time.Time, e placementRequested) {
-	s := e.request
+func (p *selector) decideFor(now time.Time, from string, s messenger.PlacementRequest, a placer.Request) {
 	reply := messenger.PlacementReply{ID: s.ID}
-	choice, refusal := p.view.PlaceFor(now, e.from, rand.Uint64(), decodeRequest(s))
+	choice, refusal := p.view.PlaceFor(now, from, rand.Uint64(), a)
 	if refusal != nil {
 		reply.Reason, reply.RetryAfter, reply.Basis = refusal.Reason, refusal.RetryAfter, encodeBasis(choice.Basis)
 		p.scheduleUpdate(now, p.delayFor(updateDelay, updateDelayToListeners))
@@ -234,10 +234,10 @@
 		reply.Flight, reply.Worker, reply.Wait = choice.Flight.ID, choice.Worker.Name, choice.Wait
 		reply.Delay, reply.Prefill, reply.Source, reply.HalfFull = choice.Delay, choice.Flight.Prefill, choice.Source, choice.Filling
 		reply.RateLimit = p.view.RateLimit(choice.Worker.Name)
-		p.addSent(now, e.from, choice.Flight)
+		p.addSent(now, from, choice.Flight)
 	}
 	if err := p.sender.Send(s.Reply, reply); err != nil {
-		p.log.Debug("sought", zap.String("peer", e.from), zap.Error(err))
+		p.log.Debug("sought", zap.String("peer", from), zap.Error(err))
 	}
 }
 
@@ -251,20 +251,20 @@
 	}
 	waiting := known && !x.timedOut
 	w, available := p.view.Worker(s.Worker)
-	available = available && p.sendsTo(now, w)
+	available = available && p.sendsTo(now, w) && (!known || p.view.MayContinue(w, x.requested.request))
 	switch {
 	case s.Flight == 0 && waiting:
-		x.requested.reply <- refusedBy(e.from, placer.Refusal{Reason: s.Reason, RetryAfter: s.RetryAfter}, decodeBasis(s.Basis))
+		p.answerOrHold(now, x.requested, refusedBy(e.from, placer.Refusal{Reason: s.Reason, RetryAfter: s.RetryAfter}, decodeBasis(s.Basis)))
 	case s.Flight == 0:
 	case waiting && available:
 		x.requested.reply <- workerReply{placement: router.Placement{
-			ID: s.Flight, Service: x.requested.request.Service, Worker: w, ExpectedWait: s.Wait, Delay: s.Delay, Source: s.Source, PromptTokens: s.Prefill, HalfFull: s.HalfFull, ListAge: now.Sub(p.updatedAt), PlacedBy: e.from, Brittle: p.view.IsBrittle(s.Worker), RateLimit: s.RateLimit,
+			ID: s.Flight, Service: x.requested.request.Service, Worker: p.certain(w), ExpectedWait: s.Wait, Delay: s.Delay, Source: s.Source, PromptTokens: s.Prefill, HalfFull: s.HalfFull, ListAge: now.Sub(p.updatedAt), PlacedBy: e.from, Brittle: p.view.IsBrittle(s.Worker), RateLimit: s.RateLimit,
 		}}
 	default:
 		p.remindOfLeaving(s.Worker)
 		p.addEnded(now, flightEnded{id: s.Flight, outcome: placer.Canceled})
 		if waiting {
-			x.requested.reply <- p.decide(now, x.requested.request)
+			p.answerOrHold(now, x.requested, p.decide(now, x.requested.request))
 		}
 	}
 }
--- a/runner/export_test.go
+++ b/runner/export_test.go
@@ -168,7 +168,7 @@
 
 // NewSelector returns the selector of a host that sends through send and knows the workers.
 func NewSelector(self string, workers []placer.Worker, send func(address string, m messenger.Message)) Selector {
-	c := newSelector(self, "z", sendFunc(send), nil, loader.Repeat{}, tunneler.New(tunneler.Config{}), zap.NewNop())
+	c := newSelector(loader.Host{Name: self, Zone: "z"}, sendFunc(send), nil, tunneler.New(tunneler.Config{}), zap.NewNop())
 	c.updateTimer = time.NewTimer(time.Hour)
 	c.view.SetWorkers(time.Now(), workers)
 	return Selector{c}
--- a/runner/host_routes.go
+++ b/runner/host_routes.go
@@ -31,13 +31,13 @@
 }
 
 func newHostRoutes(s loader.Host, store storer.Store, m sender, f *configFollower, d *tunneler.Dialer, log *zap.Logger, registry prometheus.Registerer) *hostRoutes {
-	g := &hostRoutes{selector: newSelector(s.Name, s.Zone, m, store, s.Repeat, d, log)}
+	g := &hostRoutes{selector: newSelector(s, m, store, d, log)}
 	g.selector.quarantine.register(registry)
 	g.pool, g.close = connector.New(d)
 	d.OnLost(g.pool.CloseAllIdle)
 	g.storeWatch = &storeWatch{store: store, log: log, report: func(e storeResult) { g.selector.post(e) }, nextCall: g.selector.nextCall}
 	g.router = router.New(router.Config{
-		Dialect: platform.Wire{}, Configuration: f, Placer: g.selector, Pool: g.pool, Reach: d, Log: log, Metrics: router.NewMetrics(registry),
+		Dialect: platform.Wire{}, Configuration: f, Placer: g.selector, Pool: g.pool, Reach: d, Origins: g.selector, Log: log, Metrics: router.NewMetrics(registry),
 		MaxAnswer: s.Limits.MaxAnswer, WriteTimeout: s.Limits.WriteTimeout.Std(), MaxBuffered: s.Limits.MaxBuffered,
 	})
 	return g
@@ -61,6 +61,14 @@
 		g.selector.post(leavingReceived{from: from, processes: decodeProcesses(m)})
 	case messenger.WorkerBackoff:
 		g.selector.post(backoffReceived{from: from, address: m.Address, duration: m.RetryAfter})
+	case messenger.BoundRequest:
+		g.selector.post(boundRequested{from: from, request: m})
+	case messenger.StreamOrigins:
+		g.selector.post(originsReceived{from: from, streams: m.Streams})
+	case messenger.OriginRequest:
+		g.selector.post(originRequested{from: from, request: m})
+	case messenger.OriginReply:
+		g.selector.post(originReplied{from: from, reply: m})
 	case messenger.ListUpdate:
 		g.selector.post(listUpdateReceived{from: from, update: m})
 	case messenger.ListSnapshot:
--- /dev/null
+++ b/runner/origins.go
@@ -0,0 +1,319 @@
+package runner
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/cicadawood/cicadawood/loader"
+	"github.com/cicadawood/cicadawood/messenger"
+	"github.com/cicadawood/cicadawood/observer"
+	"github.com/cicadawood/cicadawood/registrar"
+	"github.com/cicadawood/cicadawood/resumer"
+	"github.com/cicadawood/cicadawood/router"
+)
+
+// askDelay is how long a lookup waits for others, so that one message asks for many of them:
+// when a host fails, all its streams are taken up at once.
+const askDelay = 2 * time.Millisecond
+
+// originSync shares a host's knowledge of which workers began streams with other hosts. The
+// selector's goroutine owns it. Where each host decides for itself, all hosts are told; in a
+// larger fleet those that receive the flight updates are, as every host has connections to them.
+type originSync struct {
+	self      string
+	sender    sender
+	log       *zap.Logger
+	post      func(event) bool
+	resumer   *resumer.Resumer
+	knowers   []registrar.Record // hosts that are told and asked, without this one
+	readers   map[string]bool    // hosts known to read the messages about origins, by name
+	announced map[string]uint64  // incarnation of each host that was told that this one does
+	reply     string             // control address of this host; "" before it is on the roster
+	askDue    bool               // an originsDue is on its way
+}
+
+// Events of originSync.
+type (
+	// streamTakenUp asks where a stream that a caller takes up may go on.
+	streamTakenUp struct {
+		stream resumer.TakenUp
+		reply  chan<- resumer.Answer
+	}
+	// streamBegan and streamEnded report the first event and the end of a stream.
+	streamBegan struct {
+		keys   []resumer.Key
+		worker resumer.Worker
+	}
+	streamEnded struct{ keys []resumer.Key }
+	// originsDue is posted when lookups are to be sent, and lookupsDue when they have waited
+	// for the other hosts.
+	originsDue struct{}
+	lookupsDue struct{}
+	// originsReceived, originRequested and originReplied are messages of other hosts.
+	originsReceived struct {
+		from    string
+		streams []messenger.StreamOrigin
+	}
+	originRequested struct {
+		from    string
+		request messenger.OriginRequest
+	}
+	originReplied struct {
+		from  string
+		reply messenger.OriginReply
+	}
+)
+
+func newOriginSync(self string, s sender, first bool, log *zap.Logger, post func(event) bool) *originSync {
+	return &originSync{
+		self: self, sender: s, log: log, post: post, resumer: resumer.New(self, first),
+		readers: map[string]bool{}, announced: map[string]uint64{},
+	}
+}
+
+// handle handles an event. It returns false for one that is of no concern to it.
+func (o *originSync) handle(now time.Time, e event) bool {
+	switch e := e.(type) {
+	case streamTakenUp:
+		o.resolve(now, e)
+	case streamBegan:
+		if o.resumer.Began(now, e.keys, e.worker) {
+			o.tell(now)
+		}
+	case streamEnded:
+		o.resumer.Ended(e.keys)
+	case originsDue:
+		o.ask()
+	case lookupsDue:
+		o.resumer.Expire(now)
+	case originsReceived:
+		o.readers[e.from] = true
+		for _, x := range e.streams {
+			o.resumer.Receive(now, decodeOrigin(now, x))
+		}
+	case originRequested:
+		o.answer(now, e)
+	case originReplied:
+		o.readers[e.from] = true
+		o.resumer.ReceiveTold(now, e.from, decodeTold(now, e.reply))
+	default:
+		return false
+	}
+	return true
+}
+
+// resolve answers a caller's wish to go on with a stream, now or when other hosts have answered.
+func (o *originSync) resolve(now time.Time, e streamTakenUp) {
+	reply := func(a resumer.Answer) { e.reply <- a }
+	a := o.resumer.Resolve(now, e.stream, o.reply != "" && len(o.readable()) > 0, reply)
+	if a.Result != resumer.Pending {
+		e.reply <- a
+		return
+	}
+	if !o.askDue {
+		o.askDue = true
+		time.AfterFunc(askDelay, func() { o.post(originsDue{}) })
+	}
+}
+
+// readable returns the hosts that are told and asked and that read the messages, by name.
+func (o *originSync) readable() []registrar.Record {
+	return slices.DeleteFunc(slices.Clone(o.knowers), func(h registrar.Record) bool { return !o.readers[h.Name] })
+}
+
+// ask sends the lookups to the other hosts.
+func (o *originSync) ask() {
+	o.askDue = false
+	hosts := o.readable()
+	for _, a := range o.resumer.DrainAsks(namesOf(hosts)) {
+		m := messenger.OriginRequest{Reply: o.reply, Services: a.Services}
+		for _, k := range a.Keys {
+			m.Keys = append(m.Keys, uint64(k))
+		}
+		o.send(hosts, m)
+	}
+	time.AfterFunc(resumer.AskTimeout(), func() { o.post(lookupsDue{}) })
+}
+
+// answer answers another host's request.
+func (o *originSync) answer(now time.Time, e originRequested) {
+	o.readers[e.from] = true
+	a := resumer.Ask{Services: e.request.Services}
+	for _, k := range e.request.Keys {
+		a.Keys = append(a.Keys, resumer.Key(k))
+	}
+	if err := o.sender.Send(e.request.Reply, encodeTold(now, o.resumer.Tell(now, a))); err != nil {
+		o.log.Debug("origins", zap.String("peer", e.from), zap.Error(err))
+	}
+}
+
+// tell sends the records that other hosts were not told yet.
+func (o *originSync) tell(now time.Time) {
+	list := o.resumer.Drain()
+	hosts := o.readable()
+	if len(hosts) == 0 {
+		return
+	}
+	for part := range slices.Chunk(list, maxRunningPerMessage) {
+		var m messenger.StreamOrigins
+		for _, x := range part {
+			m.Streams = append(m.Streams, encodeOrigin(now, x))
+		}
+		o.send(hosts, m)
+	}
+}
+
+func (o *originSync) send(hosts []registrar.Record, m messenger.Message) {
+	var addresses []string
+	for _, h := range hosts {
+		addresses = append(addresses, h.Control)
+	}
+	if err := o.sender.SendAll(addresses, m); err != nil {
+		o.log.Debug("origins", zap.Error(err))
+	}
+}
+
+// setRoster applies a new roster with the hosts that receive flight updates. A host that is
+// told announces that it reads the messages, to each start of every other host.
+func (o *originSync) setRoster(r registrar.Roster, listeners []registrar.Record) {
+	self, known := r.Find(o.self)
+	if known {
+		o.reply = self.Control
+	}
+	for name := range o.readers {
+		if _, ok := r.Find(name); !ok {
+			delete(o.readers, name)
+		}
+	}
+	o.knowers = slices.DeleteFunc(slices.Clone(listeners), func(h registrar.Record) bool { return h.Name == o.self })
+	if !containsHost(listeners, o.self) {
+		clear(o.announced)
+		return
+	}
+	var added []registrar.Record
+	for _, h := range r.Hosts() {
+		if h.Name != o.self && o.announced[h.Name] != h.Incarnation {
+			o.announced[h.Name] = h.Incarnation
+			added = append(added, h)
+		}
+	}
+	if len(added) > 0 {
+		o.send(added, messenger.FlightUpdate{Limits: []messenger.WorkerLimit{{Worker: messenger.OriginsFeature}}})
+	}
+}
+
+// setWorkers applies the list of workers, and tells the streams that began while there was only
+// one version.
+func (o *originSync) setWorkers(now, updatedAt time.Time, entries []observer.Entry) {
+	workers := make([]resumer.Worker, 0, len(entries))
+	for _, e := range entries {
+		workers = append(workers, resumer.Worker{Service: e.Service, Name: e.Name, Incarnation: e.Incarnation, Version: e.Version})
+	}
+	o.resumer.SetWorkers(now, updatedAt, workers)
+	o.tell(now)
+}
+
+// configure applies the timeouts of the routes with streams.
+func (o *originSync) configure(f *loader.Folder) {
+	longest := map[string]time.Duration{}
+	for _, r := range f.Routes {
+		for _, s := range r.Services {
+			if r.Stream {
+				longest[s.Service] = max(longest[s.Service], r.Timeout.Std())
+			}
+		}
+	}
+	o.resumer.SetTimeouts(longest)
+}
+
+func namesOf(hosts []registrar.Record) []string {
+	var out []string
+	for _, h := range hosts {
+		out = append(out, h.Name)
+	}
+	return out
+}
+
+func encodeOrigin(now time.Time, x resumer.Record) messenger.StreamOrigin {
+	w := x.Worker
+	return messenger.StreamOrigin{
+		Key: uint64(x.Key), Service: w.Service, Worker: w.Name, Incarnation: w.Incarnation, Version: w.Version, Host: x.Host, Age: now.Sub(x.At),
+	}
+}
+
+func decodeOrigin(now time.Time, m messenger.StreamOrigin) resumer.Record {
+	return resumer.Record{
+		Key: resumer.Key(m.Key), Host: m.Host, At: now.Add(-max(m.Age, 0)),
+		Worker: resumer.Worker{Service: m.Service, Name: m.Worker, Incarnation: m.Incarnation, Version: m.Version},
+	}
+}
+
+func encodeTold(now time.Time, t resumer.Told) messenger.OriginReply {
+	var m messenger.OriginReply
+	for _, x := range t.Records {
+		m.Streams = append(m.Streams, encodeOrigin(now, x))
+	}
+	for _, k := range t.Unknown {
+		m.Unknown = append(m.Unknown, uint64(k))
+	}
+	for _, h := range t.Histories {
+		m.Histories = append(m.Histories, messenger.SoftwareHistory{Service: h.Service, Software: h.Software, Complete: h.Complete, Fresh: h.Fresh})
+	}
+	return m
+}
+
+func decodeTold(now time.Time, m messenger.OriginReply) resumer.Told {
+	var t resumer.Told
+	for _, x := range m.Streams {
+		t.Records = append(t.Records, decodeOrigin(now, x))
+	}
+	for _, k := range m.Unknown {
+		t.Unknown = append(t.Unknown, resumer.Key(k))
+	}
+	for _, h := range m.Histories {
+		t.Histories = append(t.Histories, resumer.History{Service: h.Service, Software: h.Software, Complete: h.Complete, Fresh: h.Fresh})
+	}
+	return t
+}
+
+var _ router.Origins = (*selector)(nil)
+
+// Resolve implements router.Origins.
+func (p *selector) Resolve(ctx context.Context, t resumer.TakenUp) (resumer.Answer, error) {
+	reply := make(chan resumer.Answer, 1)
+	if !p.post(streamTakenUp{stream: t, reply: reply}) {
+		return resumer.Answer{Result: resumer.Unknown}, nil
+	}
+	select {
+	case a := <-reply:
+		return a, nil
+	case <-ctx.Done():
+		return resumer.Answer{}, ctx.Err()
+	case <-p.ended:
+		return resumer.Answer{Result: resumer.Unknown}, nil
+	}
+}
+
+// Began implements router.Origins.
+func (p *selector) Began(keys []resumer.Key, w resumer.Worker) {
+	p.post(streamBegan{keys: keys, worker: w})
+}
+
+// Finished implements router.Origins.
+func (p *selector) Finished(keys []resumer.Key) {
+	if len(keys) > 0 {
+		p.post(streamEnded{keys: keys})
+	}
+}
+
+func (streamTakenUp) event()   {}
+func (streamBegan) event()     {}
+func (streamEnded) event()     {}
+func (originsDue) event()      {}
+func (lookupsDue) event()      {}
+func (originsReceived) event() {}
+func (originRequested) event() {}
+func (originReplied) event()   {}
--- a/runner/rate_limits.go
+++ b/runner/rate_limits.go
@@ -35,6 +35,10 @@
 // receiveLimits applies the limits that workers reported to another host.
 func (p *selector) receiveLimits(now time.Time, from string, limits []messenger.WorkerLimit) {
 	for _, l := range limits {
+		if l.Worker == messenger.OriginsFeature {
+			p.origins.readers[from] = true
+			continue
+		}
 		if p.receiveBrittle(now, from, l) {
 			continue
 		}
--- a/runner/selector.go
+++ b/runner/selector.go
@@ -58,6 +58,8 @@
 	tunnels       *tunneler.Dialer
 	pendingUpdate messenger.FlightUpdate
 	quarantine    *quarantineSync
+	origins       *originSync
+	held          []workerRequested // that wait for the list of workers
 	updateTimer   *time.Timer
 	updateDue     time.Time // when updateTimer expires; zero if it is not set
 }
@@ -67,6 +69,8 @@
 	request placer.Request
 	retry   bool
 	reply   chan<- workerReply
+
+	heldSince time.Time // since when it waits for the list of workers; zero if it never did
 }
 
 // workerReply answers workerRequested: a placement, or a refusal.
@@ -88,14 +92,16 @@
 	}
 )
 
-func newSelector(self, zone string, s sender, store storer.Store, p loader.Repeat, d *tunneler.Dialer, log *zap.Logger) *selector {
+func newSelector(h loader.Host, s sender, store storer.Store, d *tunneler.Dialer, log *zap.Logger) *selector {
+	self := h.Name
 	c := &selector{
 		self: self, sender: s, tunnels: d, log: log, events: make(chan event, eventBacklog), ended: make(chan struct{}),
-		retryPolicy: retryPolicyOf(p),
-		view:        placer.New(zone), windows: map[string]*retrier.Window{}, maxHosts: minBudgetHosts,
+		retryPolicy: retryPolicyOf(h.Repeat),
+		view:        placer.New(h.Zone), windows: map[string]*retrier.Window{}, maxHosts: minBudgetHosts,
 		relay: relayer.New(self, workersList),
 	}
 	c.quarantine = newQuarantineSync(self, s, store, c.view.Quarantine(), log)
+	c.origins = newOriginSync(self, s, h.First, log, c.post)
 	c.quarantine.store.report = func(e quarantineStoreResult) { c.post(e) }
 	return c
 }
@@ -126,11 +132,16 @@
 }
 
 func (p *selector) handle(now time.Time, e event) {
+	if p.origins.handle(now, e) {
+		return
+	}
 	switch e := e.(type) {
 	case workerRequested:
 		p.place(now, e)
+	case boundRequested:
+		p.decideFor(now, e.from, e.request.Request, decodeBound(e.request))
 	case placementRequested:
-		p.decideFor(now, e)
+		p.decideFor(now, e.from, e.request, decodeRequest(e.request))
 	case placementReplied:
 		p.handleReply(now, e)
 	case placementTimedOut:
@@ -181,6 +192,7 @@
 		p.retryPolicy = retryPolicyOf(e.settings.Repeat)
 	case configChanged:
 		p.folder = e.folder
+		p.origins.configure(e.folder)
 		p.setWorkers(now)
 	}
 	p.quarantine.announceNew(now)
@@ -192,8 +204,13 @@
 		e.reply <- workerReply{refused: refused}
 		return
 	}
+	p.placeCharged(now, e)
+}
+
+// placeCharged finds a worker for a request that the retry budget has counted.
+func (p *selector) placeCharged(now time.Time, e workerRequested) {
 	if !p.askDecider(now, e) {
-		e.reply <- p.decide(now, e.request)
+		p.answerOrHold(now, e, p.decide(now, e.request))
 	}
 }
 
@@ -225,7 +242,7 @@
 	}
 	p.addSent(now, p.self, choice.Flight)
 	return workerReply{placement: router.Placement{
-		ID: choice.Flight.ID, Service: a.Service, Worker: choice.Worker, ExpectedWait: choice.Wait, Delay: choice.Delay, Source: choice.Source, PromptTokens: choice.Flight.Prefill, HalfFull: choice.Filling, ListAge: now.Sub(p.updatedAt), Brittle: p.view.IsBrittle(choice.Worker.Name), RateLimit: p.view.RateLimit(choice.Worker.Name),
+		ID: choice.Flight.ID, Service: a.Service, Worker: p.certain(choice.Worker), ExpectedWait: choice.Wait, Delay: choice.Delay, Source: choice.Source, PromptTokens: choice.Flight.Prefill, HalfFull: choice.Filling, ListAge: now.Sub(p.updatedAt), Brittle: p.view.IsBrittle(choice.Worker.Name), RateLimit: p.view.RateLimit(choice.Worker.Name),
 	}}
 }
 
@@ -241,6 +258,7 @@
 	p.relay.SetHosts(r)
 	p.tunnels.SetHosts(helpersOf(r, p.self))
 	p.deciderSet.setRoster(r)
+	p.origins.setRoster(r, p.flightListeners())
 	p.catchUp(now, previousRoster, previousListeners)
 	p.quarantine.setRoster(now, r)
 	p.view.SetDeciders(len(p.deciderSet.deciders), p.deciderSet.index(p.self))
@@ -253,7 +271,7 @@
 	var workers []placer.Worker
 	for _, e := range p.directory.Available() {
 		w := placer.Worker{
-			Name: e.Name, Service: e.Service, Address: e.Address, Zone: e.Zone, Slots: e.Slots, WarmUp: e.WarmUp, Incarnation: e.Incarnation,
+			Name: e.Name, Service: e.Service, Address: e.Address, Zone: e.Zone, Slots: e.Slots, WarmUp: e.WarmUp, Incarnation: e.Incarnation, Version: e.Version,
 		}
 		if p.folder != nil {
 			s := p.folder.Services[e.Service]
@@ -263,14 +281,23 @@
 	}
 	added, removed := p.view.SetWorkers(now, workers)
 	setTunnelWorkers(p.tunnels, workers)
+	p.origins.setWorkers(now, p.updatedAt, p.directory.All())
+	p.listUpdated(now)
 	for _, w := range added {
-		p.log.Info("worker", zap.String("worker", w.Name), zap.String("service", w.Service), zap.String("address", w.Address), zap.String("state", "present"))
+		p.log.Info("worker", zap.String("worker", w.Name), zap.String("service", w.Service), zap.String("address", w.Address), zap.String("version", w.Version), zap.String("state", "present"))
 	}
 	for _, w := range removed {
 		p.log.Info("worker", zap.String("worker", w.Name), zap.String("service", w.Service), zap.String("address", w.Address), zap.String("state", "away"))
 	}
 }
 
+// listUpdated applies that the list of workers was known to be current at updatedAt.
+func (p *selector) listUpdated(now time.Time) {
+	p.view.SetConfirmed(p.updatedAt)
+	p.origins.resumer.ListUpdated(p.updatedAt)
+	p.retryHeld(now)
+}
+
 func (p *selector) sweep(now time.Time) {
 	p.sendHeartbeat(now)
 	p.updateWatching(now, "watchers and words")
@@ -278,6 +305,8 @@
 	p.backoffs.Sweep(now)
 	p.quarantine.sweep(now)
 	p.deciderSet.sweep(now)
+	p.origins.resumer.Sweep(now)
+	p.retryHeld(now)
 	if p.directory.Sweep(now) {
 		p.setWorkers(now)
 	}
--- a/runner/worker_entries.go
+++ b/runner/worker_entries.go
@@ -142,9 +142,11 @@
 	for _, name := range d.removed {
 		p.directory.Removed(now, name)
 	}
-	if len(objects) > 0 {
-		p.setWorkers(now)
+	if len(objects) == 0 {
+		p.listUpdated(now)
+		return
 	}
+	p.setWorkers(now)
 }
 
 // broadcastChanges sends changed entries to all other hosts.
