Placing: streams that go on come before those that begin, where versions serve side by side

What callers would see (LOST): a stream that may go on only at one version finds its few workers full of new streams, and is refused although new ones begin elsewhere.

Change: new streams leave a quarter of one worker's slots free at each version, together; a stream that goes on is not refused for what more urgent routes may want. Nothing changes where one version serves.

Seen red with the kept slots out, and with the precedence out.

--- a/placer/candidate.go
+++ b/placer/candidate.go
@@ -29,6 +29,7 @@
 	backlog       float64 // prefill of all that was sent to the worker
 	reserved      int     // slots reserved for more urgent requests
 	margin        int     // slots left to other hosts
+	resumable     int     // slots kept for streams that go on
 	urgentBacklog float64 // prefill of all that is at least as urgent as the request
 	prefillShare  float64 // predicted part of its time for which it prefills
 	wait          float64 // to the request's first event, or to a plain service's answer
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -202,6 +202,7 @@
 		}
 		c := w.candidate(now, req, holder, heldTokens)
 		c.margin = v.margin(w)
+		c.resumable = v.keptForResumed(w, req)
 		c.full = v.full(now, w)
 		if c.CacheTokens == 0 {
 			v.setPlainTimes(&c)
@@ -211,6 +212,12 @@
 	}
 	setPrefillShares(now, candidates)
 	v.reservation = v.reserve(now, candidates, req)
+	if v.preferred(req) {
+		v.reservation = reservation{}
+		for i := range candidates {
+			candidates[i].reserved, candidates[i].margin = 0, 0
+		}
+	}
 	v.candidates = candidates
 	return candidates
 }
--- a/placer/refusal.go
+++ b/placer/refusal.go
@@ -44,6 +44,8 @@
 		return newRefusal("queue", wait-req.Target/2)
 	case wait > time.Duration(maxWaitShare*float64(bound)):
 		return newRefusal("overload", wait-min(req.Target, bound))
+	case v.preferred(req):
+		return nil
 	case c.expectedEnd(req) > req.Left && v.recentTargets.leastUrgent(req):
 		// Without this, in a flood of prompts, engines prefill without a break, streams get one
 		// token per chunk, and the long ones are cut when their callers leave. If those are not
--- a/placer/reservation.go
+++ b/placer/reservation.go
@@ -100,7 +100,7 @@
 // hasSlot reports whether an engine has a slot that is neither reserved nor left to other
 // hosts.
 func (c *candidate) hasSlot() bool {
-	return c.CacheTokens == 0 || len(c.flights)+max(c.reserved, c.margin) < c.Slots
+	return c.CacheTokens == 0 || len(c.flights)+max(c.reserved, c.margin, c.resumable) < c.Slots
 }
 
 // wanted returns the slots that more urgent routes will want besides those that they have.
--- a/placer/resume.go
+++ b/placer/resume.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"math"
 	"time"
 )
 
@@ -9,6 +10,12 @@
 	// have been current for the worker to be the one that is listed: a worker that has started
 	// again may take requests before its new entry is known.
 	confirmDelay = 300 * time.Millisecond
+	// keptShare is the part of one worker's slots that all workers of a version together keep
+	// for streams that go on: new ones begin less often for it.
+	keptShare = 1.0 / 4
+	// loneKeptShare is the part of its slots that the only worker of a version keeps for streams
+	// that go on.
+	loneKeptShare = 1.0 / 8
 	// confirmRetryAfter is the retry time of a stream whose workers may have started again.
 	confirmRetryAfter = confirmDelay + 200*time.Millisecond
 )
@@ -93,3 +100,25 @@
 	}
 	return out
 }
+
+// preferred reports whether a request goes before those that begin: it goes on with a stream
+// that only workers of its version can go on with.
+func (v *View) preferred(req Request) bool {
+	return req.Resumed && req.Bound != nil && len(v.versions[req.Service]) > 1
+}
+
+// keptForResumed returns the slots of an engine that new streams leave to those that may have to
+// go on there. If one worker of a version fails, only the others can go on with its streams,
+// so each keeps its part of the slots for them. A service with one version keeps none, as all
+// workers can; nor does a worker without a version.
+func (v *View) keptForResumed(w *worker, req Request) int {
+	list := v.versions[w.Service]
+	if req.Resumed || w.CacheTokens == 0 || w.Version == "" || len(list) < 2 {
+		return 0
+	}
+	n := list[w.Software().Software()]
+	if n < 2 {
+		return int(loneKeptShare * float64(w.Slots))
+	}
+	return int(math.Ceil(keptShare * float64(w.Slots) / float64(n)))
+}
--- a/placer/resume_test.go
+++ b/placer/resume_test.go
@@ -70,6 +70,26 @@
 		Expect(refusal).To(BeNil())
 	})
 
+	// Guards against a stream that is cut for new ones that may come.
+	It("is not refused for the slots that more urgent routes will want", func() {
+		v := newView(versionedEngine("a", "v1"), versionedEngine("b", "v2"), versionedEngine("c", "v1"), versionedEngine("d", "v2"))
+		urgent := placer.Request{Service: "s", Prompt: 100, Output: 4000, Left: 10 * time.Second, Target: 300 * time.Millisecond}
+		flights := map[string]uint64{}
+		at := now
+		for id := range uint64(400) {
+			at = at.Add(5 * time.Millisecond)
+			if c, refusal := v.Place(at, id+1, urgent); refusal == nil {
+				flights[c.Worker.Name] = c.Flight.ID
+			}
+		}
+		v.Ended(at, flights["b"], placer.Answered)
+		later := bound("d", "v2")
+		later.Tier, later.Rank = 2, 2
+		c, refusal := v.Place(at, 1000, later)
+		Expect(refusal).To(BeNil())
+		Expect(c.Worker.Version).To(Equal("v2"))
+	})
+
 	// Guards against a refusal of copies of a request that may crash workers: they keep to one
 	// worker, which may be of another version.
 	It("is placed although a copy of it, which may crash workers, is at another version", func() {
