Streams of two versions: whole paths for what nobody knows, what is gone, restarts under an id, workers without a version

Specs on real hosts, workers and store on loopback: refused, not run and with a time, where nobody knows which version began a stream; refused at once without a time where no worker of it is left; nothing goes on at a worker that started again under its id while the store is silent; a worker without a version continues its own start only; one version goes on as before, whether an attempt is named or not; all of it also where a few of 18 hosts decide.

Found by them: a refusal for good got a time by the jitter (0.29 s), and a list that was read by a watch of before an outage counted as current (29 of 30 streams mixed): the list must be current 1.2 s after a connection broke, longer than a silent store goes unnoticed, and streams wait for that.

--- a/faker/link.go
+++ b/faker/link.go
@@ -65,6 +65,13 @@
 	k.stopListening()
 }
 
+// SetTarget makes new connections lead to another target.
+func (k *Link) SetTarget(target string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.target = target
+}
+
 // Address returns the address on which the link listens.
 func (k *Link) Address() string { return k.address }
 
@@ -100,13 +107,13 @@
 
 func (k *Link) connect(near net.Conn) {
 	k.mu.Lock()
-	cut := k.mode == Cut
+	cut, target := k.mode == Cut, k.target
 	k.mu.Unlock()
 	if cut {
 		_ = near.Close()
 		return
 	}
-	far, err := net.DialTimeout("tcp", k.target, time.Second)
+	far, err := net.DialTimeout("tcp", target, time.Second)
 	if err != nil {
 		_ = near.Close()
 		return
--- a/placer/resume.go
+++ b/placer/resume.go
@@ -8,8 +8,9 @@
 const (
 	// confirmDelay is how long after a connection to a worker broke the list of workers must
 	// have been current for the worker to be the one that is listed: a worker that has started
-	// again may take requests before its new entry is known.
-	confirmDelay = 300 * time.Millisecond
+	// again may take requests before its new entry is known. It is longer than the time for
+	// which a list counts as current though the store is silent.
+	confirmDelay = 1200 * time.Millisecond
 	// keptShare is the part of one worker's slots that all workers of a version together keep
 	// for streams that go on: new ones begin less often for it.
 	keptShare = 1.0 / 4
--- a/router/resume.go
+++ b/router/resume.go
@@ -37,7 +37,7 @@
 	}
 	q.placement.Resumed = true
 	stream := resumer.KeyOf(q.organisation, q.Resumes)
-	a, err := t.router.Origins.Resolve(ctx, resumer.TakenUp{Stream: stream, Services: q.target.servicesFrom(q.service)})
+	a, err := t.router.Origins.Resolve(ctx, resumer.TakenUp{Stream: stream, Services: q.servicesFrom(q.service)})
 	if err != nil {
 		return t.timedOut(caller)
 	}
--- a/runner/bound_requests.go
+++ b/runner/bound_requests.go
@@ -9,8 +9,8 @@
 )
 
 // maxHold is how long a stream waits for the list of workers to show whether those of its
-// version have started again.
-const maxHold = 600 * time.Millisecond
+// version have started again: less than callers wait for the next event.
+const maxHold = 1700 * time.Millisecond
 
 // boundRequested is another host's request for a stream that goes on only at one software.
 type boundRequested struct {
--- a/runner/deciders.go
+++ b/runner/deciders.go
@@ -272,7 +272,11 @@
 // refusedBy returns the reply to a request that a view refused. The retry time is
 // jittered, so that callers refused together don't return together.
 func refusedBy(host string, r placer.Refusal, b placer.Basis) workerReply {
-	return workerReply{refused: &router.Refused{Reason: r.Reason, RetryAfter: retrier.Jitter(r.RetryAfter, rand.Float64()), RefusedBy: host, Basis: b}}
+	after := r.RetryAfter
+	if after > 0 { // a refusal for good has no time
+		after = retrier.Jitter(after, rand.Float64())
+	}
+	return workerReply{refused: &router.Refused{Reason: r.Reason, RetryAfter: after, RefusedBy: host, Basis: b}}
 }
 
 // decodeBasis returns the figures on which another host refused a request. Hosts of an
