Streams of two versions: a worker that starts again under its id is told apart by its connection

Cause: a stream is placed by the list, and what answers is whoever has the address by then.

Change: who answers over a connection has run since it was made. Streams on connections that are kept, and services with one version, wait for nothing.

Not told apart: a restart in place at a second version that no list has, where no connection was in use.

--- a/connector/answer.go
+++ b/connector/answer.go
@@ -29,6 +29,10 @@
 // request.
 func (a *Answer) Reused() bool { return a.conn.reused }
 
+// OpenedAt returns when the answer's connection was made, at the latest: who answers runs at
+// least since then.
+func (a *Answer) OpenedAt() time.Time { return a.conn.openedAt }
+
 // Read implements io.Reader. Its error reports whether the body was truncated. A body
 // that ends with its connection is complete only if the connection was closed in order:
 // a reset is returned as an error.
--- a/connector/conn.go
+++ b/connector/conn.go
@@ -29,6 +29,7 @@
 	address   string
 	raw       net.Conn
 	reader    *bufio.Reader
+	openedAt  time.Time     // when the connection was made, at the latest
 	keepAlive time.Duration // how long the server keeps the connection idle
 	idleSince time.Time     // time of the last completed answer
 	via       string        // host through which it leads; "" for a direct connection
@@ -36,7 +37,7 @@
 }
 
 func newConn(p *Pool, address string, raw net.Conn) *conn {
-	c := &conn{pool: p, address: address, raw: raw, reader: bufio.NewReaderSize(raw, readBufferBytes), keepAlive: defaultKeepAlive}
+	c := &conn{pool: p, address: address, raw: raw, openedAt: time.Now(), reader: bufio.NewReaderSize(raw, readBufferBytes), keepAlive: defaultKeepAlive}
 	if d, ok := raw.(interface{ Via() string }); ok {
 		c.via = d.Via()
 	}
--- a/placer/request.go
+++ b/placer/request.go
@@ -56,6 +56,7 @@
 	// receive, and Bound which worker began it; nil lets it go on at any worker.
 	Resumed bool
 	Bound   *resumer.Worker
+	Stream  resumer.Key // of the caller's attempt
 
 	Fingerprint quarantiner.Fingerprint // of the request's content; 0 if unknown
 }
--- a/placer/resume.go
+++ b/placer/resume.go
@@ -11,6 +11,9 @@
 	// again may take requests before its new entry is known. It is longer than the time for
 	// which a list counts as current though the store is silent.
 	confirmDelay = 1200 * time.Millisecond
+	// breakReportDelay is the longest usual delay of another host's report of a broken
+	// connection.
+	breakReportDelay = 20 * time.Millisecond
 	// keptShare is the part of one worker's slots that all workers of a version together keep
 	// for streams that go on: new ones begin less often for it.
 	keptShare = 1.0 / 4
@@ -39,6 +42,13 @@
 	return w != nil && v.confirmed(w)
 }
 
+// ConfirmedSince reports whether a worker that answers over a connection which was made at
+// openedAt is the one that is listed: breaks of other connections after that don't matter.
+func (v *View) ConfirmedSince(name string, openedAt time.Time) bool {
+	w := v.workers[name]
+	return w != nil && (v.confirmed(w) || w.brokenAt.Sub(openedAt) > breakReportDelay)
+}
+
 func (v *View) confirmed(w *worker) bool {
 	return w.brokenAt.IsZero() || v.confirmedAt.Sub(w.brokenAt) >= confirmDelay
 }
--- a/resumer/lookup.go
+++ b/resumer/lookup.go
@@ -67,7 +67,8 @@
 // Resolve decides where a stream that is taken up may go on. If other hosts have to be asked,
 // it returns a Pending Answer and calls reply later. askable reports whether there are any.
 func (r *Resumer) Resolve(now time.Time, t TakenUp, askable bool, reply func(Answer)) Answer {
-	if x := r.records.get(t.Stream); x != nil && t.Stream != 0 {
+	x := r.records.get(t.Stream)
+	if x != nil && (x.own || !askable || !x.Worker.IsUncertain()) {
 		return known(now, t, x.Record)
 	}
 	own := r.history.view(now, t.Services[0], r.life(t.Services[0]))
@@ -160,7 +161,7 @@
 // ReceiveTold applies another host's answer, and answers the lookups that it decides.
 func (r *Resumer) ReceiveTold(now time.Time, from string, t Told) {
 	for _, x := range t.Records {
-		if r.records.get(x.Key) == nil {
+		if old := r.records.get(x.Key); old == nil || old.Worker.IsUncertain() && !old.own {
 			r.records.put(now, x, false)
 		}
 	}
@@ -168,7 +169,7 @@
 		if l.waiting == nil || !l.waiting[from] {
 			continue
 		}
-		if x := r.records.get(l.Stream); x != nil && l.Stream != 0 {
+		if x := r.records.get(l.Stream); x != nil && !x.Worker.IsUncertain() {
 			delete(r.pending, n)
 			l.reply(known(now, l.TakenUp, x.Record))
 			continue
@@ -188,6 +189,9 @@
 
 // concludeLookup decides on a lookup by what is known so far.
 func (r *Resumer) concludeLookup(now time.Time, l *lookup) Answer {
+	if x := r.records.get(l.Stream); x != nil {
+		return known(now, l.TakenUp, x.Record)
+	}
 	var others []History
 	for _, list := range l.histories {
 		others = append(others, list...)
--- a/resumer/resumer.go
+++ b/resumer/resumer.go
@@ -74,6 +74,9 @@
 	return h.one() && h.Complete
 }
 
+// One reports whether a single software served in a service, when it was last checked.
+func (r *Resumer) One(service string) bool { return r.one[service] }
+
 // tellAll marks the own records of a service as not told yet.
 func (r *Resumer) tellAll(service string) {
 	for _, x := range r.records.byKey {
@@ -102,6 +105,15 @@
 	return tell
 }
 
+// Carried returns the worker that began a stream which this host carried.
+func (r *Resumer) Carried(k Key) (Worker, bool) {
+	x := r.records.get(k)
+	if x == nil || !x.own {
+		return Worker{}, false
+	}
+	return x.Worker, true
+}
+
 // Ended forgets own records of a stream that was answered whole.
 func (r *Resumer) Ended(keys []Key) {
 	for _, k := range keys {
--- a/resumer/resumer_test.go
+++ b/resumer/resumer_test.go
@@ -83,6 +83,14 @@
 		Expect(resolve(start, taker, stream).Worker).To(Equal(v2), "and remembers it")
 	})
 
+	It("asks again for a beginning that was not certain", func() {
+		carrier, taker := newResumer("h-1", true, v1, v2), newResumer("h-3", true, v1, v2)
+		carrier.Began(start, []resumer.Key{stream}, v2.Uncertain())
+		Expect(resolve(start, taker, stream, carrier).Worker.IsUncertain()).To(BeTrue())
+		carrier.Began(start, []resumer.Key{stream}, v2)
+		Expect(resolve(start, taker, stream, carrier).Worker).To(Equal(v2))
+	})
+
 	Describe("with a stream that nobody knows", func() {
 		It("lets it go on where one version served all its life, without asking if its caller names no attempt", func() {
 			Expect(resolve(start, newResumer("h-1", true, v1, worker("c", "v1")), 0).Result).To(Equal(resumer.OneVersion))
--- a/resumer/worker.go
+++ b/resumer/worker.go
@@ -38,9 +38,15 @@
 // Uncertain returns the worker without what is not certain: which start of it runs, and at
 // which version. No worker continues what it began.
 func (w Worker) Uncertain() Worker {
-	return Worker{Service: w.Service, Name: w.Name, Incarnation: "uncertain"}
+	return Worker{Service: w.Service, Name: w.Name, Incarnation: uncertain}
 }
 
+// IsUncertain reports whether the worker is one without what is not certain.
+func (w Worker) IsUncertain() bool { return w.Version == "" && w.Incarnation == uncertain }
+
+// uncertain stands for the incarnation of a worker that is not certain.
+const uncertain = "uncertain"
+
 // Key identifies a stream by its organisation and the ID of a caller's attempt; 0 is none.
 type Key uint64
 
--- a/router/port.go
+++ b/router/port.go
@@ -159,9 +159,12 @@
 	// Resolve returns where a stream that a caller takes up may go on; an Answer that is not
 	// Pending, or the error of ctx.
 	Resolve(ctx context.Context, t resumer.TakenUp) (resumer.Answer, error)
-	// Began reports that a stream's first event came from a worker. The keys are those by
-	// which its caller may name it.
-	Began(keys []resumer.Key, w resumer.Worker)
+	// Began reports that a stream's first event came from a worker, over a connection that was
+	// made at openedAt. The keys are those by which its caller may name it.
+	Began(keys []resumer.Key, w resumer.Worker, openedAt time.Time)
+	// Certain reports whether it is a worker that answers over a connection that was made at
+	// openedAt, and not another start of it. It may wait for the list of workers.
+	Certain(ctx context.Context, w resumer.Worker, openedAt time.Time) bool
 	// Finished reports that a stream was answered whole.
 	Finished(keys []resumer.Key)
 }
@@ -172,8 +175,9 @@
 func (noOrigins) Resolve(context.Context, resumer.TakenUp) (resumer.Answer, error) {
 	return resumer.Answer{Result: resumer.OneVersion}, nil
 }
-func (noOrigins) Began([]resumer.Key, resumer.Worker) {}
-func (noOrigins) Finished([]resumer.Key)              {}
+func (noOrigins) Began([]resumer.Key, resumer.Worker, time.Time)          {}
+func (noOrigins) Certain(context.Context, resumer.Worker, time.Time) bool { return true }
+func (noOrigins) Finished([]resumer.Key)                                  {}
 
 // Reach is the port to the component that knows which workers this host reaches.
 type Reach interface {
--- a/router/resume.go
+++ b/router/resume.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -31,7 +32,8 @@
 	if !q.Stream {
 		return nil
 	}
-	t.origin.keys = []resumer.Key{resumer.KeyOf(q.organisation, q.ID)}
+	q.placement.Stream = resumer.KeyOf(q.organisation, q.ID)
+	t.origin.keys = []resumer.Key{q.placement.Stream}
 	if !q.takenUp() {
 		return nil
 	}
@@ -65,14 +67,24 @@
 	t.q.placement.Bound = &w
 }
 
+// mayPass reports whether the first event of a send may be passed on. A stream that goes on was
+// placed on a worker of its version, but by the time of its connection the worker may have
+// started again at another one.
+func (t *transaction) mayPass(ctx context.Context, p Placement, openedAt time.Time) bool {
+	if t.q.placement.Bound == nil {
+		return true
+	}
+	return t.router.Origins.Certain(ctx, p.Worker.Software(), openedAt)
+}
+
 // begin records the worker of a stream's first event. The worker is the one as it was when the
 // request was placed: by now another one may have its name.
-func (t *transaction) begin(p Placement) {
+func (t *transaction) begin(p Placement, openedAt time.Time) {
 	if t.origin.worker == nil {
 		t.bind(p.Worker.Software())
 	}
 	if t.q.Repeatable() {
-		t.router.Origins.Began(t.origin.keys, *t.origin.worker)
+		t.router.Origins.Began(t.origin.keys, *t.origin.worker, openedAt)
 	}
 	t.q.placement.Resumed = true
 }
--- a/router/stream.go
+++ b/router/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"strconv"
@@ -21,7 +22,7 @@
 
 // passStream passes events on as they arrive, whole events only: if the worker fails
 // inside an event, another worker could not continue it.
-func (t *transaction) passStream(p Placement, a *connector.Answer) error {
+func (t *transaction) passStream(ctx context.Context, p Placement, a *connector.Answer) error {
 	resumed := t.delivery.headSent
 	var pending []byte
 	buffer := make([]byte, streamBufferBytes)
@@ -34,9 +35,12 @@
 			if first {
 				first = false
 				t.stopSilenceTimer()
+				if !t.mayPass(ctx, p, a.OpenedAt()) {
+					return t.recordFailure(errOtherStart)
+				}
 				t.timeToFirst = time.Since(t.sentAt)
 				t.router.Placer.Started(p, t.timeToFirst)
-				t.begin(p)
+				t.begin(p, a.OpenedAt())
 			}
 			if err := t.passEvents(a, events, resumed); err != nil {
 				return t.recordFailure(err)
--- a/router/transaction.go
+++ b/router/transaction.go
@@ -28,6 +28,7 @@
 	errImpliesNotRun  = errors.New("the status implies that the request was not run, but the worker does not confirm it")
 	errWorkerFailed   = errors.New("the worker answered with an error")
 	errTruncatedEvent = errors.New("the stream ended inside an event")
+	errOtherStart     = errors.New("the worker may have started again at another version")
 	errSilent         = errors.New("the worker did not begin its answer in time")
 )
 
@@ -224,7 +225,7 @@
 	switch {
 	case err == nil:
 		return placer.Answered
-	case t.pathFailed(p, err):
+	case t.pathFailed(p, err), errors.Is(err, errOtherStart):
 		return placer.Canceled
 	case caller.Err() != nil, errors.Is(err, errCallerWrite):
 		return placer.Canceled
@@ -305,7 +306,7 @@
 	}
 	defer answer.Close()
 	t.reused = answer.Reused()
-	return t.handleAnswer(p, answer)
+	return t.handleAnswer(ctx, p, answer)
 }
 
 // recordFailure notes whether a failed send may have run, and returns its error.
@@ -322,7 +323,7 @@
 }
 
 // handleAnswer checks the head of an answer and passes the answer on.
-func (t *transaction) handleAnswer(p Placement, a *connector.Answer) error {
+func (t *transaction) handleAnswer(ctx context.Context, p Placement, a *connector.Answer) error {
 	v := t.router.Dialect.ReadAnswer(a.Status, a.Header)
 	t.reportRate(p, v.Limit)
 	t.noteAvailability(p, v)
@@ -340,7 +341,7 @@
 	case a.Header.Get("Content-Encoding") != "":
 		return t.recordFailure(errEncoded)
 	case ok && t.q.Stream && strings.HasPrefix(a.Header.Get("Content-Type"), "text/event-stream"):
-		return t.passStream(p, a)
+		return t.passStream(ctx, p, a)
 	case t.delivery.headSent:
 		t.discard(a)
 		return t.recordFailure(fmt.Errorf("%w: status %d in place of a stream", errWorkerFailed, a.Status))
--- a/runner/origins.go
+++ b/runner/origins.go
@@ -10,6 +10,7 @@
 	"github.com/cicadawood/cicadawood/loader"
 	"github.com/cicadawood/cicadawood/messenger"
 	"github.com/cicadawood/cicadawood/observer"
+	"github.com/cicadawood/cicadawood/placer"
 	"github.com/cicadawood/cicadawood/registrar"
 	"github.com/cicadawood/cicadawood/resumer"
 	"github.com/cicadawood/cicadawood/router"
@@ -33,6 +34,7 @@
 	announced map[string]uint64  // incarnation of each host that was told that this one does
 	reply     string             // control address of this host; "" before it is on the roster
 	askDue    bool               // an originsDue is on its way
+	uncertain []streamTakenUp    // that wait for their beginning to be certain
 }
 
 // Events of originSync.
@@ -40,14 +42,23 @@
 	// streamTakenUp asks where a stream that a caller takes up may go on.
 	streamTakenUp struct {
 		stream resumer.TakenUp
+		until  time.Time // until when it may wait for its beginning to be certain
 		reply  chan<- resumer.Answer
 	}
 	// streamBegan and streamEnded report the first event and the end of a stream.
 	streamBegan struct {
-		keys   []resumer.Key
-		worker resumer.Worker
+		keys     []resumer.Key
+		worker   resumer.Worker
+		openedAt time.Time // of the connection that it came over
 	}
 	streamEnded struct{ keys []resumer.Key }
+	// certaintyRequested asks whether it is a worker that answers over a connection.
+	certaintyRequested struct {
+		worker   resumer.Worker
+		openedAt time.Time
+		until    time.Time // until when the list is awaited
+		reply    chan<- bool
+	}
 	// originsDue is posted when lookups are to be sent, and lookupsDue when they have waited
 	// for the other hosts.
 	originsDue struct{}
@@ -79,10 +90,6 @@
 	switch e := e.(type) {
 	case streamTakenUp:
 		o.resolve(now, e)
-	case streamBegan:
-		if o.resumer.Began(now, e.keys, e.worker) {
-			o.tell(now)
-		}
 	case streamEnded:
 		o.resumer.Ended(e.keys)
 	case originsDue:
@@ -94,6 +101,7 @@
 		for _, x := range e.streams {
 			o.resumer.Receive(now, decodeOrigin(now, x))
 		}
+		o.retryUncertain(now)
 	case originRequested:
 		o.answer(now, e)
 	case originReplied:
@@ -105,12 +113,25 @@
 	return true
 }
 
+// began records the first event of a stream, and tells it at once if other hosts must know.
+func (o *originSync) began(now time.Time, e streamBegan) {
+	if o.resumer.Began(now, e.keys, e.worker) {
+		o.tell(now)
+	}
+}
+
 // resolve answers a caller's wish to go on with a stream, now or when other hosts have answered.
 func (o *originSync) resolve(now time.Time, e streamTakenUp) {
-	reply := func(a resumer.Answer) { e.reply <- a }
+	reply := func(a resumer.Answer) {
+		if a.Result == resumer.Known && a.Worker.IsUncertain() && now.Before(e.until) {
+			o.uncertain = append(o.uncertain, e)
+			return
+		}
+		e.reply <- a
+	}
 	a := o.resumer.Resolve(now, e.stream, o.reply != "" && len(o.readable()) > 0, reply)
 	if a.Result != resumer.Pending {
-		e.reply <- a
+		reply(a)
 		return
 	}
 	if !o.askDue {
@@ -119,6 +140,28 @@
 	}
 }
 
+// retryUncertain answers the streams whose beginning was not certain: the host that carried them
+// tells when it is.
+func (o *originSync) retryUncertain(now time.Time) {
+	list := o.uncertain
+	o.uncertain = nil
+	for _, e := range list {
+		o.resolve(now, e)
+	}
+}
+
+// boundNow returns the worker that a stream which goes on is bound to, by what is known now of
+// its beginning on this host.
+func (o *originSync) boundNow(req placer.Request) *resumer.Worker {
+	if req.Bound == nil {
+		return nil
+	}
+	if w, ok := o.resumer.Carried(req.Stream); ok {
+		return &w
+	}
+	return req.Bound
+}
+
 // readable returns the hosts that are told and asked and that read the messages, by name.
 func (o *originSync) readable() []registrar.Record {
 	return slices.DeleteFunc(slices.Clone(o.knowers), func(h registrar.Record) bool { return !o.readers[h.Name] })
@@ -284,7 +327,7 @@
 // Resolve implements router.Origins.
 func (p *selector) Resolve(ctx context.Context, t resumer.TakenUp) (resumer.Answer, error) {
 	reply := make(chan resumer.Answer, 1)
-	if !p.post(streamTakenUp{stream: t, reply: reply}) {
+	if !p.post(streamTakenUp{stream: t, until: time.Now().Add(maxHold), reply: reply}) {
 		return resumer.Answer{Result: resumer.Unknown}, nil
 	}
 	select {
@@ -298,8 +341,15 @@
 }
 
 // Began implements router.Origins.
-func (p *selector) Began(keys []resumer.Key, w resumer.Worker) {
-	p.post(streamBegan{keys: keys, worker: w})
+func (p *selector) Began(keys []resumer.Key, w resumer.Worker, openedAt time.Time) {
+	p.post(streamBegan{keys: keys, worker: w, openedAt: openedAt})
+}
+
+// Certain implements router.Origins.
+func (p *selector) Certain(ctx context.Context, w resumer.Worker, openedAt time.Time) bool {
+	return askSelector(ctx, p, func(reply chan<- bool) event {
+		return certaintyRequested{worker: w, openedAt: openedAt, until: time.Now().Add(maxHold), reply: reply}
+	})
 }
 
 // Finished implements router.Origins.
@@ -309,11 +359,12 @@
 	}
 }
 
-func (streamTakenUp) event()   {}
-func (streamBegan) event()     {}
-func (streamEnded) event()     {}
-func (originsDue) event()      {}
-func (lookupsDue) event()      {}
-func (originsReceived) event() {}
-func (originRequested) event() {}
-func (originReplied) event()   {}
+func (streamTakenUp) event()      {}
+func (streamBegan) event()        {}
+func (streamEnded) event()        {}
+func (certaintyRequested) event() {}
+func (originsDue) event()         {}
+func (lookupsDue) event()         {}
+func (originsReceived) event()    {}
+func (originRequested) event()    {}
+func (originReplied) event()      {}
--- a/runner/selector.go
+++ b/runner/selector.go
@@ -59,7 +59,7 @@
 	pendingUpdate messenger.FlightUpdate
 	quarantine    *quarantineSync
 	origins       *originSync
-	held          []workerRequested // that wait for the list of workers
+	waiting       waitingForList
 	updateTimer   *time.Timer
 	updateDue     time.Time // when updateTimer expires; zero if it is not set
 }
@@ -138,6 +138,10 @@
 	switch e := e.(type) {
 	case workerRequested:
 		p.place(now, e)
+	case streamBegan:
+		p.streamBegan(now, e)
+	case certaintyRequested:
+		p.checkCertainty(now, e)
 	case boundRequested:
 		p.decideFor(now, e.from, e.request.Request, decodeBound(e.request))
 	case placementRequested:
@@ -209,6 +213,7 @@
 
 // placeCharged finds a worker for a request that the retry budget has counted.
 func (p *selector) placeCharged(now time.Time, e workerRequested) {
+	e.request.Bound = p.origins.boundNow(e.request)
 	if !p.askDecider(now, e) {
 		p.answerOrHold(now, e, p.decide(now, e.request))
 	}
@@ -295,7 +300,7 @@
 func (p *selector) listUpdated(now time.Time) {
 	p.view.SetConfirmed(p.updatedAt)
 	p.origins.resumer.ListUpdated(p.updatedAt)
-	p.retryHeld(now)
+	p.retryWaiting(now)
 }
 
 func (p *selector) sweep(now time.Time) {
@@ -306,7 +311,8 @@
 	p.quarantine.sweep(now)
 	p.deciderSet.sweep(now)
 	p.origins.resumer.Sweep(now)
-	p.retryHeld(now)
+	p.origins.retryUncertain(now)
+	p.retryWaiting(now)
 	if p.directory.Sweep(now) {
 		p.setWorkers(now)
 	}
