Frames: messages of a kind that only a later version knows are skipped

What callers would see: while hosts of two versions run side by side, the newer one's first new message cut its connection to the older, and with it all others, until the message was dropped. Cause: an unknown kind ended the connection like a frame that can't be read. Hosts of before this still must not get new kinds.

--- a/messenger/config.go
+++ b/messenger/config.go
@@ -61,4 +61,5 @@
 	Replaced   uint64 `json:"replaced"`   // connections replaced after AckTimeout
 	Dropped    uint64 `json:"dropped"`    // messages given up: queue full, held too long, or peer restarted
 	Duplicates uint64 `json:"duplicates"` // frames received more than once
+	Unknown    uint64 `json:"unknown"`    // frames of kinds that only later versions know
 }
--- a/messenger/frame.go
+++ b/messenger/frame.go
@@ -22,6 +22,9 @@
 // length of a frame it would be over MaxFrame.
 const TunnelPreface = "CWT1"
 
+// ErrUnknownKind is returned for a message of a kind that this version does not know.
+var ErrUnknownKind = errors.New("unknown kind of message")
+
 // ErrFrame is returned for a frame or message that can't be encoded or decoded.
 // A connection on which it occurs is closed.
 var ErrFrame = errors.New("bad frame")
--- a/messenger/inbox.go
+++ b/messenger/inbox.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"encoding/binary"
+	"errors"
 	"net"
 	"sync"
 	"time"
@@ -136,7 +137,8 @@
 	}
 	e := Envelope{From: h.Name, Incarnation: h.Incarnation, Sequence: p.Sequence, Generation: p.Generation, Kind: p.Kind, Body: p.Body}
 	msg, err := e.Message()
-	if err != nil {
+	unknown := errors.Is(err, ErrUnknownKind)
+	if err != nil && !unknown {
 		return false
 	}
 	i.mu.Lock()
@@ -146,7 +148,11 @@
 	}
 	if i.isNew(p.Sequence) {
 		i.last = p.Sequence
-		m.handler(e, msg)
+		if unknown {
+			m.unknown.Add(1)
+		} else {
+			m.handler(e, msg)
+		}
 	} else {
 		m.duplicates.Add(1)
 	}
--- a/messenger/message.go
+++ b/messenger/message.go
@@ -213,7 +213,7 @@
 		if m, ok, err := decodeOnce(e); ok {
 			return m, err
 		}
-		return nil, fmt.Errorf("%w: kind %q", ErrFrame, e.Kind)
+		return nil, fmt.Errorf("%w: %q", ErrUnknownKind, e.Kind)
 	}
 }
 
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -34,6 +34,7 @@
 	replaced   atomic.Uint64
 	dropped    atomic.Uint64
 	duplicates atomic.Uint64
+	unknown    atomic.Uint64
 	handler    Handler
 	listener   net.Listener
 	ctx        context.Context
@@ -84,7 +85,7 @@
 func (m *Messenger) Counts() Counts {
 	return Counts{
 		Sent: m.sent.Load(), Received: m.received.Load(), Resent: m.resent.Load(),
-		Replaced: m.replaced.Load(), Dropped: m.dropped.Load(), Duplicates: m.duplicates.Load(),
+		Replaced: m.replaced.Load(), Dropped: m.dropped.Load(), Duplicates: m.duplicates.Load(), Unknown: m.unknown.Load(),
 	}
 }
 
