--- a/prover/cells.go
+++ b/prover/cells.go
@@ -36,6 +36,7 @@
 	{CutFromWorkers, []Step{Asked, Granted, Sent, MidStream, Draining}, "it changes the way of a call to its worker, and what a helping host has under way"},
 	{SilentWorker, []Step{Sent}, "it changes when an answer begins"},
 	{BrittleWorker, []Step{Asked, Granted, Sent}, "it changes which worker gets a call, and is stated in an answer"},
+	{TwoVersions, []Step{Asked, Granted, FirstToken, MidStream}, "it changes which worker may go on with a stream that has begun"},
 	{PushRace, configSteps, "operators race each other in pushes only"},
 }
 
--- a/prover/prover.go
+++ b/prover/prover.go
@@ -67,6 +67,7 @@
 	CutFromWorkers   Fault = "apart"    // a host has lost its links to the backend servers, while other hosts reach them
 	SilentWorker     Fault = "pause"    // a backend server is silent for a second and goes on
 	BrittleWorker    Fault = "brittle"  // a backend server states that it falls over if it turns many calls away
+	TwoVersions      Fault = "versions" // backend servers of a service run two software versions
 	PushRace         Fault = "race"     // operators push at the same time
 )
 
@@ -80,7 +81,7 @@
 
 // Faults returns all faults.
 func Faults() []Fault {
-	return []Fault{Kill, Freeze, CutOneWay, CutBothWays, Blackhole, Slow, LostReply, StoreDown, StoreSlow, WatchGap, LateHostList, Reorder, MismatchedAnswer, LeavingAnswer, RetryAfter, CutFromWorkers, SilentWorker, BrittleWorker, PushRace}
+	return []Fault{Kill, Freeze, CutOneWay, CutBothWays, Blackhole, Slow, LostReply, StoreDown, StoreSlow, WatchGap, LateHostList, Reorder, MismatchedAnswer, LeavingAnswer, RetryAfter, CutFromWorkers, SilentWorker, BrittleWorker, TwoVersions, PushRace}
 }
 
 const (
--- a/soaker/versions_test.go
+++ b/soaker/versions_test.go
@@ -90,7 +90,7 @@
 }
 
 // startVersion starts a worker at a version.
-func (r *release) startVersion(version string) *worker {
+func (r *release) startVersion(version string) {
 	r.mu.Lock()
 	r.next++
 	id := fmt.Sprintf("w-%d", r.next)
@@ -98,9 +98,7 @@
 	r.startWorker(&faker.Worker{ID: id, Service: "engine", Slots: 8, Events: releaseEvents, Delay: releaseDelay, Version: version})
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	x := r.workers[len(r.workers)-1]
-	r.disturbed[x] = time.Now()
-	return x
+	r.disturbed[r.workers[len(r.workers)-1]] = time.Now()
 }
 
 // retire stops a worker and removes its entry.
