Own interface: an answer goes on only at an engine that states the same software

What callers would see: the rest of an answer from an engine with another software or other weights, which doesn't fit the beginning. The question of host routes, asked of completions resumed by token: an engine may state what it runs (X-Software); one that states another text than the engine that began is left like one that does not resume. Engines that state nothing count as alike, as before. Only the host that carries such an answer resumes it: no caller takes one up.

--- a/faker/answer.go
+++ b/faker/answer.go
@@ -50,6 +50,9 @@
 	}
 	a.w.Header().Set("X-Request-Id", a.id)
 	a.w.Header().Set("X-Resumed", strconv.Itoa(a.firstToken))
+	if s := a.engine.Software(); s != "" {
+		a.w.Header().Set("X-Software", s)
+	}
 	a.w.Header().Set("Content-Type", kind)
 	return true
 }
--- a/faker/engine.go
+++ b/faker/engine.go
@@ -34,8 +34,9 @@
 	batch         []*sequence
 	running       bool
 	leaving       bool
-	checksFence   bool // refuses old fencing numbers
-	ignoresResume bool // starts again instead of resuming
+	checksFence   bool   // refuses old fencing numbers
+	ignoresResume bool   // starts again instead of resuming
+	software      string // stated in its answers; "" states none
 	fence         uint64
 	prefixes      prefixCache
 	reportLag     time.Duration
@@ -88,6 +89,20 @@
 	e.ignoresResume = !on
 }
 
+// SetSoftware sets what the engine states to run; "" states nothing.
+func (e *Engine) SetSoftware(s string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.software = s
+}
+
+// Software returns what the engine states to run.
+func (e *Engine) Software() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.software
+}
+
 // SetSlowFactor sets the factor on all times.
 func (e *Engine) SetSlowFactor(factor float64) {
 	e.mu.Lock()
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -22,6 +22,7 @@
 	HeaderPriority = "X-Priority"       // tier of the class; 0 is the most urgent
 	HeaderRun      = "X-Run"            // "no" on an answer means that the call was not run
 	HeaderResumed  = "X-Resumed"        // index of the first token of a resumed stream
+	HeaderSoftware = "X-Software"       // an engine's software and weights, as one text; "" if it does not state them
 )
 
 // RequestIDPrefix is the prefix of every request ID, so that request IDs can be
--- a/server/delivery.go
+++ b/server/delivery.go
@@ -32,8 +32,9 @@
 	headSentAt time.Time
 	stream     bool // the answer is an event stream
 	tokens     int
-	finished   bool // the engine has sent a finish reason
-	usage      int  // tokens as counted by the engine; 0 if not stated yet
+	finished   bool   // the engine has sent a finish reason
+	usage      int    // tokens as counted by the engine; 0 if not stated yet
+	software   string // that the engine which began the answer stated; "" if it stated none
 }
 
 func newDelivery(w http.ResponseWriter, q *request, writeTimeout time.Duration) *delivery {
@@ -61,7 +62,8 @@
 	for k, v := range router.EndToEndHeader(a.Header) {
 		h[k] = v
 	}
-	for _, name := range []string{forwarder.HeaderResumed, forwarder.HeaderRun} {
+	d.software = a.Header.Get(forwarder.HeaderSoftware)
+	for _, name := range []string{forwarder.HeaderResumed, forwarder.HeaderRun, forwarder.HeaderSoftware} {
 		h.Del(name)
 	}
 	if length >= 0 {
--- a/server/fixture_test.go
+++ b/server/fixture_test.go
@@ -146,6 +146,7 @@
 	}
 	for _, e := range y.engine {
 		e.SetResume(true)
+		e.SetSoftware("")
 		e.SetFencing(false)
 	}
 	y.faults.Set()
--- a/server/request_test.go
+++ b/server/request_test.go
@@ -317,6 +317,19 @@
 		Expect(s.allocator.released[1].Failed).To(BeTrue())
 	})
 
+	// Guards against an answer of two parts that don't fit: the engine that could resume runs
+	// another software than the one that began.
+	It("goes on only at an engine that states the same software", func() {
+		s := startFixture(options{resume: true})
+		for i, software := range []string{"a 1", "a 2", "a 1"} {
+			s.engine[i].SetSoftware(software)
+		}
+		s.faults.Plan([]faker.Fault{{Kind: faker.Crash, At: 5}})
+		Expect(s.stream().checkComplete()).To(Succeed())
+		Expect(s.allocator.released).To(HaveLen(3), "the second engine was given up")
+		Expect(s.allocator.released[1].Failed).To(BeTrue())
+	})
+
 	// Guards against retries multiplying the load when all engines are down: each
 	// request may be tried a few times, but all together only within the retry budgets.
 	It("is not retried beyond the budgets", func() {
--- a/server/stream.go
+++ b/server/stream.go
@@ -26,6 +26,9 @@
 		// the caller has.
 		return fmt.Errorf("%w: at %q, not %d", errNotResumed, at, d.tokens)
 	}
+	if s := t.answer.Header.Get(forwarder.HeaderSoftware); d.headSent && s != d.software {
+		return fmt.Errorf("%w: it runs %q, not %q", errNotResumed, s, d.software)
+	}
 	events, clean := t.answer.Events()
 	defer clean()
 	resumed := d.headSent
