Explain follows a stream over its caller's attempts; workers by version and known streams in metrics and dump

What was missing to tell the incident's hypotheses apart: which version began a stream, who knew it, who took it up.

--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -113,8 +113,9 @@
 		unparsed, dropped = unparsed+l.unparsed, dropped+l.dropped
 		all = append(all, l.lines...)
 	}
+	attempts := attemptsOf(request, all)
 	for _, l := range all {
-		if l.Get("request") == request {
+		if attempts[l.Get("request")] {
 			own = append(own, l)
 		}
 	}
@@ -129,6 +130,24 @@
 	return t
 }
 
+// attemptsOf returns a request with the other attempts of its caller at the same stream: those
+// that it took up, and those that took it up.
+func attemptsOf(request string, lines []Line) map[string]bool {
+	attempts := map[string]bool{request: true}
+	for grown := true; grown; {
+		grown = false
+		for _, l := range lines {
+			id, first := l.Get("request"), l.Get("resumes")
+			if first == "" || attempts[id] == attempts[first] {
+				continue
+			}
+			attempts[id], attempts[first] = true, true
+			grown = true
+		}
+	}
+	return attempts
+}
+
 // contextLines returns the lines of the request's hosts that belong to no request, from
 // contextWindow before the request to its end. Lines about workers that the request was
 // not sent to are left out.
@@ -182,7 +201,8 @@
 	for _, l := range t.Lines {
 		fmt.Fprintf(&b, "%9.3fs  %-*s  %s", l.At.Sub(start).Seconds(), hostWidth, l.Host, l.Event)
 		for _, f := range l.fields {
-			if f.name != "request" && f.value != "" {
+			own := f.name == "request" && f.value == t.Request
+			if !own && f.value != "" {
 				fmt.Fprintf(&b, "  %s=%s", f.name, quoteIfNeeded(f.value))
 			}
 		}
--- a/explainer/explainer_test.go
+++ b/explainer/explainer_test.go
@@ -50,6 +50,19 @@
 		Expect(s.String()).To(ContainSubstring("not known: whether a worker ran it"))
 	})
 
+	It("follows a stream over its caller's attempts, both ways", func() {
+		const first = "ts=2026-12-02T22:00:00.000Z level=info msg=request host=h-1 request=a1 outcome=answer_cut began=w-1 version=v1\n"
+		const second = "ts=2026-12-02T22:00:01.000Z level=info msg=request host=h-2 request=a2 resumes=a1 origin=known carried=h-1 outcome=answer_cut\n"
+		const third = "ts=2026-12-02T22:00:02.000Z level=info msg=request host=h-3 request=a3 resumes=a1 origin=known carried=h-1 outcome=answered\n"
+		logs := []explainer.Log{read(third + firstLog), read(first), read(second)}
+		for _, id := range []string{"a2", "a3"} {
+			text := explainer.Explain(id, logs).String()
+			Expect(text).To(ContainSubstring("began=w-1"))
+			Expect(text).To(ContainSubstring("request=a1"))
+			Expect(text).To(ContainSubstring("outcome=answered"))
+		}
+	})
+
 	It("reports a missing final line, and returns nothing for an unknown request", func() {
 		s := explainer.Explain("a1", []explainer.Log{read(secondLog)})
 		Expect(s.Unknown[0]).To(HavePrefix("how it ended"))
--- a/runner/host_routes.go
+++ b/runner/host_routes.go
@@ -33,6 +33,7 @@
 func newHostRoutes(s loader.Host, store storer.Store, m sender, f *configFollower, d *tunneler.Dialer, log *zap.Logger, registry prometheus.Registerer) *hostRoutes {
 	g := &hostRoutes{selector: newSelector(s, m, store, d, log)}
 	g.selector.quarantine.register(registry)
+	g.selector.origins.register(registry)
 	g.pool, g.close = connector.New(d)
 	d.OnLost(g.pool.CloseAllIdle)
 	g.storeWatch = &storeWatch{store: store, log: log, report: func(e storeResult) { g.selector.post(e) }, nextCall: g.selector.nextCall}
--- a/runner/origins.go
+++ b/runner/origins.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
 	"github.com/cicadawood/cicadawood/loader"
@@ -29,12 +31,14 @@
 	log       *zap.Logger
 	post      func(event) bool
 	resumer   *resumer.Resumer
-	knowers   []registrar.Record // hosts that are told and asked, without this one
-	readers   map[string]bool    // hosts known to read the messages about origins, by name
-	announced map[string]uint64  // incarnation of each host that was told that this one does
-	reply     string             // control address of this host; "" before it is on the roster
-	askDue    bool               // an originsDue is on its way
-	uncertain []streamTakenUp    // that wait for their beginning to be certain
+	knowers   []registrar.Record   // hosts that are told and asked, without this one
+	readers   map[string]bool      // hosts known to read the messages about origins, by name
+	announced map[string]uint64    // incarnation of each host that was told that this one does
+	reply     string               // control address of this host; "" before it is on the roster
+	askDue    bool                 // an originsDue is on its way
+	uncertain []streamTakenUp      // that wait for their beginning to be certain
+	workers   *prometheus.GaugeVec // by service and version
+	count     atomic.Int64         // of records
 }
 
 // Events of originSync.
@@ -82,9 +86,27 @@
 	return &originSync{
 		self: self, sender: s, log: log, post: post, resumer: resumer.New(self, first),
 		readers: map[string]bool{}, announced: map[string]uint64{},
+		workers: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "cicadawood_workers_by_version", Help: "Workers on this host's list, also those that are leaving, by service and software version.",
+		}, []string{"service", "version"}),
 	}
 }
 
+// register registers the metrics.
+func (o *originSync) register(r prometheus.Registerer) {
+	r.MustRegister(o.workers, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "cicadawood_stream_origins", Help: "Streams of which this host knows which worker began them.",
+	}, func() float64 { return float64(o.count.Load()) }))
+}
+
+// sweep forgets what no stream can need any more, and asks again for beginnings that were not
+// certain.
+func (o *originSync) sweep(now time.Time) {
+	o.resumer.Sweep(now)
+	o.count.Store(int64(o.resumer.Len()))
+	o.retryUncertain(now)
+}
+
 // handle handles an event. It returns false for one that is of no concern to it.
 func (o *originSync) handle(now time.Time, e event) bool {
 	switch e := e.(type) {
@@ -252,7 +274,9 @@
 // one version.
 func (o *originSync) setWorkers(now, updatedAt time.Time, entries []observer.Entry) {
 	workers := make([]resumer.Worker, 0, len(entries))
+	o.workers.Reset()
 	for _, e := range entries {
+		o.workers.WithLabelValues(e.Service, e.Version).Inc()
 		workers = append(workers, resumer.Worker{Service: e.Service, Name: e.Name, Incarnation: e.Incarnation, Version: e.Version})
 	}
 	o.resumer.SetWorkers(now, updatedAt, workers)
--- a/runner/routing_state.go
+++ b/runner/routing_state.go
@@ -22,6 +22,7 @@
 
 	Leaving    []observer.Process   `json:"leaving"`    // workers that reported in an answer that they are leaving
 	Quarantine []QuarantinedRequest `json:"quarantine"` // requests in quarantine
+	Origins    int                  `json:"origins"`    // streams of which it is known which worker began them
 }
 
 // routingStateRequested asks for the state of host routes.
@@ -40,6 +41,7 @@
 	}
 	b.Leaving = p.directory.Leaving()
 	b.Quarantine = p.quarantine.state(now)
+	b.Origins = p.origins.resumer.Len()
 	if !p.updatedAt.IsZero() {
 		b.ListAge = now.Sub(p.updatedAt)
 	}
--- a/runner/selector.go
+++ b/runner/selector.go
@@ -310,8 +310,7 @@
 	p.backoffs.Sweep(now)
 	p.quarantine.sweep(now)
 	p.deciderSet.sweep(now)
-	p.origins.resumer.Sweep(now)
-	p.origins.retryUncertain(now)
+	p.origins.sweep(now)
 	p.retryWaiting(now)
 	if p.directory.Sweep(now) {
 		p.setWorkers(now)
