Tunnels: specs hold the worker's end of a connection

A spec that dropped it failed once in a while, as the garbage collector closes connections that nobody holds, and the tunnel ended: WaitIdle 0 in place of 1. The check is as it was.

--- a/tunneler/tunneler_test.go
+++ b/tunneler/tunneler_test.go
@@ -137,7 +137,10 @@
 		c, err := a.dial(w)
 		ExpectWithOffset(1, err).NotTo(HaveOccurred())
 		ExpectWithOffset(1, via(c)).To(Equal("b"))
-		return c, <-w.conns
+		atWorker = <-w.conns
+		// The garbage collector closes connections that nobody holds.
+		DeferCleanup(func() { _ = atWorker.Close() })
+		return c, atWorker
 	}
 
 	It("connects directly while it can", func() {
