--- a/runner/bound_requests.go
+++ b/runner/bound_requests.go
@@ -1,128 +1,17 @@
 package runner
 
 import (
-	"slices"
-	"time"
-
 	"github.com/cicadawood/cicadawood/messenger"
 	"github.com/cicadawood/cicadawood/placer"
 	"github.com/cicadawood/cicadawood/resumer"
 )
 
-// maxHold is how long a stream waits for the list of workers to show whether those of its
-// version have started again: less than callers wait for the next event.
-const maxHold = 1700 * time.Millisecond
-
-// entryDelay is how long after the start of a worker its entry is on the hosts' lists, while the
-// store is up.
-const entryDelay = 50 * time.Millisecond
-
-// maxWaitingBeginnings bounds the streams whose beginning waits for the list.
-const maxWaitingBeginnings = 4096
-
-// waitingForList is what waits for the list of workers to show which start of a worker runs.
-type waitingForList struct {
-	requests    []workerRequested
-	certainties []certaintyRequested
-	beginnings  []streamBegan // recorded without a version until then
-}
-
 // boundRequested is another host's request for a stream that goes on only at one software.
 type boundRequested struct {
 	from    string
 	request messenger.BoundRequest
 }
 
-// answerOrHold answers a request for a worker, unless it is worth to wait for the list.
-func (p *selector) answerOrHold(now time.Time, e workerRequested, r workerReply) {
-	if p.clearsUp(e, r) {
-		if e.heldSince.IsZero() {
-			e.heldSince = now
-		}
-		if now.Sub(e.heldSince) < maxHold {
-			p.waiting.requests = append(p.waiting.requests, e)
-			return
-		}
-	}
-	e.reply <- r
-}
-
-// clearsUp reports whether a request was refused for something that the list will show.
-func (p *selector) clearsUp(e workerRequested, r workerReply) bool {
-	if r.refused == nil {
-		return false
-	}
-	switch r.refused.Reason {
-	case placer.ReasonUnconfirmed:
-		return true
-	case placer.ReasonVersionGone:
-		return slices.ContainsFunc(p.waiting.beginnings, func(b streamBegan) bool { return slices.Contains(b.keys, e.request.Stream) })
-	}
-	return false
-}
-
-// retryWaiting handles again what waits for the list.
-func (p *selector) retryWaiting(now time.Time) {
-	w := p.waiting
-	p.waiting = waitingForList{}
-	for _, e := range w.beginnings {
-		p.streamBegan(now, e)
-	}
-	for _, e := range w.certainties {
-		p.checkCertainty(now, e)
-	}
-	for _, e := range w.requests {
-		p.placeCharged(now, e)
-	}
-}
-
-// streamBegan records the first event of a stream. While it is not certain that the worker is
-// the listed start of it, the record has no version, so that the stream goes on nowhere.
-func (p *selector) streamBegan(now time.Time, e streamBegan) {
-	certain, decided := p.isCertain(e.worker, e.openedAt)
-	if certain {
-		p.origins.began(now, e)
-		return
-	}
-	uncertain := e
-	uncertain.worker = e.worker.Uncertain()
-	if w, ok := p.origins.resumer.Carried(e.keys[0]); !ok || w != uncertain.worker {
-		p.origins.began(now, uncertain)
-	}
-	if !decided && len(p.waiting.beginnings) < maxWaitingBeginnings {
-		p.waiting.beginnings = append(p.waiting.beginnings, e)
-	}
-}
-
-// checkCertainty answers whether it is a worker that answers over a connection, when it is
-// decided or has waited for long enough.
-func (p *selector) checkCertainty(now time.Time, e certaintyRequested) {
-	certain, decided := p.isCertain(e.worker, e.openedAt)
-	if decided || now.After(e.until) {
-		e.reply <- certain
-		return
-	}
-	p.waiting.certainties = append(p.waiting.certainties, e)
-}
-
-// isCertain reports whether it is a listed start of a worker that answers over a connection that
-// was made at openedAt: the list was current afterwards, also if other connections to the
-// worker had just broken, and has that start, or none as it is leaving. decided is false while the list was not. Where one version served it makes no
-// difference.
-func (p *selector) isCertain(w resumer.Worker, openedAt time.Time) (certain, decided bool) {
-	if p.origins.resumer.One(w.Service) {
-		return true, true
-	}
-	listed, ok := p.view.Worker(w.Name)
-	switch {
-	case ok && listed.Software() != w:
-		return false, true
-	case p.updatedAt.Sub(openedAt) < entryDelay, ok && !p.view.ConfirmedSince(w.Name, openedAt):
-		return false, false
-	}
-	return true, true
-}
-
 // certain returns a worker for a request, without its version if it may have started again at
 // another one. Where only one version serves it can't have.
 func (p *selector) certain(w placer.Worker) placer.Worker {
--- a/runner/origins.go
+++ b/runner/origins.go
@@ -1,7 +1,6 @@
 package runner
 
 import (
-	"context"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -15,7 +14,6 @@
 	"github.com/cicadawood/cicadawood/placer"
 	"github.com/cicadawood/cicadawood/registrar"
 	"github.com/cicadawood/cicadawood/resumer"
-	"github.com/cicadawood/cicadawood/router"
 )
 
 // askDelay is how long a lookup waits for others, so that one message asks for many of them:
@@ -304,85 +302,6 @@
 	return out
 }
 
-func encodeOrigin(now time.Time, x resumer.Record) messenger.StreamOrigin {
-	w := x.Worker
-	return messenger.StreamOrigin{
-		Key: uint64(x.Key), Service: w.Service, Worker: w.Name, Incarnation: w.Incarnation, Version: w.Version, Host: x.Host, Age: now.Sub(x.At),
-	}
-}
-
-func decodeOrigin(now time.Time, m messenger.StreamOrigin) resumer.Record {
-	return resumer.Record{
-		Key: resumer.Key(m.Key), Host: m.Host, At: now.Add(-max(m.Age, 0)),
-		Worker: resumer.Worker{Service: m.Service, Name: m.Worker, Incarnation: m.Incarnation, Version: m.Version},
-	}
-}
-
-func encodeTold(now time.Time, t resumer.Told) messenger.OriginReply {
-	var m messenger.OriginReply
-	for _, x := range t.Records {
-		m.Streams = append(m.Streams, encodeOrigin(now, x))
-	}
-	for _, k := range t.Unknown {
-		m.Unknown = append(m.Unknown, uint64(k))
-	}
-	for _, h := range t.Histories {
-		m.Histories = append(m.Histories, messenger.SoftwareHistory{Service: h.Service, Software: h.Software, Complete: h.Complete, Fresh: h.Fresh})
-	}
-	return m
-}
-
-func decodeTold(now time.Time, m messenger.OriginReply) resumer.Told {
-	var t resumer.Told
-	for _, x := range m.Streams {
-		t.Records = append(t.Records, decodeOrigin(now, x))
-	}
-	for _, k := range m.Unknown {
-		t.Unknown = append(t.Unknown, resumer.Key(k))
-	}
-	for _, h := range m.Histories {
-		t.Histories = append(t.Histories, resumer.History{Service: h.Service, Software: h.Software, Complete: h.Complete, Fresh: h.Fresh})
-	}
-	return t
-}
-
-var _ router.Origins = (*selector)(nil)
-
-// Resolve implements router.Origins.
-func (p *selector) Resolve(ctx context.Context, t resumer.TakenUp) (resumer.Answer, error) {
-	reply := make(chan resumer.Answer, 1)
-	if !p.post(streamTakenUp{stream: t, until: time.Now().Add(maxHold), reply: reply}) {
-		return resumer.Answer{Result: resumer.Unknown}, nil
-	}
-	select {
-	case a := <-reply:
-		return a, nil
-	case <-ctx.Done():
-		return resumer.Answer{}, ctx.Err()
-	case <-p.ended:
-		return resumer.Answer{Result: resumer.Unknown}, nil
-	}
-}
-
-// Began implements router.Origins.
-func (p *selector) Began(keys []resumer.Key, w resumer.Worker, openedAt time.Time) {
-	p.post(streamBegan{keys: keys, worker: w, openedAt: openedAt})
-}
-
-// Certain implements router.Origins.
-func (p *selector) Certain(ctx context.Context, w resumer.Worker, openedAt time.Time) bool {
-	return askSelector(ctx, p, func(reply chan<- bool) event {
-		return certaintyRequested{worker: w, openedAt: openedAt, until: time.Now().Add(maxHold), reply: reply}
-	})
-}
-
-// Finished implements router.Origins.
-func (p *selector) Finished(keys []resumer.Key) {
-	if len(keys) > 0 {
-		p.post(streamEnded{keys: keys})
-	}
-}
-
 func (streamTakenUp) event()      {}
 func (streamBegan) event()        {}
 func (streamEnded) event()        {}
