Streams of two versions: a list counts as current two seconds after an outage of the store

A worker restarted in place at another version while the store was down; the store came back 0.3 s before the worker wrote its new entry, and its old one counted.

Cause: workers write their entries again within two seconds after an outage, and the list was taken for current with the store's first answer. For that time it confirms no worker now; streams that wait for it are refused after 1.7 s, not run, or cut. The directory knew the time already, for missing entries.

--- a/observer/directory.go
+++ b/observer/directory.go
@@ -115,6 +115,10 @@
 	return !d.recoveredAt.IsZero() && now.Sub(d.recoveredAt) < recoveryGrace
 }
 
+// Settled reports whether the entries are those of the running workers: the source is available,
+// and was for the time in which workers write their entries again after an outage.
+func (d *Directory) Settled(now time.Time) bool { return !d.unavailable && !d.recentlyRecovered(now) }
+
 // remove forgets an entry, but remembers that it was removed.
 func (d *Directory) remove(now time.Time, name string) {
 	delete(d.entries, name)
--- a/observer/directory_test.go
+++ b/observer/directory_test.go
@@ -132,3 +132,17 @@
 		Expect(names(&d)).To(BeEmpty())
 	})
 })
+
+// Guards against a list that is taken for current right after an outage of the source, while
+// workers that started again in it have not written their entries yet.
+var _ = It("is settled two seconds after an outage of the source", func() {
+	start := time.Unix(1000, 0)
+	d := &observer.Directory{}
+	d.Listed(start, nil)
+	Expect(d.Settled(start)).To(BeTrue())
+	d.Failed()
+	Expect(d.Settled(start.Add(time.Second))).To(BeFalse())
+	d.Listed(start.Add(2*time.Second), nil)
+	Expect(d.Settled(start.Add(3 * time.Second))).To(BeFalse())
+	Expect(d.Settled(start.Add(4 * time.Second))).To(BeTrue())
+})
--- a/runner/list_wait.go
+++ b/runner/list_wait.go
@@ -24,6 +24,7 @@
 	requests    []workerRequested
 	certainties []certaintyRequested
 	beginnings  []streamBegan // recorded without a version until then
+	listedAt    time.Time     // when the list was last known to have the workers that ran then
 }
 
 // answerOrHold answers a request for a worker, unless it is worth to wait for the list.
@@ -57,7 +58,7 @@
 // retryWaiting handles again what waits for the list.
 func (p *selector) retryWaiting(now time.Time) {
 	w := p.waiting
-	p.waiting = waitingForList{}
+	p.waiting = waitingForList{listedAt: w.listedAt}
 	for _, e := range w.beginnings {
 		p.streamBegan(now, e)
 	}
@@ -110,7 +111,7 @@
 	switch {
 	case ok && listed.Software() != w:
 		return false, true
-	case p.updatedAt.Sub(openedAt) < entryDelay, ok && !p.view.ConfirmedSince(w.Name, openedAt):
+	case p.waiting.listedAt.Sub(openedAt) < entryDelay, ok && !p.view.ConfirmedSince(w.Name, openedAt):
 		return false, false
 	}
 	return true, true
--- a/runner/selector.go
+++ b/runner/selector.go
@@ -298,7 +298,10 @@
 
 // listUpdated applies that the list of workers was known to be current at updatedAt.
 func (p *selector) listUpdated(now time.Time) {
-	p.view.SetConfirmed(p.updatedAt)
+	if p.directory.Settled(now) {
+		p.waiting.listedAt = p.updatedAt
+		p.view.SetConfirmed(p.updatedAt)
+	}
 	p.origins.resumer.ListUpdated(p.updatedAt)
 	p.retryWaiting(now)
 }
