--- a/resumer/resumer.go
+++ b/resumer/resumer.go
@@ -22,7 +22,7 @@
 	history  history
 	timeouts map[string]time.Duration // longest timeout of a route with streams, by service
 	one      map[string]bool          // services of which a single software served, as of the last check
-	untold   []Record                 // own records that other hosts were not told yet
+	untold   []Record                 // own records that other hosts have not received yet
 	pending  map[uint64]*lookup       // by number
 	numbers  uint64                   // of lookups
 	queued   []uint64                 // lookups that were not sent yet, by number
@@ -53,7 +53,7 @@
 }
 
 // SetWorkers applies a complete list of the workers, also of those that are leaving, as it was
-// at a time. Own streams of services that now have a second software are to be told.
+// at a time. Own streams of services that now have a second software are to be reported.
 func (r *Resumer) SetWorkers(now, updatedAt time.Time, workers []Worker) {
 	r.history.observe(now, updatedAt, workers)
 	for service := range r.history.present {
@@ -77,7 +77,7 @@
 // One reports whether a single software served in a service, when it was last checked.
 func (r *Resumer) One(service string) bool { return r.one[service] }
 
-// tellAll marks the own records of a service as not told yet.
+// tellAll marks the own records of a service as not reported yet.
 func (r *Resumer) tellAll(service string) {
 	for _, x := range r.records.byKey {
 		if x.own && x.Worker.Service == service {
@@ -88,7 +88,7 @@
 }
 
 // Began records that a stream's first event came from a worker, under the keys by which
-// its caller may name it. It reports whether other hosts must be told at once.
+// its caller may name it. It reports whether other hosts must be notified at once.
 func (r *Resumer) Began(now time.Time, keys []Key, w Worker) bool {
 	tell := !r.isOne(now, w.Service)
 	r.one[w.Service] = !tell
@@ -123,7 +123,7 @@
 	}
 }
 
-// Drain returns the own records that other hosts were not told yet, oldest first.
+// Drain returns the own records that other hosts have not received yet, oldest first.
 func (r *Resumer) Drain() []Record {
 	out := r.untold
 	r.untold = nil
--- a/resumer/resumer_test.go
+++ b/resumer/resumer_test.go
@@ -138,7 +138,7 @@
 		})
 	})
 
-	// Guards against streams that began before a second version came, of which nobody was told.
+	// Guards against streams that began before a second version came, of which nobody was notified.
 	It("tells of its streams once a second version serves", func() {
 		r := newResumer("h-1", true, v1)
 		Expect(r.Began(start, []resumer.Key{stream}, v1)).To(BeFalse())
--- a/resumer/worker.go
+++ b/resumer/worker.go
@@ -2,7 +2,7 @@
 // the worker that began it.
 //
 // A stream begins at the worker whose first event its caller gets. The host that carries the
-// stream records that worker, and tells the record to other hosts with the first event, unless
+// stream records that worker, and sends the record to other hosts with the first event, unless
 // only one version can have begun it. A host at which a caller takes the stream up looks for
 // the record, asks other hosts for it, and refuses what nobody knows. Records are found by a
 // hash of the organisation and of the caller's attempt that brought the first event.
--- a/runner/origins.go
+++ b/runner/origins.go
@@ -21,7 +21,7 @@
 const askDelay = 2 * time.Millisecond
 
 // originSync shares a host's knowledge of which workers began streams with other hosts. The
-// selector's goroutine owns it. Where each host decides for itself, all hosts are told; in a
+// selector's goroutine owns it. Where each host decides for itself, all hosts are notified; in a
 // larger fleet those that receive the flight updates are, as every host has connections to them.
 type originSync struct {
 	self      string
@@ -29,9 +29,9 @@
 	log       *zap.Logger
 	post      func(event) bool
 	resumer   *resumer.Resumer
-	knowers   []registrar.Record   // hosts that are told and asked, without this one
+	knowers   []registrar.Record   // hosts that are notified and asked, without this one
 	readers   map[string]bool      // hosts known to read the messages about origins, by name
-	announced map[string]uint64    // incarnation of each host that was told that this one does
+	announced map[string]uint64    // incarnation of each host that was notified that this one does
 	reply     string               // control address of this host; "" before it is on the roster
 	askDue    bool                 // an originsDue is on its way
 	uncertain []streamTakenUp      // that wait for their beginning to be certain
@@ -133,7 +133,7 @@
 	return true
 }
 
-// began records the first event of a stream, and tells it at once if other hosts must know.
+// began records the first event of a stream, and sends it at once if other hosts must know.
 func (o *originSync) began(now time.Time, e streamBegan) {
 	if o.resumer.Began(now, e.keys, e.worker) {
 		o.tell(now)
@@ -161,7 +161,7 @@
 }
 
 // retryUncertain answers the streams whose beginning was not certain: the host that carried them
-// tells when it is.
+// reports when it is.
 func (o *originSync) retryUncertain(now time.Time) {
 	list := o.uncertain
 	o.uncertain = nil
@@ -182,7 +182,7 @@
 	return req.Bound
 }
 
-// readable returns the hosts that are told and asked and that read the messages, by name.
+// readable returns the hosts that are notified and asked and that read the messages, by name.
 func (o *originSync) readable() []registrar.Record {
 	return slices.DeleteFunc(slices.Clone(o.knowers), func(h registrar.Record) bool { return !o.readers[h.Name] })
 }
@@ -213,7 +213,7 @@
 	}
 }
 
-// tell sends the records that other hosts were not told yet.
+// tell sends the records that other hosts have not received yet.
 func (o *originSync) tell(now time.Time) {
 	list := o.resumer.Drain()
 	hosts := o.readable()
@@ -240,7 +240,7 @@
 }
 
 // setRoster applies a new roster with the hosts that receive flight updates. A host that is
-// told announces that it reads the messages, to each start of every other host.
+// notified announces that it reads the messages, to each start of every other host.
 func (o *originSync) setRoster(r registrar.Roster, listeners []registrar.Record) {
 	self, known := r.Find(o.self)
 	if known {
@@ -268,7 +268,7 @@
 	}
 }
 
-// setWorkers applies the list of workers, and tells the streams that began while there was only
+// setWorkers applies the list of workers, and reports the streams that began while there was only
 // one version.
 func (o *originSync) setWorkers(now, updatedAt time.Time, entries []observer.Entry) {
 	workers := make([]resumer.Worker, 0, len(entries))
