Logs name the parts of prompts; explain shows which parts crashed workers share

Cause: lines of requests and failed sends named the whole request by its fingerprint only, so that nothing showed what 74 crashes of requests no two alike had in common. The keys of cached prefixes are now chained so that the parts' own IDs can be computed from them: messages between hosts stay as they are. Hosts of before compute other keys, so in a mixed fleet they don't see one another's caches.

--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -101,6 +101,7 @@
 type Timeline struct {
 	Request string
 	Lines   []Line   // ordered by time
+	Crashes Crashes
 	Unknown []string // questions that the logs do not answer
 }
 
@@ -126,6 +127,7 @@
 	slices.SortStableFunc(own, byTime)
 	t.Lines = slices.Concat(own, contextLines(own, all))
 	slices.SortStableFunc(t.Lines, byTime)
+	t.Crashes = crashesOf(own, all)
 	t.Unknown = openQuestions(own, unparsed, dropped)
 	return t
 }
@@ -208,6 +210,7 @@
 		}
 		b.WriteString("\n")
 	}
+	b.WriteString(t.Crashes.String())
 	for _, u := range t.Unknown {
 		fmt.Fprintf(&b, "not known: %s\n", u)
 	}
--- a/explainer/explainer_test.go
+++ b/explainer/explainer_test.go
@@ -1,6 +1,7 @@
 package explainer_test
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 
@@ -63,6 +64,22 @@
 		}
 	})
 
+	It("shows which parts the crashed workers of all hosts share", func() {
+		const crash = "ts=2026-12-02T22:00:01.000Z level=warn msg=send host=%s request=%s parts=%s worker=%s ended=true\n"
+		logs := []explainer.Log{
+			read(fmt.Sprintf(crash+crash, "h-1", "a1", "cc,bb,01", "w-1", "h-1", "a1", "cc,bb,01", "w-2")),
+			read(fmt.Sprintf(crash+crash, "h-2", "b1", "bb,cc,02", "w-3", "h-2", "b2", "cc,03", "w-3")),
+			read("ts=2026-12-02T22:00:01.500Z level=info msg=request host=h-3 request=s1 parts=cc,04 outcome=answered worker=w-4\n"),
+		}
+		s := explainer.Explain("a1", logs)
+		Expect(s.Crashes).To(Equal(explainer.Crashes{
+			Own: []string{"w-1", "w-2"}, Total: 3,
+			Parts: []explainer.PartCrashes{{Part: "bb", Crashed: 3}, {Part: "cc", Crashed: 3, Answered: 1}, {Part: "01", Crashed: 2}},
+		}))
+		Expect(s.String()).To(ContainSubstring("part bb: 3 workers crashed with it, 0 requests with it were answered\n"))
+		Expect(explainer.Explain("s1", logs).String()).NotTo(ContainSubstring("crashed"))
+	})
+
 	It("reports a missing final line, and returns nothing for an unknown request", func() {
 		s := explainer.Explain("a1", []explainer.Log{read(secondLog)})
 		Expect(s.Unknown[0]).To(HavePrefix("how it ended"))
--- a/placer/request.go
+++ b/placer/request.go
@@ -28,13 +28,6 @@
 	return resumer.Worker{Service: w.Service, Name: w.Name, Incarnation: w.Incarnation, Version: w.Version}
 }
 
-// Part is one part of a prompt. Its Key also covers all parts before it: a cached part is only
-// of use to a request if those are cached too.
-type Part struct {
-	Key    uint64
-	Tokens int
-}
-
 // Request is a request to be placed at a worker.
 type Request struct {
 	Service           string
--- a/router/router.go
+++ b/router/router.go
@@ -11,7 +11,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"github.com/cicadawood/cicadawood/connector"
@@ -131,7 +130,7 @@
 func (r *Router) log(t *transaction, code string, status int, f *failure) {
 	q := t.q
 	fields := []zap.Field{
-		zap.String("request", q.ID), zap.Stringer("fingerprint", q.fingerprint), zap.String("route", q.name), zap.String("service", q.service), zap.Int("tier", q.tier), zap.Int("rank", q.rank), zap.Duration("target", q.LatencyTarget.Std()),
+		zap.String("request", q.ID), zap.Stringer("fingerprint", q.fingerprint), zap.String("parts", q.loggedParts()), zap.String("route", q.name), zap.String("service", q.service), zap.Int("tier", q.tier), zap.Int("rank", q.rank), zap.Duration("target", q.LatencyTarget.Std()),
 		zap.String("outcome", code), zap.Int("status", status), zap.Int("sends", t.sends), zap.Bool("exposed", t.mayHaveRun),
 		zap.Duration("took", time.Since(q.started)), zap.Int("bytes", t.delivery.bytes), zap.String("worker", t.worker), zap.Bool("kept", t.reused),
 		zap.Duration("expected", t.expectedWait), zap.Int("read", t.promptTokens),
@@ -305,12 +304,7 @@
 	if q.Stream {
 		a.FirstEventTimeout, a.Gap = eventTimeout(q.target), q.GapTarget.Std()
 	}
-	h := xxhash.New()
-	_, _ = h.WriteString(q.Model) // never fails
-	for _, p := range q.Parts {
-		_, _ = h.WriteString("\x00" + p.ID)
-		a.Parts = append(a.Parts, placer.Part{Key: h.Sum64(), Tokens: p.Tokens})
-	}
+	a.Parts = partsOf(q.RequestHead)
 	return a
 }
 
--- a/router/transaction.go
+++ b/router/transaction.go
@@ -128,7 +128,7 @@
 // last.
 func (t *transaction) log(p Placement, final bool) {
 	fields := []zap.Field{
-		zap.String("request", t.q.ID), zap.Stringer("fingerprint", t.q.fingerprint), zap.Int("send", t.sends), zap.String("worker", p.Worker.Name),
+		zap.String("request", t.q.ID), zap.Stringer("fingerprint", t.q.fingerprint), zap.String("parts", t.q.loggedParts()), zap.Int("send", t.sends), zap.String("worker", p.Worker.Name),
 		zap.Duration("after", time.Since(t.sentAt)), zap.Bool("ended", errors.Is(t.cause, connector.ErrClosedByPeer)),
 		zap.String("address", p.Worker.Address), zap.Bool("kept", t.reused), zap.Duration("age", p.ListAge), zap.Duration("expected", p.ExpectedWait),
 		zap.Int("read", p.PromptTokens), zap.Bool("exposed", t.mayHaveRun), zap.Bool("passed", t.delivery.headSent), zap.String("last", t.lastEventID),
