--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -100,7 +100,7 @@
 // Timeline is what the logs show about one request.
 type Timeline struct {
 	Request string
-	Lines   []Line   // ordered by time
+	Lines   []Line // ordered by time
 	Crashes Crashes
 	Unknown []string // questions that the logs do not answer
 }
--- a/faker/worker.go
+++ b/faker/worker.go
@@ -31,6 +31,7 @@
 	Version     string        // of its software, named in its entry and in each event; "" names defaultVersion in its entry only
 	Unversioned bool          // its entry has no version
 	Poison      string        // text of a body on which the worker crashes; "" is none
+	PoisonPart  string        // part of a prompt, not the last, on which the worker crashes as it answers; "" is none
 	OnCrash     func()        // called after such a crash; may be nil
 
 	mu         sync.Mutex
@@ -45,6 +46,7 @@
 	refusals   []refusal              // requests refused with Retry-After, in order
 	brittle    brittle
 	silentTill time.Time // until when it does not go on with any request
+	poisoned   int       // requests with PoisonPart that it ran
 	canceled   int       // requests whose caller disconnected before the answer
 	seq        int
 	crash      func() // closes the listener and all connections, as a crash does
@@ -233,6 +235,8 @@
 		go k.crash()
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
+	case k.PoisonPart != "" && hasPoisonPart(r.Header, k.PoisonPart):
+		k.crashAnswering(w, r)
 	case f.BreakConnection:
 		panic(http.ErrAbortHandler)
 	case f.NeverAnswer:
--- a/faker/worker_arrivals.go
+++ b/faker/worker_arrivals.go
@@ -87,3 +87,16 @@
 	}
 	return highest
 }
+
+// ArrivalsAfter returns how often a request meant for this worker was received after a time.
+func (k *Worker) ArrivalsAfter(request string, from time.Time) int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	n := 0
+	for _, a := range k.arrivals {
+		if a.id == request && !a.misdirected && a.at.After(from) {
+			n++
+		}
+	}
+	return n
+}
