A part of prompts that crashes workers is found and held back

Cause: the quarantine counts crashes by the whole request, and of these requests no two are alike. Harm travelled with a part of the work, and every guard looked at the whole request or at the worker alone. What is found is held back through the quarantine, under a fingerprint that stands for a part: messages and stored objects keep their form, so hosts of before pass them on. An end of an answer that nothing bounds, and a rejection, clear no part.

--- a/placer/flight.go
+++ b/placer/flight.go
@@ -1,6 +1,10 @@
 package placer
 
-import "time"
+import (
+	"time"
+
+	"github.com/cicadawood/cicadawood/attributor"
+)
 
 const (
 	// maxOverdue is how long after its deadline a flight is kept whose end was not reported.
@@ -16,10 +20,13 @@
 	host         string // sender; "" is this host
 	index        int    // in its worker's flights
 	sentAt       time.Time
-	prefillLeft  float64       // predicted milliseconds of prefill left
-	prefilledAt  time.Time     // predicted end of its prefill; zero before that
-	alone        bool          // nothing else was prefilled between its sending and its first event
-	begun        bool          // its first event was seen
+	prefillLeft  float64   // predicted milliseconds of prefill left
+	prefilledAt  time.Time // predicted end of its prefill; zero before that
+	alone        bool      // nothing else was prefilled between its sending and its first event
+	begun        bool      // its first event was seen
+	begunAt      time.Time // when its first event was reported
+	shared       []attributor.PartID
+	suspected    bool          // it has a part that was suspected when it was sent
 	rounds       float64       // predicted time to its plain worker's answer, in multiples of one answer's time
 	expiresAt    time.Time     // predicted end, if its host is lost; zero otherwise
 	tokenTime    float64       // milliseconds per token when it was sent
@@ -56,7 +63,8 @@
 
 // add counts a flight at its worker, and returns the view's record of it.
 func (v *View) add(now time.Time, host string, f Flight) *flight {
-	x := &flight{Flight: f, host: host, sentAt: now}
+	x := &flight{Flight: f, host: host, sentAt: now, shared: SharedParts(f.Parts)}
+	x.suspected = v.suspects.Active() && len(v.suspectsAmong(now, x.shared)) > 0
 	v.flights[f.ID] = x
 	if w := v.workers[f.Worker]; w != nil {
 		w.add(now, x)
@@ -80,10 +88,11 @@
 	if f == nil || f.begun {
 		return
 	}
-	f.begun, f.took = true, took
-	v.quarantine.Alive(now, f.Worker, f.earliestAnswer(took))
+	f.begun, f.begunAt, f.took = true, now, took
+	v.workerAlive(now, f.Worker, f.earliestAnswer(took))
 	if w := v.workers[f.Worker]; w != nil && w.has(f) {
 		w.firstEvent(now, f, took)
+		v.recordSurvivors(now, w)
 	}
 }
 
@@ -102,7 +111,7 @@
 	w.recordOutcome(now, o)
 	v.learnLength(now, w, f, o)
 	w.learnEnd(f, inMilliseconds(now.Sub(f.sentAt)), o)
-	if w.CacheTokens == 0 && o == Answered {
+	if w.CacheTokens == 0 && o.answered() {
 		v.learnPlain(w.Service, f)
 	}
 }
@@ -145,6 +154,8 @@
 // Sweep removes flights that must be over although their end was not reported, as the update
 // was lost.
 func (v *View) Sweep(now time.Time) {
+	v.judge(now)
+	v.suspects.Sweep(now)
 	for id, at := range v.endedEarly {
 		if now.Sub(at) > endedEarlyFor {
 			delete(v.endedEarly, id)
--- a/placer/part.go
+++ b/placer/part.go
@@ -17,3 +17,12 @@
 	}
 	return attributor.IDs(keys)
 }
+
+// SharedParts returns the IDs of the parts of a prompt that other requests may have, too: all but
+// the last, which is the request's own.
+func SharedParts(parts []Part) []attributor.PartID {
+	if len(parts) < 2 {
+		return nil
+	}
+	return PartIDs(parts[:len(parts)-1])
+}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -19,6 +19,7 @@
 	"slices"
 	"time"
 
+	"github.com/cicadawood/cicadawood/attributor"
 	"github.com/cicadawood/cicadawood/quarantiner"
 )
 
@@ -55,6 +56,7 @@
 	refused       []OfferedLoad             // refused requests that were not reported yet
 	reservation   reservation               // for the current request
 	quarantine    quarantiner.Tracker       // requests that crashed workers
+	suspects      attributor.Attributor     // parts of prompts that may crash workers
 	lastReceived  time.Time                 // when another host last reported what it sent
 	confirmedAt   time.Time                 // when the list of workers was last known to be current
 	versions      map[string]map[string]int // number of workers, by service and software
@@ -71,11 +73,13 @@
 // New returns a view without workers. Workers in the host's own zone are preferred, all else
 // being equal.
 func New(zone string) *View {
-	return &View{
+	v := &View{
 		zone: zone, workers: map[string]*worker{}, flights: map[uint64]*flight{}, endedEarly: map[uint64]time.Time{},
 		answerTimes: map[string]time.Duration{}, fits: map[string]*fit{}, nextRetries: map[serviceRank]time.Time{}, recentTargets: recentTargets{}, offered: tierLoads{},
 		quarantine: quarantiner.Tracker{RenamedOnRestart: true},
 	}
+	v.suspects.SetKnown(knownCauses{&v.quarantine})
+	return v
 }
 
 // SetWorkers replaces the workers that may get requests. The view keeps its data on those that
@@ -129,7 +133,8 @@
 
 // PlaceFor is like Place, for a request that another host sends.
 func (v *View) PlaceFor(now time.Time, host string, id uint64, req Request) (Choice, *Refusal) {
-	if remaining, quarantined := v.quarantine.Quarantined(now, req.Fingerprint); quarantined {
+	v.judge(now)
+	if remaining, held := v.HeldBack(now, req); held {
 		return Choice{}, newRefusal("quarantine", remaining)
 	}
 	v.chance = float64(id>>11) / (1 << 53)
@@ -167,6 +172,20 @@
 		return cheapest(candidates, anyCandidate), refusal
 	}
 	candidates = withinLimit(candidates)
+	if apart := v.isolated(now, req, candidates); apart != nil {
+		if c, refusal := v.bestOf(apart, req); refusal == nil {
+			return c, nil
+		}
+	}
+	c, refusal := v.bestOf(candidates, req)
+	if c != nil && refusal != nil {
+		refusal.RetryAfter = v.scheduleRetry(now, req, candidates, refusal.RetryAfter)
+	}
+	return c, refusal
+}
+
+// bestOf is best among some of the candidates. Its refusals name the earliest time to retry.
+func (v *View) bestOf(candidates []candidate, req Request) (*candidate, *Refusal) {
 	best := cheapest(candidates, (*candidate).hasSlot)
 	if best == nil {
 		best = cheapest(candidates, anyCandidate)
@@ -181,7 +200,6 @@
 	leastUrgent := v.recentTargets.leastUrgent(req)
 	other := cheapest(candidates, func(c *candidate) bool { return (c.tightStreams == 0 || !leastUrgent) && v.refuse(c, req) == nil })
 	if other == nil {
-		refusal.RetryAfter = v.scheduleRetry(now, req, candidates, refusal.RetryAfter)
 		return best, refusal
 	}
 	return other, nil
--- a/placer/quarantine.go
+++ b/placer/quarantine.go
@@ -3,31 +3,63 @@
 import (
 	"time"
 
+	"github.com/cicadawood/cicadawood/attributor"
 	"github.com/cicadawood/cicadawood/quarantiner"
 )
 
+// sendReportDelay is the usual delay of another host's report that it sent a request.
+const sendReportDelay = 20 * time.Millisecond
+
 // recordSuspicion updates the quarantine by how a flight ended.
 func (v *View) recordSuspicion(now time.Time, f *flight, o Outcome) {
 	switch o {
 	case Disconnected:
-		v.quarantine.WorkerCrashed(now, f.Fingerprint, f.Worker, f.earliestSent())
-	case Answered, Errored:
+		v.quarantine.WorkerCrashed(now, f.Fingerprint, f.Worker, f.earliestSent(quarantiner.UsualUpdateDelay))
+		v.suspects.Crashed(now, f.Worker, attributor.Request{Content: uint64(f.Fingerprint), Parts: f.shared, SentAt: f.earliestSent(sendReportDelay)})
+	case Answered:
+		v.quarantine.Answered(f.Fingerprint)
+		v.suspects.Served(now, f.shared)
+		v.workerAlive(now, f.Worker, now.Add(-quarantiner.MaxUpdateDelay))
+	case Errored, Unproven:
 		v.quarantine.Answered(f.Fingerprint)
-		v.quarantine.Alive(now, f.Worker, now.Add(-quarantiner.MaxUpdateDelay))
+		v.workerAlive(now, f.Worker, now.Add(-quarantiner.MaxUpdateDelay))
 	case Refused, WrongWorker:
-		v.quarantine.Alive(now, f.Worker, f.earliestAnswer(0))
+		v.workerAlive(now, f.Worker, f.earliestAnswer(0))
 	case Broken, Canceled, Silent:
 	}
 }
 
-// earliestSent returns the earliest time at which the flight may have been sent. It matters
-// when all workers lose power at once, and copies that other hosts sent before are reported
-// afterwards.
-func (f *flight) earliestSent() time.Time {
+// workerAlive records that a worker was alive at a time.
+func (v *View) workerAlive(now time.Time, worker string, at time.Time) {
+	v.quarantine.Alive(now, worker, at)
+	v.suspects.Alive(now, worker, at)
+}
+
+// aliveAfterFirstEvent is how long a worker that lives after the first event of a stream shows
+// that no part of the stream's prompt crashes it.
+const aliveAfterFirstEvent = time.Second
+
+// recordSurvivors records the streams that a worker has begun and outlived by now: it has just
+// begun another one.
+func (v *View) recordSurvivors(now time.Time, w *worker) {
+	if !v.suspects.Active() {
+		return
+	}
+	for _, f := range w.flights {
+		if f.begun && now.Sub(f.begunAt) > aliveAfterFirstEvent+quarantiner.MaxUpdateDelay {
+			v.suspects.Served(now, f.shared)
+		}
+	}
+}
+
+// earliestSent returns the earliest time at which the flight may have been sent, given the delay
+// of other hosts' reports. It matters when all workers lose power at once, and copies that other
+// hosts sent before are reported afterwards.
+func (f *flight) earliestSent(delay time.Duration) time.Time {
 	if f.host == "" {
 		return f.sentAt
 	}
-	return f.sentAt.Add(-quarantiner.UsualUpdateDelay)
+	return f.sentAt.Add(-delay)
 }
 
 // earliestAnswer returns the earliest time at which the worker may have sent the flight's first
@@ -39,6 +71,63 @@
 	return f.sentAt.Add(took - quarantiner.MaxUpdateDelay)
 }
 
+// judge evaluates the crashes that were reported, and puts the parts that caused them in
+// quarantine.
+func (v *View) judge(now time.Time) {
+	if !v.suspects.Active() {
+		return
+	}
+	found, explained := v.suspects.Judge(now)
+	for _, f := range found {
+		var crashes []quarantiner.Crash
+		for _, m := range f.Crashes {
+			crashes = append(crashes, quarantiner.Crash(m))
+		}
+		v.quarantine.Hold(now, quarantiner.FingerprintOfPart(uint64(f.Part)), crashes)
+	}
+	for _, m := range explained {
+		v.quarantine.Explain(now, quarantiner.Crash(m))
+	}
+}
+
+// ReceiveQuarantined adds an entry of another host, or of the store, to the quarantine. It reports
+// whether it was not quarantined here yet.
+func (v *View) ReceiveQuarantined(now time.Time, e quarantiner.Entry) bool {
+	if !v.quarantine.Receive(now, e) {
+		return false
+	}
+	if id, ok := e.Fingerprint.Part(); ok {
+		v.suspects.HeldElsewhere(attributor.PartID(id), e.Workers)
+	}
+	return true
+}
+
+// HeldBack reports whether a request is in quarantine, by its content or by a part of its prompt,
+// and for how much longer.
+func (v *View) HeldBack(now time.Time, req Request) (time.Duration, bool) {
+	remaining, held := v.quarantine.Quarantined(now, req.Fingerprint)
+	for _, p := range SharedParts(req.Parts) {
+		if r, ok := v.quarantine.Quarantined(now, quarantiner.FingerprintOfPart(uint64(p))); ok {
+			remaining, held = max(remaining, r), true
+		}
+	}
+	return remaining, held
+}
+
+// knownCauses tells the attributor which parts are in quarantine.
+type knownCauses struct{ quarantine *quarantiner.Tracker }
+
+// Held implements attributor.Known.
+func (k knownCauses) Held(now time.Time, p attributor.PartID) bool {
+	_, held := k.quarantine.Quarantined(now, quarantiner.FingerprintOfPart(uint64(p)))
+	return held
+}
+
+// OnProbation implements attributor.Known.
+func (k knownCauses) OnProbation(p attributor.PartID) bool {
+	return k.quarantine.OnProbation(quarantiner.FingerprintOfPart(uint64(p)))
+}
+
 // workerOfCopy returns the worker that has a copy of a suspected request; "" if there is none,
 // or if the request was there before. Copies of a request that crashes workers arrive faster
 // than they crash them, and would crash one worker each. Together they crash one.
@@ -46,10 +135,16 @@
 	if !v.quarantine.Suspected(req.Fingerprint) {
 		return ""
 	}
+	return v.workerOf(req, func(f *flight) bool { return f.Fingerprint == req.Fingerprint })
+}
+
+// workerOf returns the worker of the first flight that is accepted and whose worker may get the
+// request; "" if there is none.
+func (v *View) workerOf(req Request, accept func(*flight) bool) string {
 	worker, id := "", uint64(0)
 	for _, f := range v.flights {
 		w := v.workers[f.Worker]
-		if f.Fingerprint == req.Fingerprint && !excluded(req, f.Worker) && w != nil && v.mayContinue(w, req) && (worker == "" || f.ID < id) {
+		if accept(f) && !excluded(req, f.Worker) && w != nil && v.mayContinue(w, req) && (worker == "" || f.ID < id) {
 			worker, id = f.Worker, f.ID
 		}
 	}
@@ -58,3 +153,6 @@
 
 // Quarantine returns the tracker of requests that crashed workers.
 func (v *View) Quarantine() *quarantiner.Tracker { return &v.quarantine }
+
+// Suspects returns the attributor of crashes to parts of prompts.
+func (v *View) Suspects() *attributor.Attributor { return &v.suspects }
--- a/placer/request.go
+++ b/placer/request.go
@@ -102,4 +102,8 @@
 	Canceled             // the caller went away, or its deadline passed
 	Disconnected         // the worker closed the connection before it answered, as it does when it crashes
 	Silent               // no answer in time, but the worker may go on
+	Unproven             // answered, but not shown to have run to its end
 )
+
+// answered reports whether a worker answered, not with an error.
+func (o Outcome) answered() bool { return o == Answered || o == Unproven }
--- a/placer/reservation.go
+++ b/placer/reservation.go
@@ -140,7 +140,7 @@
 // learnLength estimates the output tokens of a complete stream from its duration and the time
 // per token at its start and its end.
 func (v *View) learnLength(now time.Time, w *worker, f *flight, o Outcome) {
-	if w.CacheTokens == 0 || o != Answered || f.Output <= 0 || !f.begun {
+	if w.CacheTokens == 0 || !o.answered() || f.Output <= 0 || !f.begun {
 		return
 	}
 	took := inMilliseconds(now.Sub(f.sentAt) - f.took)
--- a/placer/running_flights.go
+++ b/placer/running_flights.go
@@ -37,7 +37,7 @@
 	if x == nil || !r.Begun {
 		return
 	}
-	x.begun = true
+	x.begun, x.begunAt = true, now
 	if w := v.workers[f.Worker]; w != nil && w.has(x) {
 		w.firstEvent(now, x, 0)
 	}
--- a/placer/stream_end.go
+++ b/placer/stream_end.go
@@ -42,7 +42,7 @@
 // learnEnd updates the fit with the time from sending to end of a stream that was answered, or
 // cut at its deadline.
 func (w *worker) learnEnd(f *flight, took float64, o Outcome) {
-	if f.predictedEnd <= 0 || o != Answered && (o != Canceled || took < deadlineCutShare*inMilliseconds(f.Left)) {
+	if f.predictedEnd <= 0 || !o.answered() && (o != Canceled || took < deadlineCutShare*inMilliseconds(f.Left)) {
 		return
 	}
 	w.fit.learnEnd(f.predictedEnd, took)
--- a/placer/worker.go
+++ b/placer/worker.go
@@ -11,6 +11,7 @@
 	coldUntil       time.Time
 	flights         []*flight // each knows its index
 	awaitingFirst   int       // flights without a first event
+	suspects        int       // flights with a part that may crash workers
 	hold            int       // tokens that flights take up
 	queue           prefillQueue
 	fit             *fit    // of its service
@@ -41,6 +42,9 @@
 	w.flights = append(w.flights, f)
 	w.awaitingFirst++
 	w.hold += f.Hold
+	if f.suspected {
+		w.suspects++
+	}
 	if w.CacheTokens == 0 {
 		return
 	}
@@ -102,6 +106,9 @@
 	w.flights[last] = nil
 	w.flights = w.flights[:last]
 	w.hold -= f.Hold
+	if f.suspected {
+		w.suspects--
+	}
 	if !f.begun {
 		w.awaitingFirst--
 		w.cache.dropUnconfirmed(f)
@@ -156,7 +163,7 @@
 		add = erroredCost
 	case WrongWorker:
 		add = wrongWorkerCost
-	case Answered:
+	case Answered, Unproven:
 		w.silence.end(now)
 		w.penalty, w.penaltyAt = w.decayedPenalty(now)/2, now
 		return
--- a/quarantiner/fingerprint.go
+++ b/quarantiner/fingerprint.go
@@ -9,8 +9,8 @@
 )
 
 // Fingerprint identifies requests that are identical to a worker: those with the same caller,
-// method, path and body. Request IDs are left out, as they differ with each attempt. 0 stands
-// for an unknown request.
+// method, path and body, or all requests with a part of their prompts. Request IDs are left out,
+// as they differ with each attempt. 0 stands for an unknown request.
 type Fingerprint uint64
 
 // FingerprintOf returns the fingerprint of a request.
@@ -20,7 +20,11 @@
 		_, _ = h.WriteString(text + "\x00") // a hash never returns an error
 	}
 	_, _ = h.Write(body)
-	return Fingerprint(max(h.Sum64(), 1))
+	f := Fingerprint(max(h.Sum64(), 1))
+	if _, isPart := f.Part(); isPart {
+		f ^= 1 << partBits
+	}
+	return f
 }
 
 // MarshalText implements encoding.TextMarshaler.
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -66,10 +66,9 @@
 
 func (r *record) quarantined(now time.Time) bool { return now.Before(r.endsAt) }
 
-// explains reports whether the record has the crash that a mark stands for. A worker may
-// restart under its name and crash again, so only marks close in time are the same crash.
+// explains reports whether the record has the crash that a mark stands for.
 func (r *record) explains(m mark) bool {
-	return slices.ContainsFunc(r.marks, func(x mark) bool { return x.worker == m.worker && m.at.Sub(x.at).Abs() < MaxUpdateDelay })
+	return slices.ContainsFunc(r.marks, m.sameCrash)
 }
 
 // lastMark returns the time of the latest mark.
@@ -261,12 +260,7 @@
 			return m.worker == worker && at.Sub(m.at) > UsualUpdateDelay && now.Sub(m.at) < minRestart
 		})
 		removed = removed || len(r.marks) < before
-		if len(r.marks) < r.threshold && r.quarantined(now) {
-			r.endsAt, r.duration = time.Time{}, 0
-		}
-		if r.empty() {
-			delete(t.records, f)
-		}
+		t.releaseBelowThreshold(now, f, r)
 	}
 	return removed
 }
--- a/router/port.go
+++ b/router/port.go
@@ -146,9 +146,9 @@
 	// BrittleReported reports how many requests the worker may turn away in a second; 0 if its
 	// answer to a request sent at a time did not say. It is called only if it does or did.
 	BrittleReported(p Placement, sentAt time.Time, allowed int)
-	// Accepts reports whether the worker still accepts requests. It is called before a
-	// request is sent that waited for its Delay.
-	Accepts(ctx context.Context, p Placement) bool
+	// Accepts reports whether a request that was placed may still be sent to its worker. It is
+	// called before a request is sent that waited for its Delay.
+	Accepts(ctx context.Context, p Placement, a placer.Request) bool
 	// Ended reports how a placed request ended. It is called once for each Placement.
 	Ended(p Placement, o placer.Outcome)
 }
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -97,7 +97,7 @@
 	p.backoffs = append(p.backoffs, fmt.Sprint(x.Worker.Name, " ", d))
 }
 
-func (p *listPlacer) Accepts(_ context.Context, x router.Placement) bool {
+func (p *listPlacer) Accepts(_ context.Context, x router.Placement, _ placer.Request) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if x.Worker.Name != p.declining {
--- a/router/transaction.go
+++ b/router/transaction.go
@@ -45,6 +45,7 @@
 	cause            error
 	worker           string
 	reused           bool          // the last send used an existing connection
+	framed           bool          // a truncated answer to the last send would have been noticed
 	expectedWait     time.Duration // until the first event of the last send
 	sentAt           time.Time
 	timeToFirst      time.Duration // measured until the first event; 0 before it
@@ -93,7 +94,7 @@
 			t.router.Placer.Ended(placement, placer.Canceled)
 			return t.timedOut(caller)
 		}
-		if placement.Delay > 0 && !t.router.Placer.Accepts(ctx, placement) {
+		if placement.Delay > 0 && !t.router.Placer.Accepts(ctx, placement, t.q.placement) {
 			t.router.Placer.Ended(placement, placer.Canceled)
 			continue
 		}
@@ -223,8 +224,10 @@
 // outcome returns the outcome of a send, from which the placer assesses the worker.
 func (t *transaction) outcome(caller context.Context, p Placement, err error) placer.Outcome {
 	switch {
-	case err == nil:
+	case err == nil && t.ranToEnd():
 		return placer.Answered
+	case err == nil:
+		return placer.Unproven
 	case t.pathFailed(p, err), errors.Is(err, errOtherStart):
 		return placer.Canceled
 	case caller.Err() != nil, errors.Is(err, errCallerWrite):
@@ -243,6 +246,14 @@
 	return placer.Broken
 }
 
+// ranToEnd reports whether the answer passed on shows that the worker ran the request to its end.
+// A worker may reject a request without running it, and its crash may look like the end of an
+// answer that ends with its connection.
+func (t *transaction) ranToEnd() bool {
+	ok := t.delivery.status >= http.StatusOK && t.delivery.status < http.StatusMultipleChoices
+	return ok && t.framed && (!t.q.Stream || t.timeToFirst > 0)
+}
+
 // errOtherWorker accompanies errNotRun: the address now belongs to another worker.
 var errOtherWorker = errors.New("another worker has the address")
 
@@ -305,7 +316,7 @@
 		return t.recordFailure(err)
 	}
 	defer answer.Close()
-	t.reused = answer.Reused()
+	t.reused, t.framed = answer.Reused(), answer.Framed
 	return t.handleAnswer(ctx, p, answer)
 }
 
--- a/runner/backoff.go
+++ b/runner/backoff.go
@@ -17,10 +17,12 @@
 	via      string // host through which the request was sent; "" for none
 }
 
-// acceptsRequested asks whether a worker still accepts requests from this host.
+// acceptsRequested asks whether a worker still accepts requests from this host, and whether the
+// request may still be sent.
 type acceptsRequested struct {
-	worker placer.Worker
-	reply  chan<- bool
+	worker  placer.Worker
+	request placer.Request
+	reply   chan<- bool
 }
 
 // recordBackoff applies a worker's refusal. It concerns this host alone, and the one through
--- a/runner/quarantine.go
+++ b/runner/quarantine.go
@@ -7,6 +7,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
+	"github.com/cicadawood/cicadawood/attributor"
 	"github.com/cicadawood/cicadawood/messenger"
 	"github.com/cicadawood/cicadawood/quarantiner"
 	"github.com/cicadawood/cicadawood/registrar"
@@ -29,6 +30,7 @@
 	sender  sender
 	log     *zap.Logger
 	tracker *quarantiner.Tracker
+	add     func(now time.Time, e quarantiner.Entry) bool // adds an entry of another host, and reports whether it is new
 	store   *quarantineStore
 	roster  registrar.Roster
 	count   atomic.Int64 // quarantined requests
@@ -39,7 +41,7 @@
 }
 
 func newQuarantineSync(self string, s sender, store storer.Store, tracker *quarantiner.Tracker, log *zap.Logger) *quarantineSync {
-	return &quarantineSync{self: self, sender: s, log: log, tracker: tracker, store: newQuarantineStore(store)}
+	return &quarantineSync{self: self, sender: s, log: log, tracker: tracker, add: tracker.Receive, store: newQuarantineStore(store)}
 }
 
 // quarantineReceived contains the requests that another host has quarantined.
@@ -67,7 +69,7 @@
 	q.sweepUnconfirmed(now)
 	q.tracker.Sweep(now)
 	for _, f := range q.tracker.DrainReleased() {
-		q.log.Info("quarantine", zap.Stringer("fingerprint", f), zap.String("state", "let go"), zap.String("why", "its time is over"))
+		q.log.Info("quarantine", subjectField(f), zap.String("state", "let go"), zap.String("why", "its time is over"))
 	}
 	q.publish(now)
 	q.store.sweep(now, q.owns(), q.tracker.List(now))
@@ -82,8 +84,9 @@
 // QuarantinedRequest is a request that is quarantined because it crashed workers.
 type QuarantinedRequest struct {
 	Fingerprint string        `json:"fingerprint"`
-	For         time.Duration `json:"for"`     // remaining time
-	Workers     []string      `json:"workers"` // first workers that it crashed
+	Part        string        `json:"part,omitempty"` // of prompts; set if all requests with it are quarantined
+	For         time.Duration `json:"for"`            // remaining time
+	Workers     []string      `json:"workers"`        // first workers that it crashed
 }
 
 func (q *quarantineSync) state(now time.Time) []QuarantinedRequest {
@@ -92,7 +95,11 @@
 	}
 	var out []QuarantinedRequest
 	for _, h := range q.tracker.List(now) {
-		out = append(out, QuarantinedRequest{Fingerprint: h.Fingerprint.String(), For: h.Remaining, Workers: h.Workers})
+		x := QuarantinedRequest{Fingerprint: h.Fingerprint.String(), For: h.Remaining, Workers: h.Workers}
+		if id, ok := h.Fingerprint.Part(); ok {
+			x.Part = attributor.PartID(id).String()
+		}
+		out = append(out, x)
 	}
 	return out
 }
@@ -118,10 +125,18 @@
 }
 
 func (q *quarantineSync) logQuarantined(why string, h quarantiner.Entry) {
-	q.log.Warn("quarantine", zap.Stringer("fingerprint", h.Fingerprint), zap.String("state", "held back"), zap.String("why", why),
+	q.log.Warn("quarantine", subjectField(h.Fingerprint), zap.String("state", "held back"), zap.String("why", why),
 		zap.Strings("workers", h.Workers), zap.Duration("for", h.Remaining), zap.Duration("span", h.Duration))
 }
 
+// subjectField returns the log field for what a fingerprint stands for.
+func subjectField(f quarantiner.Fingerprint) zap.Field {
+	if id, ok := f.Part(); ok {
+		return zap.Stringer("part", attributor.PartID(id))
+	}
+	return zap.Stringer("fingerprint", f)
+}
+
 // receive merges the entries of another host.
 func (q *quarantineSync) receive(now time.Time, e quarantineReceived) {
 	if q == nil {
@@ -135,7 +150,7 @@
 func (q *quarantineSync) merge(now time.Time, why string, entries []quarantiner.Entry) []quarantiner.Entry {
 	var added []quarantiner.Entry
 	for _, h := range entries {
-		if q.tracker.Receive(now, h) {
+		if q.add(now, h) {
 			q.logQuarantined(why, h)
 			added = append(added, h)
 		}
--- a/runner/selector.go
+++ b/runner/selector.go
@@ -101,6 +101,7 @@
 		relay: relayer.New(self, workersList),
 	}
 	c.quarantine = newQuarantineSync(self, s, store, c.view.Quarantine(), log)
+	c.quarantine.add = c.view.ReceiveQuarantined
 	c.origins = newOriginSync(self, s, h.First, log, c.post)
 	c.quarantine.store.report = func(e quarantineStoreResult) { c.post(e) }
 	return c
@@ -168,7 +169,8 @@
 	case backoffReceived:
 		p.receiveBackoff(now, e)
 	case acceptsRequested:
-		e.reply <- p.accepts(now, e.worker)
+		_, held := p.view.HeldBack(now, e.request)
+		e.reply <- !held && p.accepts(now, e.worker)
 	case flightEnded:
 		p.view.Ended(now, e.id, e.outcome)
 		p.addEnded(now, e)
--- a/runner/selector_placer.go
+++ b/runner/selector_placer.go
@@ -69,8 +69,10 @@
 }
 
 // Accepts implements router.Placer.
-func (p *selector) Accepts(ctx context.Context, x router.Placement) bool {
-	return askSelector(ctx, p, func(reply chan<- bool) event { return acceptsRequested{worker: x.Worker, reply: reply} })
+func (p *selector) Accepts(ctx context.Context, x router.Placement, a placer.Request) bool {
+	return askSelector(ctx, p, func(reply chan<- bool) event {
+		return acceptsRequested{worker: x.Worker, request: a, reply: reply}
+	})
 }
 
 // Ended implements router.Placer.
