Retry budget: a request counts once, however many workers can't be connected to

Ruled out: connections made twice (a send makes one), repeats that the rejecting worker counts (they are charged). Change: a placement says what it is to be charged for. The spec fails without the guard (first, first, first, repeat).

--- a/router/router_test.go
+++ b/router/router_test.go
@@ -63,6 +63,7 @@
 	pause    time.Duration
 	budget   int // maximum number of repeats
 	requests []placer.Request
+	charges  []router.Charge
 	outcomes []placer.Outcome
 	leaving  []string // workers reported as leaving
 	backoffs []string // workers and times reported
@@ -70,11 +71,12 @@
 	declining string // first worker, which no longer accepts requests after their delay; "" is none
 }
 
-func (p *listPlacer) Place(_ context.Context, a placer.Request, retry bool) (router.Placement, error) {
+func (p *listPlacer) Place(_ context.Context, a placer.Request, c router.Charge) (router.Placement, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.requests = append(p.requests, a)
-	if retry {
+	p.charges = append(p.charges, c)
+	if c == router.ChargeRepeat {
 		if p.budget--; p.budget < 0 {
 			return router.Placement{}, router.Refused{Reason: "retry_budget", RetryAfter: time.Second}
 		}
@@ -365,6 +367,18 @@
 		Expect(code).To(Equal(http.StatusInternalServerError))
 	})
 
+	// Guards against more repeats than the budget allows while many workers can't be connected to.
+	It("charges the retry budget once for a request, however many workers can't be connected to", func() {
+		for _, name := range []string{"gone-1", "gone-2"} {
+			fakePlacer.workers = append(fakePlacer.workers, placer.Worker{Name: name, Address: "127.0.0.1:1"})
+		}
+		worker("w", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+		worker("x", status(http.StatusOK, "Seal"))
+		code, _, _ := call(bg, "/a/x", "s")
+		Expect(code).To(Equal(http.StatusOK))
+		Expect(fakePlacer.charges).To(Equal([]router.Charge{router.ChargeFirst, router.ChargeNone, router.ChargeNone, router.ChargeRepeat}))
+	})
+
 	It("counts failed sends by cause and by whether another send followed", func() {
 		worker("w-1", status(http.StatusServiceUnavailable, "Not-Run"))
 		worker("w-2", status(http.StatusInternalServerError, "Seal"))
--- a/router/transaction.go
+++ b/router/transaction.go
@@ -59,6 +59,7 @@
 	workerError      *storedAnswer
 	refused          *Refused // set if no further worker was found
 	transmitted      int      // number of sends that left this host
+	charged          bool     // the retry budget has counted the request
 	stopSilenceTimer func()   // stops the silence timeout of the current send
 
 	workerLeaving bool          // an answer to the last send reported that its worker is leaving
@@ -86,7 +87,7 @@
 		if t.lastEventID != "" {
 			t.q.placement.Expected = 0 // the remaining length is unknown
 		}
-		placement, err := t.router.Placer.Place(ctx, t.q.placement, t.transmitted > 0)
+		placement, err := t.router.Placer.Place(ctx, t.q.placement, t.charge())
 		if err != nil {
 			return t.notPlaced(caller, err)
 		}
@@ -125,6 +126,19 @@
 	}
 }
 
+// charge returns what the retry budget counts for the next placement. A request counts once
+// however many workers can't be connected to: each of them would grant repeats of its own.
+func (t *transaction) charge() Charge {
+	switch {
+	case t.transmitted > 0:
+		return ChargeRepeat
+	case t.charged:
+		return ChargeNone
+	}
+	t.charged = true
+	return ChargeFirst
+}
+
 // log records a failed send, with the figures behind the decision and whether it was the
 // last.
 func (t *transaction) log(p Placement, final bool) {
--- a/runner/selector.go
+++ b/runner/selector.go
@@ -67,7 +67,7 @@
 // workerRequested is a request that needs a worker.
 type workerRequested struct {
 	request placer.Request
-	retry   bool
+	charge  router.Charge
 	reply   chan<- workerReply
 
 	heldSince time.Time // since when it waits for the list of workers; zero if it never did
@@ -229,12 +229,14 @@
 		w = &retrier.Window{}
 		p.windows[e.request.Service] = w
 	}
-	if !e.retry {
+	switch e.charge {
+	case router.ChargeFirst:
 		w.RecordFirst(now, p.retryPolicy)
-		return nil
-	}
-	if !w.Take(now, p.retryPolicy, p.maxHosts) {
-		return &router.Refused{Reason: "retry_budget", RetryAfter: time.Second}
+	case router.ChargeNone:
+	case router.ChargeRepeat:
+		if !w.Take(now, p.retryPolicy, p.maxHosts) {
+			return &router.Refused{Reason: "retry_budget", RetryAfter: time.Second}
+		}
 	}
 	return nil
 }
--- a/runner/selector_placer.go
+++ b/runner/selector_placer.go
@@ -12,9 +12,9 @@
 var _ router.Placer = (*selector)(nil)
 
 // Place implements router.Placer.
-func (p *selector) Place(ctx context.Context, a placer.Request, retry bool) (router.Placement, error) {
+func (p *selector) Place(ctx context.Context, a placer.Request, charge router.Charge) (router.Placement, error) {
 	reply := make(chan workerReply, 1)
-	if !p.post(workerRequested{request: a, retry: retry, reply: reply}) {
+	if !p.post(workerRequested{request: a, charge: charge, reply: reply}) {
 		return router.Placement{}, router.Refused{Reason: "host_stopping", RetryAfter: time.Second}
 	}
 	select {
