Crashing parts: repeats count in the order of their host's reports, and wait for a crash to be judged

Cause: a repeat is sent a millisecond after its worker crashed, but as other hosts allow 20 ms for late reports it seemed sent before; and while a crash was being judged its own repeat crashed the next worker. Change: what a host sends after it reported a crash counts as sent after it, and a request that the judgement may concern waits for it (50 ms at most).

--- a/attributor/attributor.go
+++ b/attributor/attributor.go
@@ -53,7 +53,7 @@
 type Request struct {
 	Content uint64    // identifies what it asks for, without its ID; 0 if unknown
 	Parts   []PartID  // of its prompt, without the last one, which is its own
-	SentAt  time.Time // at the earliest
+	SentAt  time.Time // at the earliest, by the clock of the Attributor's host
 }
 
 // Mark is a worker's crash while it had a part.
@@ -219,6 +219,29 @@
 	return crashes > 1 || crashes == 1 && !a.served.since(p, now.Add(-servedFor))
 }
 
+// Undecided returns how long until a crash is judged that may show a part to be the cause: until
+// then a request with it is better not sent. It is 0 for other parts.
+func (a *Attributor) Undecided(now time.Time, p PartID) time.Duration {
+	crashes, wait := 0, time.Duration(0)
+	if r := a.records[p]; r != nil {
+		crashes = len(r.marks)
+	}
+	for _, c := range a.crashes {
+		if !c.judged && c.parts[p] != nil {
+			crashes++
+			wait = settleTime - now.Sub(c.At)
+		}
+	}
+	enough := maxMarks
+	if a.served.since(p, now.Add(-servedFor)) {
+		enough = maxMarksOfServed
+	}
+	if crashes < enough && !a.onProbation(p) {
+		return 0
+	}
+	return max(wait, 0)
+}
+
 // Judge evaluates the crashes whose reports have arrived, and returns the parts that are found to
 // cause them. It also returns the crashes that a cause explains, which say nothing about other
 // requests.
@@ -264,14 +287,14 @@
 	return false
 }
 
-// mark adds a crash to a part's record, if a request with it was sent after the crash before.
+// mark adds a crash to a part's record, if a request with it was not sent before the crash before.
 func (a *Attributor) mark(now time.Time, m Mark, p PartID, x *presence) {
 	r := a.records[p]
 	if r == nil {
 		r = a.add(p)
 		r.served = a.served.since(p, now.Add(-servedFor))
 	}
-	if !x.sentAt.After(r.lastMark()) {
+	if x.sentAt.Before(r.lastMark()) {
 		return
 	}
 	r.marks = append(r.marks, m)
--- a/placer/flight.go
+++ b/placer/flight.go
@@ -17,21 +17,22 @@
 // flight is a Flight with the view's own data.
 type flight struct {
 	Flight
-	host         string // sender; "" is this host
-	index        int    // in its worker's flights
-	sentAt       time.Time
-	prefillLeft  float64   // predicted milliseconds of prefill left
-	prefilledAt  time.Time // predicted end of its prefill; zero before that
-	alone        bool      // nothing else was prefilled between its sending and its first event
-	begun        bool      // its first event was seen
-	begunAt      time.Time // when its first event was reported
-	shared       []attributor.PartID
-	suspected    bool          // it has a part that was suspected when it was sent
-	rounds       float64       // predicted time to its plain worker's answer, in multiples of one answer's time
-	expiresAt    time.Time     // predicted end, if its host is lost; zero otherwise
-	tokenTime    float64       // milliseconds per token when it was sent
-	predictedEnd float64       // milliseconds to its last event, predicted by this host; 0 if unknown
-	took         time.Duration // time to its first event or answer, measured by its host; 0 before that
+	host          string // sender; "" is this host
+	index         int    // in its worker's flights
+	sentAt        time.Time
+	prefillLeft   float64   // predicted milliseconds of prefill left
+	prefilledAt   time.Time // predicted end of its prefill; zero before that
+	alone         bool      // nothing else was prefilled between its sending and its first event
+	begun         bool      // its first event was seen
+	begunAt       time.Time // when its first event was reported
+	shared        []attributor.PartID
+	suspected     bool          // it has a part that was suspected when it was sent
+	crashReported time.Time     // when its host last reported a crash before it reported this flight; zero for never
+	rounds        float64       // predicted time to its plain worker's answer, in multiples of one answer's time
+	expiresAt     time.Time     // predicted end, if its host is lost; zero otherwise
+	tokenTime     float64       // milliseconds per token when it was sent
+	predictedEnd  float64       // milliseconds to its last event, predicted by this host; 0 if unknown
+	took          time.Duration // time to its first event or answer, measured by its host; 0 before that
 }
 
 // Receive adds a flight that another host reported.
@@ -63,7 +64,7 @@
 
 // add counts a flight at its worker, and returns the view's record of it.
 func (v *View) add(now time.Time, host string, f Flight) *flight {
-	x := &flight{Flight: f, host: host, sentAt: now, shared: SharedParts(f.Parts)}
+	x := &flight{Flight: f, host: host, sentAt: now, shared: SharedParts(f.Parts), crashReported: v.crashReported[host]}
 	x.suspected = v.suspects.Active() && len(v.suspectsAmong(now, x.shared)) > 0
 	v.flights[f.ID] = x
 	if w := v.workers[f.Worker]; w != nil {
@@ -116,6 +117,9 @@
 	}
 }
 
+// Knows reports whether a flight is under way.
+func (v *View) Knows(id uint64) bool { return v.flights[id] != nil }
+
 // forget removes a flight and returns its worker. It returns nil if the view does not know the
 // worker, or only an incarnation that started after the flight was sent.
 func (v *View) forget(now time.Time, f *flight) *worker {
@@ -133,6 +137,7 @@
 // close, and engines go on with its streams; if those were removed immediately, their slots
 // would be given away and streams would be preempted. They count until their predicted end.
 func (v *View) HostLost(now time.Time, host string) {
+	delete(v.crashReported, host)
 	for _, f := range v.flights {
 		if f.host != host || host == "" {
 			continue
--- a/placer/isolation.go
+++ b/placer/isolation.go
@@ -31,6 +31,19 @@
 	return v.isolate(now, req).apply(candidates)
 }
 
+// undecided returns how long a request should wait for a crash to be judged that may show that a
+// part of it crashes workers.
+func (v *View) undecided(now time.Time, req Request) time.Duration {
+	if !v.suspects.Active() {
+		return 0
+	}
+	wait := time.Duration(0)
+	for _, p := range SharedParts(req.Parts) {
+		wait = max(wait, v.suspects.Undecided(now, p))
+	}
+	return wait
+}
+
 // suspectsAmong returns the parts that are suspected.
 func (v *View) suspectsAmong(now time.Time, parts []attributor.PartID) []attributor.PartID {
 	return slices.DeleteFunc(slices.Clone(parts), func(p attributor.PartID) bool { return !v.suspects.Suspected(now, p) })
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -57,6 +57,7 @@
 	reservation   reservation               // for the current request
 	quarantine    quarantiner.Tracker       // requests that crashed workers
 	suspects      attributor.Attributor     // parts of prompts that may crash workers
+	crashReported map[string]time.Time      // when each host last reported a crash; "" is this one
 	lastReceived  time.Time                 // when another host last reported what it sent
 	confirmedAt   time.Time                 // when the list of workers was last known to be current
 	versions      map[string]map[string]int // number of workers, by service and software
@@ -75,7 +76,7 @@
 func New(zone string) *View {
 	v := &View{
 		zone: zone, workers: map[string]*worker{}, flights: map[uint64]*flight{}, endedEarly: map[uint64]time.Time{},
-		answerTimes: map[string]time.Duration{}, fits: map[string]*fit{}, nextRetries: map[serviceRank]time.Time{}, recentTargets: recentTargets{}, offered: tierLoads{},
+		answerTimes: map[string]time.Duration{}, fits: map[string]*fit{}, nextRetries: map[serviceRank]time.Time{}, recentTargets: recentTargets{}, offered: tierLoads{}, crashReported: map[string]time.Time{},
 		quarantine: quarantiner.Tracker{RenamedOnRestart: true},
 	}
 	v.suspects.SetKnown(knownCauses{&v.quarantine})
@@ -149,7 +150,7 @@
 		Fetch: best.fetchTokens, Output: req.Output, Fingerprint: req.Fingerprint,
 	}
 	c := Choice{
-		Worker: best.Worker, Flight: f, Wait: milliseconds(best.wait), Delay: best.delay(req), Source: best.source,
+		Worker: best.Worker, Flight: f, Wait: milliseconds(best.wait), Delay: max(best.delay(req), v.undecided(now, req)), Source: best.source,
 		Filling: float64(len(best.flights)+1) >= fillingShare*float64(best.Slots),
 	}
 	predictedEnd := best.predictEnd(req)
--- a/placer/quarantine.go
+++ b/placer/quarantine.go
@@ -15,7 +15,8 @@
 	switch o {
 	case Disconnected:
 		v.quarantine.WorkerCrashed(now, f.Fingerprint, f.Worker, f.earliestSent(quarantiner.UsualUpdateDelay))
-		v.suspects.Crashed(now, f.Worker, attributor.Request{Content: uint64(f.Fingerprint), Parts: f.shared, SentAt: f.earliestSent(sendReportDelay)})
+		v.suspects.Crashed(now, f.Worker, attributor.Request{Content: uint64(f.Fingerprint), Parts: f.shared, SentAt: f.earliestSentAfterCrash()})
+		v.crashReported[f.host] = now
 	case Answered:
 		v.quarantine.Answered(f.Fingerprint)
 		v.suspects.Served(now, f.shared)
@@ -62,6 +63,16 @@
 	return f.sentAt.Add(-delay)
 }
 
+// earliestSentAfterCrash is like earliestSent. A host that reports a crash and then that it sent a
+// request did so in this order.
+func (f *flight) earliestSentAfterCrash() time.Time {
+	earliest := f.earliestSent(sendReportDelay)
+	if f.crashReported.After(earliest) {
+		return f.crashReported
+	}
+	return earliest
+}
+
 // earliestAnswer returns the earliest time at which the worker may have sent the flight's first
 // event: another host's report that it was sent may have been late.
 func (f *flight) earliestAnswer(took time.Duration) time.Time {
--- a/runner/flight_updates.go
+++ b/runner/flight_updates.go
@@ -135,6 +135,7 @@
 // receiveFlights applies another host's flight update to the view.
 func (p *selector) receiveFlights(now time.Time, e flightsReceived) {
 	p.receiveLimits(now, e.from, e.update.Limits)
+	ended := p.receiveCrashes(now, e.update.Ended)
 	for _, s := range e.update.Sent {
 		p.view.Receive(now, cmp.Or(s.Host, e.from), decodeFlight(s))
 	}
@@ -149,9 +150,24 @@
 	for _, s := range e.update.Running {
 		p.view.ReceiveRunning(now, cmp.Or(s.Host, e.from), placer.RunningFlight{Flight: decodeFlight(s), Begun: s.Begun})
 	}
-	for _, x := range e.update.Ended {
+	for _, x := range ended {
 		p.view.Ended(now, x.ID, placer.Outcome(x.Outcome))
 	}
 }
 
+// receiveCrashes applies the ends of known requests by a crash of their workers, and returns the
+// other ends. They come before what the same update reports as sent: most of that was sent again
+// after the crash.
+func (p *selector) receiveCrashes(now time.Time, ended []messenger.FlightEnd) []messenger.FlightEnd {
+	var others []messenger.FlightEnd
+	for _, x := range ended {
+		if placer.Outcome(x.Outcome) == placer.Disconnected && p.view.Knows(x.ID) {
+			p.view.Ended(now, x.ID, placer.Disconnected)
+			continue
+		}
+		others = append(others, x)
+	}
+	return others
+}
+
 func (flightsReceived) event() {}
