Answers that end with their connection: an end is confirmed by the worker that goes on

Cause: the kernel closes a killed process's connections in order, and where neither a length nor chunks bound an answer, that is how a whole one ends. Change: after such an end the host makes sure that the worker is there, by an idle connection that is open or a new one, which is then kept in place of the one used up. The emulator answers so, resets, cuts inside an event and ends between two. Left as it is: on the product's own interface such an answer counts as unknown, as it can't be shown to be whole.

--- a/faker/worker.go
+++ b/faker/worker.go
@@ -65,6 +65,9 @@
 	AnswerError     bool          // answers with status 500
 	CutAtEvent      int           // breaks the connection inside the event with this number; 0 breaks none
 	ExtraAnswer     bool          // sends a second answer, of another request, after each
+	Unframed        bool          // answers with neither a length nor chunks
+	ResetBody       bool          // with Unframed, resets the connection within a body
+	EndAfterEvent   int           // with Unframed, ends as a killed process does after the event with this number; 0 is never
 }
 
 // Start serves on a loopback port and returns a function that stops it.
@@ -271,6 +274,8 @@
 	switch {
 	case f.AnswerError:
 		w.WriteHeader(http.StatusInternalServerError)
+	case f.Unframed:
+		k.answerUnframed(w, r, f, leave)
 	case k.Events > 0:
 		k.stream(w, r, f, leave)
 	case f.ExtraAnswer:
--- /dev/null
+++ b/faker/worker_unframed.go
@@ -0,0 +1,66 @@
+package faker
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+
+	"github.com/cicadawood/cicadawood/platform"
+)
+
+// answerUnframed answers with neither a length nor chunks: the answer ends with its connection.
+// It calls leave before the last bytes.
+func (k *Worker) answerUnframed(w http.ResponseWriter, r *http.Request, f WorkerFaults, leave func()) {
+	body, contentType := fmt.Sprintf("%s of %s", r.URL.RequestURI(), k.ID), "text/plain"
+	after, _ := strconv.Atoi(r.Header.Get(platform.HeaderLastEvent))
+	if k.Events > 0 {
+		body, contentType = "", "text/event-stream"
+	}
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	defer leave()
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nContent-Type: %s\r\n\r\n",
+		platform.HeaderRequestID, r.Header.Get(platform.HeaderRequestID), platform.HeaderSeal, k.ID, contentType)
+	_, _ = io.WriteString(conn, head)
+	if f.ResetBody {
+		_, _ = io.WriteString(conn, body[:len(body)/2])
+		sleep(r, k.Delay)
+		reset(conn)
+		return
+	}
+	_, _ = io.WriteString(conn, body)
+	for i := after + 1; i <= k.Events; i++ {
+		sleep(r, k.Delay)
+		event := k.event(i)
+		if i == f.CutAtEvent {
+			_, _ = io.WriteString(conn, event[:len(event)/2])
+			return
+		}
+		_, _ = io.WriteString(conn, event)
+		if i == f.EndAfterEvent {
+			sleep(r, k.Delay)
+			k.endInOrder(conn)
+			return
+		}
+	}
+}
+
+// reset closes a connection so that the other end sees a reset.
+func reset(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
+// endInOrder ends the worker's process as far as one of its connections shows: its listener is
+// gone, and the connection is closed in order.
+func (k *Worker) endInOrder(conn net.Conn) {
+	_ = conn.Close()
+	k.crash()
+}
--- a/placer/crashing_part_test.go
+++ b/placer/crashing_part_test.go
@@ -44,7 +44,9 @@
 			v.Ended(now, c.Flight.ID, placer.Disconnected)
 		}
 	}
-	serve := func(parts ...string) { v.Ended(advance(100*time.Millisecond), send(parts...).Flight.ID, placer.Answered) }
+	serve := func(parts ...string) {
+		v.Ended(advance(100*time.Millisecond), send(parts...).Flight.ID, placer.Answered)
+	}
 	isHeld := func(parts ...string) bool {
 		v.Sweep(now)
 		_, held := v.HeldBack(now, request(parts...))
--- a/router/stream.go
+++ b/router/stream.go
@@ -61,6 +61,9 @@
 // finishStream completes a stream after its last event. An answer without any event is
 // passed on unchanged.
 func (t *transaction) finishStream(a *connector.Answer) error {
+	if err := a.ConfirmEnd(); err != nil {
+		return t.recordFailure(err)
+	}
 	a.Finish()
 	if !t.delivery.headSent {
 		t.delivery.writeHead(a.Status, a.Header, -1)
--- a/router/transaction.go
+++ b/router/transaction.go
@@ -404,6 +404,9 @@
 	if n > t.router.MaxAnswer {
 		return t.recordFailure(fmt.Errorf("the answer is over %d bytes", t.router.MaxAnswer))
 	}
+	if err := a.ConfirmEnd(); err != nil {
+		return t.recordFailure(err)
+	}
 	a.Finish()
 	t.router.Placer.Started(p, time.Since(t.sentAt))
 	if a.Status >= http.StatusInternalServerError || impliesNotRun(a.Status) {
