Most new connections at one host: what it can't serve it closes unread, and callers go elsewhere

Cause: a host accepted and read whatever came, and refused it after that. Change: package admitter, pure. Where callers send what was not read again to another host, a new connection is closed unread while 0.9 of the places are taken or expected by connections without a request yet, and in a growing share while the host is behind with reading what has arrived (measured by a byte through a pipe to itself each 25 ms, the least of 250 ms, 80 ms); none is kept after its answer while over half of those allowed are open. Readiness is left alone, as it would move the crowd on. The product's own interface refuses by tier as before. Not measured: the lag at a host whose processor is the limit.

--- a/server/admit.go
+++ b/server/admit.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -28,21 +29,17 @@
 	return int64(float64(limit) * (1 - reservedShare))
 }
 
-// maxConnsPerCall is the number of caller connections accepted per place of a host. It
-// exceeds 1 because load balancers keep idle connections.
-const maxConnsPerCall = 2
-
-// limitConnections closes new connections over the limit. Otherwise, callers that open
-// connections without sending requests could use up the host's file descriptors, even
-// though each connection is bounded by time-outs.
+// limitConnections closes new connections that the host could not serve, before anything is read.
+// Otherwise, callers that open connections without sending requests could use up the host's file
+// descriptors, even though each connection is bounded by time-outs.
 func (s *Server) limitConnections(c net.Conn, state http.ConnState) {
-	switch state {
-	case http.StateNew:
-		if s.connections.Add(1) > int64(maxConnsPerCall*s.limits.MaxCalls) {
-			_ = c.Close()
-		}
-	case http.StateClosed, http.StateHijacked:
-		s.connections.Add(-1)
+	s.connections.Update(c, state)
+	if state != http.StateNew {
+		return
+	}
+	if why := s.connections.Reject(rand.Float64()); why != "" {
+		s.metrics.unread.WithLabelValues(string(why)).Inc()
+		_ = c.Close()
 	}
 }
 
--- a/server/metrics.go
+++ b/server/metrics.go
@@ -19,6 +19,7 @@
 	wasted    *prometheus.CounterVec
 	repeated  *prometheus.CounterVec
 	tokens    *prometheus.CounterVec
+	unread    *prometheus.CounterVec
 }
 
 // NewMetrics registers the entry role's metrics.
@@ -45,6 +46,7 @@
 		wasted:    counter("wasted_tokens", "Tokens passed of answers that did not become whole.", "class", "cause"),
 		repeated:  counter("repeated_tokens", "Tokens of prompts and of answers so far that a further try had an engine read again.", "class", "cause"),
 		tokens:    counter("tokens", "Tokens passed.", "class"),
+		unread:    counter("connections_unread", "New connections closed before anything was read from them, by reason.", "reason"),
 	}
 }
 
--- a/server/server.go
+++ b/server/server.go
@@ -17,6 +17,7 @@
 	"github.com/gorilla/mux"
 	"go.uber.org/zap"
 
+	"github.com/cicadawood/cicadawood/admitter"
 	"github.com/cicadawood/cicadawood/forwarder"
 	"github.com/cicadawood/cicadawood/loader"
 	"github.com/cicadawood/cicadawood/retrier"
@@ -46,14 +47,14 @@
 	draining   atomic.Bool
 	inFlight   atomic.Int64
 
-	hostRoutes  http.Handler // nil if the host serves none
-	connections atomic.Int64
+	hostRoutes  http.Handler         // nil if the host serves none
+	connections admitter.Connections // of callers
 	http        *http.Server
 }
 
 // New returns a server that does not listen yet.
 func New(l loader.Limits, c Configuration, a Allocator, f *forwarder.Forwarder, log *zap.Logger, m *Metrics) *Server {
-	s := &Server{limits: l, config: c, allocator: a, forwarder: f, log: log, metrics: m, memory: memory{limit: l.MaxBuffered}}
+	s := &Server{limits: l, config: c, allocator: a, forwarder: f, log: log, metrics: m, memory: memory{limit: l.MaxBuffered}, connections: admitter.Connections{Limit: int64(l.MaxCalls)}}
 	s.http = &http.Server{Handler: s.closeWhileDraining(s.handler()), ReadHeaderTimeout: l.ReadTimeout.Std(), ReadTimeout: l.ReadTimeout.Std(), MaxHeaderBytes: l.MaxHeader, IdleTimeout: time.Minute, ConnState: s.limitConnections}
 	return s
 }
@@ -66,7 +67,10 @@
 
 // SetRoutes sets a handler of host routes, which then serves all callers instead of this
 // package's own interface. It must be called before Serve.
-func (s *Server) SetRoutes(h http.Handler) { s.hostRoutes = h }
+func (s *Server) SetRoutes(h http.Handler) {
+	s.hostRoutes = h
+	s.connections.SendAgain = true
+}
 
 // serveHostRoute counts a request of a host route as in flight, and refuses it if the
 // host is full.
@@ -87,6 +91,9 @@
 
 // Serve serves callers on l until Shutdown.
 func (s *Server) Serve(l net.Listener) error {
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	go s.probeLag(ctx)
 	if err := s.http.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("serve callers: %w", err)
 	}
@@ -115,6 +122,9 @@
 func (s *Server) handler() http.Handler {
 	ownHandler := s.router()
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !s.connections.Keeps() {
+			w.Header().Set("Connection", "close")
+		}
 		if s.hostRoutes != nil {
 			s.serveHostRoute(w, r)
 			return
