Crashing parts: what was held back beside the cause is tried alone and released

Change: from a second after a part was held back, for a minute, one host sends one request at a time that only this part holds back, two at most, none after it crashed a worker; an answer, or a worker that lives 0.5 s after the first event, releases the part on all hosts and in the store. Hosts of before ignore the release.

--- a/attributor/methods_test.go
+++ b/attributor/methods_test.go
@@ -125,12 +125,12 @@
 
 // likely holds back a part when its requests end by a crash far more often than all requests do.
 type likely struct {
-	crashed_, served_ map[attributor.PartID]float64
-	crashes, ends     float64
+	crashedEnds, servedEnds map[attributor.PartID]float64
+	crashes, ends           float64
 }
 
 func newLikely() method {
-	return &likely{crashed_: map[attributor.PartID]float64{}, served_: map[attributor.PartID]float64{}}
+	return &likely{crashedEnds: map[attributor.PartID]float64{}, servedEnds: map[attributor.PartID]float64{}}
 }
 
 func (m *likely) crashed(_ time.Duration, _ string, list []attributor.Request) {
@@ -138,7 +138,7 @@
 		m.crashes++
 		m.ends++
 		for _, p := range r.Parts {
-			m.crashed_[p]++
+			m.crashedEnds[p]++
 		}
 	}
 }
@@ -148,7 +148,7 @@
 func (m *likely) served(_ time.Duration, parts []attributor.PartID) {
 	m.ends++
 	for _, p := range parts {
-		m.served_[p]++
+		m.servedEnds[p]++
 	}
 }
 
@@ -157,19 +157,19 @@
 func (m *likely) ratio(p attributor.PartID) float64 {
 	const miss = 0.01
 	base := (m.crashes + 1) / (m.ends + 2)
-	return m.crashed_[p]*math.Log((1-miss)/base) + m.served_[p]*math.Log(miss/(1-base))
+	return m.crashedEnds[p]*math.Log((1-miss)/base) + m.servedEnds[p]*math.Log(miss/(1-base))
 }
 
 func (m *likely) suspected(_ time.Duration, p attributor.PartID) bool {
-	return m.crashed_[p] > 0 && m.ratio(p) > 0
+	return m.crashedEnds[p] > 0 && m.ratio(p) > 0
 }
 
 func (m *likely) judge(time.Duration) []attributor.PartID {
 	var out []attributor.PartID
-	for p, n := range m.crashed_ {
+	for p, n := range m.crashedEnds {
 		if n >= 3 && m.ratio(p) > math.Log(1000) {
 			out = append(out, p)
-			delete(m.crashed_, p)
+			delete(m.crashedEnds, p)
 		}
 	}
 	return out
--- a/attributor/weigh_test.go
+++ b/attributor/weigh_test.go
@@ -37,10 +37,10 @@
 		100*float64(t.known)/n, float64(t.untilKnown)/known, t.maxKnown, t.knownAfter.Seconds()/known, float64(t.crashes)/n, float64(t.falseHolds)/n, float64(t.good)/float64(max(t.sound, 1)))
 }
 
-func weigh(w world, make_ func() method, isolate bool, plays int) *total {
+func weigh(w world, create func() method, isolate bool, plays int) *total {
 	var t total
 	for seed := range plays {
-		t.add(run(w, make_(), isolate, uint64(seed)))
+		t.add(run(w, create(), isolate, uint64(seed)))
 	}
 	return &t
 }
@@ -90,14 +90,18 @@
 			x.w.duration = 30 * time.Second
 			for _, m := range []struct {
 				name    string
-				make_   func() method
+				create  func() method
 				isolate bool
 			}{
-				{"counted", newCounted, false}, {"intersected", newIntersected, false}, {"likelihood", newLikely, false},
-				{"counted, kept apart", newCounted, true}, {"likelihood, kept apart", newLikely, true},
-				{"attributor", newAttributed, false}, {"attributor, kept apart", newAttributed, true},
+				{"counted", newCounted, false},
+				{"intersected", newIntersected, false},
+				{"likelihood", newLikely, false},
+				{"counted, kept apart", newCounted, true},
+				{"likelihood, kept apart", newLikely, true},
+				{"attributor", newAttributed, false},
+				{"attributor, kept apart", newAttributed, true},
 			} {
-				fmt.Fprintf(&b, "%-32s %-24s %s\n", x.name, m.name, weigh(x.w, m.make_, m.isolate, *plays))
+				fmt.Fprintf(&b, "%-32s %-24s %s\n", x.name, m.name, weigh(x.w, m.create, m.isolate, *plays))
 			}
 		}
 		AddReportEntry("ways", b.String())
--- a/placer/crashing_part_test.go
+++ b/placer/crashing_part_test.go
@@ -201,4 +201,62 @@
 		v.Sweep(advance(settled))
 		Expect(isHeld("common", "own")).To(BeFalse())
 	})
+
+	Describe("that was held back beside the cause", func() {
+		BeforeEach(func() {
+			v.SetTries(func(attributor.PartID) bool { return true })
+			for range 3 {
+				crash(send("twin", "bad", "own"))
+				advance(settled)
+			}
+			Expect(isHeld("twin", "own")).To(BeTrue())
+			Expect(isHeld("bad", "own")).To(BeTrue())
+		})
+		place := func(parts ...string) (placer.Choice, *placer.Refusal) {
+			return v.Place(now, nextID+1, request(parts...))
+		}
+
+		// Guards against a sound part that nothing is answered with for ten minutes.
+		It("is tried alone, by one request at a time, and released by its answer", func() {
+			_, refused := place("twin", "own")
+			Expect(refused).NotTo(BeNil(), "at once")
+			advance(time.Second)
+			_, refused = place("twin", "bad", "own")
+			Expect(refused).NotTo(BeNil(), "both")
+			tried, refused := place("twin", "own")
+			Expect(refused).To(BeNil())
+			_, refused = place("twin", "own")
+			Expect(refused).NotTo(BeNil(), "a second one beside it")
+			v.Ended(advance(100*time.Millisecond), tried.Flight.ID, placer.Answered)
+			Expect(isHeld("twin", "own")).To(BeFalse())
+			Expect(isHeld("bad", "own")).To(BeTrue())
+			Expect(v.Quarantine().DrainCleared()).To(HaveLen(1))
+		})
+
+		It("is released by a stream that its worker outlives", func() {
+			advance(time.Second)
+			tried, refused := place("twin", "own")
+			Expect(refused).To(BeNil())
+			v.Begun(advance(100*time.Millisecond), tried.Flight.ID)
+			Expect(isHeld("twin", "own")).To(BeTrue())
+			advance(600 * time.Millisecond)
+			Expect(isHeld("twin", "own")).To(BeFalse())
+		})
+
+		// Guards against more than three sends of a part that crashes workers.
+		It("is not tried again once that crashed a worker, nor where another host tries", func() {
+			advance(time.Second)
+			tried, refused := place("bad", "own")
+			Expect(refused).To(BeNil())
+			crash(tried)
+			for range 20 {
+				advance(time.Second)
+				_, refused = place("bad", "own")
+				Expect(refused).NotTo(BeNil())
+			}
+			v.SetTries(func(attributor.PartID) bool { return false })
+			_, refused = place("twin", "own")
+			Expect(refused).NotTo(BeNil())
+		})
+	})
 })
--- a/placer/flight.go
+++ b/placer/flight.go
@@ -106,6 +106,7 @@
 		return
 	}
 	v.recordSuspicion(now, f, o)
+	v.endTrial(id, o)
 	w := v.forget(now, f)
 	if w == nil {
 		return
@@ -162,6 +163,7 @@
 func (v *View) Sweep(now time.Time) {
 	v.judge(now)
 	v.suspects.Sweep(now)
+	v.sweepTrials(now)
 	for id, at := range v.endedEarly {
 		if now.Sub(at) > endedEarlyFor {
 			delete(v.endedEarly, id)
--- a/placer/quarantine.go
+++ b/placer/quarantine.go
@@ -36,12 +36,12 @@
 // run by a worker that closed its connection.
 const minRunShare = 1.0 / 3
 
-// ranAtWorker reports whether a flight's worker was there to run it: it has answered before, or took
-// its time. Something else may accept the connections of a worker that is down and close them at
-// once.
+// ranAtWorker reports whether a flight's worker was there to run it, as it has begun to answer or
+// took its time. Something else may accept the connections of a worker that is down and close them
+// at once.
 func (v *View) ranAtWorker(now time.Time, f *flight) bool {
 	w := v.workers[f.Worker]
-	if w == nil || !w.has(f) || w.lived || f.begun {
+	if w == nil || !w.has(f) || f.begun {
 		return true
 	}
 	expected := milliseconds(f.prefillLeft + w.overhead())
@@ -112,6 +112,7 @@
 		for _, m := range f.Crashes {
 			crashes = append(crashes, quarantiner.Crash(m))
 		}
+		v.noteHeld(now, f.Part)
 		v.quarantine.Hold(now, quarantiner.FingerprintOfPart(uint64(f.Part)), crashes)
 	}
 	for _, m := range explained {
@@ -119,13 +120,16 @@
 	}
 }
 
-// ReceiveQuarantined adds an entry of another host, or of the store, to the quarantine. It reports
-// whether it was not quarantined here yet.
-func (v *View) ReceiveQuarantined(now time.Time, e quarantiner.Entry) bool {
+// ReceiveQuarantined adds an entry of another host, which has just made it, or one from the store to
+// the quarantine. It reports whether it was not quarantined here yet.
+func (v *View) ReceiveQuarantined(now time.Time, e quarantiner.Entry, stored bool) bool {
 	if !v.quarantine.Receive(now, e) {
 		return false
 	}
 	if id, ok := e.Fingerprint.Part(); ok {
+		if !stored {
+			v.noteHeld(now, attributor.PartID(id))
+		}
 		v.suspects.HeldElsewhere(attributor.PartID(id), e.Workers)
 	}
 	return true
--- a/placer/worker.go
+++ b/placer/worker.go
@@ -25,7 +25,6 @@
 	silence         silence
 	brittle         brittle
 	brokenAt        time.Time // when a connection to it last broke; zero for never
-	lived           bool      // it has begun to answer a request
 }
 
 func newWorker() *worker {
@@ -72,7 +71,6 @@
 // this one is learned.
 func (w *worker) firstEvent(now time.Time, f *flight, took time.Duration) {
 	w.silence.end(now)
-	w.lived = true
 	w.awaitingFirst--
 	if w.CacheTokens == 0 {
 		return
--- a/quarantiner/part.go
+++ b/quarantiner/part.go
@@ -89,3 +89,22 @@
 	r := t.records[f]
 	return r != nil && r.released
 }
+
+// Release ends the quarantine of what a fingerprint stands for, and forgets its crashes. It reports
+// whether it was in quarantine.
+func (t *Tracker) Release(f Fingerprint) bool {
+	r := t.records[f]
+	if r == nil || r.duration == 0 {
+		return false
+	}
+	delete(t.records, f)
+	t.newlyCleared = append(t.newlyCleared, f)
+	return true
+}
+
+// DrainCleared returns what this host has released before its time since the last call.
+func (t *Tracker) DrainCleared() []Fingerprint {
+	out := t.newlyCleared
+	t.newlyCleared = nil
+	return out
+}
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -123,6 +123,7 @@
 	lastMark         time.Time     // time of the latest mark
 	newlyQuarantined []Entry       // quarantined since the last DrainQuarantined
 	newlyReleased    []Fingerprint // released since the last DrainReleased
+	newlyCleared     []Fingerprint // released before their time since the last DrainCleared
 }
 
 // WorkerCrashed records that a worker crashed with a request that was sent to it at the given
--- a/runner/quarantine.go
+++ b/runner/quarantine.go
@@ -30,7 +30,7 @@
 	sender  sender
 	log     *zap.Logger
 	tracker *quarantiner.Tracker
-	add     func(now time.Time, e quarantiner.Entry) bool // adds an entry of another host, and reports whether it is new
+	add     func(now time.Time, e quarantiner.Entry, stored bool) bool // adds an entry of another host or of the store, and reports whether it is new
 	store   *quarantineStore
 	roster  registrar.Roster
 	count   atomic.Int64 // quarantined requests
@@ -41,7 +41,12 @@
 }
 
 func newQuarantineSync(self string, s sender, store storer.Store, tracker *quarantiner.Tracker, log *zap.Logger) *quarantineSync {
-	return &quarantineSync{self: self, sender: s, log: log, tracker: tracker, add: tracker.Receive, store: newQuarantineStore(store)}
+	return &quarantineSync{self: self, sender: s, log: log, tracker: tracker, add: receiveBy(tracker), store: newQuarantineStore(store)}
+}
+
+// receiveBy returns a function that adds entries to a tracker.
+func receiveBy(t *quarantiner.Tracker) func(time.Time, quarantiner.Entry, bool) bool {
+	return func(now time.Time, e quarantiner.Entry, _ bool) bool { return t.Receive(now, e) }
 }
 
 // quarantineReceived contains the requests that another host has quarantined.
@@ -53,6 +58,7 @@
 // announceNew logs new entries and sends them to all hosts, not only to the deciders:
 // each of them may decide later, or may have received fewer reports than this one.
 func (q *quarantineSync) announceNew(now time.Time) {
+	q.announceCleared(now)
 	added := q.tracker.DrainQuarantined()
 	if len(added) == 0 {
 		return
@@ -64,6 +70,31 @@
 	q.publish(now)
 }
 
+// released is the remaining time of an entry by which a host reports that it released it before its
+// time. Hosts of an older version ignore the entry.
+const released = -1
+
+// announceCleared logs what was released before its time, and reports it to all hosts.
+func (q *quarantineSync) announceCleared(now time.Time) {
+	var entries []quarantiner.Entry
+	for _, f := range q.tracker.DrainCleared() {
+		q.log.Info("quarantine", subjectField(f), zap.String("state", "let go"), zap.String("why", "it was shown to be sound"))
+		entries = append(entries, quarantiner.Entry{Fingerprint: f, Remaining: released})
+	}
+	if len(entries) > 0 {
+		q.send(q.roster.Hosts(), entries)
+		q.publish(now)
+	}
+}
+
+// release applies that another host released an entry before its time.
+func (q *quarantineSync) release(f quarantiner.Fingerprint, why string) {
+	if q.tracker.Release(f) {
+		q.tracker.DrainCleared() // the other host reports it to all
+		q.log.Info("quarantine", subjectField(f), zap.String("state", "let go"), zap.String("why", why))
+	}
+}
+
 // sweep releases entries that have expired and updates the store.
 func (q *quarantineSync) sweep(now time.Time) {
 	q.sweepUnconfirmed(now)
@@ -142,15 +173,19 @@
 	if q == nil {
 		return
 	}
-	q.merge(now, "another host holds it back: "+e.from, e.entries)
+	q.merge(now, "another host holds it back: "+e.from, e.entries, false)
 }
 
 // merge adds entries of other hosts or of the store to the quarantine, and returns those
 // that are new to this host.
-func (q *quarantineSync) merge(now time.Time, why string, entries []quarantiner.Entry) []quarantiner.Entry {
+func (q *quarantineSync) merge(now time.Time, why string, entries []quarantiner.Entry, stored bool) []quarantiner.Entry {
 	var added []quarantiner.Entry
 	for _, h := range entries {
-		if q.add(now, h) {
+		if h.Remaining == released {
+			q.release(h.Fingerprint, why)
+			continue
+		}
+		if q.add(now, h, stored) {
 			q.logQuarantined(why, h)
 			added = append(added, h)
 		}
@@ -168,7 +203,7 @@
 	if e.err != nil {
 		q.log.Warn("quarantine store", zap.String("call", e.call), zap.Error(e.err))
 	}
-	if added := q.merge(now, "the store has it", q.store.done(now, e)); len(added) > 0 {
+	if added := q.merge(now, "the store has it", q.store.done(now, e), true); len(added) > 0 {
 		q.send(q.roster.Hosts(), added)
 	}
 }
--- a/runner/selector.go
+++ b/runner/selector.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/cicadawood/cicadawood/attributor"
 	"github.com/cicadawood/cicadawood/loader"
 	"github.com/cicadawood/cicadawood/messenger"
 	"github.com/cicadawood/cicadawood/observer"
@@ -102,6 +103,7 @@
 	}
 	c.quarantine = newQuarantineSync(self, s, store, c.view.Quarantine(), log)
 	c.quarantine.add = c.view.ReceiveQuarantined
+	c.view.SetTries(c.tries)
 	c.origins = newOriginSync(self, s, h.First, log, c.post)
 	c.quarantine.store.report = func(e quarantineStoreResult) { c.post(e) }
 	return c
@@ -275,6 +277,16 @@
 	p.maxHosts = max(p.maxHosts, len(r.Hosts()))
 }
 
+// tries reports whether this host tries a request with a part that is in quarantine: one of those
+// that decide does.
+func (p *selector) tries(part attributor.PartID) bool {
+	if n := len(p.deciderSet.deciders); n > 0 {
+		return p.deciderSet.deciders[uint64(part)%uint64(n)].Name == p.self
+	}
+	owner, ok := p.roster.Owner("try/" + part.String())
+	return ok && owner.Name == p.self
+}
+
 // setWorkers updates the view with the workers that may receive requests.
 func (p *selector) setWorkers(now time.Time) {
 	var workers []placer.Worker
--- a/soaker/part_test.go
+++ b/soaker/part_test.go
@@ -186,7 +186,7 @@
 				}
 			}
 			AddReportEntry("part", fmt.Sprintf("seed %d: %d crashes, %d late of %d, sound %d of %d after %v", seed, len(c.crashes), late, len(bad), served, of, c.faults))
-			Expect(len(c.crashes)).To(BeNumerically(">", 0))
+			Expect(c.crashes).NotTo(BeEmpty())
 			Expect(late).To(BeNumerically("<=", maxLateSends), "after %v", c.faults)
 			Expect(of).To(BeNumerically(">=", 20))
 			Expect(served).To(BeNumerically(">=", of/2), "after %v", c.faults)
