Held: the operator lists and releases what is held back; suspects in the dump; cells of the matrix

Cause: what was held back could only be released by removing its object from the platform's store and restarting all hosts. The matrix has faults part (4 steps), unframed (2) and crowd (1), proved by the specs of these.

--- a/attributor/part.go
+++ b/attributor/part.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/binary"
 	"encoding/hex"
+	"fmt"
+	"strconv"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
@@ -24,6 +26,16 @@
 	return hex.EncodeToString(binary.BigEndian.AppendUint64(nil, uint64(p))[3:])
 }
 
+// ParseID parses an ID as String returns it.
+func ParseID(text string) (PartID, error) {
+	const digits = partBits / 4
+	n, err := strconv.ParseUint(text, 16, partBits)
+	if err != nil || len(text) != digits {
+		return 0, fmt.Errorf("%q is not the ID of a part, of %d hexadecimal digits", text, digits)
+	}
+	return PartID(n), nil
+}
+
 // IDOf returns the ID of the part that callers name so.
 func IDOf(name string) PartID { return PartID(xxhash.Sum64String(name) & partMask) }
 
--- a/commander/command.go
+++ b/commander/command.go
@@ -38,7 +38,7 @@
 }
 
 // commands lists every command, in the order of the help page.
-var commands = []command{cmdServe, cmdCheck, cmdDiff, cmdPull, cmdPush, cmdKey, cmdStatus, cmdDump, cmdDrain, cmdExplain, cmdVersion}
+var commands = []command{cmdServe, cmdCheck, cmdDiff, cmdPull, cmdPush, cmdKey, cmdStatus, cmdDump, cmdDrain, cmdHeld, cmdExplain, cmdVersion}
 
 // exitError is an error with the exit code that it leads to.
 type exitError struct {
--- a/placer/crashing_part_test.go
+++ b/placer/crashing_part_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/cicadawood/cicadawood/attributor"
 	"github.com/cicadawood/cicadawood/placer"
+	"github.com/cicadawood/cicadawood/prover"
 	"github.com/cicadawood/cicadawood/quarantiner"
 )
 
@@ -97,7 +98,7 @@
 	})
 
 	// Guards against two more crashes: a request that crashed a worker is sent again at once.
-	It("waits for the crash to be judged that may show it to be the cause", func() {
+	It("waits for the crash to be judged that may show it to be the cause", Label(prover.Cell(prover.Granted, prover.PoisonPart)), func() {
 		serve("a", "own")
 		for range 2 {
 			crash(send("a", "bad", "own"))
--- a/prover/cells.go
+++ b/prover/cells.go
@@ -37,6 +37,9 @@
 	{SilentWorker, []Step{Sent}, "it changes when an answer begins"},
 	{BrittleWorker, []Step{Asked, Granted, Sent}, "it changes which worker gets a call, and is stated in an answer"},
 	{TwoVersions, []Step{Asked, Granted, FirstToken, MidStream}, "it changes which worker may go on with a stream that has begun"},
+	{PoisonPart, []Step{Asked, Granted, Sent, FirstToken}, "it changes which worker gets a call, and shows when an answer begins"},
+	{Unframed, []Step{MidStream, Answered}, "it concerns how an answer ends"},
+	{Crowd, []Step{Received}, "it changes which host a call reaches"},
 	{PushRace, configSteps, "operators race each other in pushes only"},
 }
 
--- a/prover/prover.go
+++ b/prover/prover.go
@@ -68,6 +68,9 @@
 	SilentWorker     Fault = "pause"    // a backend server is silent for a second and goes on
 	BrittleWorker    Fault = "brittle"  // a backend server states that it falls over if it turns many calls away
 	TwoVersions      Fault = "versions" // backend servers of a service run two software versions
+	PoisonPart       Fault = "part"     // a part of prompts crashes each backend server that answers on it
+	Unframed         Fault = "unframed" // answers end with their connection
+	Crowd            Fault = "crowd"    // most new connections come to one host
 	PushRace         Fault = "race"     // operators push at the same time
 )
 
@@ -81,7 +84,7 @@
 
 // Faults returns all faults.
 func Faults() []Fault {
-	return []Fault{Kill, Freeze, CutOneWay, CutBothWays, Blackhole, Slow, LostReply, StoreDown, StoreSlow, WatchGap, LateHostList, Reorder, MismatchedAnswer, LeavingAnswer, RetryAfter, CutFromWorkers, SilentWorker, BrittleWorker, TwoVersions, PushRace}
+	return []Fault{Kill, Freeze, CutOneWay, CutBothWays, Blackhole, Slow, LostReply, StoreDown, StoreSlow, WatchGap, LateHostList, Reorder, MismatchedAnswer, LeavingAnswer, RetryAfter, CutFromWorkers, SilentWorker, BrittleWorker, TwoVersions, PoisonPart, Unframed, Crowd, PushRace}
 }
 
 const (
--- a/runner/admin.go
+++ b/runner/admin.go
@@ -22,6 +22,7 @@
 		h.Drain()
 		w.WriteHeader(http.StatusAccepted)
 	}).Methods(http.MethodPost)
+	r.HandleFunc("/release/{id}", h.serveRelease).Methods(http.MethodPost)
 	registerProfiles(r)
 	return r
 }
--- a/runner/control.go
+++ b/runner/control.go
@@ -141,6 +141,8 @@
 		c.setRoster(now, e.roster)
 	case workersListed, workerReported, workerRefused, pollTargetsRequested:
 		c.handleWorkerEvent(now, e)
+	case releaseRequested:
+		c.quarantine.releaseByOperator(now, e)
 	case quarantineStoreResult:
 		c.quarantine.handleStoreResult(now, e)
 	case storeRestored:
--- a/runner/quarantine.go
+++ b/runner/quarantine.go
@@ -34,6 +34,7 @@
 	store   *quarantineStore
 	roster  registrar.Roster
 	count   atomic.Int64 // quarantined requests
+	parts   atomic.Int64 // of these, parts of prompts
 
 	published   atomic.Pointer[map[quarantiner.Fingerprint]time.Time] // end of each quarantine, for other goroutines
 	unconfirmed map[uint64]unconfirmedCrash                           // by the ID of the ReportsFlush
@@ -138,10 +139,15 @@
 // publish makes the quarantine visible to other goroutines.
 func (q *quarantineSync) publish(now time.Time) {
 	ends := map[quarantiner.Fingerprint]time.Time{}
+	parts := int64(0)
 	for _, h := range q.tracker.List(now) {
 		ends[h.Fingerprint] = now.Add(h.Remaining)
+		if _, ok := h.Fingerprint.Part(); ok {
+			parts++
+		}
 	}
 	q.count.Store(int64(len(ends)))
+	q.parts.Store(parts)
 	q.published.Store(&ends)
 }
 
@@ -275,7 +281,9 @@
 func (q *quarantineSync) register(r prometheus.Registerer) {
 	r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "cicadawood_quarantined_requests", Help: "Requests that are held back as they ended workers.",
-	}, func() float64 { return float64(q.count.Load()) }))
+	}, func() float64 { return float64(q.count.Load()) }), prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "cicadawood_quarantined_parts", Help: "Of these, parts of prompts: all requests with them are held back.",
+	}, func() float64 { return float64(q.parts.Load()) }))
 }
 
 func (quarantineReceived) event() {}
--- a/runner/routing_state.go
+++ b/runner/routing_state.go
@@ -4,10 +4,14 @@
 	"context"
 	"time"
 
+	"github.com/cicadawood/cicadawood/attributor"
 	"github.com/cicadawood/cicadawood/observer"
 	"github.com/cicadawood/cicadawood/placer"
 )
 
+// maxListedSuspects bounds the suspects in a RoutingState.
+const maxListedSuspects = 16
+
 // RoutingState is the state of host routes, for operators. Ages are relative to the time of
 // the query.
 type RoutingState struct {
@@ -20,9 +24,10 @@
 	BudgetHosts   int                  `json:"sharing"`  // number of hosts that share the retry budget
 	Workers       []placer.WorkerState `json:"workers"`
 
-	Leaving    []observer.Process   `json:"leaving"`    // workers that reported in an answer that they are leaving
-	Quarantine []QuarantinedRequest `json:"quarantine"` // requests in quarantine
-	Origins    int                  `json:"origins"`    // streams of which it is known which worker began them
+	Leaving    []observer.Process     `json:"leaving"`            // workers that reported in an answer that they are leaving
+	Quarantine []QuarantinedRequest   `json:"quarantine"`         // requests in quarantine
+	Suspects   []attributor.Suspicion `json:"suspects,omitempty"` // parts of prompts that may crash workers, most suspected first
+	Origins    int                    `json:"origins"`            // streams of which it is known which worker began them
 }
 
 // routingStateRequested asks for the state of host routes.
@@ -41,6 +46,7 @@
 	}
 	b.Leaving = p.directory.Leaving()
 	b.Quarantine = p.quarantine.state(now)
+	b.Suspects = p.view.Suspects().Suspicions(maxListedSuspects)
 	b.Origins = p.origins.resumer.Len()
 	if !p.updatedAt.IsZero() {
 		b.ListAge = now.Sub(p.updatedAt)
--- a/runner/selector.go
+++ b/runner/selector.go
@@ -186,6 +186,8 @@
 		p.receiveSnapshot(now, e)
 	case quarantineReceived:
 		p.quarantine.receive(now, e)
+	case releaseRequested:
+		p.quarantine.releaseByOperator(now, e)
 	case quarantineStoreResult:
 		p.quarantine.handleStoreResult(now, e)
 	case storeRestored:
