Crashing parts: sound parts that only come together are tried together

Change: a request is tried if no other with one of its held parts has fewer of them, so sound ones before those with the cause; one host tries for all parts; parts from the store are tried once.

--- a/placer/crashing_part_test.go
+++ b/placer/crashing_part_test.go
@@ -205,7 +205,7 @@
 
 	Describe("that was held back beside the cause", func() {
 		BeforeEach(func() {
-			v.SetTries(func(attributor.PartID) bool { return true })
+			v.SetTries(func() bool { return true })
 			for range 3 {
 				crash(send("twin", "bad", "own"))
 				advance(settled)
@@ -221,6 +221,8 @@
 		It("is tried alone, by one request at a time, and released by its answer", func() {
 			_, refused := place("twin", "own")
 			Expect(refused).NotTo(BeNil(), "at once")
+			_, refused = place("bad", "own")
+			Expect(refused).NotTo(BeNil(), "at once")
 			advance(time.Second)
 			_, refused = place("twin", "bad", "own")
 			Expect(refused).NotTo(BeNil(), "both")
@@ -234,6 +236,29 @@
 			Expect(v.Quarantine().DrainCleared()).To(HaveLen(1))
 		})
 
+		// Guards against two sound parts that hold each other back, as no request has only one.
+		It("is tried together with others that it never comes without, and not with the cause", func() {
+			v.SetTries(func() bool { return false })
+			for _, part := range []string{"a2", "b2"} {
+				v.ReceiveQuarantined(now, quarantiner.Entry{Fingerprint: quarantiner.FingerprintOfPart(uint64(attributor.IDOf(part))), Remaining: time.Minute, Duration: time.Minute}, false)
+			}
+			for range 3 {
+				_, refused := place("a2", "b2", "bad", "own")
+				Expect(refused).NotTo(BeNil())
+				_, refused = place("a2", "b2", "own")
+				Expect(refused).NotTo(BeNil())
+			}
+			v.SetTries(func() bool { return true })
+			advance(time.Second)
+			_, refused := place("a2", "b2", "bad", "own")
+			Expect(refused).NotTo(BeNil())
+			tried, refused := place("a2", "b2", "own")
+			Expect(refused).To(BeNil())
+			v.Ended(advance(100*time.Millisecond), tried.Flight.ID, placer.Answered)
+			Expect(isHeld("a2", "b2", "own")).To(BeFalse())
+			Expect(isHeld("bad", "own")).To(BeTrue())
+		})
+
 		It("is released by a stream that its worker outlives", func() {
 			advance(time.Second)
 			tried, refused := place("twin", "own")
@@ -255,7 +280,7 @@
 				_, refused = place("bad", "own")
 				Expect(refused).NotTo(BeNil())
 			}
-			v.SetTries(func(attributor.PartID) bool { return false })
+			v.SetTries(func() bool { return false })
 			_, refused = place("twin", "own")
 			Expect(refused).NotTo(BeNil())
 		})
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -47,28 +47,28 @@
 	sorted        []*worker          // workers ordered by name, so that decisions are deterministic
 	counts        map[string]int     // number of workers, by service
 	flights       map[uint64]*flight
-	endedEarly    map[uint64]time.Time         // ends of requests that were not reported before, by request
-	answerTimes   map[string]time.Duration     // time of an answer, by plain service
-	fits          map[string]*fit              // time to the first event, by service with engines
-	candidates    []candidate                  // of the current request; reused to avoid allocations
-	recentTargets recentTargets                // targets of recent requests
-	offered       tierLoads                    // offered load
-	refused       []OfferedLoad                // refused requests that were not reported yet
-	reservation   reservation                  // for the current request
-	quarantine    quarantiner.Tracker          // requests that crashed workers
-	suspects      attributor.Attributor        // parts of prompts that may crash workers
-	trials        trials                       // parts in quarantine of which a request may be tried
-	tries         func(attributor.PartID) bool // whether this host tries a part; nil tries none
-	crashReported map[string]time.Time         // when each host last reported a crash; "" is this one
-	lastReceived  time.Time                    // when another host last reported what it sent
-	confirmedAt   time.Time                    // when the list of workers was last known to be current
-	versions      map[string]map[string]int    // number of workers, by service and software
-	deciders      int                          // number of hosts that decide by views of their own
-	self          int                          // index of this host among them
-	hosts         int                          // number of hosts that send requests by views of their own
-	hostIndex     int                          // index of this host among them
-	chance        float64                      // for the current request, from 0 to 1, by its random ID
-	nextRetries   map[serviceRank]time.Time    // when the refused requests that were asked to retry will have been prefilled
+	endedEarly    map[uint64]time.Time      // ends of requests that were not reported before, by request
+	answerTimes   map[string]time.Duration  // time of an answer, by plain service
+	fits          map[string]*fit           // time to the first event, by service with engines
+	candidates    []candidate               // of the current request; reused to avoid allocations
+	recentTargets recentTargets             // targets of recent requests
+	offered       tierLoads                 // offered load
+	refused       []OfferedLoad             // refused requests that were not reported yet
+	reservation   reservation               // for the current request
+	quarantine    quarantiner.Tracker       // requests that crashed workers
+	suspects      attributor.Attributor     // parts of prompts that may crash workers
+	trials        trials                    // parts in quarantine of which a request may be tried
+	tries         func() bool               // whether this host tries requests; nil does not
+	crashReported map[string]time.Time      // when each host last reported a crash; "" is this one
+	lastReceived  time.Time                 // when another host last reported what it sent
+	confirmedAt   time.Time                 // when the list of workers was last known to be current
+	versions      map[string]map[string]int // number of workers, by service and software
+	deciders      int                       // number of hosts that decide by views of their own
+	self          int                       // index of this host among them
+	hosts         int                       // number of hosts that send requests by views of their own
+	hostIndex     int                       // index of this host among them
+	chance        float64                   // for the current request, from 0 to 1, by its random ID
+	nextRetries   map[serviceRank]time.Time // when the refused requests that were asked to retry will have been prefilled
 
 	ignoreEvictions bool // evictions cost nothing, so that specs can compare
 }
@@ -137,8 +137,8 @@
 // PlaceFor is like Place, for a request that another host sends.
 func (v *View) PlaceFor(now time.Time, host string, id uint64, req Request) (Choice, *Refusal) {
 	v.judge(now)
-	tried, isTrial := v.triedPart(now, req)
-	if remaining, held := v.HeldBack(now, req); held && !isTrial {
+	tried := v.triedParts(now, req)
+	if remaining, held := v.HeldBack(now, req); held && len(tried) == 0 {
 		return Choice{}, newRefusal("quarantine", remaining)
 	}
 	v.chance = float64(id>>11) / (1 << 53)
@@ -156,7 +156,7 @@
 		Worker: best.Worker, Flight: f, Wait: milliseconds(best.wait), Delay: max(best.delay(req), v.undecided(now, req)), Source: best.source,
 		Filling: float64(len(best.flights)+1) >= fillingShare*float64(best.Slots),
 	}
-	if isTrial {
+	if len(tried) > 0 {
 		v.startTrial(tried, id)
 		c.Delay = 0
 	}
--- a/placer/quarantine.go
+++ b/placer/quarantine.go
@@ -112,7 +112,7 @@
 		for _, m := range f.Crashes {
 			crashes = append(crashes, quarantiner.Crash(m))
 		}
-		v.noteHeld(now, f.Part)
+		v.noteHeld(now, f.Part, 0)
 		v.quarantine.Hold(now, quarantiner.FingerprintOfPart(uint64(f.Part)), crashes)
 	}
 	for _, m := range explained {
@@ -127,9 +127,11 @@
 		return false
 	}
 	if id, ok := e.Fingerprint.Part(); ok {
-		if !stored {
-			v.noteHeld(now, attributor.PartID(id))
+		tried := 0
+		if stored {
+			tried = storedTrials
 		}
+		v.noteHeld(now, attributor.PartID(id), tried)
 		v.suspects.HeldElsewhere(attributor.PartID(id), e.Workers)
 	}
 	return true
--- a/placer/trial.go
+++ b/placer/trial.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cicadawood/cicadawood/attributor"
@@ -8,6 +9,9 @@
 )
 
 const (
+	// storedTrials is how many of them count as tried for a part that was read from the store: a host
+	// that has started does not know.
+	storedTrials = maxTrials - 1
 	// trialDelay is how long after a part was put in quarantine a request with it may be tried, and
 	// trialWindow how long after that.
 	trialDelay  = time.Second
@@ -29,47 +33,56 @@
 	heldAt time.Time
 	flight uint64 // that is tried now; 0 if there is none
 	count  int    // requests that were tried
+	fewest int    // parts in quarantine of a request with it, at the fewest; 0 if none came
 }
 
-// SetTries sets which parts this host tries.
-func (v *View) SetTries(tries func(attributor.PartID) bool) { v.tries = tries }
+// SetTries sets whether this host tries requests. One of all hosts should.
+func (v *View) SetTries(tries func() bool) { v.tries = tries }
 
-// noteHeld records that a part was put in quarantine now.
-func (v *View) noteHeld(now time.Time, p attributor.PartID) {
-	v.trials[p] = &trial{heldAt: now}
+// noteHeld records that a part was put in quarantine now, and that so many requests with it were
+// tried.
+func (v *View) noteHeld(now time.Time, p attributor.PartID, tried int) {
+	v.trials[p] = &trial{heldAt: now, count: tried}
 }
 
-// triedPart returns the part that a request would try: the only one that holds it back.
-func (v *View) triedPart(now time.Time, req Request) (attributor.PartID, bool) {
+// triedParts returns the parts that a request would try: all that hold it back, if no request with
+// one of them has fewer. Parts that come only together are tried together, and without the cause.
+func (v *View) triedParts(now time.Time, req Request) []attributor.PartID {
 	if _, held := v.quarantine.Quarantined(now, req.Fingerprint); held || v.tries == nil {
-		return 0, false
+		return nil
 	}
-	var found attributor.PartID
-	n := 0
-	for _, p := range SharedParts(req.Parts) {
-		if _, held := v.quarantine.Quarantined(now, quarantiner.FingerprintOfPart(uint64(p))); held {
-			found = p
-			n++
+	held := slices.DeleteFunc(SharedParts(req.Parts), func(p attributor.PartID) bool {
+		_, held := v.quarantine.Quarantined(now, quarantiner.FingerprintOfPart(uint64(p)))
+		return !held
+	})
+	for _, p := range held {
+		if t := v.trials[p]; t != nil && (t.fewest == 0 || len(held) < t.fewest) {
+			t.fewest = len(held)
 		}
 	}
-	return found, n == 1 && v.mayTry(now, found)
+	if slices.ContainsFunc(held, func(p attributor.PartID) bool { return !v.mayTry(now, p, len(held)) }) {
+		return nil
+	}
+	return held
 }
 
-// mayTry reports whether a request with a part may be tried now.
-func (v *View) mayTry(now time.Time, p attributor.PartID) bool {
+// mayTry reports whether a request with a part, and so many parts in quarantine, may be tried now.
+func (v *View) mayTry(now time.Time, p attributor.PartID, held int) bool {
 	t := v.trials[p]
-	if t == nil || t.flight != 0 || t.count >= maxTrials || !v.tries(p) {
+	if t == nil || t.flight != 0 || t.count >= maxTrials || held > t.fewest || !v.tries() {
 		return false
 	}
 	since := now.Sub(t.heldAt)
 	return since >= trialDelay && since < trialDelay+trialWindow
 }
 
-// startTrial records that a request tries a part.
-func (v *View) startTrial(p attributor.PartID, id uint64) {
-	t := v.trials[p]
-	t.flight = id
-	t.count++
+// startTrial records that a request tries parts.
+func (v *View) startTrial(parts []attributor.PartID, id uint64) {
+	for _, p := range parts {
+		t := v.trials[p]
+		t.flight = id
+		t.count++
+	}
 }
 
 // endTrial evaluates the end of a request that may have tried a part.
--- a/runner/selector.go
+++ b/runner/selector.go
@@ -8,7 +8,6 @@
 
 	"go.uber.org/zap"
 
-	"github.com/cicadawood/cicadawood/attributor"
 	"github.com/cicadawood/cicadawood/loader"
 	"github.com/cicadawood/cicadawood/messenger"
 	"github.com/cicadawood/cicadawood/observer"
@@ -31,6 +30,9 @@
 	minBudgetHosts = 8
 )
 
+// trialsRole is the role whose owner tries requests that are in quarantine.
+const trialsRole = "tries"
+
 // selector owns a host's view of the workers and selects a worker for each request.
 // Only its run goroutine accesses view and the fields below it.
 type selector struct {
@@ -279,13 +281,13 @@
 	p.maxHosts = max(p.maxHosts, len(r.Hosts()))
 }
 
-// tries reports whether this host tries a request with a part that is in quarantine: one of those
-// that decide does.
-func (p *selector) tries(part attributor.PartID) bool {
-	if n := len(p.deciderSet.deciders); n > 0 {
-		return p.deciderSet.deciders[uint64(part)%uint64(n)].Name == p.self
+// tries reports whether this host tries requests that are in quarantine: one of those that decide
+// does.
+func (p *selector) tries() bool {
+	if len(p.deciderSet.deciders) > 0 {
+		return p.deciderSet.index(p.self) == 0
 	}
-	owner, ok := p.roster.Owner("try/" + part.String())
+	owner, ok := p.roster.Owner(trialsRole)
 	return ok && owner.Name == p.self
 }
 
