--- a/placer/trial.go
+++ b/placer/trial.go
@@ -14,7 +14,7 @@
 	storedTrials = maxTrials - 1
 	// trialDelay is how long after a part was put in quarantine a request with it may be tried, and
 	// trialWindow how long after that.
-	trialDelay  = time.Second
+	trialDelay  = 300 * time.Millisecond
 	trialWindow = time.Minute
 	// maxTrials is the number of requests that are tried with one part, at all hosts together while
 	// they agree on who tries: a part that crashes workers crashes one with the first of them.
