Reading: judging, suspicions, outcomes and charges in files of their own; one way to send in the soak

What would stop a newcomer: attributor.go (474 lines) held keeping and judging, router/transaction.go (422) the outcome of a send and the charge of the retry budget; the soak built requests in two places; a comment on Connections said that it works without a limit, which it does not (0 admits one connection); a spec skipped itself where it is now registered only if plays are asked for; some comments were in the words of people who tell. Moves are pure; no behaviour and no check changed.

--- a/admitter/connections.go
+++ b/admitter/connections.go
@@ -34,8 +34,8 @@
 	Slow    Reason = "slow"        // the host is behind with reading
 )
 
-// Connections counts the connections of callers. Without a limit it admits all that Gate does. It is
-// safe for concurrent use.
+// Connections counts the connections of callers. Its Limit must be set. It is safe for concurrent
+// use.
 type Connections struct {
 	Limit int64   // requests in flight that the host has room for
 	Gate  LagGate // measures how far the host is behind
@@ -47,7 +47,7 @@
 	open, busy atomic.Int64
 }
 
-// connState is whether a connection has a request, or is new.
+// connState states that a connection has a request, or may bring its first one at any time.
 type connState bool
 
 // Reject returns why a new connection, which is counted already, should be closed unread, given a
--- a/admitter/lag.go
+++ b/admitter/lag.go
@@ -15,8 +15,9 @@
 	minAdmitted, admittedFactor, admittedStep = 0.05, 0.5, 0.1
 )
 
-// LagGate admits a share of new connections: the less the longer the host takes until it reads what
-// has arrived. The zero LagGate admits all. One goroutine measures; others may ask at any time.
+// LagGate admits a share of new connections, which shrinks while the host is slow to read what has
+// arrived. The zero LagGate admits all. Only one goroutine may call Measure; Admits is safe for
+// concurrent use.
 type LagGate struct {
 	closed   float64 // 1 less the share that is admitted
 	least    time.Duration
--- a/attributor/attributor.go
+++ b/attributor/attributor.go
@@ -3,7 +3,7 @@
 // requests of which no two are alike.
 //
 // When a worker crashes, each part of the requests that it had is suspected, as most of them are
-// there by chance. An Attributor tells them apart by three observations. The cause is there at each
+// there by chance. An Attributor distinguishes them by three observations. The cause is there at each
 // crash that no known cause explains, under requests that were sent after the crash before. What is
 // not the cause is answered in between. And a request that is repeated after each crash is itself
 // there each time, so that only parts count which several requests had.
@@ -15,7 +15,6 @@
 import (
 	"cmp"
 	"maps"
-	"math"
 	"slices"
 	"time"
 )
@@ -23,7 +22,7 @@
 const (
 	// maxMarks is the number of crashes after which a part is taken for their cause.
 	maxMarks = 3
-	// maxMarksOfServed is maxMarks for a part under which requests were answered lately: it may
+	// maxMarksOfServed is maxMarks for a part under which requests were answered recently: it may
 	// have become harmful since, with another version of the workers' software.
 	maxMarksOfServed = 5
 	// minRequests is the number of different requests that must have had the part.
@@ -46,8 +45,8 @@
 	forgetAfter = time.Hour
 	// servedFor is how long a part counts as served after an answer.
 	servedFor = 10 * time.Minute
-	// maxRecords and maxRecent bound the memory: the parts under suspicion, and those of the latest
-	// requests.
+	// maxRecords and maxRecent are the maximum numbers of parts under suspicion and of parts of the
+	// latest requests.
 	maxRecords, maxRecent = 4096, 4096
 	// maxCrashes bounds the crashes that may get further reports.
 	maxCrashes = 64
@@ -260,149 +259,6 @@
 	return max(wait, 0)
 }
 
-// Judge evaluates the crashes whose reports have arrived, and returns the parts that are found to
-// cause them. It also returns the crashes that a cause explains, which say nothing about other
-// requests.
-func (a *Attributor) Judge(now time.Time) (found []Finding, explained []Mark) {
-	for _, c := range a.crashes {
-		if c.judged || now.Sub(c.At) < settleTime {
-			continue
-		}
-		c.judged = true
-		if a.explains(now, c) {
-			c.explained = true
-			explained = append(explained, c.Mark)
-			continue
-		}
-		for p, x := range c.parts {
-			a.mark(now, c.Mark, p, x)
-		}
-	}
-	a.crashes = slices.DeleteFunc(a.crashes, func(c *crash) bool { return now.Sub(c.reportedAt) >= minRestartTime })
-	for {
-		causes := a.causes()
-		if len(causes) == 0 {
-			return found, explained
-		}
-		for _, f := range causes {
-			explained = append(explained, f.Crashes...)
-		}
-		found = append(found, causes...)
-		a.clear(causes)
-	}
-}
-
-// explains reports whether a part that is held back was at a crash.
-func (a *Attributor) explains(now time.Time, c *crash) bool {
-	if a.known == nil {
-		return false
-	}
-	for p := range c.parts {
-		if a.known.Held(now, p) {
-			return true
-		}
-	}
-	return false
-}
-
-// mark adds a crash to a part's record, if a request with it was not sent before the crash before.
-func (a *Attributor) mark(now time.Time, m Mark, p PartID, x *presence) {
-	r := a.records[p]
-	if r == nil {
-		r = a.add(p)
-		r.served = a.recent.servedSince(p, now.Add(-servedFor))
-	}
-	if last := r.lastMark(); x.sentAt.Before(last) || m.At.Sub(last) < minCrashGap {
-		return
-	}
-	r.marks = append(r.marks, m)
-	for _, content := range x.contents {
-		r.contents = addContent(r.contents, content)
-	}
-}
-
-// addContent adds the content of a request to those of different ones.
-func addContent(list []uint64, content uint64) []uint64 {
-	if len(list) >= minRequests || slices.Contains(list, content) {
-		return list
-	}
-	return append(list, content)
-}
-
-// causes returns the parts with most marks among those that have enough, and of these the ones that
-// fewest requests have. Several are left if they come only together, so that none of them can be told
-// from the others.
-func (a *Attributor) causes() []Finding {
-	var list []Finding
-	most := 0
-	for p, r := range a.records {
-		if a.isCause(p, r) {
-			list = append(list, Finding{Part: p, Crashes: slices.Clone(r.marks), Requests: len(r.contents)})
-			most = max(most, len(r.marks))
-		}
-	}
-	list = slices.DeleteFunc(list, func(f Finding) bool { return len(f.Crashes) < most })
-	fewest := math.MaxInt
-	for _, f := range list {
-		fewest = min(fewest, a.recent.sent(f.Part))
-	}
-	list = slices.DeleteFunc(list, func(f Finding) bool { return a.recent.sent(f.Part) > fewest })
-	slices.SortFunc(list, func(x, y Finding) int { return cmp.Compare(x.Part, y.Part) })
-	return list
-}
-
-// isCause reports whether a part has enough marks to be taken for the cause of crashes. For a part
-// that was served before, those don't count that others explain better.
-func (a *Attributor) isCause(p PartID, r *record) bool {
-	switch {
-	case a.onProbation(p):
-		return len(r.marks) > 0
-	case len(r.contents) < minRequests:
-		return false
-	case r.served:
-		return len(r.marks) >= maxMarksOfServed && a.unexplained(r) >= maxMarksOfServed
-	}
-	return len(r.marks) >= maxMarks
-}
-
-// unexplained returns how many of a part's marks are of crashes at which no part was that comes
-// more than once and was not served before.
-func (a *Attributor) unexplained(r *record) int {
-	n := 0
-	for _, m := range r.marks {
-		if !a.hasBetterCause(m) {
-			n++
-		}
-	}
-	return n
-}
-
-func (a *Attributor) hasBetterCause(m Mark) bool {
-	for _, r := range a.records {
-		if !r.served && len(r.marks) > 1 && len(r.contents) >= minRequests && slices.ContainsFunc(r.marks, m.same) {
-			return true
-		}
-	}
-	return false
-}
-
-func (a *Attributor) onProbation(p PartID) bool { return a.known != nil && a.known.OnProbation(p) }
-
-// clear removes the records of causes, and the marks of other parts for the crashes that they
-// explain.
-func (a *Attributor) clear(causes []Finding) {
-	for _, f := range causes {
-		delete(a.records, f.Part)
-	}
-	for _, f := range causes {
-		isExplained := func(m Mark) bool { return slices.ContainsFunc(f.Crashes, m.same) }
-		a.unmark(isExplained)
-		for _, c := range a.crashes {
-			c.explained = c.explained || isExplained(c.Mark)
-		}
-	}
-}
-
 // HeldElsewhere records that another host holds a part back, for crashes of these workers.
 func (a *Attributor) HeldElsewhere(p PartID, workers []string) {
 	var f Finding
@@ -449,26 +305,3 @@
 
 // Len returns the number of suspected parts.
 func (a *Attributor) Len() int { return len(a.records) }
-
-// Suspicion is a part under suspicion, for operators.
-type Suspicion struct {
-	Part    string   `json:"part"`
-	Workers []string `json:"workers"` // that crashed with it, one after another
-	Served  bool     `json:"served,omitempty"`
-}
-
-// Suspicions returns at most limit suspected parts, those with most crashes first.
-func (a *Attributor) Suspicions(limit int) []Suspicion {
-	out := make([]Suspicion, 0, len(a.records))
-	for p, r := range a.records {
-		s := Suspicion{Part: p.String(), Served: r.served}
-		for _, m := range r.marks {
-			s.Workers = append(s.Workers, m.Worker)
-		}
-		out = append(out, s)
-	}
-	slices.SortFunc(out, func(x, y Suspicion) int {
-		return cmp.Or(cmp.Compare(len(y.Workers), len(x.Workers)), cmp.Compare(x.Part, y.Part))
-	})
-	return out[:min(len(out), limit)]
-}
--- a/attributor/recency.go
+++ b/attributor/recency.go
@@ -42,7 +42,7 @@
 	return e != nil && !e.Value.(*recentPart).servedAt.Before(from)
 }
 
-// sent returns the number of requests with a part that were sent lately.
+// sent returns the number of requests with a part that were sent recently.
 func (r *recency) sent(p PartID) int {
 	if e := r.byPart[p]; e != nil {
 		return e.Value.(*recentPart).sent
--- a/attributor/weigh_test.go
+++ b/attributor/weigh_test.go
@@ -81,32 +81,31 @@
 		}
 	})
 
-	It("are weighed", func() {
-		if *plays == 0 {
-			Skip("go test ./attributor -v -args -attributor.plays 100")
-		}
-		var b strings.Builder
-		for _, x := range worlds {
-			x.w.duration = 30 * time.Second
-			for _, m := range []struct {
-				name    string
-				create  func() method
-				isolate bool
-			}{
-				{"counted", newCounted, false},
-				{"intersected", newIntersected, false},
-				{"likelihood", newLikely, false},
-				{"counted, kept apart", newCounted, true},
-				{"likelihood, kept apart", newLikely, true},
-				{"attributor", newAttributed, false},
-				{"attributor, kept apart", newAttributed, true},
-			} {
-				fmt.Fprintf(&b, "%-32s %-24s %s\n", x.name, m.name, weigh(x.w, m.create, m.isolate, *plays))
+	if *plays > 0 {
+		It("are weighed", func() {
+			var b strings.Builder
+			for _, x := range worlds {
+				x.w.duration = 30 * time.Second
+				for _, m := range []struct {
+					name    string
+					create  func() method
+					isolate bool
+				}{
+					{"counted", newCounted, false},
+					{"intersected", newIntersected, false},
+					{"likelihood", newLikely, false},
+					{"counted, kept apart", newCounted, true},
+					{"likelihood, kept apart", newLikely, true},
+					{"attributor", newAttributed, false},
+					{"attributor, kept apart", newAttributed, true},
+				} {
+					fmt.Fprintf(&b, "%-32s %-24s %s\n", x.name, m.name, weigh(x.w, m.create, m.isolate, *plays))
+				}
 			}
-		}
-		AddReportEntry("ways", b.String())
-	})
+			AddReportEntry("ways", b.String())
+		})
+	}
 })
 
-// plays is how often each way plays each world.
+// plays is how often each way plays each world (go test ./attributor -v -args -attributor.plays 100).
 var plays = flag.Int("attributor.plays", 0, "plays of each way in each world; 0 weighs none")
--- a/placer/quarantine.go
+++ b/placer/quarantine.go
@@ -149,7 +149,7 @@
 	return remaining, held
 }
 
-// knownCauses tells the attributor which parts are in quarantine.
+// knownCauses is the attributor's view of the parts in quarantine.
 type knownCauses struct{ quarantine *quarantiner.Tracker }
 
 // Held implements attributor.Known.
--- a/router/port.go
+++ b/router/port.go
@@ -127,16 +127,6 @@
 // Error implements error.
 func (r Refused) Error() string { return "refused: " + r.Reason }
 
-// Charge is what the retry budget counts for a placement.
-type Charge int
-
-// Charges of a placement.
-const (
-	ChargeFirst  Charge = iota // the caller's request, for which repeats are granted
-	ChargeNone                 // a further worker for a request that no worker has received yet
-	ChargeRepeat               // a repeat
-)
-
 // Placer is the port to the component that chooses a worker for each request.
 type Placer interface {
 	// Place chooses a worker, and charges the retry budget for it. It returns a Refused, or
--- a/soaker/exchange_test.go
+++ b/soaker/exchange_test.go
@@ -82,8 +82,9 @@
 	return send(h, id, route, key, id, "")
 }
 
-// send sends a request with an ID to a route, for the resource called name.
-func send(h *host, id, route, key, name, body string) exchange {
+// send sends a request with an ID to a route, for the resource called name. header alternates names
+// and values.
+func send(h *host, id, route, key, name, body string, header ...string) exchange {
 	e := exchange{
 		id: id, route: route, key: key, host: h, sentAt: time.Now(), undisturbed: h.processUndisturbedSince(time.Now().Add(-undisturbedTime)),
 		processSince: h.processSince(),
@@ -103,6 +104,9 @@
 	req.Header.Set(platform.HeaderRequestID, id)
 	req.Header.Set(platform.HeaderDeadline, "3000")
 	req.Header.Set("Authorization", "Token "+key)
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		e.err = err
--- a/soaker/part_test.go
+++ b/soaker/part_test.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
 
@@ -66,35 +64,11 @@
 	panic("no fault is named " + name)
 }
 
-// sendParts sends a request whose prompt has parts over a connection of its own.
+// sendParts sends a request whose prompt has parts.
 func sendParts(h *host, id, route, parts string) exchange {
-	e := exchange{
-		id: id, route: route, host: h, sentAt: time.Now(), undisturbed: h.undisturbedSince(time.Now().Add(-undisturbedTime)),
-		processSince: h.processSince(),
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, h.url+"/"+route+"/"+id, strings.NewReader(id))
-	if err != nil {
-		e.err = err
-		return e
-	}
-	req.Host = "desk.example"
-	for name, value := range map[string]string{
-		platform.HeaderRequestID: id, platform.HeaderDeadline: "3000", "Authorization": "Token key-0",
-		platform.HeaderTokens: "150,5", platform.HeaderPromptParts: parts,
-	} {
-		req.Header.Set(name, value)
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		e.err = err
-		return e
-	}
-	defer resp.Body.Close()
-	e.status = resp.StatusCode
-	data, err := io.ReadAll(resp.Body)
-	e.body, e.err, e.endAt = string(data), err, time.Now()
+	undisturbed := h.undisturbedSince(time.Now().Add(-undisturbedTime))
+	e := send(h, id, route, "key-0", id, id, platform.HeaderTokens, "150,5", platform.HeaderPromptParts, parts)
+	e.undisturbed = undisturbed
 	return e
 }
 
