Review: case 2, a burst of long bodies takes a host over its memory

Cause: readBody checks the bytes of bodies that are read already and counts a body only at its end, so any number of bodies under way passes the bound on buffered bytes together.

--- a/review/testdata/standin/case_unframed.go
+++ b/review/testdata/standin/case_unframed.go
@@ -23,6 +23,7 @@
 		"version": 7,
 		"routes": []any{
 			map[string]any{"name": "r-5pa2yhv", "host": clientHost, "pathPrefix": "/pufi791/", "kind": "streaming", "timeoutMs": 15000, "targetLatencyMs": 300, "targetGapMs": 250, "priority": 0, "service": lmService, "maxAttempts": 2, "public": false, "sticky": true, "resumable": true},
+			map[string]any{"name": "r-6kd0v", "host": clientHost, "pathPrefix": "/lohu930/", "kind": "streaming", "timeoutMs": 6000, "targetLatencyMs": 600, "targetGapMs": 400, "priority": 1, "service": lmService, "maxAttempts": 1, "public": false, "sticky": true, "resumable": false},
 			map[string]any{"name": "r-9xu1w", "host": clientHost, "pathPrefix": "/pule252/", "kind": "non_idempotent", "timeoutMs": 3000, "targetLatencyMs": 300, "priority": 2, "service": appService, "maxAttempts": 1, "public": false},
 			map[string]any{"name": "r-z3pfi6y", "host": clientHost, "pathPrefix": "/puxa403/", "kind": "idempotent", "timeoutMs": 3000, "targetLatencyMs": 300, "priority": 2, "service": appService, "maxAttempts": 2, "public": false},
 		},
--- a/review/testdata/standin/client.go
+++ b/review/testdata/standin/client.go
@@ -8,6 +8,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
 	"time"
 )
@@ -21,6 +22,7 @@
 	body     int   // bytes
 	events   []int // numbers of the events of a stream
 	err      error // nil if the answer ended in order
+	kept     bool  // it was sent on a connection that had brought a request before
 	took     time.Duration
 }
 
@@ -51,6 +53,7 @@
 	a := &attempt{id: fmt.Sprintf("%016x", rand.Uint64()), host: h.name, sentAt: time.Now()}
 	ctx, cancel := context.WithTimeout(context.Background(), deadline+time.Second)
 	defer cancel()
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(c httptrace.GotConnInfo) { a.kept = c.Reused }})
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+h.front+path, body)
 	if err != nil {
 		a.err = err
--- a/review/testdata/standin/worker.go
+++ b/review/testdata/standin/worker.go
@@ -35,6 +35,7 @@
 	id, service, zone, store, address string
 	slots                             int
 	eventTime, workTime, drainTime    time.Duration
+	readSpeed                         float64 // prompt tokens a ms; 0 takes no time
 
 	mu       sync.Mutex
 	out      *bufio.Writer
@@ -59,6 +60,7 @@
 	f.DurationVar(&w.eventTime, "event", 25*time.Millisecond, "time for an event of a stream")
 	f.DurationVar(&w.workTime, "work", 60*time.Millisecond, "time for an answer that is not a stream")
 	f.DurationVar(&w.drainTime, "drain", 2*time.Second, "drainMs")
+	f.Float64Var(&w.readSpeed, "read", 0, "prompt tokens that are read in a ms; 0: no time")
 	beat := f.Duration("beat", 1200*time.Millisecond, "heartbeatMs")
 	_ = f.Parse(args)
 	l, err := net.Listen("tcp", w.address)
@@ -266,7 +268,7 @@
 
 // stream answers with events of four tokens, and goes on after the one that Last-Event-Id names.
 func (w *worker) stream(rw http.ResponseWriter, r *http.Request, id, tokens string, unframed bool) {
-	_, output, _ := strings.Cut(tokens, ",")
+	prompt, output, _ := strings.Cut(tokens, ",")
 	n, _ := strconv.Atoi(output)
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	rw.Header().Set("Content-Type", "text/event-stream")
@@ -281,6 +283,15 @@
 		defer conn.Close()
 		ctx, to, flush = c, conn, func() {}
 	}
+	if w.readSpeed > 0 {
+		p, _ := strconv.ParseFloat(prompt, 64)
+		select {
+		case <-time.After(time.Duration(p / w.readSpeed * float64(time.Millisecond))):
+		case <-ctx.Done():
+			w.finish(id, "dropped")
+			return
+		}
+	}
 	tick := time.NewTicker(w.eventTime)
 	defer tick.Stop()
 	for i := last + 1; i <= n/4; i++ {
