Review: case 2, an answer that is no response takes a host over its memory

Cause: the head of a worker's answer is read without a bound on its bytes. 130 to 160 MB without an end of line take a host of 284 MiB over its limit.

--- a/review/testdata/standin/case_uploads.go
+++ b/review/testdata/standin/case_uploads.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -93,35 +94,7 @@
 	defer close(done)
 	go w.balance(done)
 
-	var killed atomic.Int64
-	peak := make([]int, hosts)
-	for i, h := range w.hosts {
-		go func() {
-			for {
-				select {
-				case <-done:
-					return
-				case <-time.After(10 * time.Millisecond):
-				}
-				n := residentKB(h.cmd.Process.Pid)
-				mu.Lock()
-				peak[i] = max(peak[i], n)
-				mu.Unlock()
-				if n <= wodnik.memoryMB<<10 {
-					continue
-				}
-				killed.Add(1)
-				w.record.add("driver: %s takes %d KiB, more than memoryMb = %d: killed", h.name, n, wodnik.memoryMB)
-				name := h.name
-				_ = h.cmd.Process.Signal(syscall.SIGKILL)
-				<-h.done
-				time.Sleep(500 * time.Millisecond)
-				if err := w.startHost(h, name); err != nil {
-					return
-				}
-			}
-		}()
-	}
+	memory := w.watchMemory(done)
 	time.Sleep(2 * time.Second)
 	var tasks sync.WaitGroup
 	lost, unfinished := 0, 0
@@ -173,6 +146,53 @@
 		load(22*(burst-1), burstFor, hold)
 	}
 	tasks.Wait()
-	w.record.add("peaks of memory, KiB: %v", peak)
-	return w.verdict(max(lost-3, 0), "%d processes killed for memory (peaks %v KiB); of the requests that ran at a worker %d were not answered to the end, %d of them got no answer at all on a kept connection; answers: %v", killed.Load(), peak, unfinished, lost, answers)
+	return w.verdict(max(lost-3, 0), "%d processes killed for memory (peaks %v KiB); of the requests that ran at a worker %d were not answered to the end, %d of them got no answer at all on a kept connection; answers: %v", memory.killed.Load(), memory.peaks(), unfinished, lost, answers)
+}
+
+// memoryWatch ends, as the platform does, processes that take more memory than their machine has.
+type memoryWatch struct {
+	killed atomic.Int64
+
+	mu   sync.Mutex
+	peak []int // KiB, by host
+}
+
+func (m *memoryWatch) peaks() []int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Clone(m.peak)
+}
+
+// watchMemory looks at the memory of each host until done is closed. A process that it ends is
+// started again after a short delay.
+func (w *fleet) watchMemory(done <-chan struct{}) *memoryWatch {
+	m := &memoryWatch{peak: make([]int, len(w.hosts))}
+	for i, h := range w.hosts {
+		go func() {
+			for {
+				select {
+				case <-done:
+					return
+				case <-time.After(10 * time.Millisecond):
+				}
+				n := residentKB(h.cmd.Process.Pid)
+				m.mu.Lock()
+				m.peak[i] = max(m.peak[i], n)
+				m.mu.Unlock()
+				if n <= wodnik.memoryMB<<10 {
+					continue
+				}
+				m.killed.Add(1)
+				w.record.add("driver: %s takes %d KiB, more than memoryMb = %d: killed", h.name, n, wodnik.memoryMB)
+				name := h.name
+				_ = h.cmd.Process.Signal(syscall.SIGKILL)
+				<-h.done
+				time.Sleep(500 * time.Millisecond)
+				if err := w.startHost(h, name); err != nil {
+					return
+				}
+			}
+		}()
+	}
+	return m
 }
--- a/review/testdata/standin/worker.go
+++ b/review/testdata/standin/worker.go
@@ -25,6 +25,8 @@
 // It takes orders from its standard input, one a line:
 //
 //	unframed SHARE   from now on SHARE of the answers have no length and end with their connection
+//	spoil SHARE      from now on SHARE of the answers are bytes that are no response: zeros, at the
+//	                 speed of the worker's link (linkMbps 1000), 200 MB or until the caller closes
 //	drain LINGER     reports draining, serves for drainMs after the store has accepted that and
 //	                 for LINGER more, and exits
 //	remove LINGER    the same, but its entry is removed instead of reporting draining
@@ -40,6 +42,8 @@
 	mu       sync.Mutex
 	out      *bufio.Writer
 	unframed float64 // share of the answers
+	spoiled  float64 // share of the answers
+	spoils   float64 // answers that are due to be spoiled
 	debt     float64 // answers that are due to be unframed: every 20th for a share of 0.05
 	state    string
 	seq      int
@@ -49,7 +53,7 @@
 }
 
 func runWorker(args []string) {
-	w := &worker{out: bufio.NewWriter(os.Stdout), state: "ready", running: map[string]int{}, debt: rand.Float64()}
+	w := &worker{out: bufio.NewWriter(os.Stdout), state: "ready", running: map[string]int{}, debt: rand.Float64(), spoils: rand.Float64()}
 	f := flag.NewFlagSet("worker", flag.ExitOnError)
 	f.StringVar(&w.id, "id", "", "id of this start of the worker")
 	f.StringVar(&w.service, "service", "", "name of its service")
@@ -105,6 +109,11 @@
 			w.mu.Lock()
 			w.unframed = share
 			w.mu.Unlock()
+		case "spoil":
+			share, _ := strconv.ParseFloat(f[1], 64)
+			w.mu.Lock()
+			w.spoiled = share
+			w.mu.Unlock()
 		case "drain", "remove":
 			linger, _ := time.ParseDuration(f[1])
 			go w.leave(f[0], linger)
@@ -200,6 +209,11 @@
 		w.debt--
 		unframed = true
 	}
+	spoil := false
+	if w.spoils += w.spoiled; w.spoils >= 1 {
+		w.spoils--
+		spoil = true
+	}
 	if !full {
 		w.running[id] = 0
 	}
@@ -215,6 +229,10 @@
 		return
 	}
 	w.report("run " + id)
+	if spoil {
+		w.spoil(rw, id)
+		return
+	}
 	h.Set("Response-Seal", w.id+"."+id)
 	if tokens := r.Header.Get("Token-Usage"); tokens != "" {
 		w.stream(rw, r, id, tokens, unframed)
@@ -239,6 +257,32 @@
 	_, _ = io.WriteString(rw, body)
 }
 
+const (
+	linkBytes  = 125e6       // what the worker's link carries in a second: linkMbps 1000
+	spoilBytes = 200_000_000 // of a spoiled answer, at most
+)
+
+// spoil answers with bytes that are no response.
+func (w *worker) spoil(rw http.ResponseWriter, id string) {
+	w.report("spoiled " + id)
+	defer w.finish(id, "spoiled")
+	conn, _, err := http.NewResponseController(rw).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	piece := make([]byte, 64<<10)
+	begun, sent := time.Now(), 0
+	for sent < spoilBytes {
+		time.Sleep(time.Until(begun.Add(time.Duration(float64(sent) / linkBytes * float64(time.Second)))))
+		n, err := conn.Write(piece)
+		if sent += n; err != nil {
+			w.report(fmt.Sprintf("closed %s after %d bytes", id, sent))
+			return
+		}
+	}
+}
+
 func (w *worker) finish(id, outcome string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
