--- a/review/testdata/standin/case_spoiled.go
+++ b/review/testdata/standin/case_spoiled.go
@@ -45,7 +45,7 @@
 			return w.fail(err)
 		}
 	}
-	if err := w.startHosts(8, wodnik); err != nil {
+	if err := w.startHosts(4, wodnik); err != nil {
 		return w.fail(err)
 	}
 	done := make(chan struct{})
