--- a/review/testdata/standin/case_spoiled.go
+++ b/review/testdata/standin/case_spoiled.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"strings"
 	"sync"
@@ -9,7 +11,7 @@
 
 func init() { cases["spoiled"] = spoiled }
 
-// spoiled has some answers of seven of twelve workers consist of bytes that are no response, and ends,
+// spoiled has some answers of nine of sixteen workers consist of bytes that are no response, and ends,
 // as the platform does, a process that takes more memory than its machine has.
 func spoiled(w *fleet, o options) int {
 	const (
@@ -18,34 +20,46 @@
 	)
 	w.configure(wodnikConfiguration())
 	var mu sync.Mutex
-	runs, spoiledIDs := map[string]bool{}, map[string]bool{}
-	lines := func(_, line string) {
+	sound := map[string]bool{} // requests that a worker runs which spoils no answers
+	spoiledAnswers := 0
+	isFaulty := map[string]bool{}
+	var faulty []*process
+	lines := func(worker, line string) {
 		kind, id, _ := strings.Cut(line, " ")
 		mu.Lock()
 		defer mu.Unlock()
-		switch kind {
-		case "run":
-			runs[id] = true
-		case "spoiled":
-			spoiledIDs[id] = true
+		switch {
+		case kind == "run" && !isFaulty[worker]:
+			sound[id] = true
+		case kind == "spoiled":
+			spoiledAnswers++
 		}
 	}
-	var faulty []*process
+	spoils := func(p *process) {
+		mu.Lock()
+		defer mu.Unlock()
+		isFaulty[p.name] = true
+		faulty = append(faulty, p)
+	}
 	for i := range 12 {
 		p, err := w.startWorker(lmService, wodnik.zones[i%4], 96, lines, "-event", "25ms", "-read", "41.4")
 		if err != nil {
 			return w.fail(err)
 		}
 		if i < 7 {
-			faulty = append(faulty, p)
+			spoils(p)
 		}
 	}
 	for i := range 4 {
-		if _, err := w.startWorker(appService, wodnik.zones[i%4], 6, lines, "-work", "60ms"); err != nil {
+		p, err := w.startWorker(appService, wodnik.zones[i%4], 6, lines, "-work", "60ms")
+		if err != nil {
 			return w.fail(err)
 		}
+		if i < 2 {
+			spoils(p)
+		}
 	}
-	if err := w.startHosts(4, wodnik); err != nil {
+	if err := w.startHosts(2, wodnik); err != nil {
 		return w.fail(err)
 	}
 	done := make(chan struct{})
@@ -59,7 +73,7 @@
 	load := func(kind string, rate float64, call func() *attempt) {
 		tasks.Go(func() {
 			var calls sync.WaitGroup
-			every(rate, 28*time.Second, func() {
+			every(rate, 20*time.Second, func() {
 				calls.Add(1)
 				defer calls.Done()
 				a := call()
@@ -70,7 +84,7 @@
 					key += " closed"
 				}
 				answers[key]++
-				if a.err == nil || !runs[a.id] || spoiledIDs[a.id] {
+				if a.err == nil || !sound[a.id] || errors.Is(a.err, context.DeadlineExceeded) {
 					return
 				}
 				unfinished++
@@ -97,8 +111,8 @@
 	})
 	time.Sleep(6 * time.Second)
 	if o.trouble {
-		for _, x := range []float64{share, share, share, 0} {
-			w.record.add("driver: %d of 12 workers spoil %v of their answers", len(faulty), x)
+		for _, x := range []float64{share, 0} {
+			w.record.add("driver: %d of 16 workers spoil %v of their answers", len(faulty), x)
 			for _, p := range faulty {
 				p.order("spoil %v", x)
 			}
@@ -106,5 +120,5 @@
 		}
 	}
 	tasks.Wait()
-	return w.verdict(max(lost-3, 0), "%d answers spoiled, %d processes killed for memory (peaks %v KiB); of the requests that ran at a sound worker %d were not answered to the end, %d of them got no answer at all on a kept connection; answers: %v", len(spoiledIDs), memory.killed.Load(), memory.peaks(), unfinished, lost, answers)
+	return w.verdict(max(lost-3, 0), "%d answers spoiled, %d processes killed for memory (peaks %v KiB); of the requests that ran at a sound worker %d were not answered to the end, %d of them got no answer at all on a kept connection; answers: %v", spoiledAnswers, memory.killed.Load(), memory.peaks(), unfinished, lost, answers)
 }
--- a/review/testdata/standin/case_unframed.go
+++ b/review/testdata/standin/case_unframed.go
@@ -72,19 +72,17 @@
 			}
 		}
 		tasks.Go(func() {
-			for range 2 {
-				unframe(0.05)
-				time.Sleep(5 * time.Second)
-			}
+			unframe(0.05)
+			time.Sleep(5 * time.Second)
 			unframe(0)
 		})
-		time.Sleep(4 * time.Second)
+		time.Sleep(2 * time.Second)
 		for i, p := range half {
 			if _, err := start(i); err != nil {
 				return w.fail(err)
 			}
 			w.record.add("driver: worker %s is replaced", p.name)
-			p.order("drain 100ms")
+			p.order("drain 1500ms")
 			time.Sleep(time.Second)
 		}
 	}
--- a/review/testdata/standin/fleet.go
+++ b/review/testdata/standin/fleet.go
@@ -273,10 +273,24 @@
 	return nil
 }
 
+// restartHost starts a host again, with the settings of a later start.
+func (w *fleet) restartHost(h *host, name string) error {
+	text, err := os.ReadFile(h.settings)
+	if err != nil {
+		return err
+	}
+	later := strings.Replace(string(text), `"first": true`, `"first": false`, 1)
+	if err := os.WriteFile(h.settings, []byte(later), 0o600); err != nil {
+		return err
+	}
+	return w.startHost(h, name)
+}
+
 // startHost starts the process of a host.
 func (w *fleet) startHost(h *host, name string) error {
 	cmd := exec.Command("target/cicadawood", "serve", h.settings)
 	cmd.Dir = w.root
+	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=" + os.Getenv("LANG"), "CICADAWOOD_BOOT=" + h.settings}
 	p, err := w.startProcess(name, cmd, nil)
 	if err != nil {
 		return err
--- a/review/testdata/standin/worker.go
+++ b/review/testdata/standin/worker.go
@@ -25,7 +25,7 @@
 // It takes orders from its standard input, one a line:
 //
 //	unframed SHARE   from now on SHARE of the answers have no length and end with their connection
-//	spoil SHARE      from now on SHARE of the answers are bytes that are no response: zeros, at the
+//	spoil SHARE      from now on SHARE of the answers are bytes that are no response: zeros, at half the
 //	                 speed of the worker's link (linkMbps 1000), 200 MB or until the caller closes
 //	drain LINGER     reports draining, serves for drainMs after the store has accepted that and
 //	                 for LINGER more, and exits
@@ -217,6 +217,7 @@
 		return
 	}
 	w.report("run " + id)
+	h.Set("Server-Load", fmt.Sprintf("%d,0,%d", w.load(), w.slots))
 	if spoil {
 		w.spoil(rw, id)
 		return
@@ -246,10 +247,17 @@
 }
 
 const (
-	linkBytes  = 125e6       // what the worker's link carries in a second: linkMbps 1000
+	spoilSpeed = 62.5e6      // bytes a second of a spoiled answer: half of linkMbps 1000
 	spoilBytes = 200_000_000 // of a spoiled answer, at most
 )
 
+// load returns the number of requests that run.
+func (w *worker) load() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.running)
+}
+
 // spoil answers with bytes that are no response.
 func (w *worker) spoil(rw http.ResponseWriter, id string) {
 	w.report("spoiled " + id)
@@ -262,7 +270,7 @@
 	piece := make([]byte, 64<<10)
 	begun, sent := time.Now(), 0
 	for sent < spoilBytes {
-		time.Sleep(time.Until(begun.Add(time.Duration(float64(sent) / linkBytes * float64(time.Second)))))
+		time.Sleep(time.Until(begun.Add(time.Duration(float64(sent) / spoilSpeed * float64(time.Second)))))
 		n, err := conn.Write(piece)
 		if sent += n; err != nil {
 			w.report(fmt.Sprintf("closed %s after %d bytes", id, sent))
