Repeats: each decision in the log and metrics, with what the host counted

Nothing said what a host had granted, of what, and for how long it had run. Now a line "repeat" (service, tier, granted, first tries, repeats, hosts it divides by, age) and cicadawood_repeats_total; the budget has a file of its own, no decision changes.

--- a/retrier/window.go
+++ b/retrier/window.go
@@ -43,6 +43,12 @@
 	return true
 }
 
+// Counts returns the first tries and the repeats of the last span.
+func (w *Window) Counts(now time.Time, p WindowPolicy) (firsts, repeats int) {
+	w.slide(now, p)
+	return sum(w.firsts), sum(w.repeats)
+}
+
 // slide drops the counts that are older than the span.
 func (w *Window) slide(now time.Time, p WindowPolicy) {
 	step := now.UnixNano() / max(int64(p.Span)/windowSteps, 1)
--- a/runner/host_routes.go
+++ b/runner/host_routes.go
@@ -34,6 +34,7 @@
 	g := &hostRoutes{selector: newSelector(s, m, store, d, log)}
 	g.selector.quarantine.register(registry)
 	g.selector.origins.register(registry)
+	g.selector.repeats.register(registry)
 	g.pool, g.close = connector.New(d)
 	d.OnLost(g.pool.CloseAllIdle)
 	g.storeWatch = &storeWatch{store: store, log: log, report: func(e storeResult) { g.selector.post(e) }, nextCall: g.selector.nextCall}
--- a/runner/routing_state.go
+++ b/runner/routing_state.go
@@ -42,7 +42,7 @@
 func (p *selector) buildRoutingState(now time.Time) RoutingState {
 	after, _, _ := p.relay.Next(now)
 	b := RoutingState{
-		ListAge: -1, Era: after.Era(), Revision: after.Revision(), WatchesStore: p.watchesStore.Load(), WatchesForAll: p.relay.Watching(), Decides: p.deciderSet.decides(p.self), BudgetHosts: p.maxHosts, Workers: p.view.WorkerStates(now),
+		ListAge: -1, Era: after.Era(), Revision: after.Revision(), WatchesStore: p.watchesStore.Load(), WatchesForAll: p.relay.Watching(), Decides: p.deciderSet.decides(p.self), BudgetHosts: p.repeats.hosts, Workers: p.view.WorkerStates(now),
 	}
 	b.Leaving = p.directory.Leaving()
 	b.Quarantine = p.quarantine.state(now)
--- a/runner/selector.go
+++ b/runner/selector.go
@@ -14,21 +14,14 @@
 	"github.com/cicadawood/cicadawood/placer"
 	"github.com/cicadawood/cicadawood/registrar"
 	"github.com/cicadawood/cicadawood/relayer"
-	"github.com/cicadawood/cicadawood/retrier"
 	"github.com/cicadawood/cicadawood/router"
 	"github.com/cicadawood/cicadawood/storer"
 	"github.com/cicadawood/cicadawood/tunneler"
 )
 
-const (
-	// sweepInterval is the interval at which expired state is removed, and the maximum delay
-	// of a watcher's heartbeat.
-	sweepInterval = 200 * time.Millisecond
-	// minBudgetHosts is the minimum number of hosts that share the retry budget of a
-	// service. A host that can reach no other knows only itself, and must not use the whole
-	// budget.
-	minBudgetHosts = 8
-)
+// sweepInterval is the interval at which expired state is removed, and the maximum delay
+// of a watcher's heartbeat.
+const sweepInterval = 200 * time.Millisecond
 
 // trialsRole is the role whose owner tries requests that are in quarantine.
 const trialsRole = "tries"
@@ -38,7 +31,6 @@
 type selector struct {
 	sender       sender
 	log          *zap.Logger
-	retryPolicy  retrier.WindowPolicy
 	events       chan event
 	ended        chan struct{}
 	loaded       atomic.Bool // the first list of workers was received
@@ -54,9 +46,8 @@
 	folder        *loader.Folder
 	self          string
 	roster        registrar.Roster
-	maxHosts      int // highest number of hosts that the roster had
 	deciderSet    deciderSet
-	windows       map[string]*retrier.Window
+	repeats       *repeatBudget
 	backoffs      placer.Backoffs // of workers towards this host
 	tunnels       *tunneler.Dialer
 	pendingUpdate messenger.FlightUpdate
@@ -99,8 +90,7 @@
 	self := h.Name
 	c := &selector{
 		self: self, sender: s, tunnels: d, log: log, events: make(chan event, eventBacklog), ended: make(chan struct{}),
-		retryPolicy: retryPolicyOf(h.Repeat),
-		view:        placer.New(h.Zone), windows: map[string]*retrier.Window{}, maxHosts: minBudgetHosts,
+		view: placer.New(h.Zone), repeats: newRepeatBudget(time.Now(), h.Repeat, log),
 		relay: relayer.New(self, workersList),
 	}
 	c.quarantine = newQuarantineSync(self, s, store, c.view.Quarantine(), log)
@@ -111,10 +101,6 @@
 	return c
 }
 
-func retryPolicyOf(p loader.Repeat) retrier.WindowPolicy {
-	return retrier.WindowPolicy{Ratio: p.Ratio, Slack: p.Slack, Span: p.Window.Std()}
-}
-
 // run handles events until ctx ends.
 func (p *selector) run(ctx context.Context) {
 	defer close(p.ended)
@@ -201,7 +187,7 @@
 	case rosterChanged:
 		p.setRoster(now, e.roster)
 	case settingsChanged:
-		p.retryPolicy = retryPolicyOf(e.settings.Repeat)
+		p.repeats.configure(e.settings.Repeat)
 	case configChanged:
 		p.folder = e.folder
 		p.origins.configure(e.folder)
@@ -212,7 +198,7 @@
 
 // place finds a worker for a request, within the retry budget.
 func (p *selector) place(now time.Time, e workerRequested) {
-	if refused := p.chargeBudget(now, e); refused != nil {
+	if refused := p.repeats.charge(now, e.request, e.charge); refused != nil {
 		e.reply <- workerReply{refused: refused}
 		return
 	}
@@ -227,26 +213,6 @@
 	}
 }
 
-// chargeBudget counts a request, and refuses a retry beyond this host's share of the
-// budget.
-func (p *selector) chargeBudget(now time.Time, e workerRequested) *router.Refused {
-	w := p.windows[e.request.Service]
-	if w == nil {
-		w = &retrier.Window{}
-		p.windows[e.request.Service] = w
-	}
-	switch e.charge {
-	case router.ChargeFirst:
-		w.RecordFirst(now, p.retryPolicy)
-	case router.ChargeNone:
-	case router.ChargeRepeat:
-		if !w.Take(now, p.retryPolicy, p.maxHosts) {
-			return &router.Refused{Reason: "retry_budget", RetryAfter: time.Second}
-		}
-	}
-	return nil
-}
-
 // decide selects a worker by this host's view.
 func (p *selector) decide(now time.Time, a placer.Request) workerReply {
 	a.Backoffs = p.heldBack(now, a.Service)
@@ -278,7 +244,7 @@
 	p.quarantine.setRoster(now, r)
 	p.view.SetDeciders(len(p.deciderSet.deciders), p.deciderSet.index(p.self))
 	p.view.SetHosts(p.deciderSet.count(r), p.deciderSet.position(r, p.self))
-	p.maxHosts = max(p.maxHosts, len(r.Hosts()))
+	p.repeats.setHosts(len(r.Hosts()))
 }
 
 // tries reports whether this host tries requests that are in quarantine: one of those that decide
