--- a/runner/export_test.go
+++ b/runner/export_test.go
@@ -168,12 +168,32 @@
 
 // NewSelector returns the selector of a host that sends through send and knows the workers.
 func NewSelector(self string, workers []placer.Worker, send func(address string, m messenger.Message)) Selector {
-	c := newSelector(loader.Host{Name: self, Zone: "z"}, sendFunc(send), nil, tunneler.New(tunneler.Config{}), zap.NewNop())
+	return NewSelectorOf(time.Now(), loader.Host{Name: self, Zone: "z"}, workers, send)
+}
+
+// NewSelectorOf is NewSelector with settings of the host, whose process starts now.
+func NewSelectorOf(now time.Time, h loader.Host, workers []placer.Worker, send func(address string, m messenger.Message)) Selector {
+	c := newSelector(now, h, sendFunc(send), nil, tunneler.New(tunneler.Config{}), zap.NewNop())
 	c.updateTimer = time.NewTimer(time.Hour)
-	c.view.SetWorkers(time.Now(), workers)
+	c.view.SetWorkers(now, workers)
 	return Selector{c}
 }
 
+// Charge requests a worker for a request, which is charged to the retry budget. The function
+// returned reports whether one was granted.
+func (x Selector) Charge(now time.Time, a placer.Request, c router.Charge) (granted func() bool) {
+	reply := make(chan workerReply, 1)
+	x.c.handle(now, workerRequested{request: a, charge: c, reply: reply})
+	return func() bool {
+		select {
+		case r := <-reply:
+			return r.refused == nil
+		default:
+			return false
+		}
+	}
+}
+
 // SetRoster applies a roster.
 func (x Selector) SetRoster(now time.Time, r registrar.Roster) {
 	x.c.handle(now, rosterChanged{roster: r})
--- a/runner/host_routes.go
+++ b/runner/host_routes.go
@@ -31,7 +31,7 @@
 }
 
 func newHostRoutes(s loader.Host, store storer.Store, m sender, f *configFollower, d *tunneler.Dialer, log *zap.Logger, registry prometheus.Registerer) *hostRoutes {
-	g := &hostRoutes{selector: newSelector(s, m, store, d, log)}
+	g := &hostRoutes{selector: newSelector(time.Now(), s, m, store, d, log)}
 	g.selector.quarantine.register(registry)
 	g.selector.origins.register(registry)
 	g.selector.repeats.register(registry)
--- a/runner/selector.go
+++ b/runner/selector.go
@@ -86,11 +86,11 @@
 	}
 )
 
-func newSelector(h loader.Host, s sender, store storer.Store, d *tunneler.Dialer, log *zap.Logger) *selector {
+func newSelector(now time.Time, h loader.Host, s sender, store storer.Store, d *tunneler.Dialer, log *zap.Logger) *selector {
 	self := h.Name
 	c := &selector{
 		self: self, sender: s, tunnels: d, log: log, events: make(chan event, eventBacklog), ended: make(chan struct{}),
-		view: placer.New(h.Zone), repeats: newRepeatBudget(time.Now(), h.Repeat, log),
+		view: placer.New(h.Zone), repeats: newRepeatBudget(now, h.Repeat, log),
 		relay: relayer.New(self, workersList),
 	}
 	c.quarantine = newQuarantineSync(self, s, store, c.view.Quarantine(), log)
