Repeats: a new process repeats what its own requests allow, no slack for its first window

Callers: with several disruptions at once more repeats than allowed reached the workers (BUDGET).

Now the slack counts from a window and the time that the roster takes after a start. Why it holds: whoever spends slack in a window was alive when that window began, so no two processes of one place spend it in the same window. What living hosts don't use is still of no use to others; that follows.

--- a/runner/repeat_budget.go
+++ b/runner/repeat_budget.go
@@ -17,6 +17,9 @@
 // host that can reach no other knows only itself, and must not use the whole budget.
 const minBudgetHosts = 8
 
+// rosterDelay is the time within which all hosts know of a new one.
+const rosterDelay = 2 * time.Second
+
 // repeatBudget is this host's part of the retry budgets of all services. Only the selector's
 // run goroutine uses it.
 type repeatBudget struct {
@@ -58,7 +61,7 @@
 		w.RecordFirst(now, b.policy)
 	case router.ChargeNone:
 	case router.ChargeRepeat:
-		granted := w.Take(now, b.policy, b.hosts)
+		granted := w.Take(now, b.policyAt(now), b.hosts)
 		b.logDecision(now, a, w, granted)
 		if !granted {
 			return &router.Refused{Reason: "retry_budget", RetryAfter: time.Second}
@@ -67,6 +70,16 @@
 	return nil
 }
 
+// policyAt returns the policy that applies now. What the previous process of this host spent
+// still counts for a window: until then a new one repeats only what its own requests allow.
+func (b *repeatBudget) policyAt(now time.Time) retrier.WindowPolicy {
+	p := b.policy
+	if now.Sub(b.startedAt) < p.Span+rosterDelay {
+		p.Slack = 0
+	}
+	return p
+}
+
 // logDecision records a decision about a repeat, with the counts that it was based on.
 func (b *repeatBudget) logDecision(now time.Time, a placer.Request, w *retrier.Window, granted bool) {
 	firsts, repeats := w.Counts(now, b.policy)
