Streams: half an answer without a length is not passed on as whole where nobody knows its worker

Cause: an answer that ends with its connection was whole unless a host said that the worker is down. Hosts don't know a worker that drains, answered Unknown, and that counted for it. Class: a missing witness taken for a good one.

Now such an answer is whole only if this host or one that it asks connects to the worker after the end; else it goes on elsewhere where it may, or is broken off, and says nothing against the worker. Hosts also help with workers that are leaving, so that they can tell.

--- a/connector/confirm.go
+++ b/connector/confirm.go
@@ -13,8 +13,9 @@
 // ConfirmEnd checks, after an answer that nothing but the end of its connection bounds was read to
 // its end, that the backend server goes on. The kernel closes the connections of a process that was
 // killed in order, too, so that half an answer looks whole. It returns an error that wraps
-// ErrClosedByPeer if the server is gone. The connection that it makes is kept in place of the one
-// that the answer used up.
+// ErrClosedByPeer if the server is gone, and one that wraps ErrUnconfirmed if no host knows: only a
+// host that connects to the server can tell. The connection that it makes is kept in place of the
+// one that the answer used up.
 func (a *Answer) ConfirmEnd() error {
 	if a.Framed {
 		return nil
@@ -27,7 +28,7 @@
 	if err != nil {
 		silent := ConnectResultOf(err) == ConnectTimeout && a.conn.via == ""
 		if errors.Is(err, ErrNoPath) || silent || a.ctx.Err() != nil {
-			return nil // it says nothing about the server
+			return fmt.Errorf("%w: %w: %v", ErrLost, ErrUnconfirmed, err)
 		}
 		return fmt.Errorf("%w: %w: after an answer that ended with its connection: %v", ErrLost, ErrClosedByPeer, err)
 	}
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -24,6 +24,9 @@
 	// ErrUnanswered means that there was no answer to the handshake in time. It is wrapped
 	// together with ErrNotSent.
 	ErrUnanswered = errors.New("no answer to the handshake")
+	// ErrUnconfirmed means that an answer ended with its connection, and that no host can tell
+	// whether its server goes on.
+	ErrUnconfirmed = errors.New("the end of the answer is not confirmed")
 	// ErrNoPath means that this host can't connect, and that this says nothing about the
 	// backend server. It is wrapped together with ErrNotSent.
 	ErrNoPath = errors.New("no path to the backend server")
--- a/router/reach.go
+++ b/router/reach.go
@@ -25,7 +25,7 @@
 // pathFailed reports whether a send failed on its way: the error says nothing about the
 // worker.
 func (t *transaction) pathFailed(p Placement, err error) bool {
-	for _, e := range []error{connector.ErrNoPath, connector.ErrDetour, errPathLost} {
+	for _, e := range []error{connector.ErrNoPath, connector.ErrDetour, connector.ErrUnconfirmed, errPathLost} {
 		if errors.Is(err, e) {
 			return true
 		}
--- a/runner/reach.go
+++ b/runner/reach.go
@@ -88,13 +88,14 @@
 	p.applyBackoff(now, w, e.duration, e.from)
 }
 
-// setTunnelWorkers sets the workers that the tunneler connects to.
-func setTunnelWorkers(d *tunneler.Dialer, workers []placer.Worker) {
-	list := make([]reacher.Worker, 0, len(workers))
-	for _, w := range workers {
-		list = append(list, reacher.Worker{Address: w.Address, Service: w.Service})
+// setTunnelWorkers sets the workers that the tunneler connects to: also those that are leaving, as
+// requests are under way there.
+func (p *selector) setTunnelWorkers() {
+	var list []reacher.Worker
+	for _, e := range p.directory.All() {
+		list = append(list, reacher.Worker{Address: e.Address, Service: e.Service})
 	}
-	d.SetWorkers(list)
+	p.tunnels.SetWorkers(list)
 }
 
 // setTunnelWorkers sets the backend servers of the own interface that the tunneler connects to.
--- a/runner/selector.go
+++ b/runner/selector.go
@@ -270,7 +270,7 @@
 		workers = append(workers, w)
 	}
 	added, removed := p.view.SetWorkers(now, workers)
-	setTunnelWorkers(p.tunnels, workers)
+	p.setTunnelWorkers()
 	p.origins.setWorkers(now, p.updatedAt, p.directory.All())
 	p.listUpdated(now)
 	for _, w := range added {
