Connector: the head of an answer has a bound

Cause: net/http reads a line of any length, and any number of informational answers, and keeps them; nothing of ours limited it. Class: what comes from outside without a bound.

--- a/connector/conn.go
+++ b/connector/conn.go
@@ -28,7 +28,8 @@
 	pool      *Pool
 	address   string
 	raw       net.Conn
-	reader    *bufio.Reader
+	reader    *bufio.Reader // of limiter
+	limiter   *headLimiter
 	openedAt  time.Time     // when the connection was made, at the latest
 	keepAlive time.Duration // how long the server keeps the connection idle
 	idleSince time.Time     // time of the last completed answer
@@ -37,7 +38,9 @@
 }
 
 func newConn(p *Pool, address string, raw net.Conn) *conn {
-	c := &conn{pool: p, address: address, raw: raw, openedAt: time.Now(), reader: bufio.NewReaderSize(raw, readBufferBytes), keepAlive: defaultKeepAlive}
+	l := &headLimiter{reader: raw}
+	l.end()
+	c := &conn{pool: p, address: address, raw: raw, openedAt: time.Now(), limiter: l, reader: bufio.NewReaderSize(l, readBufferBytes), keepAlive: defaultKeepAlive}
 	if d, ok := raw.(interface{ Via() string }); ok {
 		c.via = d.Via()
 	}
@@ -125,17 +128,13 @@
 	return fmt.Errorf("%w: kept=%t: %v", ErrLost, c.reused, err)
 }
 
-// readHead reads the head of the answer to call. It skips informational responses and
-// late answers to earlier requests.
+// readHead reads the head of the answer to call. It skips late answers to earlier requests.
 func (c *conn) readHead(call Call) (resp *http.Response, mismatched bool, err error) {
 	for skipped := 0; ; {
-		resp, err = http.ReadResponse(c.reader, &http.Request{Method: call.Method})
+		resp, err = c.readFinalHead(call.Method)
 		if err != nil {
 			return nil, mismatched, err
 		}
-		if resp.StatusCode < http.StatusOK {
-			continue
-		}
 		if call.Matches == nil || call.Matches(resp.Header) {
 			return resp, mismatched, nil
 		}
@@ -153,6 +152,19 @@
 	}
 }
 
+// readFinalHead reads the head of an answer. It skips informational ones.
+func (c *conn) readFinalHead(method string) (*http.Response, error) {
+	defer c.limiter.end()
+	for range maxInformational {
+		c.limiter.begin(c.pool.maxHead)
+		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		if err != nil || resp.StatusCode >= http.StatusOK {
+			return resp, err
+		}
+	}
+	return nil, errInformational
+}
+
 // encode returns the request as sent on the wire.
 func encode(call Call) []byte {
 	var b bytes.Buffer
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -82,20 +82,24 @@
 
 // Pool holds the connections to all backend servers. It is safe for concurrent use.
 type Pool struct {
-	mu     sync.Mutex
-	idle   map[string][]*conn // by address; the most recently used last
-	closed bool
-	dialer Dialer
+	mu      sync.Mutex
+	idle    map[string][]*conn // by address; the most recently used last
+	closed  bool
+	dialer  Dialer
+	maxHead int64 // bytes of an answer's head
 
 	created, reused uint64
 }
 
 // New returns an empty pool and its clean-up function.
 func New(d Dialer) (*Pool, func()) {
-	p := &Pool{idle: map[string][]*conn{}, dialer: d}
+	p := &Pool{idle: map[string][]*conn{}, dialer: d, maxHead: DefaultMaxHead}
 	return p, p.close
 }
 
+// SetMaxHead sets the limit on the bytes of an answer's head, before the pool is used.
+func (p *Pool) SetMaxHead(bytes int64) { p.maxHead = bytes }
+
 // Do sends a request to the backend server at address and returns the head of its
 // answer. The caller must end the answer with Close or Finish.
 func (p *Pool) Do(ctx context.Context, address string, call Call) (*Answer, error) {
--- a/loader/host.go
+++ b/loader/host.go
@@ -89,6 +89,7 @@
 type Limits struct {
 	MaxBody           int64    `json:"body"`    // bytes of a request's body
 	MaxHeader         int      `json:"header"`  // bytes of a request's headers
+	MaxAnswerHead     int64    `json:"head"`    // bytes of the head of a backend server's answer
 	MaxAnswer         int64    `json:"answer"`  // bytes of an answer that is buffered until it is complete; a larger one is forwarded as it arrives
 	MaxBuffered       int64    `json:"buffer"`  // bytes of all bodies and answers in memory
 	MaxCalls          int      `json:"calls"`   // requests in flight
@@ -123,6 +124,9 @@
 	if l.MaxHeader == 0 {
 		l.MaxHeader = 64 << 10
 	}
+	if l.MaxAnswerHead == 0 {
+		l.MaxAnswerHead = 64 << 10
+	}
 	if l.MaxAnswer == 0 {
 		l.MaxAnswer = 16 << 20
 	}
--- a/observer/client.go
+++ b/observer/client.go
@@ -24,6 +24,9 @@
 // ErrUnavailable is wrapped by errors about a list or report that could not be read.
 var ErrUnavailable = errors.New("not available")
 
+// maxHeadBytes is the maximum size of the head of an answer.
+const maxHeadBytes = 64 << 10
+
 // Client reads the platform's host list and workers' load reports.
 type Client struct {
 	platform string
@@ -36,7 +39,7 @@
 // idle connections.
 func NewClient(platform string, d connector.Dialer) (*Client, func()) {
 	transport := func(dial func(ctx context.Context, network, address string) (net.Conn, error)) *http.Transport {
-		return &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: 30 * time.Second}
+		return &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: 30 * time.Second, MaxResponseHeaderBytes: maxHeadBytes}
 	}
 	toPlatform := transport((&net.Dialer{Timeout: reportTimeout}).DialContext)
 	toWorkers := transport(func(ctx context.Context, _, address string) (net.Conn, error) {
