Streams: an open idle connection to a leaving worker does not confirm an answer's end

Cause: an idle connection that the exiting worker had not closed yet, 5 ms after the stream's, counted as a sign of life.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -13,6 +13,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -89,6 +90,8 @@
 	maxHead int64 // bytes of an answer's head
 
 	created, reused uint64
+
+	steadyServers atomic.Pointer[map[string]bool] // by address; nil is all
 }
 
 // New returns an empty pool and its clean-up function.
