Router: bodies under way and answers that are read whole count for the memory

Spec: red without the change (the second of two bodies of 700 KiB was not refused at a limit of 1 MiB), green with it.

--- a/router/router.go
+++ b/router/router.go
@@ -1,10 +1,8 @@
 package router
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"io"
 	"math"
 	"math/rand/v2"
 	"net/http"
@@ -31,14 +29,14 @@
 	Metrics       *Metrics
 	MaxAnswer     int64         // maximum bytes of an answer that is buffered until it is whole
 	WriteTimeout  time.Duration // time for a caller to accept one write
-	MaxBuffered   int64         // maximum bytes of requests buffered at any time
+	MaxBuffered   int64         // bytes of bodies and answers in memory beyond which no body is taken
 }
 
 // Router is an http.Handler for host routes.
 type Router struct {
 	Config
 	index    atomic.Pointer[index]
-	buffered atomic.Int64 // bytes of request bodies in memory
+	buffered atomic.Int64 // bytes of bodies and answers in memory
 }
 
 // New returns a Router.
@@ -82,6 +80,7 @@
 	host         string
 	header       http.Header
 	body         []byte
+	buffered     reservation             // of the body, and of an answer that is read before it is passed on
 	fingerprint  quarantiner.Fingerprint // identifies the content of the request, independent of its ID
 	placement    placer.Request
 }
@@ -95,8 +94,8 @@
 	d := &delivery{w: w, control: http.NewResponseController(w), writeTimeout: r.WriteTimeout}
 	t := &transaction{router: r, q: q, delivery: d}
 	f := r.prepare(q, w, req)
+	defer func() { q.buffered.release() }()
 	if f == nil {
-		defer r.buffered.Add(-int64(len(q.body)))
 		f = t.serve(req.Context())
 	}
 	r.finish(t, f)
@@ -261,7 +260,8 @@
 	return n
 }
 
-// readBody reads the caller's whole body, up to the limit.
+// readBody reads the caller's whole body, up to the limit. What has arrived of it counts while the
+// rest is under way, and all of it from the start if its length is stated.
 func (r *Router) readBody(q *request, w http.ResponseWriter, req *http.Request) *failure {
 	limit := q.index.callerLimits().MaxBody
 	if limit <= 0 {
@@ -270,16 +270,12 @@
 	if req.ContentLength > limit {
 		return &failure{status: http.StatusRequestEntityTooLarge, code: codeBodyTooLarge, closeConnection: true}
 	}
-	if r.buffered.Load()+max(req.ContentLength, 0) > r.MaxBuffered {
-		return &failure{status: http.StatusServiceUnavailable, code: codeHostFull, retryAfter: defaultRetryAfter, closeConnection: true}
-	}
-	var b bytes.Buffer
-	if req.ContentLength > 0 {
-		b.Grow(int(req.ContentLength) + bytes.MinRead)
-	}
-	_, err := io.Copy(&b, http.MaxBytesReader(w, req.Body, limit))
+	q.buffered = reservation{memory: &r.buffered, limit: r.MaxBuffered}
+	body, err := q.buffered.readAll(http.MaxBytesReader(w, req.Body, limit), max(req.ContentLength, 0))
 	var large *http.MaxBytesError
 	switch {
+	case errors.Is(err, errMemoryFull):
+		return &failure{status: http.StatusServiceUnavailable, code: codeHostFull, retryAfter: defaultRetryAfter, closeConnection: true}
 	case errors.As(err, &large):
 		return &failure{status: http.StatusRequestEntityTooLarge, code: codeBodyTooLarge, closeConnection: true}
 	case err != nil && req.Context().Err() != nil:
@@ -287,8 +283,7 @@
 	case err != nil:
 		return &failure{status: http.StatusBadRequest, code: codeBodyUnreadable, closeConnection: true}
 	}
-	q.body = b.Bytes()
-	r.buffered.Add(int64(len(q.body)))
+	q.body = body
 	return nil
 }
 
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -1,9 +1,11 @@
 package router_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -218,6 +220,47 @@
 	}
 	bg := context.Background()
 
+	// Guards against a host that is killed by many large bodies that arrive at once.
+	It("counts bodies that are still arriving, and refuses those that don't fit", func() {
+		worker("w", status(http.StatusOK, "Seal"))
+		host := strings.TrimPrefix(url, "http://")
+		begin := func(head string) net.Conn {
+			c, err := net.Dial("tcp", host)
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(func() { _ = c.Close() })
+			_, err = io.WriteString(c, "POST /a/1 HTTP/1.1\r\nHost: h.example\r\nId: 1\r\nKey: s\r\n"+head+"\r\n")
+			Expect(err).NotTo(HaveOccurred())
+			return c
+		}
+		answered := func(c net.Conn) func() int {
+			return func() int {
+				_ = c.SetReadDeadline(time.Now().Add(500 * time.Millisecond))
+				resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+				if err != nil {
+					return 0
+				}
+				defer resp.Body.Close()
+				return resp.StatusCode
+			}
+		}
+		chunk := fmt.Sprintf("%x\r\n%s\r\n", 700<<10, strings.Repeat("b", 700<<10))
+
+		stated := begin(fmt.Sprintf("Content-Length: %d\r\n", 700<<10))
+		Eventually(func() int { return answered(begin("Content-Length: 1\r\n\r\nb"))() }, "5s", "50ms").Should(Equal(http.StatusOK))
+		second := begin(fmt.Sprintf("Content-Length: %d\r\n", 700<<10))
+		Eventually(answered(second), "2s").Should(Equal(http.StatusServiceUnavailable), "stated, none of it arrived")
+		chunked := begin("Transfer-Encoding: chunked\r\n")
+		_, _ = io.WriteString(chunked, chunk)
+		Eventually(answered(chunked), "2s").Should(Equal(http.StatusServiceUnavailable), "in chunks")
+
+		Expect(stated.Close()).To(Succeed())
+		Eventually(func() int {
+			c := begin(fmt.Sprintf("Content-Length: %d\r\n", 700<<10))
+			_, _ = io.WriteString(c, strings.Repeat("b", 700<<10))
+			return answered(c)()
+		}, "5s", "100ms").Should(Equal(http.StatusOK), "what is gone no longer counts")
+	})
+
 	// Guards against losing what an answer states of its worker because the answer itself is
 	// of no use to the caller.
 	DescribeTable("reports a worker that states that it is leaving", func(path string, h http.HandlerFunc) {
--- a/router/transaction.go
+++ b/router/transaction.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -347,12 +346,13 @@
 // never receives a truncated answer as if it were complete.
 func (t *transaction) passWhole(p Placement, a *connector.Answer, v AnswerHead) error {
 	t.stopSilenceTimer()
-	var b bytes.Buffer
-	n, err := io.Copy(&b, io.LimitReader(a, t.router.MaxAnswer+1))
+	memory := reservation{memory: &t.router.buffered, limit: answerFactor * t.router.MaxBuffered}
+	defer memory.release()
+	body, err := memory.readAll(io.LimitReader(a, t.router.MaxAnswer+1), min(max(a.Length, 0), t.router.MaxAnswer))
 	if err != nil {
 		return t.recordFailure(err)
 	}
-	if n > t.router.MaxAnswer {
+	if int64(len(body)) > t.router.MaxAnswer {
 		return t.recordFailure(fmt.Errorf("the answer is over %d bytes", t.router.MaxAnswer))
 	}
 	if err := a.ConfirmEnd(); err != nil {
@@ -363,11 +363,11 @@
 	if a.Status >= http.StatusInternalServerError || impliesNotRun(a.Status) {
 		t.recordRun()
 		if !impliesNotRun(a.Status) {
-			t.workerError = &storedAnswer{status: a.Status, header: a.Header, body: b.Bytes()}
+			t.workerError = &storedAnswer{status: a.Status, header: a.Header, body: body}
 			return fmt.Errorf("%w: status %d", errWorkerFailed, a.Status)
 		}
 		return fmt.Errorf("%w: status %d, sealed=%t", errImpliesNotRun, a.Status, v.Sealed)
 	}
-	t.delivery.writeHead(a.Status, a.Header, b.Len())
-	return t.delivery.write(b.Bytes())
+	t.delivery.writeHead(a.Status, a.Header, len(body))
+	return t.delivery.write(body)
 }
