--- a/budgeter/simulation_test.go
+++ b/budgeter/simulation_test.go
@@ -180,7 +180,7 @@
 	return func(f *fleet) {
 		for _, i := range f.pick(share) {
 			m := f.machines[i]
-			if m.gone || m.restarts {
+			if !f.up(i) {
 				continue
 			}
 			m.downUntil, m.suspended = f.now.Add(length), suspended
