--- a/faker/worker_arrivals.go
+++ b/faker/worker_arrivals.go
@@ -37,6 +37,16 @@
 	return highest
 }
 
+// EachArrival calls f for each request received, in order, also for those that were refused or meant
+// for another worker.
+func (k *Worker) EachArrival(f func(request string, at time.Time)) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, a := range k.arrivals {
+		f(a.id, a.at)
+	}
+}
+
 // Received reports whether a request meant for this worker was received.
 func (k *Worker) Received(request string) bool {
 	k.mu.Lock()
--- a/soaker/check_test.go
+++ b/soaker/check_test.go
@@ -63,6 +63,7 @@
 	violations = append(violations, c.requestsInRetryAfter()...)
 	violations = append(violations, c.badlyServedCuts()...)
 	violations = append(violations, c.fallenWorkers()...)
+	violations = append(violations, c.repeatsOverBudget()...)
 	for _, h := range c.hosts {
 		select {
 		case <-h.exited:
--- a/soaker/cluster_test.go
+++ b/soaker/cluster_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -38,6 +39,7 @@
 	mu              sync.Mutex
 	workers         []*worker // also those that stopped
 	configVersion   int
+	repeatSlack     float64              // of the hosts' retry budget
 	keys            []string             // valid API keys, the newest last
 	revoked         map[string]time.Time // when each key was revoked
 	exchanges       []exchange
@@ -66,6 +68,7 @@
 	name, url, readyURL, settingsFile string
 	storeLink                         *faker.Link
 	processMu                         sync.Mutex // held during a fault of the process
+	startMu                           sync.Mutex // held while the process is started
 
 	mu                 sync.Mutex
 	cmd                *exec.Cmd
@@ -78,8 +81,11 @@
 
 func itoa(n uint64) string { return strconv.FormatUint(n, 10) }
 
-func newCluster(seed uint64) *cluster {
-	c := &cluster{seed: seed, random: rand.New(rand.NewPCG(seed, 2)), store: faker.NewPlatform(), keys: []string{"key-0"}, revoked: map[string]time.Time{}}
+func newCluster(seed uint64) *cluster { return newClusterWithSlack(seed, defaultRepeatSlack) }
+
+// newClusterWithSlack is newCluster with a slack of the retry budget.
+func newClusterWithSlack(seed uint64, slack float64) *cluster {
+	c := &cluster{seed: seed, random: rand.New(rand.NewPCG(seed, 2)), store: faker.NewPlatform(), keys: []string{"key-0"}, repeatSlack: slack, revoked: map[string]time.Time{}}
 	for range *hostCount {
 		c.hostModes = append(c.hostModes, faker.Pass)
 	}
@@ -100,7 +106,7 @@
 	}
 	for _, h := range c.hosts {
 		h.start()
-		DeferCleanup(h.kill)
+		DeferCleanup(h.end)
 	}
 	for _, h := range c.hosts {
 		Eventually(h.pollReady, waitTimeout, 50*time.Millisecond).Should(BeTrue(), h.name)
@@ -199,7 +205,7 @@
 	text, err := json.Marshal(map[string]any{
 		"name": h.name, "zone": fmt.Sprintf("z-%d", i%2), "region": "r", "dialect": "platform", "platform": "http://" + link.Address(),
 		"listen": c.address(i, 1), "control": c.address(i, 2), "admin": c.address(i, 3), "ready": c.address(i, 4), "peers": peers, "translate": c.translations(i),
-		"repeat": map[string]any{"ratio": 0.2, "slack": 100, "window": "10s"},
+		"repeat": map[string]any{"ratio": 0.2, "slack": c.repeatSlack, "window": "10s"},
 		"limits": map[string]any{"settle": "100ms", "grace": "6s", "lease": "10m"},
 	})
 	Expect(err).NotTo(HaveOccurred())
@@ -212,8 +218,14 @@
 	c.hosts = append(c.hosts, h)
 }
 
-// start starts the host's process. Its log is appended to a file next to its settings.
+// start starts the host's process, unless it runs: faults that overlap may start it once each. Its
+// log is appended to a file next to its settings.
 func (h *host) start() {
+	h.startMu.Lock()
+	defer h.startMu.Unlock()
+	if h.running() {
+		return
+	}
 	out, err := os.OpenFile(strings.TrimSuffix(h.settingsFile, ".json")+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	Expect(err).NotTo(HaveOccurred())
 	c := exec.Command("../bin/cicadawood", "serve", h.settingsFile)
@@ -233,6 +245,30 @@
 	}()
 }
 
+// running reports whether the host's process was started and has not exited.
+func (h *host) running() bool {
+	h.mu.Lock()
+	exited := h.exited
+	h.mu.Unlock()
+	if exited == nil {
+		return false
+	}
+	select {
+	case <-exited:
+		return false
+	default:
+		return true
+	}
+}
+
+// end kills the host's process at the end of a run, and checks that no other process has its address.
+func (h *host) end() {
+	h.kill()
+	l, err := net.Listen("tcp", strings.TrimPrefix(h.url, "http://"))
+	Expect(err).NotTo(HaveOccurred(), "a process of %s is left", h.name)
+	_ = l.Close()
+}
+
 // signal sends a signal to the host's process and records the disturbance.
 func (h *host) signal(s syscall.Signal) {
 	h.mu.Lock()
