--- a/budgeter/simulation_test.go
+++ b/budgeter/simulation_test.go
@@ -303,12 +303,15 @@
 // Guards against hosts that together repeat more than the bound, whatever dies, starts, joins or is cut off.
 var _ = Describe("The budgets of all hosts", func() {
 	It("hold in drawn orders of faults", func() {
+		var broken []string
 		for seed := range uint64(*drawnOrders) {
 			size := []int{2, 7, 9, 16}[seed%4]
 			f := drawn(seed, size, 20+float64(seed%5)*20, newLoans)
-			worst := f.seen.Worst(rule)
-			Expect(worst.Excess()).To(BeNumerically("<=", 0), "order %d, %d hosts: %+v", seed, size, worst)
+			if worst := f.seen.Worst(rule); worst.Excess() > 0 {
+				broken = append(broken, fmt.Sprintf("order %d, %d hosts: %+v", seed, size, worst))
+			}
 		}
+		Expect(broken).To(BeEmpty())
 	})
 
 	DescribeTable("grant nine in ten of what is allowed where all hosts live, wherever it is asked for",
