Budgets: services that are no longer used, and hosts that are gone, are forgotten

Each start of a host has a name of its own and services come and go with configurations, so that a process that runs for months would have kept an account for each. Spec: at most 41 accounts while a hundred services come and go, none after their spans.

--- a/budgeter/borrow.go
+++ b/budgeter/borrow.go
@@ -24,6 +24,8 @@
 	askBurst = 30
 	// wantSteps is the number of steps over which claims are counted, to expect more of them.
 	wantSteps = spanSteps / 10
+	// termsPerSpan is the number of terms of a loan in a span.
+	termsPerSpan = 50
 	// maxAppetite is the number of repeats that a round borrows at most beyond what waits.
 	maxAppetite = 100
 	// minLoan is the smallest part of a repeat that is lent.
@@ -55,7 +57,7 @@
 }
 
 // term returns for how long a loan may be used.
-func (b *Budget) term() time.Duration { return b.policy.Span / 50 }
+func (b *Budget) term() time.Duration { return b.policy.Span / termsPerSpan }
 
 // Borrow returns the requests for loans to send so that the claims that wait may be granted, and
 // by when to call it again. Until then, or until a reply arrives, it returns none. It reports false
@@ -165,6 +167,7 @@
 func (b *Budget) Lend(now time.Time, asked Loan) Loan {
 	b.learnSize(now, asked.Sharing)
 	a := b.account(asked.Service)
+	a.usedAt = now
 	until := now.Add(b.term())
 	available := a.ledger.Available(now, until, b.policy, b.slack(now))
 	kept := min(a.wants.over(now, b.policy, wantSteps), math.Floor(available)) // a part of a repeat is of no use here
@@ -191,10 +194,15 @@
 	until    time.Time
 }
 
-// Returns returns the loans of other hosts that were not used in time, to be given back.
+// Returns returns the loans of other hosts that were not used in time, to be given back. It forgets
+// the services that nothing counts for any more.
 func (b *Budget) Returns(now time.Time) []Loan {
 	var out []Loan
 	for service, a := range b.services {
+		if now.Sub(a.usedAt) > idleSpans*b.policy.Span {
+			delete(b.services, service)
+			continue
+		}
 		a.borrowed(now)
 		for _, l := range a.returns {
 			l.Service = service
--- a/budgeter/budget.go
+++ b/budgeter/budget.go
@@ -32,6 +32,7 @@
 	returns  []Loan           // that were not used in time
 	lent     []loan           // of this process, that may still be returned
 	counts   Counts           // since the start
+	usedAt   time.Time        // last request, claim or loan
 }
 
 // Counts are the sums of an account since the process started, in repeats.
@@ -84,6 +85,9 @@
 // SetPeers applies the other hosts of the roster that can be reached, and the number of all hosts.
 func (b *Budget) SetPeers(now time.Time, peers []string, hosts int) {
 	b.peers = peers
+	for _, a := range b.services {
+		maps.DeleteFunc(a.peers, func(name string, _ *peer) bool { return !slices.Contains(peers, name) && !a.round.open[name] })
+	}
 	b.noteGrowth(now, hosts)
 	b.roster.set(now, hosts)
 }
@@ -129,7 +133,9 @@
 
 // RecordRequest records a request of a caller.
 func (b *Budget) RecordRequest(now time.Time, service string) {
-	b.account(service).ledger.RecordRequest(now, b.policy)
+	a := b.account(service)
+	a.usedAt = now
+	a.ledger.RecordRequest(now, b.policy)
 }
 
 // slack returns this process's part of the slack. What the process before it spent counts for a
@@ -144,12 +150,15 @@
 
 // Want records that a repeat asks for budget. It is called once for each.
 func (b *Budget) Want(now time.Time, service string) {
-	b.account(service).wants.add(now, b.policy, 1)
+	a := b.account(service)
+	a.usedAt = now
+	a.wants.add(now, b.policy, 1)
 }
 
 // Take takes the budget for one repeat, and reports whether there was enough.
 func (b *Budget) Take(now time.Time, service string, c Claim) bool {
 	a := b.account(service)
+	a.usedAt = now
 	until := now
 	own := a.ledger.Available(now, until, b.policy, b.slack(now))
 	borrowed := a.borrowed(now)
--- a/budgeter/budget_test.go
+++ b/budgeter/budget_test.go
@@ -131,6 +131,21 @@
 		Expect(lender.State(late, service).Available).To(BeNumerically("~", before+reply.Amount, 1e-9))
 	})
 
+	It("forgets services that are no longer used, and hosts that are gone", func() {
+		b := budgeter.New(start, budgeter.Policy{Slack: 20, Span: 10 * time.Second})
+		now := start
+		for n := range 100 {
+			now = now.Add(time.Second)
+			b.SetPeers(now, []string{fmt.Sprint("peer", n)}, 2)
+			b.RecordRequest(now, fmt.Sprint("service", n))
+			b.Borrow(now, fmt.Sprint("service", n), 1)
+			b.Returns(now)
+			Expect(len(b.States(now))).To(BeNumerically("<=", 41))
+		}
+		b.Returns(now.Add(time.Minute))
+		Expect(b.States(now)).To(BeEmpty())
+	})
+
 	It("asks hosts that do not reply, or have nothing, less often", func() {
 		b := budgeter.New(start, budgeter.Policy{Slack: 20, Span: 10 * time.Second})
 		b.SetPeers(start, []string{"silent", "empty"}, 3)
--- a/budgeter/budgeter.go
+++ b/budgeter/budgeter.go
@@ -34,6 +34,9 @@
 	// sizeMemory is for how long a host divides the slack by the largest roster that it had. A
 	// host that is cut off sees the others leave its roster, though they go on elsewhere.
 	sizeMemory = 15 * time.Minute
+	// idleSpans is the number of spans without a request after which a service is forgotten: more
+	// than what is charged and counted lasts.
+	idleSpans = 4
 	// minSharing is the number of hosts that a host assumes while it knows no other.
 	minSharing = 8
 )
