--- a/budgeter/borrow.go
+++ b/budgeter/borrow.go
@@ -53,7 +53,7 @@
 	Sequence uint64
 	Amount   float64 // repeats
 	Left     float64 // in a reply: repeats that the lender could lend beyond that
-	Sharing  int     // largest number of hosts on the sender's roster lately
+	Sharing  int     // largest number of hosts on the sender's roster in the last sizeMemory
 }
 
 // term returns for how long a loan may be used.
--- a/budgeter/budget.go
+++ b/budgeter/budget.go
@@ -12,7 +12,7 @@
 	startedAt     time.Time
 	settlingSince time.Time // since when it knows no more hosts
 	roster        sizes     // of this process
-	told          sizes     // by other hosts
+	told          sizes     // reported by other hosts
 	services      map[string]*account
 	peers         []string
 	sequence      uint64 // of the last round of borrowing
@@ -101,8 +101,8 @@
 	b.told.set(now, hosts)
 }
 
-// noteGrowth has a process that has no part of the slack yet wait anew if there are more hosts than
-// it knew of: they did not know of it either, and divided the slack by fewer.
+// noteGrowth restarts the wait of a process for its part of the slack if there are more hosts than it
+// knew: they did not know it either, and divided the slack by fewer.
 func (b *Budget) noteGrowth(now time.Time, hosts int) {
 	if !b.settled(now) && hosts > max(b.roster.largest(now), b.told.largest(now)) {
 		b.settlingSince = now
--- a/budgeter/ways_test.go
+++ b/budgeter/ways_test.go
@@ -84,8 +84,8 @@
 func (e *evenWay) woke(int)            {}
 func (e *evenWay) traffic() (int, int) { return 0, 0 }
 
-// gossipWay has each process grant by the sums of all, as told every period: what it has not heard
-// of yet, or heard from a process that is gone, doesn't count.
+// gossipWay has each process grant by the sums of all, as reported every period: what was not reported
+// yet, or by a process that is gone, does not count.
 type gossipWay struct {
 	policy  budgeter.Policy
 	clock   func() time.Time
--- a/runner/repeat_budget_test.go
+++ b/runner/repeat_budget_test.go
@@ -115,7 +115,7 @@
 	}
 }
 
-// Guards against a retry budget that each new process of a host spends anew.
+// Guards against a retry budget that each new process of a host spends once more.
 var _ = Describe("The retry budget of all hosts", func() {
 	It("holds while half of the hosts are killed again and again", func() {
 		f, random := newRepeatFleet(7), rand.New(rand.NewPCG(1, 1))
--- a/soaker/repeats_test.go
+++ b/soaker/repeats_test.go
@@ -100,7 +100,7 @@
 	}
 }
 
-// Guards against a retry budget that each new process of a host spends anew.
+// Guards against a retry budget that each new process of a host spends once more.
 var _ = Describe("A run in which hosts are killed in series beside workers that refuse", func() {
 	for i := range uint64(*seedCount) {
 		seed := *firstSeed + i
