--- a/connector/confirm.go
+++ b/connector/confirm.go
@@ -15,7 +15,7 @@
 // its end, that the backend server goes on. The kernel closes the connections of a process that was
 // killed in order, too, so that half an answer looks whole. It returns an error that wraps
 // ErrClosedByPeer if the server is gone, and one that wraps ErrUnconfirmed if no host knows: only a
-// host that connects to the server can tell, or an idle connection if the server is not about to
+// connection that is made afterwards shows it, or an open idle one if the server is not about to
 // end. The connection that it makes is kept in place of the one that the answer used up.
 func (a *Answer) ConfirmEnd() error {
 	if a.Framed {
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -25,7 +25,7 @@
 	// ErrUnanswered means that there was no answer to the handshake in time. It is wrapped
 	// together with ErrNotSent.
 	ErrUnanswered = errors.New("no answer to the handshake")
-	// ErrUnconfirmed means that an answer ended with its connection, and that no host can tell
+	// ErrUnconfirmed means that an answer ended with its connection, and that no host knows
 	// whether its server goes on.
 	ErrUnconfirmed = errors.New("the end of the answer is not confirmed")
 	// ErrNoPath means that this host can't connect, and that this says nothing about the
