Memory: one account for what others send, with room kept for small answers (package reserver)

Cause: router and server each counted bodies against limits/buffer by itself, so a process could keep it twice; a growing buffer left copies of itself as garbage; a worker's 5xx lived on through repeats uncounted; and what was large took all that was free.

Change: package reserver, pure. One limit for a process; a reservation may grow to a share of what is left (dynamic threshold), so that the largest stop growing first and usual answers still fit beside thirty without an end. Callers' bodies, which have not run, stop at 0.7 of the limit. Answers are kept in segments that are used again. Metrics cicadawood_memory_*.

--- a/router/router.go
+++ b/router/router.go
@@ -15,6 +15,7 @@
 	"github.com/cicadawood/cicadawood/loader"
 	"github.com/cicadawood/cicadawood/placer"
 	"github.com/cicadawood/cicadawood/quarantiner"
+	"github.com/cicadawood/cicadawood/reserver"
 )
 
 // Config holds the dependencies and limits of a Router.
@@ -27,16 +28,15 @@
 	Origins       Origins // nil lets every stream go on at any worker
 	Log           *zap.Logger
 	Metrics       *Metrics
-	MaxAnswer     int64         // maximum bytes of an answer that is buffered until it is whole
-	WriteTimeout  time.Duration // time for a caller to accept one write
-	MaxBuffered   int64         // bytes of bodies and answers in memory beyond which no body is taken
+	MaxAnswer     int64            // maximum bytes of an answer that is buffered until it is whole
+	WriteTimeout  time.Duration    // time for a caller to accept one write
+	Memory        *reserver.Memory // for what callers and workers send; nil has no limit
 }
 
 // Router is an http.Handler for host routes.
 type Router struct {
 	Config
-	index    atomic.Pointer[index]
-	buffered atomic.Int64 // bytes of bodies and answers in memory
+	index atomic.Pointer[index]
 }
 
 // New returns a Router.
@@ -47,6 +47,9 @@
 	if c.Origins == nil {
 		c.Origins = noOrigins{}
 	}
+	if c.Memory == nil {
+		c.Memory = new(reserver.Memory)
+	}
 	return &Router{Config: c}
 }
 
@@ -80,7 +83,7 @@
 	host         string
 	header       http.Header
 	body         []byte
-	buffered     reservation             // of the body, and of an answer that is read before it is passed on
+	reserved     *reserver.Reservation   // of the body
 	fingerprint  quarantiner.Fingerprint // identifies the content of the request, independent of its ID
 	placement    placer.Request
 }
@@ -94,7 +97,7 @@
 	d := &delivery{w: w, control: http.NewResponseController(w), writeTimeout: r.WriteTimeout}
 	t := &transaction{router: r, q: q, delivery: d}
 	f := r.prepare(q, w, req)
-	defer func() { q.buffered.release() }()
+	defer t.release()
 	if f == nil {
 		f = t.serve(req.Context())
 	}
@@ -270,11 +273,11 @@
 	if req.ContentLength > limit {
 		return &failure{status: http.StatusRequestEntityTooLarge, code: codeBodyTooLarge, closeConnection: true}
 	}
-	q.buffered = reservation{memory: &r.buffered, limit: r.MaxBuffered}
-	body, err := q.buffered.readAll(http.MaxBytesReader(w, req.Body, limit), max(req.ContentLength, 0))
+	q.reserved = r.Memory.Reserve(reserver.Body)
+	body, err := q.reserved.ReadAll(http.MaxBytesReader(w, req.Body, limit), req.ContentLength, limit)
 	var large *http.MaxBytesError
 	switch {
-	case errors.Is(err, errMemoryFull):
+	case errors.Is(err, reserver.ErrFull):
 		return &failure{status: http.StatusServiceUnavailable, code: codeHostFull, retryAfter: defaultRetryAfter, closeConnection: true}
 	case errors.As(err, &large):
 		return &failure{status: http.StatusRequestEntityTooLarge, code: codeBodyTooLarge, closeConnection: true}
--- a/runner/host.go
+++ b/runner/host.go
@@ -18,6 +18,7 @@
 	"github.com/cicadawood/cicadawood/messenger"
 	"github.com/cicadawood/cicadawood/platform"
 	"github.com/cicadawood/cicadawood/registrar"
+	"github.com/cicadawood/cicadawood/reserver"
 	"github.com/cicadawood/cicadawood/server"
 	"github.com/cicadawood/cicadawood/storer"
 	"github.com/cicadawood/cicadawood/tunneler"
@@ -41,7 +42,8 @@
 	poller         *workerPoller
 	tunnels        *tunneler.Dialer
 	registry       *prometheus.Registry
-	routes         *hostRoutes // nil where the host speaks the product's own dialect
+	memory         *reserver.Memory // for what others send
+	routes         *hostRoutes      // nil where the host speaks the product's own dialect
 	era            eraTracker
 	drainRequested chan struct{}
 	drainOnce      sync.Once
@@ -87,7 +89,8 @@
 	if settings.Dialect == loader.DialectPlatform {
 		settings.Name = processName(settings.Name)
 	}
-	h := &Host{settings: settings, log: log, registry: prometheus.NewRegistry(), drainRequested: make(chan struct{})}
+	h := &Host{settings: settings, log: log, registry: prometheus.NewRegistry(), memory: reserver.New(settings.Limits.MaxBuffered), drainRequested: make(chan struct{})}
+	registerMemory(h.memory, h.registry)
 	h.tunnels = newTunnels(settings, log, h.registry)
 	forward, closeForward := forwarder.New(h.tunnels, settings.Limits.SilenceTimeout.Std())
 	defer closeForward()
@@ -160,7 +163,7 @@
 			h.routes.setRoster(r)
 		},
 	})
-	h.server = server.New(s.Limits, h.follower, h.control, forward, h.log, server.NewMetrics(registry))
+	h.server = server.New(s.Limits, h.memory, h.follower, h.control, forward, h.log, server.NewMetrics(registry))
 	h.server.SetLimiter(limitAdapter{&h.control.limits.gates})
 	h.control.once = newOnceManager(h.control, store, forward, s.Limits.Once, newOnceMetrics(registry), h.log)
 	h.control.once.era = h.era.current
@@ -170,7 +173,7 @@
 		h.server.SetQuarantine(h.control.quarantine)
 	}
 	if s.Dialect == loader.DialectPlatform {
-		h.routes = newHostRoutes(s, store, m, h.follower, h.tunnels, h.log, registry)
+		h.routes = newHostRoutes(s, store, m, h.follower, h.tunnels, h.memory, h.log, registry)
 		h.follower.shouldWatch = h.routes.selector.watchesStore.Load
 		h.routes.selector.onEra = h.era.advance
 		h.server.SetRoutes(h.routes.router)
--- a/runner/host_routes.go
+++ b/runner/host_routes.go
@@ -16,6 +16,7 @@
 	"github.com/cicadawood/cicadawood/messenger"
 	"github.com/cicadawood/cicadawood/platform"
 	"github.com/cicadawood/cicadawood/registrar"
+	"github.com/cicadawood/cicadawood/reserver"
 	"github.com/cicadawood/cicadawood/router"
 	"github.com/cicadawood/cicadawood/storer"
 	"github.com/cicadawood/cicadawood/tunneler"
@@ -30,7 +31,7 @@
 	close      func()
 }
 
-func newHostRoutes(s loader.Host, store storer.Store, m sender, f *configFollower, d *tunneler.Dialer, log *zap.Logger, registry prometheus.Registerer) *hostRoutes {
+func newHostRoutes(s loader.Host, store storer.Store, m sender, f *configFollower, d *tunneler.Dialer, memory *reserver.Memory, log *zap.Logger, registry prometheus.Registerer) *hostRoutes {
 	g := &hostRoutes{selector: newSelector(time.Now(), s, m, store, d, log)}
 	g.selector.quarantine.register(registry)
 	g.selector.origins.register(registry)
@@ -42,7 +43,7 @@
 	g.storeWatch = &storeWatch{store: store, log: log, report: func(e storeResult) { g.selector.post(e) }, nextCall: g.selector.nextCall}
 	g.router = router.New(router.Config{
 		Dialect: platform.Wire{}, Configuration: f, Placer: g.selector, Pool: g.pool, Reach: d, Origins: g.selector, Log: log, Metrics: router.NewMetrics(registry),
-		MaxAnswer: s.Limits.MaxAnswer, WriteTimeout: s.Limits.WriteTimeout.Std(), MaxBuffered: s.Limits.MaxBuffered,
+		MaxAnswer: s.Limits.MaxAnswer, WriteTimeout: s.Limits.WriteTimeout.Std(), Memory: memory,
 	})
 	return g
 }
--- a/server/admit.go
+++ b/server/admit.go
@@ -3,18 +3,15 @@
 import (
 	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"sync/atomic"
+
+	"github.com/cicadawood/cicadawood/reserver"
 )
 
 const (
-	lowestTierShare = 0.8     // share of a host's places open to the lowest tier
-	minReserveBytes = 8 << 10 // minimum reserved per body
-	minBufferBytes  = 512
-	growBytes       = 32 << 10 // growth of a buffer for a body of unknown length
+	lowestTierShare = 0.8 // share of a host's places open to the lowest tier
 )
 
 // maxInFlight returns the maximum number of requests in flight, including the new one,
@@ -53,83 +50,14 @@
 	return func() {}, &failure{status: http.StatusServiceUnavailable, code: "host_full", message: "this host has too many requests in flight", run: RunNo, retryAfter: defaultRetryAfter}
 }
 
-// memory bounds the bytes of bodies and answers in memory.
-type memory struct {
-	limit int64
-	used  atomic.Int64
-}
-
-// reserve reserves n bytes, or none if they don't fit.
-func (m *memory) reserve(n int64) bool {
-	if m.used.Add(n) <= m.limit {
-		return true
-	}
-	m.used.Add(-n)
-	return false
-}
-
-func (m *memory) free(n int64) { m.used.Add(-n) }
-
-// reservation is the part of a memory reserved by one request.
-type reservation struct {
-	memory *memory
-	bytes  int64
-}
-
-func (h *reservation) reserve(n int64) bool {
-	if !h.memory.reserve(n) {
-		return false
-	}
-	h.bytes += n
-	return true
-}
-
-func (h *reservation) release() {
-	h.memory.free(h.bytes)
-	h.bytes = 0
-}
-
-var errMemoryFull = errors.New("buffer memory exhausted")
-
-// readAll reads to the end of r, at most limit bytes, and reserves memory before
-// allocating it. On failure, it also returns what it has read.
-func (h *reservation) readAll(r io.Reader, length, limit int64) ([]byte, error) {
-	size := max(min(length, limit)+1, minBufferBytes)
-	if !h.reserve(max(size, minReserveBytes)) {
-		return nil, errMemoryFull
-	}
-	body := make([]byte, 0, size)
-	for {
-		if len(body) == cap(body) {
-			if !h.reserve(int64(cap(body)) + growBytes) {
-				return body, errMemoryFull
-			}
-			body = append(make([]byte, 0, 2*cap(body)+growBytes), body...)
-		}
-		n, err := r.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
-		if errors.Is(err, io.EOF) {
-			return body, nil
-		}
-		if err != nil {
-			return body, err
-		}
-		if int64(len(body)) > limit {
-			return body, errTooLarge
-		}
-	}
-}
-
-var errTooLarge = errors.New("body too large")
-
 // readBody reads the caller's whole body, up to the limit.
-func (s *Server) readBody(w http.ResponseWriter, r *http.Request, h *reservation) ([]byte, *failure) {
-	body, err := h.readAll(http.MaxBytesReader(w, r.Body, s.limits.MaxBody), r.ContentLength, s.limits.MaxBody)
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request, h *reserver.Reservation) ([]byte, *failure) {
+	body, err := h.ReadAll(http.MaxBytesReader(w, r.Body, s.limits.MaxBody), r.ContentLength, s.limits.MaxBody)
 	var large *http.MaxBytesError
 	switch {
-	case errors.As(err, &large), errors.Is(err, errTooLarge):
+	case errors.As(err, &large), errors.Is(err, reserver.ErrTooLarge):
 		return nil, &failure{status: http.StatusRequestEntityTooLarge, code: "body_too_large", message: fmt.Sprintf("the body is over %d bytes", s.limits.MaxBody), run: RunNo}
-	case errors.Is(err, errMemoryFull):
+	case errors.Is(err, reserver.ErrFull):
 		return nil, &failure{status: http.StatusServiceUnavailable, code: "host_full", message: "this host holds too many bytes of requests and answers", run: RunNo, retryAfter: defaultRetryAfter}
 	case err != nil:
 		return nil, &failure{status: http.StatusBadRequest, code: "body_unreadable", message: "the body did not arrive whole", run: RunNo}
--- a/server/answer.go
+++ b/server/answer.go
@@ -9,6 +9,7 @@
 	"sync"
 
 	"github.com/cicadawood/cicadawood/forwarder"
+	"github.com/cicadawood/cicadawood/reserver"
 )
 
 const copyBufferBytes = 32 << 10
@@ -42,14 +43,14 @@
 	if !t.answer.Framed {
 		return fmt.Errorf("%w: %w", forwarder.ErrUnknown, errUnframed)
 	}
-	h := reservation{memory: &t.server.memory}
-	defer h.release()
+	h := t.server.memory.Reserve(reserver.Answer)
+	defer h.Release()
 	length := t.answer.Length
 	if t.call.Method == http.MethodHead {
 		length = 0
 	}
-	body, err := h.readAll(t.answer.Body, length, t.server.limits.MaxAnswer)
-	if errors.Is(err, errTooLarge) || errors.Is(err, errMemoryFull) {
+	body, err := h.ReadAll(t.answer.Body, length, t.server.limits.MaxAnswer)
+	if errors.Is(err, reserver.ErrTooLarge) || errors.Is(err, reserver.ErrFull) {
 		return t.passThrough(body)
 	}
 	if err == nil {
--- a/server/server.go
+++ b/server/server.go
@@ -20,6 +20,7 @@
 	"github.com/cicadawood/cicadawood/admitter"
 	"github.com/cicadawood/cicadawood/forwarder"
 	"github.com/cicadawood/cicadawood/loader"
+	"github.com/cicadawood/cicadawood/reserver"
 	"github.com/cicadawood/cicadawood/retrier"
 )
 
@@ -41,7 +42,7 @@
 	limiter    Limiter
 	quarantine Quarantine // nil disables the quarantine
 	budgets    retrier.Budgets
-	memory     memory
+	memory     *reserver.Memory
 	index      atomic.Pointer[index]
 	ready      atomic.Bool
 	draining   atomic.Bool
@@ -53,8 +54,8 @@
 }
 
 // New returns a server that does not listen yet.
-func New(l loader.Limits, c Configuration, a Allocator, f *forwarder.Forwarder, log *zap.Logger, m *Metrics) *Server {
-	s := &Server{limits: l, config: c, allocator: a, forwarder: f, log: log, metrics: m, memory: memory{limit: l.MaxBuffered}, connections: admitter.Connections{Limit: int64(l.MaxCalls)}}
+func New(l loader.Limits, memory *reserver.Memory, c Configuration, a Allocator, f *forwarder.Forwarder, log *zap.Logger, m *Metrics) *Server {
+	s := &Server{limits: l, config: c, allocator: a, forwarder: f, log: log, metrics: m, memory: memory, connections: admitter.Connections{Limit: int64(l.MaxCalls)}}
 	s.http = &http.Server{Handler: s.closeWhileDraining(s.handler()), ReadHeaderTimeout: l.ReadTimeout.Std(), ReadTimeout: l.ReadTimeout.Std(), MaxHeaderBytes: l.MaxHeader, IdleTimeout: time.Minute, ConnState: s.limitConnections}
 	return s
 }
@@ -193,18 +194,18 @@
 }
 
 func (s *Server) serveCompletion(w http.ResponseWriter, r *http.Request) {
-	h := reservation{memory: &s.memory}
-	defer h.release()
+	h := s.memory.Reserve(reserver.Body)
+	defer h.Release()
 	q, x, fail := s.begin(r)
 	if fail == nil {
-		fail = s.readCompletionRequest(w, r, q, x, &h)
+		fail = s.readCompletionRequest(w, r, q, x, h)
 	}
 	header := forwardedHeader(r.Header)
 	header.Del("Accept-Encoding") // the entry must be able to read the answer
 	s.finish(w, r, q, x, fail, forwarder.Call{Method: r.Method, Path: r.URL.RequestURI(), Header: header})
 }
 
-func (s *Server) readCompletionRequest(w http.ResponseWriter, r *http.Request, q *request, x *index, h *reservation) *failure {
+func (s *Server) readCompletionRequest(w http.ResponseWriter, r *http.Request, q *request, x *index, h *reserver.Reservation) *failure {
 	body, fail := s.readBody(w, r, h)
 	if fail != nil {
 		return fail
@@ -220,13 +221,13 @@
 }
 
 func (s *Server) servePlain(w http.ResponseWriter, r *http.Request) {
-	h := reservation{memory: &s.memory}
-	defer h.release()
+	h := s.memory.Reserve(reserver.Body)
+	defer h.Release()
 	q, x, fail := s.begin(r)
 	service := mux.Vars(r)["service"]
 	path := r.URL.EscapedPath()[len("/services/"+service):]
 	if fail == nil {
-		fail = s.readPlainRequest(w, r, q, x, service, path, &h)
+		fail = s.readPlainRequest(w, r, q, x, service, path, h)
 	}
 	if r.URL.RawQuery != "" {
 		path += "?" + r.URL.RawQuery
@@ -234,7 +235,7 @@
 	s.finish(w, r, q, x, fail, forwarder.Call{Method: r.Method, Path: path, Header: forwardedHeader(r.Header)})
 }
 
-func (s *Server) readPlainRequest(w http.ResponseWriter, r *http.Request, q *request, x *index, name, path string, h *reservation) *failure {
+func (s *Server) readPlainRequest(w http.ResponseWriter, r *http.Request, q *request, x *index, name, path string, h *reserver.Reservation) *failure {
 	service, ok := x.folder.Services[name]
 	if !ok || service.Kind != loader.KindPlain {
 		return &failure{status: http.StatusNotFound, code: "service_not_found", message: fmt.Sprintf("no service %q", name), run: RunNo}
