Streams: the event that is still arriving counts for the memory

Callers: hosts take up to 1 MiB more for each stream whose worker sends an event without an end, beside what limits/buffer counts. Cause: passStream kept it outside of any limit, and searched all of it again with each 4 KiB. Now it is reserved before it is kept, and only what is new is searched.

--- a/router/router_test.go
+++ b/router/router_test.go
@@ -280,11 +280,14 @@
 			_, _ = io.WriteString(w, strings.Repeat("e", 300<<10))
 		})
 		reached, leave := make(chan struct{}), make(chan struct{})
+		var once sync.Once
+		end := func() { once.Do(func() { close(leave) }) }
 		worker("w-2", func(w http.ResponseWriter, _ *http.Request) {
 			close(reached)
 			<-leave
 			w.Header().Set("Seal", "1")
 		})
+		DeferCleanup(end)
 		done := make(chan int, 1)
 		go func() {
 			code, _, _ := call(bg, "/a/x", "s")
@@ -293,11 +296,40 @@
 		Eventually(reached, "2s").Should(BeClosed())
 		taken, _ := memory.Taken()
 		Expect(taken).To(BeNumerically(">=", 300<<10))
-		close(leave)
+		end()
 		Eventually(done, "2s").Should(Receive(Equal(http.StatusOK)))
 		Eventually(func() int64 { taken, _ := memory.Taken(); return taken }).Should(BeZero())
 	})
 
+	// Guards against a host that is killed because workers send events without an end.
+	It("counts the event of a stream that is still arriving", func() {
+		registry = prometheus.NewRegistry()
+		serve(reserver.New(8 << 20))
+		leave := make(chan struct{})
+		worker("w", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", "text/event-stream")
+			w.Header().Set("Seal", "1")
+			_, _ = io.WriteString(w, "id: 1\ndata: ")
+			for range 100 {
+				if _, err := io.WriteString(w, strings.Repeat("x", 1<<10)); err != nil {
+					return
+				}
+			}
+			w.(http.Flusher).Flush()
+			<-leave
+		})
+		DeferCleanup(func() { close(leave) })
+		ctx, cancel := context.WithCancel(bg)
+		defer cancel()
+		for range 64 {
+			go func() { _, _, _ = call(ctx, "/flow/x", "s") }()
+		}
+		Eventually(func() int64 { _, most := memory.Taken(); return most }, "5s").Should(BeNumerically(">", 1<<20))
+		Eventually(func() int64 { return memory.Refused(reserver.Event) }, "5s").Should(BeNumerically(">", 0))
+		_, most := memory.Taken()
+		Expect(most).To(BeNumerically("<=", 8<<20))
+	})
+
 	// Guards against losing what an answer states of its worker because the answer itself is
 	// of no use to the caller.
 	DescribeTable("reports a worker that states that it is leaving", func(path string, h http.HandlerFunc) {
--- a/router/stream.go
+++ b/router/stream.go
@@ -10,28 +10,26 @@
 	"time"
 
 	"github.com/cicadawood/cicadawood/connector"
+	"github.com/cicadawood/cicadawood/reserver"
 )
 
-const (
-	streamBufferBytes = 4 << 10
-	// maxEventBytes is the maximum size of one event.
-	maxEventBytes = 1 << 20
-)
-
-var eventEnd = []byte("\n\n")
+const streamBufferBytes = 4 << 10
 
 // passStream passes events on as they arrive, whole events only: if the worker fails
 // inside an event, another worker could not continue it.
 func (t *transaction) passStream(ctx context.Context, p Placement, a *connector.Answer) error {
 	resumed := t.delivery.headSent
-	var pending []byte
+	pending := partialEvent{reserved: t.router.Memory.Reserve(reserver.Event)}
+	defer pending.reserved.Release()
 	buffer := make([]byte, streamBufferBytes)
 	for first := true; ; {
 		n, err := a.Read(buffer)
 		t.path.progress()
-		pending = append(pending, buffer[:n]...)
-		if end := bytes.LastIndex(pending, eventEnd); end >= 0 {
-			events := pending[:end+len(eventEnd)]
+		events, full := pending.add(buffer[:n])
+		if full != nil {
+			return t.recordFailure(full)
+		}
+		if len(events) > 0 {
 			if first {
 				first = false
 				t.stopSilenceTimer()
@@ -45,10 +43,10 @@
 			if err := t.passEvents(a, events, resumed); err != nil {
 				return t.recordFailure(err)
 			}
-			pending = append(pending[:0], pending[end+len(eventEnd):]...)
+			pending.drop(len(events))
 		}
 		switch {
-		case errors.Is(err, io.EOF) && len(pending) > 0, len(pending) > maxEventBytes:
+		case errors.Is(err, io.EOF) && len(pending.bytes) > 0:
 			return t.recordFailure(errTruncatedEvent)
 		case errors.Is(err, io.EOF):
 			return t.finishStream(a)
