Answers without a length: whole only if the worker itself answers afterwards

Cause: ConfirmEnd took an idle connection that stays open for 15 ms, or a connection that can be made, for a sign that the worker goes on. Both are the kernel's: it accepts connections for a process that hangs or is ending. Not shown: which of the two let that stream pass. Change: the worker answers a probe, on a kept connection if there is one: an engine's report, or the health check that its service names, with the worker's name. The lists of steady addresses and the 15 ms are gone. The entry 'is whole if its server is not leaving' is replaced: it asked for whole while nobody answered, which is the fault; the same play is now the entry 'a connection is open and nobody answers', not whole.

--- a/connector/answer.go
+++ b/connector/answer.go
@@ -84,6 +84,16 @@
 	}
 }
 
+// maxDiscard is the size of an answer that is read to its end so that its connection can be used again.
+const maxDiscard = 16 << 10
+
+// Discard reads a short answer to its end and completes it.
+func (a *Answer) Discard() {
+	if _, err := io.CopyN(io.Discard, a, maxDiscard); errors.Is(err, io.EOF) {
+		a.Finish()
+	}
+}
+
 // Close aborts an answer and closes its connection. A server drops a request whose
 // connection closes.
 func (a *Answer) Close() {
--- a/connector/confirm.go
+++ b/connector/confirm.go
@@ -1,73 +1,90 @@
 package connector
 
 import (
+	"context"
 	"errors"
 	"fmt"
+	"net/http"
 	"time"
 )
 
-// confirmTimes are the times after an answer that ended with its connection at which an idle
-// connection to its backend server must still be open: a process that ends closes its connections
-// one after the other.
-var confirmTimes = []time.Duration{5 * time.Millisecond, 10 * time.Millisecond}
+// confirmTimeout is the time for a backend server to show that it goes on: more than an engine's
+// step, or a short request before it in its queue, takes.
+const confirmTimeout = 400 * time.Millisecond
+
+// errGone is the answer of another process at a backend server's address.
+var errGone = errors.New("another server has the address")
 
 // ConfirmEnd checks, after an answer that nothing but the end of its connection bounds was read to
-// its end, that the backend server goes on. The kernel closes the connections of a process that was
-// killed in order, too, so that half an answer looks whole. It returns an error that wraps
-// ErrClosedByPeer if the server is gone, and one that wraps ErrUnconfirmed if no host knows: only a
-// connection that is made afterwards shows it, or an open idle one if the server is not about to
-// end. The connection that it makes is kept in place of the one that the answer used up.
-func (a *Answer) ConfirmEnd() error {
+// its end, that the backend server goes on: the kernel closes the connections of a process that ends
+// in order, too, so that half an answer looks whole. Only what the process itself writes afterwards
+// shows it. A connection that is open, or can be made, does not: the kernel holds it for a process
+// that hangs or is ending.
+//
+// probe is a call that a running server answers at once and runs nothing for. With the zero Call, it
+// is enough that a connection can be made. The error wraps ErrClosedByPeer if the server is gone, and
+// ErrUnconfirmed if it gave no answer.
+func (a *Answer) ConfirmEnd(probe Call) error {
 	if a.Framed {
 		return nil
 	}
-	if a.conn.pool.staysOpen(a.conn.address) {
+	ctx, cancel := context.WithTimeout(a.ctx, confirmTimeout)
+	defer cancel()
+	err := a.conn.pool.confirm(ctx, a.conn.address, probe)
+	switch {
+	case err == nil:
 		return nil
-	}
-	raw, err := a.conn.pool.dialer.Dial(a.ctx, Target{Address: a.conn.address})
-	if err != nil {
-		silent := ConnectResultOf(err) == ConnectTimeout && a.conn.via == ""
-		if errors.Is(err, ErrNoPath) || silent || a.ctx.Err() != nil {
-			return fmt.Errorf("%w: %w: %v", ErrLost, ErrUnconfirmed, err)
-		}
+	case refused(err), errors.Is(err, errGone):
 		return fmt.Errorf("%w: %w: after an answer that ended with its connection: %v", ErrLost, ErrClosedByPeer, err)
 	}
-	a.conn.pool.keep(newConn(a.conn.pool, a.conn.address, raw))
-	return nil
+	return fmt.Errorf("%w: %w: %v", ErrLost, ErrUnconfirmed, err)
 }
 
-// staysOpen reports whether an idle connection to a steady server stays open for confirmTimes.
-func (p *Pool) staysOpen(address string) bool {
-	for _, d := range confirmTimes {
-		time.Sleep(d)
-		if !p.steady(address) || !p.hasOpen(address) {
-			return false
-		}
-	}
-	return true
+// refused reports whether the backend server's address refuses connections.
+func refused(err error) bool {
+	return errors.Is(err, ErrNotSent) && !errors.Is(err, ErrNoPath) && !errors.Is(err, ErrUnanswered) && !errors.Is(err, context.DeadlineExceeded) && !errors.Is(err, context.Canceled)
 }
 
-// SetSteady sets the addresses of the backend servers that are known and not leaving. Others may end
-// at any moment. Before it is called, all are taken for steady.
-func (p *Pool) SetSteady(addresses map[string]bool) { p.steadyServers.Store(&addresses) }
-
-func (p *Pool) steady(address string) bool {
-	known := p.steadyServers.Load()
-	return known == nil || (*known)[address]
+// confirm has a backend server answer a probe, on an idle connection if there is one.
+func (p *Pool) confirm(ctx context.Context, address string, probe Call) error {
+	if probe.Target == "" {
+		return p.connect(ctx, address)
+	}
+	idle := p.HasIdle(address)
+	err := p.probe(ctx, address, probe)
+	if err == nil || !idle || !errors.Is(err, ErrClosedByPeer) {
+		return err
+	}
+	// It may have been about to close that connection.
+	p.CloseIdle(address)
+	return p.probe(ctx, address, probe)
 }
 
-// hasOpen reports whether an idle connection to an address is open.
-func (p *Pool) hasOpen(address string) bool {
-	c := p.take(address)
-	if c == nil {
-		return false
+// probe sends a probe and reads its answer.
+func (p *Pool) probe(ctx context.Context, address string, probe Call) error {
+	a, err := p.Do(ctx, address, probe)
+	if err != nil {
+		return err
 	}
-	if !c.usable(time.Now(), false) {
-		c.close()
-		return false
+	defer a.Close()
+	if a.Status == http.StatusMisdirectedRequest {
+		return errGone
 	}
-	p.put(c)
-	return true
+	a.Discard()
+	return nil
+}
+
+// connect makes a connection, and keeps it in place of the one that the answer used up.
+func (p *Pool) connect(ctx context.Context, address string) error {
+	raw, err := p.dialer.Dial(ctx, Target{Address: address})
+	switch {
+	case err == nil:
+		p.keep(newConn(p, address, raw))
+		return nil
+	case ConnectResultOf(err) == ConnectTimeout:
+		return fmt.Errorf("%w: %w: %w", ErrNotSent, ErrUnanswered, err)
+	}
+	return fmt.Errorf("%w: %w", ErrNotSent, err)
 }
 
 // keep adds a connection that has not been used yet.
--- a/connector/confirm_test.go
+++ b/connector/confirm_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -13,58 +14,147 @@
 	"github.com/cicadawood/cicadawood/connector"
 )
 
-// Guards against half an answer taken for whole because another connection to its server, whose
-// process is about to end, has not been closed yet.
-var _ = DescribeTable("An answer that ends with its connection, while an idle connection is open and no new one is accepted",
-	func(steady, whole bool) {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		Expect(err).NotTo(HaveOccurred())
+// ending is a backend server that answers one request with half an answer that ends with its
+// connection. What it then does depends on the spec.
+type ending struct {
+	net.Listener
+
+	mu    sync.Mutex
+	conns []net.Conn
+}
+
+func newEnding() *ending {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	e := &ending{Listener: l}
+	DeferCleanup(func() {
+		_ = e.Close()
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		for _, c := range e.conns {
+			_ = c.Close()
+		}
+	})
+	return e
+}
+
+// accept returns the next connection, or nil if the listener is closed.
+func (e *ending) accept() net.Conn {
+	c, err := e.Accept()
+	if err != nil {
+		return nil
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.conns = append(e.conns, c)
+	return c
+}
+
+// request waits for a request, and reports whether there was one.
+func request(c net.Conn) bool {
+	if c == nil {
+		return false
+	}
+	_, err := http.ReadRequest(bufio.NewReader(c))
+	return err == nil
+}
+
+const unframedHalf = "HTTP/1.1 200 OK\r\nId: 2\r\n\r\nhalf"
+
+var _ = DescribeTable("An answer that ends with its connection",
+	func(kept bool, then func(e *ending, kept net.Conn), expected error) {
+		e := newEnding()
+		answered := make(chan struct{})
 		go func() {
-			first, err := l.Accept()
-			if err != nil {
-				return
+			var first net.Conn
+			if kept {
+				first = e.accept()
 			}
-			DeferCleanup(first.Close)
-			second, err := l.Accept()
-			if err != nil {
+			second := e.accept()
+			if kept && !request(first) || !request(second) {
 				return
 			}
-			_, _ = http.ReadRequest(bufio.NewReader(first))
-			_, _ = http.ReadRequest(bufio.NewReader(second))
-			_, _ = io.WriteString(first, response("1", "kept"))
-			_, _ = io.WriteString(second, "HTTP/1.1 200 OK\r\nId: 2\r\n\r\nhalf")
-			_ = l.Close()
+			if kept {
+				_, _ = io.WriteString(first, response("1", "kept"))
+				<-answered
+			}
+			_, _ = io.WriteString(second, unframedHalf)
 			_ = second.Close()
+			then(e, first)
 		}()
 		pool, clean := connector.New(connector.Direct{})
 		DeferCleanup(clean)
-		pool.SetSteady(map[string]bool{l.Addr().String(): steady})
 		call := connector.Call{Method: http.MethodGet, Target: "/", Host: "h"}
-		kept := make(chan *connector.Answer, 1)
-		go func() {
-			defer GinkgoRecover()
-			a, err := pool.Do(context.Background(), l.Addr().String(), call)
+		var half *connector.Answer
+		if kept {
+			half = keepOne(pool, e.Addr().String(), call, answered)
+		} else {
+			var err error
+			half, err = pool.Do(context.Background(), e.Addr().String(), call)
 			Expect(err).NotTo(HaveOccurred())
-			kept <- a
-		}()
-		half, err := pool.Do(context.Background(), l.Addr().String(), call)
-		Expect(err).NotTo(HaveOccurred())
-		other := <-kept
-		if half.Framed {
-			half, other = other, half
 		}
-		_, err = io.Copy(io.Discard, other)
-		Expect(err).NotTo(HaveOccurred())
-		other.Finish()
-		_, err = io.Copy(io.Discard, half)
-		Expect(err).NotTo(HaveOccurred())
 		defer half.Close()
-		if whole {
-			Expect(half.ConfirmEnd()).To(Succeed())
-		} else {
-			Expect(half.ConfirmEnd()).To(MatchError(connector.ErrLost))
+		_, err := io.Copy(io.Discard, half)
+		Expect(err).NotTo(HaveOccurred())
+		err = half.ConfirmEnd(connector.Call{Method: http.MethodGet, Target: "/alive", Host: "h"})
+		if expected == nil {
+			Expect(err).NotTo(HaveOccurred())
+			return
 		}
+		Expect(err).To(MatchError(connector.ErrLost))
+		Expect(err).To(MatchError(expected))
 	},
-	Entry("is whole if its server is not leaving", true, true),
-	Entry("is not if it is", false, false),
+	Entry("is whole if its server answers on a connection that was kept", true, func(_ *ending, kept net.Conn) {
+		if request(kept) {
+			_, _ = io.WriteString(kept, response("", "alive"))
+		}
+	}, nil),
+	Entry("is whole if its server answers on a new connection", false, func(e *ending, _ net.Conn) {
+		if c := e.accept(); request(c) {
+			_, _ = io.WriteString(c, response("", "alive"))
+		}
+	}, nil),
+	Entry("is whole if its server closes the connection that was kept, and answers on a new one", true, func(e *ending, kept net.Conn) {
+		_ = kept.Close()
+		if c := e.accept(); request(c) {
+			_, _ = io.WriteString(c, response("", "alive"))
+		}
+	}, nil),
+	// Guards against half an answer taken for whole because the kernel still accepts connections, or
+	// has not yet closed one, for a process that ends.
+	Entry("is not if the kernel accepts a connection and nobody answers", false, func(*ending, net.Conn) {}, connector.ErrUnconfirmed),
+	Entry("is not if a connection is open and nobody answers", true, func(*ending, net.Conn) {}, connector.ErrUnconfirmed),
+	Entry("is not if the new connection is closed", false, func(e *ending, _ net.Conn) {
+		if c := e.accept(); c != nil {
+			_ = c.Close()
+		}
+	}, connector.ErrUnconfirmed),
+	Entry("is not if its address refuses connections", true, func(e *ending, kept net.Conn) {
+		_ = e.Close()
+		_ = kept.Close()
+	}, connector.ErrClosedByPeer),
+	Entry("is not if another server has its address", false, func(e *ending, _ net.Conn) {
+		if c := e.accept(); request(c) {
+			_, _ = io.WriteString(c, "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n")
+		}
+	}, connector.ErrClosedByPeer),
 )
+
+// keepOne sends two calls, completes the one that is framed, and returns the other.
+func keepOne(pool *connector.Pool, address string, call connector.Call, completed chan struct{}) *connector.Answer {
+	answers := make(chan *connector.Answer, 2)
+	for range 2 {
+		go func() {
+			defer GinkgoRecover()
+			a, err := pool.Do(context.Background(), address, call)
+			Expect(err).NotTo(HaveOccurred())
+			answers <- a
+		}()
+	}
+	framed := <-answers
+	_, err := io.Copy(io.Discard, framed)
+	Expect(err).NotTo(HaveOccurred())
+	framed.Finish()
+	close(completed)
+	return <-answers
+}
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -13,7 +13,6 @@
 	"fmt"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -90,8 +89,6 @@
 	maxHead int64 // bytes of an answer's head
 
 	created, reused uint64
-
-	steadyServers atomic.Pointer[map[string]bool] // by address; nil is all
 }
 
 // New returns an empty pool and its clean-up function.
--- a/faker/worker.go
+++ b/faker/worker.go
@@ -208,6 +208,9 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if isProbe(r) {
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return // the caller broke off the request
@@ -255,6 +258,14 @@
 	k.answer(w, r, f, leave)
 }
 
+// HealthPath is the path of a Worker's health check.
+const HealthPath = "/health"
+
+// isProbe reports whether a request only asks whether the worker runs.
+func isProbe(r *http.Request) bool {
+	return r.Method == http.MethodGet && (r.URL.Path == HealthPath || r.URL.Path == "/report")
+}
+
 // refuse answers that the request was not run. With a retryAfter it asks for no more
 // requests for that time.
 func (k *Worker) refuse(w http.ResponseWriter, id string, retryAfter time.Duration) {
--- a/loader/folder.go
+++ b/loader/folder.go
@@ -70,6 +70,7 @@
 	CellSize    int      `json:"cell"`  // max workers per dispatcher; 0 means all
 	Fencing     bool     `json:"fencing"`
 	Resumable   bool     `json:"resume"`           // engines: a stream that broke off can be resumed
+	Health      string   `json:"health,omitempty"` // path of its health check; "" for none
 	CacheTokens int      `json:"memory,omitempty"` // tokens that an engine caches in memory; 0 for a plain service
 	EventTokens int      `json:"event,omitempty"`  // tokens per event of an engine's stream
 	TokenBytes  int      `json:"token,omitempty"`  // bytes of a token in an engine's cache
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -53,6 +53,10 @@
 	return router.AnswerHead{ID: h.Get("Id"), Sealed: h.Get("Seal") != "", NotRun: h.Get("Not-Run") != "", OtherWorker: h.Get("Other") != "", Leaving: h.Get("Leaving") != "", RetryAfter: router.RetryAfter{Delay: delay}}
 }
 
+func (plainDialect) Probe(worker string, _ loader.Service) (string, http.Header) {
+	return "/alive", http.Header{"Worker": {worker}}
+}
+
 func (plainDialect) WriteAnswer(h http.Header, _ string, retryAfter time.Duration) {
 	if retryAfter > 0 {
 		h.Set("Retry-After", fmt.Sprint(retryAfter.Seconds()))
--- a/router/transaction.go
+++ b/router/transaction.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -322,7 +321,7 @@
 	ok := a.Status >= http.StatusOK && a.Status < http.StatusMultipleChoices
 	switch {
 	case v.NotRun:
-		t.discard(a)
+		a.Discard()
 		if v.OtherWorker {
 			t.router.Pool.CloseIdle(p.Worker.Address)
 			return fmt.Errorf("%w: %w", errNotRun, errOtherWorker)
@@ -335,7 +334,7 @@
 	case ok && t.q.Stream && strings.HasPrefix(a.Header.Get("Content-Type"), "text/event-stream"):
 		return t.passStream(ctx, p, a)
 	case t.delivery.headSent:
-		t.discard(a)
+		a.Discard()
 		return t.recordFailure(fmt.Errorf("%w: status %d in place of a stream", errWorkerFailed, a.Status))
 	}
 	return t.passWhole(p, a, v)
@@ -351,12 +350,11 @@
 	}
 }
 
-// discard reads a short answer to its end, so that its connection can be reused.
-func (t *transaction) discard(a *connector.Answer) {
-	const maxDiscard = 16 << 10
-	if _, err := io.CopyN(io.Discard, a, maxDiscard); errors.Is(err, io.EOF) {
-		a.Finish()
-	}
+// probe returns a call by which a worker shows that it goes on.
+func (t *transaction) probe(p Placement) connector.Call {
+	service := t.q.index.folder.Services[p.Service]
+	target, header := t.router.Dialect.Probe(p.Worker.Name, service)
+	return connector.Call{Request: t.q.ID, Method: http.MethodGet, Target: target, Host: p.Worker.Address, Header: header}
 }
 
 // passWhole reads an answer to its end before passing any of it on, so that the caller
@@ -376,7 +374,7 @@
 	if err := body.ReadAll(a, t.router.MaxAnswer); err != nil {
 		return t.recordFailure(err)
 	}
-	if err := a.ConfirmEnd(); err != nil {
+	if err := a.ConfirmEnd(t.probe(p)); err != nil {
 		return t.recordFailure(err)
 	}
 	a.Finish()
--- a/runner/host_routes.go
+++ b/runner/host_routes.go
@@ -37,7 +37,6 @@
 	g.selector.origins.register(registry)
 	g.selector.repeats.metrics.register(registry)
 	g.pool, g.close = connector.New(d)
-	g.selector.setSteady = g.pool.SetSteady
 	g.pool.SetMaxHead(s.Limits.MaxAnswerHead)
 	d.OnLost(g.pool.CloseAllIdle)
 	g.storeWatch = &storeWatch{store: store, log: log, report: func(e storeResult) { g.selector.post(e) }, nextCall: g.selector.nextCall}
--- a/runner/reach.go
+++ b/runner/reach.go
@@ -89,18 +89,13 @@
 }
 
 // setTunnelWorkers sets the workers that the tunneler connects to: also those that are leaving, as
-// requests are under way there. The others are steady.
-func (p *selector) setTunnelWorkers(available []placer.Worker) {
+// requests are under way there.
+func (p *selector) setTunnelWorkers() {
 	var list []reacher.Worker
 	for _, e := range p.directory.All() {
 		list = append(list, reacher.Worker{Address: e.Address, Service: e.Service})
 	}
 	p.tunnels.SetWorkers(list)
-	steady := map[string]bool{}
-	for _, w := range available {
-		steady[w.Address] = true
-	}
-	p.setSteady(steady)
 }
 
 // setTunnelWorkers sets the backend servers of the own interface that the tunneler connects to.
--- a/runner/selector.go
+++ b/runner/selector.go
@@ -39,7 +39,6 @@
 	view          *placer.View
 	directory     observer.Directory
 	relay         *relayer.Relay
-	setSteady     func(addresses map[string]bool) // receives the addresses of the workers that are not leaving
 	onEra         func(era uint64, source string) // if set, receives the era of each list that another host sent
 	lastHeartbeat time.Time                       // when this host last announced that its list is up to date
 	announced     bool                            // this host announced that its list is up to date, and has not withdrawn it since
@@ -94,7 +93,6 @@
 		view: placer.New(h.Zone), repeats: newRepeatBudget(now, h, s, log),
 		relay: relayer.New(self, workersList),
 	}
-	c.setSteady = func(map[string]bool) {}
 	c.repeats.post, c.repeats.granted = c.post, c.placeCharged
 	c.quarantine = newQuarantineSync(self, s, store, c.view.Quarantine(), log)
 	c.quarantine.add = c.view.ReceiveQuarantined
@@ -272,7 +270,7 @@
 		workers = append(workers, w)
 	}
 	added, removed := p.view.SetWorkers(now, workers)
-	p.setTunnelWorkers(workers)
+	p.setTunnelWorkers()
 	p.origins.setWorkers(now, p.updatedAt, p.directory.All())
 	p.listUpdated(now)
 	for _, w := range added {
--- a/soaker/cluster_test.go
+++ b/soaker/cluster_test.go
@@ -182,7 +182,7 @@
 			route("chat", "streaming", "engine", 2), route("plan", "streaming", "engine", 1),
 			route("hold", "non_idempotent", "desk", 1), route("quote", "idempotent", "desk", 2),
 		},
-		"services": []any{map[string]any{"name": "engine", "engine": map[string]any{"kvCacheTokens": 100000, "stride": 4}}, map[string]any{"name": "desk"}},
+		"services": []any{map[string]any{"name": "engine", "engine": map[string]any{"kvCacheTokens": 100000, "stride": 4}}, map[string]any{"name": "desk", "healthPath": faker.HealthPath}},
 		"limits":   map[string]any{"maxHeaderBytes": 4000, "maxBodyBytes": 2000, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 		"tenants":  []any{map[string]any{"name": "large", "apiKeys": c.keys}},
 	})
