Streams: one that has far more events than its request allows tokens is broken off

A request names the tokens that it allows at most, and an event has one or more. What is beyond it is its worker's failure; a caller that has part of it gets the break, as that part is nothing that another worker could go on from.

--- a/router/router_test.go
+++ b/router/router_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -334,6 +335,39 @@
 		Expect(most).To(BeNumerically("<=", 8<<20))
 	})
 
+	// Guards against a host whose processor is taken by streams of events without an end.
+	DescribeTable("ends a stream that has far more events than its request allows tokens",
+		func(output string, events int, whole bool) {
+			var written atomic.Int64
+			worker("w", func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set("Content-Type", "text/event-stream")
+				w.Header().Set("Seal", "1")
+				for i := range events {
+					if r.Context().Err() != nil {
+						return
+					}
+					_, _ = fmt.Fprintf(w, "id: %d\ndata: x\n\n", i+1)
+					written.Add(1)
+				}
+			})
+			worker("w-2", status(http.StatusOK, "Seal"))
+			ctx, cancel := context.WithTimeout(bg, 5*time.Second)
+			defer cancel()
+			code, _, err := call(ctx, "/flow/x", "s", "Output", output)
+			if whole {
+				Expect(err).NotTo(HaveOccurred())
+				Expect(code).To(Equal(http.StatusOK))
+				Expect(fakePlacer.ended()).To(Equal([]placer.Outcome{placer.Answered}))
+				return
+			}
+			Eventually(fakePlacer.ended, "2s").Should(ContainElement(placer.Broken))
+			Expect(written.Load()).To(BeNumerically("<", events))
+		},
+		Entry("an event a token is whole", "200", 200, true),
+		Entry("without an end it is broken off, and its worker's failure", "200", 2_000_000, false),
+		Entry("of a request that allows no number it is whole", "0", 20000, true),
+	)
+
 	// Guards against losing what an answer states of its worker because the answer itself is
 	// of no use to the caller.
 	DescribeTable("reports a worker that states that it is leaving", func(path string, h http.HandlerFunc) {
--- a/router/transaction.go
+++ b/router/transaction.go
@@ -198,6 +198,10 @@
 	case errors.Is(err, connector.ErrNotSent), errors.Is(err, errNotRun):
 		return unanswered(t.mayHaveRun, codeWorkerRefused, shortRetryAfter), t.sends >= maxSends
 	}
+	if t.delivery.headSent && errors.Is(err, errTooManyEvents) {
+		// What the caller has is no part of an answer that could go on.
+		return unanswered(true, codeAnswerCut, 0), true
+	}
 	resumable := !t.delivery.headSent || t.q.Stream && t.lastEventID != ""
 	if t.q.Repeatable() && resumable && t.mayHaveRunCount < t.q.MaxAttempts && t.sends < maxSends {
 		return nil, false
