Frames: memory is taken as bytes arrive, not as a length is stated, and counts

A connection to a host's control address could state a frame of 1 MiB and send nothing: the memory was taken at once, for as many connections as there are descriptors (4,100), outside of any limit. Now what is over 16 KiB is read as it arrives and reserved in the process's account; frames that begin a connection or a tunnel have 16 KiB at most.

--- a/messenger/config.go
+++ b/messenger/config.go
@@ -4,6 +4,8 @@
 	"io"
 	"net"
 	"time"
+
+	"github.com/cicadawood/cicadawood/reserver"
 )
 
 // Config is the settings of a Messenger. Zero fields take the defaults of
@@ -25,6 +27,8 @@
 	// MaxQueue is the maximum number of messages to one peer that are waiting
 	// or unacknowledged.
 	MaxQueue int
+	// Memory is the memory that frames are reserved from while they arrive; nil has no limit.
+	Memory *reserver.Memory
 	// OnReachability is called when a peer becomes reachable or unreachable, on
 	// the goroutine that sends to the peer.
 	OnReachability func(address string, reachable bool)
@@ -47,6 +51,9 @@
 	if c.MaxQueue == 0 {
 		c.MaxQueue = 4096
 	}
+	if c.Memory == nil {
+		c.Memory = new(reserver.Memory)
+	}
 	if c.OnReachability == nil {
 		c.OnReachability = func(string, bool) {}
 	}
--- a/messenger/frame.go
+++ b/messenger/frame.go
@@ -8,11 +8,20 @@
 	"io"
 
 	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/cicadawood/cicadawood/reserver"
 )
 
 // MaxFrame is the maximum size in bytes of a frame without its length.
 const MaxFrame = 1 << 20
 
+const (
+	// maxShortFrame is the maximum size in bytes of a frame that begins a connection.
+	maxShortFrame = 16 << 10
+	// smallFrame is the size in bytes up to which the memory for a frame is taken at once.
+	smallFrame = 16 << 10
+)
+
 const (
 	headerLength = 4 // bytes of a frame's length
 	ackLength    = 8 // bytes of an acknowledgement
@@ -78,18 +87,26 @@
 	return b.Bytes(), err
 }
 
-// ReadFrame reads one frame into v and returns the number of bytes read.
+// ReadFrame reads one short frame, such as those that begin a connection, into v and returns the
+// number of bytes read.
 func ReadFrame(r io.Reader, v any) (int, error) {
+	return readFrame(r, v, maxShortFrame, nil)
+}
+
+// readFrame reads one frame of at most limit bytes into v and returns the number of bytes read. What
+// a sender states is no reason to take the memory for it: that is taken as its bytes arrive.
+func readFrame(r io.Reader, v any, limit uint32, reserved *reserver.Reservation) (int, error) {
+	defer reserved.Release()
 	var head [headerLength]byte
 	if _, err := io.ReadFull(r, head[:]); err != nil {
 		return 0, err
 	}
 	n := binary.BigEndian.Uint32(head[:])
-	if n > MaxFrame {
+	if n > limit {
 		return 0, fmt.Errorf("%w: %d bytes", ErrFrame, n)
 	}
-	body := make([]byte, n)
-	if _, err := io.ReadFull(r, body); err != nil {
+	body, err := readBody(r, int64(n), reserved)
+	if err != nil {
 		return 0, err
 	}
 	if err := msgpack.Unmarshal(body, v); err != nil {
@@ -97,3 +114,20 @@
 	}
 	return headerLength + int(n), nil
 }
+
+// readBody reads n bytes.
+func readBody(r io.Reader, n int64, reserved *reserver.Reservation) ([]byte, error) {
+	if n <= smallFrame {
+		body := make([]byte, n)
+		_, err := io.ReadFull(r, body)
+		return body, err
+	}
+	body, err := reserved.ReadAll(io.LimitReader(r, n), -1, n)
+	switch {
+	case err != nil:
+		return nil, fmt.Errorf("%w: %w", ErrFrame, err)
+	case int64(len(body)) < n:
+		return nil, io.ErrUnexpectedEOF
+	}
+	return body, nil
+}
--- a/messenger/inbox.go
+++ b/messenger/inbox.go
@@ -7,6 +7,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/cicadawood/cicadawood/reserver"
 )
 
 const (
@@ -130,7 +132,7 @@
 func (m *Messenger) receive(i *inbox, h hello, conn net.Conn, r *bufio.Reader, a *acker) bool {
 	var p messageFrame
 	_ = conn.SetReadDeadline(time.Now().Add(2 * m.config.IdleTimeout))
-	n, err := ReadFrame(r, &p)
+	n, err := readFrame(r, &p, MaxFrame, m.config.Memory.Reserve(reserver.Frame))
 	m.received.Add(uint64(n))
 	if err != nil {
 		return false
--- a/runner/host.go
+++ b/runner/host.go
@@ -123,7 +123,7 @@
 	forward.OnRefused(h.poller.postRefusal)
 	connected := make(chan struct{})
 	m, closeMessenger, err := messenger.Open(messenger.Config{
-		Name: s.Name, Incarnation: incarnation, Address: s.Control, AckTimeout: s.Limits.AckTimeout.Std(), AckDelay: ackDelay,
+		Name: s.Name, Incarnation: incarnation, Address: s.Control, AckTimeout: s.Limits.AckTimeout.Std(), AckDelay: ackDelay, Memory: h.memory,
 		OnReachability: func(address string, reachable bool) {
 			<-connected
 			h.registrar.SetReachable(address, reachable)
