Store: answers count for the memory while they arrive; so do those of calls that run once

Each call of the store took up to 8 MiB, and twice that as its buffer grew, whatever the process may take, and several run at once. Now an answer is reserved as it arrives, from the account of the process, with room that bodies and answers can't take; one that gets none fails like one that was lost.

--- a/runner/export_test.go
+++ b/runner/export_test.go
@@ -14,6 +14,7 @@
 	"github.com/cicadawood/cicadawood/placer"
 	"github.com/cicadawood/cicadawood/quarantiner"
 	"github.com/cicadawood/cicadawood/registrar"
+	"github.com/cicadawood/cicadawood/reserver"
 	"github.com/cicadawood/cicadawood/router"
 	"github.com/cicadawood/cicadawood/server"
 	"github.com/cicadawood/cicadawood/storer"
@@ -138,7 +139,7 @@
 // Keeper returns the keeper of a partition. It has no store.
 func (k Control) Keeper(partition int) *keeper.Keeper {
 	if k.c.once == nil {
-		k.c.once = newOnceManager(k.c, nil, nil, loader.Once{}, newOnceMetrics(prometheus.NewRegistry()), zap.NewNop())
+		k.c.once = newOnceManager(k.c, nil, nil, new(reserver.Memory), loader.Once{}, newOnceMetrics(prometheus.NewRegistry()), zap.NewNop())
 	}
 	return k.c.once.keeperOf(partition).keeper
 }
--- a/runner/host.go
+++ b/runner/host.go
@@ -91,6 +91,7 @@
 	}
 	h := &Host{settings: settings, log: log, registry: prometheus.NewRegistry(), memory: reserver.New(settings.Limits.MaxBuffered), drainRequested: make(chan struct{})}
 	registerMemory(h.memory, h.registry)
+	store.SetMemory(h.memory)
 	h.tunnels = newTunnels(settings, log, h.registry)
 	forward, closeForward := forwarder.New(h.tunnels, settings.Limits.SilenceTimeout.Std())
 	defer closeForward()
@@ -165,7 +166,7 @@
 	})
 	h.server = server.New(s.Limits, h.memory, h.follower, h.control, forward, h.log, server.NewMetrics(registry))
 	h.server.SetLimiter(limitAdapter{&h.control.limits.gates})
-	h.control.once = newOnceManager(h.control, store, forward, s.Limits.Once, newOnceMetrics(registry), h.log)
+	h.control.once = newOnceManager(h.control, store, forward, h.memory, s.Limits.Once, newOnceMetrics(registry), h.log)
 	h.control.once.era = h.era.current
 	h.server.SetOnce(h.control)
 	if s.Dialect != loader.DialectPlatform {
--- a/runner/once.go
+++ b/runner/once.go
@@ -11,6 +11,7 @@
 	"github.com/cicadawood/cicadawood/keeper"
 	"github.com/cicadawood/cicadawood/loader"
 	"github.com/cicadawood/cicadawood/messenger"
+	"github.com/cicadawood/cicadawood/reserver"
 	"github.com/cicadawood/cicadawood/server"
 	"github.com/cicadawood/cicadawood/storer"
 )
@@ -26,6 +27,7 @@
 	control *control
 	store   storer.Store
 	forward caller
+	memory  *reserver.Memory // for answers
 	limits  loader.Once
 	metrics *onceMetrics
 	log     *zap.Logger
@@ -73,9 +75,9 @@
 	grantedAt time.Time
 }
 
-func newOnceManager(c *control, s storer.Store, f caller, l loader.Once, m *onceMetrics, log *zap.Logger) *onceManager {
+func newOnceManager(c *control, s storer.Store, f caller, memory *reserver.Memory, l loader.Once, m *onceMetrics, log *zap.Logger) *onceManager {
 	return &onceManager{
-		control: c, store: s, forward: f, limits: l, metrics: m, log: log,
+		control: c, store: s, forward: f, memory: memory, limits: l, metrics: m, log: log,
 		keepers: map[int]*partitionKeeper{}, ownedSince: map[int]time.Time{}, calls: map[string]*onceCall{},
 		era: func() uint64 { return 0 },
 	}
--- a/runner/once_place.go
+++ b/runner/once_place.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -16,6 +15,7 @@
 	"github.com/cicadawood/cicadawood/keeper"
 	"github.com/cicadawood/cicadawood/messenger"
 	"github.com/cicadawood/cicadawood/quarantiner"
+	"github.com/cicadawood/cicadawood/reserver"
 	"github.com/cicadawood/cicadawood/server"
 )
 
@@ -164,12 +164,14 @@
 		return keeper.CallUnknown, nil, err
 	}
 	defer answer.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(answer.Body, k.limits.MaxAnswer+1))
-	if err != nil || !answer.Framed || !isComplete(answer.Header, body) {
-		return keeper.CallUnknown, nil, err
-	}
-	if int64(len(body)) > k.limits.MaxAnswer {
+	reserved := k.memory.Reserve(reserver.Answer)
+	defer reserved.Release()
+	body, err := reserved.ReadAll(answer.Body, answer.Length, k.limits.MaxAnswer)
+	switch {
+	case errors.Is(err, reserver.ErrTooLarge) && answer.Framed:
 		return keeper.CallRan, answerTooLarge(k.limits.MaxAnswer), nil
+	case err != nil || !answer.Framed || !isComplete(answer.Header, body):
+		return keeper.CallUnknown, nil, err
 	}
 	return keeper.CallRan, &keeper.Answer{Status: answer.Status, Header: answer.Header, Body: body}, nil
 }
