Own interface: events that are still arriving count for the memory, and a stream has an end

The class of host routes' streams, on the other path: an event of up to 1 MiB was kept twice for each stream, uncounted, and only its caller's time bounded a stream of whole events.

--- a/forwarder/events.go
+++ b/forwarder/events.go
@@ -9,6 +9,8 @@
 	"io"
 	"strings"
 	"sync"
+
+	"github.com/cicadawood/cicadawood/reserver"
 )
 
 const (
@@ -41,17 +43,23 @@
 type Events struct {
 	answer   *Answer
 	r        *bufio.Reader
+	reserved *reserver.Reservation // for raw and data
 	raw      []byte
 	data     []byte
 	id       string // of the previous events
 	template eventTemplate
 }
 
-// Events returns a reader of the answer's events and its clean-up function.
-func (a *Answer) Events() (*Events, func()) {
+// eventCopies is how often an event is kept: as received, and its data.
+const eventCopies = 2
+
+// Events returns a reader of the answer's events and its clean-up function. The reader takes the memory
+// for an event from a reservation, which may be nil.
+func (a *Answer) Events(reserved *reserver.Reservation) (*Events, func()) {
 	r := readers.Get().(*bufio.Reader)
 	r.Reset(a.Body)
-	return &Events{answer: a, r: r}, func() {
+	return &Events{answer: a, r: r, reserved: reserved}, func() {
+		reserved.Release()
 		r.Reset(nil)
 		readers.Put(r)
 	}
@@ -86,16 +94,31 @@
 func (e *Events) readLine() error {
 	for {
 		part, err := e.r.ReadSlice('\n')
-		e.raw = append(e.raw, part...)
-		if len(e.raw) > maxEventBytes {
+		if len(e.raw)+len(part) > maxEventBytes {
 			return fmt.Errorf("%w: over %d bytes", ErrEvent, maxEventBytes)
 		}
+		if err := e.append(part); err != nil {
+			return err
+		}
 		if !errors.Is(err, bufio.ErrBufferFull) {
 			return err
 		}
 	}
 }
 
+// append appends to raw, and reserves what its buffer and that of data grow by.
+func (e *Events) append(part []byte) error {
+	if needed := len(e.raw) + len(part); needed > cap(e.raw) {
+		size := max(needed, 2*cap(e.raw))
+		if err := e.reserved.Grow(int64(eventCopies * (size - cap(e.raw)))); err != nil {
+			return fmt.Errorf("%w: %w", ErrUnknown, err)
+		}
+		e.raw = append(make([]byte, 0, size), e.raw...)
+	}
+	e.raw = append(e.raw, part...)
+	return nil
+}
+
 // finish returns the event at the end of the body. Only the end marker may lack its
 // blank line.
 func (e *Events) finish(err error) (Event, error) {
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -31,7 +31,7 @@
 		return nil, err
 	}
 	defer a.Body.Close()
-	events, done := a.Events()
+	events, done := a.Events(nil)
 	defer done()
 	var out []forwarder.Event
 	for {
--- a/server/request.go
+++ b/server/request.go
@@ -37,6 +37,7 @@
 	once            bool
 	stream          bool
 	usage           bool // the stream ends with a usage event
+	choices         int  // answers to the request in one stream
 	resumable       bool // the rest of a broken stream can be requested
 	maxExcluded     int  // maximum number of workers that tries may exclude
 	body            []byte
@@ -169,6 +170,7 @@
 	q.engine, q.body, q.stream, q.usage = true, body, c.Stream, c.Options.Usage
 	q.promptTokens = 1 + len(text)/bytesPerToken
 	q.maxOutput = max(c.MaxTokens, c.MaxComplete)
+	q.choices = max(c.Choices, 1)
 	q.prefixHash = xxhash.Sum64String(q.organisation + "\x00" + string(text[:min(len(text), prefixBytes)]))
 	t, ok := x.models[c.Model]
 	if !ok {
--- a/server/stream.go
+++ b/server/stream.go
@@ -4,9 +4,11 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"strconv"
 
 	"github.com/cicadawood/cicadawood/forwarder"
+	"github.com/cicadawood/cicadawood/reserver"
 )
 
 // firstReportTokens is the number of tokens after which a stream's progress is first
@@ -16,6 +18,21 @@
 
 var doneEvent = []byte("data: [DONE]\n\n")
 
+const (
+	// maxEventsPerToken and spareEvents are the events that a stream may have: some have no token, such
+	// as those that keep a connection open.
+	maxEventsPerToken = 2
+	spareEvents       = 256
+)
+
+// maxEvents returns the number of events that an answer to the request may have.
+func (q *request) maxEvents() int {
+	if q.maxOutput <= 0 {
+		return math.MaxInt
+	}
+	return maxEventsPerToken*q.maxOutput*q.choices + spareEvents
+}
+
 // passStream passes a completion on event by event. It returns nil only if the caller
 // has the whole answer: an event stream has no length, so a truncated one differs from a
 // whole one only by its missing end marker.
@@ -29,14 +46,18 @@
 	if s := t.answer.Header.Get(forwarder.HeaderSoftware); d.headSent && s != d.software {
 		return fmt.Errorf("%w: it runs %q, not %q", errNotResumed, s, d.software)
 	}
-	events, clean := t.answer.Events()
+	events, clean := t.answer.Events(t.server.memory.Reserve(reserver.Event))
 	defer clean()
 	resumed := d.headSent
+	left := t.q.maxEvents()
 	for {
 		v, err := events.Next()
 		if err != nil {
 			return t.finishCutStream(err)
 		}
+		if left--; left < 0 {
+			return errTooManyEvents
+		}
 		if v.Failed {
 			return errEngineFailed
 		}
