Router: an answer that does not fit is its worker's failure only if it is large

A usual answer (under 1 MiB) that gets no memory shows that this host is short of it: its send counts as cancelled, and its worker is not avoided for it. No spec of its own yet.

--- a/router/outcome.go
+++ b/router/outcome.go
@@ -16,7 +16,7 @@
 		return placer.Answered
 	case err == nil:
 		return placer.Unproven
-	case t.pathFailed(p, err), errors.Is(err, errOtherStart):
+	case t.pathFailed(p, err), errors.Is(err, errOtherStart), errors.Is(err, errHostFull):
 		return placer.Canceled
 	case caller.Err() != nil, errors.Is(err, errCallerWrite):
 		return placer.Canceled
--- a/router/transaction.go
+++ b/router/transaction.go
@@ -28,6 +28,7 @@
 	errWorkerFailed   = errors.New("the worker answered with an error")
 	errTruncatedEvent = errors.New("the stream ended inside an event")
 	errOtherStart     = errors.New("the worker may have started again at another version")
+	errHostFull       = errors.New("this host has no memory for a usual answer")
 	errSilent         = errors.New("the worker did not begin its answer in time")
 )
 
@@ -361,6 +362,9 @@
 	return connector.Call{Request: t.q.ID, Method: http.MethodGet, Target: target, Host: p.Worker.Address, Header: header}
 }
 
+// usualAnswerBytes is the size from which on an answer that does not fit is its worker's failure.
+const usualAnswerBytes = 1 << 20
+
 // passWhole reads an answer to its end before passing any of it on, so that the caller
 // never receives a truncated answer as if it were complete.
 func (t *transaction) passWhole(p Placement, a *connector.Answer, v AnswerHead) error {
@@ -376,6 +380,9 @@
 		return t.recordFailure(fmt.Errorf("%w: %d bytes", reserver.ErrTooLarge, a.Length))
 	}
 	if err := body.ReadAll(a, t.router.MaxAnswer); err != nil {
+		if errors.Is(err, reserver.ErrFull) && body.Len() < usualAnswerBytes {
+			err = fmt.Errorf("%w: %w", errHostFull, err)
+		}
 		return t.recordFailure(err)
 	}
 	if err := a.ConfirmEnd(t.probe(p)); err != nil {
