Server: heads of callers count for the memory, by their lines too

A caller's head has limits/header bytes at most, but ten times that once parsed, and there are as many at once as a host has connections: what bodies are refused for, heads could take. Now a connection reserves what arrives until its request is served, and gives it back after the answer; without memory it is closed unread, which callers may send again. server/meter_test.go: red without it, green with it (with the race detector too).

--- a/connector/head.go
+++ b/connector/head.go
@@ -1,7 +1,6 @@
 package connector
 
 import (
-	"bytes"
 	"errors"
 	"io"
 	"math"
@@ -14,8 +13,6 @@
 	DefaultMaxHead = 64 << 10
 	// maxInformational is the maximum number of informational answers before the answer.
 	maxInformational = 8
-	// headLineBytes is the memory that a parsed line takes beside its bytes.
-	headLineBytes = 128
 )
 
 // Errors of an answer that a server may not send.
@@ -54,8 +51,7 @@
 		return n, err
 	}
 	l.left -= int64(n)
-	lines := bytes.Count(b[:n], []byte{'\n'})
-	if full := l.reserved.Grow(int64(n + lines*headLineBytes)); full != nil {
+	if full := l.reserved.Grow(reserver.HeadBytes(b[:n])); full != nil {
 		return 0, full
 	}
 	return n, err
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -22,16 +22,17 @@
 
 // The uses.
 const (
-	Body   Use = iota // of a caller's request, which has not run
-	Answer            // of a backend server, kept until it is whole
-	Event             // of a stream, kept until it is whole
-	Head              // of an answer
-	Object            // of the store
-	Frame             // of another host
+	Request Use = iota // head of a caller's request
+	Body               // of a caller's request, which has not run
+	Answer             // of a backend server, kept until it is whole
+	Event              // of a stream, kept until it is whole
+	Head               // of an answer
+	Object             // of the store
+	Frame              // of another host
 	uses
 )
 
-var useNames = [uses]string{"body", "answer", "event", "head", "object", "frame"}
+var useNames = [uses]string{"request", "body", "answer", "event", "head", "object", "frame"}
 
 // Uses returns all uses.
 func Uses() iter.Seq[Use] {
@@ -56,12 +57,13 @@
 // Requests that have not run are refused first: their callers may come again. What a host needs to
 // act with the others goes last.
 var quotas = [uses]quota{
-	Body:   {part: 0.7, share: 1},
-	Answer: {part: 0.9, share: 1. / 8},
-	Event:  {part: 0.9, share: 1. / 32},
-	Head:   {part: 0.9, share: 1. / 32},
-	Object: {part: 1, share: 1. / 2},
-	Frame:  {part: 1, share: 1. / 4},
+	Request: {part: 0.8, share: 1. / 32},
+	Body:    {part: 0.7, share: 1},
+	Answer:  {part: 0.9, share: 1. / 8},
+	Event:   {part: 0.9, share: 1. / 32},
+	Head:    {part: 0.9, share: 1. / 32},
+	Object:  {part: 1, share: 1. / 2},
+	Frame:   {part: 1, share: 1. / 4},
 }
 
 // Memory is the memory that others may make a process take. The zero value has no limit. It is safe
--- a/server/server.go
+++ b/server/server.go
@@ -56,7 +56,7 @@
 // New returns a server that does not listen yet.
 func New(l loader.Limits, memory *reserver.Memory, c Configuration, a Allocator, f *forwarder.Forwarder, log *zap.Logger, m *Metrics) *Server {
 	s := &Server{limits: l, config: c, allocator: a, forwarder: f, log: log, metrics: m, memory: memory, connections: admitter.Connections{Limit: int64(l.MaxCalls)}}
-	s.http = &http.Server{Handler: s.closeWhileDraining(s.handler()), ReadHeaderTimeout: l.ReadTimeout.Std(), ReadTimeout: l.ReadTimeout.Std(), MaxHeaderBytes: l.MaxHeader, IdleTimeout: time.Minute, ConnState: s.limitConnections}
+	s.http = &http.Server{Handler: metered(s.closeWhileDraining(s.handler())), ConnContext: withConn, ReadHeaderTimeout: l.ReadTimeout.Std(), ReadTimeout: l.ReadTimeout.Std(), MaxHeaderBytes: l.MaxHeader, IdleTimeout: time.Minute, ConnState: s.limitConnections}
 	return s
 }
 
@@ -95,7 +95,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	go s.probeLag(ctx)
-	if err := s.http.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+	if err := s.http.Serve(meteredListener{Listener: l, memory: s.memory}); !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("serve callers: %w", err)
 	}
 	return nil
