Soak: workers whose answers have no end, hosts within half of their memory

Also: a HEAD's stated length is no reason to refuse its answer (by reading; it came with the account).

--- a/faker/worker.go
+++ b/faker/worker.go
@@ -67,6 +67,7 @@
 	ExtraAnswer     bool          // sends a second answer, of another request, after each
 	Unframed        bool          // answers with neither a length nor chunks
 	ResetBody       bool          // with Unframed, resets the connection within a body
+	Endless         Endless       // part of its answers that has no end
 	EndAfterEvent   int           // with Unframed, ends as a killed process does after the event with this number; 0 is never
 }
 
@@ -283,6 +284,8 @@
 // next request.
 func (k *Worker) answer(w http.ResponseWriter, r *http.Request, f WorkerFaults, leave func()) {
 	switch {
+	case f.Endless != "":
+		k.answerEndless(w, r, f.Endless)
 	case f.AnswerError:
 		w.WriteHeader(http.StatusInternalServerError)
 	case f.Unframed:
--- a/router/transaction.go
+++ b/router/transaction.go
@@ -376,7 +376,7 @@
 			body.Release()
 		}
 	}()
-	if a.Length > t.router.MaxAnswer {
+	if a.Length > t.router.MaxAnswer && t.q.method != http.MethodHead {
 		return t.recordFailure(fmt.Errorf("%w: %d bytes", reserver.ErrTooLarge, a.Length))
 	}
 	if err := body.ReadAll(a, t.router.MaxAnswer); err != nil {
--- a/soaker/cluster_test.go
+++ b/soaker/cluster_test.go
@@ -31,7 +31,7 @@
 
 // cluster is the store, the workers and the hosts of one run, with what was recorded.
 type cluster struct {
-	seed      uint64
+	clusterConfig
 	random    *rand.Rand
 	store     *faker.Platform
 	startedAt time.Time // when all hosts were ready
@@ -39,7 +39,6 @@
 	mu              sync.Mutex
 	workers         []*worker // also those that stopped
 	configVersion   int
-	repeatSlack     float64              // of the hosts' retry budget
 	keys            []string             // valid API keys, the newest last
 	revoked         map[string]time.Time // when each key was revoked
 	exchanges       []exchange
@@ -85,7 +84,18 @@
 
 // newClusterWithSlack is newCluster with a slack of the retry budget.
 func newClusterWithSlack(seed uint64, slack float64) *cluster {
-	c := &cluster{seed: seed, random: rand.New(rand.NewPCG(seed, 2)), store: faker.NewPlatform(), keys: []string{"key-0"}, repeatSlack: slack, revoked: map[string]time.Time{}}
+	return newClusterOf(clusterConfig{seed: seed, repeatSlack: slack})
+}
+
+// clusterConfig has what differs between runs.
+type clusterConfig struct {
+	seed        uint64
+	repeatSlack float64 // of the hosts' retry budget
+	memoryMB    int     // of each host, in MiB; 0 has no limit
+}
+
+func newClusterOf(config clusterConfig) *cluster {
+	c := &cluster{clusterConfig: config, random: rand.New(rand.NewPCG(config.seed, 2)), store: faker.NewPlatform(), keys: []string{"key-0"}, revoked: map[string]time.Time{}}
 	for range *hostCount {
 		c.hostModes = append(c.hostModes, faker.Pass)
 	}
@@ -206,7 +216,7 @@
 		"name": h.name, "zone": fmt.Sprintf("z-%d", i%2), "region": "r", "dialect": "platform", "platform": "http://" + link.Address(),
 		"listen": c.address(i, 1), "control": c.address(i, 2), "admin": c.address(i, 3), "ready": c.address(i, 4), "peers": peers, "translate": c.translations(i),
 		"repeat": map[string]any{"ratio": 0.2, "slack": c.repeatSlack, "window": "10s"},
-		"limits": map[string]any{"settle": "100ms", "grace": "6s", "lease": "10m"},
+		"limits": map[string]any{"settle": "100ms", "grace": "6s", "lease": "10m", "memory": c.memoryMB},
 	})
 	Expect(err).NotTo(HaveOccurred())
 	folder := *logFolder
