--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -134,14 +134,6 @@
 	return nil
 }
 
-// Bytes returns what is reserved.
-func (r *Reservation) Bytes() int64 {
-	if r == nil {
-		return 0
-	}
-	return r.bytes
-}
-
 // Release gives back all that was taken.
 func (r *Reservation) Release() {
 	if r == nil {
--- a/reserver/reserver_test.go
+++ b/reserver/reserver_test.go
@@ -27,11 +27,10 @@
 
 func (endless) Read(b []byte) (int, error) { return len(b), nil }
 
-// grow grows a reservation as far as it may, and returns its bytes.
-func grow(r *reserver.Reservation) int64 {
+// grow grows a reservation as far as it may.
+func grow(r *reserver.Reservation) {
 	for r.Grow(step) == nil {
 	}
-	return r.Bytes()
 }
 
 var _ = Describe("The memory that others make a process keep", func() {
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -578,14 +578,14 @@
 	// If its original expected length were assumed, it would be refused there for lack of
 	// time, and the caller would have only part of the answer.
 	It("passes the expected output to the placer, except for resumed streams", func() {
-		broken := true
+		var broken atomic.Bool
+		broken.Store(true)
 		events := func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set("Content-Type", "text/event-stream")
 			w.Header().Set("Seal", "1")
 			_, _ = io.WriteString(w, "id: 1\ndata: a\n\n")
 			w.(http.Flusher).Flush()
-			if broken {
-				broken = false
+			if broken.Swap(false) {
 				panic(http.ErrAbortHandler)
 			}
 		}
