Server: the end of a caller's connection is passed on through the meter; a closed one reserves nothing

By reading the diff: net/http ends a connection whose request was not read to its end with CloseWrite, which the wrapper of the heads' account hid: callers of a body that is too large saw the end 500 ms later. Spec in server/meter_test.go, red without it. A read that ended as the connection was closed could reserve for good; no spec shows it. The probe's service is the router's own (the placement's was the same, by reading).

--- a/router/transaction.go
+++ b/router/transaction.go
@@ -357,7 +357,7 @@
 
 // probe returns a call by which a worker shows that it goes on.
 func (t *transaction) probe(p Placement) connector.Call {
-	service := t.q.index.folder.Services[p.Service]
+	service := t.q.index.folder.Services[t.q.service]
 	target, header := t.router.Dialect.Probe(p.Worker.Name, service)
 	return connector.Call{Request: t.q.ID, Method: http.MethodGet, Target: target, Host: p.Worker.Address, Header: header}
 }
--- a/server/meter.go
+++ b/server/meter.go
@@ -33,6 +33,7 @@
 	mu       sync.Mutex
 	reserved *reserver.Reservation
 	serving  bool // a request was handed over, and accounts for its own body
+	closed   bool
 }
 
 // Read implements net.Conn. A connection whose head gets no memory ends unread: its caller may send
@@ -41,7 +42,7 @@
 	n, err := c.Conn.Read(b)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.serving || n == 0 {
+	if c.serving || c.closed {
 		return n, err
 	}
 	if full := c.reserved.Grow(reserver.HeadBytes(b[:n])); full != nil {
@@ -62,10 +63,22 @@
 
 // Close implements net.Conn.
 func (c *meteredConn) Close() error {
-	c.setServing(false)
+	c.mu.Lock()
+	c.closed = true
+	c.reserved.Release()
+	c.mu.Unlock()
 	return c.Conn.Close()
 }
 
+// CloseWrite lets net/http end a connection so that its caller can still read the answer to a request
+// that was not read to its end.
+func (c *meteredConn) CloseWrite() error {
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return nil
+}
+
 type connKey struct{}
 
 // withConn is the http.Server's ConnContext.
--- a/server/meter_test.go
+++ b/server/meter_test.go
@@ -1,12 +1,14 @@
 package server_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -44,3 +46,25 @@
 	s.client.CloseIdleConnections()
 	Eventually(func() int64 { taken, _ := s.memory.Taken(); return taken }, "5s").Should(BeZero())
 })
+
+// Guards against callers that wait for the end of a connection that the host has ended.
+var _ = It("A caller whose body is too large reads the answer that says so, and the end of its connection at once", func() {
+	s := startFixture(options{limits: func(l *loader.Limits) { l.MaxBody = 64 << 10 }})
+	for range 3 {
+		c, err := net.Dial("tcp", strings.TrimPrefix(s.url, "http://"))
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(func() { _ = c.Close() })
+		head := "POST /services/desk/log HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer " + key + "\r\nTransfer-Encoding: chunked\r\n\r\n"
+		_, _ = io.WriteString(c, head+fmt.Sprintf("%x\r\n", 1<<30)+strings.Repeat("x", 600<<10))
+		time.Sleep(20 * time.Millisecond)
+		r := bufio.NewReader(c)
+		resp, err := http.ReadResponse(r, nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.StatusCode).To(Equal(http.StatusRequestEntityTooLarge))
+		Expect(io.Copy(io.Discard, resp.Body)).To(BeNumerically(">", 0))
+		_ = resp.Body.Close()
+		Expect(c.SetReadDeadline(time.Now().Add(300 * time.Millisecond))).To(Succeed()) // net/http closes after 500 ms
+		_, err = r.ReadByte()
+		Expect(err).To(MatchError(io.EOF))
+	}
+})
