Router: the route of a request is found by its path as it was sent

A path with an encoded slash and a character that should have been encoded was matched in its decoded form (url.EscapedPath encodes the path anew then): /a%2F{x took the route /a/, though its bytes don't begin so (a suspicion of the review). Now the bytes of the request line decide, in both its forms.

--- a/router/router.go
+++ b/router/router.go
@@ -6,6 +6,7 @@
 	"math"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -201,7 +202,7 @@
 		return &failure{status: http.StatusRequestHeaderFieldsTooLarge, code: codeHeaderTooLarge, closeConnection: true}
 	}
 	var ok bool
-	if q.target, ok = q.index.route(req.Host, req.URL.EscapedPath()); !ok {
+	if q.target, ok = q.index.route(req.Host, sentPath(req)); !ok {
 		return &failure{status: http.StatusNotFound, code: codeRouteNotFound}
 	}
 	if f := r.identify(q, req.Header); f != nil {
@@ -224,6 +225,20 @@
 	return nil
 }
 
+// sentPath returns the path of a request as its bytes have it, which is what a worker gets. Where
+// these don't follow the rules of encoding, net/url's EscapedPath is another path.
+func sentPath(req *http.Request) string {
+	path, _, _ := strings.Cut(req.RequestURI, "?")
+	_, authority, ok := strings.Cut(path, "://")
+	if !ok || strings.HasPrefix(path, "/") {
+		return path
+	}
+	if slash := strings.IndexByte(authority, '/'); slash >= 0 {
+		return authority[slash:]
+	}
+	return "/"
+}
+
 // identify finds the organisation of a request by its API key.
 func (r *Router) identify(q *request, h http.Header) *failure {
 	q.tier = q.Tier
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -368,6 +368,29 @@
 		Entry("of a request that allows no number it is whole", "0", 20000, true),
 	)
 
+	// Guards against a request that takes a route which its bytes don't lead to.
+	DescribeTable("matches the path of a request as it was sent",
+		func(target string, expected int) {
+			worker("w", status(http.StatusOK, "Seal"))
+			c, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(func() { _ = c.Close() })
+			_, err = io.WriteString(c, "GET "+target+" HTTP/1.1\r\nHost: h.example\r\nId: 1\r\nKey: s\r\n\r\n")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(c.SetReadDeadline(time.Now().Add(2 * time.Second))).To(Succeed())
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			Expect(err).NotTo(HaveOccurred())
+			_ = resp.Body.Close()
+			Expect(resp.StatusCode).To(Equal(expected))
+		},
+		Entry("with an encoded slash", "/a%2Fx", http.StatusNotFound),
+		Entry("with an encoded slash and a raw brace", "/a%2F{x", http.StatusNotFound),
+		Entry("with a raw brace", "/a/{x", http.StatusOK),
+		Entry("with a query", "/a/x?b=/a%2F", http.StatusOK),
+		Entry("with a query and no path of a route", "/?/a/x", http.StatusNotFound),
+		Entry("in its absolute form", "http://h.example/a/x", http.StatusOK),
+	)
+
 	// Guards against losing what an answer states of its worker because the answer itself is
 	// of no use to the caller.
 	DescribeTable("reports a worker that states that it is leaving", func(path string, h http.HandlerFunc) {
