Router: a body may take as long as its request has time, and is then answered 408

Now the request's own time counts, by its route and its deadline; then 408, which says that it was not run.

--- a/router/failure.go
+++ b/router/failure.go
@@ -21,6 +21,7 @@
 	codeInvalidKey        = "invalid_api_key"
 	codeHeaderTooLarge    = "header_too_large"
 	codeBodyTooLarge      = "body_too_large"
+	codeBodyTimeout       = "body_timeout"
 	codeBodyUnreadable    = "body_unreadable"
 	codeHostFull          = "host_full"
 	codeCallerGone        = "caller_gone"
--- a/router/router.go
+++ b/router/router.go
@@ -6,6 +6,7 @@
 	"math"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -288,6 +289,9 @@
 	if req.ContentLength > limit {
 		return &failure{status: http.StatusRequestEntityTooLarge, code: codeBodyTooLarge, closeConnection: true}
 	}
+	if req.Body != http.NoBody {
+		r.allowBody(q, w)
+	}
 	q.reserved = r.Memory.Reserve(reserver.Body)
 	body, err := q.reserved.ReadAll(http.MaxBytesReader(w, req.Body, limit), req.ContentLength, limit)
 	var large *http.MaxBytesError
@@ -296,6 +300,8 @@
 		return &failure{status: http.StatusServiceUnavailable, code: codeHostFull, retryAfter: defaultRetryAfter, closeConnection: true}
 	case errors.As(err, &large):
 		return &failure{status: http.StatusRequestEntityTooLarge, code: codeBodyTooLarge, closeConnection: true}
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return &failure{status: http.StatusRequestTimeout, code: codeBodyTimeout, closeConnection: true}
 	case err != nil && req.Context().Err() != nil:
 		return &failure{status: statusGone, code: codeCallerGone}
 	case err != nil:
@@ -305,6 +311,15 @@
 	return nil
 }
 
+// allowBody lets the body of a request take the time that the request has, in place of the time that
+// the host's settings allow for its head.
+func (r *Router) allowBody(q *request, w http.ResponseWriter) {
+	deadline := time.Now().Add(q.timeLeft(time.Now()))
+	if err := http.NewResponseController(w).SetReadDeadline(deadline); err != nil {
+		r.Log.Warn("body", zap.String("request", q.ID), zap.String("state", "no deadline"), zap.Error(err))
+	}
+}
+
 // placementRequest returns the request as seen by the placer.
 func (r *Router) placementRequest(q *request) placer.Request {
 	a := placer.Request{
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -205,7 +205,9 @@
 			Dialect: plainDialect{}, Configuration: fixedConfiguration{folder()}, Placer: fakePlacer, Pool: pool, Log: zap.NewNop(),
 			Metrics: router.NewMetrics(registry), MaxAnswer: 1 << 20, WriteTimeout: time.Second, Memory: m,
 		})
-		s := httptest.NewServer(r)
+		s := httptest.NewUnstartedServer(r)
+		s.Config.ReadTimeout = 300 * time.Millisecond
+		s.Start()
 		DeferCleanup(s.Close)
 		url = s.URL
 	}
@@ -391,6 +393,32 @@
 		Entry("in its absolute form", "http://h.example/a/x", http.StatusOK),
 	)
 
+	// Guards against a proper request that is answered 400 because its body takes longer than the host's
+	// time-out for heads.
+	It("reads a body for as long as the request has time, and then answers that it was not run", func() {
+		worker("w", status(http.StatusOK, "Seal"))
+		send := func(pieces int) int {
+			c, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(func() { _ = c.Close() })
+			_, err = io.WriteString(c, "POST /a/x HTTP/1.1\r\nHost: h.example\r\nId: 1\r\nKey: s\r\nContent-Length: 8\r\n\r\n")
+			Expect(err).NotTo(HaveOccurred())
+			for range pieces {
+				time.Sleep(100 * time.Millisecond)
+				_, err = io.WriteString(c, "b")
+				Expect(err).NotTo(HaveOccurred())
+			}
+			Expect(c.SetReadDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			Expect(err).NotTo(HaveOccurred())
+			_ = resp.Body.Close()
+			return resp.StatusCode
+		}
+		Expect(send(8)).To(Equal(http.StatusOK))
+		Expect(send(2)).To(Equal(http.StatusRequestTimeout))
+		Expect(seen).To(HaveLen(1))
+	})
+
 	// Guards against losing what an answer states of its worker because the answer itself is
 	// of no use to the caller.
 	DescribeTable("reports a worker that states that it is leaving", func(path string, h http.HandlerFunc) {
