Router: a spec that names transaction.mayPass

The spec has a worker that may have started again answer first: no event of it is passed on, the next worker goes on.

--- a/router/router_test.go
+++ b/router/router_test.go
@@ -26,6 +26,7 @@
 	"github.com/cicadawood/cicadawood/placer"
 	"github.com/cicadawood/cicadawood/prover"
 	"github.com/cicadawood/cicadawood/reserver"
+	"github.com/cicadawood/cicadawood/resumer"
 	"github.com/cicadawood/cicadawood/router"
 )
 
@@ -137,6 +138,19 @@
 	return append([]placer.Outcome(nil), p.outcomes...)
 }
 
+// restartedOrigins knows which worker began a stream. The worker that answers first is another start
+// of its name.
+type restartedOrigins struct{ asked atomic.Int64 }
+
+func (*restartedOrigins) Resolve(context.Context, resumer.TakenUp) (resumer.Answer, error) {
+	return resumer.Answer{Result: resumer.Known, Worker: resumer.Worker{Service: "x", Name: "w", Version: "v1"}}, nil
+}
+func (*restartedOrigins) Began([]resumer.Key, resumer.Worker, time.Time) {}
+func (o *restartedOrigins) Certain(context.Context, resumer.Worker, time.Time) bool {
+	return o.asked.Add(1) > 1
+}
+func (*restartedOrigins) Finished([]resumer.Key) {}
+
 // fixedConfiguration is a configuration that does not change.
 type fixedConfiguration struct{ folder *loader.Folder }
 
@@ -177,6 +191,7 @@
 		seen       chan *http.Request
 		registry   *prometheus.Registry
 		memory     *reserver.Memory
+		origins    router.Origins
 	)
 	worker := func(name string, h http.HandlerFunc) {
 		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -203,7 +218,7 @@
 		memory = m
 		r := router.New(router.Config{
 			Dialect: plainDialect{}, Configuration: fixedConfiguration{folder()}, Placer: fakePlacer, Pool: pool, Log: zap.NewNop(),
-			Metrics: router.NewMetrics(registry), MaxAnswer: 1 << 20, WriteTimeout: time.Second, Memory: m,
+			Metrics: router.NewMetrics(registry), MaxAnswer: 1 << 20, WriteTimeout: time.Second, Memory: m, Origins: origins,
 		})
 		s := httptest.NewUnstartedServer(r)
 		s.Config.ReadTimeout = 300 * time.Millisecond
@@ -212,6 +227,7 @@
 		url = s.URL
 	}
 	BeforeEach(func() {
+		origins = nil
 		fakePlacer, seen, registry = &listPlacer{budget: 100}, make(chan *http.Request, 2000), prometheus.NewRegistry()
 		serve(reserver.New(64 << 20))
 	})
@@ -419,6 +435,32 @@
 		Expect(seen).To(HaveLen(1))
 	})
 
+	// Guards against a stream that goes on with events of another software version, because its worker has
+	// started again between being chosen and being connected to.
+	It("passes no event of a worker that may have started again since the stream began", func() {
+		origins = &restartedOrigins{}
+		registry = prometheus.NewRegistry()
+		serve(reserver.New(64 << 20))
+		events := func(text string) http.HandlerFunc {
+			return func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Content-Type", "text/event-stream")
+				w.Header().Set("Seal", "1")
+				_, _ = io.WriteString(w, "id: 2\ndata: "+text+"\n\n")
+			}
+		}
+		worker("w", events("other"))
+		worker("w-2", events("same"))
+		req, err := http.NewRequestWithContext(bg, http.MethodGet, url+"/flow/x", nil)
+		Expect(err).NotTo(HaveOccurred())
+		req.Host = "h.example"
+		req.Header = http.Header{"Id": {"1"}, "Key": {"s"}, "After": {"1"}}
+		resp, err := http.DefaultClient.Do(req)
+		Expect(err).NotTo(HaveOccurred())
+		defer resp.Body.Close()
+		Expect(io.ReadAll(resp.Body)).To(BeEquivalentTo("id: 2\ndata: same\n\n"))
+		Expect(fakePlacer.ended()).To(Equal([]placer.Outcome{placer.Canceled, placer.Answered}))
+	})
+
 	// Guards against losing what an answer states of its worker because the answer itself is
 	// of no use to the caller.
 	DescribeTable("reports a worker that states that it is leaving", func(path string, h http.HandlerFunc) {
