--- a/runner/quarantine_store.go
+++ b/persister/quarantine.go
@@ -1,4 +1,6 @@
-package runner
+// Package persister keeps in the platform's store what must outlast all hosts. What is due is decided
+// without I/O, by the goroutine that owns the state; calls run one at a time on a goroutine of their own.
+package persister
 
 import (
 	"context"
@@ -13,9 +15,9 @@
 )
 
 const (
-	// quarantinePrefix is the prefix of the quarantine's objects in the platform's store, one
+	// prefix is the prefix of the quarantine's objects in the platform's store, one
 	// for each entry.
-	quarantinePrefix = "quarantine/"
+	prefix = "quarantine/"
 	// minOwnership is how long a host must own the role before it calls the store: a host that
 	// starts knows only itself at first, and so owns every role.
 	minOwnership = time.Second
@@ -23,14 +25,12 @@
 	storeRetryDelay = time.Second
 )
 
-// quarantineStore keeps the quarantine in the platform's store, one call at a time.
+// Quarantine keeps quarantined requests in the platform's store, one call at a time.
 // Without it, after a power failure of all hosts, each quarantined request would crash
-// three more workers. Only the goroutine that owns the quarantineSync accesses it, except
-// for jobs.
-type quarantineStore struct {
+// three more workers. Only one goroutine may use it, except for Run.
+type Quarantine struct {
 	store      storer.Store
-	jobs       chan quarantineJob
-	report     func(quarantineStoreResult)
+	tasks      chan task
 	ownedSince time.Time // when this host became the owner of the role; zero if it is not
 	retryAt    time.Time // no call before
 	busy       bool
@@ -40,28 +40,38 @@
 	stored     []quarantiner.Fingerprint // fingerprints of the entries in the store
 }
 
-// quarantineJob is one call: an entry to write or one to remove; if neither is set, all
+// task is one call: an entry to write or one to remove; if neither is set, all
 // entries are read.
-type quarantineJob struct {
+type task struct {
 	write  *quarantiner.Entry
 	remove quarantiner.Fingerprint
 }
 
-// quarantineStoreResult is the result of a call.
-type quarantineStoreResult struct {
-	quarantineJob
-	call      string
+// Result is the result of a call.
+type Result struct {
+	task      task
+	call      string              // read, write or remove
 	entries   []quarantiner.Entry // entries read
 	malformed error               // errors of objects that can't be decoded; they are left out
 	err       error
 }
 
-func newQuarantineStore(s storer.Store) *quarantineStore {
-	return &quarantineStore{store: s, jobs: make(chan quarantineJob, 1)}
+// Call returns what was called: read, write or remove.
+func (r Result) Call() string { return r.call }
+
+// Err returns why the call failed, or nil.
+func (r Result) Err() error { return r.err }
+
+// Malformed returns the errors of objects that can't be decoded, or nil. They are left out.
+func (r Result) Malformed() error { return r.malformed }
+
+// NewQuarantine returns a Quarantine over a store.
+func NewQuarantine(s storer.Store) *Quarantine {
+	return &Quarantine{store: s, tasks: make(chan task, 1)}
 }
 
-// sweep starts the next call that is due, if the host owns the role.
-func (q *quarantineStore) sweep(now time.Time, owns bool, entries []quarantiner.Entry) {
+// Sweep starts the next call that is due, if the host owns the role.
+func (q *Quarantine) Sweep(now time.Time, owns bool, entries []quarantiner.Entry) {
 	switch {
 	case !owns:
 		q.ownedSince, q.loaded, q.adopted, q.stored = time.Time{}, false, false, nil
@@ -72,39 +82,39 @@
 	case q.busy, now.Sub(q.ownedSince) < minOwnership, now.Before(q.retryAt):
 		return
 	}
-	if job, due := q.nextJob(entries); due {
+	if job, due := q.nextTask(entries); due {
 		q.busy = true
-		q.jobs <- job
+		q.tasks <- job
 	}
 }
 
-// nextJob returns the next call that updates the store, or false if it is up to date.
-func (q *quarantineStore) nextJob(entries []quarantiner.Entry) (quarantineJob, bool) {
+// nextTask returns the next call that updates the store, or false if it is up to date.
+func (q *Quarantine) nextTask(entries []quarantiner.Entry) (task, bool) {
 	if !q.loaded {
-		return quarantineJob{}, true
+		return task{}, true
 	}
 	for i := range entries {
 		if !slices.Contains(q.stored, entries[i].Fingerprint) {
-			return quarantineJob{write: &entries[i]}, true
+			return task{write: &entries[i]}, true
 		}
 	}
 	for _, f := range q.stored {
 		if !slices.ContainsFunc(entries, func(h quarantiner.Entry) bool { return h.Fingerprint == f }) {
-			return quarantineJob{remove: f}, true
+			return task{remove: f}, true
 		}
 	}
-	return quarantineJob{}, false
+	return task{}, false
 }
 
-// storeRestored handles that the store was restored from an older snapshot: the entries
+// StoreRestored handles that the store was restored from an older snapshot: the entries
 // are read again. Entries written since that snapshot are then written again, and those
 // removed since are removed again.
-func (q *quarantineStore) storeRestored() {
+func (q *Quarantine) StoreRestored() {
 	q.loaded, q.stored, q.stale = false, nil, q.busy
 }
 
-// done handles the result of a call, and returns the entries to merge.
-func (q *quarantineStore) done(now time.Time, e quarantineStoreResult) []quarantiner.Entry {
+// Done handles the result of a call, and returns the entries to merge.
+func (q *Quarantine) Done(now time.Time, e Result) []quarantiner.Entry {
 	q.busy = false
 	if q.stale {
 		q.stale = false // the call may have reached the store before or after it was restored
@@ -113,10 +123,10 @@
 	switch {
 	case e.err != nil:
 		q.retryAt = now.Add(storeRetryDelay)
-	case e.write != nil:
-		q.stored = append(q.stored, e.write.Fingerprint)
-	case e.remove != 0:
-		q.stored = slices.DeleteFunc(q.stored, func(f quarantiner.Fingerprint) bool { return f == e.remove })
+	case e.task.write != nil:
+		q.stored = append(q.stored, e.task.write.Fingerprint)
+	case e.task.remove != 0:
+		q.stored = slices.DeleteFunc(q.stored, func(f quarantiner.Fingerprint) bool { return f == e.task.remove })
 	default:
 		q.loaded = true
 		for _, h := range e.entries {
@@ -130,14 +140,14 @@
 	return nil
 }
 
-// run makes the calls until ctx ends.
-func (q *quarantineStore) run(ctx context.Context) {
+// Run makes the calls until ctx ends, and reports their results, which belong to Done.
+func (q *Quarantine) Run(ctx context.Context, report func(Result)) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case job := <-q.jobs:
-			q.report(q.call(ctx, job))
+		case job := <-q.tasks:
+			report(q.call(ctx, job))
 		}
 	}
 }
@@ -150,19 +160,19 @@
 	Workers     []string                `json:"workers"`
 }
 
-func (q *quarantineStore) call(ctx context.Context, job quarantineJob) quarantineStoreResult {
-	done := quarantineStoreResult{quarantineJob: job}
+func (q *Quarantine) call(ctx context.Context, job task) Result {
+	done := Result{task: job}
 	switch {
 	case job.write != nil:
 		done.call = "write"
 		value, err := json.Marshal(storedEntry{job.write.Fingerprint, job.write.Duration, job.write.Workers})
 		if err == nil {
-			_, err = q.store.Put(ctx, quarantinePrefix+job.write.Fingerprint.String(), value, storer.Condition{})
+			_, err = q.store.Put(ctx, prefix+job.write.Fingerprint.String(), value, storer.Condition{})
 		}
 		done.err = err
 	case job.remove != 0:
 		done.call = "remove"
-		if err := q.store.Delete(ctx, quarantinePrefix+job.remove.String(), storer.Condition{}); !errors.Is(err, storer.ErrNotFound) {
+		if err := q.store.Delete(ctx, prefix+job.remove.String(), storer.Condition{}); !errors.Is(err, storer.ErrNotFound) {
 			done.err = err
 		}
 	default:
@@ -173,8 +183,8 @@
 }
 
 // list reads the entries in the store, and reports objects that can't be decoded.
-func (q *quarantineStore) list(ctx context.Context) (entries []quarantiner.Entry, malformed, err error) {
-	objects, _, err := q.store.List(ctx, quarantinePrefix)
+func (q *Quarantine) list(ctx context.Context) (entries []quarantiner.Entry, malformed, err error) {
+	objects, _, err := q.store.List(ctx, prefix)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -188,5 +198,3 @@
 	}
 	return entries, malformed, nil
 }
-
-func (quarantineStoreResult) event() {}
--- a/runner/quarantine_store_test.go
+++ b/persister/quarantine_test.go
@@ -1,35 +1,38 @@
-package runner_test
+package persister_test
 
 import (
+	"net/http/httptest"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/cicadawood/cicadawood/faker"
+	"github.com/cicadawood/cicadawood/persister"
 	"github.com/cicadawood/cicadawood/platform"
 	"github.com/cicadawood/cicadawood/quarantiner"
-	"github.com/cicadawood/cicadawood/runner"
 )
 
 var _ = Describe("The quarantine store", func() {
 	var (
 		fake *faker.Platform
-		q    runner.QuarantineStore
+		q    *persister.Quarantine
 		now  time.Time
 	)
 	entry := quarantiner.Entry{Fingerprint: 7, Remaining: 9 * time.Minute, Duration: 10 * time.Minute, Workers: []string{"w-1", "w-2", "w-3"}}
 	BeforeEach(func() {
 		fake, now = faker.NewPlatform(), time.Unix(1000, 0)
-		store, closeStore := platform.NewStore(serve(fake.Handler()))
+		server := httptest.NewServer(fake.Handler())
+		DeferCleanup(server.Close)
+		store, closeStore := platform.NewStore(server.URL)
 		DeferCleanup(closeStore)
-		q = runner.NewQuarantineStore(store)
+		q = persister.NewQuarantine(store)
 	})
 	// sweep advances the time and makes the call that is due. It returns what was read, and
 	// whether a call was made and succeeded.
 	sweep := func(d time.Duration, owns bool, entries ...quarantiner.Entry) ([]quarantiner.Entry, bool) {
 		now = now.Add(d)
-		read, _, err, due := q.Sweep(now, owns, entries)
+		read, _, err, due := q.SweepAndCall(now, owns, entries)
 		return read, due && err == nil
 	}
 	own := func(entries ...quarantiner.Entry) []quarantiner.Entry {
@@ -84,7 +87,7 @@
 		released := quarantiner.Entry{Fingerprint: 8, Remaining: time.Minute, Duration: time.Minute}
 		fake.Delete("quarantine", entry.Fingerprint.String())
 		fake.Put("quarantine", released.Fingerprint.String(), map[string]any{"fingerprint": released.Fingerprint, "span": time.Minute})
-		q.Restore()
+		q.StoreRestored()
 		for range 3 { // it reads, writes, removes
 			read, called := sweep(time.Second, true, entry)
 			Expect(called).To(BeTrue())
@@ -101,7 +104,7 @@
 		sweep(time.Second, false, entry)
 		sweep(0, true)
 		now = now.Add(time.Second)
-		read, malformed, err, due := q.Sweep(now, true, nil)
+		read, malformed, err, due := q.SweepAndCall(now, true, nil)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(due).To(BeTrue())
 		Expect(read).To(HaveLen(1))
--- a/runner/control.go
+++ b/runner/control.go
@@ -143,8 +143,8 @@
 		c.handleWorkerEvent(now, e)
 	case releaseRequested:
 		c.quarantine.releaseByOperator(now, e)
-	case quarantineStoreResult:
-		c.quarantine.handleStoreResult(now, e)
+	case quarantineStored:
+		c.quarantine.handleStoreResult(now, e.result)
 	case storeRestored:
 		c.quarantine.storeRestored()
 		c.once.handleEvent(now, e)
--- a/runner/export_test.go
+++ b/runner/export_test.go
@@ -1,7 +1,6 @@
 package runner
 
 import (
-	"context"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -17,7 +16,6 @@
 	"github.com/cicadawood/cicadawood/reserver"
 	"github.com/cicadawood/cicadawood/router"
 	"github.com/cicadawood/cicadawood/server"
-	"github.com/cicadawood/cicadawood/storer"
 	"github.com/cicadawood/cicadawood/tunneler"
 )
 
@@ -288,31 +286,6 @@
 	return 0
 }
 
-// QuarantineStore is the store of quarantined requests, driven by a test instead of the
-// goroutines that call it.
-type QuarantineStore struct{ q *quarantineStore }
-
-// NewQuarantineStore returns a QuarantineStore over a store.
-func NewQuarantineStore(s storer.Store) QuarantineStore {
-	return QuarantineStore{newQuarantineStore(s)}
-}
-
-// Restore reports that the store was restored from an older snapshot.
-func (s QuarantineStore) Restore() { s.q.storeRestored() }
-
-// Sweep performs the call that is due, and returns what was read and the errors; false
-// where none was due.
-func (s QuarantineStore) Sweep(now time.Time, owns bool, entries []quarantiner.Entry) (read []quarantiner.Entry, malformed, err error, due bool) {
-	s.q.sweep(now, owns, entries)
-	select {
-	case job := <-s.q.jobs:
-		done := s.q.call(context.Background(), job)
-		return s.q.done(now, done), done.malformed, done.err, true
-	default:
-		return nil, nil, nil, false
-	}
-}
-
 // HelpersOf returns the names of the hosts of a roster that may help another one.
 func HelpersOf(r registrar.Roster, self string) []string {
 	var out []string
--- a/runner/host_routes.go
+++ b/runner/host_routes.go
@@ -103,14 +103,14 @@
 func (h *Host) runRoutes(ctx context.Context, tasks *sync.WaitGroup) (func(), error) {
 	if h.routes == nil {
 		tasks.Go(func() { h.control.once.loadLayout(ctx) })
-		tasks.Go(func() { h.control.quarantine.store.run(ctx) })
+		tasks.Go(func() { h.control.quarantine.runStore(ctx) })
 		tasks.Go(func() { h.poller.run(ctx) })
 		return func() {}, nil
 	}
 	setMemoryLimit(h.settings.Limits)
 	tasks.Go(func() { h.routes.selector.run(ctx) })
 	tasks.Go(func() { h.routes.storeWatch.run(ctx) })
-	tasks.Go(func() { h.routes.selector.quarantine.store.run(ctx) })
+	tasks.Go(func() { h.routes.selector.quarantine.runStore(ctx) })
 	tasks.Go(func() { h.routes.closeExpired(ctx) })
 	if h.settings.Ready == "" {
 		return h.routes.close, nil
--- a/runner/quarantine.go
+++ b/runner/quarantine.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"context"
 	"sync/atomic"
 	"time"
 
@@ -9,6 +10,7 @@
 
 	"github.com/cicadawood/cicadawood/attributor"
 	"github.com/cicadawood/cicadawood/messenger"
+	"github.com/cicadawood/cicadawood/persister"
 	"github.com/cicadawood/cicadawood/quarantiner"
 	"github.com/cicadawood/cicadawood/registrar"
 	"github.com/cicadawood/cicadawood/storer"
@@ -31,7 +33,8 @@
 	log     *zap.Logger
 	tracker *quarantiner.Tracker
 	add     func(now time.Time, e quarantiner.Entry, stored bool) bool // adds an entry of another host or of the store, and reports whether it is new
-	store   *quarantineStore
+	store   *persister.Quarantine
+	report  func(quarantineStored) // posts a result to the goroutine that owns the quarantine
 	roster  registrar.Roster
 	count   atomic.Int64 // quarantined requests
 	parts   atomic.Int64 // of these, parts of prompts
@@ -42,7 +45,7 @@
 }
 
 func newQuarantineSync(self string, s sender, store storer.Store, tracker *quarantiner.Tracker, log *zap.Logger) *quarantineSync {
-	return &quarantineSync{self: self, sender: s, log: log, tracker: tracker, add: receiveBy(tracker), store: newQuarantineStore(store)}
+	return &quarantineSync{self: self, sender: s, log: log, tracker: tracker, add: receiveBy(tracker), store: persister.NewQuarantine(store)}
 }
 
 // receiveBy returns a function that adds entries to a tracker.
@@ -104,7 +107,7 @@
 		q.log.Info("quarantine", subjectField(f), zap.String("state", "let go"), zap.String("why", "its time is over"))
 	}
 	q.publish(now)
-	q.store.sweep(now, q.owns(), q.tracker.List(now))
+	q.store.Sweep(now, q.owns(), q.tracker.List(now))
 }
 
 // owns reports whether this host has the role.
@@ -202,14 +205,14 @@
 
 // handleStoreResult handles the result of a call to the store. New entries that were read
 // are sent to all hosts: they may have started at the same time as this one.
-func (q *quarantineSync) handleStoreResult(now time.Time, e quarantineStoreResult) {
-	if e.malformed != nil {
-		q.log.Warn("quarantine store", zap.String("call", e.call), zap.NamedError("left_out", e.malformed))
+func (q *quarantineSync) handleStoreResult(now time.Time, e persister.Result) {
+	if err := e.Malformed(); err != nil {
+		q.log.Warn("quarantine store", zap.String("call", e.Call()), zap.NamedError("left_out", err))
 	}
-	if e.err != nil {
-		q.log.Warn("quarantine store", zap.String("call", e.call), zap.Error(e.err))
+	if err := e.Err(); err != nil {
+		q.log.Warn("quarantine store", zap.String("call", e.Call()), zap.Error(err))
 	}
-	if added := q.merge(now, "the store has it", q.store.done(now, e), true); len(added) > 0 {
+	if added := q.merge(now, "the store has it", q.store.Done(now, e), true); len(added) > 0 {
 		q.send(q.roster.Hosts(), added)
 	}
 }
@@ -217,7 +220,7 @@
 // storeRestored handles that the store was restored from an older snapshot.
 func (q *quarantineSync) storeRestored() {
 	if q != nil {
-		q.store.storeRestored()
+		q.store.StoreRestored()
 	}
 }
 
@@ -287,3 +290,13 @@
 }
 
 func (quarantineReceived) event() {}
+
+// quarantineStored has the result of a call to the store.
+type quarantineStored struct{ result persister.Result }
+
+func (quarantineStored) event() {}
+
+// runStore makes the calls to the store until ctx ends.
+func (q *quarantineSync) runStore(ctx context.Context) {
+	q.store.Run(ctx, func(r persister.Result) { q.report(quarantineStored{result: r}) })
+}
--- a/runner/quarantine_reports.go
+++ b/runner/quarantine_reports.go
@@ -25,7 +25,7 @@
 // startQuarantine makes the host track which calls crash workers.
 func (c *control) startQuarantine(s sender, store storer.Store, r prometheus.Registerer) {
 	c.quarantine = newQuarantineSync(c.self, s, store, &quarantiner.Tracker{MinRestartTime: minRestartTime}, c.log)
-	c.quarantine.store.report = func(e quarantineStoreResult) { c.post(e) }
+	c.quarantine.report = func(e quarantineStored) { c.post(e) }
 	c.quarantine.register(r)
 	c.quarantine.sweepDue = time.Now()
 }
--- a/runner/selector.go
+++ b/runner/selector.go
@@ -98,7 +98,7 @@
 	c.quarantine.add = c.view.ReceiveQuarantined
 	c.view.SetTries(c.tries)
 	c.origins = newOriginSync(self, s, h.First, log, c.post)
-	c.quarantine.store.report = func(e quarantineStoreResult) { c.post(e) }
+	c.quarantine.report = func(e quarantineStored) { c.post(e) }
 	return c
 }
 
@@ -177,8 +177,8 @@
 		p.quarantine.receive(now, e)
 	case releaseRequested:
 		p.quarantine.releaseByOperator(now, e)
-	case quarantineStoreResult:
-		p.quarantine.handleStoreResult(now, e)
+	case quarantineStored:
+		p.quarantine.handleStoreResult(now, e.result)
 	case storeRestored:
 		p.quarantine.storeRestored()
 	case routingStateRequested:
