Directory: a single failed read is no outage in which entries expire

Cause: any failed read was followed by the grace for entries that expired in an outage, which takes three heartbeats. Now the grace needs a second of failing reads from the last good one; failures within two seconds of each other are one outage. Spec red before (the worker stayed), green now; another one holds the grace for a store that answers every other call. 44 older specs of the directory and those of platform's store unchanged, green.

--- a/observer/directory.go
+++ b/observer/directory.go
@@ -11,6 +11,10 @@
 // running worker writes its entry again within two seconds after the source is available.
 const recoveryGrace = 2 * time.Second
 
+// minExpiry is the shortest time in which an entry that its worker can't write expires: three
+// heartbeats.
+const minExpiry = time.Second
+
 // Entry describes one worker as it registered itself at the source.
 type Entry struct {
 	Listing
@@ -24,7 +28,10 @@
 type Directory struct {
 	entries     map[string]*trackedEntry // by name
 	unavailable bool                     // the source can't be read
-	recoveredAt time.Time                // when the source could be read again
+	readAt      time.Time                // when the source was last read
+	outageSince time.Time                // the last read before reads began to fail; zero if they don't
+	failedUntil time.Time                // the first read after the last failed one
+	recoveredAt time.Time                // when an outage in which entries may have expired ended
 	loaded      bool                     // the source was read at least once
 	removedAt   map[string]time.Time     // when an entry was removed, by name
 	leaving     map[Process]time.Time    // when each leaving process was last known to have an entry
@@ -42,11 +49,19 @@
 func (d *Directory) Loaded() bool { return d.loaded }
 
 // Failed records that the source can't be read. The known entries are kept.
-func (d *Directory) Failed() { d.unavailable = d.loaded }
+func (d *Directory) Failed() {
+	if !d.loaded {
+		return
+	}
+	d.unavailable = true
+	if d.outageSince.IsZero() {
+		d.outageSince = d.readAt
+	}
+}
 
 // Listed applies the complete list of the source.
 func (d *Directory) Listed(now time.Time, entries []Entry) {
-	d.noteRecovery(now)
+	d.noteRead(now)
 	d.applyList(now, entries, func(e Entry) {
 		// The list may come from the same older snapshot; a worker that left must not become
 		// available by it.
@@ -74,16 +89,24 @@
 	}
 }
 
-// noteRecovery records the end of an outage of the source.
-func (d *Directory) noteRecovery(now time.Time) {
-	if d.unavailable {
-		d.unavailable, d.recoveredAt = false, now
+// noteRead records that the source was read. It ends an outage, which counts as one with those shortly
+// before it.
+func (d *Directory) noteRead(now time.Time) {
+	d.readAt = now
+	switch {
+	case d.unavailable:
+		d.unavailable, d.failedUntil = false, now
+		if now.Sub(d.outageSince) >= minExpiry {
+			d.recoveredAt = now
+		}
+	case now.Sub(d.failedUntil) >= recoveryGrace:
+		d.outageSince = time.Time{}
 	}
 }
 
 // Changed applies one new or changed entry.
 func (d *Directory) Changed(now time.Time, e Entry) {
-	d.noteRecovery(now)
+	d.noteRead(now)
 	d.put(e)
 }
 
--- a/observer/directory_restored.go
+++ b/observer/directory_restored.go
@@ -15,7 +15,7 @@
 // Missing entries may have been written after the snapshot, and listed ones removed after it;
 // neither takes effect before their writers had time to write again.
 func (d *Directory) Restored(now time.Time, entries []Entry) {
-	d.unavailable, d.recoveredAt = false, now
+	d.unavailable, d.readAt, d.recoveredAt = false, now, now
 	d.applyList(now, entries, func(e Entry) {
 		if known := d.entries[e.Name]; known != nil && known.staysCurrent(e) {
 			known.missingSince, known.staleSince, known.restored = time.Time{}, now, &e
--- a/observer/directory_test.go
+++ b/observer/directory_test.go
@@ -52,6 +52,32 @@
 		Expect(names(&d)).To(Equal([]string{"b"}))
 	})
 
+	// Guards against requests to a worker that is gone, because a read failed as its entry was removed.
+	It("removes a worker immediately if a read failed for less time than entries take to expire", func() {
+		var d observer.Directory
+		d.Listed(start, []observer.Entry{entry("a", false), entry("b", false)})
+		d.Changed(start.Add(time.Minute), entry("b", false))
+		d.Failed()
+		d.Listed(start.Add(time.Minute+300*time.Millisecond), []observer.Entry{entry("b", false)})
+		Expect(names(&d)).To(Equal([]string{"b"}))
+	})
+
+	// Guards against a whole service being refused while the source answers one call and fails the next.
+	It("keeps missing workers if reads fail again and again for as long as entries take to expire", func() {
+		var d observer.Directory
+		all := []observer.Entry{entry("a", false), entry("b", false)}
+		now := start
+		for range 5 {
+			d.Listed(now, all)
+			d.Failed()
+			now = now.Add(400 * time.Millisecond)
+		}
+		d.Listed(now, []observer.Entry{entry("b", false)})
+		Expect(names(&d)).To(Equal([]string{"a", "b"}))
+		Expect(d.Sweep(now.Add(2 * time.Second))).To(BeTrue())
+		Expect(names(&d)).To(Equal([]string{"b"}))
+	})
+
 	// Guards against requests to workers whose report that they are leaving was lost by the
 	// source.
 	It("does not restore leaving or removed workers by an older snapshot of the source", func() {
