--- a/forwarder/events.go
+++ b/forwarder/events.go
@@ -97,8 +97,9 @@
 		if len(e.raw)+len(part) > maxEventBytes {
 			return fmt.Errorf("%w: over %d bytes", ErrEvent, maxEventBytes)
 		}
-		if err := e.append(part); err != nil {
-			return err
+		var full error
+		if e.raw, full = e.reserved.Append(e.raw, part, eventCopies); full != nil {
+			return fmt.Errorf("%w: %w", ErrUnknown, full)
 		}
 		if !errors.Is(err, bufio.ErrBufferFull) {
 			return err
@@ -106,19 +107,6 @@
 	}
 }
 
-// append appends to raw, and reserves what its buffer and that of data grow by.
-func (e *Events) append(part []byte) error {
-	if needed := len(e.raw) + len(part); needed > cap(e.raw) {
-		size := max(needed, 2*cap(e.raw))
-		if err := e.reserved.Grow(int64(eventCopies * (size - cap(e.raw)))); err != nil {
-			return fmt.Errorf("%w: %w", ErrUnknown, err)
-		}
-		e.raw = append(make([]byte, 0, size), e.raw...)
-	}
-	e.raw = append(e.raw, part...)
-	return nil
-}
-
 // finish returns the event at the end of the body. Only the end marker may lack its
 // blank line.
 func (e *Events) finish(err error) (Event, error) {
--- a/reserver/buffer.go
+++ b/reserver/buffer.go
@@ -87,6 +87,18 @@
 	b.reservation.Release()
 }
 
+// Append appends to a buffer of which copies are kept, and reserves what these grow by.
+func (r *Reservation) Append(buffer, part []byte, copies int) ([]byte, error) {
+	if needed := len(buffer) + len(part); needed > cap(buffer) {
+		size := max(needed, 2*cap(buffer))
+		if err := r.Grow(int64(copies * (size - cap(buffer)))); err != nil {
+			return buffer, err
+		}
+		buffer = append(make([]byte, 0, size), buffer...)
+	}
+	return append(buffer, part...), nil
+}
+
 const (
 	// growBytes is the least number of bytes by which ReadAll's result grows.
 	growBytes = 16 << 10
--- a/router/event.go
+++ b/router/event.go
@@ -23,7 +23,8 @@
 func (e *partialEvent) add(read []byte) ([]byte, error) {
 	// The end of an event may be split between two reads.
 	searched := max(0, len(e.bytes)-len(eventEnd)+1)
-	if err := e.append(read); err != nil {
+	var err error
+	if e.bytes, err = e.reserved.Append(e.bytes, read, 1); err != nil {
 		return nil, err
 	}
 	end := bytes.LastIndex(e.bytes[searched:], eventEnd)
@@ -36,19 +37,6 @@
 	return nil, nil
 }
 
-// append reserves what the buffer grows by.
-func (e *partialEvent) append(read []byte) error {
-	if needed := len(e.bytes) + len(read); needed > cap(e.bytes) {
-		size := max(needed, 2*cap(e.bytes))
-		if err := e.reserved.Grow(int64(size - cap(e.bytes))); err != nil {
-			return err
-		}
-		e.bytes = append(make([]byte, 0, size), e.bytes...)
-	}
-	e.bytes = append(e.bytes, read...)
-	return nil
-}
-
 // drop removes the first n bytes.
 func (e *partialEvent) drop(n int) {
 	e.bytes = append(e.bytes[:0], e.bytes[n:]...)
--- a/router/stream.go
+++ b/router/stream.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"io"
-	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -14,24 +13,7 @@
 	"github.com/cicadawood/cicadawood/reserver"
 )
 
-const (
-	streamBufferBytes = 4 << 10
-	// maxEventsPerToken and spareEvents are the events that a stream may have: an event has a token or
-	// more, but for some that have none, such as those that keep a connection open.
-	maxEventsPerToken = 2
-	spareEvents       = 256
-)
-
-// errTooManyEvents means that a stream has far more events than its request allows tokens.
-var errTooManyEvents = errors.New("the stream has more events than its request allows")
-
-// maxEvents returns the number of events that an answer to the request may have.
-func (q *request) maxEvents() int {
-	if q.MaxOutput <= 0 {
-		return math.MaxInt
-	}
-	return maxEventsPerToken*q.MaxOutput + spareEvents
-}
+const streamBufferBytes = 4 << 10
 
 // passStream passes events on as they arrive, whole events only: if the worker fails
 // inside an event, another worker could not continue it.
@@ -40,7 +22,7 @@
 	pending := partialEvent{reserved: t.router.Memory.Reserve(reserver.Event)}
 	defer pending.reserved.Release()
 	buffer := make([]byte, streamBufferBytes)
-	left := t.q.maxEvents()
+	left := reserver.MaxEvents(t.q.MaxOutput)
 	for first := true; ; {
 		n, err := a.Read(buffer)
 		t.path.progress()
@@ -50,7 +32,7 @@
 		}
 		if len(events) > 0 {
 			if left -= bytes.Count(events, eventEnd); left < 0 {
-				return t.recordFailure(errTooManyEvents)
+				return t.recordFailure(reserver.ErrTooManyEvents)
 			}
 			if first {
 				first = false
--- a/router/transaction.go
+++ b/router/transaction.go
@@ -66,14 +66,6 @@
 	retryAfter    time.Duration // for which an answer to the last send wanted no more requests; 0 is none
 }
 
-// storedAnswer is a worker's error response, passed to the caller only if no other
-// worker gives a better one.
-type storedAnswer struct {
-	status int
-	header http.Header
-	body   *reserver.Buffer
-}
-
 // serve sends the request to one worker after another until the caller has its answer or
 // the request must not be sent again.
 func (t *transaction) serve(caller context.Context) *failure {
@@ -199,7 +191,7 @@
 	case errors.Is(err, connector.ErrNotSent), errors.Is(err, errNotRun):
 		return unanswered(t.mayHaveRun, codeWorkerRefused, shortRetryAfter), t.sends >= maxSends
 	}
-	if t.delivery.headSent && errors.Is(err, errTooManyEvents) {
+	if t.delivery.headSent && errors.Is(err, reserver.ErrTooManyEvents) {
 		// What the caller has is no part of an answer that could go on.
 		return unanswered(true, codeAnswerCut, 0), true
 	}
@@ -216,24 +208,6 @@
 	return unanswered(true, codeAnswerLost, 0), true
 }
 
-// passWorkerError passes on the stored error response of a worker, if there is one.
-func (t *transaction) passWorkerError() bool {
-	k := t.workerError
-	if k == nil || t.delivery.headSent {
-		return false
-	}
-	t.delivery.writeHead(k.status, k.header, k.body.Len())
-	return k.body.Pieces(t.delivery.write) == nil
-}
-
-// storeWorkerError keeps the error response of a worker in place of an earlier one.
-func (t *transaction) storeWorkerError(a *connector.Answer, body *reserver.Buffer) {
-	if t.workerError != nil {
-		t.workerError.body.Release()
-	}
-	t.workerError = &storedAnswer{status: a.Status, header: a.Header, body: body}
-}
-
 // release gives back the memory of the request and of a stored answer.
 func (t *transaction) release() {
 	t.q.reserved.Release()
@@ -361,44 +335,3 @@
 	target, header := t.router.Dialect.Probe(p.Worker.Name, service)
 	return connector.Call{Request: t.q.ID, Method: http.MethodGet, Target: target, Host: p.Worker.Address, Header: header}
 }
-
-// usualAnswerBytes is the size from which on an answer that does not fit is its worker's failure.
-const usualAnswerBytes = 1 << 20
-
-// passWhole reads an answer to its end before passing any of it on, so that the caller
-// never receives a truncated answer as if it were complete.
-func (t *transaction) passWhole(p Placement, a *connector.Answer, v AnswerHead) error {
-	t.stopSilenceTimer()
-	body := t.router.Memory.Buffer(reserver.Answer)
-	stored := false
-	defer func() {
-		if !stored {
-			body.Release()
-		}
-	}()
-	if a.Length > t.router.MaxAnswer && t.q.method != http.MethodHead {
-		return t.recordFailure(fmt.Errorf("%w: %d bytes", reserver.ErrTooLarge, a.Length))
-	}
-	if err := body.ReadAll(a, t.router.MaxAnswer); err != nil {
-		if errors.Is(err, reserver.ErrFull) && body.Len() < usualAnswerBytes {
-			err = fmt.Errorf("%w: %w", errHostFull, err)
-		}
-		return t.recordFailure(err)
-	}
-	if err := a.ConfirmEnd(t.probe(p)); err != nil {
-		return t.recordFailure(err)
-	}
-	a.Finish()
-	t.router.Placer.Started(p, time.Since(t.sentAt))
-	if a.Status >= http.StatusInternalServerError || impliesNotRun(a.Status) {
-		t.recordRun()
-		if !impliesNotRun(a.Status) {
-			stored = true
-			t.storeWorkerError(a, body)
-			return fmt.Errorf("%w: status %d", errWorkerFailed, a.Status)
-		}
-		return fmt.Errorf("%w: status %d, sealed=%t", errImpliesNotRun, a.Status, v.Sealed)
-	}
-	t.delivery.writeHead(a.Status, a.Header, body.Len())
-	return body.Pieces(t.delivery.write)
-}
--- a/runner/once_place.go
+++ b/runner/once_place.go
@@ -168,7 +168,7 @@
 	defer reserved.Release()
 	body, err := reserved.ReadAll(answer.Body, answer.Length, k.limits.MaxAnswer)
 	switch {
-	case errors.Is(err, reserver.ErrTooLarge) && answer.Framed:
+	case errors.Is(err, reserver.ErrTooLarge) && answer.Framed && isComplete(answer.Header, body):
 		return keeper.CallRan, answerTooLarge(k.limits.MaxAnswer), nil
 	case err != nil || !answer.Framed || !isComplete(answer.Header, body):
 		return keeper.CallUnknown, nil, err
--- a/server/meter.go
+++ b/server/meter.go
@@ -86,7 +86,7 @@
 	return context.WithValue(ctx, connKey{}, c)
 }
 
-// metered tells the connection of each request when it is served.
+// metered has the connection of each request know when it is served.
 func metered(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if c, ok := r.Context().Value(connKey{}).(*meteredConn); ok {
--- a/server/meter_test.go
+++ b/server/meter_test.go
@@ -56,7 +56,6 @@
 		DeferCleanup(func() { _ = c.Close() })
 		head := "POST /services/desk/log HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer " + key + "\r\nTransfer-Encoding: chunked\r\n\r\n"
 		_, _ = io.WriteString(c, head+fmt.Sprintf("%x\r\n", 1<<30)+strings.Repeat("x", 600<<10))
-		time.Sleep(20 * time.Millisecond)
 		r := bufio.NewReader(c)
 		resp, err := http.ReadResponse(r, nil)
 		Expect(err).NotTo(HaveOccurred())
--- a/server/stream.go
+++ b/server/stream.go
@@ -4,7 +4,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"math"
 	"strconv"
 
 	"github.com/cicadawood/cicadawood/forwarder"
@@ -18,21 +17,6 @@
 
 var doneEvent = []byte("data: [DONE]\n\n")
 
-const (
-	// maxEventsPerToken and spareEvents are the events that a stream may have: some have no token, such
-	// as those that keep a connection open.
-	maxEventsPerToken = 2
-	spareEvents       = 256
-)
-
-// maxEvents returns the number of events that an answer to the request may have.
-func (q *request) maxEvents() int {
-	if q.maxOutput <= 0 {
-		return math.MaxInt
-	}
-	return maxEventsPerToken*q.maxOutput*q.choices + spareEvents
-}
-
 // passStream passes a completion on event by event. It returns nil only if the caller
 // has the whole answer: an event stream has no length, so a truncated one differs from a
 // whole one only by its missing end marker.
@@ -49,14 +33,14 @@
 	events, clean := t.answer.Events(t.server.memory.Reserve(reserver.Event))
 	defer clean()
 	resumed := d.headSent
-	left := t.q.maxEvents()
+	left := reserver.MaxEvents(t.q.maxOutput * t.q.choices)
 	for {
 		v, err := events.Next()
 		if err != nil {
 			return t.finishCutStream(err)
 		}
 		if left--; left < 0 {
-			return errTooManyEvents
+			return reserver.ErrTooManyEvents
 		}
 		if v.Failed {
 			return errEngineFailed
--- a/server/tries.go
+++ b/server/tries.go
@@ -6,6 +6,7 @@
 
 	"github.com/cicadawood/cicadawood/forwarder"
 	"github.com/cicadawood/cicadawood/loader"
+	"github.com/cicadawood/cicadawood/reserver"
 )
 
 // maxTries is the maximum number of tries of a request, not counting preempted ones.
@@ -13,14 +14,13 @@
 
 // Errors of a try, in addition to the forwarder's.
 var (
-	errPreempted     = errors.New("preempted")
-	errCallerWrite   = errors.New("writing to the caller failed")
-	errTruncated     = errors.New("the stream ended without its end marker")
-	errEngineFailed  = errors.New("the engine reported an error in the stream")
-	errTooManyEvents = errors.New("the stream has more events than its request allows")
-	errBusy          = errors.New("the backend server answered that it is busy")
-	errUnframed      = errors.New("the answer is unframed: a truncated body can't be detected")
-	errNotResumed    = errors.New("the engine did not resume at the requested token")
+	errPreempted    = errors.New("preempted")
+	errCallerWrite  = errors.New("writing to the caller failed")
+	errTruncated    = errors.New("the stream ended without its end marker")
+	errEngineFailed = errors.New("the engine reported an error in the stream")
+	errBusy         = errors.New("the backend server answered that it is busy")
+	errUnframed     = errors.New("the answer is unframed: a truncated body can't be detected")
+	errNotResumed   = errors.New("the engine did not resume at the requested token")
 )
 
 // action is the reaction to a failed try.
@@ -48,7 +48,7 @@
 // part.
 func (f facts) nextAction() action {
 	switch {
-	case f.once && !errors.Is(f.err, forwarder.ErrNotRun), f.headSent && !f.resumable, f.headSent && errors.Is(f.err, errTooManyEvents), errors.Is(f.err, errCallerWrite):
+	case f.once && !errors.Is(f.err, forwarder.ErrNotRun), f.headSent && !f.resumable, f.headSent && errors.Is(f.err, reserver.ErrTooManyEvents), errors.Is(f.err, errCallerWrite):
 		return giveUp
 	case errors.Is(f.err, errPreempted):
 		return nextPlace
@@ -82,7 +82,7 @@
 		{errCallerWrite, "caller"},
 		{errTruncated, "short"},
 		{errEngineFailed, "engine"},
-		{errTooManyEvents, "endless"},
+		{reserver.ErrTooManyEvents, "endless"},
 		{errBusy, "busy"},
 		{errUnframed, "unframed"},
 		{errNotResumed, "noresume"},
