--- a/router/router_test.go
+++ b/router/router_test.go
@@ -324,6 +324,25 @@
 		Eventually(func() int64 { taken, _ := memory.Taken(); return taken }).Should(BeZero())
 	})
 
+	// Guards against sound workers that are avoided because this host is short of memory, and against ones
+	// without an end that are not.
+	DescribeTable("blames a worker for an answer that does not fit only if it is large",
+		func(size int, limit int64, expected placer.Outcome) {
+			registry = prometheus.NewRegistry()
+			serve(reserver.New(limit))
+			worker("w", func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Seal", "1")
+				_, _ = io.WriteString(w, strings.Repeat("x", size))
+			})
+			code, _, err := call(bg, "/once/x", "s")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(code).To(Equal(http.StatusBadGateway))
+			Expect(fakePlacer.ended()).To(Equal([]placer.Outcome{expected}))
+		},
+		Entry("a usual one, at a host without memory", 100<<10, int64(256<<10), placer.Canceled),
+		Entry("one without an end", 16<<20, int64(64<<20), placer.Broken),
+	)
+
 	// Guards against a host that is killed because workers send events without an end.
 	It("counts the event of a stream that is still arriving", func() {
 		registry = prometheus.NewRegistry()
--- a/runner/export_test.go
+++ b/runner/export_test.go
@@ -1,11 +1,13 @@
 package runner
 
 import (
+	"context"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
+	"github.com/cicadawood/cicadawood/forwarder"
 	"github.com/cicadawood/cicadawood/keeper"
 	"github.com/cicadawood/cicadawood/loader"
 	"github.com/cicadawood/cicadawood/messenger"
@@ -294,3 +296,9 @@
 	}
 	return out
 }
+
+// CallWorker makes one call to a backend server, whose answer may have limit bytes.
+func CallWorker(f caller, m *reserver.Memory, limit int64) (keeper.CallResult, *keeper.Answer, error) {
+	k := &onceManager{forward: f, memory: m, limits: loader.Once{MaxAnswer: limit}}
+	return k.callWorker(context.Background(), "", forwarder.Call{})
+}
--- a/server/meter_test.go
+++ b/server/meter_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/cicadawood/cicadawood/loader"
 	"github.com/cicadawood/cicadawood/reserver"
+	"github.com/cicadawood/cicadawood/server"
 )
 
 // Guards against a host that is killed because many callers send heads of many lines without an end.
@@ -37,6 +38,46 @@
 	}
 })
 
+// lateConn is a connection whose read ends with data only as it is closed.
+type lateConn struct {
+	net.Conn
+	closed chan struct{}
+}
+
+func (c lateConn) Read(b []byte) (int, error) {
+	<-c.closed
+	return copy(b, "late"), nil
+}
+
+func (c lateConn) Close() error {
+	close(c.closed)
+	return nil
+}
+
+// oneListener accepts one connection.
+type oneListener struct {
+	net.Listener
+	conn net.Conn
+}
+
+func (l oneListener) Accept() (net.Conn, error) { return l.conn, nil }
+
+// Guards against memory that is reserved for good by a read that ends after its connection.
+var _ = It("A connection that is closed reserves nothing", func() {
+	memory := reserver.New(1 << 20)
+	c, err := server.Metered(oneListener{conn: lateConn{closed: make(chan struct{})}}, memory).Accept()
+	Expect(err).NotTo(HaveOccurred())
+	read := make(chan int)
+	go func() {
+		n, _ := c.Read(make([]byte, 10))
+		read <- n
+	}()
+	Expect(c.Close()).To(Succeed())
+	Eventually(read).Should(Receive(Equal(4)))
+	taken, _ := memory.Taken()
+	Expect(taken).To(BeZero())
+})
+
 // Guards against memory that is lost with each request of a kept connection.
 var _ = It("The memory for heads and bodies is given back after each request", func() {
 	s := startFixture(options{})
