Matrix: answers without an end, and workers that end while the kernel accepts connections for them

Five cells (sent, first, mid, answered: endless; mid: ending) with specs on real hosts. Their first form hung in the stand-in, which waited for the end of requests that it had not read.

--- a/faker/worker.go
+++ b/faker/worker.go
@@ -50,6 +50,7 @@
 	canceled   int       // requests whose caller disconnected before the answer
 	seq        int
 	crash      func() // closes the listener and all connections, as a crash does
+	hung       bool   // it answers nothing any more
 }
 
 // defaultVersion is the software version of a worker that states none.
@@ -68,6 +69,7 @@
 	Unframed        bool          // answers with neither a length nor chunks
 	ResetBody       bool          // with Unframed, resets the connection within a body
 	Endless         Endless       // part of its answers that has no end
+	HangAfterEvent  int           // with Unframed, hangs as Hang does after the event with this number; 0 is never
 	EndAfterEvent   int           // with Unframed, ends as a killed process does after the event with this number; 0 is never
 }
 
@@ -188,6 +190,11 @@
 
 func (k *Worker) serve(w http.ResponseWriter, r *http.Request) {
 	k.waitWhileSilent(r)
+	if k.isHung() {
+		_, _ = io.Copy(io.Discard, r.Body) // the context ends only with a request that was read
+		<-r.Context().Done()
+		return
+	}
 	id := r.Header.Get(platform.HeaderRequestID)
 	w.Header().Set(platform.HeaderRequestID, id)
 	worker := r.Header.Get(platform.HeaderTargetWorker)
--- a/faker/worker_endless.go
+++ b/faker/worker_endless.go
@@ -20,9 +20,11 @@
 	EndlessBody  Endless = "body"
 	EndlessChunk Endless = "chunk"
 	EndlessEvent Endless = "event"
+	// EndlessEvents is whole events, which the request's number of tokens does not end.
+	EndlessEvents Endless = "events"
 )
 
-// EndlessParts lists the parts.
+// EndlessParts lists the parts that belong to any answer.
 var EndlessParts = []Endless{EndlessHead, EndlessBody, EndlessChunk, EndlessEvent}
 
 const (
@@ -40,9 +42,22 @@
 	if _, err := io.WriteString(conn, k.endlessStart(r, part)); err != nil {
 		return
 	}
+	if part == EndlessEvents {
+		k.writeEvents(conn)
+		return
+	}
 	writeEndless(conn)
 }
 
+// writeEvents writes events until the connection is closed.
+func (k *Worker) writeEvents(conn net.Conn) {
+	for i := 1; ; i++ {
+		if _, err := io.WriteString(conn, k.event(i)); err != nil {
+			return
+		}
+	}
+}
+
 // endlessStart returns what precedes the part without an end.
 func (k *Worker) endlessStart(r *http.Request, part Endless) string {
 	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\n", platform.HeaderRequestID, r.Header.Get(platform.HeaderRequestID), platform.HeaderSeal, k.ID)
@@ -51,6 +66,8 @@
 		return head + "\r\n"
 	case EndlessChunk:
 		return head + "Transfer-Encoding: chunked\r\n\r\nfffffffff\r\n"
+	case EndlessEvents:
+		return head + "Content-Type: text/event-stream\r\n\r\n"
 	case EndlessEvent:
 		return head + "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: "
 	}
--- a/faker/worker_unframed.go
+++ b/faker/worker_unframed.go
@@ -42,6 +42,12 @@
 			return
 		}
 		_, _ = io.WriteString(conn, event)
+		if i == f.HangAfterEvent {
+			k.Hang()
+		}
+		if k.isHung() {
+			return
+		}
 		if i == f.EndAfterEvent {
 			sleep(r, k.Delay)
 			k.endInOrder(conn)
@@ -50,6 +56,20 @@
 	}
 }
 
+// Hang ends the worker's process as far as its answers without a length show it, which are closed in
+// order one after the other. The kernel still accepts connections for it, and nobody answers.
+func (k *Worker) Hang() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.hung = true
+}
+
+func (k *Worker) isHung() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.hung
+}
+
 // reset closes a connection so that the other end sees a reset.
 func reset(conn net.Conn) {
 	if tcp, ok := conn.(*net.TCPConn); ok {
--- a/prover/cells.go
+++ b/prover/cells.go
@@ -39,6 +39,8 @@
 	{TwoVersions, []Step{Asked, Granted, FirstToken, MidStream}, "it changes which worker may go on with a stream that has begun"},
 	{PoisonPart, []Step{Asked, Granted, Sent, FirstToken}, "it changes which worker gets a call, and shows when an answer begins"},
 	{Unframed, []Step{MidStream, Answered}, "it concerns how an answer ends"},
+	{Endless, []Step{Sent, FirstToken, MidStream, Answered}, "it concerns what a backend server sends"},
+	{Ending, []Step{MidStream}, "before an answer begins it is a crash, and shows in the send; after its end, nothing is left to be cut"},
 	{Crowd, []Step{Received}, "it changes which host a call reaches"},
 	{PushRace, configSteps, "operators race each other in pushes only"},
 }
--- a/prover/prover.go
+++ b/prover/prover.go
@@ -70,6 +70,8 @@
 	TwoVersions      Fault = "versions" // backend servers of a service run two software versions
 	PoisonPart       Fault = "part"     // a part of prompts crashes each backend server that answers on it
 	Unframed         Fault = "unframed" // answers end with their connection
+	Endless          Fault = "endless"  // a backend server's answer has no end
+	Ending           Fault = "ending"   // a backend server ends while the kernel accepts connections for it
 	Crowd            Fault = "crowd"    // most new connections come to one host
 	PushRace         Fault = "race"     // operators push at the same time
 )
@@ -84,7 +86,7 @@
 
 // Faults returns all faults.
 func Faults() []Fault {
-	return []Fault{Kill, Freeze, CutOneWay, CutBothWays, Blackhole, Slow, LostReply, StoreDown, StoreSlow, WatchGap, LateHostList, Reorder, MismatchedAnswer, LeavingAnswer, RetryAfter, CutFromWorkers, SilentWorker, BrittleWorker, TwoVersions, PoisonPart, Unframed, Crowd, PushRace}
+	return []Fault{Kill, Freeze, CutOneWay, CutBothWays, Blackhole, Slow, LostReply, StoreDown, StoreSlow, WatchGap, LateHostList, Reorder, MismatchedAnswer, LeavingAnswer, RetryAfter, CutFromWorkers, SilentWorker, BrittleWorker, TwoVersions, PoisonPart, Unframed, Endless, Ending, Crowd, PushRace}
 }
 
 const (
