Review case 4: the store answers without the header that the pages don't name

Cause: stand-ins do only what the pages allow them; the project's stand-in of the store adds a header.

--- a/review/testdata/standin2/system.go
+++ b/review/testdata/standin2/system.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/cicadawood/cicadawood/faker"
+	"github.com/cicadawood/cicadawood/platform"
 )
 
 const (
@@ -55,10 +56,36 @@
 		return nil, err
 	}
 	s := &system{root: root, record: r, work: work, store: faker.NewPlatform(), stop: make(chan struct{})}
-	s.server = httptest.NewServer(s.store.Handler())
+	s.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.store.Handler().ServeHTTP(&storeAnswer{ResponseWriter: w}, r)
+	}))
 	return s, nil
 }
 
+// storeAnswer is an answer of the store without the header that the platform's pages don't name.
+type storeAnswer struct {
+	http.ResponseWriter
+	headWritten bool
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (a *storeAnswer) WriteHeader(status int) {
+	a.headWritten = true
+	a.Header().Del(platform.HeaderEra)
+	a.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (a *storeAnswer) Write(b []byte) (int, error) {
+	if !a.headWritten {
+		a.WriteHeader(http.StatusOK)
+	}
+	return a.ResponseWriter.Write(b)
+}
+
+// Unwrap gives http.ResponseController access to the connection.
+func (a *storeAnswer) Unwrap() http.ResponseWriter { return a.ResponseWriter }
+
 // close ends the processes that the case started, and removes its files.
 func (s *system) close() {
 	close(s.stop)
