--- a/review/testdata/standin2/case_smuggled.go
+++ b/review/testdata/standin2/case_smuggled.go
@@ -11,7 +11,8 @@
 const (
 	deskHost = "desk.example"
 	deskKey  = "key-of-desk"
-	quayKey  = "key-of-quay" // is taken away
+	quayKey  = "key-of-quay"       // is taken away
+	otherKey = "other-key-of-quay" // of the same tenant; stays
 	// revokeWait is the time from the acknowledgement of a configuration to the requests of the callers
 	// whose key it takes away: more than configMs (2 s) and revokeMs (5 s) of the site.
 	revokeWait = 6 * time.Second
@@ -30,7 +31,7 @@
 func playSmuggled(s *system, trouble bool) error {
 	c := &smuggledCase{system: s, worker: &worker{id: "i-1", service: "booking-app", slots: 6, queue: 6, took: 60 * time.Millisecond}}
 	c.worker.start(s)
-	c.configure(deskKey, quayKey)
+	c.configure(otherKey, quayKey)
 	if err := s.startHosts(2); err != nil {
 		return err
 	}
@@ -47,7 +48,7 @@
 	}
 	if trouble {
 		s.record.note("the key of the callers is taken away")
-		c.configure(deskKey)
+		c.configure(otherKey)
 	}
 	time.Sleep(revokeWait)
 	if err := c.smuggleAll(callers); err != nil {
@@ -56,13 +57,10 @@
 	return c.judge(callers)
 }
 
-// configure writes a configuration with the keys of the tenants, a route that needs one, and a public
-// route.
+// configure writes a configuration with the keys of the callers' tenant, a route that needs one, and a
+// public route.
 func (c *smuggledCase) configure(keys ...string) {
-	var tenants []any
-	for _, k := range keys {
-		tenants = append(tenants, object{"name": "tenant-of-" + k, "apiKeys": []string{k}})
-	}
+	tenants := []any{object{"name": "desk", "apiKeys": []string{deskKey}}, object{"name": "quay", "apiKeys": keys}}
 	route := func(name, kind string, attempts int, public bool) object {
 		return object{
 			"name": name, "host": deskHost, "pathPrefix": "/" + name + "/", "kind": kind, "service": "booking-app",
--- a/review/testdata/standin2/main.go
+++ b/review/testdata/standin2/main.go
@@ -11,7 +11,9 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 )
 
 // Exit codes.
@@ -62,7 +64,15 @@
 		return exitCannotRun
 	}
 	defer s.close()
-	err = play(s, trouble)
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, os.Interrupt, syscall.SIGTERM)
+	played := make(chan error, 1)
+	go func() { played <- play(s, trouble) }()
+	select {
+	case err = <-played:
+	case <-interrupted:
+		err = errors.New("interrupted")
+	}
 	switch {
 	case err == nil:
 		r.note("verdict: the rule held")
--- a/review/testdata/standin2/system.go
+++ b/review/testdata/standin2/system.go
@@ -90,6 +90,9 @@
 func (s *system) close() {
 	close(s.stop)
 	for _, h := range s.hosts {
+		if h.process == nil || h.process.Process == nil {
+			continue // not started yet
+		}
 		_ = h.process.Process.Kill()
 		_ = h.process.Wait()
 	}
@@ -161,9 +164,21 @@
 	defer log.Close()
 	h.process = exec.Command(filepath.Join(s.root, "target", "cicadawood"), "serve", path)
 	h.process.Dir, h.process.Stdout, h.process.Stderr = s.root, log, log
+	h.process.Env = hostEnvironment()
 	return h.process.Start()
 }
 
+// hostEnvironment returns the variables that the platform hands to a process.
+func hostEnvironment() []string {
+	var out []string
+	for _, name := range []string{"PATH", "HOME", "LANG"} {
+		if v, ok := os.LookupEnv(name); ok {
+			out = append(out, name+"="+v)
+		}
+	}
+	return out
+}
+
 // isReady asks a host as the platform's balancer does.
 func (h *host) isReady() bool {
 	resp, err := http.Get("http://" + h.ready + "/ready")
