--- a/faker/worker.go
+++ b/faker/worker.go
@@ -140,13 +140,9 @@
 	k.silentTill = time.Now().Add(d)
 }
 
-// waitWhileSilent returns when the worker is not silent, or the request ends.
-func (k *Worker) waitWhileSilent(r *http.Request) {
-	k.mu.Lock()
-	till := k.silentTill
-	k.mu.Unlock()
-	sleep(r, max(time.Until(till), 0))
-}
+// waitWhileSilent returns when the worker is not silent. A process that stands still does not notice
+// that a request ends.
+func (k *Worker) waitWhileSilent() { time.Sleep(time.Until(k.SilentUntil())) }
 
 // LimitSince returns when the worker began to report a limit.
 func (k *Worker) LimitSince() time.Time {
@@ -189,7 +185,7 @@
 }
 
 func (k *Worker) serve(w http.ResponseWriter, r *http.Request) {
-	k.waitWhileSilent(r)
+	k.waitWhileSilent()
 	if k.isHung() {
 		_, _ = io.Copy(io.Discard, r.Body) // the context ends only with a request that was read
 		<-r.Context().Done()
@@ -316,7 +312,7 @@
 		if !sleep(r, k.Delay) {
 			return
 		}
-		k.waitWhileSilent(r)
+		k.waitWhileSilent()
 		event := k.event(i)
 		if i == f.CutAtEvent {
 			_, _ = io.WriteString(w, event[:len(event)/2])
--- a/soaker/cluster_test.go
+++ b/soaker/cluster_test.go
@@ -1,6 +1,7 @@
 package soaker_test
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -25,6 +26,8 @@
 
 const (
 	eventsPerStream = 5
+	// defaultCallPause is the time between two requests of a caller.
+	defaultCallPause = 10 * time.Millisecond
 	// waitTimeout bounds each wait for an event that must occur.
 	waitTimeout = 20 * time.Second
 )
@@ -89,12 +92,18 @@
 
 // clusterConfig has what differs between runs.
 type clusterConfig struct {
-	seed        uint64
-	repeatSlack float64 // of the hosts' retry budget
-	memoryMB    int     // of each host, in MiB; 0 has no limit
+	seed         uint64
+	repeatSlack  float64       // of the hosts' retry budget
+	repeatWindow time.Duration // of the hosts' retry budget; 0 is defaultRepeatWindow
+	callPause    time.Duration // between two requests of a caller; 0 is defaultCallPause
+	callers      int           // requests in flight at a time; 0 is defaultCallers
+	memoryMB     int           // of each host, in MiB; 0 has no limit
 }
 
 func newClusterOf(config clusterConfig) *cluster {
+	config.callPause = cmp.Or(config.callPause, defaultCallPause)
+	config.callers = cmp.Or(config.callers, defaultCallers)
+	config.repeatWindow = cmp.Or(config.repeatWindow, defaultRepeatWindow)
 	c := &cluster{clusterConfig: config, random: rand.New(rand.NewPCG(config.seed, 2)), store: faker.NewPlatform(), keys: []string{"key-0"}, revoked: map[string]time.Time{}}
 	for range *hostCount {
 		c.hostModes = append(c.hostModes, faker.Pass)
@@ -215,7 +224,7 @@
 	text, err := json.Marshal(map[string]any{
 		"name": h.name, "zone": fmt.Sprintf("z-%d", i%2), "region": "r", "dialect": "platform", "platform": "http://" + link.Address(),
 		"listen": c.address(i, 1), "control": c.address(i, 2), "admin": c.address(i, 3), "ready": c.address(i, 4), "peers": peers, "translate": c.translations(i),
-		"repeat": map[string]any{"ratio": 0.2, "slack": c.repeatSlack, "window": "10s"},
+		"repeat": map[string]any{"ratio": 0.2, "slack": c.repeatSlack, "window": c.repeatWindow.String()},
 		"limits": map[string]any{"settle": "100ms", "grace": "6s", "lease": "10m", "memory": c.memoryMB},
 	})
 	Expect(err).NotTo(HaveOccurred())
--- a/soaker/exchange_test.go
+++ b/soaker/exchange_test.go
@@ -15,8 +15,8 @@
 	"github.com/cicadawood/cicadawood/platform"
 )
 
-// concurrentCallers is the number of requests in flight at a time.
-const concurrentCallers = 12
+// defaultCallers is the number of requests in flight at a time.
+const defaultCallers = 12
 
 // exchange is one request and the response that its caller received.
 type exchange struct {
@@ -44,7 +44,7 @@
 			}
 		})
 	}
-	for i := range concurrentCallers {
+	for i := range c.callers {
 		r := rand.New(rand.NewPCG(c.seed, uint64(100+i)))
 		tasks.Go(func() {
 			defer GinkgoRecover()
@@ -52,7 +52,7 @@
 				if h := c.hosts[r.IntN(*hostCount)]; h.isReady() {
 					c.record(c.callRandom(h, r, fmt.Sprintf("t-%d-%d", i, n)))
 				}
-				time.Sleep(10 * time.Millisecond)
+				time.Sleep(c.callPause)
 			}
 		})
 	}
--- a/soaker/repeats_test.go
+++ b/soaker/repeats_test.go
@@ -16,9 +16,9 @@
 
 const (
 	// The retry budget in the hosts' settings.
-	repeatRatio        = 0.2
-	repeatWindow       = 10 * time.Second
-	defaultRepeatSlack = 100
+	repeatRatio         = 0.2
+	defaultRepeatWindow = 10 * time.Second
+	defaultRepeatSlack  = 100
 	// killedRepeatSlack is the slack in a run of kills in series: large beside what requests allow.
 	killedRepeatSlack = 300
 	// killInterval is the time between two kills of all hosts but one.
@@ -62,11 +62,11 @@
 	var violations []string
 	counts := c.repeatCounts()
 	for _, service := range slices.Sorted(maps.Keys(counts)) {
-		worst := counts[service].Worst(faker.RepeatLimit{Ratio: repeatRatio, Slack: c.repeatSlack, Window: repeatWindow})
+		worst := counts[service].Worst(faker.RepeatLimit{Ratio: repeatRatio, Slack: c.repeatSlack, Window: c.repeatWindow})
 		requests, repeats := counts[service].Total()
 		AddReportEntry("repeats", fmt.Sprintf("seed %d, %s: %d of %d requests; in the worst window %d, %.1f allowed", c.seed, service, repeats, requests, worst.Repeats, worst.Allowed))
 		if worst.Excess() > 0 {
-			violations = append(violations, fmt.Sprintf("%s got %d repeats in %s, %.1f allowed", service, worst.Repeats, repeatWindow, worst.Allowed))
+			violations = append(violations, fmt.Sprintf("%s got %d repeats in %s, %.1f allowed", service, worst.Repeats, c.repeatWindow, worst.Allowed))
 		}
 	}
 	return violations
@@ -108,7 +108,7 @@
 			c := newClusterWithSlack(seed, killedRepeatSlack)
 			random := rand.New(rand.NewPCG(seed, 9))
 			stopCallers := c.startCallers()
-			time.Sleep(repeatWindow)
+			time.Sleep(c.repeatWindow)
 			stopRejecting := c.rejectInTurn(rand.New(rand.NewPCG(seed, 10)))
 			for end := time.Now().Add(*faultTime); time.Now().Before(end); {
 				time.Sleep(killInterval)
