--- a/budgeter/borrow.go
+++ b/budgeter/borrow.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -46,12 +47,19 @@
 	askedAt  time.Time
 }
 
+// overdue identifies a request for a loan that was not answered in time.
+type overdue struct {
+	peer     string
+	sequence uint64
+}
+
 // Loan is a request to another host, or its reply.
 type Loan struct {
 	Peer     string
 	Service  string
 	Sequence uint64
 	Amount   float64 // repeats
+	Arrived  float64 // in a return: repeats that were sent, and have arrived
 	Left     float64 // in a reply: repeats that the lender could lend beyond that
 	Sharing  int     // largest number of hosts on the sender's roster in the last sizeMemory
 }
@@ -94,6 +102,7 @@
 func (a *account) backOffSilent(now time.Time) {
 	for name := range a.round.open {
 		a.peers[name].backoffEnd = now.Add(silentBackoff)
+		a.overdue[overdue{name, a.round.sequence}] = now
 	}
 	a.round.open = nil
 }
@@ -163,13 +172,12 @@
 }
 
 // Lend lends a part of this process's budget: at most what is asked for, and what it is not about to
-// need itself. It charges the loan for as long as it may be used.
+// need itself. The loan is open until the borrower says what became of it.
 func (b *Budget) Lend(now time.Time, asked Loan) Loan {
 	b.learnSize(now, asked.Sharing)
 	a := b.account(asked.Service)
 	a.usedAt = now
-	until := now.Add(b.term())
-	available := a.ledger.Available(now, until, b.policy, b.slack(now))
+	available := a.ledger.Available(now, b.policy, b.slack(now))
 	kept := min(a.wants.over(now, b.policy, wantSteps), math.Floor(available)) // a part of a repeat is of no use here
 	free := available - kept
 	amount := min(max(asked.Amount, 0), free)
@@ -177,9 +185,8 @@
 		amount = 0
 	}
 	if amount > 0 {
-		step := a.ledger.Charge(now, until, amount, b.policy)
-		a.pruneLent(now, b.policy)
-		a.lent = append(a.lent, loan{borrower: asked.Peer, sequence: asked.Sequence, amount: amount, step: step, until: until})
+		a.ledger.Open(amount)
+		a.lent = append(a.lent, loan{borrower: asked.Peer, sequence: asked.Sequence, amount: amount, lentAt: now})
 		a.counts.Lent += amount
 	}
 	return Loan{Peer: asked.Peer, Service: asked.Service, Sequence: asked.Sequence, Amount: amount, Left: free - amount, Sharing: b.roster.largest(now)}
@@ -189,14 +196,28 @@
 type loan struct {
 	borrower string
 	sequence uint64
-	amount   float64
-	step     int64 // to which it is charged
-	until    time.Time
+	amount   float64 // still open
+	lentAt   time.Time
+}
+
+// giveBack notes what became of a loan, or of a part of it, for its lender.
+func (a *account) giveBack(x Loan) {
+	a.counts.Returned += x.Amount
+	for i := range a.returns {
+		if r := &a.returns[i]; r.Peer == x.Peer && r.Sequence == x.Sequence {
+			r.Amount += x.Amount
+			r.Arrived += x.Arrived
+			return
+		}
+	}
+	a.returns = append(a.returns, x)
 }
 
-// Returns returns the loans of other hosts that were not used in time, to be given back. It forgets
-// the services that nothing counts for any more.
+// Returns returns what became of the loans of other hosts, to be told to them: not used in time, or
+// arrived. It settles what has been open for a span with nothing known of it, and forgets the services
+// that nothing counts for any more.
 func (b *Budget) Returns(now time.Time) []Loan {
+	b.settleOld(now)
 	var out []Loan
 	for service, a := range b.services {
 		if now.Sub(a.usedAt) > idleSpans*b.policy.Span {
@@ -204,6 +225,8 @@
 			continue
 		}
 		a.borrowed(now)
+		a.settleLent(now, b.policy)
+		maps.DeleteFunc(a.overdue, func(_ overdue, since time.Time) bool { return now.Sub(since) > b.policy.Span })
 		for _, l := range a.returns {
 			l.Service = service
 			out = append(out, l)
@@ -213,36 +236,40 @@
 	return out
 }
 
-// Return applies that another host gives back a part of a loan, which it will not use. It returns
-// the amount.
+// Return applies what another host says of a loan: a part of it was not sent, or has arrived. It
+// returns the amount that was not sent.
 func (b *Budget) Return(now time.Time, back Loan) float64 {
 	a := b.account(back.Service)
-	a.pruneLent(now, b.policy)
-	for i := range a.lent {
-		x := &a.lent[i]
-		if x.borrower != back.Peer || x.sequence != back.Sequence {
-			continue
-		}
-		amount := min(max(back.Amount, 0), x.amount)
-		x.amount -= amount
-		a.ledger.Uncharge(now, x.step, amount, b.policy)
-		return amount
+	i := slices.IndexFunc(a.lent, func(x loan) bool { return x.borrower == back.Peer && x.sequence == back.Sequence })
+	if i < 0 {
+		return 0
+	}
+	x := &a.lent[i]
+	arrived := min(max(back.Arrived, 0), x.amount)
+	a.ledger.Settle(now, arrived, b.policy)
+	x.amount -= arrived
+	unsent := min(max(back.Amount, 0), x.amount)
+	a.ledger.Cancel(unsent)
+	x.amount -= unsent
+	if x.amount <= 0 {
+		a.lent = slices.Delete(a.lent, i, i+1)
 	}
-	return 0
+	return unsent
 }
 
-// pruneLent drops the loans that are too old to be returned.
-func (a *account) pruneLent(now time.Time, p Policy) {
-	for len(a.lent) > 0 && now.Sub(a.lent[0].until) > p.Span/2 {
+// settleLent settles the loans of which the borrower has said nothing for a span.
+func (a *account) settleLent(now time.Time, p Policy) {
+	for len(a.lent) > 0 && now.Sub(a.lent[0].lentAt) > p.Span {
+		a.ledger.Settle(now, a.lent[0].amount, p)
 		a.lent = a.lent[1:]
 	}
 }
 
-// Receive applies a reply. A loan may be used for its term after it was asked for, as the lender
-// began to count it later than that. It returns the amount.
+// Receive applies a reply. A loan may be used for its term after it was asked for. It returns the amount.
 func (b *Budget) Receive(now time.Time, reply Loan) float64 {
 	a := b.account(reply.Service)
 	if reply.Sequence != a.round.sequence || !a.round.open[reply.Peer] {
+		a.receiveOverdue(reply)
 		return 0
 	}
 	delete(a.round.open, reply.Peer)
@@ -257,3 +284,13 @@
 	}
 	return reply.Amount
 }
+
+// receiveOverdue gives back a loan that came too late to be used.
+func (a *account) receiveOverdue(reply Loan) {
+	key := overdue{reply.Peer, reply.Sequence}
+	if _, ok := a.overdue[key]; !ok || reply.Amount <= 0 {
+		return
+	}
+	delete(a.overdue, key)
+	a.giveBack(Loan{Peer: reply.Peer, Sequence: reply.Sequence, Amount: reply.Amount})
+}
--- a/budgeter/budget.go
+++ b/budgeter/budget.go
@@ -17,22 +17,25 @@
 	peers         []string
 	sequence      uint64 // of the last round of borrowing
 	asks          askBucket
+	open          map[Repeat]*openRepeat
+	lastRepeat    Repeat
 }
 
 // account is a Budget's state for one service.
 type account struct {
 	ledger   Ledger
-	wants    rates            // claims, granted or not
-	taken    map[kind]*rates  // repeats sent, over a span
-	credits  []credit         // borrowed from other hosts, oldest first
-	round    round            // current round of borrowing
-	peers    map[string]*peer // that were asked before
-	wanted   float64          // appetite of the last round, in repeats
-	leftOver bool             // a loan was returned since the last round
-	returns  []Loan           // that were not used in time
-	lent     []loan           // of this process, that may still be returned
-	counts   Counts           // since the start
-	usedAt   time.Time        // last request, claim or loan
+	wants    rates                 // claims, granted or not
+	taken    map[kind]*rates       // repeats sent, over a span
+	credits  []credit              // borrowed from other hosts, oldest first
+	round    round                 // current round of borrowing
+	overdue  map[overdue]time.Time // since when
+	peers    map[string]*peer      // that were asked before
+	wanted   float64               // appetite of the last round, in repeats
+	leftOver bool                  // a loan was returned since the last round
+	returns  []Loan                // what became of loans, to be told to their lenders
+	lent     []loan                // of this process, of which it is not known yet what became
+	counts   Counts                // since the start
+	usedAt   time.Time             // last request, claim or loan
 }
 
 // Counts are the sums of an account since the process started, in repeats.
@@ -42,6 +45,7 @@
 	Borrowed float64 `json:"borrowed"`
 	Lent     float64 `json:"lent"`
 	Returned float64 `json:"returned"` // borrowed and not used
+	Unsent   float64 `json:"unsent"`   // granted and not sent
 }
 
 // credit is a part of a repeat, or several repeats, that another host lent.
@@ -55,7 +59,7 @@
 // New returns the Budget of a process that starts now.
 func New(now time.Time, p Policy) *Budget {
 	// A reply to an earlier process of the same host must not match a round of this one.
-	return &Budget{policy: p, startedAt: now, settlingSince: now, services: map[string]*account{}, sequence: uint64(now.UnixNano())}
+	return &Budget{policy: p, startedAt: now, settlingSince: now, services: map[string]*account{}, open: map[Repeat]*openRepeat{}, sequence: uint64(now.UnixNano())}
 }
 
 // Configure changes the policy. Counts of another span can't be converted: a process starts again
@@ -71,6 +75,7 @@
 func (b *Budget) Restart(now time.Time) {
 	b.startedAt, b.settlingSince = now, now
 	clear(b.services)
+	clear(b.open)
 }
 
 // ForgetRequests drops the requests that were counted and the loans: how long ago that was is not
@@ -125,7 +130,7 @@
 func (b *Budget) account(service string) *account {
 	a := b.services[service]
 	if a == nil {
-		a = &account{taken: map[kind]*rates{}, peers: map[string]*peer{}}
+		a = &account{taken: map[kind]*rates{}, peers: map[string]*peer{}, overdue: map[overdue]time.Time{}}
 		b.services[service] = a
 	}
 	return a
@@ -155,24 +160,30 @@
 	a.wants.add(now, b.policy, 1)
 }
 
-// Take takes the budget for one repeat, and reports whether there was enough.
-func (b *Budget) Take(now time.Time, service string, c Claim) bool {
+// Take takes the budget for one repeat. It returns false if there was not enough. The repeat is open
+// until Arrived or NotSent is called for it, or, after Unanswered, its workers go on.
+func (b *Budget) Take(now time.Time, service string, c Claim) (Repeat, bool) {
 	a := b.account(service)
 	a.usedAt = now
-	until := now
-	own := a.ledger.Available(now, until, b.policy, b.slack(now))
+	own := a.ledger.Available(now, b.policy, b.slack(now))
 	borrowed := a.borrowed(now)
 	if own+borrowed < 1+b.reserved(now, a, c) {
-		return false
+		return 0, false
 	}
-	used := a.use(min(borrowed, 1))
-	a.ledger.Charge(now, until, 1-used, b.policy)
+	parts := a.use(1)
+	own = 1
+	for _, x := range parts {
+		own -= x.Amount
+	}
+	a.ledger.Open(own)
 	if a.taken[c.kind()] == nil {
 		a.taken[c.kind()] = &rates{}
 	}
 	a.taken[c.kind()].add(now, b.policy, 1)
 	a.counts.Granted++
-	return true
+	b.lastRepeat++
+	b.open[b.lastRepeat] = &openRepeat{service: service, own: own, loans: parts, grantedAt: now}
+	return b.lastRepeat, true
 }
 
 // Refuse records that a repeat gets no budget.
@@ -199,32 +210,37 @@
 			sum += c.amount
 			continue
 		}
-		if c.amount >= minLoan {
-			a.returns = append(a.returns, Loan{Peer: c.lender, Sequence: c.sequence, Amount: c.amount})
-			a.counts.Returned += c.amount
-			a.leftOver = true
+		if c.amount > 0 {
+			a.giveBack(Loan{Peer: c.lender, Sequence: c.sequence, Amount: c.amount})
+			a.leftOver = a.leftOver || c.amount >= minLoan
 		}
 	}
 	a.credits = left
 	return sum
 }
 
-// use takes an amount from the credits, the one that ends first at first.
-func (a *account) use(amount float64) float64 {
-	left := amount
+// use takes up to an amount from the credits, the one that ends first at first, and returns the parts.
+func (a *account) use(amount float64) []Loan {
+	var parts []Loan
 	for i := range a.credits {
-		part := min(left, a.credits[i].amount)
-		a.credits[i].amount -= part
-		left -= part
+		x := &a.credits[i]
+		part := min(amount, x.amount)
+		if part <= 0 {
+			continue
+		}
+		x.amount -= part
+		amount -= part
+		parts = append(parts, Loan{Peer: x.lender, Sequence: x.sequence, Amount: part})
 	}
-	return amount - left
+	return parts
 }
 
 // State is what a process knows of a service's budget.
 type State struct {
 	Service   string        `json:"service"`
 	Requests  float64       `json:"requests"`  // of callers in the last span, at this process
-	Charged   float64       `json:"charged"`   // repeats sent or lent in the last span
+	Charged   float64       `json:"charged"`   // repeats that arrived, or were lent, in the last span, and open ones
+	Open      float64       `json:"open"`      // of those: sent or lent, and not known to have arrived
 	Slack     float64       `json:"slack"`     // part of the slack
 	Available float64       `json:"available"` // repeats that may be sent now, borrowed ones included
 	Borrowed  float64       `json:"borrowed"`  // of those
@@ -239,8 +255,8 @@
 	slack := b.slack(now)
 	borrowed := a.borrowed(now)
 	return State{
-		Service: service, Requests: a.ledger.Requests(now, b.policy), Charged: a.ledger.Charged(now, b.policy), Slack: slack,
-		Available: a.ledger.Available(now, now, b.policy, slack) + borrowed, Borrowed: borrowed,
+		Service: service, Requests: a.ledger.Requests(now, b.policy), Charged: a.ledger.Charged(now, b.policy), Open: a.ledger.open, Slack: slack,
+		Available: a.ledger.Available(now, b.policy, slack) + borrowed, Borrowed: borrowed,
 		Sharing: b.sharing(now), Age: now.Sub(b.startedAt), Counts: a.counts,
 	}
 }
--- a/budgeter/budget_test.go
+++ b/budgeter/budget_test.go
@@ -20,12 +20,19 @@
 // drain takes repeats until none is left.
 func drain(b *budgeter.Budget, now time.Time, c budgeter.Claim) int {
 	n := 0
-	for b.Take(now, service, c) {
+	for take(b, now, c) {
 		n++
 	}
 	return n
 }
 
+// take takes a repeat that arrives at once.
+func take(b *budgeter.Budget, now time.Time, c budgeter.Claim) bool {
+	r, ok := b.Take(now, service, c)
+	b.Arrived(now, r)
+	return ok
+}
+
 // Guards against hosts that together repeat more than a failing service may get.
 var _ = Describe("Budget", func() {
 	It("keeps all hosts together within the policy, in any window", func() {
@@ -45,7 +52,7 @@
 				if rapid.IntRange(0, 2).Draw(t, "what") == 0 {
 					b.RecordRequest(now, service)
 					seen.Requested(now)
-				} else if b.Take(now, service, budgeter.Claim{}) {
+				} else if take(b, now, budgeter.Claim{}) {
 					seen.Repeated(now)
 				}
 			}
@@ -61,8 +68,8 @@
 		b.SetPeers(start, nil, 2)
 		now := start.Add(settled)
 		Expect(drain(b, now, budgeter.Claim{Begun: true})).To(Equal(9)) // 0.99 of half of 20
-		Expect(b.Take(now.Add(9*time.Second), service, budgeter.Claim{Begun: true})).To(BeFalse())
-		Expect(b.Take(now.Add(11*time.Second), service, budgeter.Claim{Begun: true})).To(BeTrue())
+		Expect(take(b, now.Add(9*time.Second), budgeter.Claim{Begun: true})).To(BeFalse())
+		Expect(take(b, now.Add(11*time.Second), budgeter.Claim{Begun: true})).To(BeTrue())
 	})
 
 	It("gives a new process nothing of the slack for a window, and of its requests what they allow", func() {
@@ -97,8 +104,8 @@
 		b.SetPeers(start, nil, 2)
 		now := start.Add(settled)
 		drain(b, now, budgeter.Claim{Tier: 2})
-		Expect(b.Take(now, service, budgeter.Claim{Tier: 1})).To(BeTrue())
-		Expect(b.Take(now, service, budgeter.Claim{Tier: 1, Begun: true})).To(BeTrue())
+		Expect(take(b, now, budgeter.Claim{Tier: 1})).To(BeTrue())
+		Expect(take(b, now, budgeter.Claim{Tier: 1, Begun: true})).To(BeTrue())
 	})
 
 	It("charges a loan to its lender until it is returned", func() {
@@ -131,6 +138,84 @@
 		Expect(lender.State(late, service).Available).To(BeNumerically("~", before+reply.Amount, 1e-9))
 	})
 
+	It("counts a repeat in each window until its workers have gone on, for a span at most", func() {
+		b := budgeter.New(start, budgeter.Policy{Slack: 20, Span: 10 * time.Second})
+		b.SetPeers(start, nil, 2)
+		now := start.Add(settled)
+		claim := budgeter.Claim{Begun: true}
+		var open []budgeter.Repeat
+		for r, ok := b.Take(now, service, claim); ok; r, ok = b.Take(now, service, claim) {
+			open = append(open, r)
+		}
+		Expect(open).To(HaveLen(9))
+		for i, r := range open {
+			Expect(b.Unanswered(now, r, []string{"w", fmt.Sprint("w", i%2)})).To(BeTrue())
+		}
+		goesOn := now.Add(9 * time.Second)
+		Expect(b.WentOn(goesOn, "w")).To(BeEmpty(), "another worker is silent")
+		Expect(b.WentOn(goesOn, "w0")).To(HaveLen(5))
+		b.Returns(now.Add(11 * time.Second)) // the others are settled
+		Expect(drain(b, now.Add(18*time.Second), claim)).To(Equal(0))
+		Expect(drain(b, now.Add(20*time.Second), claim)).To(Equal(5))
+		Expect(drain(b, now.Add(22*time.Second), claim)).To(Equal(4))
+	})
+
+	It("gives back the budget of a repeat that was not sent", func() {
+		b := budgeter.New(start, budgeter.Policy{Slack: 20, Span: 10 * time.Second})
+		b.SetPeers(start, nil, 2)
+		now := start.Add(settled)
+		r, _ := b.Take(now, service, budgeter.Claim{Begun: true})
+		before := b.State(now, service).Available
+		b.NotSent(r)
+		b.NotSent(r)
+		Expect(b.State(now, service).Available).To(BeNumerically("~", before+1, 1e-9))
+	})
+
+	It("has a loan count at its lender until the borrower says what became of it, for a span at most", func() {
+		p := budgeter.Policy{Slack: 20, Span: 10 * time.Second}
+		lender, borrower := budgeter.New(start, p), budgeter.New(start, p)
+		lender.SetPeers(start, []string{"borrower"}, 2)
+		borrower.SetPeers(start, []string{"lender"}, 2)
+		now := start.Add(settled)
+		drain(borrower, now, budgeter.Claim{Begun: true})
+		asked, _, _ := borrower.Borrow(now, service, 1)
+		loan := asked[0]
+		loan.Peer = "borrower"
+		reply := lender.Lend(now, loan)
+		reply.Peer = "lender"
+		borrower.Receive(now, reply)
+		r, ok := borrower.Take(now, service, budgeter.Claim{Begun: true})
+		Expect(ok).To(BeTrue())
+		borrower.Unanswered(now, r, []string{"w"})
+		later := now.Add(8 * time.Second)
+		lender.Returns(later)
+		Expect(lender.State(later, service).Open).To(Equal(reply.Amount))
+		borrower.WentOn(later, "w")
+		used, unused := 0.0, 0.0
+		for _, x := range borrower.Returns(later) {
+			used, unused = used+x.Arrived, unused+x.Amount
+			x.Peer = "borrower"
+			lender.Return(later, x)
+		}
+		Expect(used + unused).To(BeNumerically("~", reply.Amount, 1e-9))
+		Expect(lender.State(later, service).Open).To(BeNumerically("~", 0, 1e-9))
+		Expect(lender.State(later, service).Charged).To(BeNumerically("~", used, 1e-9))
+	})
+
+	It("gives back a loan that comes too late to be used", func() {
+		b := budgeter.New(start, budgeter.Policy{Slack: 20, Span: 10 * time.Second})
+		b.SetPeers(start, []string{"late"}, 2)
+		asked, end, _ := b.Borrow(start, service, 1)
+		b.Borrow(end, service, 1)
+		reply := asked[0]
+		reply.Amount = 0.5
+		Expect(b.Receive(end, reply)).To(BeZero())
+		Expect(b.Receive(end, reply)).To(BeZero())
+		back := b.Returns(end)
+		Expect(back).To(HaveLen(1), "once")
+		Expect(back[0].Amount).To(Equal(0.5))
+	})
+
 	It("forgets services that are no longer used, and hosts that are gone", func() {
 		b := budgeter.New(start, budgeter.Policy{Slack: 20, Span: 10 * time.Second})
 		now := start
--- a/budgeter/ledger.go
+++ b/budgeter/ledger.go
@@ -10,9 +10,8 @@
 const earlierWeight = 0.4
 
 const (
-	spanSteps  = 100                          // steps of a span
-	aheadSteps = 10                           // steps that a charge may lie ahead, at most
-	ringSteps  = 2*spanSteps + aheadSteps + 2 // steps that are kept
+	spanSteps = 100             // steps of a span
+	ringSteps = 2*spanSteps + 2 // steps that are kept
 )
 
 // Ledger is the account of one process for one service: the requests that it received, and the
@@ -21,7 +20,8 @@
 	startedAt time.Time // of step 0
 	step      int64     // newest step
 	requests  [ringSteps]float64
-	charges   [ringSteps]float64
+	charges   [ringSteps]float64 // repeats, by when they had arrived
+	open      float64            // repeats that may arrive from now on
 }
 
 // slide advances the ledger to now. Steps follow the monotonic clock, so that a change of the
@@ -33,8 +33,8 @@
 	step := int64(now.Sub(l.startedAt) / l.stepOf(p))
 	for range min(step-l.step, ringSteps) {
 		l.step++
-		ahead := index(l.step + aheadSteps)
-		l.requests[ahead], l.charges[ahead] = 0, 0
+		newest := index(l.step)
+		l.requests[newest], l.charges[newest] = 0, 0
 	}
 	l.step = max(l.step, step)
 }
@@ -53,50 +53,35 @@
 // ForgetRequests drops the requests that were counted: their times are no longer known.
 func (l *Ledger) ForgetRequests() { l.requests = [ringSteps]float64{} }
 
-// Charge counts repeats that may arrive at workers until the given time. It returns the step that
-// they are charged to.
-func (l *Ledger) Charge(now, until time.Time, amount float64, p Policy) int64 {
-	l.slide(now, p)
-	step := l.stepAt(until, p)
-	l.charges[index(step)] += amount
-	return step
-}
+// Open counts repeats that may arrive at any time from now on: in each window, until they are settled.
+func (l *Ledger) Open(amount float64) { l.open += amount }
 
-// Uncharge takes back a part of what was charged to a step, if that is still counted.
-func (l *Ledger) Uncharge(now time.Time, step int64, amount float64, p Policy) {
-	l.slide(now, p)
-	if step > l.step-2*spanSteps {
-		l.charges[index(step)] -= amount
-	}
-}
+// Cancel settles open repeats that do not arrive.
+func (l *Ledger) Cancel(amount float64) { l.open = max(0, l.open-amount) }
 
-// stepAt returns the step that a charge for sends until the given time belongs to: the step after,
-// as the send takes time to arrive.
-func (l *Ledger) stepAt(until time.Time, p Policy) int64 {
-	step := int64(until.Sub(l.startedAt)/l.stepOf(p)) + 1
-	return min(max(step, l.step+1), l.step+aheadSteps)
+// Settle counts open repeats that have arrived by now.
+func (l *Ledger) Settle(now time.Time, amount float64, p Policy) {
+	l.slide(now, p)
+	l.Cancel(amount)
+	l.charges[index(l.step)] += amount
 }
 
-// Available returns how many repeats may be charged now for sends until the given time, with a
-// part of the slack.
+// Available returns how many repeats may be opened now, with a part of the slack.
 //
-// The bound holds for windows that begin anywhere. For each that may contain such a send, the
-// charges in it stay within what is allowed for a weighted mean of the requests in the window and in
-// the one before it. The bound counts whichever of the two has more, over all hosts. The means of all
-// hosts add up to no more than that, wherever callers move between hosts; if each host took the one
-// that has more there, they could add up to twice as much.
-func (l *Ledger) Available(now, until time.Time, p Policy, slack float64) float64 {
+// The bound holds for windows that begin anywhere. For each that may contain such a send, what has
+// arrived in it and what is open stay within what is allowed for a weighted mean of the requests in the
+// window and in the one before it. The bound counts whichever of the two has more, over all hosts. The
+// means of all hosts add up to no more than that, wherever callers move between hosts; if each host took
+// the one that has more there, they could add up to twice as much.
+func (l *Ledger) Available(now time.Time, p Policy, slack float64) float64 {
 	l.slide(now, p)
-	available, charged := math.Inf(1), 0.0
-	newest := l.stepAt(until, p)
-	for step := l.step + aheadSteps; step > newest; step-- {
-		charged += l.charges[index(step)]
-	}
+	available, charged := math.Inf(1), l.open
 	sums := l.requestSums()
-	for begin := newest; begin >= l.step-spanSteps; begin-- {
-		charged += l.charges[index(begin)]
-		requests := sums.around(begin)
-		available = min(available, grantedShare*(p.Ratio*requests+slack)-charged)
+	for begin := l.step + 1; begin >= l.step-spanSteps; begin-- {
+		if begin <= l.step {
+			charged += l.charges[index(begin)]
+		}
+		available = min(available, grantedShare*(p.Ratio*sums.around(begin)+slack)-charged)
 	}
 	return max(available, 0)
 }
@@ -112,11 +97,11 @@
 	return l.requestSums().within(l.step-spanSteps+1, l.step)
 }
 
-// Charged returns the repeats that are charged to the last span.
+// Charged returns the repeats that arrived in the last span, and those that are open.
 func (l *Ledger) Charged(now time.Time, p Policy) float64 {
 	l.slide(now, p)
-	sum := 0.0
-	for step := l.step - spanSteps + 1; step <= l.step+aheadSteps; step++ {
+	sum := l.open
+	for step := l.step - spanSteps + 1; step <= l.step; step++ {
 		sum += l.charges[index(step)]
 	}
 	return sum
--- a/budgeter/simulation_test.go
+++ b/budgeter/simulation_test.go
@@ -43,6 +43,8 @@
 	share   func(at time.Duration, machine, machines int) float64 // of requests that want repeats
 	repeats int                                                   // that such a request wants; 0 is maxRepeats
 	callers func(at time.Duration, machine int) bool              // whether a machine gets requests; nil is all
+
+	arrivesLate func() bool // whether what is sent now arrives later; nil is never
 }
 
 const (
@@ -153,7 +155,9 @@
 			return
 		}
 		f.granted++
-		f.seen.Repeated(f.now)
+		if f.arrivesLate == nil || !f.arrivesLate() {
+			f.seen.Repeated(f.now)
+		}
 	}
 }
 
--- a/budgeter/ways_test.go
+++ b/budgeter/ways_test.go
@@ -219,7 +219,8 @@
 	clock   func(machine int) time.Time
 	bytes   int
 	sent    int
-	waits   []int // rounds of loans that each granted repeat waited for
+	waits   []int                                     // rounds of loans that each granted repeat waited for
+	late    func(machine int, r budgeter.Repeat) bool // whether a repeat arrives later; nil is none
 }
 
 const (
@@ -257,7 +258,10 @@
 	b.Want(now, service)
 	l.giveBack(now, machine)
 	for round, silent := 0, 0; round < maxRounds; round++ {
-		if b.Take(now, service, c) {
+		if r, ok := b.Take(now, service, c); ok {
+			if l.late == nil || !l.late(machine, r) {
+				b.Arrived(now, r)
+			}
 			l.waits = append(l.waits, round)
 			return true
 		}
--- a/messenger/message.go
+++ b/messenger/message.go
@@ -210,6 +210,8 @@
 		return decode[RepeatLend](e)
 	case kindRepeatReturn:
 		return decode[RepeatReturn](e)
+	case kindRepeatArrived:
+		return decode[RepeatArrived](e)
 	case kindBoundRequest:
 		return decode[BoundRequest](e)
 	default:
--- a/messenger/message_repeat.go
+++ b/messenger/message_repeat.go
@@ -27,12 +27,22 @@
 	Amount   float64  `msgpack:"amount"`   // repeats
 }
 
+// RepeatArrived states that a part of a loan was used, and that its repeats have arrived.
+type RepeatArrived struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
+	Service  string   `msgpack:"service"`
+	Sequence uint64   `msgpack:"sequence"` // of the RepeatBorrow
+	Amount   float64  `msgpack:"amount"`   // repeats
+}
+
 const (
-	kindRepeatBorrow = "repeatborrow"
-	kindRepeatLend   = "repeatlend"
-	kindRepeatReturn = "repeatreturn"
+	kindRepeatBorrow  = "repeatborrow"
+	kindRepeatLend    = "repeatlend"
+	kindRepeatReturn  = "repeatreturn"
+	kindRepeatArrived = "repeatarrived"
 )
 
-func (RepeatBorrow) kind() string { return kindRepeatBorrow }
-func (RepeatLend) kind() string   { return kindRepeatLend }
-func (RepeatReturn) kind() string { return kindRepeatReturn }
+func (RepeatBorrow) kind() string  { return kindRepeatBorrow }
+func (RepeatLend) kind() string    { return kindRepeatLend }
+func (RepeatReturn) kind() string  { return kindRepeatReturn }
+func (RepeatArrived) kind() string { return kindRepeatArrived }
--- a/placer/request.go
+++ b/placer/request.go
@@ -52,6 +52,7 @@
 	Stream  resumer.Key // of the caller's attempt
 
 	Fingerprint quarantiner.Fingerprint // of the request's content; 0 if unknown
+	Caller      string                  // ID of the caller's request, for logs
 }
 
 // Flight is a request on its way to a worker or at it. Hosts report their flights to each
@@ -105,5 +106,8 @@
 	Unproven             // answered, but not shown to have run to its end
 )
 
+// FromWorker reports whether the worker that was meant wrote an answer.
+func (o Outcome) FromWorker() bool { return o.answered() || o == Errored || o == Refused }
+
 // answered reports whether a worker answered, not with an error.
 func (o Outcome) answered() bool { return o == Answered || o == Unproven }
--- a/router/charge.go
+++ b/router/charge.go
@@ -30,7 +30,7 @@
 // BudgetFields returns the log fields for what a host knew of a retry budget.
 func BudgetFields(s budgeter.State) []zap.Field {
 	return []zap.Field{
-		zap.Float64("requests", s.Requests), zap.Float64("charged", s.Charged), zap.Float64("slack", s.Slack), zap.Float64("available", s.Available),
+		zap.Float64("requests", s.Requests), zap.Float64("charged", s.Charged), zap.Float64("open", s.Open), zap.Float64("slack", s.Slack), zap.Float64("available", s.Available),
 		zap.Float64("borrowed", s.Borrowed), zap.Int("sharing", s.Sharing), zap.Duration("counting", s.Age),
 	}
 }
--- a/router/port.go
+++ b/router/port.go
@@ -108,16 +108,17 @@
 	ID           uint64
 	Service      string
 	Worker       placer.Worker
-	ExpectedWait time.Duration // expected time until the first event or the whole answer
-	Delay        time.Duration // time to wait before the request is sent
-	PromptTokens int           // tokens of the prompt that the worker is expected to process
-	ListAge      time.Duration // age of the list of workers that this one was chosen from
-	Source       string        // address of the worker to fetch the prompt's KV cache from; "" for none
-	PlacedBy     string        // host that made the choice; "" is this host
-	HalfFull     bool          // at least half of the worker's slots are in use
-	Via          string        // host through which the request was sent; "" for none
-	Brittle      bool          // the worker was known to be brittle
-	RateLimit    float64       // requests per second that the worker reported to accept; 0 is unlimited
+	ExpectedWait time.Duration   // expected time until the first event or the whole answer
+	Delay        time.Duration   // time to wait before the request is sent
+	PromptTokens int             // tokens of the prompt that the worker is expected to process
+	ListAge      time.Duration   // age of the list of workers that this one was chosen from
+	Source       string          // address of the worker to fetch the prompt's KV cache from; "" for none
+	PlacedBy     string          // host that made the choice; "" is this host
+	HalfFull     bool            // at least half of the worker's slots are in use
+	Via          string          // host through which the request was sent; "" for none
+	Brittle      bool            // the worker was known to be brittle
+	RateLimit    float64         // requests per second that the worker reported to accept; 0 is unlimited
+	Repeat       budgeter.Repeat // that the retry budget granted for it; 0 for none
 }
 
 // Refused is the error for a request that is placed on no worker for now.
@@ -156,6 +157,17 @@
 	Accepts(ctx context.Context, p Placement, a placer.Request) bool
 	// Ended reports how a placed request ended. It is called once for each Placement.
 	Ended(p Placement, o placer.Outcome)
+	// RepeatsEnded reports what became of repeats that were granted.
+	RepeatsEnded(e RepeatsEnded)
+}
+
+// RepeatsEnded is what became of a request's repeats.
+type RepeatsEnded struct {
+	Request    string // its ID, for logs
+	Arrived    []budgeter.Repeat
+	NotSent    []budgeter.Repeat
+	Unanswered []budgeter.Repeat // that may still arrive
+	Workers    []string          // at which those may arrive
 }
 
 // Origins is the port to the component that knows which workers began the streams that callers
--- a/router/router.go
+++ b/router/router.go
@@ -324,7 +324,7 @@
 func (r *Router) placementRequest(q *request) placer.Request {
 	a := placer.Request{
 		Service: q.service, Prompt: q.Prompt, Output: q.MaxOutput, Rank: q.rank, Tier: q.Tier,
-		Target: q.LatencyTarget.Std(), Fingerprint: q.fingerprint,
+		Target: q.LatencyTarget.Std(), Fingerprint: q.fingerprint, Caller: q.ID,
 	}
 	if q.ExpectedOutput > 0 && (q.ExpectedOutput < q.MaxOutput || q.MaxOutput == 0) {
 		a.Output = q.ExpectedOutput
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -21,6 +21,7 @@
 	"github.com/prometheus/client_golang/prometheus/testutil"
 	"go.uber.org/zap"
 
+	"github.com/cicadawood/cicadawood/budgeter"
 	"github.com/cicadawood/cicadawood/connector"
 	"github.com/cicadawood/cicadawood/loader"
 	"github.com/cicadawood/cicadawood/placer"
@@ -77,6 +78,8 @@
 	leaving  []string // workers reported as leaving
 	backoffs []string // workers and times reported
 
+	repeatsEnded []router.RepeatsEnded
+
 	declining string // first worker, which no longer accepts requests after their delay; "" is none
 }
 
@@ -92,7 +95,11 @@
 	}
 	for _, w := range p.workers {
 		if !strings.Contains(strings.Join(a.Exclude, " "), w.Name) {
-			return router.Placement{Worker: w, Delay: p.pause}, nil
+			placement := router.Placement{Worker: w, Delay: p.pause}
+			if c.Repeats() {
+				placement.Repeat = budgeter.Repeat(len(p.requests))
+			}
+			return placement, nil
 		}
 	}
 	return router.Placement{}, router.Refused{Reason: "no_workers", RetryAfter: time.Second}
@@ -126,6 +133,12 @@
 	p.leaving = append(p.leaving, x.Worker.Name)
 }
 
+func (p *listPlacer) RepeatsEnded(e router.RepeatsEnded) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.repeatsEnded = append(p.repeatsEnded, e)
+}
+
 func (p *listPlacer) Ended(_ router.Placement, o placer.Outcome) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -171,9 +184,10 @@
 	return &loader.Folder{
 		Routes: map[string]loader.HostRoute{
 			"a": route("/a/", nil), "ab": route("/a/b/", nil),
-			"late": route("/late/", func(r *loader.HostRoute) { r.Tier = 5 }),
-			"flow": route("/flow/", func(r *loader.HostRoute) { r.Stream, r.Resumable = true, true }),
-			"once": route("/once/", func(r *loader.HostRoute) { r.Once, r.MaxAttempts = true, 1 }),
+			"quick": route("/quick/", func(r *loader.HostRoute) { r.LatencyTarget = loader.Duration(50 * time.Millisecond) }),
+			"late":  route("/late/", func(r *loader.HostRoute) { r.Tier = 5 }),
+			"flow":  route("/flow/", func(r *loader.HostRoute) { r.Stream, r.Resumable = true, true }),
+			"once":  route("/once/", func(r *loader.HostRoute) { r.Once, r.MaxAttempts = true, 1 }),
 			"split": route("/split/", func(r *loader.HostRoute) {
 				r.Services = []loader.Split{{Service: "x", Weight: 90}, {Service: "y", Weight: 10}, {Service: "z", Weight: 0}}
 			}),
@@ -641,6 +655,28 @@
 		Expect(fakePlacer.charges).To(Equal([]router.Charge{router.ChargeFirst, router.ChargeNone, router.ChargeNone, router.ChargeRepeat}))
 	})
 
+	// Guards against repeats that count before they arrive: a silent worker may read a send later.
+	It("reports a repeat as open while a worker may still read a send of its request", func() {
+		worker("silent", func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+		worker("w", status(http.StatusOK, "Seal"))
+		code, _, _ := call(bg, "/quick/x", "s")
+		Expect(code).To(Equal(http.StatusOK))
+		Expect(fakePlacer.repeatsEnded).NotTo(BeEmpty())
+		Expect(fakePlacer.repeatsEnded).To(HaveEach(HaveField("Workers", []string{"silent"})))
+		Expect(fakePlacer.repeatsEnded[len(fakePlacer.repeatsEnded)-1].Unanswered).To(Equal([]budgeter.Repeat{2}))
+	})
+
+	It("reports when a repeat has arrived, and which one was not sent", func() {
+		worker("w-1", status(http.StatusServiceUnavailable, "Not-Run"))
+		fakePlacer.workers = append(fakePlacer.workers, placer.Worker{Name: "gone", Address: "127.0.0.1:1"})
+		worker("w-2", status(http.StatusOK, "Seal"))
+		code, _, _ := call(bg, "/a/x", "s")
+		Expect(code).To(Equal(http.StatusOK))
+		Expect(fakePlacer.repeatsEnded).To(HaveLen(2))
+		Expect(fakePlacer.repeatsEnded[0].NotSent).To(Equal([]budgeter.Repeat{2}))
+		Expect(fakePlacer.repeatsEnded[1].Arrived).To(Equal([]budgeter.Repeat{3}))
+	})
+
 	It("counts failed sends by cause and by whether another send followed", func() {
 		worker("w-1", status(http.StatusServiceUnavailable, "Not-Run"))
 		worker("w-2", status(http.StatusInternalServerError, "Seal"))
--- a/router/transaction.go
+++ b/router/transaction.go
@@ -60,7 +60,8 @@
 	refused          *Refused // set if no further worker was found
 	transmitted      int      // number of sends that left this host
 	charged          bool     // the retry budget has counted the request
-	stopSilenceTimer func()   // stops the silence timeout of the current send
+	repeats          repeats
+	stopSilenceTimer func() // stops the silence timeout of the current send
 
 	workerLeaving bool          // an answer to the last send reported that its worker is leaving
 	retryAfter    time.Duration // for which an answer to the last send wanted no more requests; 0 is none
@@ -83,11 +84,14 @@
 		if err != nil {
 			return t.notPlaced(caller, err)
 		}
+		t.repeats.begin(placement.Repeat)
 		if !sleep(ctx, placement.Delay) {
+			t.cancelRepeat(placement)
 			t.router.Placer.Ended(placement, placer.Canceled)
 			return t.timedOut(caller)
 		}
 		if placement.Delay > 0 && !t.router.Placer.Accepts(ctx, placement, t.q.placement) {
+			t.cancelRepeat(placement)
 			t.router.Placer.Ended(placement, placer.Canceled)
 			continue
 		}
@@ -96,6 +100,7 @@
 		t.sentAt = time.Now()
 		t.workerLeaving, t.retryAfter, t.via = false, 0, ""
 		err = t.send(ctx, placement)
+		t.endRepeat(placement, err)
 		t.router.Placer.Ended(placement, t.outcome(caller, placement, err))
 		if err == nil {
 			t.router.Origins.Finished(t.origin.keys)
@@ -294,6 +299,7 @@
 
 // handleAnswer checks the head of an answer and passes the answer on.
 func (t *transaction) handleAnswer(ctx context.Context, p Placement, a *connector.Answer) error {
+	t.repeatArrived()
 	v := t.router.Dialect.ReadAnswer(a.Status, a.Header)
 	t.reportRate(p, v.Limit)
 	t.noteAvailability(p, v)
--- a/runner/deciders.go
+++ b/runner/deciders.go
@@ -257,9 +257,9 @@
 		p.answerOrHold(now, x.requested, refusedBy(e.from, placer.Refusal{Reason: s.Reason, RetryAfter: s.RetryAfter}, decodeBasis(s.Basis)))
 	case s.Flight == 0:
 	case waiting && available:
-		x.requested.reply <- workerReply{placement: router.Placement{
+		p.answer(x.requested, workerReply{placement: router.Placement{
 			ID: s.Flight, Service: x.requested.request.Service, Worker: p.certain(w), ExpectedWait: s.Wait, Delay: s.Delay, Source: s.Source, PromptTokens: s.Prefill, HalfFull: s.HalfFull, ListAge: now.Sub(p.updatedAt), PlacedBy: e.from, Brittle: p.view.IsBrittle(s.Worker), RateLimit: s.RateLimit,
-		}}
+		}})
 	default:
 		p.remindOfLeaving(s.Worker)
 		p.addEnded(now, flightEnded{id: s.Flight, outcome: placer.Canceled})
--- a/runner/export_test.go
+++ b/runner/export_test.go
@@ -181,20 +181,33 @@
 }
 
 // Charge requests a worker for a request, which is charged to the retry budget. The function
-// returned reports whether one was granted.
-func (x Selector) Charge(now time.Time, a placer.Request, c router.Charge) (granted func() bool) {
+// returned reports whether one was granted, and the placement.
+func (x Selector) Charge(now time.Time, a placer.Request, c router.Charge) (granted func() (router.Placement, bool)) {
 	reply := make(chan workerReply, 1)
 	x.c.handle(now, workerRequested{request: a, charge: c, reply: reply})
-	return func() bool {
+	return func() (router.Placement, bool) {
 		select {
 		case r := <-reply:
-			return r.refused == nil
+			return r.placement, r.refused == nil
 		default:
-			return false
+			return router.Placement{}, false
 		}
 	}
 }
 
+// RepeatsEnded reports what became of repeats.
+func (x Selector) RepeatsEnded(now time.Time, e router.RepeatsEnded) {
+	x.c.handle(now, repeatsEnded{e})
+}
+
+// Answered reports that a worker answered a request.
+func (x Selector) Answered(now time.Time, worker string) {
+	x.c.handle(now, flightEnded{worker: worker, outcome: placer.Answered})
+}
+
+// Sweep removes expired state.
+func (x Selector) Sweep(now time.Time) { x.c.sweep(now) }
+
 // SetRoster applies a roster.
 func (x Selector) SetRoster(now time.Time, r registrar.Roster) {
 	x.c.handle(now, rosterChanged{roster: r})
--- a/runner/host_routes.go
+++ b/runner/host_routes.go
@@ -80,6 +80,8 @@
 		g.selector.post(repeatLent{from: from, reply: m})
 	case messenger.RepeatReturn:
 		g.selector.post(repeatReturned{from: from, back: m})
+	case messenger.RepeatArrived:
+		g.selector.post(repeatArrived{from: from, arrived: m})
 	case messenger.ListUpdate:
 		g.selector.post(listUpdateReceived{from: from, update: m})
 	case messenger.ListSnapshot:
--- a/runner/list_wait.go
+++ b/runner/list_wait.go
@@ -38,7 +38,7 @@
 			return
 		}
 	}
-	e.reply <- r
+	p.answer(e, r)
 }
 
 // clearsUp reports whether a request was refused for something that the list will show.
--- a/runner/repeat_budget.go
+++ b/runner/repeat_budget.go
@@ -47,7 +47,7 @@
 	since     time.Time
 }
 
-// repeatBorrowed, repeatLent and repeatReturned are messages of other hosts; loansDue reports that a round of
+// repeatBorrowed, repeatLent, repeatReturned and repeatArrived are messages of other hosts; loansDue reports that a round of
 // requests for loans has ended.
 type (
 	repeatBorrowed struct {
@@ -62,9 +62,16 @@
 		from string
 		back messenger.RepeatReturn
 	}
+	repeatArrived struct {
+		from    string
+		arrived messenger.RepeatArrived
+	}
 	loansDue struct{ service string }
 )
 
+// repeatsEnded reports what became of repeats of a request.
+type repeatsEnded struct{ router.RepeatsEnded }
+
 func newRepeatBudget(now time.Time, h loader.Host, s sender, log *zap.Logger) *repeatBudget {
 	return &repeatBudget{
 		self: h.Name, sender: s, log: log, budget: budgeter.New(now, repeatPolicy(h.Repeat)),
@@ -96,9 +103,9 @@
 	b.budget.SetPeers(now, peers, len(hosts))
 }
 
-// charge counts a request. It returns false for a repeat that has to wait or is refused; it is
-// granted or answered later.
-func (b *repeatBudget) charge(now time.Time, e workerRequested) bool {
+// charge counts a request, and notes in it the repeat that was granted. It returns false for one that
+// has to wait or is refused; it is granted or answered later.
+func (b *repeatBudget) charge(now time.Time, e *workerRequested) bool {
 	service := e.request.Service
 	switch {
 	case e.charge == router.ChargeFirst:
@@ -108,15 +115,22 @@
 		return true
 	}
 	b.budget.Want(now, service)
-	if len(b.waiting[service]) == 0 && b.budget.Take(now, service, claimOf(e)) {
-		b.record(now, waitingRepeat{e, now}, true)
+	if len(b.waiting[service]) == 0 && b.take(now, e) {
+		b.record(now, waitingRepeat{*e, now}, true)
 		return true
 	}
-	b.waiting[service] = append(b.waiting[service], waitingRepeat{e, now})
+	b.waiting[service] = append(b.waiting[service], waitingRepeat{*e, now})
 	b.serve(now, service)
 	return false
 }
 
+// take takes the budget for a repeat, and notes it in the request.
+func (b *repeatBudget) take(now time.Time, e *workerRequested) bool {
+	r, ok := b.budget.Take(now, e.request.Service, claimOf(*e))
+	e.repeat = r
+	return ok
+}
+
 func claimOf(e workerRequested) budgeter.Claim {
 	return budgeter.Claim{Tier: e.request.Tier, Begun: e.charge == router.ChargeRepeatBegun, LastChance: e.charge == router.ChargeRepeatLast}
 }
@@ -158,7 +172,7 @@
 	left := list[:0]
 	var granted []waitingRepeat
 	for _, w := range list {
-		if b.budget.Take(now, service, claimOf(w.requested)) {
+		if b.take(now, &w.requested) {
 			granted = append(granted, w)
 			continue
 		}
@@ -202,19 +216,53 @@
 		b.receive(now, e)
 	case repeatReturned:
 		b.budget.Return(now, budgeter.Loan{Peer: e.from, Service: e.back.Service, Sequence: e.back.Sequence, Amount: e.back.Amount})
+	case repeatArrived:
+		b.budget.Return(now, budgeter.Loan{Peer: e.from, Service: e.arrived.Service, Sequence: e.arrived.Sequence, Arrived: e.arrived.Amount})
 	case loansDue:
 		b.serve(now, e.service)
+	case repeatsEnded:
+		b.settle(now, e.RepeatsEnded)
 	default:
 		return false
 	}
 	return true
 }
 
-// sweep gives back the loans that were not used, and applies that this host may have been suspended:
+// settle applies what became of the repeats of a request.
+func (b *repeatBudget) settle(now time.Time, e router.RepeatsEnded) {
+	for _, r := range e.Arrived {
+		if after := b.budget.Arrived(now, r); after > 0 {
+			b.metrics.arrival.Observe(after.Seconds())
+		}
+	}
+	for _, r := range e.NotSent {
+		b.budget.NotSent(r)
+	}
+	for _, r := range e.Unanswered {
+		if b.budget.Unanswered(now, r, e.Workers) {
+			b.log.Info("repeat open", zap.String("request", e.Request), zap.Strings("workers", e.Workers))
+		}
+	}
+}
+
+// wentOn applies that a worker answered a request.
+func (b *repeatBudget) wentOn(now time.Time, worker string) {
+	for _, x := range b.budget.WentOn(now, worker) {
+		b.metrics.arrival.Observe(x.After.Seconds())
+		b.log.Info("repeat settled", zap.String("service", x.Service), zap.String("worker", x.Worker), zap.Duration("after", x.After))
+	}
+}
+
+// sweep tells lenders what became of their loans, and applies that this host may have been suspended:
 // the time of day went on then, and the monotonic clock did not.
 func (b *repeatBudget) sweep(now time.Time) {
 	for _, l := range b.budget.Returns(now) {
-		b.send(l.Peer, messenger.RepeatReturn{Service: l.Service, Sequence: l.Sequence, Amount: l.Amount})
+		if l.Arrived > 0 {
+			b.send(l.Peer, messenger.RepeatArrived{Service: l.Service, Sequence: l.Sequence, Amount: l.Arrived})
+		}
+		if l.Amount > 0 {
+			b.send(l.Peer, messenger.RepeatReturn{Service: l.Service, Sequence: l.Sequence, Amount: l.Amount})
+		}
 	}
 	gap := now.Round(0).Sub(b.sweptAt.Round(0)) - now.Sub(b.sweptAt)
 	b.sweptAt = now
@@ -238,7 +286,7 @@
 	b.metrics.decisions.WithLabelValues(strconv.FormatBool(granted)).Inc()
 	b.metrics.wait.Observe(now.Sub(w.since).Seconds())
 	b.log.Info("repeat", append([]zap.Field{
-		zap.String("service", a.Service), zap.Int("tier", a.Tier), zap.Bool("begun", c.Begun), zap.Bool("last", c.LastChance), zap.Stringer("fingerprint", a.Fingerprint),
+		zap.String("service", a.Service), zap.Int("tier", a.Tier), zap.Bool("begun", c.Begun), zap.Bool("last", c.LastChance), zap.Stringer("fingerprint", a.Fingerprint), zap.String("request", a.Caller),
 		zap.Bool("granted", granted), zap.Duration("waited", now.Sub(w.since)),
 	}, router.BudgetFields(s)...)...)
 }
@@ -247,3 +295,5 @@
 func (repeatLent) event()     {}
 func (repeatReturned) event() {}
 func (loansDue) event()       {}
+func (repeatArrived) event()  {}
+func (repeatsEnded) event()   {}
--- a/runner/repeat_budget_test.go
+++ b/runner/repeat_budget_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/cicadawood/cicadawood/budgeter"
 	"github.com/cicadawood/cicadawood/faker"
 	"github.com/cicadawood/cicadawood/loader"
 	"github.com/cicadawood/cicadawood/messenger"
@@ -26,6 +27,23 @@
 	queue   []func()
 	seen    faker.Repeats
 	request int
+	late    *lateSends // nil while sends arrive at once
+}
+
+// lateSends are the requests that were sent to a worker that stands still, once for each send.
+type lateSends struct{ requests []string }
+
+// readLate has the worker read them, and answer.
+func (f *repeatFleet) readLate() {
+	for _, id := range f.late.requests {
+		f.seen.Arrived(f.now, id)
+	}
+	f.late = nil
+	for _, h := range f.hosts {
+		h.Answered(f.now, "w0")
+		h.Sweep(f.now)
+	}
+	f.settle()
 }
 
 var fleetLimit = faker.RepeatLimit{Ratio: 0.2, Slack: 54, Window: 10 * time.Second}
@@ -94,10 +112,17 @@
 		}
 		placed := f.hosts[host].Charge(f.now, placer.Request{Service: "lm", Left: time.Second}, charge)
 		f.settle()
-		if !placed() {
+		placement, ok := placed()
+		if !ok {
 			break
 		}
-		f.seen.Arrived(f.now, id)
+		if f.late != nil {
+			f.late.requests = append(f.late.requests, id)
+			f.hosts[host].RepeatsEnded(f.now, router.RepeatsEnded{Unanswered: []budgeter.Repeat{placement.Repeat}, Workers: []string{"w0"}})
+		} else {
+			f.hosts[host].RepeatsEnded(f.now, router.RepeatsEnded{Arrived: []budgeter.Repeat{placement.Repeat}})
+			f.seen.Arrived(f.now, id)
+		}
 		granted += min(n, 1)
 	}
 	f.settle()
@@ -131,4 +156,17 @@
 		worst := f.seen.Worst(fleetLimit)
 		Expect(worst.Excess()).To(BeNumerically("<=", 0), "%+v", worst)
 	})
+
+	// Guards against repeats that count when they are granted, and arrive when their worker goes on.
+	It("holds while a worker reads what it was sent much later", func() {
+		f, random := newRepeatFleet(3), rand.New(rand.NewPCG(2, 2))
+		f.play(25*time.Second, random, 0)
+		f.late = &lateSends{}
+		f.play(6*time.Second, random, 0.9)
+		f.readLate()
+		f.play(12*time.Second, random, 0.9)
+		worst := f.seen.Worst(fleetLimit)
+		Expect(worst.Excess()).To(BeNumerically("<=", 0), "%+v", worst)
+		Expect(worst.Repeats).To(BeNumerically(">", fleetLimit.Slack/2))
+	})
 })
--- a/runner/selector.go
+++ b/runner/selector.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/cicadawood/cicadawood/budgeter"
 	"github.com/cicadawood/cicadawood/loader"
 	"github.com/cicadawood/cicadawood/messenger"
 	"github.com/cicadawood/cicadawood/observer"
@@ -63,6 +64,7 @@
 	request placer.Request
 	charge  router.Charge
 	reply   chan<- workerReply
+	repeat  budgeter.Repeat // that the retry budget granted; 0 for none
 
 	heldSince time.Time // since when it waits for the list of workers; zero if it never did
 }
@@ -76,11 +78,13 @@
 // flightStarted and flightEnded report the progress of a request at its worker.
 type (
 	flightStarted struct {
-		id   uint64
-		took time.Duration
+		id     uint64
+		worker string
+		took   time.Duration
 	}
 	flightEnded struct {
 		id       uint64
+		worker   string // "" if this host did not send the request
 		outcome  placer.Outcome
 		halfFull bool // at least half of the worker's slots were taken
 	}
@@ -143,6 +147,7 @@
 	case placementTimedOut:
 		p.handleTimeout(now, e)
 	case flightStarted:
+		p.repeats.wentOn(now, e.worker)
 		p.view.BegunAfter(now, e.id, e.took)
 		p.pendingUpdate.Begun = append(p.pendingUpdate.Begun, e.id)
 		p.pendingUpdate.Took = append(p.pendingUpdate.Took, e.took)
@@ -163,6 +168,9 @@
 		_, held := p.view.HeldBack(now, e.request)
 		e.reply <- !held && p.accepts(now, e.worker)
 	case flightEnded:
+		if e.outcome.FromWorker() {
+			p.repeats.wentOn(now, e.worker)
+		}
 		p.view.Ended(now, e.id, e.outcome)
 		p.addEnded(now, e)
 	case flightsReceived:
@@ -199,7 +207,7 @@
 
 // place finds a worker for a request, once the retry budget has counted it.
 func (p *selector) place(now time.Time, e workerRequested) {
-	if p.repeats.charge(now, e) {
+	if p.repeats.charge(now, &e) {
 		p.placeCharged(now, e)
 	}
 }
@@ -212,6 +220,16 @@
 	}
 }
 
+// answer answers a request for a worker. A repeat that is refused a worker is not sent.
+func (p *selector) answer(e workerRequested, r workerReply) {
+	if r.refused == nil {
+		r.placement.Repeat = e.repeat
+	} else {
+		p.repeats.budget.NotSent(e.repeat)
+	}
+	e.reply <- r
+}
+
 // decide selects a worker by this host's view.
 func (p *selector) decide(now time.Time, a placer.Request) workerReply {
 	a.Backoffs = p.heldBack(now, a.Service)
--- a/runner/selector_placer.go
+++ b/runner/selector_placer.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/cicadawood/cicadawood/budgeter"
 	"github.com/cicadawood/cicadawood/observer"
 	"github.com/cicadawood/cicadawood/placer"
 	"github.com/cicadawood/cicadawood/router"
@@ -37,6 +38,7 @@
 	select {
 	case r := <-reply:
 		if r.refused == nil {
+			p.RepeatsEnded(router.RepeatsEnded{NotSent: []budgeter.Repeat{r.placement.Repeat}})
 			p.Ended(r.placement, placer.Canceled)
 		}
 	case <-p.ended:
@@ -45,7 +47,7 @@
 
 // Started implements router.Placer.
 func (p *selector) Started(x router.Placement, took time.Duration) {
-	p.post(flightStarted{id: x.ID, took: took})
+	p.post(flightStarted{id: x.ID, worker: x.Worker.Name, took: took})
 }
 
 // RateReported implements router.Placer.
@@ -77,9 +79,12 @@
 
 // Ended implements router.Placer.
 func (p *selector) Ended(x router.Placement, o placer.Outcome) {
-	p.post(flightEnded{id: x.ID, outcome: o, halfFull: x.HalfFull})
+	p.post(flightEnded{id: x.ID, worker: x.Worker.Name, outcome: o, halfFull: x.HalfFull})
 }
 
+// RepeatsEnded implements router.Placer.
+func (p *selector) RepeatsEnded(e router.RepeatsEnded) { p.post(repeatsEnded{e}) }
+
 // post sends an event to the run goroutine. It returns false if that has ended.
 func (p *selector) post(e event) bool {
 	select {
