--- a/faker/worker_unframed.go
+++ b/faker/worker_unframed.go
@@ -79,8 +79,9 @@
 }
 
 // endInOrder ends the worker's process as far as one of its connections shows: its listener is
-// gone, and the connection is closed in order.
+// gone, and the connection is closed in order. Nobody answers from the close on.
 func (k *Worker) endInOrder(conn net.Conn) {
+	k.Hang()
 	_ = conn.Close()
 	k.crash()
 }
