--- a/faker/worker.go
+++ b/faker/worker.go
@@ -69,6 +69,7 @@
 	Unframed        bool          // answers with neither a length nor chunks
 	ResetBody       bool          // with Unframed, resets the connection within a body
 	Endless         Endless       // part of its answers that has no end
+	CutAfterByte    int           // writes so many bytes of an answer and closes the connection; 0 cuts none
 	HangAfterEvent  int           // with Unframed, hangs as Hang does after the event with this number; 0 is never
 	EndAfterEvent   int           // with Unframed, ends as a killed process does after the event with this number; 0 is never
 }
@@ -287,6 +288,8 @@
 // next request.
 func (k *Worker) answer(w http.ResponseWriter, r *http.Request, f WorkerFaults, leave func()) {
 	switch {
+	case f.CutAfterByte > 0:
+		k.answerCut(w, r, f)
 	case f.Endless != "":
 		k.answerEndless(w, r, f.Endless)
 	case f.AnswerError:
--- /dev/null
+++ b/faker/worker_cut.go
@@ -0,0 +1,30 @@
+package faker
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/cicadawood/cicadawood/platform"
+)
+
+// answerCut writes the first bytes of an answer with a length, as many as the fault says, and closes the
+// connection in order. The process goes on.
+func (k *Worker) answerCut(w http.ResponseWriter, r *http.Request, f WorkerFaults) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	answer := k.wholeAnswer(r)
+	_, _ = io.WriteString(conn, answer[:min(f.CutAfterByte, len(answer)-1)])
+}
+
+func (k *Worker) wholeAnswer(r *http.Request) string {
+	body, contentType := fmt.Sprintf("%s of %s", r.URL.RequestURI(), k.ID), "text/plain"
+	if k.Events > 0 {
+		body, contentType = k.event(1), "text/event-stream"
+	}
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nContent-Type: %s\r\nContent-Length: %d\r\n\r\n%s",
+		platform.HeaderRequestID, r.Header.Get(platform.HeaderRequestID), platform.HeaderSeal, k.ID, contentType, len(body), body)
+}
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -264,6 +264,66 @@
 	}
 	bg := context.Background()
 
+	// Guards against a part of an answer that is passed on as a whole one.
+	DescribeTable("passes on no answer as whole that its worker cut off, at any byte", func(path, before, head, body string) {
+		whole := before + "HTTP/1.1 200 OK\r\nId: 1\r\nSeal: 1\r\n" + head + "\r\n" + body
+		var cut atomic.Int64
+		worker("w", func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, err := http.NewResponseController(w).Hijack()
+			Expect(err).NotTo(HaveOccurred())
+			defer conn.Close()
+			_, _ = io.WriteString(conn, whole[:cut.Load()])
+		})
+		for n := range len(whole) {
+			cut.Store(int64(n))
+			code, _, err := call(bg, path, "s")
+			if n < len(whole)-len(body) {
+				Expect(err).NotTo(HaveOccurred())
+				Expect(code).To(Equal(http.StatusBadGateway), "%q", whole[:n])
+				continue
+			}
+			Expect(code == http.StatusBadGateway || err != nil).To(BeTrue(), "%d %v after %q", code, err, whole[:n])
+		}
+		cut.Store(int64(len(whole)))
+		code, _, err := call(bg, path, "s")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(code).To(Equal(http.StatusOK))
+	},
+		Entry("with a length", "/once/x", "", "Content-Length: 12\r\n", "twelve bytes"),
+		Entry("in chunks", "/once/x", "", "Transfer-Encoding: chunked\r\n", "c\r\ntwelve bytes\r\n10\r\nsixteen bytes ..\r\n0\r\n\r\n"),
+		Entry("in chunks, with extensions and a trailer", "/once/x", "", "Transfer-Encoding: chunked\r\nTrailer: X\r\n", "c;a=b\r\ntwelve bytes\r\n0\r\nX: y\r\n\r\n"),
+		Entry("a stream in chunks", "/flow/x", "", "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n", "f\r\nid: 1\ndata: a\n\n\r\nf\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n"),
+		Entry("a stream with a length", "/flow/x", "", "Content-Type: text/event-stream\r\nContent-Length: 30\r\n", "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"),
+		Entry("after an informational answer", "/once/x", "HTTP/1.1 103 Early Hints\r\nId: 1\r\nSeal: 1\r\nContent-Length: 3\r\n\r\n", "Content-Length: 12\r\n", "twelve bytes"),
+		Entry("without a body", "/once/x", "", "Content-Length: 0\r\n", ""),
+		Entry("with neither a length nor chunks", "/once/x", "", "", ""),
+	)
+
+	// Guards against a part of a request that a worker runs.
+	DescribeTable("runs no request that its caller cut off, at any byte", func(head, body string) {
+		worker("w", func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			status(http.StatusOK, "Seal")(w, r)
+		})
+		whole := "POST /once/x HTTP/1.1\r\nHost: h.example\r\nId: 1\r\nKey: s\r\n" + head + "\r\n" + body
+		for n := range len(whole) + 1 {
+			c, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+			Expect(err).NotTo(HaveOccurred())
+			_, err = io.WriteString(c, whole[:n])
+			Expect(err).NotTo(HaveOccurred())
+			Expect(c.(*net.TCPConn).CloseWrite()).To(Succeed())
+			_, _ = io.Copy(io.Discard, c)
+			_ = c.Close()
+			if n < len(whole) {
+				Expect(seen).To(BeEmpty(), "%q", whole[:n])
+			}
+		}
+	},
+		Entry("with a length", "Content-Length: 12\r\n", "twelve bytes"),
+		Entry("in chunks", "Transfer-Encoding: chunked\r\n", "c\r\ntwelve bytes\r\n0\r\n\r\n"),
+		Entry("in chunks, with a trailer", "Transfer-Encoding: chunked\r\nTrailer: X\r\n", "c\r\ntwelve bytes\r\n0\r\nX: y\r\n\r\n"),
+	)
+
 	// Guards against a host that is killed by many large bodies that arrive at once.
 	It("counts bodies that are still arriving, and refuses those that don't fit", func() {
 		registry = prometheus.NewRegistry()
