Streams of before a restart of all hosts are not joined with another version's

Cause: first was taken for a fact of this start; a host then counts its history as complete, and the list has one version.

It is believed only once the store is found to have no record of an earlier process of this name, and while no host on the roster is over 10 s older.

Left: hosts that are all told to end leave no record; started again with first, they can't know.

--- a/registrar/recorder.go
+++ b/registrar/recorder.go
@@ -37,6 +37,7 @@
 	leaseDuration time.Duration
 	log           *zap.Logger
 	wake          chan struct{}
+	onFirstWrite  func(fresh bool) // called once, when it is known whether the store had a record of this name; nil is none
 
 	mu           sync.Mutex
 	self         Record            // to be stored; nothing is stored while it is zero
@@ -184,7 +185,11 @@
 	c.stored = Record{}
 	if !c.createTried {
 		c.createTried = true // most processes have a new name, for which no record exists
-		if created, err := c.createRecord(ctx, self); created || err != nil {
+		created, err := c.createRecord(ctx, self)
+		if created {
+			c.reportFirstWrite(true)
+		}
+		if created || err != nil {
 			return err
 		}
 	}
@@ -193,6 +198,7 @@
 		return fmt.Errorf("read record: %w", err)
 	}
 	stored, _ := decodeRecord(o)
+	c.reportFirstWrite(stored.Incarnation == self.Incarnation) // the reply to the write may have been lost
 	if stored.Incarnation > self.Incarnation {
 		c.log.Warn("record has a newer incarnation", zap.Uint64("incarnation", stored.Incarnation))
 		return nil
@@ -207,6 +213,14 @@
 	return nil
 }
 
+// reportFirstWrite reports whether the store had no record of an earlier process of this name.
+func (c *recorder) reportFirstWrite(fresh bool) {
+	if c.onFirstWrite != nil {
+		c.onFirstWrite(fresh)
+		c.onFirstWrite = nil
+	}
+}
+
 // createRecord writes the record if the store has none under this name, and reports
 // whether it did.
 func (c *recorder) createRecord(ctx context.Context, self Record) (bool, error) {
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -42,6 +42,9 @@
 	ShouldWatch func() bool
 	// Notify is called with each new roster. It must not block for long.
 	Notify func(Roster)
+	// OnFirstWrite, if set, is called once, when this host's record is first written or read: fresh states that the
+	// store had none of an earlier process of this name. It must not block for long.
+	OnFirstWrite func(fresh bool)
 }
 
 // Counts are a Registrar's statistics: hosts on the roster now, and events since the start.
@@ -79,6 +82,7 @@
 		done: make(chan struct{}), leaseChecks: map[string]bool{},
 	}
 	r.recorder = newRecorder(c.Store, c.Self, c.LeaseDuration, c.Log)
+	r.recorder.onFirstWrite = c.OnFirstWrite
 	return r
 }
 
--- a/resumer/resumer.go
+++ b/resumer/resumer.go
@@ -34,6 +34,15 @@
 	return &Resumer{self: self, history: history{always: first}, one: map[string]bool{}, pending: map[uint64]*lookup{}}
 }
 
+// SetFirst states whether the whole system starts for the first time, if that becomes known later.
+func (r *Resumer) SetFirst(now time.Time, first bool) {
+	if r.history.always == first {
+		return
+	}
+	r.history.always = first
+	r.checkOne(now)
+}
+
 // SetTimeouts sets the longest timeout of the routes with streams of each service.
 func (r *Resumer) SetTimeouts(t map[string]time.Duration) { r.timeouts = t }
 
@@ -56,6 +65,12 @@
 // at a time. Own streams of services that now have a second software are to be reported.
 func (r *Resumer) SetWorkers(now, updatedAt time.Time, workers []Worker) {
 	r.history.observe(now, updatedAt, workers)
+	r.checkOne(now)
+}
+
+// checkOne checks of which services a single software served. Own streams of those that now have
+// a second one are to be reported.
+func (r *Resumer) checkOne(now time.Time) {
 	for service := range r.history.present {
 		one := r.isOne(now, service)
 		if r.one[service] && !one {
--- a/runner/export_test.go
+++ b/runner/export_test.go
@@ -315,3 +315,18 @@
 	k := &onceManager{forward: f, memory: m, limits: loader.Once{MaxAnswer: limit}}
 	return k.callWorker(context.Background(), "", forwarder.Call{})
 }
+
+// FirstStart decides whether the whole system starts for the first time.
+type FirstStart struct{ f firstStart }
+
+// NewFirstStart returns the FirstStart of a host whose settings say so.
+func NewFirstStart() *FirstStart { return &FirstStart{firstStart{claimed: true}} }
+
+// Written applies that the host's record was written.
+func (x *FirstStart) Written(now time.Time, fresh bool) { x.f.written(now, fresh) }
+
+// SetRoster applies a roster.
+func (x *FirstStart) SetRoster(self string, r registrar.Roster) { x.f.setRoster(self, r) }
+
+// Confirmed reports whether it is the first start.
+func (x *FirstStart) Confirmed(now time.Time) bool { return x.f.confirmed(now) }
--- a/runner/host.go
+++ b/runner/host.go
@@ -163,6 +163,7 @@
 			h.control.post(rosterChanged{roster: r})
 			h.routes.setRoster(r)
 		},
+		OnFirstWrite: func(fresh bool) { h.routes.recordWritten(fresh) },
 	})
 	h.server = server.New(s.Limits, h.memory, h.follower, h.control, forward, h.log, server.NewMetrics(registry))
 	h.server.SetLimiter(limitAdapter{&h.control.limits.gates})
--- a/runner/host_routes.go
+++ b/runner/host_routes.go
@@ -99,6 +99,13 @@
 	}
 }
 
+// recordWritten applies whether this host's record is the first one under its name.
+func (g *hostRoutes) recordWritten(fresh bool) {
+	if g != nil {
+		g.selector.post(recordWritten{fresh: fresh})
+	}
+}
+
 // runRoutes starts the goroutines of host routes, or, where the host serves none, those
 // that only the product's own interface needs. It returns a function that closes the
 // listener and the connections.
--- a/runner/origins.go
+++ b/runner/origins.go
@@ -37,6 +37,7 @@
 	uncertain []streamTakenUp      // that wait for their beginning to be certain
 	workers   *prometheus.GaugeVec // by service and version
 	count     atomic.Int64         // of records
+	first     firstStart
 }
 
 // Events of originSync.
@@ -82,7 +83,7 @@
 
 func newOriginSync(self string, s sender, first bool, log *zap.Logger, post func(event) bool) *originSync {
 	return &originSync{
-		self: self, sender: s, log: log, post: post, resumer: resumer.New(self, first),
+		self: self, sender: s, log: log, post: post, resumer: resumer.New(self, false), first: firstStart{claimed: first},
 		readers: map[string]bool{}, announced: map[string]uint64{},
 		workers: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "cicadawood_workers_by_version", Help: "Workers on this host's list, also those that are leaving, by service and software version.",
@@ -100,6 +101,7 @@
 // sweep forgets what no stream can need any more, and asks again for beginnings that were not
 // certain.
 func (o *originSync) sweep(now time.Time) {
+	o.resumer.SetFirst(now, o.first.confirmed(now))
 	o.resumer.Sweep(now)
 	o.count.Store(int64(o.resumer.Len()))
 	o.retryUncertain(now)
@@ -112,6 +114,8 @@
 		o.resolve(now, e)
 	case streamEnded:
 		o.resumer.Ended(e.keys)
+	case recordWritten:
+		o.first.written(now, e.fresh)
 	case originsDue:
 		o.ask()
 	case lookupsDue:
@@ -246,6 +250,7 @@
 	if known {
 		o.reply = self.Control
 	}
+	o.first.setRoster(o.self, r)
 	for name := range o.readers {
 		if _, ok := r.Find(name); !ok {
 			delete(o.readers, name)
--- a/soaker/cluster_test.go
+++ b/soaker/cluster_test.go
@@ -98,6 +98,7 @@
 	callPause    time.Duration // between two requests of a caller; 0 is defaultCallPause
 	callers      int           // requests in flight at a time; 0 is defaultCallers
 	memoryMB     int           // of each host, in MiB; 0 has no limit
+	first        bool          // the hosts' settings say, at each start, that the system starts for the first time
 }
 
 func newClusterOf(config clusterConfig) *cluster {
@@ -223,7 +224,7 @@
 	h := &host{name: fmt.Sprintf("h-%d", i), url: "http://" + c.address(i, 1), readyURL: "http://" + c.address(i, 4) + "/ready", storeLink: link}
 	text, err := json.Marshal(map[string]any{
 		"name": h.name, "zone": fmt.Sprintf("z-%d", i%2), "region": "r", "dialect": "platform", "platform": "http://" + link.Address(),
-		"listen": c.address(i, 1), "control": c.address(i, 2), "admin": c.address(i, 3), "ready": c.address(i, 4), "peers": peers, "translate": c.translations(i),
+		"listen": c.address(i, 1), "control": c.address(i, 2), "admin": c.address(i, 3), "ready": c.address(i, 4), "peers": peers, "translate": c.translations(i), "first": c.first,
 		"repeat": map[string]any{"ratio": 0.2, "slack": c.repeatSlack, "window": c.repeatWindow.String()},
 		"limits": map[string]any{"settle": "100ms", "grace": "6s", "lease": "10m", "memory": c.memoryMB},
 	})
--- a/soaker/versions_test.go
+++ b/soaker/versions_test.go
@@ -76,8 +76,8 @@
 	return false
 }
 
-func newRelease(seed uint64) *release {
-	r := &release{cluster: newCluster(seed), version: 1, disturbed: map[*worker]time.Time{}}
+func newRelease(config clusterConfig) *release {
+	r := &release{cluster: newClusterOf(config), version: 1, disturbed: map[*worker]time.Time{}}
 	for _, x := range r.workers {
 		if x.Service == "engine" {
 			r.retire(x)
@@ -323,7 +323,7 @@
 	for i := range uint64(*seedCount) {
 		seed := *firstSeed + i
 		It("keeps each stream at its version, and goes on with those that are taken up, seed "+itoa(seed), func() {
-			r := newRelease(seed)
+			r := newRelease(clusterConfig{seed: seed, repeatSlack: defaultRepeatSlack})
 			ctx, stop := context.WithCancel(context.Background())
 			var begun, takenUp attempts
 			var callers, faults sync.WaitGroup
