No byte of a body is read as a request, whichever answer comes first

Cause: the connection of a chunked request, whose length may be stated in two ways, was closed after the answer only where its route and key had been found. Class: framing judged after something else has answered.

--- a/router/router.go
+++ b/router/router.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cicadawood/cicadawood/connector"
+	"github.com/cicadawood/cicadawood/framer"
 	"github.com/cicadawood/cicadawood/loader"
 	"github.com/cicadawood/cicadawood/placer"
 	"github.com/cicadawood/cicadawood/quarantiner"
@@ -92,6 +93,7 @@
 
 // ServeHTTP implements http.Handler.
 func (r *Router) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	framer.Guard(w, req)
 	q := &request{
 		RequestHead: r.Dialect.ReadRequest(req.Header), started: time.Now(),
 		method: req.Method, uri: req.RequestURI, host: req.Host,
@@ -209,13 +211,6 @@
 	if f := r.identify(q, req.Header); f != nil {
 		return f
 	}
-	if len(req.TransferEncoding) > 0 {
-		// A request that states its length in two ways can be read in two ways, and
-		// bytes after it can be taken for a request that no caller sent (request
-		// smuggling). net/http follows the chunks and silently drops the other length,
-		// so a connection is not reused after a chunked request.
-		w.Header().Set("Connection", "close")
-	}
 	q.header = EndToEndHeader(req.Header)
 	if f := r.readBody(q, w, req); f != nil {
 		return f
--- a/runner/host.go
+++ b/runner/host.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cicadawood/cicadawood/forwarder"
+	"github.com/cicadawood/cicadawood/framer"
 	"github.com/cicadawood/cicadawood/loader"
 	"github.com/cicadawood/cicadawood/messenger"
 	"github.com/cicadawood/cicadawood/platform"
@@ -220,7 +221,7 @@
 		return err
 	}
 	membership.Go(func() { h.registrar.Run(member) })
-	admin := &http.Server{Handler: h.admin(h.registry), ReadHeaderTimeout: time.Second}
+	admin := &http.Server{Handler: framer.Handler(h.admin(h.registry)), DisableGeneralOptionsHandler: true, ReadHeaderTimeout: time.Second}
 	tasks.Go(func() { _ = admin.Serve(adminListener) })
 	failed := make(chan error, 1)
 	tasks.Go(func() { failed <- h.server.Serve(callerListener) })
--- a/runner/host_routes.go
+++ b/runner/host_routes.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cicadawood/cicadawood/connector"
+	"github.com/cicadawood/cicadawood/framer"
 	"github.com/cicadawood/cicadawood/loader"
 	"github.com/cicadawood/cicadawood/messenger"
 	"github.com/cicadawood/cicadawood/platform"
@@ -128,7 +129,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for the balancer: %w", err)
 	}
-	ready := &http.Server{Handler: h.readyHandler(), ReadHeaderTimeout: time.Second}
+	ready := &http.Server{Handler: framer.Handler(h.readyHandler()), DisableGeneralOptionsHandler: true, ReadHeaderTimeout: time.Second}
 	tasks.Go(func() { _ = ready.Serve(l) })
 	return func() {
 		_ = ready.Close()
--- a/server/drain.go
+++ b/server/drain.go
@@ -1,6 +1,10 @@
 package server
 
-import "net/http"
+import (
+	"net/http"
+
+	"github.com/cicadawood/cicadawood/framer"
+)
 
 // Drain makes the server unready permanently. Further requests are served, but their
 // connections are closed after the answer. This empties the load balancer's connection
@@ -13,11 +17,11 @@
 // AbortAll closes all connections, which ends every request in flight.
 func (s *Server) AbortAll() { _ = s.http.Close() }
 
-// closeWhileDraining closes a caller's connection after the answer while the server
-// drains.
-func (s *Server) closeWhileDraining(next http.Handler) http.Handler {
+// closeAfterLast closes a caller's connection after the answer while the server drains, and
+// after a request that may be read in two ways.
+func (s *Server) closeAfterLast(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if s.Draining() {
+		if s.Draining() || framer.Ambiguous(r) {
 			w = &closingWriter{ResponseWriter: w}
 		}
 		next.ServeHTTP(w, r)
--- a/server/server.go
+++ b/server/server.go
@@ -56,7 +56,10 @@
 // New returns a server that does not listen yet.
 func New(l loader.Limits, memory *reserver.Memory, c Configuration, a Allocator, f *forwarder.Forwarder, log *zap.Logger, m *Metrics) *Server {
 	s := &Server{limits: l, config: c, allocator: a, forwarder: f, log: log, metrics: m, memory: memory, connections: admitter.Connections{Limit: int64(l.MaxCalls)}}
-	s.http = &http.Server{Handler: metered(s.closeWhileDraining(s.handler())), ConnContext: withConn, ReadHeaderTimeout: l.ReadTimeout.Std(), ReadTimeout: l.ReadTimeout.Std(), MaxHeaderBytes: l.MaxHeader, IdleTimeout: time.Minute, ConnState: s.limitConnections}
+	s.http = &http.Server{
+		Handler: metered(s.closeAfterLast(s.handler())), DisableGeneralOptionsHandler: true, ConnContext: withConn, ConnState: s.limitConnections,
+		ReadHeaderTimeout: l.ReadTimeout.Std(), ReadTimeout: l.ReadTimeout.Std(), MaxHeaderBytes: l.MaxHeader, IdleTimeout: time.Minute,
+	}
 	return s
 }
 
