A probe takes no late answer to another request for its own

Its spec was red (200 in place of 502). An answer that names a request is none to a probe, which names none.

--- a/router/router_test.go
+++ b/router/router_test.go
@@ -268,7 +268,10 @@
 	DescribeTable("passes on no answer as whole that its worker cut off, at any byte", func(path, before, head, body string) {
 		whole := before + "HTTP/1.1 200 OK\r\nId: 1\r\nSeal: 1\r\n" + head + "\r\n" + body
 		var cut atomic.Int64
-		worker("w", func(w http.ResponseWriter, _ *http.Request) {
+		worker("w", func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/alive" {
+				return
+			}
 			conn, _, err := http.NewResponseController(w).Hijack()
 			Expect(err).NotTo(HaveOccurred())
 			defer conn.Close()
@@ -299,6 +302,48 @@
 		Entry("with neither a length nor chunks", "/once/x", "", "", ""),
 	)
 
+	// Guards against half an answer that counts as whole by a late answer to another request.
+	It("takes no late answer to another request for the one to a probe", func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(l.Close)
+		fakePlacer.workers = append(fakePlacer.workers, placer.Worker{Name: "w", Address: l.Addr().String()})
+		half, framed := make(chan struct{}), make(chan struct{})
+		serve := func(c net.Conn) {
+			reader := bufio.NewReader(c)
+			for req, err := http.ReadRequest(reader); err == nil; req, err = http.ReadRequest(reader) {
+				switch req.URL.Path {
+				case "/once/half":
+					close(half)
+					<-framed
+					_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 1\r\nSeal: 1\r\n\r\nhalf")
+					_ = c.Close()
+				case "/alive":
+					_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: another\r\nContent-Length: 4\r\n\r\nlate")
+				default:
+					_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 1\r\nSeal: 1\r\nContent-Length: 5\r\n\r\nwhole")
+				}
+			}
+		}
+		go func() {
+			for c, err := l.Accept(); err == nil; c, err = l.Accept() {
+				go serve(c)
+			}
+		}()
+		codes := make(chan int, 1)
+		go func() {
+			defer GinkgoRecover()
+			code, _, _ := call(bg, "/once/half", "s")
+			codes <- code
+		}()
+		Eventually(half).Should(BeClosed())
+		code, _, err := call(bg, "/once/framed", "s")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(code).To(Equal(http.StatusOK))
+		close(framed)
+		Eventually(codes, "5s").Should(Receive(Equal(http.StatusBadGateway)))
+	})
+
 	// Guards against a part of a request that a worker runs.
 	DescribeTable("runs no request that its caller cut off, at any byte", func(head, body string) {
 		worker("w", func(w http.ResponseWriter, r *http.Request) {
--- a/router/transaction.go
+++ b/router/transaction.go
@@ -339,5 +339,9 @@
 func (t *transaction) probe(p Placement) connector.Call {
 	service := t.q.index.folder.Services[t.q.service]
 	target, header := t.router.Dialect.Probe(p.Worker.Name, service)
-	return connector.Call{Request: t.q.ID, Method: http.MethodGet, Target: target, Host: p.Worker.Address, Header: header}
+	return connector.Call{
+		Request: t.q.ID, Method: http.MethodGet, Target: target, Host: p.Worker.Address, Header: header,
+		// A probe has no ID: an answer that has one is a late answer to a request.
+		Matches: func(h http.Header) bool { return t.router.Dialect.ReadAnswer(0, h).ID == "" },
+	}
 }
