--- a/commander/command.go
+++ b/commander/command.go
@@ -62,6 +62,7 @@
 	isServe := len(args) > 0 && args[0] == "serve"
 	if isServe {
 		catchHangups()
+		ignoreBrokenPipes()
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
--- a/commander/reload.go
+++ b/commander/reload.go
@@ -23,6 +23,10 @@
 // Go runtime handles signals, this can't be prevented.
 func catchHangups() { signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP) }
 
+// ignoreBrokenPipes keeps a process from being terminated when nobody reads its log any more: the write
+// fails instead.
+func ignoreBrokenPipes() { signal.Ignore(syscall.SIGPIPE) }
+
 // watchSettings sends the settings in a file each time they change, until ctx ends. It
 // reads the file at each SIGHUP and every settingsPollInterval. A file that is invalid or
 // only half written leaves the settings as they are.
--- /dev/null
+++ b/soaker/log_test.go
@@ -0,0 +1,37 @@
+package soaker_test
+
+import (
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// Guards against a host that ends because nobody reads its log any more.
+var _ = It("A host goes on when the reader of its log ends", func() {
+	c := newCluster(*firstSeed)
+	h := c.hosts[0]
+	h.kill()
+	process := exec.Command("../bin/cicadawood", "serve", h.settingsFile)
+	process.Env = append(os.Environ(), "GOMAXPROCS=2")
+	output, err := process.StdoutPipe()
+	Expect(err).NotTo(HaveOccurred())
+	process.Stderr = process.Stdout
+	Expect(process.Start()).To(Succeed())
+	DeferCleanup(func() {
+		Expect(process.Process.Kill()).To(Succeed(), "it runs")
+		_ = process.Wait() // it was killed
+	})
+	_, err = io.ReadFull(output, make([]byte, 1))
+	Expect(err).NotTo(HaveOccurred())
+	Expect(output.Close()).To(Succeed())
+	Eventually(h.pollReady, waitTimeout, 50*time.Millisecond).Should(BeTrue())
+	for range 10 {
+		Expect(send(h, "log", "quote", "key-0", "log", "").status).To(Equal(http.StatusOK))
+		time.Sleep(50 * time.Millisecond)
+	}
+})
