Hosts accept connections of others again after they could not

The loop ended for good at any error, too few descriptors for one, so that the host heard of no other. It pauses 5 ms to 1 s, logs and counts (cicadawood_messenger_unaccepted_total). net/http's loops go on by themselves after such failures; an end of the operators' and the readiness listener is logged now.

--- a/messenger/config.go
+++ b/messenger/config.go
@@ -14,6 +14,8 @@
 	Name        string // of this host
 	Incarnation uint64 // of this process; higher than that of the previous process
 	Address     string // IP:port to listen on
+	// Listener, if set, accepts connections in place of one that listens on Address.
+	Listener net.Listener
 	// AckTimeout is how long frames may stay unacknowledged on a connection
 	// before it is replaced.
 	AckTimeout time.Duration
@@ -36,6 +38,8 @@
 	// further bytes. The connection is closed when it returns, and when the messenger is
 	// closed. Nil closes it immediately.
 	OnTunnel func(conn net.Conn, r io.Reader)
+	// OnAcceptFailure, if set, is called when a connection of another host could not be accepted.
+	OnAcceptFailure func(err error)
 }
 
 func (c Config) withDefaults() Config {
@@ -69,4 +73,5 @@
 	Dropped    uint64 `json:"dropped"`    // messages given up: queue full, held too long, or peer restarted
 	Duplicates uint64 `json:"duplicates"` // frames received more than once
 	Unknown    uint64 `json:"unknown"`    // frames of kinds that only later versions know
+	Unaccepted uint64 `json:"unaccepted"` // failures to accept a connection
 }
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -35,6 +35,7 @@
 	dropped    atomic.Uint64
 	duplicates atomic.Uint64
 	unknown    atomic.Uint64
+	unaccepted atomic.Uint64
 	handler    Handler
 	listener   net.Listener
 	ctx        context.Context
@@ -58,9 +59,12 @@
 // that closes it. The handler runs on a connection's goroutine and must not
 // block for long.
 func Open(c Config, h Handler) (*Messenger, func(), error) {
-	l, err := net.Listen("tcp", c.Address)
-	if err != nil {
-		return nil, nil, fmt.Errorf("listen for hosts: %w", err)
+	l := c.Listener
+	if l == nil {
+		var err error
+		if l, err = net.Listen("tcp", c.Address); err != nil {
+			return nil, nil, fmt.Errorf("listen for hosts: %w", err)
+		}
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	m := &Messenger{
@@ -85,7 +89,7 @@
 func (m *Messenger) Counts() Counts {
 	return Counts{
 		Sent: m.sent.Load(), Received: m.received.Load(), Resent: m.resent.Load(),
-		Replaced: m.replaced.Load(), Dropped: m.dropped.Load(), Duplicates: m.duplicates.Load(), Unknown: m.unknown.Load(),
+		Replaced: m.replaced.Load(), Dropped: m.dropped.Load(), Duplicates: m.duplicates.Load(), Unknown: m.unknown.Load(), Unaccepted: m.unaccepted.Load(),
 	}
 }
 
@@ -179,13 +183,24 @@
 	return true
 }
 
+const (
+	// minAcceptPause is the pause after a failure to accept a connection, such as for want of descriptors; it
+	// doubles each time, up to maxAcceptPause.
+	minAcceptPause = 5 * time.Millisecond
+	maxAcceptPause = time.Second
+)
+
 func (m *Messenger) accept() {
 	defer m.tasks.Done()
-	for {
+	pause := time.Duration(0)
+	for m.ctx.Err() == nil {
 		conn, err := m.listener.Accept()
 		if err != nil {
-			return
+			pause = min(max(2*pause, minAcceptPause), maxAcceptPause)
+			m.acceptFailed(err, pause)
+			continue
 		}
+		pause = 0
 		if m.trackConnection(conn) {
 			m.tasks.Add(1)
 			go m.readConnection(conn)
@@ -193,6 +208,23 @@
 	}
 }
 
+// acceptFailed reports a failure to accept a connection, and pauses unless the messenger is closed.
+func (m *Messenger) acceptFailed(err error, pause time.Duration) {
+	if m.ctx.Err() != nil {
+		return
+	}
+	m.unaccepted.Add(1)
+	if m.config.OnAcceptFailure != nil {
+		m.config.OnAcceptFailure(err)
+	}
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-m.ctx.Done():
+	case <-timer.C:
+	}
+}
+
 // trackConnection registers an open connection, which close will close. If the
 // messenger is closed already, it closes the connection and returns false.
 func (m *Messenger) trackConnection(conn net.Conn) bool {
--- a/runner/host.go
+++ b/runner/host.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -50,6 +51,14 @@
 	drainOnce      sync.Once
 }
 
+// serveHTTP serves until the server is closed. net/http goes on by itself after failures that pass, such as a
+// want of descriptors.
+func (h *Host) serveHTTP(s *http.Server, l net.Listener) {
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		h.log.Error("accept", zap.Stringer("listen", l.Addr()), zap.Error(err))
+	}
+}
+
 // Run runs a host until ctx ends or it is drained, then shuts it down gracefully.
 func Run(ctx context.Context, settings loader.Host, log *zap.Logger) error {
 	return RunUntil(ctx, nil, settings, log)
@@ -130,7 +139,8 @@
 			<-connected
 			h.registrar.SetReachable(address, reachable)
 		},
-		OnTunnel: h.tunnels.Serve,
+		OnTunnel:        h.tunnels.Serve,
+		OnAcceptFailure: func(err error) { h.log.Warn("accept", zap.String("listen", s.Control), zap.Error(err)) },
 	}, func(e messenger.Envelope, msg messenger.Message) {
 		<-connected
 		h.receive(e, msg)
@@ -222,7 +232,7 @@
 	}
 	membership.Go(func() { h.registrar.Run(member) })
 	admin := &http.Server{Handler: framer.Handler(h.admin(h.registry)), DisableGeneralOptionsHandler: true, ReadHeaderTimeout: time.Second}
-	tasks.Go(func() { _ = admin.Serve(adminListener) })
+	tasks.Go(func() { h.serveHTTP(admin, adminListener) })
 	failed := make(chan error, 1)
 	tasks.Go(func() { failed <- h.server.Serve(callerListener) })
 	h.log.Info("serving", zap.String("zone", h.settings.Zone), zap.String("listen", h.settings.Listen), zap.String("platform", h.settings.Platform),
--- a/runner/host_routes.go
+++ b/runner/host_routes.go
@@ -130,7 +130,7 @@
 		return nil, fmt.Errorf("listen for the balancer: %w", err)
 	}
 	ready := &http.Server{Handler: framer.Handler(h.readyHandler()), DisableGeneralOptionsHandler: true, ReadHeaderTimeout: time.Second}
-	tasks.Go(func() { _ = ready.Serve(l) })
+	tasks.Go(func() { h.serveHTTP(ready, l) })
 	return func() {
 		_ = ready.Close()
 		h.routes.close()
--- a/runner/metrics.go
+++ b/runner/metrics.go
@@ -48,6 +48,7 @@
 	connection("cicadawood_messenger_resent_total", "Frames written again on a new connection.", func(c messenger.Counts) uint64 { return c.Resent })
 	connection("cicadawood_messenger_replaced_total", "Connections between hosts replaced because they went silent.", func(c messenger.Counts) uint64 { return c.Replaced })
 	connection("cicadawood_messenger_dropped_total", "Messages given up: queue full, or peer out of reach too long.", func(c messenger.Counts) uint64 { return c.Dropped })
+	connection("cicadawood_messenger_unaccepted_total", "Failures to accept a connection of another host.", func(c messenger.Counts) uint64 { return c.Unaccepted })
 	connection("cicadawood_messenger_unknown_total", "Frames of kinds that only later versions know.", func(c messenger.Counts) uint64 { return c.Unknown })
 	connection("cicadawood_messenger_duplicates_total", "Frames that had come before.", func(c messenger.Counts) uint64 { return c.Duplicates })
 	r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "cicadawood_workers_leaving", Help: "Backend servers that get nothing new because they are leaving."}, func() float64 { return float64(h.poller.leavingCount()) }))
