A head for which there is no memory is closed unread

docs/PROMISES.md says so; net/http answered it 400, which tells a caller not to come back (DENIED). The spec of heads was red (400 among 60 callers). The error is one of the network now, at which net/http only closes.

--- a/server/meter.go
+++ b/server/meter.go
@@ -46,7 +46,8 @@
 		return n, err
 	}
 	if full := c.reserved.Grow(reserver.HeadBytes(b[:n])); full != nil {
-		return 0, full
+		// net/http answers other errors than those of the network with status 400.
+		return 0, &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: full}
 	}
 	return n, err
 }
--- a/server/meter_test.go
+++ b/server/meter_test.go
@@ -21,6 +21,7 @@
 // Guards against a host that is killed because many callers send heads of many lines without an end.
 var _ = It("Heads of callers that are still arriving count for the memory by their lines", func() {
 	const callers, lines = 60, 5000
+	answered := make(chan string, callers)
 	s := startFixture(options{limits: func(l *loader.Limits) { l.MaxBuffered = 4 << 20 }})
 	address := strings.TrimPrefix(s.url, "http://")
 	for range callers {
@@ -28,10 +29,18 @@
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(func() { _ = c.Close() })
 		go func() { _, _ = io.WriteString(c, "GET / HTTP/1.1\r\n"+strings.Repeat("a:b\r\n", lines)) }()
+		go func() {
+			_ = c.SetReadDeadline(time.Now().Add(2 * time.Second)) // sooner than a head may take
+			got, _ := io.ReadAll(c)
+			answered <- string(got)
+		}()
 	}
 	Eventually(func() int64 { return s.memory.Refused(reserver.Request) }, "5s").Should(BeNumerically(">", 0))
 	_, most := s.memory.Taken()
 	Expect(most).To(BeNumerically("<=", 4<<20))
+	for range callers {
+		Expect(<-answered).NotTo(HavePrefix("HTTP/1.1 400"), "closed unread")
+	}
 	for range 3 {
 		g := s.send(s.request(context.Background(), "/v1/chat/completions", completionBody(true)))
 		Expect(g.status).To(Equal(http.StatusOK), fmt.Sprint(g))
