--- a/faker/worker.go
+++ b/faker/worker.go
@@ -197,7 +197,9 @@
 	worker := r.Header.Get(platform.HeaderTargetWorker)
 	misdirected := worker != "" && worker != k.ID
 	k.mu.Lock()
-	k.arrivals = append(k.arrivals, arrival{id: id, at: time.Now(), misdirected: misdirected})
+	if !isProbe(r) {
+		k.arrivals = append(k.arrivals, arrival{id: id, at: time.Now(), misdirected: misdirected})
+	}
 	if k.limit > 0 {
 		w.Header().Set(platform.HeaderLimit, strconv.FormatFloat(k.limit, 'f', -1, 64))
 	}
