--- a/soaker/endless_test.go
+++ b/soaker/endless_test.go
@@ -37,6 +37,20 @@
 	return n
 }
 
+const (
+	// minExchanges is more than the requests that each run must have made.
+	minExchanges = 220
+	// maxEndlessTimes is the number of times for which a slow machine may go on to make them.
+	maxEndlessTimes = 5
+)
+
+// exchangeCount returns the number of requests made so far.
+func (c *cluster) exchangeCount() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.exchanges)
+}
+
 // watchMemory returns a function that ends the watch and returns the most that a host took, in KiB.
 func (c *cluster) watchMemory() (stop func() int) {
 	done := make(chan struct{})
@@ -62,9 +76,10 @@
 }
 
 // answerEndlessly has two of three workers of each service answer without an end, others and another
-// part of their answers each time, until the duration has passed.
+// part of their answers each time, until the duration has passed and enough requests were made.
 func (c *cluster) answerEndlessly(random *rand.Rand, d time.Duration) {
-	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(endlessInterval) {
+	started := time.Now()
+	for ; time.Since(started) < d || c.exchangeCount() <= minExchanges && time.Since(started) < maxEndlessTimes*d; time.Sleep(endlessInterval) {
 		sound := random.IntN(len(c.workers) / 2)
 		for i, x := range c.workers {
 			f := faker.WorkerFaults{}
