--- a/budgeter/open.go
+++ b/budgeter/open.go
@@ -19,11 +19,10 @@
 	since     time.Time // when it became known that those did not answer
 }
 
-// Settled is a repeat that was settled after its request had ended or was sent on.
+// Settled is a repeat that was settled as the last of its silent workers went on.
 type Settled struct {
 	Service string
 	After   time.Duration // since it was granted
-	Worker  string        // that went on; "" if it was open for a span
 }
 
 // Arrived applies that a repeat has arrived by now. It returns how long after the grant that is; 0 if
@@ -82,7 +81,7 @@
 		}
 		x.workers = slices.Delete(x.workers, i, i+1)
 		if len(x.workers) == 0 {
-			out = append(out, Settled{Service: x.service, After: b.Arrived(now, r), Worker: worker})
+			out = append(out, Settled{Service: x.service, After: b.Arrived(now, r)})
 		}
 	}
 	return out
--- a/router/repeats.go
+++ b/router/repeats.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 
 	"github.com/cicadawood/cicadawood/budgeter"
 	"github.com/cicadawood/cicadawood/connector"
@@ -92,7 +93,7 @@
 func (t *transaction) reportRepeats(e RepeatsEnded) {
 	e.Request = t.q.ID
 	if len(t.repeats.unanswered) > 0 {
-		e.Unanswered, e.Workers = t.repeats.open, t.repeats.unanswered
+		e.Unanswered, e.Workers = slices.Clone(t.repeats.open), slices.Clone(t.repeats.unanswered)
 	}
 	if len(e.Arrived)+len(e.NotSent)+len(e.Unanswered) > 0 {
 		t.router.Placer.RepeatsEnded(e)
--- a/runner/repeat_budget.go
+++ b/runner/repeat_budget.go
@@ -249,7 +249,7 @@
 func (b *repeatBudget) wentOn(now time.Time, worker string) {
 	for _, x := range b.budget.WentOn(now, worker) {
 		b.metrics.arrival.Observe(x.After.Seconds())
-		b.log.Info("repeat settled", zap.String("service", x.Service), zap.String("worker", x.Worker), zap.Duration("after", x.After))
+		b.log.Info("repeat settled", zap.String("service", x.Service), zap.String("worker", worker), zap.Duration("after", x.After))
 	}
 }
 
