--- a/budgeter/budget_test.go
+++ b/budgeter/budget_test.go
@@ -205,6 +205,7 @@
 	It("gives back a loan that comes too late to be used", func() {
 		b := budgeter.New(start, budgeter.Policy{Slack: 20, Span: 10 * time.Second})
 		b.SetPeers(start, []string{"late"}, 2)
+		b.Want(start, service)
 		asked, end, _ := b.Borrow(start, service, 1)
 		b.Borrow(end, service, 1)
 		reply := asked[0]
--- a/reserver/reserver_test.go
+++ b/reserver/reserver_test.go
@@ -66,11 +66,18 @@
 	})
 
 	It("never takes more than its limit, and has all of it back in the end", func() {
+		const users = 32
 		m := reserver.New(limit)
-		var tasks sync.WaitGroup
-		for seed := range uint64(32) {
+		var tasks, full sync.WaitGroup
+		full.Add(users)
+		for seed := range uint64(users) {
 			tasks.Go(func() {
 				random := rand.New(rand.NewPCG(seed, 1))
+				first := m.Reserve(reserver.Answer)
+				grow(first)
+				full.Done()
+				full.Wait() // all hold theirs, however busy the machine is
+				first.Release()
 				for range 2000 {
 					r := m.Reserve(reserver.Use(random.IntN(len(slices.Collect(reserver.Uses())))))
 					for range random.IntN(8) {
