--- a/soaker/rejoined_test.go
+++ b/soaker/rejoined_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -31,6 +32,16 @@
 	}
 }
 
+func countStreams(streams []*releaseStream, is func(*releaseStream) bool) int {
+	n := 0
+	for _, x := range streams {
+		if is(x) {
+			n++
+		}
+	}
+	return n
+}
+
 // Guards against streams joined from two versions by hosts that started again and believe that no stream began before.
 var _ = Describe("A run in which all hosts are killed after a release", func() {
 	for i := range uint64(*seedCount) {
@@ -39,12 +50,21 @@
 			It(fmt.Sprintf("joins no streams of two versions, settings of a first start: %t, seed %d", first, seed), func() {
 				r := newRelease(clusterConfig{seed: seed, repeatSlack: defaultRepeatSlack, first: first})
 				time.Sleep(listTime)
-				var streams []*releaseStream
-				for n := range rejoinedStreams {
-					x := &releaseStream{}
-					x.try(r.hosts[n%*hostCount], fmt.Sprintf("s-%d", n), true, beginPatience)
-					streams = append(streams, x)
+				streams := make([]*releaseStream, rejoinedStreams)
+				tryAll := func(try int, patience time.Duration) {
+					var calls sync.WaitGroup
+					for n, x := range streams {
+						calls.Go(func() {
+							defer GinkgoRecover()
+							x.try(r.hosts[(n+try)%*hostCount], fmt.Sprintf("s-%d-%d", n, try), true, patience)
+						})
+					}
+					calls.Wait()
 				}
+				for n := range streams {
+					streams[n] = &releaseStream{}
+				}
+				tryAll(0, beginPatience)
 				r.replaceVersion()
 				time.Sleep(listTime)
 				for _, h := range r.hosts {
@@ -56,17 +76,9 @@
 				for _, h := range r.hosts {
 					Eventually(h.pollReady, waitTimeout, 20*time.Millisecond).Should(BeTrue())
 				}
-				mixed, begun := 0, 0
-				for n, x := range streams {
-					_, versions := x.events()
-					if len(versions) > 0 {
-						begun++
-					}
-					x.try(r.hosts[(n+1)%*hostCount], fmt.Sprintf("s-%d-1", n), true, callPatience)
-					if x.mixed() {
-						mixed++
-					}
-				}
+				begun := countStreams(streams, func(x *releaseStream) bool { return x.id != "" })
+				tryAll(1, callPatience)
+				mixed := countStreams(streams, (*releaseStream).mixed)
 				Expect(begun).To(BeNumerically(">", rejoinedStreams/2))
 				Expect(mixed).To(BeNumerically("<=", maxMixedStreams), "of %d", begun)
 			})
