--- a/budgeter/borrow.go
+++ b/budgeter/borrow.go
@@ -172,7 +172,7 @@
 }
 
 // Lend lends a part of this process's budget: at most what is asked for, and what it is not about to
-// need itself. The loan is open until the borrower says what became of it.
+// need itself. The loan is open until the borrower reports what became of it.
 func (b *Budget) Lend(now time.Time, asked Loan) Loan {
 	b.learnSize(now, asked.Sharing)
 	a := b.account(asked.Service)
@@ -213,7 +213,7 @@
 	a.returns = append(a.returns, x)
 }
 
-// Returns returns what became of the loans of other hosts, to be told to them: not used in time, or
+// Returns returns what became of the loans of other hosts, to be reported to them: not used in time, or
 // arrived. It settles what has been open for a span with nothing known of it, and forgets the services
 // that nothing counts for any more.
 func (b *Budget) Returns(now time.Time) []Loan {
@@ -236,7 +236,7 @@
 	return out
 }
 
-// Return applies what another host says of a loan: a part of it was not sent, or has arrived. It
+// Return applies what another host reports of a loan: a part of it was not sent, or has arrived. It
 // returns the amount that was not sent.
 func (b *Budget) Return(now time.Time, back Loan) float64 {
 	a := b.account(back.Service)
@@ -257,7 +257,7 @@
 	return unsent
 }
 
-// settleLent settles the loans of which the borrower has said nothing for a span.
+// settleLent settles the loans of which the borrower has reported nothing for a span.
 func (a *account) settleLent(now time.Time, p Policy) {
 	for len(a.lent) > 0 && now.Sub(a.lent[0].lentAt) > p.Span {
 		a.ledger.Settle(now, a.lent[0].amount, p)
--- a/budgeter/budget.go
+++ b/budgeter/budget.go
@@ -32,7 +32,7 @@
 	peers    map[string]*peer      // that were asked before
 	wanted   float64               // appetite of the last round, in repeats
 	leftOver bool                  // a loan was returned since the last round
-	returns  []Loan                // what became of loans, to be told to their lenders
+	returns  []Loan                // what became of loans, to be reported to their lenders
 	lent     []loan                // of this process, of which it is not known yet what became
 	counts   Counts                // since the start
 	usedAt   time.Time             // last request, claim or loan
@@ -161,17 +161,16 @@
 }
 
 // Take takes the budget for one repeat. It returns false if there was not enough. The repeat is open
-// until Arrived or NotSent is called for it, or, after Unanswered, its workers go on.
+// until Arrived or NotSent is called for it, or, after Unanswered, its workers answer something.
 func (b *Budget) Take(now time.Time, service string, c Claim) (Repeat, bool) {
 	a := b.account(service)
 	a.usedAt = now
-	own := a.ledger.Available(now, b.policy, b.slack(now))
-	borrowed := a.borrowed(now)
-	if own+borrowed < 1+b.reserved(now, a, c) {
+	available := a.ledger.Available(now, b.policy, b.slack(now)) + a.borrowed(now)
+	if available < 1+b.reserved(now, a, c) {
 		return 0, false
 	}
 	parts := a.use(1)
-	own = 1
+	own := 1.0
 	for _, x := range parts {
 		own -= x.Amount
 	}
@@ -219,7 +218,7 @@
 	return sum
 }
 
-// use takes up to an amount from the credits, the one that ends first at first, and returns the parts.
+// use consumes at most an amount of the credits, the one that ends first at first, and returns the parts.
 func (a *account) use(amount float64) []Loan {
 	var parts []Loan
 	for i := range a.credits {
--- a/budgeter/budget_test.go
+++ b/budgeter/budget_test.go
@@ -138,7 +138,7 @@
 		Expect(lender.State(late, service).Available).To(BeNumerically("~", before+reply.Amount, 1e-9))
 	})
 
-	It("counts a repeat in each window until its workers have gone on, for a span at most", func() {
+	It("counts a repeat in each window until its workers have answered something, for a span at most", func() {
 		b := budgeter.New(start, budgeter.Policy{Slack: 20, Span: 10 * time.Second})
 		b.SetPeers(start, nil, 2)
 		now := start.Add(settled)
@@ -151,9 +151,9 @@
 		for i, r := range open {
 			Expect(b.Unanswered(now, r, []string{"w", fmt.Sprint("w", i%2)})).To(BeTrue())
 		}
-		goesOn := now.Add(9 * time.Second)
-		Expect(b.WentOn(goesOn, "w")).To(BeEmpty(), "another worker is silent")
-		Expect(b.WentOn(goesOn, "w0")).To(HaveLen(5))
+		answeredAt := now.Add(9 * time.Second)
+		Expect(b.WorkerAnswered(answeredAt, "w")).To(BeEmpty(), "another worker is silent")
+		Expect(b.WorkerAnswered(answeredAt, "w0")).To(HaveLen(5))
 		b.Returns(now.Add(11 * time.Second)) // the others are settled
 		Expect(drain(b, now.Add(18*time.Second), claim)).To(Equal(0))
 		Expect(drain(b, now.Add(20*time.Second), claim)).To(Equal(5))
@@ -171,7 +171,7 @@
 		Expect(b.State(now, service).Available).To(BeNumerically("~", before+1, 1e-9))
 	})
 
-	It("has a loan count at its lender until the borrower says what became of it, for a span at most", func() {
+	It("has a loan count at its lender until the borrower reports what became of it, for a span at most", func() {
 		p := budgeter.Policy{Slack: 20, Span: 10 * time.Second}
 		lender, borrower := budgeter.New(start, p), budgeter.New(start, p)
 		lender.SetPeers(start, []string{"borrower"}, 2)
@@ -190,7 +190,7 @@
 		later := now.Add(8 * time.Second)
 		lender.Returns(later)
 		Expect(lender.State(later, service).Open).To(Equal(reply.Amount))
-		borrower.WentOn(later, "w")
+		borrower.WorkerAnswered(later, "w")
 		used, unused := 0.0, 0.0
 		for _, x := range borrower.Returns(later) {
 			used, unused = used+x.Arrived, unused+x.Amount
--- a/budgeter/open.go
+++ b/budgeter/open.go
@@ -9,7 +9,7 @@
 type Repeat uint64
 
 // openRepeat is a repeat of which it is not known yet that it has arrived. The bound is on arrivals:
-// a worker that stands still reads what it was sent when it goes on.
+// a worker that stalls reads what it was sent when it runs again.
 type openRepeat struct {
 	service   string
 	own       float64 // taken from this process's part
@@ -19,7 +19,7 @@
 	since     time.Time // when it became known that those did not answer
 }
 
-// Settled is a repeat that was settled as the last of its silent workers went on.
+// Settled is a repeat that was settled as the last of its silent workers answered a request.
 type Settled struct {
 	Service string
 	After   time.Duration // since it was granted
@@ -56,8 +56,8 @@
 	}
 }
 
-// Unanswered applies that a repeat counts when the last of some workers goes on: none of them has
-// answered a send of its request. It reports whether that is new.
+// Unanswered applies that some workers have not answered their sends of a repeat's request, so that it may
+// still arrive. It reports whether that is new.
 func (b *Budget) Unanswered(now time.Time, r Repeat, workers []string) bool {
 	x := b.open[r]
 	if x == nil {
@@ -71,8 +71,8 @@
 	return first
 }
 
-// WentOn applies that a worker has answered a request: it has read what was sent to it before.
-func (b *Budget) WentOn(now time.Time, worker string) []Settled {
+// WorkerAnswered applies that a worker has answered some request: it has read what was sent to it before.
+func (b *Budget) WorkerAnswered(now time.Time, worker string) []Settled {
 	var out []Settled
 	for r, x := range b.open {
 		i := slices.Index(x.workers, worker)
@@ -87,7 +87,7 @@
 	return out
 }
 
-// settleOld settles the repeats whose workers have not gone on for a span.
+// settleOld settles the repeats whose workers have not answered anything for a span.
 func (b *Budget) settleOld(now time.Time) {
 	for r, x := range b.open {
 		if len(x.workers) > 0 && now.Sub(x.since) > b.policy.Span {
--- a/faker/worker.go
+++ b/faker/worker.go
@@ -141,7 +141,7 @@
 	k.silentTill = time.Now().Add(d)
 }
 
-// waitWhileSilent returns when the worker is not silent. A process that stands still does not notice
+// waitWhileSilent returns when the worker is not silent. A process without processor time does not notice
 // that a request ends.
 func (k *Worker) waitWhileSilent() { time.Sleep(time.Until(k.SilentUntil())) }
 
--- a/framer/framer.go
+++ b/framer/framer.go
@@ -8,7 +8,7 @@
 // again.
 //
 // net/http follows the chunks of a request that states its length too, and drops the stated length, so that
-// the two can't be told from sound chunks. Of HTTP/1.0 it drops the chunks.
+// such a request can't be distinguished from one with chunks alone. Of HTTP/1.0 it drops the chunks.
 func Ambiguous(r *http.Request) bool {
 	return len(r.TransferEncoding) > 0 || !r.ProtoAtLeast(1, 1)
 }
--- a/runner/first_start.go
+++ b/runner/first_start.go
@@ -20,14 +20,14 @@
 // firstStart decides whether the whole system starts for the first time. Settings that say so may be of an
 // earlier start: a process that is killed may be started again with them.
 type firstStart struct {
-	claimed bool      // by the settings
-	freshAt time.Time // when the store was found to have no earlier record of this host; zero before that
-	denied  bool      // there was an earlier process
+	claimed   bool      // by the settings
+	writtenAt time.Time // when this host's record was written; zero before that
+	denied    bool      // there was an earlier process
 }
 
 // written applies that this host's record was written.
 func (f *firstStart) written(now time.Time, fresh bool) {
-	f.freshAt = now
+	f.writtenAt = now
 	f.denied = f.denied || !fresh
 }
 
@@ -46,7 +46,7 @@
 
 // confirmed reports whether it is the first start.
 func (f *firstStart) confirmed(now time.Time) bool {
-	return f.claimed && !f.denied && !f.freshAt.IsZero() && now.Sub(f.freshAt) >= firstDelay
+	return f.claimed && !f.denied && !f.writtenAt.IsZero() && now.Sub(f.writtenAt) >= firstDelay
 }
 
 func (recordWritten) event() {}
--- a/runner/repeat_budget.go
+++ b/runner/repeat_budget.go
@@ -245,15 +245,15 @@
 	}
 }
 
-// wentOn applies that a worker answered a request.
-func (b *repeatBudget) wentOn(now time.Time, worker string) {
-	for _, x := range b.budget.WentOn(now, worker) {
+// workerAnswered applies that a worker answered a request.
+func (b *repeatBudget) workerAnswered(now time.Time, worker string) {
+	for _, x := range b.budget.WorkerAnswered(now, worker) {
 		b.metrics.arrival.Observe(x.After.Seconds())
 		b.log.Info("repeat settled", zap.String("service", x.Service), zap.String("worker", worker), zap.Duration("after", x.After))
 	}
 }
 
-// sweep tells lenders what became of their loans, and applies that this host may have been suspended:
+// sweep reports to lenders what became of their loans, and applies that this host may have been suspended:
 // the time of day went on then, and the monotonic clock did not.
 func (b *repeatBudget) sweep(now time.Time) {
 	for _, l := range b.budget.Returns(now) {
--- a/runner/selector.go
+++ b/runner/selector.go
@@ -147,7 +147,7 @@
 	case placementTimedOut:
 		p.handleTimeout(now, e)
 	case flightStarted:
-		p.repeats.wentOn(now, e.worker)
+		p.repeats.workerAnswered(now, e.worker)
 		p.view.BegunAfter(now, e.id, e.took)
 		p.pendingUpdate.Begun = append(p.pendingUpdate.Begun, e.id)
 		p.pendingUpdate.Took = append(p.pendingUpdate.Took, e.took)
@@ -169,7 +169,7 @@
 		e.reply <- !held && p.accepts(now, e.worker)
 	case flightEnded:
 		if e.outcome.FromWorker() {
-			p.repeats.wentOn(now, e.worker)
+			p.repeats.workerAnswered(now, e.worker)
 		}
 		p.view.Ended(now, e.id, e.outcome)
 		p.addEnded(now, e)
