Matrix: requests and answers cut short, late arrivals, a kill of all hosts; waits for events

Change: faults short (received, sent, mid, answered), late (sent), killall (mid), proved by the specs of this work.

--- a/prover/cells.go
+++ b/prover/cells.go
@@ -41,6 +41,9 @@
 	{Unframed, []Step{MidStream, Answered}, "it concerns how an answer ends"},
 	{Endless, []Step{Sent, FirstToken, MidStream, Answered}, "it concerns what a backend server sends"},
 	{Ending, []Step{MidStream}, "before an answer begins it is a crash, and shows in the send; after its end, nothing is left to be cut"},
+	{CutShort, []Step{Received, Sent, MidStream, Answered}, "it concerns what a caller or a backend server has sent in part"},
+	{LateArrival, []Step{Sent}, "it changes when a request counts that was sent"},
+	{KillAll, []Step{MidStream}, "what one host is killed for at other steps holds for each of them; a stream may be taken up at another host"},
 	{Crowd, []Step{Received}, "it changes which host a call reaches"},
 	{PushRace, configSteps, "operators race each other in pushes only"},
 }
--- a/prover/prover.go
+++ b/prover/prover.go
@@ -72,6 +72,9 @@
 	Unframed         Fault = "unframed" // answers end with their connection
 	Endless          Fault = "endless"  // a backend server's answer has no end
 	Ending           Fault = "ending"   // a backend server ends while the kernel accepts connections for it
+	CutShort         Fault = "short"    // a request or an answer ends before its end, at any byte
+	LateArrival      Fault = "late"     // a backend server that stalled reads what it was sent long before
+	KillAll          Fault = "killall"  // all hosts are killed at once
 	Crowd            Fault = "crowd"    // most new connections come to one host
 	PushRace         Fault = "race"     // operators push at the same time
 )
@@ -86,7 +89,7 @@
 
 // Faults returns all faults.
 func Faults() []Fault {
-	return []Fault{Kill, Freeze, CutOneWay, CutBothWays, Blackhole, Slow, LostReply, StoreDown, StoreSlow, WatchGap, LateHostList, Reorder, MismatchedAnswer, LeavingAnswer, RetryAfter, CutFromWorkers, SilentWorker, BrittleWorker, TwoVersions, PoisonPart, Unframed, Endless, Ending, Crowd, PushRace}
+	return []Fault{Kill, Freeze, CutOneWay, CutBothWays, Blackhole, Slow, LostReply, StoreDown, StoreSlow, WatchGap, LateHostList, Reorder, MismatchedAnswer, LeavingAnswer, RetryAfter, CutFromWorkers, SilentWorker, BrittleWorker, TwoVersions, PoisonPart, Unframed, Endless, Ending, CutShort, LateArrival, KillAll, Crowd, PushRace}
 }
 
 const (
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -265,7 +265,7 @@
 	bg := context.Background()
 
 	// Guards against a part of an answer that is passed on as a whole one.
-	DescribeTable("passes on no answer as whole that its worker cut off, at any byte", func(path, before, head, body string) {
+	DescribeTable("passes on no answer as whole that its worker cut off, at any byte", Label(prover.Cell(prover.Sent, prover.CutShort), prover.Cell(prover.MidStream, prover.CutShort), prover.Cell(prover.Answered, prover.CutShort)), func(path, before, head, body string) {
 		whole := before + "HTTP/1.1 200 OK\r\nId: 1\r\nSeal: 1\r\n" + head + "\r\n" + body
 		var cut atomic.Int64
 		worker("w", func(w http.ResponseWriter, r *http.Request) {
@@ -345,7 +345,7 @@
 	})
 
 	// Guards against a part of a request that a worker runs.
-	DescribeTable("runs no request that its caller cut off, at any byte", func(head, body string) {
+	DescribeTable("runs no request that its caller cut off, at any byte", Label(prover.Cell(prover.Received, prover.CutShort)), func(head, body string) {
 		worker("w", func(w http.ResponseWriter, r *http.Request) {
 			_, _ = io.Copy(io.Discard, r.Body)
 			status(http.StatusOK, "Seal")(w, r)
--- a/runner/repeat_budget_test.go
+++ b/runner/repeat_budget_test.go
@@ -13,6 +13,7 @@
 	"github.com/cicadawood/cicadawood/loader"
 	"github.com/cicadawood/cicadawood/messenger"
 	"github.com/cicadawood/cicadawood/placer"
+	"github.com/cicadawood/cicadawood/prover"
 	"github.com/cicadawood/cicadawood/registrar"
 	"github.com/cicadawood/cicadawood/router"
 	"github.com/cicadawood/cicadawood/runner"
@@ -30,7 +31,7 @@
 	late    *lateSends // nil while sends arrive at once
 }
 
-// lateSends are the requests that were sent to a worker that stands still, once for each send.
+// lateSends are the requests that were sent to a worker that stalls, once for each send.
 type lateSends struct{ requests []string }
 
 // readLate has the worker read them, and answer.
@@ -157,8 +158,8 @@
 		Expect(worst.Excess()).To(BeNumerically("<=", 0), "%+v", worst)
 	})
 
-	// Guards against repeats that count when they are granted, and arrive when their worker goes on.
-	It("holds while a worker reads what it was sent much later", func() {
+	// Guards against repeats that count when they are granted, and arrive when their worker runs again.
+	It("holds while a worker reads what it was sent much later", Label(prover.Cell(prover.Sent, prover.LateArrival)), func() {
 		f, random := newRepeatFleet(3), rand.New(rand.NewPCG(2, 2))
 		f.play(25*time.Second, random, 0)
 		f.late = &lateSends{}
--- a/soaker/late_repeats_test.go
+++ b/soaker/late_repeats_test.go
@@ -6,6 +6,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/cicadawood/cicadawood/prover"
 )
 
 const (
@@ -19,8 +21,8 @@
 	settleTime = lateWindow + 6*time.Second
 )
 
-// standStill stops all workers again and again, each time for longer than the window.
-func (c *cluster) standStill(random *rand.Rand, end time.Time) {
+// stallWorkers gives all workers no processor time again and again, each time for longer than the window.
+func (c *cluster) stallWorkers(random *rand.Rand, end time.Time) {
 	for time.Now().Before(end) {
 		time.Sleep(randomDuration(random, 100, 600))
 		d := lateWindow + randomDuration(random, 200, 2000)
@@ -31,16 +33,16 @@
 	}
 }
 
-// Guards against repeats that are counted when they are granted, and arrive when their workers go on.
-var _ = Describe("A run in which workers stand still beside workers that refuse", func() {
+// Guards against repeats that are counted when they are granted, and arrive when their workers run again.
+var _ = Describe("A run in which workers stall beside workers that refuse", func() {
 	for i := range uint64(*seedCount) {
 		seed := *firstSeed + i
-		It("keeps the repeats that arrive within the budget, seed "+itoa(seed), func() {
+		It("keeps the repeats that arrive within the budget, seed "+itoa(seed), Label(prover.Cell(prover.Sent, prover.LateArrival)), func() {
 			c := newClusterOf(clusterConfig{seed: seed, repeatSlack: lateSlack, repeatWindow: lateWindow, callers: lateCallers, callPause: latePause})
 			stopCallers := c.startCallers()
 			time.Sleep(settleTime)
 			stopRejecting := c.rejectInTurn(rand.New(rand.NewPCG(seed, 10)))
-			c.standStill(rand.New(rand.NewPCG(seed, 9)), time.Now().Add(*faultTime))
+			c.stallWorkers(rand.New(rand.NewPCG(seed, 9)), time.Now().Add(*faultTime))
 			stopRejecting()
 			stopCallers()
 			Expect(c.repeatsOverBudget()).To(BeEmpty())
--- a/soaker/log_test.go
+++ b/soaker/log_test.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"os"
 	"os/exec"
-	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -29,9 +28,6 @@
 	_, err = io.ReadFull(output, make([]byte, 1))
 	Expect(err).NotTo(HaveOccurred())
 	Expect(output.Close()).To(Succeed())
-	Eventually(h.pollReady, waitTimeout, 50*time.Millisecond).Should(BeTrue())
-	for range 10 {
-		Expect(send(h, "log", "quote", "key-0", "log", "").status).To(Equal(http.StatusOK))
-		time.Sleep(50 * time.Millisecond)
-	}
+	Eventually(h.pollReady, waitTimeout, "50ms").Should(BeTrue())
+	Consistently(func() int { return send(h, "log", "quote", "key-0", "log", "").status }, "500ms", "20ms").Should(Equal(http.StatusOK))
 })
--- a/soaker/rejoined_test.go
+++ b/soaker/rejoined_test.go
@@ -1,7 +1,9 @@
 package soaker_test
 
 import (
+	"encoding/json"
 	"fmt"
+	"net/http"
 	"sync"
 	"time"
 
@@ -9,14 +11,14 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/cicadawood/cicadawood/platform"
+	"github.com/cicadawood/cicadawood/prover"
+	"github.com/cicadawood/cicadawood/runner"
 )
 
 const (
 	rejoinedStreams = 24
 	// beginPatience is how long callers read before they break their streams off.
 	beginPatience = 300 * time.Millisecond
-	// listTime is the time after which all hosts know of changed workers.
-	listTime = time.Second
 )
 
 // replaceVersion replaces all workers by those of the next version.
@@ -32,6 +34,37 @@
 	}
 }
 
+// waitForVersion waits until each host is ready and has the workers of one version alone as engines.
+func (r *release) waitForVersion(version string) {
+	for i, h := range r.hosts {
+		Eventually(h.pollReady, waitTimeout, 20*time.Millisecond).Should(BeTrue(), h.name)
+		Eventually(func() []string { return r.versionsAt(i) }, waitTimeout, 20*time.Millisecond).Should(And(HaveLen(releaseWorkers), HaveEach(version)), h.name)
+	}
+}
+
+// versionsAt returns the versions of the engines that a host may send to.
+func (r *release) versionsAt(host int) []string {
+	resp, err := http.Get("http://" + r.address(host, 3) + "/state")
+	if err != nil {
+		return nil
+	}
+	defer resp.Body.Close()
+	var state runner.State
+	if err := json.NewDecoder(resp.Body).Decode(&state); err != nil {
+		return nil
+	}
+	if state.Routing == nil {
+		return nil
+	}
+	var out []string
+	for _, w := range state.Routing.Workers {
+		if w.Service == "engine" {
+			out = append(out, w.Version)
+		}
+	}
+	return out
+}
+
 func countStreams(streams []*releaseStream, is func(*releaseStream) bool) int {
 	n := 0
 	for _, x := range streams {
@@ -47,9 +80,9 @@
 	for i := range uint64(*seedCount) {
 		seed := *firstSeed + i
 		for _, first := range []bool{false, true} {
-			It(fmt.Sprintf("joins no streams of two versions, settings of a first start: %t, seed %d", first, seed), func() {
+			It(fmt.Sprintf("joins no streams of two versions, settings of a first start: %t, seed %d", first, seed), Label(prover.Cell(prover.MidStream, prover.KillAll)), func() {
 				r := newRelease(clusterConfig{seed: seed, repeatSlack: defaultRepeatSlack, first: first})
-				time.Sleep(listTime)
+				r.waitForVersion("v1")
 				streams := make([]*releaseStream, rejoinedStreams)
 				tryAll := func(try int, patience time.Duration) {
 					var calls sync.WaitGroup
@@ -66,16 +99,14 @@
 				}
 				tryAll(0, beginPatience)
 				r.replaceVersion()
-				time.Sleep(listTime)
+				r.waitForVersion("v2")
 				for _, h := range r.hosts {
 					h.kill()
 				}
 				for _, h := range r.hosts {
 					h.start()
 				}
-				for _, h := range r.hosts {
-					Eventually(h.pollReady, waitTimeout, 20*time.Millisecond).Should(BeTrue())
-				}
+				r.waitForVersion("v2")
 				begun := countStreams(streams, func(x *releaseStream) bool { return x.id != "" })
 				tryAll(1, callPatience)
 				mixed := countStreams(streams, (*releaseStream).mixed)
