Soak of stalled workers asks for some repeats

Cause: the spec would hold without any. Change: over one in 100 requests of the plain service, as in the soak of kills; two doc comments. Conclusion: a run in which nothing is sent again is red now.

--- a/faker/worker_cut.go
+++ b/faker/worker_cut.go
@@ -20,6 +20,7 @@
 	_, _ = io.WriteString(conn, answer[:min(f.CutAfterByte, len(answer)-1)])
 }
 
+// wholeAnswer returns the bytes of an answer with a length: one event, or a plain body.
 func (k *Worker) wholeAnswer(r *http.Request) string {
 	body, contentType := fmt.Sprintf("%s of %s", r.URL.RequestURI(), k.ID), "text/plain"
 	if k.Events > 0 {
--- a/soaker/late_repeats_test.go
+++ b/soaker/late_repeats_test.go
@@ -46,6 +46,8 @@
 			stopRejecting()
 			stopCallers()
 			Expect(c.repeatsOverBudget()).To(BeEmpty())
+			requests, repeats := c.repeatCounts()["desk"].Total()
+			Expect(repeats).To(BeNumerically(">", requests/100), "of %d requests", requests)
 		})
 	}
 })
--- a/soaker/rejoined_test.go
+++ b/soaker/rejoined_test.go
@@ -65,6 +65,7 @@
 	return out
 }
 
+// countStreams returns the number of streams of which something holds.
 func countStreams(streams []*releaseStream, is func(*releaseStream) bool) int {
 	n := 0
 	for _, x := range streams {
