A host that connections of its own break probes its workers all the same

Cause: Suspect sets a probe for the next tick, 50 ms later at most. The next send's connection, which what stands between accepts and then resets, cleared it: Connected took any connection for a sign that no probe is needed. With a send every few milliseconds the probe never ran, so that the workers were never found lost and no other host was asked. Class: a connection that was accepted taken for the worker's word.

Change: only a connection that was seen to last clears the probe.

Ruled out: that load alone does it. The spec of the table is red without the change.

--- a/reacher/reacher.go
+++ b/reacher/reacher.go
@@ -120,7 +120,10 @@
 		return Unchanged
 	}
 	p.closing = false
-	p.reachedAt, p.blockedUntil, p.downUntil, p.probeAt = now, time.Time{}, time.Time{}, time.Time{}
+	p.reachedAt, p.blockedUntil, p.downUntil = now, time.Time{}, time.Time{}
+	if lasting {
+		p.probeAt = time.Time{}
+	}
 	if !p.lost {
 		return Unchanged
 	}
--- a/reacher/reacher_test.go
+++ b/reacher/reacher_test.go
@@ -224,6 +224,17 @@
 		Expect(t.Due(after(500*time.Millisecond), 8)).To(ConsistOf(w1))
 	})
 
+	// Guards against a cut host that never probes its workers, as its sends connect for a moment and break.
+	It("probes a suspected worker also if it is connected to in the meantime, unless a connection lasts", func() {
+		t := newTable(1, 0)
+		t.Suspect(now, w1)
+		t.Connected(after(time.Millisecond), w1, false)
+		Expect(t.Due(after(50*time.Millisecond), 8)).To(Equal([]string{w1}))
+		t.Suspect(after(time.Second), w1)
+		t.Connected(after(time.Second+time.Millisecond), w1, true)
+		Expect(t.Due(after(time.Second+50*time.Millisecond), 8)).To(BeEmpty())
+	})
+
 	It("spreads the connections of many hosts that lost their links over the others", func() {
 		const cut, left = 28, 56 // of 84 hosts in three zones
 		load := map[string]int{}
