A probe asks another host if the one that it connected through is cut itself

What callers saw: with several hosts cut from the workers by resets, a cut host could ask the same other cut host again and again: it accepts the tunnel, and the worker's side is closed at once. The host that reaches the workers was not asked.

Cause: a probe connected through one host only, and a connection that did not last was recorded nowhere. Change: such a host counts as not reaching that worker for the usual time, and up to three hosts are asked in turn.

Red without it: "finds a worker lost whose connections are closed at once for another host too" in one or both of its cases (which depends on the ports' hash), green now.

--- a/tunneler/probe.go
+++ b/tunneler/probe.go
@@ -16,6 +16,8 @@
 	probeTick = 50 * time.Millisecond
 	// maxProbes is the maximum number of probes at a time.
 	maxProbes = 8
+	// maxProbedHelpers is the maximum number of hosts that a probe connects through.
+	maxProbedHelpers = 3
 	// probeLinger is how long a probe's connection must last: several round trips.
 	probeLinger = 50 * time.Millisecond
 )
@@ -63,15 +65,40 @@
 	if d.probeDirect(ctx, t) || ctx.Err() != nil || d.onlyLost(address) {
 		return
 	}
-	conn, err := d.dial(ctx, t, false)
-	if err != nil || !outlasts(conn, probeLinger) {
-		return
+	for range maxProbedHelpers {
+		if !d.hasHelper(address) {
+			return
+		}
+		conn, err := d.dial(ctx, t, false)
+		if err != nil || d.recordHelp(conn, address) {
+			return
+		}
 	}
+}
+
+// hasHelper reports whether there is a host to connect to a worker through.
+func (d *Dialer) hasHelper(address string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.table.Plan(time.Now(), address).Helpers) > 0
+}
+
+// recordHelp records whether a connection through another host lasts, and returns it. A helper whose
+// connection is closed at once may be cut from the worker itself, and is not asked again for a while.
+func (d *Dialer) recordHelp(conn net.Conn, address string) bool {
 	helper := conn.(interface{ Via() string }).Via()
+	lasts := outlasts(conn, probeLinger)
+	now := time.Now()
 	d.mu.Lock()
-	change := d.table.Helped(time.Now(), helper, address, true)
+	change := reacher.Unchanged
+	if lasts {
+		change = d.table.Helped(now, helper, address, true)
+	} else {
+		d.table.Declined(now, helper, address, reacher.Unreached, 0)
+	}
 	d.mu.Unlock()
 	d.noteChange(address, change, helper)
+	return lasts
 }
 
 // probeDirect connects to a worker from this host, records the result, and returns whether the
--- a/tunneler/tunneler_test.go
+++ b/tunneler/tunneler_test.go
@@ -56,8 +56,9 @@
 // links is a connector.Dialer that a test can cut.
 type links struct {
 	connector.Direct
-	cut   atomic.Bool
-	dials atomic.Int32
+	cut     atomic.Bool
+	closing atomic.Bool // connections are accepted, and closed at once
+	dials   atomic.Int32
 }
 
 var errCut = fmt.Errorf("cut: %w", syscall.ECONNREFUSED)
@@ -67,6 +68,10 @@
 	if l.cut.Load() {
 		return nil, errCut
 	}
+	if l.closing.Load() {
+		near, far := net.Pipe()
+		return near, far.Close()
+	}
 	return l.Direct.Dial(ctx, t)
 }
 
@@ -337,6 +342,20 @@
 		Consistently(func() bool { return a.Lost(closing.address) }, time.Second, 20*time.Millisecond).Should(BeFalse())
 	})
 
+	// Guards against a cut host that asks the same helper again and again, which is cut itself.
+	DescribeTable("finds a worker lost whose connections are closed at once for another host too, if a third one reaches it", func(reaches int) {
+		c := newHost("c", 10)
+		meet([]worker{w}, a, b, c)
+		a.links.closing.Store(true)
+		for i, h := range []*host{b, c} {
+			h.links.closing.Store(i != reaches)
+		}
+		a.Suspect(w.address)
+		Eventually(func() bool { return a.Lost(w.address) }, time.Second, 10*time.Millisecond).Should(BeTrue())
+	},
+		Entry("the first", 0), Entry("the second", 1),
+	)
+
 	It("never opens a tunnel for a tunnel", func() {
 		c := newHost("c", 10)
 		meet([]worker{w}, a, b, c)
