Soak: a cut host is judged while another host reaches the workers

Trace (logs of all hosts, 08:45:28 to :50): three hosts are cut from :30.7 to :35.6. They find the workers lost and connect through h-1, 134 of 155 answered in the second from :33 on, the rest mostly the quarantine's. At :33.9 the soak tells h-1 to end (SIGTERM); it is back at :35.0. In between no host reaches a worker: 88 of 108 refused as no_path. The rule compares with machines in touch, and h-1 is none; nor is there any way to a worker.

The check said so itself ("only cuts during which another such host reached the workers"), but took one that reached them at some time for one that reached them all the while. Now requests count until the last host that is not cut is first signalled; one that did not run when the cut began counts as none. It is as strict in all time in which there is a way.

--- a/soaker/apart_test.go
+++ b/soaker/apart_test.go
@@ -155,15 +155,33 @@
 	}
 }
 
+// reachedUntil returns the time in a cut until which a host reached the workers whose process was
+// not disturbed since the cut began.
+func (c *cluster) reachedUntil(x hostCut) time.Time {
+	last := x.from
+	for _, h := range c.hosts {
+		until, disturbed := h.runsUndisturbedUntil(x.from)
+		switch {
+		case x.hosts[h]:
+		case !disturbed || until.After(x.to):
+			return x.to
+		case until.After(last):
+			last = until
+		}
+	}
+	return last
+}
+
 // badlyServedCuts describes each cut in which callers of cut hosts were served far worse than
 // those of the others. Only hosts count whose process was not disturbed since the cut began,
-// and only cuts during which another such host reached the workers.
+// and only the time during which another such host reached the workers.
 func (c *cluster) badlyServedCuts() []string {
 	var violations []string
 	for _, x := range c.cuts {
 		served, all := map[bool]int{}, map[bool]int{}
+		until := c.reachedUntil(x)
 		for _, e := range c.exchanges {
-			if e.sentAt.Before(x.from.Add(noticeTime)) || e.sentAt.After(x.to) || !e.processSince.Before(x.from) {
+			if e.sentAt.Before(x.from.Add(noticeTime)) || e.sentAt.After(until) || !e.processSince.Before(x.from) {
 				continue
 			}
 			cut := x.hosts[e.host]
--- a/soaker/cluster_test.go
+++ b/soaker/cluster_test.go
@@ -78,7 +78,14 @@
 	expectedExit       bool      // SIGKILL or SIGTERM was sent
 	disturbedAt        time.Time // when a fault of its process or store link last began or ended
 	processDisturbedAt time.Time // when its process was last signalled or started
-	lastReady          bool      // result of the last readiness poll
+	disturbances       []disturbance
+	lastReady          bool // result of the last readiness poll
+}
+
+// disturbance is a start of a host's process, or a signal to it.
+type disturbance struct {
+	at   time.Time
+	down bool // the process serves nobody from then on
 }
 
 func itoa(n uint64) string { return strconv.FormatUint(n, 10) }
@@ -256,6 +263,7 @@
 	h.mu.Lock()
 	h.cmd, h.exited, h.expectedExit, h.disturbedAt = c, exited, false, time.Now()
 	h.processDisturbedAt = h.disturbedAt
+	h.disturbances = append(h.disturbances, disturbance{at: h.disturbedAt})
 	h.mu.Unlock()
 	go func() {
 		err := c.Wait()
@@ -295,10 +303,16 @@
 	defer h.mu.Unlock()
 	h.disturbedAt = time.Now()
 	h.processDisturbedAt = h.disturbedAt
+	h.disturbances = append(h.disturbances, disturbance{at: h.disturbedAt, down: endsService(s)})
 	h.expectedExit = h.expectedExit || s == syscall.SIGKILL || s == syscall.SIGTERM
 	_ = h.cmd.Process.Signal(s)
 }
 
+// endsService reports whether a process serves nobody after a signal.
+func endsService(s syscall.Signal) bool {
+	return s == syscall.SIGKILL || s == syscall.SIGTERM || s == syscall.SIGSTOP
+}
+
 // kill sends SIGKILL to the host's process and waits for its exit.
 func (h *host) kill() {
 	h.signal(syscall.SIGKILL)
@@ -334,6 +348,25 @@
 	return h.processDisturbedAt
 }
 
+// runsUndisturbedUntil returns when the host's process was first signalled or started after a
+// time: that time itself if it did not run then, and false if nothing disturbed it since.
+func (h *host) runsUndisturbedUntil(from time.Time) (time.Time, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	down := false
+	for _, x := range h.disturbances {
+		switch {
+		case x.at.Before(from):
+			down = x.down
+		case down:
+			return from, true
+		default:
+			return x.at, true
+		}
+	}
+	return from, down
+}
+
 // pollReady queries the host's readiness endpoint, as a load balancer does, and records
 // the result.
 func (h *host) pollReady() bool {
