A crash counts against parts of prompts only if its worker was there

Something accepts their connections and closes them, usually after 1 ms; at a load of 13 hosts noticed some of it after 5.6, 10.1 and 12.6 ms. From a third of the expected 15.7 ms on, a close counted as a crash at the worker. Class: the time that this host took, taken for the time that the worker took.

Change: a crash is judged once one of its requests shows that its worker was there. It had begun, or lasted 50 ms, or the worker has answered some host since it was listed.

Ruled out: judging each request by itself in this way.

Specs: both new ones in placer and attributor; "connections that break at workers that have answered no host" is red before. "is counted for a request that another host sent after it reported a crash" now has its workers answer one request first: its hosts' crashes come within 5 ms of the send, which without any answer is just what the fault looks like. Its order of events and bound are as they were.

--- a/attributor/attributor.go
+++ b/attributor/attributor.go
@@ -57,6 +57,9 @@
 	Content uint64    // identifies what it asks for, without its ID; 0 if unknown
 	Parts   []PartID  // of its prompt, without the last one, which is its own
 	SentAt  time.Time // at the earliest, by the clock of the Attributor's host
+	// Unproven means that nothing shows that the worker was there to run it: something else may
+	// accept the connections of a worker that is down and close them.
+	Unproven bool
 }
 
 // Mark is a worker's crash while it had a part.
@@ -98,6 +101,7 @@
 type crash struct {
 	Mark
 	reportedAt time.Time // when a request last failed so
+	proven     bool      // the worker was there: a request that it had shows it
 	judged     bool
 	explained  bool // a part that is held back is its cause
 	parts      map[PartID]*presence
@@ -138,6 +142,7 @@
 	if c == nil {
 		return
 	}
+	c.proven = c.proven || !r.Unproven
 	for _, p := range r.Parts {
 		x := c.parts[p]
 		if x == nil {
--- a/attributor/attributor_test.go
+++ b/attributor/attributor_test.go
@@ -141,6 +141,24 @@
 		}
 	})
 
+	// Guards against blaming what all requests share at workers that were not there, and against losing
+	// what is known of a crash once one of its requests shows that the worker was.
+	It("judges only crashes of workers that were there", func() {
+		unproven := func() attributor.Request {
+			r := request(common, bad)
+			r.Unproven = true
+			return r
+		}
+		for range 9 {
+			Expect(crash(unproven())).To(BeEmpty())
+		}
+		Expect(a.Len()).To(BeZero())
+		Expect(crash(unproven(), request(common))).To(BeEmpty())
+		Expect(crash(request(common), unproven())).To(BeEmpty())
+		a.Served(now, []attributor.PartID{common})
+		Expect(partsOf(crash(unproven(), request(rare)))).To(Equal([]attributor.PartID{bad}))
+	})
+
 	It("does not judge before other hosts have reported", func() {
 		for range 3 {
 			workers++
--- a/attributor/judge.go
+++ b/attributor/judge.go
@@ -7,12 +7,12 @@
 	"time"
 )
 
-// Judge evaluates the crashes whose reports have arrived, and returns the parts that are found to
+// Judge evaluates the crashes whose reports have arrived and that are proven, and returns the parts that are found to
 // cause them. It also returns the crashes that a cause explains, which say nothing about other
 // requests.
 func (a *Attributor) Judge(now time.Time) (found []Finding, explained []Mark) {
 	for _, c := range a.crashes {
-		if c.judged || now.Sub(c.At) < settleTime {
+		if c.judged || !c.proven || now.Sub(c.At) < settleTime {
 			continue
 		}
 		c.judged = true
--- a/placer/crashing_part_test.go
+++ b/placer/crashing_part_test.go
@@ -180,6 +180,11 @@
 
 	// Guards against a crash too many on a host that hears of another's crash and repeat at once.
 	It("is counted for a request that another host sent after it reported a crash", func() {
+		for _, name := range names {
+			answered := placer.Flight{ID: nextID + 50, Worker: name, Parts: request("z", "own").Parts, Left: time.Second}
+			v.Receive(now, "h", answered)
+			v.Ended(advance(50*time.Millisecond), answered.ID, placer.Answered)
+		}
 		for range 3 {
 			f := placer.Flight{ID: 100 + nextID, Worker: names[nextID%6], Parts: request("a", "bad", "own").Parts, Left: time.Second, Fingerprint: quarantiner.Fingerprint(nextID)}
 			v.Receive(now, "h", f)
@@ -201,6 +206,33 @@
 		Expect(isHeld("common", "own")).To(BeFalse())
 	})
 
+	// Guards against blaming what all requests share where the list is of an older snapshot, and something
+	// accepts the connections of workers that are gone and closes them, which a busy host notices late.
+	It("is not found by connections that break at workers that have answered no host", func() {
+		for i := range 9 {
+			f := placer.Flight{ID: uint64(500 + i), Worker: names[i%len(names)], Parts: request("a", "common", "own").Parts, Left: time.Second, Fingerprint: quarantiner.Fingerprint(i + 1)}
+			v.Receive(now, "h", f)
+			v.Ended(advance(40*time.Millisecond), f.ID, placer.Disconnected)
+			advance(settled)
+		}
+		Expect(isHeld("common", "own")).To(BeFalse())
+	})
+
+	// Guards against losing the evidence of the requests that a worker had not begun, beside one that it had.
+	It("is found by crashes at which another request had begun", func() {
+		for i := range 3 {
+			begun := placer.Flight{ID: uint64(600 + i), Worker: names[i], Parts: request(fmt.Sprint("only-", i), "own").Parts, Left: time.Second, Fingerprint: quarantiner.Fingerprint(600 + i)}
+			bad := placer.Flight{ID: uint64(700 + i), Worker: names[i], Parts: request("a", "bad", "own").Parts, Left: time.Second, Fingerprint: quarantiner.Fingerprint(700 + i)}
+			v.Receive(now, "h", begun)
+			v.Receive(now, "h", bad)
+			v.Begun(advance(30*time.Millisecond), begun.ID)
+			v.Ended(advance(time.Millisecond), bad.ID, placer.Disconnected)
+			v.Ended(now, begun.ID, placer.Disconnected)
+			v.Sweep(advance(settled))
+		}
+		Expect(isHeld("bad", "own")).To(BeTrue())
+	})
+
 	// Guards against taking a loss of power of all workers, reported one by one, for three crashes.
 	It("is not found where all workers crash at once", func() {
 		var list []placer.Flight
--- a/placer/quarantine.go
+++ b/placer/quarantine.go
@@ -16,7 +16,9 @@
 	case Disconnected:
 		v.quarantine.WorkerCrashed(now, f.Fingerprint, f.Worker, f.earliestSent(quarantiner.UsualUpdateDelay))
 		if v.ranAtWorker(now, f) {
-			v.suspects.Crashed(now, f.Worker, attributor.Request{Content: uint64(f.Fingerprint), Parts: f.shared, SentAt: f.earliestSentAfterCrash()})
+			v.suspects.Crashed(now, f.Worker, attributor.Request{
+				Content: uint64(f.Fingerprint), Parts: f.shared, SentAt: f.earliestSentAfterCrash(), Unproven: !v.provesWorker(now, f),
+			})
 		}
 		v.crashReported[f.host] = now
 	case Answered:
@@ -48,8 +50,22 @@
 	return now.Sub(f.sentAt) >= time.Duration(minRunShare*float64(expected))
 }
 
+// closeNotice is how late a busy host may notice that a connection was closed.
+const closeNotice = 50 * time.Millisecond
+
+// provesWorker reports whether a flight that ended with its connection shows that its worker was
+// there: it has begun to answer, or lasted, or the worker has answered since it was listed. The list
+// may name workers of an older snapshot.
+func (v *View) provesWorker(now time.Time, f *flight) bool {
+	w := v.workers[f.Worker]
+	return f.begun || w != nil && w.seen || now.Sub(f.sentAt) >= closeNotice
+}
+
 // workerAlive records that a worker was alive at a time.
 func (v *View) workerAlive(now time.Time, worker string, at time.Time) {
+	if w := v.workers[worker]; w != nil {
+		w.seen = true
+	}
 	v.quarantine.Alive(now, worker, at)
 	v.suspects.Alive(now, worker, at)
 }
--- a/placer/worker.go
+++ b/placer/worker.go
@@ -25,6 +25,7 @@
 	silence         silence
 	brittle         brittle
 	brokenAt        time.Time // when a connection to it last broke; zero for never
+	seen            bool      // it has answered a host since it was listed
 }
 
 func newWorker() *worker {
