Emulator: a planned fault is left to the next call if its call is given up before

On a starved machine the host's silence timeout (400 ms) ends a try before its answer reaches the point of the fault; the list of faults belonged to that call from its start on, and nobody hit it. Cause in the rig.

Change: a call takes the next planned list when it reaches a point of it.

--- a/faker/answer.go
+++ b/faker/answer.go
@@ -21,7 +21,7 @@
 	model      string
 	prompt     int
 	firstToken int // first token of this answer
-	faults     callFaults
+	faults     *callFaults
 }
 
 // waitToken waits for token n. It returns false at the end, or if the caller disconnected.
@@ -104,7 +104,7 @@
 }
 
 // writeHalves writes a body of known length. Faults at AtEnd apply after its first half.
-func writeHalves(w http.ResponseWriter, r *http.Request, body, server string, h callFaults) {
+func writeHalves(w http.ResponseWriter, r *http.Request, body, server string, h *callFaults) {
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	half := len(body) / 2
 	fmt.Fprint(w, body[:half])
--- a/faker/fault.go
+++ b/faker/fault.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -50,7 +51,8 @@
 	planned [][]Fault
 }
 
-// Plan sets the faults of the next calls, one list per call, in addition to those of Set.
+// Plan sets the faults of the next calls, one list per call that reaches the point of one of its
+// faults, in addition to those of Set.
 func (f *FaultInjector) Plan(calls ...[]Fault) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -76,14 +78,10 @@
 }
 
 // forCall returns the faults of the call that begins now.
-func (f *FaultInjector) forCall() callFaults {
+func (f *FaultInjector) forCall() *callFaults {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	active := append(callFaults(nil), f.list...)
-	if len(f.planned) > 0 {
-		active = append(active, f.planned[0]...)
-		f.planned = f.planned[1:]
-	}
+	h := &callFaults{injector: f, list: append([]Fault(nil), f.list...)}
 	remaining := f.list[:0]
 	for _, x := range f.list {
 		if x.Times == 1 {
@@ -95,16 +93,48 @@
 		remaining = append(remaining, x)
 	}
 	f.list = remaining
-	return active
+	h.take(f.nextPlanned(func(x Fault) bool { return x.Kind == Refuse }))
+	return h
+}
+
+// takePlanned is nextPlanned for a point of an answer.
+func (f *FaultInjector) takePlanned(point int) []Fault {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.nextPlanned(func(x Fault) bool { return x.At == point })
+}
+
+// nextPlanned removes and returns the next planned list, if one of its faults occurs now.
+func (f *FaultInjector) nextPlanned(occurs func(Fault) bool) []Fault {
+	if len(f.planned) == 0 || !slices.ContainsFunc(f.planned[0], occurs) {
+		return nil
+	}
+	next := f.planned[0]
+	f.planned = f.planned[1:]
+	return next
+}
+
+// callFaults are the faults of one call. It takes a planned list when it reaches one of its points:
+// that of a call which its caller gave up before is left to the next one.
+type callFaults struct {
+	injector *FaultInjector
+	list     []Fault
+	took     bool // a planned list, which is in list
 }
 
-// callFaults are the faults of one call.
-type callFaults []Fault
+// take adds a planned list, if there is one.
+func (h *callFaults) take(planned []Fault) {
+	h.took = planned != nil
+	h.list = append(h.list, planned...)
+}
 
 // apply applies the faults at a point of the answer. It returns the id with which the
 // answer continues, and false if the answer ends here.
-func (h callFaults) apply(ctx context.Context, server string, point int, id string) (string, bool) {
-	for _, f := range h {
+func (h *callFaults) apply(ctx context.Context, server string, point int, id string) (string, bool) {
+	if !h.took && ctx.Err() == nil {
+		h.take(h.injector.takePlanned(point))
+	}
+	for _, f := range h.list {
 		if f.At != point {
 			continue
 		}
@@ -131,8 +161,8 @@
 	return id, true
 }
 
-func (h callFaults) refused() bool {
-	for _, f := range h {
+func (h *callFaults) refused() bool {
+	for _, f := range h.list {
 		if f.Kind == Refuse {
 			return true
 		}
