A probe that finds no host to ask still has its worker avoided

Only a second and third host are looked for now.

Red before: "avoids a worker that no host connects to while its probes find no host to ask".

--- a/tunneler/probe.go
+++ b/tunneler/probe.go
@@ -65,8 +65,8 @@
 	if d.probeDirect(ctx, t) || ctx.Err() != nil || d.onlyLost(address) {
 		return
 	}
-	for range maxProbedHelpers {
-		if !d.hasHelper(address) {
+	for i := range maxProbedHelpers {
+		if i > 0 && !d.hasHelper(address) {
 			return
 		}
 		conn, err := d.dial(ctx, t, false)
--- a/tunneler/tunneler_test.go
+++ b/tunneler/tunneler_test.go
@@ -342,6 +342,18 @@
 		Consistently(func() bool { return a.Lost(closing.address) }, time.Second, 20*time.Millisecond).Should(BeFalse())
 	})
 
+	// Guards against requests that are sent again and again to a worker that no host connects to, as
+	// the other hosts are not asked for a while.
+	It("avoids a worker that no host connects to while its probes find no host to ask", func() {
+		a.links.cut.Store(true)
+		b.links.cut.Store(true)
+		other := newWorker()
+		meet([]worker{w, other}, a, b)
+		a.Suspect(w.address)
+		Eventually(func() time.Duration { return a.Blocked(time.Now(), w.address) }, time.Second, 10*time.Millisecond).Should(BeNumerically(">", 0))
+		Consistently(func() time.Duration { return a.Blocked(time.Now(), w.address) }, 1500*time.Millisecond, 10*time.Millisecond).Should(BeNumerically(">", 0))
+	})
+
 	// Guards against a cut host that asks the same helper again and again, which is cut itself.
 	DescribeTable("finds a worker lost whose connections are closed at once for another host too, if a third one reaches it", func(reaches int) {
 		c := newHost("c", 10)
