--- a/messenger/accept_test.go
+++ b/messenger/accept_test.go
@@ -24,7 +24,7 @@
 	return l.Listener.Accept()
 }
 
-// Guards against a host that hears of no other host any more since it once had too few descriptors.
+// Guards against a host that gets no messages of others any more since it once had too few descriptors.
 var _ = It("The messenger accepts connections again after it could not", func() {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
--- a/soaker/rejoined_test.go
+++ b/soaker/rejoined_test.go
@@ -76,7 +76,7 @@
 	return n
 }
 
-// Guards against streams joined from two versions by hosts that started again and believe that no stream began before.
+// Guards against streams joined from two versions by hosts that started again and take no stream to have begun before.
 var _ = Describe("A run in which all hosts are killed after a release", func() {
 	for i := range uint64(*seedCount) {
 		seed := *firstSeed + i
