--- a/resumer/history.go
+++ b/resumer/history.go
@@ -67,9 +67,18 @@
 	return h.always || !h.since.IsZero() && now.Sub(h.since) >= d
 }
 
+// age returns the age of the list that the history ends with; -1 before the first list.
+func (h *history) age(now time.Time) time.Duration {
+	if h.updatedAt.IsZero() {
+		return -1
+	}
+	return now.Sub(h.updatedAt)
+}
+
 // fresh reports whether the list that the history ends with is current.
 func (h *history) fresh(now time.Time) bool {
-	return !h.updatedAt.IsZero() && now.Sub(h.updatedAt) <= maxListAge
+	age := h.age(now)
+	return age >= 0 && age <= maxListAge
 }
 
 // software returns the software that served in a service within a time, sorted.
--- a/resumer/lookup.go
+++ b/resumer/lookup.go
@@ -39,6 +39,15 @@
 	Worker Worker        // that began it, if it is Known
 	From   string        // host that knew it; "" is this one
 	Age    time.Duration // of the record
+	Basis  Basis         // of an answer about a stream that nobody knows
+}
+
+// Basis is what an answer about a stream that nobody knows rests on.
+type Basis struct {
+	Software []string      // that served in the service, as far as the host knows
+	ListAge  time.Duration // of its list of workers
+	Asked    int           // hosts that were asked
+	Answered int           // of them
 }
 
 // lookup is a stream that is taken up, for which other hosts are asked.
@@ -72,14 +81,9 @@
 		return known(now, t, x.Record)
 	}
 	own := r.history.view(now, t.Services[0], r.life(t.Services[0]))
-	if t.Stream == 0 && own.one() && own.Complete && own.Fresh {
-		return Answer{Result: OneVersion}
-	}
-	if !askable || len(r.pending) >= maxLookups {
-		return conclude(own, nil, 0)
-	}
-	if t.Stream == 0 && own.Complete && own.Fresh {
-		return Answer{Result: Unknown}
+	alone := t.Stream == 0 && own.Complete && own.Fresh
+	if alone || !askable || len(r.pending) >= maxLookups {
+		return r.answer(now, own, nil, 0)
 	}
 	r.numbers++
 	r.pending[r.numbers] = &lookup{TakenUp: t, reply: reply, askedAt: now, histories: map[string][]History{}}
@@ -95,23 +99,31 @@
 	return Answer{Result: Known, Worker: x.Worker, From: x.Host, Age: now.Sub(x.At)}
 }
 
+// answer returns the answer for a stream that nobody knows, with what it rests on.
+func (r *Resumer) answer(now time.Time, own History, others []History, asked int) Answer {
+	return Answer{
+		Result: conclude(own, others, asked),
+		Basis:  Basis{Software: own.Software, ListAge: r.history.age(now), Asked: asked, Answered: len(others)},
+	}
+}
+
 // conclude decides on a stream that nobody knows, by what this host and others know of the
 // service's software, of so many that were asked. One of them must know all of a stream's life.
 // If none has a current list, as the store is down, more than half of them must have answered:
 // a host that is cut off might not see a version that the others use.
-func conclude(own History, others []History, asked int) Answer {
+func conclude(own History, others []History, asked int) Result {
 	complete, current := own.Complete, own.Fresh
 	for _, h := range others {
 		if !h.one() || !own.one() || h.Software[0] != own.Software[0] {
-			return Answer{Result: Unknown}
+			return Unknown
 		}
 		complete = complete || h.Complete
 		current = current || h.Fresh
 	}
 	if own.one() && complete && (current || 2*len(others) > asked) {
-		return Answer{Result: OneVersion}
+		return OneVersion
 	}
-	return Answer{Result: Unknown}
+	return Unknown
 }
 
 // DrainAsks returns the requests for the lookups since the last call, few for many of them, and
@@ -197,7 +209,7 @@
 		others = append(others, list...)
 	}
 	service := l.Services[0]
-	return conclude(r.history.view(now, service, r.life(service)), others, l.asked)
+	return r.answer(now, r.history.view(now, service, r.life(service)), others, l.asked)
 }
 
 // Expire answers the lookups that have waited too long for other hosts.
--- a/router/resume.go
+++ b/router/resume.go
@@ -101,7 +101,8 @@
 	a := t.origin.answer
 	fields = append(fields, zap.String("resumes", t.q.Resumes), zap.String("origin", string(a.Result)))
 	if a.Result == resumer.Known {
-		fields = append(fields, zap.String("carried", a.From), zap.Duration("known", a.Age))
+		return append(fields, zap.String("carried", a.From), zap.Duration("known", a.Age))
 	}
-	return fields
+	b := a.Basis
+	return append(fields, zap.Strings("software", b.Software), zap.Duration("listed", b.ListAge), zap.Int("asked", b.Asked), zap.Int("answered", b.Answered))
 }
