Streams that one version can have begun are bound to it

Cause: the answer one_version named no software, and the request was placed without one. It is true of the moment at which it was given; the list of workers may change before the send, and before each further send. Change: the answer names the software, and the request is bound to it, as it is where the beginning is known.

--- a/resumer/history.go
+++ b/resumer/history.go
@@ -15,7 +15,7 @@
 	since     time.Time                       // from when on it is complete; zero before the first list
 	always    bool                            // it is complete from the first start of the system on
 	updatedAt time.Time                       // of the list
-	present   map[string]map[string]bool      // software of the workers listed now, by service
+	present   map[string]map[string]Worker    // a worker of each software that is listed now, by service
 	gone      map[string]map[string]time.Time // when the last worker of a software went away, by service
 }
 
@@ -25,16 +25,16 @@
 		h.since, h.gone = now, map[string]map[string]time.Time{}
 	}
 	h.updatedAt = updatedAt
-	present := map[string]map[string]bool{}
+	present := map[string]map[string]Worker{}
 	for _, w := range workers {
 		if present[w.Service] == nil {
-			present[w.Service] = map[string]bool{}
+			present[w.Service] = map[string]Worker{}
 		}
-		present[w.Service][w.Software()] = true
+		present[w.Service][w.Software()] = w
 	}
 	for service, list := range h.present {
 		for software := range list {
-			if !present[service][software] {
+			if _, ok := present[service][software]; !ok {
 				h.leave(now, service, software)
 			}
 		}
@@ -83,16 +83,23 @@
 
 // software returns the software that served in a service within a time, sorted.
 func (h *history) software(now time.Time, service string, d time.Duration) []string {
-	all := maps.Clone(h.present[service])
+	all := slices.Collect(maps.Keys(h.present[service]))
 	for s, at := range h.gone[service] {
-		if now.Sub(at) < d {
-			if all == nil {
-				all = map[string]bool{}
-			}
-			all[s] = true
+		if _, ok := h.present[service][s]; !ok && now.Sub(at) < d {
+			all = append(all, s)
 		}
 	}
-	return slices.Sorted(maps.Keys(all))
+	slices.Sort(all)
+	return all
+}
+
+// listed returns a worker of a software, without what other workers of it don't share.
+func (h *history) listed(service, software string) Worker {
+	w, ok := h.present[service][software]
+	if !ok || w.Version == "" {
+		return w
+	}
+	return Worker{Service: w.Service, Version: w.Version}
 }
 
 // History is what one host knows of the software that served in a service within the longest
--- a/resumer/lookup.go
+++ b/resumer/lookup.go
@@ -36,7 +36,7 @@
 // Answer states where a stream that is taken up may go on.
 type Answer struct {
 	Result Result
-	Worker Worker        // that began it, if it is Known
+	Worker Worker        // that began it, if it is Known; a worker of the software that did for OneVersion
 	From   string        // host that knew it; "" is this one
 	Age    time.Duration // of the record
 	Basis  Basis         // of an answer about a stream that nobody knows
@@ -101,10 +101,14 @@
 
 // answer returns the answer for a stream that nobody knows, with what it rests on.
 func (r *Resumer) answer(now time.Time, own History, others []History, asked int) Answer {
-	return Answer{
+	a := Answer{
 		Result: conclude(own, others, asked),
 		Basis:  Basis{Software: own.Software, ListAge: r.history.age(now), Asked: asked, Answered: len(others)},
 	}
+	if a.Result == OneVersion {
+		a.Worker = r.history.listed(own.Service, own.Software[0])
+	}
+	return a
 }
 
 // conclude decides on a stream that nobody knows, by what this host and others know of the
--- a/router/resume.go
+++ b/router/resume.go
@@ -53,7 +53,10 @@
 		return unanswered(false, codeVersionUnknown, defaultRetryAfter)
 	case resumer.Moved:
 		return unanswered(false, codeStreamMoved, 0)
-	case resumer.OneVersion, resumer.Pending:
+	case resumer.OneVersion:
+		// A worker of another version may join before the request is sent.
+		q.placement.Bound = &a.Worker
+	case resumer.Pending:
 	}
 	if stream != 0 {
 		t.origin.keys = append(t.origin.keys, stream)
