A stream that nobody knows goes on only by a list read after it was taken up

Cause: two statements of before were taken for current ones. The list of workers counted as current for 1.5 s from when an answer or another host's heartbeat was applied, also one that had waited in a socket while the host stood still; and hosts that did not answer within 100 ms counted as knowing nothing. Change: a lookup that nobody's record decides waits until the list is known as of after the stream was taken up: the store is asked for what changed, one call for all streams within 25 ms. If the store does not answer within 400 ms, more than half of the hosts asked must have answered, as before.

--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -183,6 +183,9 @@
 // Era returns the store's era of the known list; 0 before the first list.
 func (r *Relay) Era() uint64 { return r.ledger.upto.Era() }
 
+// Version returns the version of the known list.
+func (r *Relay) Version() storer.Version { return r.ledger.upto }
+
 // updateBehind records whether other hosts know a later revision than this one.
 func (r *Relay) updateBehind(now time.Time) {
 	switch {
--- a/resumer/history.go
+++ b/resumer/history.go
@@ -12,11 +12,14 @@
 
 // history is what a host knows of the software that served in each service.
 type history struct {
-	since     time.Time                       // from when on it is complete; zero before the first list
-	always    bool                            // it is complete from the first start of the system on
-	updatedAt time.Time                       // of the list
-	present   map[string]map[string]Worker    // a worker of each software that is listed now, by service
-	gone      map[string]map[string]time.Time // when the last worker of a software went away, by service
+	since     time.Time // from when on it is complete; zero before the first list
+	always    bool      // it is complete from the first start of the system on
+	updatedAt time.Time // of the list
+	// confirmedAt is the time up to which the list is known to hold all changes: when the call
+	// of its source was sent, not when its answer arrived.
+	confirmedAt time.Time
+	present     map[string]map[string]Worker    // a worker of each software that is listed now, by service
+	gone        map[string]map[string]time.Time // when the last worker of a software went away, by service
 }
 
 // observe applies a complete list of workers that was current at a time.
--- a/resumer/lookup.go
+++ b/resumer/lookup.go
@@ -9,6 +9,8 @@
 	// askTimeout is how long a host waits for what others know of a stream: many round trips
 	// between zones, and a fraction of the time that callers wait for the next event.
 	askTimeout = 100 * time.Millisecond
+	// listTimeout is how long a host waits for the list of workers: a slow answer of its source.
+	listTimeout = 400 * time.Millisecond
 	// maxLookups bounds the lookups that wait for other hosts.
 	maxLookups = 4096
 	// maxAskKeys is the maximum number of streams in one request.
@@ -50,14 +52,21 @@
 	Answered int           // of them
 }
 
-// lookup is a stream that is taken up, for which other hosts are asked.
+// lookup is a stream that is taken up, for which other hosts are asked, or a current list of
+// the workers is awaited.
 type lookup struct {
 	TakenUp
-	reply     func(Answer)
-	askedAt   time.Time
-	asked     int             // hosts that were asked
-	waiting   map[string]bool // hosts that were asked and have not answered
-	histories map[string][]History
+	reply      func(Answer)
+	askedAt    time.Time
+	asked      int             // hosts that were asked
+	waiting    map[string]bool // hosts that were asked and have not answered; nil before they were asked
+	histories  map[string][]History
+	listFailed bool // the list can't be had
+}
+
+// heard reports whether the hosts have been heard, or had the time to answer.
+func (l *lookup) heard(now time.Time) bool {
+	return l.waiting != nil && len(l.waiting) == 0 || now.Sub(l.askedAt) >= askTimeout
 }
 
 // Ask is a request to other hosts for what they know.
@@ -73,21 +82,27 @@
 	Histories []History
 }
 
-// Resolve decides where a stream that is taken up may go on. If other hosts have to be asked,
-// it returns a Pending Answer and calls reply later. askable reports whether there are any.
+// Resolve decides where a stream that is taken up may go on. If other hosts have to be asked, or
+// the list of workers must be read, it returns a Pending Answer and calls reply later. askable
+// reports whether there are other hosts.
 func (r *Resumer) Resolve(now time.Time, t TakenUp, askable bool, reply func(Answer)) Answer {
 	x := r.records.get(t.Stream)
 	if x != nil && (x.own || !askable || !x.Worker.IsUncertain()) {
 		return known(now, t, x.Record)
 	}
 	own := r.history.view(now, t.Services[0], r.life(t.Services[0]))
-	alone := t.Stream == 0 && own.Complete && own.Fresh
-	if alone || !askable || len(r.pending) >= maxLookups {
-		return r.answer(now, own, nil, 0)
+	hopeless := !own.one() && (!askable || t.Stream == 0 && own.Complete)
+	if hopeless || len(r.pending) >= maxLookups {
+		return r.answer(now, own, nil, 0, false)
 	}
+	l := &lookup{TakenUp: t, reply: reply, askedAt: now, histories: map[string][]History{}}
 	r.numbers++
-	r.pending[r.numbers] = &lookup{TakenUp: t, reply: reply, askedAt: now, histories: map[string][]History{}}
-	r.queued = append(r.queued, r.numbers)
+	r.pending[r.numbers] = l
+	if askable {
+		r.queued = append(r.queued, r.numbers)
+	} else {
+		l.waiting = map[string]bool{}
+	}
 	return Answer{Result: Pending}
 }
 
@@ -100,9 +115,9 @@
 }
 
 // answer returns the answer for a stream that nobody knows, with what it rests on.
-func (r *Resumer) answer(now time.Time, own History, others []History, asked int) Answer {
+func (r *Resumer) answer(now time.Time, own History, others []History, asked int, current bool) Answer {
 	a := Answer{
-		Result: conclude(own, others, asked),
+		Result: conclude(own, others, asked, current),
 		Basis:  Basis{Software: own.Software, ListAge: r.history.age(now), Asked: asked, Answered: len(others)},
 	}
 	if a.Result == OneVersion {
@@ -113,16 +128,17 @@
 
 // conclude decides on a stream that nobody knows, by what this host and others know of the
 // service's software, of so many that were asked. One of them must know all of a stream's life.
-// If none has a current list, as the store is down, more than half of them must have answered:
-// a host that is cut off might not see a version that the others use.
-func conclude(own History, others []History, asked int) Result {
-	complete, current := own.Complete, own.Fresh
+// The list must be current, as of after the stream was taken up: a host that stood still or was
+// cut off does not see a version that the others use, and finds nobody who does if they failed
+// meanwhile. If it can't be had, as the store is down, more than half of them must have answered.
+func conclude(own History, others []History, asked int, current bool) Result {
+	complete := own.Complete
 	for _, h := range others {
 		if !h.one() || !own.one() || h.Software[0] != own.Software[0] {
 			return Unknown
 		}
-		complete = complete || h.Complete
-		current = current || h.Fresh
+		// What another host does not see in an old list, this one's current list need not have any more.
+		complete = complete || h.Complete && (h.Fresh || !current)
 	}
 	if own.one() && complete && (current || 2*len(others) > asked) {
 		return OneVersion
@@ -196,15 +212,33 @@
 				l.histories[from] = append(l.histories[from], h)
 			}
 		}
-		if a := r.concludeLookup(now, l); a.Result == OneVersion || len(l.waiting) == 0 {
-			delete(r.pending, n)
-			l.reply(a)
-		}
+		r.conclude(now, n, l)
+	}
+}
+
+// conclude answers a lookup once that is possible.
+func (r *Resumer) conclude(now time.Time, n uint64, l *lookup) {
+	current := !r.history.confirmedAt.Before(l.askedAt)
+	a := r.concludeLookup(now, l, current)
+	listed := current || l.listFailed || now.Sub(l.askedAt) >= listTimeout
+	switch {
+	case l.heard(now) && (listed || !r.mayBecomeOne(now, l)):
+	case a.Result == OneVersion && current && len(l.histories) > 0:
+	default:
+		return
 	}
+	delete(r.pending, n)
+	l.reply(a)
+}
+
+// mayBecomeOne reports whether a list can still show that one version served.
+func (r *Resumer) mayBecomeOne(now time.Time, l *lookup) bool {
+	return r.records.get(l.Stream) == nil && r.concludeLookup(now, l, true).Result == OneVersion
 }
 
-// concludeLookup decides on a lookup by what is known so far.
-func (r *Resumer) concludeLookup(now time.Time, l *lookup) Answer {
+// concludeLookup decides on a lookup by what is known so far. current reports whether the list of
+// workers is known as of after the stream was taken up.
+func (r *Resumer) concludeLookup(now time.Time, l *lookup, current bool) Answer {
 	if x := r.records.get(l.Stream); x != nil {
 		return known(now, l.TakenUp, x.Record)
 	}
@@ -213,17 +247,43 @@
 		others = append(others, list...)
 	}
 	service := l.Services[0]
-	return r.answer(now, r.history.view(now, service, r.life(service)), others, l.asked)
+	return r.answer(now, r.history.view(now, service, r.life(service)), others, l.asked, current)
 }
 
-// Expire answers the lookups that have waited too long for other hosts.
-func (r *Resumer) Expire(now time.Time) {
-	for n, l := range r.pending {
-		if now.Sub(l.askedAt) >= askTimeout {
-			delete(r.pending, n)
-			l.reply(r.concludeLookup(now, l))
+// NeedsList reports whether a lookup waits for a list of the workers that is read from now on.
+func (r *Resumer) NeedsList() bool {
+	for _, l := range r.pending {
+		if !l.listFailed && r.history.confirmedAt.Before(l.askedAt) {
+			return true
 		}
 	}
+	return false
+}
+
+// ListConfirmed records that the list holds all changes up to a time, and answers the lookups
+// that it decides.
+func (r *Resumer) ListConfirmed(now, at time.Time) {
+	if at.After(r.history.confirmedAt) {
+		r.history.confirmedAt = at
+	}
+	r.concludeAll(now)
+}
+
+// ListFailed records that a list could not be read since a time.
+func (r *Resumer) ListFailed(now, since time.Time) {
+	for _, l := range r.pending {
+		l.listFailed = l.listFailed || !l.askedAt.After(since)
+	}
+	r.concludeAll(now)
+}
+
+// Expire answers the lookups that have waited too long.
+func (r *Resumer) Expire(now time.Time) { r.concludeAll(now) }
+
+func (r *Resumer) concludeAll(now time.Time) {
+	for n, l := range r.pending {
+		r.conclude(now, n, l)
+	}
 }
 
 // Waiting returns the number of lookups that wait for other hosts.
@@ -231,3 +291,6 @@
 
 // AskTimeout returns how long a lookup waits for other hosts.
 func AskTimeout() time.Duration { return askTimeout }
+
+// ListTimeout returns how long a lookup waits for the list of workers.
+func ListTimeout() time.Duration { return listTimeout }
--- a/resumer/resumer_test.go
+++ b/resumer/resumer_test.go
@@ -31,8 +31,18 @@
 	return r
 }
 
-// resolve takes up a stream at r, which asks the others, and returns what is known in the end.
+// resolve takes up a stream at r, which asks the others and reads the list of workers, and returns
+// what is known in the end. Others that are nil don't answer.
 func resolve(now time.Time, r *resumer.Resumer, stream resumer.Key, others ...*resumer.Resumer) resumer.Answer {
+	return resolveWith(now, r, stream, func() { r.ListConfirmed(now, now) }, others)
+}
+
+// resolveBlind is resolve while the list can't be read.
+func resolveBlind(now time.Time, r *resumer.Resumer, stream resumer.Key, others ...*resumer.Resumer) resumer.Answer {
+	return resolveWith(now, r, stream, func() { r.ListFailed(now, now) }, others)
+}
+
+func resolveWith(now time.Time, r *resumer.Resumer, stream resumer.Key, readList func(), others []*resumer.Resumer) resumer.Answer {
 	var answer resumer.Answer
 	got := r.Resolve(now, resumer.TakenUp{Stream: stream, Services: []string{service}}, len(others) > 0, func(a resumer.Answer) { answer = a })
 	if got.Result != resumer.Pending {
@@ -42,13 +52,16 @@
 	for i := range others {
 		names = append(names, fmt.Sprint("other ", i))
 	}
-	asks := r.DrainAsks(names)
-	Expect(asks).To(HaveLen(1))
-	for i, o := range others {
-		if o != nil {
-			r.ReceiveTold(now, names[i], o.Tell(now, asks[0]))
+	for _, ask := range r.DrainAsks(names) {
+		for i, o := range others {
+			if o != nil {
+				r.ReceiveTold(now, names[i], o.Tell(now, ask))
+			}
 		}
 	}
+	if r.NeedsList() {
+		readList()
+	}
 	r.Expire(now.Add(resumer.AskTimeout()))
 	Expect(r.Waiting()).To(BeZero())
 	return answer
@@ -128,13 +141,50 @@
 		})
 
 		// Guards against a host that is cut off and does not see a version that others use.
-		It("refuses it while its list is not current, unless most others say the same", func() {
+		It("refuses it while its list can't be read, unless most others say the same", func() {
 			stale := start.Add(time.Minute)
 			taker, same := newResumer("h-1", true, v1), newResumer("h-2", true, v1)
-			Expect(resolve(stale, taker, 0).Result).To(Equal(resumer.Unknown))
-			Expect(resolve(stale, taker, 0, nil, nil, same).Result).To(Equal(resumer.Unknown))
-			Expect(resolve(stale, taker, 0, same, same, nil).Result).To(Equal(resumer.OneVersion), "the store is down")
-			Expect(resolve(stale, taker, 0, same, newResumer("h-3", true, v2)).Result).To(Equal(resumer.Unknown))
+			Expect(resolveBlind(stale, taker, 0).Result).To(Equal(resumer.Unknown))
+			Expect(resolveBlind(stale, taker, 0, nil, nil, same).Result).To(Equal(resumer.Unknown))
+			Expect(resolveBlind(stale, taker, 0, same, same, nil).Result).To(Equal(resumer.OneVersion), "the store is down")
+			Expect(resolveBlind(stale, taker, 0, same, newResumer("h-3", true, v2)).Result).To(Equal(resumer.Unknown))
+		})
+
+		// Guards against the silence of hosts that failed, beside a list of before they did.
+		It("refuses it if nobody answers and its list is of before the stream was taken up", func() {
+			r := newResumer("h-1", true, v1)
+			r.ListUpdated(start)
+			Expect(resolveBlind(start.Add(time.Millisecond), r, stream, nil, nil, nil).Result).To(Equal(resumer.Unknown))
+			Expect(resolveBlind(start.Add(time.Millisecond), r, 0).Result).To(Equal(resumer.Unknown))
+		})
+
+		// Guards against an answer to a call of before the question, which arrives after it.
+		It("waits for a list that was read after the stream was taken up", func() {
+			r := newResumer("h-1", true, v1)
+			var answers []resumer.Result
+			r.Resolve(start, resumer.TakenUp{Services: []string{service}}, false, func(a resumer.Answer) { answers = append(answers, a.Result) })
+			r.ListConfirmed(start.Add(time.Millisecond), start.Add(-time.Millisecond))
+			Expect(answers).To(BeEmpty())
+			Expect(r.NeedsList()).To(BeTrue())
+			r.SetWorkers(start.Add(time.Millisecond), start.Add(time.Millisecond), []resumer.Worker{v1, v2})
+			r.ListConfirmed(start.Add(time.Millisecond), start)
+			Expect(answers).To(Equal([]resumer.Result{resumer.Unknown}))
+		})
+
+		It("is refused once the list was awaited for long enough", func() {
+			r := newResumer("h-1", true, v1)
+			var answers []resumer.Result
+			r.Resolve(start, resumer.TakenUp{Services: []string{service}}, false, func(a resumer.Answer) { answers = append(answers, a.Result) })
+			r.Expire(start.Add(resumer.ListTimeout() - 1))
+			Expect(answers).To(BeEmpty())
+			r.Expire(start.Add(resumer.ListTimeout()))
+			Expect(answers).To(Equal([]resumer.Result{resumer.Unknown}))
+		})
+
+		It("names the software that began it", func() {
+			a := resolve(start, newResumer("h-1", true, v1, worker("c", "v1")), 0)
+			Expect(a.Worker.Continues(v1)).To(BeTrue())
+			Expect(resolve(start, newResumer("h-1", true, worker("a", "")), 0).Worker).To(Equal(worker("a", "")))
 		})
 	})
 
--- a/runner/host_routes.go
+++ b/runner/host_routes.go
@@ -42,6 +42,7 @@
 	g.pool.SetMemory(memory)
 	d.OnLost(g.pool.CloseAllIdle)
 	g.storeWatch = &storeWatch{store: store, log: log, report: func(e storeResult) { g.selector.post(e) }, nextCall: g.selector.nextCall}
+	g.selector.confirmation.read = g.storeWatch.confirm
 	g.router = router.New(router.Config{
 		Dialect: platform.Wire{}, Configuration: f, Placer: g.selector, Pool: g.pool, Reach: d, Origins: g.selector, Log: log, Metrics: router.NewMetrics(registry),
 		MaxAnswer: s.Limits.MaxAnswer, WriteTimeout: s.Limits.WriteTimeout.Std(), Memory: memory,
--- a/runner/origins.go
+++ b/runner/origins.go
@@ -28,6 +28,7 @@
 	sender    sender
 	log       *zap.Logger
 	post      func(event) bool
+	confirm   func() // has the list of workers confirmed, if a lookup waits for it
 	resumer   *resumer.Resumer
 	knowers   []registrar.Record   // hosts that are notified and asked, without this one
 	readers   map[string]bool      // hosts known to read the messages about origins, by name
@@ -118,6 +119,7 @@
 		o.first.written(now, e.fresh)
 	case originsDue:
 		o.ask()
+		o.confirm()
 	case lookupsDue:
 		o.resumer.Expire(now)
 	case originsReceived:
@@ -202,7 +204,9 @@
 		}
 		o.send(hosts, m)
 	}
-	time.AfterFunc(resumer.AskTimeout(), func() { o.post(lookupsDue{}) })
+	for _, wait := range []time.Duration{resumer.AskTimeout(), resumer.ListTimeout()} {
+		time.AfterFunc(wait, func() { o.post(lookupsDue{}) })
+	}
 }
 
 // answer answers another host's request.
--- a/runner/selector.go
+++ b/runner/selector.go
@@ -54,6 +54,7 @@
 	pendingUpdate messenger.FlightUpdate
 	quarantine    *quarantineSync
 	origins       *originSync
+	confirmation  listConfirmation
 	waiting       waitingForList
 	updateTimer   *time.Timer
 	updateDue     time.Time // when updateTimer expires; zero if it is not set
@@ -102,6 +103,7 @@
 	c.quarantine.add = c.view.ReceiveQuarantined
 	c.view.SetTries(c.tries)
 	c.origins = newOriginSync(self, s, h.First, log, c.post)
+	c.origins.confirm = c.confirmList
 	c.quarantine.report = func(e quarantineStored) { c.post(e) }
 	return c
 }
@@ -177,6 +179,11 @@
 		p.receiveFlights(now, e)
 	case storeResult:
 		p.handleStoreResult(now, e)
+	case listReadRequested:
+		p.confirmation.reading = false
+		p.confirmList()
+	case listRead:
+		p.listWasRead(now, e)
 	case listUpdateReceived:
 		p.receiveListUpdate(now, e)
 	case listSnapshotReceived:
--- a/runner/store_watch.go
+++ b/runner/store_watch.go
@@ -10,10 +10,13 @@
 
 	"github.com/cicadawood/cicadawood/platform"
 	"github.com/cicadawood/cicadawood/relayer"
+	"github.com/cicadawood/cicadawood/resumer"
 	"github.com/cicadawood/cicadawood/storer"
 )
 
 const (
+	// minWatchWait is the shortest wait of a watch call.
+	minWatchWait = time.Millisecond
 	// catchUpWait is how long a watch call waits for a change that is known to exist.
 	catchUpWait = 10 * time.Millisecond
 	// listRetryDelay is the mean pause after a failed call.
@@ -45,6 +48,7 @@
 	failed bool           // the call failed; nothing else is set
 	full   bool           // the update is the full list, each entry at its last revision
 	update relayer.Update // the changed entries
+	sentAt time.Time      // when the call was sent: the update has all changes until then
 }
 
 // storeCall is the next call of the store: whether the host makes it, and after which
@@ -103,15 +107,46 @@
 
 // list reads all entries.
 func (l *storeWatch) list(ctx context.Context) error {
-	objects, version, err := l.store.List(ctx, platform.WorkersPrefix)
+	r, err := l.readAll(ctx)
 	if err != nil {
 		return err
 	}
-	l.recordSuccess(version)
-	l.report(storeResult{full: true, update: relayer.Update{Upto: version, Changed: objects}})
+	l.recordSuccess(r.update.Upto)
+	l.report(r)
 	return nil
 }
 
+// readAll reads all entries.
+func (l *storeWatch) readAll(ctx context.Context) (storeResult, error) {
+	sentAt := time.Now()
+	objects, version, err := l.store.List(ctx, platform.WorkersPrefix)
+	if err != nil {
+		return storeResult{}, err
+	}
+	return storeResult{full: true, update: relayer.Update{Upto: version, Changed: objects}, sentAt: sentAt}, nil
+}
+
+// readChanges reads the changes after a version. It waits for one for a time.
+func (l *storeWatch) readChanges(ctx context.Context, after storer.Version, wait time.Duration) (storeResult, error) {
+	sentAt := time.Now()
+	objects, version, err := l.store.Watch(ctx, platform.WorkersPrefix, after, wait)
+	if err != nil {
+		return storeResult{}, err
+	}
+	return storeResult{update: relayer.Update{After: after, Upto: version, Changed: objects}, sentAt: sentAt}, nil
+}
+
+// confirm reads what has changed after a version until now.
+func (l *storeWatch) confirm(after storer.Version) (storeResult, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), resumer.ListTimeout())
+	defer cancel()
+	r, err := l.readChanges(ctx, after, minWatchWait)
+	if errors.Is(err, storer.ErrConflict) {
+		return l.readAll(ctx)
+	}
+	return r, err
+}
+
 // recordFailure records that the store does not answer.
 func (l *storeWatch) recordFailure(err error) {
 	if l.failingSince.IsZero() {
@@ -129,12 +164,12 @@
 			pause(ctx, watchCheckInterval)
 			continue
 		}
-		objects, version, err := l.store.Watch(ctx, platform.WorkersPrefix, n.after, n.wait)
+		r, err := l.readChanges(ctx, n.after, n.wait)
 		if err != nil {
 			return err
 		}
-		l.recordSuccess(version)
-		l.report(storeResult{update: relayer.Update{After: n.after, Upto: version, Changed: objects}})
+		l.recordSuccess(r.update.Upto)
+		l.report(r)
 	}
 	return ctx.Err()
 }
--- a/runner/worker_entries.go
+++ b/runner/worker_entries.go
@@ -75,6 +75,9 @@
 			p.broadcastChanges(e.update)
 		}
 	}
+	if !e.failed {
+		p.origins.resumer.ListConfirmed(now, e.sentAt)
+	}
 }
 
 // applyStoreList applies a full list that this host read from the store.
