The history of versions has each one that an answer of the store names

Cause: of each worker only the last event of an answer, or of another host's update, was decoded; the history of versions was fed from the resulting list. Change: entries that a later event of the same worker replaces are decoded too and recorded as software that served until now. Evidence: two specs (an answer of the store, a relayed update) with four events of two workers: red 2 of 2 before (v1 alone is known), green with this.

--- a/resumer/history.go
+++ b/resumer/history.go
@@ -25,7 +25,7 @@
 // observe applies a complete list of workers that was current at a time.
 func (h *history) observe(now, updatedAt time.Time, workers []Worker) {
 	if h.since.IsZero() {
-		h.since, h.gone = now, map[string]map[string]time.Time{}
+		h.since = now
 	}
 	h.updatedAt = updatedAt
 	present := map[string]map[string]Worker{}
@@ -47,6 +47,9 @@
 
 // leave records when the last worker of a software was there.
 func (h *history) leave(at time.Time, service, software string) {
+	if h.gone == nil {
+		h.gone = map[string]map[string]time.Time{}
+	}
 	if h.gone[service] == nil {
 		h.gone[service] = map[string]time.Time{}
 	}
--- a/resumer/resumer.go
+++ b/resumer/resumer.go
@@ -68,6 +68,10 @@
 	r.checkOne(now)
 }
 
+// Served records that a worker which is not on the list served until now. SetWorkers is to be
+// called afterwards.
+func (r *Resumer) Served(now time.Time, w Worker) { r.history.leave(now, w.Service, w.Software()) }
+
 // checkOne checks of which services a single software served. Own streams of those that now have
 // a second one are to be reported.
 func (r *Resumer) checkOne(now time.Time) {
--- a/runner/export_test.go
+++ b/runner/export_test.go
@@ -15,7 +15,9 @@
 	"github.com/cicadawood/cicadawood/placer"
 	"github.com/cicadawood/cicadawood/quarantiner"
 	"github.com/cicadawood/cicadawood/registrar"
+	"github.com/cicadawood/cicadawood/relayer"
 	"github.com/cicadawood/cicadawood/reserver"
+	"github.com/cicadawood/cicadawood/resumer"
 	"github.com/cicadawood/cicadawood/router"
 	"github.com/cicadawood/cicadawood/server"
 	"github.com/cicadawood/cicadawood/tunneler"
@@ -233,6 +235,17 @@
 	x.c.setWorkers(now)
 }
 
+// StoreAnswered applies an answer of the store to a call of this host that was sent at a time.
+func (x Selector) StoreAnswered(now, sentAt time.Time, full bool, u relayer.Update) {
+	x.c.handle(now, storeResult{full: full, update: u, sentAt: sentAt})
+}
+
+// Software returns the software that served in a service, as far as the host knows.
+func (x Selector) Software(now time.Time, service string) []string {
+	t := x.c.origins.resumer.Tell(now, resumer.Ask{Services: []string{service}})
+	return t.Histories[0].Software
+}
+
 // ReportLeaving reports that a worker stated in an answer that it is leaving.
 func (x Selector) ReportLeaving(now time.Time, p observer.Process) {
 	x.c.handle(now, leavingReported{process: p})
--- /dev/null
+++ b/runner/list_history_test.go
@@ -0,0 +1,59 @@
+package runner_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cicadawood/cicadawood/loader"
+	"github.com/cicadawood/cicadawood/messenger"
+	"github.com/cicadawood/cicadawood/platform"
+	"github.com/cicadawood/cicadawood/relayer"
+	"github.com/cicadawood/cicadawood/runner"
+	"github.com/cicadawood/cicadawood/storer"
+)
+
+// workerEvent is the event of a store in which a worker's entry was written.
+func workerEvent(at storer.Version, name, incarnation, version string) storer.Object {
+	value := fmt.Sprintf(`{"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,"state":"ready","born":%s,"version":%q}`, incarnation, version)
+	return storer.Object{Key: platform.WorkersPrefix + name, Value: []byte(value), Version: at}
+}
+
+// removalEvent is the event of a store in which a worker's entry was removed.
+func removalEvent(at storer.Version, name string) storer.Object {
+	return storer.Object{Key: platform.WorkersPrefix + name, Version: at, Deleted: true}
+}
+
+var _ = Describe("The history of a host's list of workers", func() {
+	now := time.Unix(1000, 0)
+	first, second := []storer.Object{workerEvent(2, "a", "1", "v1")}, []storer.Object{
+		workerEvent(3, "b", "1", "v2"), removalEvent(4, "b"),
+		workerEvent(5, "a", "2", "v3"), workerEvent(6, "a", "3", "v1"),
+	}
+	newHost := func() runner.Selector {
+		x := runner.NewSelectorOf(now, loader.Host{Name: "h", Zone: "z"}, nil, func(string, messenger.Message) {})
+		x.StoreAnswered(now, now, true, relayer.Update{Upto: 2, Changed: first})
+		Expect(x.Software(now, "s")).To(ConsistOf("version v1"))
+		return x
+	}
+
+	// Guards against a version that came and went within one answer of a watch and that no host knows of.
+	It("has each version in an answer of the store", func() {
+		x := newHost()
+		x.StoreAnswered(now, now, false, relayer.Update{After: 2, Upto: 6, Changed: second})
+		Expect(x.Software(now, "s")).To(ConsistOf("version v1", "version v2", "version v3"))
+	})
+
+	// Guards against a version that came and went within one update that other hosts pass on.
+	It("has each version in another host's update", func() {
+		x := newHost()
+		u := messenger.ListUpdate{After: 2, Upto: 6}
+		for _, o := range second {
+			u.Changed = append(u.Changed, messenger.Change{Key: o.Key, Value: o.Value, Version: uint64(o.Version), Deleted: o.Deleted})
+		}
+		x.Receive(now, "w", u)
+		Expect(x.Software(now, "s")).To(ConsistOf("version v1", "version v2", "version v3"))
+	})
+})
--- a/runner/origins.go
+++ b/runner/origins.go
@@ -284,12 +284,23 @@
 	o.workers.Reset()
 	for _, e := range entries {
 		o.workers.WithLabelValues(e.Service, e.Version).Inc()
-		workers = append(workers, resumer.Worker{Service: e.Service, Name: e.Name, Incarnation: e.Incarnation, Version: e.Version})
+		workers = append(workers, softwareOf(e))
 	}
 	o.resumer.SetWorkers(now, updatedAt, workers)
 	o.tell(now)
 }
 
+// served records workers that served until now and are no longer listed.
+func (o *originSync) served(now time.Time, entries []observer.Entry) {
+	for _, e := range entries {
+		o.resumer.Served(now, softwareOf(e))
+	}
+}
+
+func softwareOf(e observer.Entry) resumer.Worker {
+	return resumer.Worker{Service: e.Service, Name: e.Name, Incarnation: e.Incarnation, Version: e.Version}
+}
+
 // configure applies the timeouts of the routes with streams.
 func (o *originSync) configure(f *loader.Folder) {
 	longest := map[string]time.Duration{}
--- a/runner/worker_entries.go
+++ b/runner/worker_entries.go
@@ -145,6 +145,7 @@
 	for _, name := range d.removed {
 		p.directory.Removed(now, name)
 	}
+	p.origins.served(now, d.replaced)
 	if len(objects) == 0 {
 		p.listUpdated(now)
 		return
@@ -191,8 +192,9 @@
 
 // workerChanges is the decoded form of changed entries.
 type workerChanges struct {
-	changed []observer.Entry
-	removed []string // names
+	changed  []observer.Entry
+	replaced []observer.Entry // entries of the call that a later one of the same worker replaced
+	removed  []string         // names
 }
 
 // decodeWorkers decodes the entries of a call, the last one of each worker. A worker
@@ -204,11 +206,12 @@
 		last[o.Key] = i
 	}
 	for i, o := range objects {
-		if last[o.Key] != i {
-			continue
-		}
 		e, err := platform.DecodeWorker(o)
 		switch {
+		case last[o.Key] != i:
+			if err == nil && !o.Deleted {
+				d.replaced = append(d.replaced, e)
+			}
 		case o.Deleted:
 			d.removed = append(d.removed, platform.WorkerName(o))
 		case err != nil:
