Who answers over a connection is shown by a call of the store sent after it was made

Cause: "the list was current after the connection was made" went by when an answer or another host's heartbeat was applied. Either may be of before: it waited in a socket while the host stood still, a link held it, or it is a watcher's last answer, up to 1.15 s old. And where the list has one version it decided at once, however old it was. Change: only answers of the store to this host count, as of when the call was sent. Who waits has the list confirmed by such a call, 50 ms after the connection was made and every 200 ms at most, instead of waiting for the next heartbeat. The end of an empty long poll does not count: the store may drop its history meanwhile. While the store does not answer this host, heartbeats of others count as of 1.15 s before, so that its streams still go on. One version on a list over 1.5 s old is believed only while the store can't be asked. No message changes: a field more could not be read by hosts of the version before.

--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -40,9 +40,9 @@
 	// behalf of all. After the delay it knows the others, and a watcher's first heartbeat was
 	// due.
 	joinDelay = HeartbeatInterval + 100*time.Millisecond
-	// maxAnswerAge is the maximum age of the store's last answer to a watcher that may send
+	// MaxAnswerAge is the maximum age of the store's last answer to a watcher that may send
 	// heartbeats: a watch and the slowest answer of an overloaded store.
-	maxAnswerAge = WatchTimeout + 400*time.Millisecond
+	MaxAnswerAge = WatchTimeout + 400*time.Millisecond
 )
 
 // Update is the set of changes of a list between two versions of the store of the same era.
@@ -199,7 +199,7 @@
 // Heartbeat returns an empty update, which a watcher sends to show that it is up to date. It
 // returns false if this host does not watch or is not known to be up to date.
 func (r *Relay) Heartbeat(now time.Time) (Update, bool) {
-	if !r.watching || r.lastAnswer.IsZero() || now.Sub(r.lastAnswer) > maxAnswerAge {
+	if !r.watching || r.lastAnswer.IsZero() || now.Sub(r.lastAnswer) > MaxAnswerAge {
 		return Update{}, false
 	}
 	return Update{After: r.ledger.upto, Upto: r.ledger.upto}, true
--- a/resumer/history.go
+++ b/resumer/history.go
@@ -117,6 +117,10 @@
 	Fresh    bool // its list of workers is current
 }
 
+// MaxListAge returns the age of a host's list of workers up to which the host counts as knowing
+// all workers.
+func MaxListAge() time.Duration { return maxListAge }
+
 // view returns what the history says of a service.
 func (h *history) view(now time.Time, service string, d time.Duration) History {
 	return History{Service: service, Software: h.software(now, service, d), Complete: h.completeFor(now, d), Fresh: h.fresh(now)}
--- a/runner/export_test.go
+++ b/runner/export_test.go
@@ -20,6 +20,7 @@
 	"github.com/cicadawood/cicadawood/resumer"
 	"github.com/cicadawood/cicadawood/router"
 	"github.com/cicadawood/cicadawood/server"
+	"github.com/cicadawood/cicadawood/storer"
 	"github.com/cicadawood/cicadawood/tunneler"
 )
 
@@ -240,6 +241,35 @@
 	x.c.handle(now, storeResult{full: full, update: u, sentAt: sentAt})
 }
 
+// SetListReader sets the call of the store that confirms the list.
+func (x Selector) SetListReader(read func(after storer.Version) (relayer.Update, error)) {
+	x.c.confirmation.read = func(after storer.Version) (storeResult, error) {
+		sentAt := time.Now()
+		u, err := read(after)
+		return storeResult{update: u, sentAt: sentAt}, err
+	}
+}
+
+// HandleFor handles the events that are posted for a time, as the host's goroutine does.
+func (x Selector) HandleFor(d time.Duration) {
+	for end := time.After(d); ; {
+		select {
+		case e := <-x.c.events:
+			x.c.handle(time.Now(), e)
+		case <-end:
+			return
+		}
+	}
+}
+
+// Certain asks whether it is a worker that answers over a connection made at openedAt. The
+// channel has the answer, once there is one.
+func (x Selector) Certain(now time.Time, w resumer.Worker, openedAt time.Time) <-chan bool {
+	reply := make(chan bool, 1)
+	x.c.handle(now, certaintyRequested{worker: w, openedAt: openedAt, until: now.Add(maxHold), reply: reply})
+	return reply
+}
+
 // Software returns the software that served in a service, as far as the host knows.
 func (x Selector) Software(now time.Time, service string) []string {
 	t := x.c.origins.resumer.Tell(now, resumer.Ask{Services: []string{service}})
--- a/runner/list_confirm.go
+++ b/runner/list_confirm.go
@@ -5,6 +5,8 @@
 
 	"go.uber.org/zap"
 
+	"github.com/cicadawood/cicadawood/relayer"
+	"github.com/cicadawood/cicadawood/resumer"
 	"github.com/cicadawood/cicadawood/storer"
 )
 
@@ -12,18 +14,55 @@
 // list of workers: a call then answers for all streams that are taken up meanwhile.
 const confirmInterval = 25 * time.Millisecond
 
+// certaintyInterval is the minimum time between two such calls for those who wait to know which
+// start of a worker runs: each host may make them all the time.
+const certaintyInterval = 200 * time.Millisecond
+
+// failureExpiry is how long a call that got no answer shows that the store does not answer.
+const failureExpiry = 2 * time.Second
+
 // listConfirmation has the store confirm the list of workers when streams are taken up of which
-// nobody knows the beginning. What other hosts say of the list, and answers to earlier calls, may
-// be of before that.
+// nobody knows the beginning, and when it matters which start of a worker runs. What other hosts
+// say of the list, and answers to earlier calls, may be of before that.
 type listConfirmation struct {
-	read    func(after storer.Version) (storeResult, error)
-	reading bool
+	read     func(after storer.Version) (storeResult, error)
+	reading  bool
+	expected bool      // a listDue is on its way
+	sentAt   time.Time // of the last call
+	at       time.Time // the list has all changes until then, by the store's answers to this host
+	failedAt time.Time // when a call of this host last got no answer; zero since an answer
+}
+
+// answered records an answer of the store to a call that was sent at a time.
+func (c *listConfirmation) answered(sentAt time.Time) {
+	c.failedAt = time.Time{}
+	if sentAt.After(c.at) {
+		c.at = sentAt
+	}
+}
+
+// failing reports whether the store does not answer this host.
+func (c *listConfirmation) failing(now time.Time) bool {
+	return !c.failedAt.IsZero() && now.Sub(c.failedAt) < failureExpiry
+}
+
+// knownUntil returns the time up to which the list has all changes. While the store does not answer
+// this host, that is what other hosts passed on until receivedAt, which may be as old as a
+// watcher's last answer.
+func (c *listConfirmation) knownUntil(now, receivedAt time.Time) time.Time {
+	relayed := receivedAt.Add(-relayer.MaxAnswerAge)
+	if !c.failing(now) || relayed.Before(c.at) {
+		return c.at
+	}
+	return relayed
 }
 
 // Events of listConfirmation.
 type (
-	// listReadRequested is posted when the list may be confirmed again.
+	// listReadRequested is posted when the list may be confirmed again, and listDue when it is to
+	// be for those who wait for it.
 	listReadRequested struct{}
+	listDue           struct{}
 	// listRead is the result of a call that confirms the list.
 	listRead struct {
 		result storeResult
@@ -32,14 +71,14 @@
 	}
 )
 
-// confirmList has the store confirm the list, if a stream that is taken up waits for it.
-func (p *selector) confirmList() {
+// confirmList has the store confirm the list, if somebody waits for it.
+func (p *selector) confirmList(now time.Time) {
 	c := &p.confirmation
-	if c.reading || c.read == nil || !p.origins.resumer.NeedsList() {
+	if c.reading || c.read == nil || !p.origins.resumer.NeedsList() && !p.waitsForList(now) {
 		return
 	}
-	c.reading = true
 	sentAt, after := time.Now(), p.relay.Version()
+	c.reading, c.sentAt = true, sentAt
 	go func() {
 		r, err := c.read(after)
 		p.post(listRead{result: r, sentAt: sentAt, err: err})
@@ -52,10 +91,52 @@
 		p.handleStoreResult(now, e.result)
 	} else {
 		p.log.Info("list of workers not confirmed", zap.Duration("after", now.Sub(e.sentAt)), zap.Error(e.err))
+		p.confirmation.failedAt = now
 		p.origins.resumer.ListFailed(now, e.sentAt)
+		p.retryWaiting(now)
 	}
 	time.AfterFunc(confirmInterval, func() { p.post(listReadRequested{}) })
 }
 
+// waitsForList reports whether a list that is read now can show which start of a worker answers
+// over a connection.
+func (p *selector) waitsForList(now time.Time) bool {
+	c := &p.confirmation
+	if !p.directory.Settled(now) || now.Sub(c.sentAt) < certaintyInterval {
+		return false
+	}
+	return p.waiting.any(func(openedAt time.Time) bool {
+		return now.Sub(openedAt) >= entryDelay && p.waiting.listedAt.Sub(openedAt) < entryDelay
+	})
+}
+
+// confirmFor has the list confirmed as soon as that can show which start of a worker answers over
+// a connection made at openedAt.
+func (p *selector) confirmFor(now, openedAt time.Time) {
+	c := &p.confirmation
+	if c.expected {
+		return
+	}
+	c.expected = true
+	wait := max(openedAt.Add(entryDelay).Sub(now), c.sentAt.Add(certaintyInterval).Sub(now))
+	time.AfterFunc(wait, func() { p.post(listDue{}) })
+}
+
+// listIsDue has the list confirmed for those who wait for it.
+func (p *selector) listIsDue(now time.Time) {
+	p.confirmation.expected = false
+	p.confirmList(now)
+}
+
+// servesOne reports whether a single software served in a service. An old list does not show that,
+// as the host may have stood still or be cut off, unless the store can't be asked.
+func (p *selector) servesOne(now time.Time, service string) bool {
+	if !p.origins.resumer.One(service) {
+		return false
+	}
+	return now.Sub(p.updatedAt) <= resumer.MaxListAge() || p.confirmation.failing(now) || !p.directory.Settled(now)
+}
+
 func (listReadRequested) event() {}
+func (listDue) event()           {}
 func (listRead) event()          {}
--- a/runner/list_wait.go
+++ b/runner/list_wait.go
@@ -24,7 +24,13 @@
 	requests    []workerRequested
 	certainties []certaintyRequested
 	beginnings  []streamBegan // recorded without a version until then
-	listedAt    time.Time     // when the list was last known to have the workers that ran then
+	listedAt    time.Time     // the list is known to have the workers that ran then
+}
+
+// any reports whether a condition holds for when the connection of something that waits was made.
+func (w *waitingForList) any(condition func(openedAt time.Time) bool) bool {
+	return slices.ContainsFunc(w.certainties, func(e certaintyRequested) bool { return condition(e.openedAt) }) ||
+		slices.ContainsFunc(w.beginnings, func(e streamBegan) bool { return condition(e.openedAt) })
 }
 
 // answerOrHold answers a request for a worker, unless it is worth to wait for the list.
@@ -73,7 +79,7 @@
 // streamBegan records the first event of a stream. While it is not certain that the worker is
 // the listed start of it, the record has no version, so that the stream goes on nowhere.
 func (p *selector) streamBegan(now time.Time, e streamBegan) {
-	certain, decided := p.isCertain(e.worker, e.openedAt)
+	certain, decided := p.isCertain(now, e.worker, e.openedAt)
 	if certain {
 		p.origins.began(now, e)
 		return
@@ -85,26 +91,28 @@
 	}
 	if !decided && len(p.waiting.beginnings) < maxWaitingBeginnings {
 		p.waiting.beginnings = append(p.waiting.beginnings, e)
+		p.confirmFor(now, e.openedAt)
 	}
 }
 
 // checkCertainty answers whether it is a worker that answers over a connection, when it is
 // decided or has waited for long enough.
 func (p *selector) checkCertainty(now time.Time, e certaintyRequested) {
-	certain, decided := p.isCertain(e.worker, e.openedAt)
+	certain, decided := p.isCertain(now, e.worker, e.openedAt)
 	if decided || now.After(e.until) {
 		e.reply <- certain
 		return
 	}
 	p.waiting.certainties = append(p.waiting.certainties, e)
+	p.confirmFor(now, e.openedAt)
 }
 
 // isCertain reports whether it is a listed start of a worker that answers over a connection that
 // was made at openedAt: the list was current afterwards, also if other connections to the
 // worker had just broken, and has that start, or none as it is leaving. decided is false while the list was not. Where one version served it makes no
 // difference.
-func (p *selector) isCertain(w resumer.Worker, openedAt time.Time) (certain, decided bool) {
-	if p.origins.resumer.One(w.Service) {
+func (p *selector) isCertain(now time.Time, w resumer.Worker, openedAt time.Time) (certain, decided bool) {
+	if p.servesOne(now, w.Service) {
 		return true, true
 	}
 	listed, ok := p.view.Worker(w.Name)
--- /dev/null
+++ b/runner/list_wait_test.go
@@ -0,0 +1,88 @@
+package runner_test
+
+import (
+	"errors"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cicadawood/cicadawood/loader"
+	"github.com/cicadawood/cicadawood/messenger"
+	"github.com/cicadawood/cicadawood/relayer"
+	"github.com/cicadawood/cicadawood/resumer"
+	"github.com/cicadawood/cicadawood/runner"
+	"github.com/cicadawood/cicadawood/storer"
+)
+
+var _ = Describe("Who answers over a connection", func() {
+	worker := resumer.Worker{Service: "s", Name: "a", Incarnation: "1", Version: "v1"}
+	var listed, opened time.Time
+	var x runner.Selector
+
+	BeforeEach(func() {
+		listed = time.Now()
+		opened = listed.Add(500 * time.Millisecond)
+		x = runner.NewSelectorOf(listed, loader.Host{Name: "h", Zone: "z"}, nil, func(string, messenger.Message) {})
+		x.StoreAnswered(listed, listed, true, relayer.Update{Upto: 3, Changed: []storer.Object{workerEvent(2, "a", "1", "v1"), workerEvent(3, "b", "1", "v2")}})
+	})
+
+	It("is the listed worker if the connection was made before the list was read", func() {
+		Expect(x.Certain(opened, worker, listed.Add(-time.Second))).To(Receive(BeTrue()))
+	})
+
+	// Guards against a restarted worker that a heartbeat of before its restart, which was held up, vouches for.
+	It("is not shown by another host's heartbeat, which may be of before the connection", func() {
+		answer := x.Certain(opened, worker, opened)
+		x.Receive(opened.Add(300*time.Millisecond), "w", messenger.ListUpdate{After: 3, Upto: 3})
+		Expect(answer).NotTo(Receive())
+	})
+
+	// Guards against a restarted worker that an answer of before its restart, which waited in a socket, vouches for.
+	It("is not shown by an answer to a call that was sent before the connection was made", func() {
+		answer := x.Certain(opened, worker, opened)
+		x.StoreAnswered(opened.Add(300*time.Millisecond), opened.Add(-time.Millisecond), false, relayer.Update{After: 3, Upto: 3})
+		Expect(answer).NotTo(Receive())
+	})
+
+	It("is shown by an answer to a call that was sent when the worker had registered", func() {
+		answer, gone := x.Certain(opened, worker, opened), x.Certain(opened, resumer.Worker{Service: "s", Name: "b", Incarnation: "1", Version: "v2"}, opened)
+		sent := opened.Add(60 * time.Millisecond)
+		x.StoreAnswered(sent.Add(10*time.Millisecond), sent, false, relayer.Update{After: 3, Upto: 4, Changed: []storer.Object{workerEvent(4, "b", "2", "v3")}})
+		Expect(answer).To(Receive(BeTrue()))
+		Expect(gone).To(Receive(BeFalse()))
+	})
+
+	// Guards against streams that wait for a heartbeat, or until they are refused.
+	It("is asked of the store once the worker must have registered", func() {
+		x.SetListReader(func(after storer.Version) (relayer.Update, error) {
+			return relayer.Update{After: after, Upto: after}, nil
+		})
+		now := time.Now()
+		answer := x.Certain(now, worker, now)
+		x.HandleFor(150 * time.Millisecond)
+		Expect(answer).To(Receive(BeTrue()))
+	})
+
+	// Guards against a host that the store does not answer and that refuses each stream, though other hosts know the list.
+	It("is shown by heartbeats, older ones than usual, while the store does not answer this host", func() {
+		x.SetListReader(func(storer.Version) (relayer.Update, error) { return relayer.Update{}, errors.New("no answer") })
+		now := time.Now()
+		answer := x.Certain(now, worker, now)
+		x.HandleFor(150 * time.Millisecond)
+		x.Receive(now.Add(time.Second), "w", messenger.ListUpdate{After: 3, Upto: 3})
+		Expect(answer).NotTo(Receive())
+		x.Receive(now.Add(1300*time.Millisecond), "w", messenger.ListUpdate{After: 3, Upto: 3})
+		Expect(answer).To(Receive(BeTrue()))
+	})
+
+	// Guards against a host that stood still, or was cut off, and takes its old list of one version for the present.
+	It("is not guessed where an old list has one version", func() {
+		x = runner.NewSelectorOf(listed, loader.Host{Name: "h", Zone: "z"}, nil, func(string, messenger.Message) {})
+		x.StoreAnswered(listed, listed, true, relayer.Update{Upto: 2, Changed: []storer.Object{workerEvent(2, "a", "1", "v1")}})
+		known := listed.Add(time.Minute)
+		x.StoreAnswered(known, known, true, relayer.Update{Upto: 2, Changed: []storer.Object{workerEvent(2, "a", "1", "v1")}})
+		Expect(x.Certain(known.Add(time.Second), worker, known.Add(time.Second))).To(Receive(BeTrue()), "the list is young")
+		Expect(x.Certain(known.Add(time.Minute), worker, known.Add(time.Minute))).NotTo(Receive())
+	})
+})
--- a/runner/origins.go
+++ b/runner/origins.go
@@ -28,7 +28,7 @@
 	sender    sender
 	log       *zap.Logger
 	post      func(event) bool
-	confirm   func() // has the list of workers confirmed, if a lookup waits for it
+	confirm   func(now time.Time) // has the list of workers confirmed, if a lookup waits for it
 	resumer   *resumer.Resumer
 	knowers   []registrar.Record   // hosts that are notified and asked, without this one
 	readers   map[string]bool      // hosts known to read the messages about origins, by name
@@ -119,7 +119,7 @@
 		o.first.written(now, e.fresh)
 	case originsDue:
 		o.ask()
-		o.confirm()
+		o.confirm(now)
 	case lookupsDue:
 		o.resumer.Expire(now)
 	case originsReceived:
--- a/runner/selector.go
+++ b/runner/selector.go
@@ -181,7 +181,9 @@
 		p.handleStoreResult(now, e)
 	case listReadRequested:
 		p.confirmation.reading = false
-		p.confirmList()
+		p.confirmList(now)
+	case listDue:
+		p.listIsDue(now)
 	case listRead:
 		p.listWasRead(now, e)
 	case listUpdateReceived:
@@ -306,10 +308,11 @@
 	}
 }
 
-// listUpdated applies that the list of workers was known to be current at updatedAt.
+// listUpdated applies that the list of workers was received, or found to have no changes, at
+// updatedAt.
 func (p *selector) listUpdated(now time.Time) {
 	if p.directory.Settled(now) {
-		p.waiting.listedAt = p.updatedAt
+		p.waiting.listedAt = p.confirmation.knownUntil(now, p.updatedAt)
 		p.view.SetConfirmed(p.updatedAt)
 	}
 	p.origins.resumer.ListUpdated(p.updatedAt)
--- a/runner/worker_entries.go
+++ b/runner/worker_entries.go
@@ -59,8 +59,12 @@
 
 // handleStoreResult applies the result of a call to the platform's store.
 func (p *selector) handleStoreResult(now time.Time, e storeResult) {
+	if !e.failed {
+		p.confirmation.answered(e.sentAt)
+	}
 	switch {
 	case e.failed:
+		p.confirmation.failedAt = now
 		p.relay.Failed()
 		p.sendHeartbeat(now)
 		// While a watcher sends heartbeats, the store is available, though not to this host.
