A stream that its caller takes up goes on after the caller's last event

Cause: events that are not later than what was passed on were skipped only within one answer, not against the last event that the caller names. Change: for streams that may go on, the caller's last event counts as passed on. The head is written with the first event that is, so that a worker that fails before it has something new costs only another send. Gaps stay as they are: numbers need only increase, so none is known to be missing.

--- a/router/router_test.go
+++ b/router/router_test.go
@@ -599,6 +599,40 @@
 		Expect(fakePlacer.ended()).To(Equal([]placer.Outcome{placer.Canceled, placer.Answered}))
 	})
 
+	// Guards against events that a caller gets twice, as a worker begins before the one after its last.
+	DescribeTable("passes on only what follows the last event of the caller that takes a stream up", func(last, want string, answers ...string) {
+		for i, events := range answers {
+			worker(fmt.Sprint("w", i), func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Content-Type", "text/event-stream")
+				w.Header().Set("Seal", "1")
+				for _, e := range strings.SplitAfter(events, "\n\n") {
+					_, _ = io.WriteString(w, e)
+					_ = http.NewResponseController(w).Flush()
+				}
+				if i < len(answers)-1 {
+					panic(http.ErrAbortHandler) // the connection is aborted
+				}
+			})
+		}
+		req, err := http.NewRequestWithContext(bg, http.MethodGet, url+"/flow/x", nil)
+		Expect(err).NotTo(HaveOccurred())
+		req.Host = "h.example"
+		req.Header = http.Header{"Id": {"1"}, "Key": {"s"}, "After": {last}}
+		resp, err := http.DefaultClient.Do(req)
+		Expect(err).NotTo(HaveOccurred())
+		defer resp.Body.Close()
+		Expect(resp.StatusCode).To(Equal(http.StatusOK))
+		Expect(io.ReadAll(resp.Body)).To(BeEquivalentTo(want))
+	},
+		Entry("from a worker that begins with the last one", "2", "id: 3\ndata: c\n\n", "id: 2\ndata: b\n\nid: 3\ndata: c\n\n"),
+		Entry("from one that begins anew", "2", "id: 3\ndata: c\n\n", "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"),
+		Entry("from one that has nothing new", "3", "", "id: 3\ndata: c\n\n"),
+		Entry("from one that fails before it has something new", "2", "id: 3\ndata: c\n\n", "id: 1\ndata: a\n\n", "id: 3\ndata: c\n\n"),
+		Entry("from one that fails after that", "1", "id: 2\ndata: b\n\nid: 3\ndata: c\n\n", "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", "id: 2\ndata: b\n\nid: 3\ndata: c\n\n"),
+		Entry("events without numbers", "2", "data: c\n\n", "data: c\n\n"),
+		Entry("after a gap, as numbers need only increase", "2", "id: 9\ndata: c\n\n", "id: 9\ndata: c\n\n"),
+	)
+
 	// Guards against losing what an answer states of its worker because the answer itself is
 	// of no use to the caller.
 	DescribeTable("reports a worker that states that it is leaving", func(path string, h http.HandlerFunc) {
--- a/router/stream.go
+++ b/router/stream.go
@@ -18,7 +18,7 @@
 // passStream passes events on as they arrive, whole events only: if the worker fails
 // inside an event, another worker could not continue it.
 func (t *transaction) passStream(ctx context.Context, p Placement, a *connector.Answer) error {
-	resumed := t.delivery.headSent
+	resumed := t.delivery.headSent || t.received() != ""
 	pending := partialEvent{reserved: t.router.Memory.Reserve(reserver.Event)}
 	defer pending.reserved.Release()
 	buffer := make([]byte, streamBufferBytes)
@@ -76,10 +76,7 @@
 // passEvents writes whole events to the caller. Of a resumed stream, it skips the events
 // that the caller already has.
 func (t *transaction) passEvents(a *connector.Answer, events []byte, resumed bool) error {
-	if !t.delivery.headSent {
-		t.delivery.writeHead(a.Status, a.Header, -1)
-	}
-	previous := t.lastEventID
+	previous := t.received()
 	for rest := events; len(rest) > 0; {
 		end := bytes.Index(rest, eventEnd) + len(eventEnd)
 		event := rest[:end]
@@ -88,6 +85,9 @@
 		if resumed && id != "" && !isLater(id, previous) {
 			continue
 		}
+		if !t.delivery.headSent {
+			t.delivery.writeHead(a.Status, a.Header, -1)
+		}
 		if err := t.delivery.write(event); err != nil {
 			return err
 		}
@@ -95,9 +95,21 @@
 			t.lastEventID = id
 		}
 	}
+	if !t.delivery.headSent {
+		return nil
+	}
 	return t.delivery.flush()
 }
 
+// received returns the ID of the last event that the caller has, also of an earlier attempt; "" if
+// none is known.
+func (t *transaction) received() string {
+	if t.lastEventID == "" && t.q.takenUp() && t.q.Repeatable() {
+		return t.q.LastEventID
+	}
+	return t.lastEventID
+}
+
 // eventID returns the id of an event, or "" if it has none.
 func eventID(event []byte) string {
 	for _, line := range strings.Split(string(event), "\n") {
