Calls that show which start of a worker runs keep to a quarter of the store's reads

Cause: each host makes such a call every 200 ms while two versions serve and streams begin over new connections; at 360 hosts that is 1,800 of the 2,000 reads that the store answers, and the others would get 429. Change: the time between two calls grows with the fleet, 2 ms a host: as before up to 100 hosts, 0.72 s and 500 calls a second in all at 360 (worked out). Evidence: a spec, red without the term (195 hosts: 975), green with it.

--- a/registrar/roster.go
+++ b/registrar/roster.go
@@ -49,6 +49,9 @@
 // Hosts returns all hosts of the roster, sorted by name.
 func (r Roster) Hosts() []Record { return slices.Clone(r.hosts) }
 
+// Len returns the number of hosts.
+func (r Roster) Len() int { return len(r.hosts) }
+
 // Find returns the record of the named host.
 func (r Roster) Find(name string) (Record, bool) {
 	i, ok := slices.BinarySearchFunc(r.hosts, name, func(h Record, n string) int { return strings.Compare(h.Name, n) })
--- a/runner/export_test.go
+++ b/runner/export_test.go
@@ -250,6 +250,10 @@
 	}
 }
 
+// CertaintyInterval returns the minimum time between two calls of a host that show which start of a
+// worker runs.
+func CertaintyInterval(hosts int) time.Duration { return certaintyInterval(hosts) }
+
 // HandleFor handles the events that are posted for a time, as the host's goroutine does.
 func (x Selector) HandleFor(d time.Duration) {
 	for end := time.After(d); ; {
--- a/runner/list_confirm.go
+++ b/runner/list_confirm.go
@@ -14,9 +14,18 @@
 // list of workers: a call then answers for all streams that are taken up meanwhile.
 const confirmInterval = 25 * time.Millisecond
 
-// certaintyInterval is the minimum time between two such calls for those who wait to know which
-// start of a worker runs: each host may make them all the time.
-const certaintyInterval = 200 * time.Millisecond
+// minCertaintyInterval is the minimum time between two such calls for those who wait to know which
+// start of a worker runs, and certaintyPerHost that time for each host of the fleet, if it is
+// longer: each host may make them all the time, and all share the store's rate of calls.
+const (
+	minCertaintyInterval = 200 * time.Millisecond
+	certaintyPerHost     = 2 * time.Millisecond
+)
+
+// certaintyInterval returns the minimum time between two calls in a fleet of so many hosts.
+func certaintyInterval(hosts int) time.Duration {
+	return max(minCertaintyInterval, time.Duration(hosts)*certaintyPerHost)
+}
 
 // failureExpiry is how long a call that got no answer shows that the store does not answer.
 const failureExpiry = 2 * time.Second
@@ -102,7 +111,7 @@
 // over a connection.
 func (p *selector) waitsForList(now time.Time) bool {
 	c := &p.confirmation
-	if !p.directory.Settled(now) || now.Sub(c.sentAt) < certaintyInterval {
+	if !p.directory.Settled(now) || now.Sub(c.sentAt) < certaintyInterval(p.roster.Len()) {
 		return false
 	}
 	return p.waiting.any(func(openedAt time.Time) bool {
@@ -118,7 +127,7 @@
 		return
 	}
 	c.expected = true
-	wait := max(openedAt.Add(entryDelay).Sub(now), c.sentAt.Add(certaintyInterval).Sub(now))
+	wait := max(openedAt.Add(entryDelay).Sub(now), c.sentAt.Add(certaintyInterval(p.roster.Len())).Sub(now))
 	time.AfterFunc(wait, func() { p.post(listDue{}) })
 }
 
--- a/runner/list_wait_test.go
+++ b/runner/list_wait_test.go
@@ -85,4 +85,11 @@
 		Expect(x.Certain(known.Add(time.Second), worker, known.Add(time.Second))).To(Receive(BeTrue()), "the list is young")
 		Expect(x.Certain(known.Add(time.Minute), worker, known.Add(time.Minute))).NotTo(Receive())
 	})
+
+	// Guards against a large fleet that spends the store's rate of calls on certainty while two versions serve.
+	It("is asked of the store by all hosts together at a quarter of its 2,000 reads a second at most", func() {
+		for _, hosts := range []int{2, 9, 84, 195, 360} {
+			Expect(float64(hosts)/runner.CertaintyInterval(hosts).Seconds()).To(BeNumerically("<=", 500), "%d hosts", hosts)
+		}
+	})
 })
