Hosts can be reached under other addresses too, as backend servers can

Change: `translate` in a host's settings applies to the control addresses of other hosts, by the messenger's dials. Without an entry nothing changes. Tunnels to backend servers through another host still go to its own address.

--- a/loader/host.go
+++ b/loader/host.go
@@ -30,7 +30,8 @@
 	// Peers are control addresses, IP:port, of other hosts. A host that starts during an
 	// outage of the platform requests the configuration and the roster from them.
 	Peers []string `json:"peers,omitempty"`
-	// Translate lists the backend servers that this host reaches under another address.
+	// Translate lists the backend servers, and the control addresses of other hosts, that this
+	// host reaches under another address.
 	Translate []Translation `json:"translate,omitempty"`
 	// First states that the whole system starts for the first time: no caller has a stream of
 	// an earlier host.
@@ -39,13 +40,13 @@
 	Repeat Repeat `json:"repeat"`
 }
 
-// Translation is the address under which a host reaches a backend server; both IP:port.
+// Translation is the address under which a host reaches a backend server or another host; both IP:port.
 type Translation struct {
-	Own  string `json:"own"`  // as the backend server states it
+	Own  string `json:"own"`  // as the backend server or host states it
 	Here string `json:"here"` // to which this host connects
 }
 
-// Translations returns the addresses to connect to by the backend servers' own.
+// Translations returns the addresses to connect to by the backend servers' and hosts' own.
 func (h Host) Translations() map[string]string {
 	out := map[string]string{}
 	for _, t := range h.Translate {
--- a/messenger/config.go
+++ b/messenger/config.go
@@ -16,6 +16,9 @@
 	Address     string // IP:port to listen on
 	// Listener, if set, accepts connections in place of one that listens on Address.
 	Listener net.Listener
+	// Translate has the address to connect to in place of another host's own, where this host
+	// reaches it under another one.
+	Translate map[string]string
 	// AckTimeout is how long frames may stay unacknowledged on a connection
 	// before it is replaced.
 	AckTimeout time.Duration
--- a/messenger/peer.go
+++ b/messenger/peer.go
@@ -99,8 +99,12 @@
 	p.mu.Lock()
 	p.m.dropped.Add(uint64(p.outbox.expire(time.Now(), p.m.config.Hold)))
 	p.mu.Unlock()
+	address, ok := p.m.config.Translate[p.address]
+	if !ok {
+		address = p.address
+	}
 	d := net.Dialer{Timeout: dialTimeout}
-	conn, err := d.DialContext(p.m.ctx, "tcp", p.address)
+	conn, err := d.DialContext(p.m.ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
--- a/runner/host.go
+++ b/runner/host.go
@@ -134,7 +134,7 @@
 	forward.OnRefused(h.poller.postRefusal)
 	connected := make(chan struct{})
 	m, closeMessenger, err := messenger.Open(messenger.Config{
-		Name: s.Name, Incarnation: incarnation, Address: s.Control, AckTimeout: s.Limits.AckTimeout.Std(), AckDelay: ackDelay, Memory: h.memory,
+		Name: s.Name, Incarnation: incarnation, Address: s.Control, Translate: s.Translations(), AckTimeout: s.Limits.AckTimeout.Std(), AckDelay: ackDelay, Memory: h.memory,
 		OnReachability: func(address string, reachable bool) {
 			<-connected
 			h.registrar.SetReachable(address, reachable)
