The last worker that a request may be sent to is waited for

Callers saw 502 (answer_lost) or 503 (worker_refused) with up to 1.4 s of their 3 s left: a request goes to four workers at most, and the fourth was given up after the time that leaves room for another one (twice the target, 200 ms), though none could follow. The same held for a send whose path is lost.

Cause: the time in which an answer has to begin looked at the attempts that the route allows, not at the number of sends. Where hosts are slow themselves (18 and more hosts, few cores), connecting alone took 200 ms, so that three sends failed unsent and the fourth was cut.

Now a send is cut for silence, or for a lost path, only if another may follow (mayFollow).

Measured: the new spec in router/ got 502 before and passes now.

--- a/router/reach.go
+++ b/router/reach.go
@@ -36,7 +36,7 @@
 
 // pathWatch checks, while a worker sends nothing, whether this host still reaches it. The
 // request goes on, as a silent worker has not failed; but if only this host has lost its links
-// to it and the request is repeatable, the send ends.
+// to it and the request may be sent to another worker, the send ends.
 type pathWatch struct {
 	timer *time.Timer
 	quiet time.Duration // after bytes of a stream
@@ -47,14 +47,14 @@
 func (t *transaction) watchPath(p Placement, cancel context.CancelCauseFunc) *pathWatch {
 	first := max(minQuiet, silenceWaitFactor*p.ExpectedWait, silenceTargetFactor*t.q.LatencyTarget.Std())
 	w := &pathWatch{quiet: max(minQuiet, quietGapTargets*t.q.GapTarget.Std())}
-	repeatable := t.q.Repeatable() && t.mayHaveRunCount+1 < t.q.MaxAttempts
+	mayFollow := t.mayFollow()
 	reach, address := t.router.Reach, p.Worker.Address
 	check := func() {
 		if w.ended.Load() {
 			return
 		}
 		reach.Suspect(address)
-		if repeatable && reach.Lost(address) {
+		if mayFollow && reach.Lost(address) {
 			cancel(errPathLost)
 			return
 		}
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -794,6 +794,20 @@
 		Expect(fakePlacer.charges).To(Equal([]router.Charge{router.ChargeFirst, router.ChargeNone, router.ChargeNone, router.ChargeRepeat}))
 	})
 
+	// Guards against an answer that is given up as late though no further worker may be tried.
+	It("waits for the last worker that a request may be sent to", func() {
+		for _, name := range []string{"w-1", "w-2", "w-3"} {
+			worker(name, status(http.StatusServiceUnavailable, "Not-Run"))
+		}
+		worker("late", func(w http.ResponseWriter, r *http.Request) {
+			time.Sleep(300 * time.Millisecond) // three times as long as a worker may be silent otherwise
+			status(http.StatusOK, "Seal")(w, r)
+		})
+		code, _, err := call(bg, "/quick/x", "s")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(code).To(Equal(http.StatusOK))
+	})
+
 	// Guards against repeats that count before they arrive: a silent worker may read a send later.
 	It("reports a repeat as open while a worker may still read a send of its request", func() {
 		worker("silent", func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
--- a/router/transaction.go
+++ b/router/transaction.go
@@ -221,11 +221,17 @@
 	}
 }
 
+// mayFollow reports whether the request may be sent to another worker if the current one may have
+// run it.
+func (t *transaction) mayFollow() bool {
+	return t.q.Repeatable() && t.mayHaveRunCount+1 < t.q.MaxAttempts && t.sends < maxSends
+}
+
 // silenceTimeout returns the maximum wait until an answer begins, with its first event or
-// as a whole. It leaves time to try another worker. 0 allows the whole time: only
-// repeatable requests have a limit.
+// as a whole. It leaves time to try another worker. 0 allows the whole time: there is a limit
+// only where another send may follow.
 func (t *transaction) silenceTimeout(p Placement) time.Duration {
-	if !t.q.Repeatable() || t.mayHaveRunCount+1 >= t.q.MaxAttempts {
+	if !t.mayFollow() {
 		return 0
 	}
 	bound := max(silenceWaitFactor*p.ExpectedWait, silenceTargetFactor*t.q.LatencyTarget.Std())
