A silent worker is given up only if there is another one

Callers saw 502 (answer_lost) a fifth of a second after they asked, with most of their time left, where one worker alone could take the request: the other one was leaving, had been tried, wanted no requests, or ran another version than their stream.

Cause: a worker that has not begun its answer after twice the target (or four times the expected wait) was given up so that another one could be tried, without asking whether there was one. The place for the next send was then refused, and a request that may have run gets 502.

Now the host asks its own list first (Placer.HasOther). If there is none, it goes on waiting and asks again ten times a second, so that a worker that joins is tried.

Traced by reading, from "a quote got 502" in the platform spec of a worker that leaves: two workers, one leaving, no connection broken: nothing else on this way answers 502. Not covered: another worker that exists but has no room, or no budget for a repeat: the request is still given up there.

--- a/placer/placer.go
+++ b/placer/placer.go
@@ -129,6 +129,15 @@
 // WorkerCount returns the number of workers of a service.
 func (v *View) WorkerCount(service string) int { return v.counts[service] }
 
+// HasOther reports whether a request may be sent to another worker than the named one, of those that
+// accept.
+func (v *View) HasOther(name string, req Request, accept func(Worker) bool) bool {
+	return slices.ContainsFunc(v.sorted, func(w *worker) bool {
+		tried := w.Name == name || slices.Contains(req.Exclude, w.Name)
+		return w.Service == req.Service && !tried && v.mayContinue(w, req) && accept(w.Worker)
+	})
+}
+
 // Place picks a worker for a request of this host and counts the request there.
 func (v *View) Place(now time.Time, id uint64, req Request) (Choice, *Refusal) {
 	return v.PlaceFor(now, "", id, req)
--- a/placer/silence_test.go
+++ b/placer/silence_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/cicadawood/cicadawood/placer"
+	"github.com/cicadawood/cicadawood/resumer"
 )
 
 // Guards against a worker that was silent for a moment and is avoided long after it goes on.
@@ -56,3 +57,16 @@
 		Expect(avoided(now.Add(10 * time.Millisecond))).To(BeNumerically(">", 0))
 	})
 })
+
+// Guards against a worker that is given up though its request could go to no other one.
+var _ = DescribeTable("HasOther", func(req placer.Request, accepting bool, want bool) {
+	v := placer.New("a")
+	v.SetWorkers(time.Unix(1000, 0), []placer.Worker{{Name: "w", Service: "s", Slots: 8}, {Name: "x", Service: "s", Slots: 8}, {Name: "y", Service: "t", Slots: 8}})
+	Expect(v.HasOther("w", req, func(placer.Worker) bool { return accepting })).To(Equal(want))
+},
+	Entry("another worker of the service", placer.Request{Service: "s"}, true, true),
+	Entry("one that was tried", placer.Request{Service: "s", Exclude: []string{"x"}}, true, false),
+	Entry("one that wants no requests", placer.Request{Service: "s"}, false, false),
+	Entry("one of another service", placer.Request{Service: "t"}, true, true),
+	Entry("one that may not continue the stream", placer.Request{Service: "s", Bound: &resumer.Worker{Service: "s", Name: "w", Version: "v1"}}, true, false),
+)
--- a/router/port.go
+++ b/router/port.go
@@ -155,6 +155,9 @@
 	// Accepts reports whether a request that was placed may still be sent to its worker. It is
 	// called before a request is sent that waited for its Delay.
 	Accepts(ctx context.Context, p Placement, a placer.Request) bool
+	// HasOther reports whether there is another worker than that of a placement that its request may
+	// be sent to; false if ctx ends.
+	HasOther(ctx context.Context, p Placement, a placer.Request) bool
 	// Ended reports how a placed request ended. It is called once for each Placement.
 	Ended(p Placement, o placer.Outcome)
 	// RepeatsEnded reports what became of repeats that were granted.
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -125,6 +126,12 @@
 	return false
 }
 
+func (p *listPlacer) HasOther(_ context.Context, x router.Placement, a placer.Request) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.workers, func(w placer.Worker) bool { return w.Name != x.Worker.Name && !slices.Contains(a.Exclude, w.Name) })
+}
+
 func (p *listPlacer) BrittleReported(router.Placement, time.Time, int) {}
 
 func (p *listPlacer) LeavingReported(x router.Placement) {
@@ -808,6 +815,37 @@
 		Expect(code).To(Equal(http.StatusOK))
 	})
 
+	// Guards against an answer that is given up as late though there is no other worker.
+	It("waits for the only worker that there is, and gives it up once there is another one", func() {
+		delay := 300 * time.Millisecond // three times as long as a worker may be silent otherwise
+		var got atomic.Int64
+		worker("only", func(w http.ResponseWriter, r *http.Request) {
+			if got.Add(1) > 1 {
+				<-r.Context().Done()
+				return
+			}
+			time.Sleep(delay)
+			status(http.StatusOK, "Seal")(w, r)
+		})
+		code, _, err := call(bg, "/quick/x", "s")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(code).To(Equal(http.StatusOK))
+
+		other := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Id", r.Header.Get("Id"))
+			status(http.StatusOK, "Seal")(w, r)
+		}))
+		DeferCleanup(other.Close)
+		time.AfterFunc(delay, func() {
+			fakePlacer.mu.Lock()
+			defer fakePlacer.mu.Unlock()
+			fakePlacer.workers = append(fakePlacer.workers, placer.Worker{Name: "joined", Address: strings.TrimPrefix(other.URL, "http://")})
+		})
+		code, _, err = call(bg, "/quick/x", "s")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(code).To(Equal(http.StatusOK))
+	})
+
 	// Guards against repeats that count before they arrive: a silent worker may read a send later.
 	It("reports a repeat as open while a worker may still read a send of its request", func() {
 		worker("silent", func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
--- a/router/transaction.go
+++ b/router/transaction.go
@@ -221,31 +221,6 @@
 	}
 }
 
-// mayFollow reports whether the request may be sent to another worker if the current one may have
-// run it.
-func (t *transaction) mayFollow() bool {
-	return t.q.Repeatable() && t.mayHaveRunCount+1 < t.q.MaxAttempts && t.sends < maxSends
-}
-
-// silenceTimeout returns the maximum wait until an answer begins, with its first event or
-// as a whole. It leaves time to try another worker. 0 allows the whole time: there is a limit
-// only where another send may follow.
-func (t *transaction) silenceTimeout(p Placement) time.Duration {
-	if !t.mayFollow() {
-		return 0
-	}
-	bound := max(silenceWaitFactor*p.ExpectedWait, silenceTargetFactor*t.q.LatencyTarget.Std())
-	return min(bound, t.q.timeLeft(time.Now())/2)
-}
-
-const (
-	// A worker may stay silent on a repeatable request for silenceWaitFactor times the
-	// expected wait, or silenceTargetFactor times the target for the first event,
-	// whichever is longer.
-	silenceWaitFactor   = 4
-	silenceTargetFactor = 2
-)
-
 // send sends the request to one worker and passes the answer on. It returns nil only if
 // the caller has the whole answer.
 func (t *transaction) send(ctx context.Context, p Placement) error {
@@ -253,9 +228,9 @@
 	defer cancel(nil)
 	t.stopSilenceTimer = func() {}
 	if bound := t.silenceTimeout(p); bound > 0 {
-		timer := time.AfterFunc(bound, func() { cancel(errSilent) })
-		defer timer.Stop()
-		t.stopSilenceTimer = func() { timer.Stop() }
+		stop := t.watchSilence(ctx, p, bound, cancel)
+		defer stop()
+		t.stopSilenceTimer = stop
 	}
 	t.path = t.watchPath(p, cancel)
 	defer t.path.stop()
--- a/runner/backoff.go
+++ b/runner/backoff.go
@@ -25,6 +25,14 @@
 	reply   chan<- bool
 }
 
+// otherRequested asks whether there is another worker than the named one that a request of this host
+// may be sent to.
+type otherRequested struct {
+	worker  string
+	request placer.Request
+	reply   chan<- bool
+}
+
 // recordBackoff applies a worker's refusal. It concerns this host alone, and the one through
 // which the request was sent: the others get no report, as the worker may accept their
 // requests.
@@ -60,5 +68,12 @@
 	return ok && x.Incarnation == w.Incarnation && p.sendsTo(now, w)
 }
 
+// hasOther reports whether there is another worker that a request of this host may be sent to.
+func (p *selector) hasOther(now time.Time, e otherRequested) bool {
+	e.request.Bound = p.origins.boundNow(e.request)
+	return p.view.HasOther(e.worker, e.request, func(w placer.Worker) bool { return p.sendsTo(now, w) })
+}
+
 func (backoffReported) event()  {}
 func (acceptsRequested) event() {}
+func (otherRequested) event()   {}
--- a/runner/selector.go
+++ b/runner/selector.go
@@ -169,6 +169,8 @@
 	case acceptsRequested:
 		_, held := p.view.HeldBack(now, e.request)
 		e.reply <- !held && p.accepts(now, e.worker)
+	case otherRequested:
+		e.reply <- p.hasOther(now, e)
 	case flightEnded:
 		if e.outcome.FromWorker() {
 			p.repeats.workerAnswered(now, e.worker)
--- a/runner/selector_placer.go
+++ b/runner/selector_placer.go
@@ -77,6 +77,13 @@
 	})
 }
 
+// HasOther implements router.Placer.
+func (p *selector) HasOther(ctx context.Context, x router.Placement, a placer.Request) bool {
+	return askSelector(ctx, p, func(reply chan<- bool) event {
+		return otherRequested{worker: x.Worker.Name, request: a, reply: reply}
+	})
+}
+
 // Ended implements router.Placer.
 func (p *selector) Ended(x router.Placement, o placer.Outcome) {
 	p.post(flightEnded{id: x.ID, worker: x.Worker.Name, outcome: o, halfFull: x.HalfFull})
