Versions that came and went while a host saw no list are in its history, or it is not complete

Cause: after a failed call the host reads the list anew and counts its history as complete, though a list has no worker that came and went in between. Change: with such a list the host reads the changes since the version that it knew, and records each software in them. If the store no longer has them, and the list is over 2.5 s younger than the last answer or heartbeat, the history begins anew. A shorter gap leaves it as it is: hosts follow within about 2 s when the store drops its history, and no worker joins, serves and leaves in that time; without this each drop would refuse streams for the life of a stream. One call more a host after an outage, none else. Not covered: a store that came back from an older copy. All hosts see that at once, and none would be left whose history counts. On the selector 1 of 2 rows red before (a list 4 s later; 2 s later must not matter), 2 of 2 green.

--- a/resumer/history.go
+++ b/resumer/history.go
@@ -14,6 +14,7 @@
 type history struct {
 	since     time.Time // from when on it is complete; zero before the first list
 	always    bool      // it is complete from the first start of the system on
+	holed     bool      // changes were missed since then, and since is later
 	updatedAt time.Time // of the list
 	// confirmedAt is the time up to which the list is known to hold all changes: when the call
 	// of its source was sent, not when its answer arrived.
@@ -70,7 +71,7 @@
 
 // completeFor reports whether the history reaches back a time.
 func (h *history) completeFor(now time.Time, d time.Duration) bool {
-	return h.always || !h.since.IsZero() && now.Sub(h.since) >= d
+	return h.always && !h.holed || !h.since.IsZero() && now.Sub(h.since) >= d
 }
 
 // age returns the age of the list that the history ends with; -1 before the first list.
--- a/resumer/resumer.go
+++ b/resumer/resumer.go
@@ -72,6 +72,10 @@
 // called afterwards.
 func (r *Resumer) Served(now time.Time, w Worker) { r.history.leave(now, w.Service, w.Software()) }
 
+// Missed records that software may have come and gone unseen until now. SetWorkers is to be called
+// afterwards.
+func (r *Resumer) Missed(now time.Time) { r.history.since, r.history.holed = now, true }
+
 // checkOne checks of which services a single software served. Own streams of those that now have
 // a second one are to be reported.
 func (r *Resumer) checkOne(now time.Time) {
--- a/resumer/resumer_test.go
+++ b/resumer/resumer_test.go
@@ -140,6 +140,18 @@
 			Expect(resolve(start, taker, 0, seen).Result).To(Equal(resumer.Unknown))
 		})
 
+		// Guards against a version that came and went while the host saw no list.
+		It("refuses it for its life after versions may have come and gone unseen", func() {
+			r := newResumer("h-1", true, v1)
+			r.Missed(start)
+			r.SetWorkers(start, start, []resumer.Worker{v1})
+			r.SetFirst(start, true)
+			Expect(resolve(start, r, 0).Result).To(Equal(resumer.Unknown))
+			Expect(resolve(start, r, 0, newResumer("h-2", true, v1)).Result).To(Equal(resumer.OneVersion), "another host saw them")
+			now := start.Add(life)
+			Expect(resolve(now, r, 0).Result).To(Equal(resumer.OneVersion))
+		})
+
 		// Guards against a host that is cut off and does not see a version that others use.
 		It("refuses it while its list can't be read, unless most others say the same", func() {
 			stale := start.Add(time.Minute)
--- a/runner/export_test.go
+++ b/runner/export_test.go
@@ -280,6 +280,13 @@
 	return t.Histories[0].Software
 }
 
+// Complete reports whether the host knows all software that served in a service within the life
+// of its streams.
+func (x Selector) Complete(now time.Time, service string) bool {
+	t := x.c.origins.resumer.Tell(now, resumer.Ask{Services: []string{service}})
+	return t.Histories[0].Complete
+}
+
 // ReportLeaving reports that a worker stated in an answer that it is leaving.
 func (x Selector) ReportLeaving(now time.Time, p observer.Process) {
 	x.c.handle(now, leavingReported{process: p})
--- a/runner/list_history_test.go
+++ b/runner/list_history_test.go
@@ -46,6 +46,19 @@
 		Expect(x.Software(now, "s")).To(ConsistOf("version v1", "version v2", "version v3"))
 	})
 
+	// Guards against a version that came and went before a list that was read anew, and whose changes are gone.
+	DescribeTable("is complete over a list that was read anew", func(after time.Duration, complete bool) {
+		x := newHost()
+		at := now.Add(time.Minute)
+		x.StoreAnswered(at, at, false, relayer.Update{After: 2, Upto: 2})
+		at = at.Add(after)
+		x.StoreAnswered(at, at, true, relayer.Update{Upto: 6, Changed: first})
+		Expect(x.Complete(at, "s")).To(Equal(complete))
+	},
+		Entry("at once, as the store dropped its history", 2*time.Second, true),
+		Entry("after the host stood still, or was cut off", 4*time.Second, false),
+	)
+
 	// Guards against a version that came and went within one update that other hosts pass on.
 	It("has each version in another host's update", func() {
 		x := newHost()
--- a/runner/list_wait_test.go
+++ b/runner/list_wait_test.go
@@ -81,6 +81,7 @@
 		x = runner.NewSelectorOf(listed, loader.Host{Name: "h", Zone: "z"}, nil, func(string, messenger.Message) {})
 		x.StoreAnswered(listed, listed, true, relayer.Update{Upto: 2, Changed: []storer.Object{workerEvent(2, "a", "1", "v1")}})
 		known := listed.Add(time.Minute)
+		x.StoreAnswered(known, known, false, relayer.Update{After: 2, Upto: 2})
 		x.StoreAnswered(known, known, true, relayer.Update{Upto: 2, Changed: []storer.Object{workerEvent(2, "a", "1", "v1")}})
 		Expect(x.Certain(known.Add(time.Second), worker, known.Add(time.Second))).To(Receive(BeTrue()), "the list is young")
 		Expect(x.Certain(known.Add(time.Minute), worker, known.Add(time.Minute))).NotTo(Receive())
--- a/runner/store_watch.go
+++ b/runner/store_watch.go
@@ -49,6 +49,13 @@
 	full   bool           // the update is the full list, each entry at its last revision
 	update relayer.Update // the changed entries
 	sentAt time.Time      // when the call was sent: the update has all changes until then
+	missed missedChanges  // that led to a full list
+}
+
+// missedChanges are the changes between the list that a host knew and a full list.
+type missedChanges struct {
+	known   bool // false if the store no longer has them, or did not answer
+	objects []storer.Object
 }
 
 // storeCall is the next call of the store: whether the host makes it, and after which
@@ -64,7 +71,7 @@
 // run lists the entries, watches them from that version on, and lists them again after a
 // gap in the watch.
 func (l *storeWatch) run(ctx context.Context) {
-	err := l.list(ctx)
+	err := l.listAfter(ctx, 0, true)
 	var lastGap time.Time
 	for ctx.Err() == nil {
 		if err == nil {
@@ -85,8 +92,10 @@
 			l.recordFailure(err)
 			pause(ctx, listRetryDelay/2+rand.N(listRetryDelay))
 		}
-		if err = nil; l.nextCall(ctx).after.Era() == call.after.Era() {
-			err = l.list(ctx)
+		if next := l.nextCall(ctx).after; next.Era() == call.after.Era() {
+			err = l.listAfter(ctx, next, errors.Is(err, storer.ErrConflict))
+		} else {
+			err = nil
 		}
 	}
 }
@@ -105,17 +114,29 @@
 	}
 }
 
-// list reads all entries.
-func (l *storeWatch) list(ctx context.Context) error {
+// listAfter reads all entries, and the changes since the version that the host knows if the store
+// still has them: a worker that came and went meanwhile is in no list.
+func (l *storeWatch) listAfter(ctx context.Context, known storer.Version, gone bool) error {
 	r, err := l.readAll(ctx)
 	if err != nil {
 		return err
 	}
+	if !gone && known != 0 {
+		r.missed = l.readMissed(ctx, known)
+	}
 	l.recordSuccess(r.update.Upto)
 	l.report(r)
 	return nil
 }
 
+// readMissed reads the changes after a version. The list must not wait for it for long.
+func (l *storeWatch) readMissed(ctx context.Context, after storer.Version) missedChanges {
+	ctx, cancel := context.WithTimeout(ctx, resumer.ListTimeout())
+	defer cancel()
+	r, err := l.readChanges(ctx, after, minWatchWait)
+	return missedChanges{known: err == nil, objects: r.update.Changed}
+}
+
 // readAll reads all entries.
 func (l *storeWatch) readAll(ctx context.Context) (storeResult, error) {
 	sentAt := time.Now()
--- a/runner/worker_entries.go
+++ b/runner/worker_entries.go
@@ -17,6 +17,10 @@
 // for each other.
 const workersList = "watch/workers"
 
+// maxUnseen is the time for which changes of the workers may be missed: hosts follow within it when
+// the store drops its history, and it is too short for a worker that joins, serves and leaves.
+const maxUnseen = 2500 * time.Millisecond
+
 // storeCallRequested asks for the next call of the store.
 type storeCallRequested struct{ reply chan<- storeCall }
 
@@ -72,7 +76,7 @@
 			p.directory.Failed()
 		}
 	case e.full:
-		p.applyStoreList(now, e.update)
+		p.applyStoreList(now, e)
 	default:
 		p.applyChanges(now, p.relay.Watched(now, e.update))
 		if p.relay.Watching() && e.update.Upto > e.update.After {
@@ -85,12 +89,16 @@
 }
 
 // applyStoreList applies a full list that this host read from the store.
-func (p *selector) applyStoreList(now time.Time, w relayer.Update) {
+func (p *selector) applyStoreList(now time.Time, e storeResult) {
+	w := e.update
 	restored := p.loaded.Load() && w.Upto.Era() > p.relay.Era()
 	if !p.relay.Listed(now, w.Upto, w.Changed) {
 		p.log.Info("list of an earlier era ignored", zap.Stringer("version", w.Upto), zap.Uint64("era", p.relay.Era()))
 		return
 	}
+	if !restored {
+		p.applyMissed(now, e)
+	}
 	p.applyList(now, w.Changed, restored)
 	p.loaded.Store(true)
 	if restored && p.relay.Watching() {
@@ -98,6 +106,19 @@
 	}
 }
 
+// applyMissed applies what is known of the time between the known list and a new full one.
+func (p *selector) applyMissed(now time.Time, e storeResult) {
+	if e.missed.known {
+		d := p.decodeWorkers(e.missed.objects)
+		p.origins.served(now, append(d.replaced, d.changed...))
+		return
+	}
+	if age := e.sentAt.Sub(p.updatedAt); !p.updatedAt.IsZero() && age > maxUnseen {
+		p.log.Warn("changes of workers were missed", zap.Duration("age", age))
+		p.origins.resumer.Missed(now)
+	}
+}
+
 // applyList applies a full list of entries. restored is set if the list is of a later era
 // than the previous one.
 func (p *selector) applyList(now time.Time, objects []storer.Object, restored bool) {
