A host that stood still believes no list of before until the store answered

Cause: what was received counted as of when it was handled, and on a suspended machine the steady clock does not count the time at all. With real processes (SIGSTOP) not run.

--- a/runner/export_test.go
+++ b/runner/export_test.go
@@ -287,6 +287,25 @@
 	return t.Histories[0].Complete
 }
 
+// Fresh reports whether the host tells others that its list of workers is current.
+func (x Selector) Fresh(now time.Time, service string) bool {
+	t := x.c.origins.resumer.Tell(now, resumer.Ask{Services: []string{service}})
+	return t.Histories[0].Fresh
+}
+
+// SetBootTime sets the clock that counts while the machine is suspended.
+func (x Selector) SetBootTime(boot func() time.Duration) { x.c.boot = boot }
+
+// StoodStill returns how long a process stood still between two observations, by the time between
+// them on both clocks.
+func StoodStill(steady, boot time.Duration) time.Duration {
+	var s standstill
+	start := time.Unix(1000, 0)
+	s.observe(start, 0)
+	stood, _ := s.observe(start.Add(steady), boot)
+	return stood
+}
+
 // ReportLeaving reports that a worker stated in an answer that it is leaving.
 func (x Selector) ReportLeaving(now time.Time, p observer.Process) {
 	x.c.handle(now, leavingReported{process: p})
--- a/runner/host_routes.go
+++ b/runner/host_routes.go
@@ -36,6 +36,7 @@
 	g := &hostRoutes{selector: newSelector(time.Now(), s, m, store, d, log)}
 	g.selector.quarantine.register(registry)
 	g.selector.origins.register(registry)
+	registry.MustRegister(g.selector.standstills)
 	g.selector.repeats.metrics.register(registry)
 	g.pool, g.close = connector.New(d)
 	g.pool.SetMaxHead(s.Limits.MaxAnswerHead)
--- a/runner/list_confirm.go
+++ b/runner/list_confirm.go
@@ -108,13 +108,16 @@
 }
 
 // waitsForList reports whether a list that is read now can show which start of a worker answers
-// over a connection.
+// over a connection, or that the known list is current.
 func (p *selector) waitsForList(now time.Time) bool {
 	c := &p.confirmation
-	if !p.directory.Settled(now) || now.Sub(c.sentAt) < certaintyInterval(p.roster.Len()) {
+	if now.Sub(c.sentAt) < certaintyInterval(p.roster.Len()) {
 		return false
 	}
-	return p.waiting.any(func(openedAt time.Time) bool {
+	if p.doubtsList(now) {
+		return true
+	}
+	return p.directory.Settled(now) && p.waiting.any(func(openedAt time.Time) bool {
 		return now.Sub(openedAt) >= entryDelay && p.waiting.listedAt.Sub(openedAt) < entryDelay
 	})
 }
@@ -143,7 +146,8 @@
 	if !p.origins.resumer.One(service) {
 		return false
 	}
-	return now.Sub(p.updatedAt) <= resumer.MaxListAge() || p.confirmation.failing(now) || !p.directory.Settled(now)
+	fresh := now.Sub(p.updatedAt) <= resumer.MaxListAge() && !p.doubtsList(now)
+	return fresh || p.confirmation.failing(now) || !p.directory.Settled(now)
 }
 
 func (listReadRequested) event() {}
--- a/runner/selector.go
+++ b/runner/selector.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
 	"github.com/cicadawood/cicadawood/budgeter"
@@ -56,6 +57,9 @@
 	origins       *originSync
 	confirmation  listConfirmation
 	waiting       waitingForList
+	standstill    standstill
+	standstills   prometheus.Counter
+	boot          func() time.Duration // see bootTime
 	updateTimer   *time.Timer
 	updateDue     time.Time // when updateTimer expires; zero if it is not set
 }
@@ -96,7 +100,7 @@
 	c := &selector{
 		self: self, sender: s, tunnels: d, log: log, events: make(chan event, eventBacklog), ended: make(chan struct{}),
 		view: placer.New(h.Zone), repeats: newRepeatBudget(now, h, s, log),
-		relay: relayer.New(self, workersList),
+		relay: relayer.New(self, workersList), standstills: newStandstills(), boot: bootTime,
 	}
 	c.repeats.post, c.repeats.granted = c.post, c.placeCharged
 	c.quarantine = newQuarantineSync(self, s, store, c.view.Quarantine(), log)
@@ -130,6 +134,9 @@
 }
 
 func (p *selector) handle(now time.Time, e event) {
+	if restsOnList(e) {
+		p.noticeStandstill(now)
+	}
 	if p.origins.handle(now, e) || p.repeats.handle(now, e) {
 		return
 	}
@@ -322,6 +329,10 @@
 }
 
 func (p *selector) sweep(now time.Time) {
+	p.noticeStandstill(now)
+	if p.doubtsList(now) {
+		p.confirmList(now)
+	}
 	p.sendHeartbeat(now)
 	p.updateWatching(now, "watchers and words")
 	p.view.Sweep(now)
--- /dev/null
+++ b/runner/standstill_test.go
@@ -0,0 +1,79 @@
+package runner_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cicadawood/cicadawood/loader"
+	"github.com/cicadawood/cicadawood/messenger"
+	"github.com/cicadawood/cicadawood/relayer"
+	"github.com/cicadawood/cicadawood/resumer"
+	"github.com/cicadawood/cicadawood/runner"
+	"github.com/cicadawood/cicadawood/storer"
+)
+
+var _ = Describe("A host that stood still", func() {
+	worker := resumer.Worker{Service: "s", Name: "a", Incarnation: "1", Version: "v1"}
+	all := relayer.Update{Upto: 2, Changed: []storer.Object{workerEvent(2, "a", "1", "v1")}}
+	start := time.Unix(1000, 0)
+	known := start.Add(time.Minute)
+	var x runner.Selector
+	var suspended time.Duration
+
+	BeforeEach(func() {
+		suspended = 0
+		x = runner.NewSelectorOf(start, loader.Host{Name: "h", Zone: "z"}, nil, func(string, messenger.Message) {})
+		x.SetBootTime(func() time.Duration { return suspended })
+		x.StoreAnswered(start, start, true, all)
+		x.StoreAnswered(known, known, false, relayer.Update{After: 2, Upto: 2})
+		x.StoreAnswered(known, known, true, all)
+		Expect(x.Certain(known, worker, known)).To(Receive(BeTrue()))
+	})
+
+	// Guards against a busy host that takes its own pauses for standstills.
+	DescribeTable("is one whose clocks show it", func(steady, boot, want time.Duration) {
+		Expect(runner.StoodStill(steady, boot)).To(Equal(want))
+	},
+		Entry("a pause between two sweeps", 300*time.Millisecond, 300*time.Millisecond, time.Duration(0)),
+		Entry("a busy machine", time.Second, time.Second, time.Duration(0)),
+		Entry("a process that was stopped", 3*time.Second, 3*time.Second, 3*time.Second),
+		Entry("a suspended machine", 200*time.Millisecond, 3*time.Second, 3*time.Second),
+		Entry("a machine without that clock", 3*time.Second, time.Duration(0), 3*time.Second),
+	)
+
+	// Guards against an old list that counts as the present one, by heartbeats that waited in a socket.
+	It("believes no heartbeat and no answer to a call of before, until the store answered", func() {
+		now := known.Add(4 * time.Second)
+		x.Receive(now, "w", messenger.ListUpdate{After: 2, Upto: 2})
+		x.StoreAnswered(now, known.Add(100*time.Millisecond), false, relayer.Update{After: 2, Upto: 2})
+		Expect(x.Fresh(now, "s")).To(BeFalse())
+		answer := x.Certain(now, worker, now)
+		Expect(answer).NotTo(Receive())
+		x.StoreAnswered(now.Add(10*time.Millisecond), now, false, relayer.Update{After: 2, Upto: 2})
+		Expect(answer).To(Receive(BeTrue()))
+		Expect(x.Fresh(now.Add(10*time.Millisecond), "s")).To(BeTrue())
+	})
+
+	// Guards against a suspended machine, whose steady clock stands still too.
+	It("believes no list of before its machine was suspended", func() {
+		now := known.Add(100 * time.Millisecond)
+		suspended = 4 * time.Second
+		x.Receive(now, "w", messenger.ListUpdate{After: 2, Upto: 2})
+		Expect(x.Fresh(now, "s")).To(BeFalse())
+		Expect(x.Certain(now, worker, now)).NotTo(Receive())
+	})
+
+	// Guards against a host that the store does not answer and that believes nobody for good.
+	It("believes heartbeats again after a time in which it has read all that waited", func() {
+		now := known.Add(4 * time.Second)
+		x.Receive(now, "w", messenger.ListUpdate{After: 2, Upto: 2})
+		Expect(x.Fresh(now, "s")).To(BeFalse())
+		for range 30 {
+			now = now.Add(200 * time.Millisecond)
+			x.Receive(now, "w", messenger.ListUpdate{After: 2, Upto: 2})
+		}
+		Expect(x.Fresh(now, "s")).To(BeTrue())
+	})
+})
--- a/runner/worker_entries.go
+++ b/runner/worker_entries.go
@@ -122,7 +122,7 @@
 // applyList applies a full list of entries. restored is set if the list is of a later era
 // than the previous one.
 func (p *selector) applyList(now time.Time, objects []storer.Object, restored bool) {
-	p.updatedAt = now
+	p.received(now)
 	entries := p.decodeWorkers(objects).changed
 	if restored {
 		p.directory.Restored(now, entries)
@@ -162,7 +162,7 @@
 
 // applyChanges applies changed entries, only those that are new to this host.
 func (p *selector) applyChanges(now time.Time, objects []storer.Object) {
-	p.updatedAt = now
+	p.received(now)
 	d := p.decodeWorkers(objects)
 	for _, x := range d.changed {
 		p.directory.Changed(now, x)
