A watcher that stood still vouches for its list only once the store answered

Cause: its last answer of the store counted as recent, by a steady clock that stood still too, or by an answer that waited in its socket. Change: while a host doubts its own list it withdraws its announcement. Evidence: the spec red before (the heartbeat is sent), green with this.

--- a/runner/standstill_test.go
+++ b/runner/standstill_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/cicadawood/cicadawood/loader"
 	"github.com/cicadawood/cicadawood/messenger"
+	"github.com/cicadawood/cicadawood/registrar"
 	"github.com/cicadawood/cicadawood/relayer"
 	"github.com/cicadawood/cicadawood/resumer"
 	"github.com/cicadawood/cicadawood/runner"
@@ -65,6 +66,29 @@
 		Expect(x.Certain(now, worker, now)).NotTo(Receive())
 	})
 
+	// Guards against a watcher that vouches for a list of before it stood still, to hosts that don't read the store.
+	It("tells other hosts that its list is current only once the store answered", func() {
+		var sent []messenger.ListUpdate
+		x = runner.NewSelectorOf(start, loader.Host{Name: "h", Zone: "z"}, nil, func(_ string, m messenger.Message) {
+			if u, ok := m.(messenger.ListUpdate); ok {
+				sent = append(sent, u)
+			}
+		})
+		x.SetBootTime(func() time.Duration { return suspended })
+		x.SetRoster(start, registrar.NewRoster(registrar.Record{Name: "h", Control: "h", Incarnation: 1}, registrar.Record{Name: "w", Control: "w", Incarnation: 1}))
+		x.StoreAnswered(start, start, true, all)
+		x.Sweep(start)
+		Expect(sent).To(HaveExactElements(HaveField("StoreDown", false)))
+		sent, suspended = nil, 4*time.Second
+		now := start.Add(500 * time.Millisecond)
+		x.Sweep(now)
+		Expect(sent).To(HaveExactElements(HaveField("StoreDown", true)))
+		sent = nil
+		x.StoreAnswered(now.Add(10*time.Millisecond), now, false, relayer.Update{After: 2, Upto: 2})
+		x.Sweep(now.Add(200 * time.Millisecond))
+		Expect(sent).To(HaveExactElements(HaveField("StoreDown", false)))
+	})
+
 	// Guards against a host that the store does not answer and that believes nobody for good.
 	It("believes heartbeats again after a time in which it has read all that waited", func() {
 		now := known.Add(4 * time.Second)
--- a/runner/worker_entries.go
+++ b/runner/worker_entries.go
@@ -205,6 +205,7 @@
 // them, is up to date, and immediately when that is no longer so.
 func (p *selector) sendHeartbeat(now time.Time) {
 	w, ok := p.relay.Heartbeat(now)
+	ok = ok && !p.doubtsList(now)
 	switch {
 	case ok && now.Sub(p.lastHeartbeat) >= relayer.HeartbeatInterval:
 		p.lastHeartbeat, p.announced = now, true
