An overtaken list, or changes that don't follow the known one, show no restart

Cause: the list went back, its time did not. Change: with a list of an earlier revision the list counts as of its own call; an answer that does not follow is ignored whole, the next call begins at the list. Evidence: the spec red before, green with this.

--- a/relayer/ledger.go
+++ b/relayer/ledger.go
@@ -27,10 +27,13 @@
 	}
 }
 
+// follows reports whether no changes before an update are missing.
+func (l *ledger) follows(u Update) bool { return u.After <= l.upto && u.Upto.Era() == l.upto.Era() }
+
 // apply applies an update and returns those of its changes that are new. It returns false if
 // changes before the update are missing.
 func (l *ledger) apply(u Update) ([]storer.Object, bool) {
-	if u.After > l.upto || u.Upto.Era() != l.upto.Era() {
+	if !l.follows(u) {
 		return nil, false
 	}
 	var fresh []storer.Object
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -134,6 +134,9 @@
 	return true
 }
 
+// Follows reports whether an update follows on the known list, without a gap.
+func (r *Relay) Follows(u Update) bool { return r.ledger.follows(u) }
+
 // Watched applies an answer of the store and returns the changes that were not known.
 func (r *Relay) Watched(now time.Time, u Update) []storer.Object {
 	r.lastAnswer = now
--- a/runner/list_wait_test.go
+++ b/runner/list_wait_test.go
@@ -45,6 +45,19 @@
 		Expect(answer).NotTo(Receive())
 	})
 
+	// Guards against a list that takes back a worker's restart, as its call was overtaken by one that was sent later.
+	It("is not shown by an overtaken list, nor by changes that don't follow it", func() {
+		sent := opened.Add(60 * time.Millisecond)
+		x.StoreAnswered(sent, sent, false, relayer.Update{After: 3, Upto: 5, Changed: []storer.Object{workerEvent(5, "a", "2", "v3")}})
+		x.StoreAnswered(sent.Add(10*time.Millisecond), opened.Add(-time.Millisecond), true, relayer.Update{Upto: 4, Changed: []storer.Object{workerEvent(2, "a", "1", "v1"), workerEvent(3, "b", "1", "v2")}})
+		answer := x.Certain(sent.Add(20*time.Millisecond), worker, opened)
+		Expect(answer).NotTo(Receive())
+		x.StoreAnswered(sent.Add(40*time.Millisecond), sent.Add(30*time.Millisecond), false, relayer.Update{After: 5, Upto: 5})
+		Expect(answer).NotTo(Receive())
+		x.StoreAnswered(sent.Add(60*time.Millisecond), sent.Add(50*time.Millisecond), false, relayer.Update{After: 4, Upto: 5, Changed: []storer.Object{workerEvent(5, "a", "2", "v3")}})
+		Expect(answer).To(Receive(BeFalse()))
+	})
+
 	It("is shown by an answer to a call that was sent when the worker had registered", func() {
 		answer, gone := x.Certain(opened, worker, opened), x.Certain(opened, resumer.Worker{Service: "s", Name: "b", Incarnation: "1", Version: "v2"}, opened)
 		sent := opened.Add(60 * time.Millisecond)
--- a/runner/worker_entries.go
+++ b/runner/worker_entries.go
@@ -63,6 +63,9 @@
 
 // handleStoreResult applies the result of a call to the platform's store.
 func (p *selector) handleStoreResult(now time.Time, e storeResult) {
+	if !e.failed && !e.full && !p.relay.Follows(e.update) {
+		return // a list that was read earlier has arrived since
+	}
 	if !e.failed {
 		p.confirmation.answered(e.sentAt)
 	}
@@ -91,11 +94,15 @@
 // applyStoreList applies a full list that this host read from the store.
 func (p *selector) applyStoreList(now time.Time, e storeResult) {
 	w := e.update
+	overtaken := w.Upto < p.relay.Version()
 	restored := p.loaded.Load() && w.Upto.Era() > p.relay.Era()
 	if !p.relay.Listed(now, w.Upto, w.Changed) {
 		p.log.Info("list of an earlier era ignored", zap.Stringer("version", w.Upto), zap.Uint64("era", p.relay.Era()))
 		return
 	}
+	if overtaken {
+		p.confirmation.at = e.sentAt
+	}
 	if !restored {
 		p.applyMissed(now, e)
 	}
