A silent worker is not given up for a brittle one that has no room

Callers saw streams that got 502 (answer_lost) though no worker fell: a worker was silent for twice the target, was given up, and the other one was refused by the deciders' own "brittle".

Traced: the platform spec of brittle streams with one core a process, 16 at once: request lines with cause "the worker did not begin its answer in time", refused:brittle, sends:1, status 502. By the code: Place refuses what is full, and what may have run then gets 502.

Now HasOther takes a brittle worker for another one only if it has room for certain, that is also by the least draw by which hosts take turns.

Measured: the new spec in placer/ was red without the change and passes with it; placer passes.

--- a/placer/brittle.go
+++ b/placer/brittle.go
@@ -114,12 +114,18 @@
 }
 
 // full reports whether a brittle worker gets no requests from this host now.
-func (v *View) full(now time.Time, w *worker) bool {
+func (v *View) full(now time.Time, w *worker) bool { return v.fullBy(now, w, v.chance) }
+
+// leastChance is the draw by which a host gets no turn that depends on chance.
+const leastChance = 1
+
+// fullBy is full, by a draw from 0 to 1.
+func (v *View) fullBy(now time.Time, w *worker, chance float64) bool {
 	if w.brittle.allowed == 0 {
 		return false
 	}
 	room := w.brittle.limit(now, w.Slots, v.brittleMargin(w)) - len(w.flights)
-	return room <= 0 || !w.brittle.turn(now, room, v.hosts, v.chance)
+	return room <= 0 || !w.brittle.turn(now, room, v.hosts, chance)
 }
 
 // BrittleWorker is a worker that says that it falls over if it turns away more requests in a
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -130,11 +130,11 @@
 func (v *View) WorkerCount(service string) int { return v.counts[service] }
 
 // HasOther reports whether a request may be sent to another worker than the named one, of those that
-// accept.
-func (v *View) HasOther(name string, req Request, accept func(Worker) bool) bool {
+// accept. A brittle worker must have room for certain.
+func (v *View) HasOther(now time.Time, name string, req Request, accept func(Worker) bool) bool {
 	return slices.ContainsFunc(v.sorted, func(w *worker) bool {
 		tried := w.Name == name || slices.Contains(req.Exclude, w.Name)
-		return w.Service == req.Service && !tried && v.mayContinue(w, req) && accept(w.Worker)
+		return w.Service == req.Service && !tried && v.mayContinue(w, req) && accept(w.Worker) && !v.fullBy(now, w, leastChance)
 	})
 }
 
--- a/placer/silence_test.go
+++ b/placer/silence_test.go
@@ -62,7 +62,7 @@
 var _ = DescribeTable("HasOther", func(req placer.Request, accepting bool, want bool) {
 	v := placer.New("a")
 	v.SetWorkers(time.Unix(1000, 0), []placer.Worker{{Name: "w", Service: "s", Slots: 8}, {Name: "x", Service: "s", Slots: 8}, {Name: "y", Service: "t", Slots: 8}})
-	Expect(v.HasOther("w", req, func(placer.Worker) bool { return accepting })).To(Equal(want))
+	Expect(v.HasOther(time.Unix(1000, 0), "w", req, func(placer.Worker) bool { return accepting })).To(Equal(want))
 },
 	Entry("another worker of the service", placer.Request{Service: "s"}, true, true),
 	Entry("one that was tried", placer.Request{Service: "s", Exclude: []string{"x"}}, true, false),
@@ -70,3 +70,22 @@
 	Entry("one of another service", placer.Request{Service: "t"}, true, true),
 	Entry("one that may not continue the stream", placer.Request{Service: "s", Bound: &resumer.Worker{Service: "s", Name: "w", Version: "v1"}}, true, false),
 )
+
+// Guards against a silent worker that is given up for a brittle one without room.
+var _ = It("HasOther counts a brittle worker only while it has room", func() {
+	now := time.Unix(1000, 0)
+	v := placer.New("a")
+	v.SetHosts(1, 0)
+	v.SetWorkers(now, []placer.Worker{{Name: "w", Service: "s", Slots: 2}, {Name: "x", Service: "s", Slots: 2}})
+	v.UpdateBrittle(now, now, "x", 3)
+	hasOther := func() bool {
+		return v.HasOther(now, "w", placer.Request{Service: "s"}, func(placer.Worker) bool { return true })
+	}
+	Expect(hasOther()).To(BeTrue())
+	choice, refusal := v.Place(now, 1, placer.Request{Service: "s", Exclude: []string{"w"}, Left: time.Minute})
+	Expect(refusal).To(BeNil())
+	Expect(hasOther()).To(BeFalse())
+	v.Ended(now, choice.Flight.ID, placer.Answered)
+	now = now.Add(time.Second)
+	Expect(hasOther()).To(BeTrue())
+})
--- a/runner/backoff.go
+++ b/runner/backoff.go
@@ -71,7 +71,7 @@
 // hasOther reports whether there is another worker that a request of this host may be sent to.
 func (p *selector) hasOther(now time.Time, e otherRequested) bool {
 	e.request.Bound = p.origins.boundNow(e.request)
-	return p.view.HasOther(e.worker, e.request, func(w placer.Worker) bool { return p.sendsTo(now, w) })
+	return p.view.HasOther(now, e.worker, e.request, func(w placer.Worker) bool { return p.sendsTo(now, w) })
 }
 
 func (backoffReported) event()  {}
