Specs of a review: streams that nobody knows, old lists and holes in the history

No logic is changed; export_test.go gets two ways in (a failed call of the store, a stream that is taken up).

--- /dev/null
+++ b/resumer/doubts_test.go
@@ -0,0 +1,88 @@
+package resumer_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cicadawood/cicadawood/resumer"
+)
+
+var _ = Describe("A stream that nobody knows", func() {
+	v1, v2 := worker("a", "v1"), worker("b", "v2")
+	stream := resumer.KeyOf("large", "try-1")
+
+	// Guards against a version that is forgotten early because a route's timeout was shortened after its streams began.
+	It("is refused for as long as streams of the earlier, longer timeout may live", func() {
+		r := newResumer("h-1", true, v1, v2)
+		left := start.Add(time.Second)
+		r.SetWorkers(left, left, []resumer.Worker{v1})
+		r.SetTimeouts(map[string]time.Duration{service: time.Second})
+		now := left.Add(timeout)
+		r.Sweep(now)
+		Expect(resolve(now, r, stream).Result).To(Equal(resumer.Unknown))
+	})
+
+	// Guards against a new host that counts as knowing all of a stream's life because a route's timeout was shortened.
+	It("is refused at a host that is younger than streams of the earlier, longer timeout", func() {
+		r := newResumer("h-1", false, v1)
+		r.SetTimeouts(map[string]time.Duration{service: time.Second})
+		Expect(resolve(start.Add(timeout), r, stream).Result).To(Equal(resumer.Unknown))
+	})
+
+	// Guards against a refusal for good while the only version's workers are off the list for a moment.
+	It("names the only version also while none of its workers is listed", func() {
+		r := newResumer("h-1", true, v1)
+		r.SetWorkers(start, start, nil)
+		a := resolve(start, r, stream)
+		Expect(a.Result).To(Equal(resumer.OneVersion))
+		Expect(a.Worker.Continues(v1)).To(BeTrue())
+	})
+
+	// Guards against a stream that began at one service of a split route and goes on at another one.
+	It("is refused where its route leads to two services, each of one version", func() {
+		other := resumer.Worker{Service: "other", Name: "c", Incarnation: "1", Version: "v7"}
+		r := newResumer("h-1", true, v1, other)
+		var answer resumer.Answer
+		a := r.Resolve(start, resumer.TakenUp{Stream: stream, Services: []string{"other", service}}, false, func(a resumer.Answer) { answer = a })
+		Expect(a.Result).To(Equal(resumer.Pending))
+		r.ListConfirmed(start, start)
+		Expect(answer.Result).To(Equal(resumer.Unknown))
+	})
+
+	// Guards against a stream that goes on at another version while the answer of the host that knows it is on its way.
+	It("is not decided by the first host that answers while others may know it", func() {
+		r, same, carrier := newResumer("h-1", true, v1), newResumer("h-2", true, v1), newResumer("h-3", true, v1, v2)
+		carrier.Began(start, []resumer.Key{stream}, v2)
+		var answers []resumer.Answer
+		r.Resolve(start, resumer.TakenUp{Stream: stream, Services: []string{service}}, true, func(a resumer.Answer) { answers = append(answers, a) })
+		ask := r.DrainAsks([]string{"h-2", "h-3"})[0]
+		r.ListConfirmed(start, start)
+		r.ReceiveTold(start, "h-2", same.Tell(start, ask))
+		Expect(answers).To(BeEmpty())
+		r.ReceiveTold(start, "h-3", carrier.Tell(start, ask))
+		Expect(answers).To(HaveExactElements(HaveField("Worker", v2)))
+	})
+
+	// Guards against a call of the store for each stream that is taken up while two versions serve, as no list decides it.
+	It("has no list read that can't show that one version served", func() {
+		r := newResumer("h-1", true, v1, v2)
+		r.Resolve(start, resumer.TakenUp{Stream: stream, Services: []string{service}}, true, func(resumer.Answer) {})
+		r.DrainAsks([]string{"h-2"})
+		Expect(r.Waiting()).To(Equal(1))
+		Expect(r.NeedsList()).To(BeFalse())
+	})
+
+	// Guards against an answer to an earlier call that is applied after that to a later one.
+	It("stays decided by the latest call if answers arrive in another order", func() {
+		r := newResumer("h-1", true, v1)
+		r.ListConfirmed(start.Add(time.Second), start.Add(time.Second))
+		r.ListConfirmed(start.Add(2*time.Second), start)
+		var answers []resumer.Result
+		r.Resolve(start.Add(time.Second), resumer.TakenUp{Services: []string{service}}, false, func(a resumer.Answer) { answers = append(answers, a.Result) })
+		Expect(r.NeedsList()).To(BeFalse())
+		r.Expire(start.Add(time.Second))
+		Expect(answers).To(Equal([]resumer.Result{resumer.OneVersion}))
+	})
+})
--- a/runner/export_test.go
+++ b/runner/export_test.go
@@ -241,6 +241,17 @@
 	x.c.handle(now, storeResult{full: full, update: u, sentAt: sentAt})
 }
 
+// StoreFailed applies that a call of the store got no answer.
+func (x Selector) StoreFailed(now time.Time) { x.c.handle(now, storeResult{failed: true}) }
+
+// TakeUp asks where a stream that is taken up may go on. The channel has the answer, once there is
+// one.
+func (x Selector) TakeUp(now time.Time, t resumer.TakenUp) <-chan resumer.Answer {
+	reply := make(chan resumer.Answer, 1)
+	x.c.handle(now, streamTakenUp{stream: t, until: now.Add(maxHold), reply: reply})
+	return reply
+}
+
 // SetListReader sets the call of the store that confirms the list.
 func (x Selector) SetListReader(read func(after storer.Version) (relayer.Update, error)) {
 	x.c.confirmation.read = func(after storer.Version) (storeResult, error) {
