Soak of hosts out of step: a version that joined is taken back before the hosts go on

Change: in a third of the rounds the workers of the newer version end and leave the list, in place of a cut of half of the workers.

--- a/soaker/out_of_step_test.go
+++ b/soaker/out_of_step_test.go
@@ -81,6 +81,26 @@
 	}
 }
 
+// failHalf cuts half of the workers off until the function returned is called, those of the older
+// version or of the newer one, or takes the newer version back.
+func (r *release) failHalf(random *rand.Rand) (end func()) {
+	engines := r.engines()
+	older, newer := engines[:len(engines)/2], engines[len(engines)/2:]
+	how := random.IntN(3)
+	if how == 0 {
+		for _, x := range newer {
+			r.retire(x)
+		}
+		return func() {}
+	}
+	var links []*faker.Link
+	for _, x := range [][]*worker{older, newer}[how-1] {
+		r.disturb(x)
+		links = append(links, x.link)
+	}
+	return cutLinks(links, faker.Cut)
+}
+
 // leaveBehind replaces half of the workers while some hosts are out of step, and then has half of
 // the workers, and often all other hosts, fail as these hosts go on.
 func (r *release) leaveBehind(random *rand.Rand) {
@@ -93,16 +113,7 @@
 		r.step(random)
 	}
 	time.Sleep(randomDuration(random, 50, 600))
-	engines := r.engines()
-	if random.IntN(2) == 0 { // else those of the old version fail
-		slices.Reverse(engines)
-	}
-	var links []*faker.Link
-	for _, x := range engines[:len(engines)/2] {
-		r.disturb(x)
-		links = append(links, x.link)
-	}
-	ends = append(ends, cutLinks(links, faker.Cut))
+	ends = append(ends, r.failHalf(random))
 	others := order[behind:]
 	if random.IntN(4) == 0 {
 		others = nil
