Log: why a stream that is taken up is refused

Callers of streams that broke got 503; the lines said origin=unknown without the condition that was not met, and outcome=version_gone both where no worker of the version was left and where the record of the beginning had no version.

An Unknown answer has its reason (why=two_versions, others_differ, history_short, list_not_current, no_list, not_asked); a record without a version is refused as version_uncertain, and its line has uncertain=true. Specs of resumer and placer pass.

--- a/placer/resume.go
+++ b/placer/resume.go
@@ -30,6 +30,9 @@
 	ReasonVersionGone = "version_gone"
 	// ReasonUnconfirmed means that its workers may have started again at another version.
 	ReasonUnconfirmed = "version_unconfirmed"
+	// ReasonUncertain means that the worker that began it may have been another start than the
+	// listed one.
+	ReasonUncertain = "version_uncertain"
 )
 
 // SetConfirmed records when the list of workers was last known to be current.
@@ -72,6 +75,9 @@
 	if req.Bound == nil {
 		return nil
 	}
+	if req.Bound.IsUncertain() {
+		return &Refusal{Reason: ReasonUncertain}
+	}
 	left := false
 	for _, w := range v.sorted {
 		if !w.Software().Continues(*req.Bound) || excluded(req, w.Name) {
--- a/resumer/lookup.go
+++ b/resumer/lookup.go
@@ -35,12 +35,26 @@
 	Moved      Result = "moved"       // its route no longer leads to the service that began it
 )
 
+// Reason is why nobody can tell which version began a stream.
+type Reason string
+
+// Reasons of an Unknown result.
+const (
+	NotAsked       Reason = "not_asked"        // too many lookups wait already
+	NoList         Reason = "no_list"          // this host knows no worker of the service
+	TwoVersions    Reason = "two_versions"     // they served within the life of a stream
+	OthersDiffer   Reason = "others_differ"    // other hosts know of another version
+	HistoryShort   Reason = "history_short"    // no host knows all of the life of a stream
+	ListNotCurrent Reason = "list_not_current" // and too few hosts answered
+)
+
 // Answer states where a stream that is taken up may go on.
 type Answer struct {
 	Result Result
 	Worker Worker        // that began it, if it is Known; a worker of the software that did for OneVersion
 	From   string        // host that knew it; "" is this one
 	Age    time.Duration // of the record
+	Reason Reason        // of an Unknown result
 	Basis  Basis         // of an answer about a stream that nobody knows
 }
 
@@ -92,9 +106,14 @@
 	}
 	own := r.history.view(now, t.Services[0], r.life(t.Services[0]))
 	hopeless := !own.one() && (!askable || t.Stream == 0 && own.Complete)
-	if hopeless || len(r.pending) >= maxLookups {
+	if hopeless {
 		return r.answer(now, own, nil, 0, false)
 	}
+	if len(r.pending) >= maxLookups {
+		a := r.answer(now, own, nil, 0, false)
+		a.Reason = NotAsked
+		return a
+	}
 	l := &lookup{TakenUp: t, reply: reply, askedAt: now, histories: map[string][]History{}}
 	r.numbers++
 	r.pending[r.numbers] = l
@@ -116,9 +135,10 @@
 
 // answer returns the answer for a stream that nobody knows, with what it rests on.
 func (r *Resumer) answer(now time.Time, own History, others []History, asked int, current bool) Answer {
+	result, reason := conclude(own, others, asked, current)
 	a := Answer{
-		Result: conclude(own, others, asked, current),
-		Basis:  Basis{Software: own.Software, ListAge: r.history.age(now), Asked: asked, Answered: len(others)},
+		Result: result, Reason: reason,
+		Basis: Basis{Software: own.Software, ListAge: r.history.age(now), Asked: asked, Answered: len(others)},
 	}
 	if a.Result == OneVersion {
 		a.Worker = r.history.listed(own.Service, own.Software[0])
@@ -131,19 +151,29 @@
 // The list must be current, as of after the stream was taken up: a host that stood still or was
 // cut off does not see a version that the others use, and finds nobody who does if they failed
 // meanwhile. If it can't be had, as the store is down, more than half of them must have answered.
-func conclude(own History, others []History, asked int, current bool) Result {
+func conclude(own History, others []History, asked int, current bool) (Result, Reason) {
+	switch len(own.Software) {
+	case 0:
+		return Unknown, NoList
+	case 1:
+	default:
+		return Unknown, TwoVersions
+	}
 	complete := own.Complete
 	for _, h := range others {
-		if !h.one() || !own.one() || h.Software[0] != own.Software[0] {
-			return Unknown
+		if !h.one() || h.Software[0] != own.Software[0] {
+			return Unknown, OthersDiffer
 		}
 		// What another host does not see in an old list, this one's current list need not have any more.
 		complete = complete || h.Complete && (h.Fresh || !current)
 	}
-	if own.one() && complete && (current || 2*len(others) > asked) {
-		return OneVersion
+	switch {
+	case !complete:
+		return Unknown, HistoryShort
+	case !current && 2*len(others) <= asked:
+		return Unknown, ListNotCurrent
 	}
-	return Unknown
+	return OneVersion, ""
 }
 
 // DrainAsks returns the requests for the lookups since the last call, few for many of them, and
--- a/resumer/resumer_test.go
+++ b/resumer/resumer_test.go
@@ -253,6 +253,22 @@
 		Expect(r.Len()).To(BeZero())
 	})
 
+	DescribeTable("says why it does not know where a stream may go on", func(expected resumer.Reason, blind bool, own *resumer.Resumer, others ...*resumer.Resumer) {
+		find := resolve
+		if blind {
+			find = resolveBlind
+		}
+		a := find(start, own, stream, others...)
+		Expect(a.Result).To(Equal(resumer.Unknown))
+		Expect(a.Reason).To(Equal(expected))
+	},
+		Entry("no list yet", resumer.NoList, false, resumer.New("h-1", true)),
+		Entry("two versions served", resumer.TwoVersions, false, newResumer("h-1", true, v1, v2)),
+		Entry("another host knows of a second version", resumer.OthersDiffer, false, newResumer("h-1", true, v1), newResumer("h-2", true, v2)),
+		Entry("all hosts have just started", resumer.HistoryShort, false, newResumer("h-1", false, v1), newResumer("h-2", false, v1)),
+		Entry("neither the store nor half of the hosts answer", resumer.ListNotCurrent, true, newResumer("h-1", true, v1), nil, nil),
+	)
+
 	It("keeps records for the life of a stream, and a bounded number of them", func() {
 		r := newResumer("h-1", true, v1, v2)
 		r.Began(start, []resumer.Key{stream}, v1)
--- a/router/resume.go
+++ b/router/resume.go
@@ -104,8 +104,11 @@
 	a := t.origin.answer
 	fields = append(fields, zap.String("resumes", t.q.Resumes), zap.String("origin", string(a.Result)))
 	if a.Result == resumer.Known {
-		return append(fields, zap.String("carried", a.From), zap.Duration("known", a.Age))
+		return append(fields, zap.String("carried", a.From), zap.Duration("known", a.Age), zap.Bool("uncertain", a.Worker.IsUncertain()))
 	}
 	b := a.Basis
+	if a.Reason != "" {
+		fields = append(fields, zap.String("why", string(a.Reason)))
+	}
 	return append(fields, zap.Strings("software", b.Software), zap.Duration("listed", b.ListAge), zap.Int("asked", b.Asked), zap.Int("answered", b.Answered))
 }
--- a/runner/list_wait.go
+++ b/runner/list_wait.go
@@ -55,7 +55,7 @@
 	switch r.refused.Reason {
 	case placer.ReasonUnconfirmed:
 		return true
-	case placer.ReasonVersionGone:
+	case placer.ReasonUncertain:
 		return slices.ContainsFunc(p.waiting.beginnings, func(b streamBegan) bool { return slices.Contains(b.keys, e.request.Stream) })
 	}
 	return false
