Streams that begin just after a connection broke keep their version

Cause: for 1.2 s after any connection to a worker broke, the placement hid the listed start and version of the worker, so that the beginning was recorded without them; once the list was current nothing was left to compare it with. A reset of connections breaks one to every worker.

The placement has the listed worker.

--- a/placer/resume.go
+++ b/placer/resume.go
@@ -38,13 +38,6 @@
 // SetConfirmed records when the list of workers was last known to be current.
 func (v *View) SetConfirmed(at time.Time) { v.confirmedAt = at }
 
-// Confirmed reports whether the worker with a name is the one that is listed: no connection
-// to it broke since the list was last current.
-func (v *View) Confirmed(name string) bool {
-	w := v.workers[name]
-	return w != nil && v.confirmed(w)
-}
-
 // ConfirmedSince reports whether a worker that answers over a connection which was made at
 // openedAt is the one that is listed: breaks of other connections after that don't matter.
 func (v *View) ConfirmedSince(name string, openedAt time.Time) bool {
--- a/runner/bound_requests.go
+++ b/runner/bound_requests.go
@@ -12,16 +12,6 @@
 	request messenger.BoundRequest
 }
 
-// certain returns a worker for a request, without its version if it may have started again at
-// another one. Where only one version serves it can't have.
-func (p *selector) certain(w placer.Worker) placer.Worker {
-	if !p.origins.resumer.One(w.Service) && !p.view.Confirmed(w.Name) {
-		u := w.Software().Uncertain()
-		w.Incarnation, w.Version = u.Incarnation, ""
-	}
-	return w
-}
-
 // encodeBound returns the message for a request: one of its own if only deciders that know the
 // condition may answer it.
 func encodeBound(m messenger.PlacementRequest, bound *resumer.Worker) messenger.Message {
--- a/runner/deciders.go
+++ b/runner/deciders.go
@@ -258,7 +258,7 @@
 	case s.Flight == 0:
 	case waiting && available:
 		p.answer(x.requested, workerReply{placement: router.Placement{
-			ID: s.Flight, Service: x.requested.request.Service, Worker: p.certain(w), ExpectedWait: s.Wait, Delay: s.Delay, Source: s.Source, PromptTokens: s.Prefill, HalfFull: s.HalfFull, ListAge: now.Sub(p.updatedAt), PlacedBy: e.from, Brittle: p.view.IsBrittle(s.Worker), RateLimit: s.RateLimit,
+			ID: s.Flight, Service: x.requested.request.Service, Worker: w, ExpectedWait: s.Wait, Delay: s.Delay, Source: s.Source, PromptTokens: s.Prefill, HalfFull: s.HalfFull, ListAge: now.Sub(p.updatedAt), PlacedBy: e.from, Brittle: p.view.IsBrittle(s.Worker), RateLimit: s.RateLimit,
 		}})
 	default:
 		p.remindOfLeaving(s.Worker)
--- a/runner/selector.go
+++ b/runner/selector.go
@@ -258,7 +258,7 @@
 	}
 	p.addSent(now, p.self, choice.Flight)
 	return workerReply{placement: router.Placement{
-		ID: choice.Flight.ID, Service: a.Service, Worker: p.certain(choice.Worker), ExpectedWait: choice.Wait, Delay: choice.Delay, Source: choice.Source, PromptTokens: choice.Flight.Prefill, HalfFull: choice.Filling, ListAge: now.Sub(p.updatedAt), Brittle: p.view.IsBrittle(choice.Worker.Name), RateLimit: p.view.RateLimit(choice.Worker.Name),
+		ID: choice.Flight.ID, Service: a.Service, Worker: choice.Worker, ExpectedWait: choice.Wait, Delay: choice.Delay, Source: choice.Source, PromptTokens: choice.Flight.Prefill, HalfFull: choice.Filling, ListAge: now.Sub(p.updatedAt), Brittle: p.view.IsBrittle(choice.Worker.Name), RateLimit: p.view.RateLimit(choice.Worker.Name),
 	}}
 }
 
