Any host settles a beginning that was not certain, by a list read after it

The record has what was listed of the worker, in two fields more at the end of its message, which hosts of before skip and don't send. A host that takes the stream up settles it if a list that it read 50 ms or more after the beginning has the same start at the same version: another start would have replaced the entry.

Red with settled out: "settles a beginning ... that has the same start"; five entries guard what must not settle.

--- a/messenger/message_origin.go
+++ b/messenger/message_origin.go
@@ -29,6 +29,11 @@
 	Version     string        `msgpack:"version"`
 	Host        string        `msgpack:"host"` // that carried its first event
 	Age         time.Duration `msgpack:"age"`
+
+	// ListedIncarnation and ListedVersion are what was listed of the worker, if it is not certain
+	// that it was this start of it. Hosts of an older version don't send them.
+	ListedIncarnation string `msgpack:"listed_incarnation"`
+	ListedVersion     string `msgpack:"listed_version"`
 }
 
 // OriginRequest asks a host which workers began streams, and which software served in services.
--- a/resumer/history.go
+++ b/resumer/history.go
@@ -20,6 +20,8 @@
 	// of its source was sent, not when its answer arrived.
 	confirmedAt time.Time
 	present     map[string]map[string]Worker    // a worker of each software that is listed now, by service
+	starts      map[string]Worker               // the workers that are listed now, by name
+	startsAt    time.Time                       // until when the list is known to have each start of a worker
 	gone        map[string]map[string]time.Time // when the last worker of a software went away, by service
 }
 
@@ -30,7 +32,9 @@
 	}
 	h.updatedAt = updatedAt
 	present := map[string]map[string]Worker{}
+	h.starts = map[string]Worker{}
 	for _, w := range workers {
+		h.starts[w.Name] = w
 		if present[w.Service] == nil {
 			present[w.Service] = map[string]Worker{}
 		}
--- a/resumer/lookup.go
+++ b/resumer/lookup.go
@@ -100,7 +100,7 @@
 // the list of workers must be read, it returns a Pending Answer and calls reply later. askable
 // reports whether there are other hosts.
 func (r *Resumer) Resolve(now time.Time, t TakenUp, askable bool, reply func(Answer)) Answer {
-	x := r.records.get(t.Stream)
+	x := r.settled(t.Stream)
 	if x != nil && (x.own || !askable || !x.Worker.IsUncertain()) {
 		return known(now, t, x.Record)
 	}
@@ -208,7 +208,7 @@
 func (r *Resumer) Tell(now time.Time, a Ask) Told {
 	var t Told
 	for _, k := range a.Keys {
-		if x := r.records.get(k); x != nil {
+		if x := r.settled(k); x != nil {
 			t.Records = append(t.Records, x.Record)
 			continue
 		}
@@ -231,7 +231,7 @@
 		if l.waiting == nil || !l.waiting[from] {
 			continue
 		}
-		if x := r.records.get(l.Stream); x != nil && !x.Worker.IsUncertain() {
+		if x := r.settled(l.Stream); x != nil && !x.Worker.IsUncertain() {
 			delete(r.pending, n)
 			l.reply(known(now, l.TakenUp, x.Record))
 			continue
@@ -252,8 +252,9 @@
 	a := r.concludeLookup(now, l, current)
 	listed := current || l.listFailed || now.Sub(l.askedAt) >= listTimeout
 	switch {
-	case l.heard(now) && (listed || !r.mayBecomeOne(now, l)):
+	case l.heard(now) && (listed || !r.listMayHelp(now, l)):
 	case a.Result == OneVersion && current && len(l.histories) > 0:
+	case a.Result == Known && !a.Worker.IsUncertain():
 	default:
 		return
 	}
@@ -261,15 +262,19 @@
 	l.reply(a)
 }
 
-// mayBecomeOne reports whether a list can still show that one version served.
-func (r *Resumer) mayBecomeOne(now time.Time, l *lookup) bool {
-	return r.records.get(l.Stream) == nil && r.concludeLookup(now, l, true).Result == OneVersion
+// listMayHelp reports whether a list can still show which start of a worker began a stream, or
+// that one version served.
+func (r *Resumer) listMayHelp(now time.Time, l *lookup) bool {
+	if x := r.records.get(l.Stream); x != nil {
+		return x.Worker.IsUncertain() && r.history.starts[x.Listed.Name] == x.Listed
+	}
+	return r.concludeLookup(now, l, true).Result == OneVersion
 }
 
 // concludeLookup decides on a lookup by what is known so far. current reports whether the list of
 // workers is known as of after the stream was taken up.
 func (r *Resumer) concludeLookup(now time.Time, l *lookup, current bool) Answer {
-	if x := r.records.get(l.Stream); x != nil {
+	if x := r.settled(l.Stream); x != nil {
 		return known(now, l.TakenUp, x.Record)
 	}
 	var others []History
--- a/resumer/records.go
+++ b/resumer/records.go
@@ -10,6 +10,8 @@
 type Record struct {
 	Key    Key
 	Worker Worker
+	// Listed is the worker as it was listed, if it is not certain that it was this start of it.
+	Listed Worker
 	Host   string    // that carried the stream's first event
 	At     time.Time // when it began
 }
--- a/resumer/resumer.go
+++ b/resumer/resumer.go
@@ -113,13 +113,24 @@
 // Began records that a stream's first event came from a worker, under the keys by which
 // its caller may name it. It reports whether other hosts must be notified at once.
 func (r *Resumer) Began(now time.Time, keys []Key, w Worker) bool {
-	tell := !r.isOne(now, w.Service)
-	r.one[w.Service] = !tell
+	return r.record(keys, Record{Worker: w, Host: r.self, At: now})
+}
+
+// BeganUncertain is Began for a worker that may have been another start than the listed one.
+func (r *Resumer) BeganUncertain(now time.Time, keys []Key, listed Worker) bool {
+	return r.record(keys, Record{Worker: listed.Uncertain(), Listed: listed, Host: r.self, At: now})
+}
+
+// record adds an own record under keys. It reports whether other hosts must be notified at once.
+func (r *Resumer) record(keys []Key, x Record) bool {
+	now := x.At
+	tell := !r.isOne(now, x.Worker.Service)
+	r.one[x.Worker.Service] = !tell
 	for _, k := range keys {
 		if k == 0 {
 			continue
 		}
-		x := Record{Key: k, Worker: w, Host: r.self, At: now}
+		x.Key = k
 		r.records.put(now, x, true)
 		if tell {
 			r.untold = append(r.untold, x)
--- a/resumer/resumer_test.go
+++ b/resumer/resumer_test.go
@@ -70,6 +70,7 @@
 var _ = Describe("A Resumer", func() {
 	stream := resumer.KeyOf("large", "try-1")
 	v1, v2 := worker("a", "v1"), worker("b", "v2")
+	listed := []resumer.Worker{v1, v2}
 
 	It("knows where a stream began that its host carried, or that it was told of", func() {
 		carrier, other := newResumer("h-1", true, v1, v2), newResumer("h-2", true, v1, v2)
@@ -104,6 +105,35 @@
 		Expect(resolve(start, taker, stream, carrier).Worker).To(Equal(v2))
 	})
 
+	// Guards against streams that go on nowhere, as their host failed before it knew which start of a worker began them.
+	DescribeTable("settles a beginning that was not certain by a list read after it", func(readAfter time.Duration, sourceUp bool, listed []resumer.Worker, settled bool) {
+		carrier, taker := newResumer("h-1", true, v1, v2), newResumer("h-2", true, v1, v2)
+		carrier.BeganUncertain(start, []resumer.Key{stream}, v2)
+		for _, x := range carrier.Drain() {
+			taker.Receive(start, x)
+		}
+		later := start.Add(time.Second)
+		taker.SetWorkers(later, later, listed)
+		a := resolveWith(later, taker, stream, func() {
+			if sourceUp {
+				taker.StartsListed(start.Add(readAfter))
+			}
+			taker.ListConfirmed(later, later)
+		}, []*resumer.Resumer{newResumer("h-3", true, v1, v2)})
+		Expect(a.Result).To(Equal(resumer.Known))
+		Expect(a.Worker.IsUncertain()).To(Equal(!settled))
+		if settled {
+			Expect(a.Worker).To(Equal(v2))
+		}
+	},
+		Entry("that has the same start", time.Second, true, listed, true),
+		Entry("too early to have another start", 20*time.Millisecond, true, listed, false),
+		Entry("while workers write their entries again", time.Second, false, listed, false),
+		Entry("that has another start", time.Second, true, []resumer.Worker{v1, {Service: service, Name: "b", Incarnation: "2", Version: "v2"}}, false),
+		Entry("that has the start at another version", time.Second, true, []resumer.Worker{v1, worker("b", "v3")}, false),
+		Entry("that has none any more", time.Second, true, []resumer.Worker{v1}, false),
+	)
+
 	Describe("with a stream that nobody knows", func() {
 		It("lets it go on where one version served all its life, without asking if its caller names no attempt", func() {
 			Expect(resolve(start, newResumer("h-1", true, v1, worker("c", "v1")), 0).Result).To(Equal(resumer.OneVersion))
--- /dev/null
+++ b/resumer/settle.go
@@ -0,0 +1,28 @@
+package resumer
+
+import "time"
+
+// entryDelay is how long after the start of a worker its entry is at the source of the list.
+const entryDelay = 50 * time.Millisecond
+
+// StartsListed records that the list has each start of a worker up to a time: it was read then,
+// and its source did not fail for the time in which workers write their entries again.
+func (r *Resumer) StartsListed(at time.Time) {
+	if at.After(r.history.startsAt) {
+		r.history.startsAt = at
+	}
+}
+
+// settled returns the record of a stream, nil if there is none. Where it was not certain which
+// start of a worker began the stream, a list read later shows it: another start would have
+// replaced the listed one. The host that carried the stream may have failed before it knew.
+func (r *Resumer) settled(k Key) *record {
+	x := r.records.get(k)
+	if x == nil || !x.Worker.IsUncertain() || x.Listed.Version == "" && x.Listed.Incarnation == "" {
+		return x
+	}
+	if r.history.startsAt.Sub(x.At) >= entryDelay && r.history.starts[x.Listed.Name] == x.Listed {
+		x.Worker = x.Listed
+	}
+	return x
+}
--- a/runner/list_wait.go
+++ b/runner/list_wait.go
@@ -84,10 +84,8 @@
 		p.origins.began(now, e)
 		return
 	}
-	uncertain := e
-	uncertain.worker = e.worker.Uncertain()
-	if w, ok := p.origins.resumer.Carried(e.keys[0]); !ok || w != uncertain.worker {
-		p.origins.began(now, uncertain)
+	if w, ok := p.origins.resumer.Carried(e.keys[0]); !ok || w != e.worker.Uncertain() {
+		p.origins.beganUncertain(now, e)
 	}
 	if !decided && len(p.waiting.beginnings) < maxWaitingBeginnings {
 		p.waiting.beginnings = append(p.waiting.beginnings, e)
--- a/runner/origin_messages.go
+++ b/runner/origin_messages.go
@@ -11,14 +11,19 @@
 	w := x.Worker
 	return messenger.StreamOrigin{
 		Key: uint64(x.Key), Service: w.Service, Worker: w.Name, Incarnation: w.Incarnation, Version: w.Version, Host: x.Host, Age: now.Sub(x.At),
+		ListedIncarnation: x.Listed.Incarnation, ListedVersion: x.Listed.Version,
 	}
 }
 
 func decodeOrigin(now time.Time, m messenger.StreamOrigin) resumer.Record {
-	return resumer.Record{
+	x := resumer.Record{
 		Key: resumer.Key(m.Key), Host: m.Host, At: now.Add(-max(m.Age, 0)),
 		Worker: resumer.Worker{Service: m.Service, Name: m.Worker, Incarnation: m.Incarnation, Version: m.Version},
 	}
+	if x.Worker.IsUncertain() && (m.ListedIncarnation != "" || m.ListedVersion != "") {
+		x.Listed = resumer.Worker{Service: m.Service, Name: m.Worker, Incarnation: m.ListedIncarnation, Version: m.ListedVersion}
+	}
+	return x
 }
 
 func encodeTold(now time.Time, t resumer.Told) messenger.OriginReply {
--- a/runner/origins.go
+++ b/runner/origins.go
@@ -146,6 +146,13 @@
 	}
 }
 
+// beganUncertain is began for a worker that may have been another start than the listed one.
+func (o *originSync) beganUncertain(now time.Time, e streamBegan) {
+	if o.resumer.BeganUncertain(now, e.keys, e.worker) {
+		o.tell(now)
+	}
+}
+
 // resolve answers a caller's wish to go on with a stream, now or when other hosts have answered.
 func (o *originSync) resolve(now time.Time, e streamTakenUp) {
 	reply := func(a resumer.Answer) {
--- a/runner/worker_entries.go
+++ b/runner/worker_entries.go
@@ -87,6 +87,9 @@
 		}
 	}
 	if !e.failed {
+		if p.directory.Settled(now) {
+			p.origins.resumer.StartsListed(e.sentAt)
+		}
 		p.origins.resumer.ListConfirmed(now, e.sentAt)
 	}
 }
