--- a/runner/export_test.go
+++ b/runner/export_test.go
@@ -414,3 +414,15 @@
 
 // Confirmed reports whether it is the first start.
 func (x *FirstStart) Confirmed(now time.Time) bool { return x.f.confirmed(now) }
+
+// OddEntries is what a host records of workers' entries that it doesn't use.
+type OddEntries struct{ oddEntries }
+
+// Register adds the counter to a registry.
+func (x *OddEntries) Register(r prometheus.Registerer) { x.register(r) }
+
+// Refuse records that an entry is not used.
+func (x *OddEntries) Refuse(log *zap.Logger, o storer.Object, err error) { x.record(log, o, err) }
+
+// Use records that an entry is used.
+func (x *OddEntries) Use(o storer.Object) { x.forget(o) }
--- a/runner/host.go
+++ b/runner/host.go
@@ -106,6 +106,7 @@
 	forward, closeForward := forwarder.New(h.tunnels, settings.Limits.SilenceTimeout.Std())
 	defer closeForward()
 	h.era.log = log
+	store.OnSkipped(countSkipped(log, h.registry))
 	store.OnEra(func(n uint64) { h.era.advance(n, "store") })
 	closeMessenger, err := h.compose(store, forward)
 	if err != nil {
--- a/runner/host_routes.go
+++ b/runner/host_routes.go
@@ -37,6 +37,7 @@
 	g.selector.quarantine.register(registry)
 	g.selector.origins.register(registry)
 	registry.MustRegister(g.selector.standstills)
+	g.selector.oddEntries.register(registry)
 	g.selector.repeats.metrics.register(registry)
 	g.pool, g.close = connector.New(d)
 	g.pool.SetMaxHead(s.Limits.MaxAnswerHead)
--- a/runner/selector.go
+++ b/runner/selector.go
@@ -40,6 +40,7 @@
 
 	view          *placer.View
 	directory     observer.Directory
+	oddEntries    oddEntries
 	relay         *relayer.Relay
 	onEra         func(era uint64, source string) // if set, receives the era of each list that another host sent
 	lastHeartbeat time.Time                       // when this host last announced that its list is up to date
--- a/runner/worker_entries.go
+++ b/runner/worker_entries.go
@@ -249,11 +249,13 @@
 				d.replaced = append(d.replaced, e)
 			}
 		case o.Deleted:
+			p.oddEntries.forget(o)
 			d.removed = append(d.removed, platform.WorkerName(o))
 		case err != nil:
-			p.log.Warn("worker's entry", zap.String("worker", platform.WorkerName(o)), zap.Stringer("version", o.Version), zap.Error(err))
+			p.oddEntries.record(p.log, o, err)
 			d.removed = append(d.removed, platform.WorkerName(o))
 		default:
+			p.oddEntries.forget(o)
 			d.changed = append(d.changed, e)
 		}
 	}
