A message larger than a frame is refused at once, not sent for ever

Seen: a message over 1 MiB is queued; writing it fails, the connection is closed, a new one is opened and begins with the same message, until Hold (a minute in the spec) drops it: no message behind it arrives at that host. An update of the workers' entries with one value of 1 MiB does that to every host at once. Cause: WriteFrame alone knew the bound, and a peer takes its error for a broken connection. Change: SendAll refuses a message over MaxBody (MaxFrame less 128 bytes for what surrounds it) and counts it as dropped.

--- a/messenger/frame.go
+++ b/messenger/frame.go
@@ -15,6 +15,9 @@
 // MaxFrame is the maximum size in bytes of a frame without its length.
 const MaxFrame = 1 << 20
 
+// MaxBody is the maximum size in bytes of an encoded message: that of a frame without what surrounds it.
+const MaxBody = MaxFrame - 128
+
 const (
 	// maxShortFrame is the maximum size in bytes of a frame that begins a connection.
 	maxShortFrame = 16 << 10
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -106,6 +106,10 @@
 	if err != nil {
 		return fmt.Errorf("%w: %v", ErrFrame, err)
 	}
+	if len(body) > MaxBody {
+		m.dropped.Add(uint64(len(addresses)))
+		return fmt.Errorf("%w: %s of %d bytes exceeds %d", ErrFrame, msg.kind(), len(body), MaxBody)
+	}
 	var errs []error
 	for _, address := range addresses {
 		errs = append(errs, m.enqueue(address, msg.kind(), body))
