Updates of the workers' entries are sent to other hosts in parts that fit a frame

Seen: a watch's answer may hold 8 MiB, a frame between hosts 1 MiB: a host that watches for the others could not pass on an update with an entry of 1 MiB, or one of many entries; all others then read the store themselves. Cause: an update was one message, whatever its size. Change: an update is sent in parts of a quarter of a frame; each follows from the version of the one before, so a host that misses one notices. An entry over 64 KiB is not used (a worker's entry has eight short fields), by any host, and is relayed without its value.

--- a/runner/export_test.go
+++ b/runner/export_test.go
@@ -426,3 +426,12 @@
 
 // Use records that an entry is used.
 func (x *OddEntries) Use(o storer.Object) { x.forget(o) }
+
+// RelayedUpdates returns the messages by which a host sends an update of the workers' entries.
+func RelayedUpdates(w relayer.Update) []messenger.ListUpdate {
+	var sent []messenger.ListUpdate
+	x := NewSelector("h-1", nil, func(_ string, m messenger.Message) { sent = append(sent, m.(messenger.ListUpdate)) })
+	x.c.roster = registrar.NewRoster(registrar.Record{Name: "h-1"}, registrar.Record{Name: "h-2", Control: "h-2"})
+	x.c.broadcastChanges(w)
+	return sent
+}
--- a/runner/worker_entries.go
+++ b/runner/worker_entries.go
@@ -21,6 +21,14 @@
 // the store drops its history, and it is too short for a worker that joins, serves and leaves.
 const maxUnseen = 2500 * time.Millisecond
 
+const (
+	// maxPartBytes bounds what is sent of an update in one frame: a fraction of it, as other
+	// messages wait behind it.
+	maxPartBytes = messenger.MaxBody / 4
+	// changeOverhead is an upper bound of the bytes of a change beside its key and value.
+	changeOverhead = 32
+)
+
 // storeCallRequested asks for the next call of the store.
 type storeCallRequested struct{ reply chan<- storeCall }
 
@@ -190,14 +198,43 @@
 
 // broadcastChanges sends changed entries to all other hosts.
 func (p *selector) broadcastChanges(w relayer.Update) {
-	p.broadcast(messenger.ListUpdate{After: uint64(w.After), Upto: uint64(w.Upto), Changed: encodeChanges(w.Changed)})
+	for _, part := range splitUpdate(w) {
+		p.broadcast(messenger.ListUpdate{After: uint64(part.After), Upto: uint64(part.Upto), Changed: encodeChanges(part.Changed)})
+	}
+}
+
+// splitUpdate splits an update into parts that each fit a frame. Each part follows from the one
+// before, so that a host that misses one calls the store.
+func splitUpdate(w relayer.Update) []relayer.Update {
+	var parts []relayer.Update
+	part, size := relayer.Update{After: w.After, Upto: w.After}, 0
+	for _, o := range w.Changed {
+		n := changeOverhead + len(o.Key) + len(relayedValue(o))
+		if size+n > maxPartBytes && size > 0 {
+			parts = append(parts, part)
+			part, size = relayer.Update{After: part.Upto, Upto: part.Upto}, 0
+		}
+		part.Changed, part.Upto = append(part.Changed, o), max(part.Upto, o.Version)
+		size += n
+	}
+	part.Upto = max(part.Upto, w.Upto)
+	return append(parts, part)
+}
+
+// relayedValue returns the value of an entry as it is sent to other hosts: none if it is so large
+// that no host uses it.
+func relayedValue(o storer.Object) []byte {
+	if len(o.Value) > platform.MaxEntryBytes {
+		return nil
+	}
+	return o.Value
 }
 
 // encodeChanges converts objects of the store for a message.
 func encodeChanges(objects []storer.Object) []messenger.Change {
 	var out []messenger.Change
 	for _, o := range objects {
-		out = append(out, messenger.Change{Key: o.Key, Value: o.Value, Version: uint64(o.Version), Deleted: o.Deleted})
+		out = append(out, messenger.Change{Key: o.Key, Value: relayedValue(o), Version: uint64(o.Version), Deleted: o.Deleted})
 	}
 	return out
 }
