Soak: odd entries among the workers', with hosts that run and start and workers that join

Seen: no rig could hold a value nested more deeply than encoding/json writes, so none could show what such an entry does. Change: the faker's store takes raw values (PutRaw) and puts its answers together as text.

--- a/faker/platform.go
+++ b/faker/platform.go
@@ -149,6 +149,13 @@
 	p.putObject(kind, platform.Object{Metadata: platform.Metadata{Name: name}, Spec: text})
 }
 
+// PutRaw is Put with the text of a spec, which may be anything that another writer may have left.
+func (p *Platform) PutRaw(kind, name, spec string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.putObject(kind, platform.Object{Metadata: platform.Metadata{Name: name}, Spec: json.RawMessage(spec)})
+}
+
 // Has reports whether there is an object of a kind.
 func (p *Platform) Has(kind string) bool { return p.Count(kind) > 0 }
 
@@ -225,7 +232,7 @@
 		http.NotFound(w, r)
 		return
 	}
-	writeJSON(w, http.StatusOK, o)
+	writeText(w, encodeObject(o))
 }
 
 // create handles POST: the object must be new.
@@ -321,15 +328,6 @@
 // maxMetadataBytes is the room for metadata in a body in addition to the value.
 const maxMetadataBytes = 4 << 10
 
-// encodeObject returns an object in its wire form.
-func encodeObject(o platform.Object) json.RawMessage {
-	text, err := json.Marshal(o)
-	if err != nil {
-		panic(err) // an object has only plain fields and valid JSON
-	}
-	return text
-}
-
 func writeJSON(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
@@ -349,17 +347,18 @@
 	}
 	p.mu.Lock()
 	p.setEraHeader(w)
-	l := platform.Page{Revision: p.revision, Items: []json.RawMessage{}}
+	var items [][]byte
+	hasMore, revision := false, p.revision
 	for _, key := range slices.Sorted(maps.Keys(p.objects)) {
 		if !strings.HasPrefix(key, prefix) || key <= prefix+q.Get(platform.ParamAfter) {
 			continue
 		}
-		if len(l.Items) == pageSize {
-			l.HasMore = true
+		if len(items) == pageSize {
+			hasMore = true
 			break
 		}
-		l.Items = append(l.Items, encodeObject(p.objects[key]))
+		items = append(items, encodeObject(p.objects[key]))
 	}
 	p.mu.Unlock()
-	writeJSON(w, http.StatusOK, l)
+	writeText(w, encodePage(items, hasMore, revision))
 }
--- a/faker/watch.go
+++ b/faker/watch.go
@@ -33,7 +33,7 @@
 		p.mu.Lock()
 		p.setEraHeader(w)
 		down, dropped := p.faults.Down, after < p.droppedUpTo || after > p.revision
-		l := p.eventsSince(r.PathValue("kind"), after)
+		events, revision := p.eventsSince(r.PathValue("kind"), after)
 		changed := p.changed
 		p.mu.Unlock()
 		switch {
@@ -43,14 +43,14 @@
 		case dropped:
 			http.Error(w, "revision is forgotten", http.StatusGone)
 			return
-		case len(l.Events) > 0:
-			writeJSON(w, http.StatusOK, l)
+		case len(events) > 0:
+			writeText(w, encodeEvents(events, revision))
 			return
 		}
 		select {
 		case <-changed:
 		case <-timeout:
-			writeJSON(w, http.StatusOK, l)
+			writeText(w, encodeEvents(events, revision))
 			return
 		case <-r.Context().Done():
 			return
@@ -58,12 +58,13 @@
 	}
 }
 
-func (p *Platform) eventsSince(kind string, after uint64) platform.Events {
-	l := platform.Events{Revision: max(after, p.revision), Events: []platform.Event{}}
+// eventsSince returns the encoded events of a kind after a revision, and the revision after them.
+func (p *Platform) eventsSince(kind string, after uint64) ([][]byte, uint64) {
+	var events [][]byte
 	for _, c := range p.history {
 		if c.kind == kind && c.object.Metadata.Revision > after {
-			l.Events = append(l.Events, platform.Event{Object: encodeObject(c.object), Deleted: c.deleted})
+			events = append(events, encodeEvent(encodeObject(c.object), c.deleted))
 		}
 	}
-	return l
+	return events, max(after, p.revision)
 }
--- a/soaker/fault_test.go
+++ b/soaker/fault_test.go
@@ -117,6 +117,10 @@
 		c.store.Put("servers", "x-1", map[string]any{"service": "desk", "slots": "many"})
 		return func() { c.store.Delete("servers", "x-1") }
 	}},
+	{"register odd worker entries", func(c *cluster, r *rand.Rand) func() {
+		kinds := []string{oddEntries[r.IntN(len(oddEntries))].name, oddEntries[r.IntN(len(oddEntries))].name}
+		return c.putOddEntries(kinds...)
+	}},
 	{"replace an API key", func(c *cluster, _ *rand.Rand) func() {
 		old := c.addKey()
 		return func() { c.revokeKey(old) }
