A few bytes of msgpack that state billions of elements end no process

Seen: an answer of eight bytes from another host, or a stored record of five, that states a list of 2^32-1 elements ends the process ("fatal error: runtime: out of memory"): the decoder takes the memory for the stated number of elements at once, before it reads one. A field that is unknown is skipped by recursion, one level of stack for each byte. Cause: frames bound their bytes, but nothing bounded what the bytes state.

--- a/keeper/record.go
+++ b/keeper/record.go
@@ -10,6 +10,8 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/cicadawood/cicadawood/measurer"
 )
 
 // ErrRecord is returned for a stored head or segment that can't be decoded.
@@ -142,19 +144,27 @@
 // DecodeHead decodes the stored form of a head.
 func DecodeHead(value []byte) (Head, error) {
 	var h Head
-	if err := msgpack.Unmarshal(value, &h); err != nil {
+	if err := unmarshal(value, &h); err != nil {
 		return Head{}, fmt.Errorf("%w: head: %v", ErrRecord, err)
 	}
 	return h, nil
 }
 
+// unmarshal decodes a msgpack text whose stated lengths are within it.
+func unmarshal(text []byte, into any) error {
+	if err := measurer.Check(text); err != nil {
+		return err
+	}
+	return msgpack.Unmarshal(text, into)
+}
+
 // EncodeRecords returns the stored form of a segment.
 func EncodeRecords(records []*Record) ([]byte, error) { return msgpack.Marshal(records) }
 
 // DecodeRecords decodes the stored form of a segment.
 func DecodeRecords(value []byte) ([]*Record, error) {
 	var records []*Record
-	if err := msgpack.Unmarshal(value, &records); err != nil {
+	if err := unmarshal(value, &records); err != nil {
 		return nil, fmt.Errorf("%w: segment: %v", ErrRecord, err)
 	}
 	return records, nil
--- a/messenger/frame.go
+++ b/messenger/frame.go
@@ -9,6 +9,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/cicadawood/cicadawood/measurer"
 	"github.com/cicadawood/cicadawood/reserver"
 )
 
@@ -112,12 +113,20 @@
 	if err != nil {
 		return 0, err
 	}
-	if err := msgpack.Unmarshal(body, v); err != nil {
+	if err := unmarshal(body, v); err != nil {
 		return 0, fmt.Errorf("%w: %v", ErrFrame, err)
 	}
 	return headerLength + int(n), nil
 }
 
+// unmarshal decodes a msgpack text whose stated lengths are within it.
+func unmarshal(text []byte, into any) error {
+	if err := measurer.Check(text); err != nil {
+		return err
+	}
+	return msgpack.Unmarshal(text, into)
+}
+
 // readBody reads n bytes.
 func readBody(r io.Reader, n int64, reserved *reserver.Reservation) ([]byte, error) {
 	if n <= smallFrame {
--- a/messenger/message.go
+++ b/messenger/message.go
@@ -18,8 +18,6 @@
 import (
 	"fmt"
 	"time"
-
-	"github.com/vmihailenco/msgpack/v5"
 )
 
 // Message is one of the message types of this package. Its kind identifies the
@@ -227,7 +225,7 @@
 
 func decode[M Message](e Envelope) (Message, error) {
 	var m M
-	if err := msgpack.Unmarshal(e.Body, &m); err != nil {
+	if err := unmarshal(e.Body, &m); err != nil {
 		return nil, fmt.Errorf("%w: %s: %v", ErrFrame, e.Kind, err)
 	}
 	return m, nil
