A beginning that was not certain is settled only by a list that was applied

In each case a stream could go on at a version that did not begin it.

The starts count as listed up to a time only by an answer that the list has, a whole list sets that time back too, and with another era of the store what was listed is forgotten: such beginnings stay uncertain. Specs of both in resumer.

--- a/resumer/resumer_test.go
+++ b/resumer/resumer_test.go
@@ -134,6 +134,28 @@
 		Entry("that has none any more", time.Second, true, []resumer.Worker{v1}, false),
 	)
 
+	// Guards against a list of an older snapshot that has a start of a worker which another one had replaced.
+	It("does not settle a beginning by a list after the source was restored", func() {
+		r := newResumer("h-1", true, v1, v2)
+		r.Receive(start, resumer.Record{Key: stream, Worker: v2.Uncertain(), Listed: v2, Host: "h-2", At: start})
+		r.ForgetListed()
+		later := start.Add(time.Second)
+		r.SetWorkers(later, later, listed)
+		r.StartsListed(later)
+		Expect(resolve(later, r, stream).Worker.IsUncertain()).To(BeTrue())
+	})
+
+	It("believes the list that was read last, also if it was read before another one", func() {
+		r := newResumer("h-1", true, v1, v2)
+		r.Receive(start, resumer.Record{Key: stream, Worker: v2.Uncertain(), Listed: v2, Host: "h-2", At: start})
+		r.StartsListed(start.Add(time.Second))
+		r.StartsListed(start)
+		r.StartsUpdated(start.Add(-time.Second))
+		Expect(resolve(start, r, stream).Worker.IsUncertain()).To(BeTrue())
+		r.StartsUpdated(start.Add(time.Second))
+		Expect(resolve(start, r, stream).Worker).To(Equal(v2))
+	})
+
 	Describe("with a stream that nobody knows", func() {
 		It("lets it go on where one version served all its life, without asking if its caller names no attempt", func() {
 			Expect(resolve(start, newResumer("h-1", true, v1, worker("c", "v1")), 0).Result).To(Equal(resumer.OneVersion))
--- a/resumer/settle.go
+++ b/resumer/settle.go
@@ -5,14 +5,26 @@
 // entryDelay is how long after the start of a worker its entry is at the source of the list.
 const entryDelay = 50 * time.Millisecond
 
-// StartsListed records that the list has each start of a worker up to a time: it was read then,
-// and its source did not fail for the time in which workers write their entries again.
-func (r *Resumer) StartsListed(at time.Time) {
+// StartsListed records that the whole list was read, and has each start of a worker up to a time:
+// its source did not fail for the time in which workers write their entries again.
+func (r *Resumer) StartsListed(at time.Time) { r.history.startsAt = at }
+
+// StartsUpdated records that the changes of the list were read up to a time.
+func (r *Resumer) StartsUpdated(at time.Time) {
 	if at.After(r.history.startsAt) {
 		r.history.startsAt = at
 	}
 }
 
+// ForgetListed forgets what was listed of workers: the source was restored from an older snapshot,
+// which may have entries that were replaced.
+func (r *Resumer) ForgetListed() {
+	r.history.startsAt = time.Time{}
+	for _, x := range r.records.byKey {
+		x.Listed = Worker{}
+	}
+}
+
 // settled returns the record of a stream, nil if there is none. Where it was not certain which
 // start of a worker began the stream, a list read later shows it: another start would have
 // replaced the listed one. The host that carried the stream may have failed before it knew.
--- a/runner/origins.go
+++ b/runner/origins.go
@@ -39,6 +39,7 @@
 	workers   *prometheus.GaugeVec // by service and version
 	count     atomic.Int64         // of records
 	first     firstStart
+	era       uint64 // of the store, by the list of workers
 }
 
 // Events of originSync.
@@ -284,6 +285,14 @@
 	}
 }
 
+// setEra applies the store's era: a later one is a restore from an older snapshot.
+func (o *originSync) setEra(era uint64) {
+	if era != o.era {
+		o.era = era
+		o.resumer.ForgetListed()
+	}
+}
+
 // setWorkers applies the list of workers, and reports the streams that began while there was only
 // one version.
 func (o *originSync) setWorkers(now, updatedAt time.Time, entries []observer.Entry) {
--- a/runner/selector.go
+++ b/runner/selector.go
@@ -308,6 +308,7 @@
 	}
 	added, removed := p.view.SetWorkers(now, workers)
 	p.setTunnelWorkers()
+	p.origins.setEra(p.relay.Era())
 	p.origins.setWorkers(now, p.updatedAt, p.directory.All())
 	p.listUpdated(now)
 	for _, w := range added {
--- a/runner/worker_entries.go
+++ b/runner/worker_entries.go
@@ -95,13 +95,24 @@
 		}
 	}
 	if !e.failed {
-		if p.directory.Settled(now) {
-			p.origins.resumer.StartsListed(e.sentAt)
-		}
+		p.startsRead(now, e)
 		p.origins.resumer.ListConfirmed(now, e.sentAt)
 	}
 }
 
+// startsRead records up to when the list has each start of a worker, if an answer of the store
+// was applied.
+func (p *selector) startsRead(now time.Time, e storeResult) {
+	upto, known := e.update.Upto, p.relay.Version()
+	switch {
+	case !p.directory.Settled(now) || upto.Era() != known.Era() || upto > known:
+	case e.full:
+		p.origins.resumer.StartsListed(e.sentAt)
+	default:
+		p.origins.resumer.StartsUpdated(e.sentAt)
+	}
+}
+
 // applyStoreList applies a full list that this host read from the store.
 func (p *selector) applyStoreList(now time.Time, e storeResult) {
 	w := e.update
