--- a/resumer/lookup.go
+++ b/resumer/lookup.go
@@ -253,7 +253,6 @@
 	listed := current || l.listFailed || now.Sub(l.askedAt) >= listTimeout
 	switch {
 	case l.heard(now) && (listed || !r.listMayHelp(now, l)):
-	case a.Result == OneVersion && current && len(l.histories) > 0:
 	case a.Result == Known && !a.Worker.IsUncertain():
 	default:
 		return
