No list is read that can't decide a stream that is taken up

Cause: each lookup asked for a list, also where two versions served in the life of a stream, which no list can change: up to 40 calls a second from a host in a release. Change: the list is read only where this host knows of one version, or the start that a record names is still listed.

--- a/resumer/lookup.go
+++ b/resumer/lookup.go
@@ -287,13 +287,23 @@
 // NeedsList reports whether a lookup waits for a list of the workers that is read from now on.
 func (r *Resumer) NeedsList() bool {
 	for _, l := range r.pending {
-		if !l.listFailed && r.history.confirmedAt.Before(l.askedAt) {
+		if !l.listFailed && r.history.confirmedAt.Before(l.askedAt) && r.listMayDecide(l) {
 			return true
 		}
 	}
 	return false
 }
 
+// listMayDecide reports whether what this host knows leaves a lookup to the list: where two
+// versions served, no list shows that one did.
+func (r *Resumer) listMayDecide(l *lookup) bool {
+	if r.records.get(l.Stream) != nil {
+		return r.listMayHelp(l.askedAt, l)
+	}
+	service := l.Services[0]
+	return r.history.view(l.askedAt, service, r.life(service)).one()
+}
+
 // ListConfirmed records that the list holds all changes up to a time, and answers the lookups
 // that it decides.
 func (r *Resumer) ListConfirmed(now, at time.Time) {
