A stream is bound to the only version also while none of its workers is listed

What callers saw: 503 without a time, for good, while the workers of the only version were off the list for a moment. Cause: the worker that a stream was bound to was looked up among those listed now. Change: the history keeps a worker of each software that went away.

--- a/resumer/history.go
+++ b/resumer/history.go
@@ -22,7 +22,13 @@
 	present     map[string]map[string]Worker    // a worker of each software that is listed now, by service
 	starts      map[string]Worker               // the workers that are listed now, by name
 	startsAt    time.Time                       // until when the list is known to have each start of a worker
-	gone        map[string]map[string]time.Time // when the last worker of a software went away, by service
+	gone        map[string]map[string]departure // of the last worker of a software, by service
+}
+
+// departure is a worker that went away.
+type departure struct {
+	worker Worker
+	at     time.Time
 }
 
 // observe applies a complete list of workers that was current at a time.
@@ -41,32 +47,32 @@
 		present[w.Service][w.Software()] = w
 	}
 	for service, list := range h.present {
-		for software := range list {
+		for software, w := range list {
 			if _, ok := present[service][software]; !ok {
-				h.leave(now, service, software)
+				h.leave(now, w)
 			}
 		}
 	}
 	h.present = present
 }
 
-// leave records when the last worker of a software was there.
-func (h *history) leave(at time.Time, service, software string) {
+// leave records that the last worker of a software was there.
+func (h *history) leave(at time.Time, w Worker) {
 	if h.gone == nil {
-		h.gone = map[string]map[string]time.Time{}
+		h.gone = map[string]map[string]departure{}
 	}
-	if h.gone[service] == nil {
-		h.gone[service] = map[string]time.Time{}
+	if h.gone[w.Service] == nil {
+		h.gone[w.Service] = map[string]departure{}
 	}
-	if at.After(h.gone[service][software]) {
-		h.gone[service][software] = at
+	if at.After(h.gone[w.Service][w.Software()].at) {
+		h.gone[w.Service][w.Software()] = departure{worker: w, at: at}
 	}
 }
 
 // expire forgets software that went away before a time.
 func (h *history) expire(before time.Time) {
 	for service, list := range h.gone {
-		maps.DeleteFunc(list, func(_ string, at time.Time) bool { return at.Before(before) })
+		maps.DeleteFunc(list, func(_ string, x departure) bool { return x.at.Before(before) })
 		if len(list) == 0 {
 			delete(h.gone, service)
 		}
@@ -95,8 +101,8 @@
 // software returns the software that served in a service within a time, sorted.
 func (h *history) software(now time.Time, service string, d time.Duration) []string {
 	all := slices.Collect(maps.Keys(h.present[service]))
-	for s, at := range h.gone[service] {
-		if _, ok := h.present[service][s]; !ok && now.Sub(at) < d {
+	for s, x := range h.gone[service] {
+		if _, ok := h.present[service][s]; !ok && now.Sub(x.at) < d {
 			all = append(all, s)
 		}
 	}
@@ -104,10 +110,13 @@
 	return all
 }
 
-// listed returns a worker of a software, without what other workers of it don't share.
-func (h *history) listed(service, software string) Worker {
+// workerOf returns a worker of a software that served, without what other workers of it don't share.
+func (h *history) workerOf(service, software string) Worker {
 	w, ok := h.present[service][software]
-	if !ok || w.Version == "" {
+	if !ok {
+		w = h.gone[service][software].worker
+	}
+	if w.Version == "" {
 		return w
 	}
 	return Worker{Service: w.Service, Version: w.Version}
--- a/resumer/lookup.go
+++ b/resumer/lookup.go
@@ -141,7 +141,7 @@
 		Basis: Basis{Software: own.Software, ListAge: r.history.age(now), Asked: asked, Answered: len(others)},
 	}
 	if a.Result == OneVersion {
-		a.Worker = r.history.listed(own.Service, own.Software[0])
+		a.Worker = r.history.workerOf(own.Service, own.Software[0])
 	}
 	return a
 }
--- a/resumer/resumer.go
+++ b/resumer/resumer.go
@@ -70,7 +70,7 @@
 
 // Served records that a worker which is not on the list served until now. SetWorkers is to be
 // called afterwards.
-func (r *Resumer) Served(now time.Time, w Worker) { r.history.leave(now, w.Service, w.Software()) }
+func (r *Resumer) Served(now time.Time, w Worker) { r.history.leave(now, w) }
 
 // Missed records that software may have come and gone unseen until now. SetWorkers is to be called
 // afterwards.
