A route's earlier, longer timeout counts for as long as its streams live

What callers saw: after a configuration shortened a timeout, streams begun before could go on at another version: their version was forgotten early, and a young host counted as knowing all of their life (ORDER). Change: a longer timeout of before counts for the life of a stream from then on. A host that starts after the change does not know the earlier one: open.

--- a/resumer/resumer.go
+++ b/resumer/resumer.go
@@ -20,18 +20,25 @@
 	self     string
 	records  records
 	history  history
-	timeouts map[string]time.Duration // longest timeout of a route with streams, by service
-	one      map[string]bool          // services of which a single software served, as of the last check
-	untold   []Record                 // own records that other hosts have not received yet
-	pending  map[uint64]*lookup       // by number
-	numbers  uint64                   // of lookups
-	queued   []uint64                 // lookups that were not sent yet, by number
+	timeouts map[string]time.Duration  // longest timeout of a route with streams, by service
+	earlier  map[string]earlierTimeout // by service
+	one      map[string]bool           // services of which a single software served, as of the last check
+	untold   []Record                  // own records that other hosts have not received yet
+	pending  map[uint64]*lookup        // by number
+	numbers  uint64                    // of lookups
+	queued   []uint64                  // lookups that were not sent yet, by number
+}
+
+// earlierTimeout is a timeout that was longer than the current one.
+type earlierTimeout struct {
+	timeout time.Duration
+	until   time.Time // when its last streams have ended; zero before the next sweep
 }
 
 // New returns the Resumer of a host that knows no workers. first states that the whole system
 // starts for the first time: no stream began before.
 func New(self string, first bool) *Resumer {
-	return &Resumer{self: self, history: history{always: first}, one: map[string]bool{}, pending: map[uint64]*lookup{}}
+	return &Resumer{self: self, history: history{always: first}, one: map[string]bool{}, earlier: map[string]earlierTimeout{}, pending: map[uint64]*lookup{}}
 }
 
 // SetFirst states whether the whole system starts for the first time, if that becomes known later.
@@ -43,13 +50,34 @@
 	r.checkOne(now)
 }
 
-// SetTimeouts sets the longest timeout of the routes with streams of each service.
-func (r *Resumer) SetTimeouts(t map[string]time.Duration) { r.timeouts = t }
+// SetTimeouts sets the longest timeout of the routes with streams of each service. Where it was
+// longer before, that counts for as long as its streams may live.
+func (r *Resumer) SetTimeouts(t map[string]time.Duration) {
+	for service, earlier := range r.timeouts {
+		if earlier > t[service] && earlier > r.earlier[service].timeout {
+			r.earlier[service] = earlierTimeout{timeout: earlier}
+		}
+	}
+	r.timeouts = t
+}
+
+// sweepTimeouts forgets the earlier timeouts whose streams have ended.
+func (r *Resumer) sweepTimeouts(now time.Time) {
+	for service, x := range r.earlier {
+		switch {
+		case x.until.IsZero():
+			x.until = now.Add(lives*x.timeout + lifeMargin)
+			r.earlier[service] = x
+		case !now.Before(x.until):
+			delete(r.earlier, service)
+		}
+	}
+}
 
 // life returns the longest time from a service's stream's beginning to the last attempt that
 // may go on with it.
 func (r *Resumer) life(service string) time.Duration {
-	return lives*cmp.Or(r.timeouts[service], defaultTimeout) + lifeMargin
+	return lives*max(cmp.Or(r.timeouts[service], defaultTimeout), r.earlier[service].timeout) + lifeMargin
 }
 
 // longestLife returns the longest life of a stream of any service.
@@ -58,6 +86,9 @@
 	for service := range r.timeouts {
 		longest = max(longest, r.life(service))
 	}
+	for service := range r.earlier {
+		longest = max(longest, r.life(service))
+	}
 	return longest
 }
 
@@ -177,6 +208,7 @@
 
 // Sweep forgets what no stream can need any more.
 func (r *Resumer) Sweep(now time.Time) {
+	r.sweepTimeouts(now)
 	before := now.Add(-r.longestLife())
 	r.records.expire(before)
 	r.history.expire(before)
