A stream is refused for good only by a list of the last second

Cause: the refusal rested on the list, however old it was. Change: the request waits for a list that is read now, if the last one is over a second old and the store answers.

--- a/runner/list_confirm.go
+++ b/runner/list_confirm.go
@@ -117,6 +117,9 @@
 	if p.doubtsList(now) {
 		return true
 	}
+	if len(p.waiting.requests) > 0 && p.awaitsList(now) {
+		return true
+	}
 	return p.directory.Settled(now) && p.waiting.any(func(openedAt time.Time) bool {
 		return now.Sub(openedAt) >= entryDelay && p.waiting.listedAt.Sub(openedAt) < entryDelay
 	})
--- a/runner/list_wait.go
+++ b/runner/list_wait.go
@@ -16,6 +16,9 @@
 // store is up.
 const entryDelay = 50 * time.Millisecond
 
+// maxGoneAge is the age of a list by which a stream may be refused for good as its version is gone.
+const maxGoneAge = time.Second
+
 // maxWaitingBeginnings bounds the streams whose beginning waits for the list.
 const maxWaitingBeginnings = 4096
 
@@ -35,12 +38,13 @@
 
 // answerOrHold answers a request for a worker, unless it is worth to wait for the list.
 func (p *selector) answerOrHold(now time.Time, e workerRequested, r workerReply) {
-	if p.clearsUp(e, r) {
+	if p.clearsUp(now, e, r) {
 		if e.heldSince.IsZero() {
 			e.heldSince = now
 		}
 		if now.Sub(e.heldSince) < maxHold {
 			p.waiting.requests = append(p.waiting.requests, e)
+			p.confirmFor(now, e.heldSince.Add(-entryDelay))
 			return
 		}
 	}
@@ -48,19 +52,27 @@
 }
 
 // clearsUp reports whether a request was refused for something that the list will show.
-func (p *selector) clearsUp(e workerRequested, r workerReply) bool {
+func (p *selector) clearsUp(now time.Time, e workerRequested, r workerReply) bool {
 	if r.refused == nil {
 		return false
 	}
 	switch r.refused.Reason {
 	case placer.ReasonUnconfirmed:
 		return true
+	case placer.ReasonVersionGone:
+		return p.awaitsList(now)
 	case placer.ReasonUncertain:
 		return slices.ContainsFunc(p.waiting.beginnings, func(b streamBegan) bool { return slices.Contains(b.keys, e.request.Stream) })
 	}
 	return false
 }
 
+// awaitsList reports whether the list is too old to show that a version is gone, and the store can
+// be asked.
+func (p *selector) awaitsList(now time.Time) bool {
+	return now.Sub(p.confirmation.at) > maxGoneAge && !p.confirmation.failing(now)
+}
+
 // retryWaiting handles again what waits for the list.
 func (p *selector) retryWaiting(now time.Time) {
 	w := p.waiting
