Specs of the list of workers don't depend on how fast they run

What was seen: "is asked of the store once the worker must have registered" failed in 1 run of the package, at a load of about 60 on eight cores: it handled posted events for 150 ms only, and the call of the store was later. Change: specs handle events until what is awaited is there, for 1 s at most (no heartbeat comes in them, so that only the call can answer), and hand updates to the selector directly instead of behind what timers have posted. As strict as before.

--- a/runner/export_test.go
+++ b/runner/export_test.go
@@ -265,18 +265,26 @@
 // worker runs.
 func CertaintyInterval(hosts int) time.Duration { return certaintyInterval(hosts) }
 
-// HandleFor handles the events that are posted for a time, as the host's goroutine does.
-func (x Selector) HandleFor(d time.Duration) {
-	for end := time.After(d); ; {
+// ReceiveList handles another host's update of the list of workers, before all that was posted.
+func (x Selector) ReceiveList(now time.Time, from string, u messenger.ListUpdate) {
+	x.c.handle(now, listUpdateReceived{from: from, update: u})
+}
+
+// HandlePosted handles the events that were posted, as the host's goroutine does.
+func (x Selector) HandlePosted() {
+	for {
 		select {
 		case e := <-x.c.events:
 			x.c.handle(time.Now(), e)
-		case <-end:
+		default:
 			return
 		}
 	}
 }
 
+// StoreFails reports whether the store does not answer the host.
+func (x Selector) StoreFails(now time.Time) bool { return x.c.confirmation.failing(now) }
+
 // Certain asks whether it is a worker that answers over a connection made at openedAt. The
 // channel has the answer, once there is one.
 func (x Selector) Certain(now time.Time, w resumer.Worker, openedAt time.Time) <-chan bool {
--- a/runner/list_wait_test.go
+++ b/runner/list_wait_test.go
@@ -34,7 +34,7 @@
 	// Guards against a restarted worker that a heartbeat of before its restart, which was held up, vouches for.
 	It("is not shown by another host's heartbeat, which may be of before the connection", func() {
 		answer := x.Certain(opened, worker, opened)
-		x.Receive(opened.Add(300*time.Millisecond), "w", messenger.ListUpdate{After: 3, Upto: 3})
+		x.ReceiveList(opened.Add(300*time.Millisecond), "w", messenger.ListUpdate{After: 3, Upto: 3})
 		Expect(answer).NotTo(Receive())
 	})
 
@@ -73,8 +73,10 @@
 		})
 		now := time.Now()
 		answer := x.Certain(now, worker, now)
-		x.HandleFor(150 * time.Millisecond)
-		Expect(answer).To(Receive(BeTrue()))
+		Eventually(func() <-chan bool {
+			x.HandlePosted()
+			return answer
+		}, time.Second, time.Millisecond).Should(Receive(BeTrue()))
 	})
 
 	// Guards against a host that the store does not answer and that refuses each stream, though other hosts know the list.
@@ -82,10 +84,13 @@
 		x.SetListReader(func(storer.Version) (relayer.Update, error) { return relayer.Update{}, errors.New("no answer") })
 		now := time.Now()
 		answer := x.Certain(now, worker, now)
-		x.HandleFor(150 * time.Millisecond)
-		x.Receive(now.Add(time.Second), "w", messenger.ListUpdate{After: 3, Upto: 3})
+		Eventually(func() bool {
+			x.HandlePosted()
+			return x.StoreFails(now.Add(time.Second))
+		}, time.Second, time.Millisecond).Should(BeTrue())
+		x.ReceiveList(now.Add(time.Second), "w", messenger.ListUpdate{After: 3, Upto: 3})
 		Expect(answer).NotTo(Receive())
-		x.Receive(now.Add(1300*time.Millisecond), "w", messenger.ListUpdate{After: 3, Upto: 3})
+		x.ReceiveList(now.Add(1300*time.Millisecond), "w", messenger.ListUpdate{After: 3, Upto: 3})
 		Expect(answer).To(Receive(BeTrue()))
 	})
 
--- a/runner/standstill_test.go
+++ b/runner/standstill_test.go
@@ -47,7 +47,7 @@
 	// Guards against an old list that counts as the present one, by heartbeats that waited in a socket.
 	It("believes no heartbeat and no answer to a call of before, until the store answered", func() {
 		now := known.Add(4 * time.Second)
-		x.Receive(now, "w", messenger.ListUpdate{After: 2, Upto: 2})
+		x.ReceiveList(now, "w", messenger.ListUpdate{After: 2, Upto: 2})
 		x.StoreAnswered(now, known.Add(100*time.Millisecond), false, relayer.Update{After: 2, Upto: 2})
 		Expect(x.Fresh(now, "s")).To(BeFalse())
 		answer := x.Certain(now, worker, now)
@@ -61,7 +61,7 @@
 	It("believes no list of before its machine was suspended", func() {
 		now := known.Add(100 * time.Millisecond)
 		suspended = 4 * time.Second
-		x.Receive(now, "w", messenger.ListUpdate{After: 2, Upto: 2})
+		x.ReceiveList(now, "w", messenger.ListUpdate{After: 2, Upto: 2})
 		Expect(x.Fresh(now, "s")).To(BeFalse())
 		Expect(x.Certain(now, worker, now)).NotTo(Receive())
 	})
@@ -92,11 +92,11 @@
 	// Guards against a host that the store does not answer and that believes nobody for good.
 	It("believes heartbeats again after a time in which it has read all that waited", func() {
 		now := known.Add(4 * time.Second)
-		x.Receive(now, "w", messenger.ListUpdate{After: 2, Upto: 2})
+		x.ReceiveList(now, "w", messenger.ListUpdate{After: 2, Upto: 2})
 		Expect(x.Fresh(now, "s")).To(BeFalse())
 		for range 30 {
 			now = now.Add(200 * time.Millisecond)
-			x.Receive(now, "w", messenger.ListUpdate{After: 2, Upto: 2})
+			x.ReceiveList(now, "w", messenger.ListUpdate{After: 2, Upto: 2})
 		}
 		Expect(x.Fresh(now, "s")).To(BeTrue())
 	})
