An odd element of the host list costs no other

Seen: one element of the host list that can't be decoded (nested deeply, a number too large, no object) made the whole list fail; the last one stayed in force, and no worker that joined or left was noticed. Cause: the list was decoded whole. Change: its elements are found by splitter and decoded one by one; one that can't be decoded is skipped.

--- a/observer/client.go
+++ b/observer/client.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/cicadawood/cicadawood/connector"
+	"github.com/cicadawood/cicadawood/splitter"
 )
 
 const (
@@ -57,13 +58,29 @@
 
 // List returns the platform's host list.
 func (c *Client) List(ctx context.Context) ([]Listing, error) {
-	var body struct {
-		Hosts []Listing `json:"hosts"`
-	}
-	if err := get(ctx, c.http, c.platform+"/hosts", listTimeout, maxListBytes, false, &body); err != nil {
+	var list []Listing
+	decode := func(text []byte) (err error) { list, err = decodeList(text); return err }
+	if err := get(ctx, c.http, c.platform+"/hosts", listTimeout, maxListBytes, false, decode); err != nil {
 		return nil, fmt.Errorf("host list: %w", err)
 	}
-	return body.Hosts, nil
+	return list, nil
+}
+
+// decodeList decodes the host list but for the elements that can't be decoded.
+func decodeList(text []byte) ([]Listing, error) {
+	fields, err := splitter.Object(text)
+	if err != nil || fields["hosts"] == nil {
+		return nil, err
+	}
+	elements, err := splitter.Array(fields["hosts"])
+	var list []Listing
+	for _, element := range elements {
+		var l Listing
+		if json.Unmarshal(element, &l) == nil {
+			list = append(list, l)
+		}
+	}
+	return list, err
 }
 
 // Report returns the load report of the worker at address. If the worker answers, but has no
@@ -72,15 +89,15 @@
 	var r Report
 	// A connection through another host is not kept: it would keep that host from stopping.
 	once := c.dialer.Lost(address)
-	if err := get(ctx, c.workers, "http://"+address+"/load", reportTimeout, maxReportBytes, once, &r); err != nil {
+	if err := get(ctx, c.workers, "http://"+address+"/load", reportTimeout, maxReportBytes, once, func(text []byte) error { return json.Unmarshal(text, &r) }); err != nil {
 		return r, fmt.Errorf("load report of %s: %w", address, err)
 	}
 	return r, nil
 }
 
-// get reads a JSON document into out, which stays unchanged if the server answers 404. With
+// get reads a document and decodes it unless the server answers 404. With
 // once, the connection is not kept.
-func get(ctx context.Context, c *http.Client, url string, timeout time.Duration, limit int64, once bool, out any) error {
+func get(ctx context.Context, c *http.Client, url string, timeout time.Duration, limit int64, once bool, decode func([]byte) error) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
@@ -103,7 +120,7 @@
 	if err != nil {
 		return fmt.Errorf("%w: %v", ErrUnavailable, err)
 	}
-	if err := json.Unmarshal(body, out); err != nil {
+	if err := decode(body); err != nil {
 		return fmt.Errorf("%w: %v", ErrUnavailable, err)
 	}
 	return nil
