--- a/measurer/measurer_test.go
+++ b/measurer/measurer_test.go
@@ -37,7 +37,12 @@
 	for _, v := range []any{
 		nil, true, 1, -1, -200, 1 << 40, math.Pi, float32(1), "", string(make([]byte, 300)), string(make([]byte, 70_000)), make([]byte, 300), make([]byte, 70_000),
 		[]int{},
-		make([]int, 20), make([]uint64, 70_000), map[string]int{}, map[string][]string{"a": {"b", "c"}, "d": nil}, time.Now(), time.Hour,
+		make([]int, 20),
+		make([]uint64, 70_000),
+		map[string]int{},
+		map[string][]string{"a": {"b", "c"}, "d": nil},
+		time.Now(),
+		time.Hour,
 		[]any{[]any{[]any{map[string]any{"x": []byte("y")}}}, 1, []any{}, 2},
 	} {
 		text, err := msgpack.Marshal(v)
