Red: an answer to an earlier question counts for a stream that was taken up after it

Cause, by the code: OriginReply names no question, and ReceiveTold applies it to all lookups that wait for its sender. The spec hands an old answer to a later question: one_version in place of unknown, red on. Not mended here.

--- a/resumer/resumer_test.go
+++ b/resumer/resumer_test.go
@@ -237,6 +237,24 @@
 			}
 		})
 
+		// Guards against a host's answer of before this one stood still, read for a stream that was taken up after it.
+		It("takes no answer to an earlier question for one to its own", func() {
+			taker, other := newResumer("h-1", true, v1), newResumer("h-2", true, v1)
+			later, got := start.Add(2*time.Second), map[string]resumer.Result{}
+			ask := func(now time.Time, id string) resumer.Ask {
+				taker.Resolve(now, resumer.TakenUp{Stream: resumer.KeyOf("large", id), Services: []string{service}}, true, func(a resumer.Answer) { got[id] = a.Result })
+				return taker.DrainAsks([]string{"h-2", "h-3"})[0]
+			}
+			before := other.Tell(start, ask(start, "first"))
+			other.SetWorkers(later, later, []resumer.Worker{v1, v2})
+			after := other.Tell(later, ask(later, "second"))
+			taker.ListConfirmed(later, later)
+			taker.ReceiveTold(later, "h-2", before)
+			taker.ReceiveTold(later, "h-2", after)
+			taker.Expire(later.Add(resumer.AskTimeout()))
+			Expect(got).To(HaveKeyWithValue("second", resumer.Unknown))
+		})
+
 		// Guards against an answer to a call of before the question, which arrives after it.
 		It("waits for a list that was read after the stream was taken up", func() {
 			r := newResumer("h-1", true, v1)
