Red: a host that stood still while a version came and went takes its history for complete

What callers see: all their streams of a version that was taken back go on at the old one, 200, at the host that stood still, as the others have failed. Cause: a host that goes on reads the list anew, without the version that came and went, and its history still counts as complete (resumer.history.since is not moved by a gap between two lists); nobody is left to say otherwise, and with a current list silence decides nothing. Not mended here.

--- a/soaker/out_of_step_test.go
+++ b/soaker/out_of_step_test.go
@@ -14,6 +14,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/cicadawood/cicadawood/faker"
+	"github.com/cicadawood/cicadawood/platform"
 )
 
 const (
@@ -44,18 +45,23 @@
 		return cutLinks([]*faker.Link{r.hosts[host].storeLink}, modes[random.IntN(len(modes))])
 	},
 	func(r *release, host int, random *rand.Rand) func() { // it is cut from the other hosts, one way or both
-		var out, in []*faker.Link
-		for i := range r.hosts {
-			if i != host {
-				out, in = append(out, r.peerLinks[host][i]), append(in, r.peerLinks[i][host])
-			}
-		}
+		out, in := r.linksOf(host)
 		ways := [][]*faker.Link{out, in, slices.Concat(out, in)}
 		modes := []faker.LinkMode{faker.Cut, faker.Unreachable}
 		return cutLinks(ways[random.IntN(len(ways))], modes[random.IntN(len(modes))])
 	},
 }
 
+// linksOf returns the links of a host to the other hosts, and theirs to it.
+func (r *release) linksOf(host int) (out, in []*faker.Link) {
+	for i := range r.hosts {
+		if i != host {
+			out, in = append(out, r.peerLinks[host][i]), append(in, r.peerLinks[i][host])
+		}
+	}
+	return out, in
+}
+
 // cutLinks makes links fail until the function returned is called.
 func cutLinks(links []*faker.Link, m faker.LinkMode) (end func()) {
 	for _, l := range links {
@@ -211,3 +217,58 @@
 		})
 	}
 })
+
+// Guards against streams joined from two versions by a host that stood still, cut from the others, while one of them came and went.
+var _ = Describe("A run in which a version is taken back while a host stands still", func() {
+	for i := range uint64(*seedCount) {
+		seed := *firstSeed + i
+		It("joins no streams of two versions, seed "+itoa(seed), func() {
+			r := newRelease(clusterConfig{seed: seed, repeatSlack: defaultRepeatSlack, timeoutMs: outOfStepTimeout, linkPeers: true})
+			r.waitForVersion("v1")
+			time.Sleep(streamLife)
+			behind, others := r.hosts[0], r.hosts[1:]
+			out, in := r.linksOf(0)
+			behind.signal(syscall.SIGSTOP)
+			endCut := cutLinks(slices.Concat(out, in), faker.Cut)
+			old := r.engines()
+			for range releaseWorkers {
+				r.startVersion("v2")
+			}
+			for _, x := range old {
+				x.Register(r.store, platform.StateDraining)
+			}
+			for i := range others {
+				Eventually(func() []string { return r.versionsAt(i + 1) }, waitTimeout, 20*time.Millisecond).Should(And(HaveLen(releaseWorkers), HaveEach("v2")))
+			}
+			tryAll := func(streams []*releaseStream, try int, hosts []*host, patience time.Duration) {
+				var calls sync.WaitGroup
+				for n, x := range streams {
+					calls.Go(func() {
+						defer GinkgoRecover()
+						x.try(hosts[n%len(hosts)], fmt.Sprintf("s-%d-%d", n, try), true, patience)
+					})
+				}
+				calls.Wait()
+			}
+			for range rejoinedStreams {
+				r.streams = append(r.streams, &releaseStream{})
+			}
+			tryAll(r.streams, 0, others, beginPatience)
+			for _, x := range r.engines()[len(old):] {
+				r.retire(x)
+			}
+			for _, x := range old {
+				x.Register(r.store, platform.StateReady)
+			}
+			for _, h := range others {
+				h.kill()
+			}
+			behind.signal(syscall.SIGCONT)
+			endCut()
+			tryAll(r.streams, 1, []*host{behind}, callPatience)
+			newer := countStreams(r.streams, func(x *releaseStream) bool { _, v := x.events(); return len(v) > 0 && v[0] == "v2" })
+			Expect(newer).To(BeNumerically(">", maxMixedStreams))
+			r.checkOrder()
+		})
+	}
+})
