A process before at a host's address shows that it is no first start

What callers saw: with settings that say so, all hosts killed and started again within 10 s of the system's first start let streams of before go on at any version (ORDER). Cause: each process writes its record under a name of its own, so that the store never showed an earlier one; only a host over 10 s older did. Change: the record of an earlier process at the same address, which the registrar finds as it joins, denies the first start.

--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -45,6 +45,8 @@
 	// OnFirstWrite, if set, is called once, when this host's record is first written or read: fresh states that the
 	// store had none of an earlier process of this name. It must not block for long.
 	OnFirstWrite func(fresh bool)
+	// OnPredecessor, if set, is called when a record of an earlier process at this host's address is found.
+	OnPredecessor func()
 }
 
 // Counts are a Registrar's statistics: hosts on the roster now, and events since the start.
@@ -212,6 +214,9 @@
 		case PredecessorFound:
 			r.config.Log.Info("succeeded", zap.String("peer", o.Host.Name), zap.Uint64("incarnation", o.Host.Incarnation))
 			r.recorder.queuePredecessor(o.Host.Name)
+			if r.config.OnPredecessor != nil {
+				r.config.OnPredecessor()
+			}
 		case StaleRecord:
 			r.config.Log.Info("record of a host that is gone is back", zap.String("peer", o.Host.Name), zap.Uint64("incarnation", o.Host.Incarnation))
 			r.recorder.queueDead(o.Host)
--- a/runner/host.go
+++ b/runner/host.go
@@ -175,7 +175,8 @@
 			h.control.post(rosterChanged{roster: r})
 			h.routes.setRoster(r)
 		},
-		OnFirstWrite: func(fresh bool) { h.routes.recordWritten(fresh) },
+		OnFirstWrite:  func(fresh bool) { h.routes.recordWritten(fresh) },
+		OnPredecessor: func() { h.routes.recordWritten(false) },
 	})
 	h.server = server.New(s.Limits, h.memory, h.follower, h.control, forward, h.log, server.NewMetrics(registry))
 	h.server.SetLimiter(limitAdapter{&h.control.limits.gates})
