An answer of another host counts for the question that it answers

What callers saw: streams taken up just after their host stood still went on at another version (ORDER): an answer of before, which had waited in its socket, counted as the other host's word for them. Cause: an answer was taken for each stream for which that host had been asked. Change: each request has a key that names no stream, and which each answer has among the keys that are not known; hosts of before answer so, too.

--- a/resumer/lookup.go
+++ b/resumer/lookup.go
@@ -1,8 +1,11 @@
 package resumer
 
 import (
+	"fmt"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -75,6 +78,7 @@
 	asked      int             // hosts that were asked
 	waiting    map[string]bool // hosts that were asked and have not answered; nil before they were asked
 	histories  map[string][]History
+	question   Key  // of the request to other hosts; their answers have it
 	listFailed bool // the list can't be had
 }
 
@@ -181,13 +185,15 @@
 func (r *Resumer) DrainAsks(hosts []string) []Ask {
 	var out []Ask
 	for part := range slices.Chunk(r.queued, maxAskKeys) {
-		var a Ask
+		r.numbers++
+		question := questionKey(r.self, r.numbers)
+		a := Ask{Keys: []Key{question}}
 		for _, n := range part {
 			l := r.pending[n]
 			if l == nil {
 				continue
 			}
-			l.waiting, l.asked = map[string]bool{}, len(hosts)
+			l.waiting, l.asked, l.question = map[string]bool{}, len(hosts), question
 			for _, h := range hosts {
 				l.waiting[h] = true
 			}
@@ -204,6 +210,13 @@
 	return out
 }
 
+// questionKey returns the key that marks a request of a host. It names no stream, so that each
+// answer has it among the keys that are not known: an answer to an earlier request may be of
+// before the host stood still.
+func questionKey(host string, number uint64) Key {
+	return Key(xxhash.Sum64String(fmt.Sprintf("question\x00%s\x00%d", host, number)))
+}
+
 // Tell answers another host's request.
 func (r *Resumer) Tell(now time.Time, a Ask) Told {
 	var t Told
@@ -236,6 +249,9 @@
 			l.reply(known(now, l.TakenUp, x.Record))
 			continue
 		}
+		if !slices.Contains(t.Unknown, l.question) {
+			continue
+		}
 		delete(l.waiting, from)
 		for _, h := range t.Histories {
 			if h.Service == l.Services[0] {
