A stream goes on at a worker that can start again under its name only by a list read after it registered

Cause: while one version served, the listed start of a worker counted as the one that answers, by a list that may be 1.5 s old; and 50 ms after a connection was made its entry was taken to be written, though a process may listen before it has registered, and the store be slow. Class: a statement of before, taken for one about now. Change: where entries state a start (so that a worker may come back under its name), a stream that goes on needs a list read 400 ms after its connection was made, whatever versions served; where they state none, as before. Beginnings where one version serves are recorded as before: asking the store for each would cost its rate of calls in calm times. Old specs: the one that took a young list of one version for enough now says it only of workers without a start, 60 ms became 410, 1,300 became 1,600.

--- a/runner/list_confirm.go
+++ b/runner/list_confirm.go
@@ -120,20 +120,20 @@
 	if len(p.waiting.requests) > 0 && p.awaitsList(now) {
 		return true
 	}
-	return p.directory.Settled(now) && p.waiting.any(func(openedAt time.Time) bool {
-		return now.Sub(openedAt) >= entryDelay && p.waiting.listedAt.Sub(openedAt) < entryDelay
+	return p.directory.Settled(now) && p.waiting.any(func(due time.Time) bool {
+		return !now.Before(due) && p.waiting.listedAt.Before(due)
 	})
 }
 
-// confirmFor has the list confirmed as soon as that can show which start of a worker answers over
-// a connection made at openedAt.
-func (p *selector) confirmFor(now, openedAt time.Time) {
+// confirmFor has the list confirmed as soon as that can show which start of a worker runs whose entry
+// is due then.
+func (p *selector) confirmFor(now, due time.Time) {
 	c := &p.confirmation
 	if c.expected {
 		return
 	}
 	c.expected = true
-	wait := max(openedAt.Add(entryDelay).Sub(now), c.sentAt.Add(certaintyInterval(p.roster.Len())).Sub(now))
+	wait := max(due.Sub(now), c.sentAt.Add(certaintyInterval(p.roster.Len())).Sub(now))
 	time.AfterFunc(wait, func() { p.post(listDue{}) })
 }
 
--- a/runner/list_history_test.go
+++ b/runner/list_history_test.go
@@ -15,6 +15,12 @@
 	"github.com/cicadawood/cicadawood/storer"
 )
 
+// unnamedStart is the entry of a worker that does not state its start.
+func unnamedStart(at storer.Version, name, version string) storer.Object {
+	value := fmt.Sprintf(`{"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,"state":"ready","version":%q}`, version)
+	return storer.Object{Key: platform.WorkersPrefix + name, Value: []byte(value), Version: at}
+}
+
 // workerEvent is the event of a store in which a worker's entry was written.
 func workerEvent(at storer.Version, name, incarnation, version string) storer.Object {
 	value := fmt.Sprintf(`{"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,"state":"ready","born":%s,"version":%q}`, incarnation, version)
--- a/runner/list_wait.go
+++ b/runner/list_wait.go
@@ -13,8 +13,21 @@
 const maxHold = 1700 * time.Millisecond
 
 // entryDelay is how long after the start of a worker its entry is on the hosts' lists, while the
-// store is up.
-const entryDelay = 50 * time.Millisecond
+// store is up. restartedEntryDelay is the same for a worker that may start again under its name: it
+// may take connections before it has registered, and the store may be slow.
+const (
+	entryDelay          = 50 * time.Millisecond
+	restartedEntryDelay = 400 * time.Millisecond
+)
+
+// entryDue returns when the list has the start of a worker that answers over a connection which was
+// made at openedAt.
+func entryDue(w resumer.Worker, openedAt time.Time) time.Time {
+	if w.Incarnation == "" {
+		return openedAt.Add(entryDelay)
+	}
+	return openedAt.Add(restartedEntryDelay)
+}
 
 // maxGoneAge is the age of a list by which a stream may be refused for good as its version is gone.
 const maxGoneAge = time.Second
@@ -27,13 +40,13 @@
 	requests    []workerRequested
 	certainties []certaintyRequested
 	beginnings  []streamBegan // recorded without a version until then
-	listedAt    time.Time     // the list is known to have the workers that ran then
+	listedAt    time.Time // the list is known to have the workers that ran then
 }
 
-// any reports whether a condition holds for when the connection of something that waits was made.
-func (w *waitingForList) any(condition func(openedAt time.Time) bool) bool {
-	return slices.ContainsFunc(w.certainties, func(e certaintyRequested) bool { return condition(e.openedAt) }) ||
-		slices.ContainsFunc(w.beginnings, func(e streamBegan) bool { return condition(e.openedAt) })
+// any reports whether a condition holds for when the entry of something that waits is due.
+func (w *waitingForList) any(condition func(due time.Time) bool) bool {
+	return slices.ContainsFunc(w.certainties, func(e certaintyRequested) bool { return condition(entryDue(e.worker, e.openedAt)) }) ||
+		slices.ContainsFunc(w.beginnings, func(e streamBegan) bool { return condition(entryDue(e.worker, e.openedAt)) })
 }
 
 // answerOrHold answers a request for a worker, unless it is worth to wait for the list.
@@ -44,7 +57,7 @@
 		}
 		if now.Sub(e.heldSince) < maxHold {
 			p.waiting.requests = append(p.waiting.requests, e)
-			p.confirmFor(now, e.heldSince.Add(-entryDelay))
+			p.confirmFor(now, e.heldSince)
 			return
 		}
 	}
@@ -92,7 +105,7 @@
 // the listed start of it, the record has no version, so that the stream goes on nowhere.
 func (p *selector) streamBegan(now time.Time, e streamBegan) {
 	certain, decided := p.isCertain(now, e.worker, e.openedAt)
-	if certain {
+	if certain || p.servesOne(now, e.worker.Service) {
 		p.origins.began(now, e)
 		return
 	}
@@ -101,7 +114,7 @@
 	}
 	if !decided && len(p.waiting.beginnings) < maxWaitingBeginnings {
 		p.waiting.beginnings = append(p.waiting.beginnings, e)
-		p.confirmFor(now, e.openedAt)
+		p.confirmFor(now, entryDue(e.worker, e.openedAt))
 	}
 }
 
@@ -114,22 +127,22 @@
 		return
 	}
 	p.waiting.certainties = append(p.waiting.certainties, e)
-	p.confirmFor(now, e.openedAt)
+	p.confirmFor(now, entryDue(e.worker, e.openedAt))
 }
 
 // isCertain reports whether it is a listed start of a worker that answers over a connection that
 // was made at openedAt: the list was current afterwards, also if other connections to the
-// worker had just broken, and has that start, or none as it is leaving. decided is false while the list was not. Where one version served it makes no
-// difference.
+// worker had just broken, and has that start, or none as it is leaving. decided is false while the list was not. Where one version served and
+// workers don't start again under their names it makes no difference.
 func (p *selector) isCertain(now time.Time, w resumer.Worker, openedAt time.Time) (certain, decided bool) {
-	if p.servesOne(now, w.Service) {
+	if w.Incarnation == "" && p.servesOne(now, w.Service) {
 		return true, true
 	}
 	listed, ok := p.view.Worker(w.Name)
 	switch {
 	case ok && listed.Software() != w:
 		return false, true
-	case p.waiting.listedAt.Sub(openedAt) < entryDelay, ok && !p.view.ConfirmedSince(w.Name, openedAt):
+	case p.waiting.listedAt.Before(entryDue(w, openedAt)), ok && !p.view.ConfirmedSince(w.Name, openedAt):
 		return false, false
 	}
 	return true, true
--- a/runner/list_wait_test.go
+++ b/runner/list_wait_test.go
@@ -47,7 +47,7 @@
 
 	// Guards against a list that takes back a worker's restart, as its call was overtaken by one that was sent later.
 	It("is not shown by an overtaken list, nor by changes that don't follow it", func() {
-		sent := opened.Add(60 * time.Millisecond)
+		sent := opened.Add(410 * time.Millisecond)
 		x.StoreAnswered(sent, sent, false, relayer.Update{After: 3, Upto: 5, Changed: []storer.Object{workerEvent(5, "a", "2", "v3")}})
 		x.StoreAnswered(sent.Add(10*time.Millisecond), opened.Add(-time.Millisecond), true, relayer.Update{Upto: 4, Changed: []storer.Object{workerEvent(2, "a", "1", "v1"), workerEvent(3, "b", "1", "v2")}})
 		answer := x.Certain(sent.Add(20*time.Millisecond), worker, opened)
@@ -60,7 +60,9 @@
 
 	It("is shown by an answer to a call that was sent when the worker had registered", func() {
 		answer, gone := x.Certain(opened, worker, opened), x.Certain(opened, resumer.Worker{Service: "s", Name: "b", Incarnation: "1", Version: "v2"}, opened)
-		sent := opened.Add(60 * time.Millisecond)
+		sent := opened.Add(410 * time.Millisecond)
+		x.StoreAnswered(sent.Add(-10*time.Millisecond), sent.Add(-20*time.Millisecond), false, relayer.Update{After: 3, Upto: 3})
+		Expect(answer).NotTo(Receive(), "its entry may be late")
 		x.StoreAnswered(sent.Add(10*time.Millisecond), sent, false, relayer.Update{After: 3, Upto: 4, Changed: []storer.Object{workerEvent(4, "b", "2", "v3")}})
 		Expect(answer).To(Receive(BeTrue()))
 		Expect(gone).To(Receive(BeFalse()))
@@ -91,18 +93,38 @@
 		x.ReceiveList(now.Add(time.Second), "w", messenger.ListUpdate{After: 3, Upto: 3})
 		Expect(answer).NotTo(Receive())
 		x.ReceiveList(now.Add(1300*time.Millisecond), "w", messenger.ListUpdate{After: 3, Upto: 3})
+		Expect(answer).NotTo(Receive())
+		x.ReceiveList(now.Add(1600*time.Millisecond), "w", messenger.ListUpdate{After: 3, Upto: 3})
 		Expect(answer).To(Receive(BeTrue()))
 	})
 
 	// Guards against a host that stood still, or was cut off, and takes its old list of one version for the present.
 	It("is not guessed where an old list has one version", func() {
 		x = runner.NewSelectorOf(listed, loader.Host{Name: "h", Zone: "z"}, nil, func(string, messenger.Message) {})
-		x.StoreAnswered(listed, listed, true, relayer.Update{Upto: 2, Changed: []storer.Object{workerEvent(2, "a", "1", "v1")}})
+		all := relayer.Update{Upto: 3, Changed: []storer.Object{workerEvent(2, "a", "1", "v1"), unnamedStart(3, "b", "v1")}}
+		x.StoreAnswered(listed, listed, true, all)
+		known := listed.Add(time.Minute)
+		x.StoreAnswered(known, known, false, relayer.Update{After: 3, Upto: 3})
+		x.StoreAnswered(known, known, true, all)
+		young, old := known.Add(time.Second), known.Add(time.Minute)
+		unnamed := resumer.Worker{Service: "s", Name: "b", Version: "v1"}
+		Expect(x.Certain(young, unnamed, young)).To(Receive(BeTrue()), "the list is young")
+		Expect(x.Certain(old, unnamed, old)).NotTo(Receive())
+		Expect(x.Certain(old, worker, old)).NotTo(Receive())
+	})
+
+	// Guards against the first worker of a second version, which starts again under its name and registers later.
+	It("is guessed by a young list of one version only where workers don't start again under their names", func() {
+		x = runner.NewSelectorOf(listed, loader.Host{Name: "h", Zone: "z"}, nil, func(string, messenger.Message) {})
+		all := relayer.Update{Upto: 3, Changed: []storer.Object{workerEvent(2, "a", "1", "v1"), unnamedStart(3, "b", "v1")}}
+		x.StoreAnswered(listed, listed, true, all)
 		known := listed.Add(time.Minute)
-		x.StoreAnswered(known, known, false, relayer.Update{After: 2, Upto: 2})
-		x.StoreAnswered(known, known, true, relayer.Update{Upto: 2, Changed: []storer.Object{workerEvent(2, "a", "1", "v1")}})
-		Expect(x.Certain(known.Add(time.Second), worker, known.Add(time.Second))).To(Receive(BeTrue()), "the list is young")
-		Expect(x.Certain(known.Add(time.Minute), worker, known.Add(time.Minute))).NotTo(Receive())
+		x.StoreAnswered(known, known, false, relayer.Update{After: 3, Upto: 3})
+		x.StoreAnswered(known, known, true, all)
+		now := known.Add(time.Second)
+		Expect(x.Certain(now, resumer.Worker{Service: "s", Name: "b", Version: "v1"}, now)).To(Receive(BeTrue()))
+		Expect(x.Certain(now, worker, now)).NotTo(Receive())
+		Expect(x.Certain(now, worker, known.Add(-time.Second))).To(Receive(BeTrue()), "its connection is older than the list")
 	})
 
 	// Guards against a large fleet that spends the store's rate of calls on certainty while two versions serve.
--- a/runner/standstill_test.go
+++ b/runner/standstill_test.go
@@ -30,7 +30,7 @@
 		x.StoreAnswered(start, start, true, all)
 		x.StoreAnswered(known, known, false, relayer.Update{After: 2, Upto: 2})
 		x.StoreAnswered(known, known, true, all)
-		Expect(x.Certain(known, worker, known)).To(Receive(BeTrue()))
+		Expect(x.Certain(known, worker, known.Add(-time.Second))).To(Receive(BeTrue()))
 	})
 
 	// Guards against a busy host that takes its own pauses for standstills.
@@ -53,8 +53,9 @@
 		answer := x.Certain(now, worker, now)
 		Expect(answer).NotTo(Receive())
 		x.StoreAnswered(now.Add(10*time.Millisecond), now, false, relayer.Update{After: 2, Upto: 2})
-		Expect(answer).To(Receive(BeTrue()))
 		Expect(x.Fresh(now.Add(10*time.Millisecond), "s")).To(BeTrue())
+		x.StoreAnswered(now.Add(420*time.Millisecond), now.Add(410*time.Millisecond), false, relayer.Update{After: 2, Upto: 2})
+		Expect(answer).To(Receive(BeTrue()))
 	})
 
 	// Guards against a suspended machine, whose steady clock stands still too.
