An answer that ended with its connection is not whole if its worker has started again since

Class: the word of somebody else taken for that of the one who was asked about. A host that stood still asks the store first, 0.4 s at most, and not while the store fails. Left: a restart whose entry comes later than the host's call.

--- a/router/port.go
+++ b/router/port.go
@@ -185,6 +185,9 @@
 	// Certain reports whether it is a worker that answers over a connection that was made at
 	// openedAt, and not another start of it. It may wait for the list of workers.
 	Certain(ctx context.Context, w resumer.Worker, openedAt time.Time) bool
+	// Replaced reports whether a worker is known to have started again. A host that stood still
+	// waits for the list of workers.
+	Replaced(ctx context.Context, w resumer.Worker) bool
 	// Finished reports that a stream was answered whole.
 	Finished(keys []resumer.Key)
 }
@@ -197,6 +200,7 @@
 }
 func (noOrigins) Began([]resumer.Key, resumer.Worker, time.Time)          {}
 func (noOrigins) Certain(context.Context, resumer.Worker, time.Time) bool { return true }
+func (noOrigins) Replaced(context.Context, resumer.Worker) bool           { return false }
 func (noOrigins) Finished([]resumer.Key)                                  {}
 
 // Reach is the port to the component that knows which workers this host reaches.
--- a/router/stream.go
+++ b/router/stream.go
@@ -53,7 +53,7 @@
 		case errors.Is(err, io.EOF) && len(pending.bytes) > 0:
 			return t.recordFailure(errTruncatedEvent)
 		case errors.Is(err, io.EOF):
-			return t.finishStream(p, a)
+			return t.finishStream(ctx, p, a)
 		case err != nil:
 			return t.recordFailure(err)
 		}
@@ -62,8 +62,8 @@
 
 // finishStream completes a stream after its last event. An answer without any event is
 // passed on unchanged.
-func (t *transaction) finishStream(p Placement, a *connector.Answer) error {
-	if err := a.ConfirmEnd(t.probe(p)); err != nil {
+func (t *transaction) finishStream(ctx context.Context, p Placement, a *connector.Answer) error {
+	if err := t.confirmEnd(ctx, p, a); err != nil {
 		return t.recordFailure(err)
 	}
 	a.Finish()
--- a/router/transaction.go
+++ b/router/transaction.go
@@ -303,7 +303,7 @@
 		a.Discard()
 		return t.recordFailure(fmt.Errorf("%w: status %d in place of a stream", errWorkerFailed, a.Status))
 	}
-	return t.passWhole(p, a, v)
+	return t.passWhole(ctx, p, a, v)
 }
 
 // reportRate forwards the request rate stated by the worker to the placer.
@@ -316,6 +316,18 @@
 	}
 }
 
+// confirmEnd checks that an answer that ended with its connection is whole: its worker goes on, and has
+// not ended and started again before this host read the end.
+func (t *transaction) confirmEnd(ctx context.Context, p Placement, a *connector.Answer) error {
+	if err := a.ConfirmEnd(t.probe(p)); err != nil || a.Framed {
+		return err
+	}
+	if t.router.Origins.Replaced(ctx, p.Worker.Software()) {
+		return fmt.Errorf("%w: %w: another start of it answers", connector.ErrLost, connector.ErrClosedByPeer)
+	}
+	return nil
+}
+
 // probe returns a call by which a worker shows that it goes on.
 func (t *transaction) probe(p Placement) connector.Call {
 	service := t.q.index.folder.Services[t.q.service]
--- a/router/whole.go
+++ b/router/whole.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net/http"
@@ -15,7 +16,7 @@
 
 // passWhole reads an answer to its end before passing any of it on, so that the caller
 // never receives a truncated answer as if it were complete.
-func (t *transaction) passWhole(p Placement, a *connector.Answer, v AnswerHead) error {
+func (t *transaction) passWhole(ctx context.Context, p Placement, a *connector.Answer, v AnswerHead) error {
 	t.stopSilenceTimer()
 	body := t.router.Memory.Buffer(reserver.Answer)
 	stored := false
@@ -33,7 +34,7 @@
 		}
 		return t.recordFailure(err)
 	}
-	if err := a.ConfirmEnd(t.probe(p)); err != nil {
+	if err := t.confirmEnd(ctx, p, a); err != nil {
 		return t.recordFailure(err)
 	}
 	a.Finish()
--- a/runner/export_test.go
+++ b/runner/export_test.go
@@ -285,6 +285,13 @@
 // StoreFails reports whether the store does not answer the host.
 func (x Selector) StoreFails(now time.Time) bool { return x.c.confirmation.failing(now) }
 
+// Replaced asks whether a worker has started again, as the end of an answer does.
+func (x Selector) Replaced(now time.Time, w resumer.Worker, until time.Time) <-chan bool {
+	reply := make(chan bool, 1)
+	x.c.handle(now, replacedRequested{worker: w, until: until, reply: reply})
+	return reply
+}
+
 // Certain asks whether it is a worker that answers over a connection made at openedAt. The
 // channel has the answer, once there is one.
 func (x Selector) Certain(now time.Time, w resumer.Worker, openedAt time.Time) <-chan bool {
--- a/runner/list_wait.go
+++ b/runner/list_wait.go
@@ -12,6 +12,10 @@
 // version have started again: less than callers wait for the next event.
 const maxHold = 1700 * time.Millisecond
 
+// maxReplacedHold is how long the end of an answer waits for the list of workers to show whether its
+// worker has started again: a slow answer of the store.
+const maxReplacedHold = 400 * time.Millisecond
+
 // entryDelay is how long after the start of a worker its entry is on the hosts' lists, while the
 // store is up. restartedEntryDelay is the same for a worker that may start again under its name: it
 // may take connections before it has registered, and the store may be slow.
@@ -40,6 +44,7 @@
 	requests    []workerRequested
 	certainties []certaintyRequested
 	beginnings  []streamBegan // recorded without a version until then
+	replaced    []replacedRequested
 	listedAt    time.Time // the list is known to have the workers that ran then
 }
 
@@ -96,6 +101,9 @@
 	for _, e := range w.certainties {
 		p.checkCertainty(now, e)
 	}
+	for _, e := range w.replaced {
+		p.checkReplaced(now, e)
+	}
 	for _, e := range w.requests {
 		p.placeCharged(now, e)
 	}
@@ -130,6 +138,19 @@
 	p.confirmFor(now, entryDue(e.worker, e.openedAt))
 }
 
+// checkReplaced answers whether a worker is listed with another start. A host that stood still does not
+// answer by its list of before, while the store can be asked.
+func (p *selector) checkReplaced(now time.Time, e replacedRequested) {
+	listed, ok := p.view.Worker(e.worker.Name)
+	replaced := ok && listed.Software() != e.worker
+	if !replaced && p.doubtsList(now) && !p.confirmation.failing(now) && !now.After(e.until) {
+		p.waiting.replaced = append(p.waiting.replaced, e)
+		p.confirmList(now)
+		return
+	}
+	e.reply <- replaced
+}
+
 // isCertain reports whether it is a listed start of a worker that answers over a connection that
 // was made at openedAt: the list was current afterwards, also if other connections to the
 // worker had just broken, and has that start, or none as it is leaving. decided is false while the list was not. Where one version served and
--- a/runner/origins.go
+++ b/runner/origins.go
@@ -64,6 +64,13 @@
 		until    time.Time // until when the list is awaited
 		reply    chan<- bool
 	}
+	// replacedRequested asks whether a worker has started again, by a list that is not of before a
+	// standstill of this host.
+	replacedRequested struct {
+		worker resumer.Worker
+		until  time.Time // until when such a list is awaited
+		reply  chan<- bool
+	}
 	// originsDue is posted when lookups are to be sent, and lookupsDue when they have waited
 	// for the other hosts.
 	originsDue struct{}
@@ -359,6 +366,7 @@
 func (streamBegan) event()        {}
 func (streamEnded) event()        {}
 func (certaintyRequested) event() {}
+func (replacedRequested) event()  {}
 func (originsDue) event()         {}
 func (lookupsDue) event()         {}
 func (originsReceived) event()    {}
--- a/runner/selector.go
+++ b/runner/selector.go
@@ -148,6 +148,8 @@
 		p.streamBegan(now, e)
 	case certaintyRequested:
 		p.checkCertainty(now, e)
+	case replacedRequested:
+		p.checkReplaced(now, e)
 	case boundRequested:
 		p.decideFor(now, e.from, e.request.Request, decodeBound(e.request))
 	case placementRequested:
--- a/runner/selector_origins.go
+++ b/runner/selector_origins.go
@@ -38,6 +38,13 @@
 	})
 }
 
+// Replaced implements router.Origins.
+func (p *selector) Replaced(ctx context.Context, w resumer.Worker) bool {
+	return askSelector(ctx, p, func(reply chan<- bool) event {
+		return replacedRequested{worker: w, until: time.Now().Add(maxReplacedHold), reply: reply}
+	})
+}
+
 // Finished implements router.Origins.
 func (p *selector) Finished(keys []resumer.Key) {
 	if len(keys) > 0 {
--- a/runner/standstill.go
+++ b/runner/standstill.go
@@ -51,7 +51,7 @@
 // how old the list is.
 func restsOnList(e event) bool {
 	switch e.(type) {
-	case storeResult, listRead, listUpdateReceived, listSnapshotReceived, streamBegan, certaintyRequested, streamTakenUp, originRequested:
+	case storeResult, listRead, listUpdateReceived, listSnapshotReceived, streamBegan, certaintyRequested, replacedRequested, streamTakenUp, originRequested:
 		return true
 	}
 	return false
--- a/runner/standstill_test.go
+++ b/runner/standstill_test.go
@@ -90,6 +90,22 @@
 		Expect(sent).To(HaveExactElements(HaveField("StoreDown", false)))
 	})
 
+	// Guards against half an answer that counts as whole, as its worker started again while the host stood still.
+	It("waits for the store to say whether a worker has started again, and not where the list says so or it runs", func() {
+		until := known.Add(time.Hour)
+		Expect(x.Replaced(known, worker, until)).To(Receive(BeFalse()))
+		Expect(x.Replaced(known, resumer.Worker{Service: "s", Name: "a", Incarnation: "0", Version: "v1"}, until)).To(Receive(BeTrue()))
+		now := known.Add(4 * time.Second)
+		restarted, bounded := x.Replaced(now, worker, until), x.Replaced(now, worker, now.Add(100*time.Millisecond))
+		x.Sweep(now.Add(50 * time.Millisecond))
+		Expect(restarted).NotTo(Receive())
+		Expect(bounded).NotTo(Receive())
+		x.Sweep(now.Add(200 * time.Millisecond))
+		Expect(bounded).To(Receive(BeFalse()), "nobody says so in time")
+		x.StoreAnswered(now.Add(210*time.Millisecond), now.Add(200*time.Millisecond), false, relayer.Update{After: 2, Upto: 3, Changed: []storer.Object{workerEvent(3, "a", "2", "v1")}})
+		Expect(restarted).To(Receive(BeTrue()))
+	})
+
 	// Guards against a host that the store does not answer and that believes nobody for good.
 	It("believes heartbeats again after a time in which it has read all that waited", func() {
 		now := known.Add(4 * time.Second)
