--- a/budgeter/borrow.go
+++ b/budgeter/borrow.go
@@ -17,12 +17,14 @@
 	silentBackoff = 5 * time.Second
 	// minEmptyBackoff is how long a host that had nothing left is not asked; it doubles each time,
 	// up to maxEmptyBackoff.
-	minEmptyBackoff = 200 * time.Millisecond
-	maxEmptyBackoff = 3200 * time.Millisecond
+	minEmptyBackoff = 300 * time.Millisecond
+	maxEmptyBackoff = 800 * time.Millisecond
 	// askRate is the maximum number of hosts that are asked per second, for all services, and
-	// askBurst the number that may be asked at once.
-	askRate  = 20
+	// askBurst the number that may be asked at once. An ask that brings freeLoan repeats or more
+	// does not count.
+	askRate  = 16
 	askBurst = 30
+	freeLoan = 0.25
 	// wantSteps is the number of steps over which claims are counted, to expect more of them.
 	wantSteps = spanSteps / 10
 	// termsPerSpan is the number of terms of a loan in a span.
@@ -38,6 +40,7 @@
 	left       float64       // that it could lend, by its last reply; NaN before that
 	empty      time.Duration // backoff of its last reply that left nothing; 0 if it left some
 	backoffEnd time.Time
+	repliedAt  time.Time // last; zero for never
 }
 
 // round is one round of requests for loans.
@@ -145,8 +148,12 @@
 
 func (k *askBucket) take(n int) { k.used += float64(n) }
 
+// giveBack makes an ask cost less that brought a loan: the rate bounds those that bring nothing.
+func (k *askBucket) giveBack(loan float64) { k.used -= min(1, loan/freeLoan) }
+
 // candidates returns the hosts that may lend, those with most left first. Those of which nothing is
-// known come before those that are known to have little.
+// known come before those that are known to have less than a repeat; of these, those that had the
+// longest time to earn more come first.
 func (a *account) candidates(now time.Time, peers []string) []string {
 	var out []string
 	for _, name := range peers {
@@ -159,16 +166,18 @@
 			out = append(out, name)
 		}
 	}
-	slices.SortStableFunc(out, func(x, y string) int { return cmp.Compare(a.peers[y].expected(), a.peers[x].expected()) })
+	slices.SortStableFunc(out, func(x, y string) int {
+		return cmp.Or(cmp.Compare(a.peers[y].expected(), a.peers[x].expected()), a.peers[x].repliedAt.Compare(a.peers[y].repliedAt))
+	})
 	return out
 }
 
-// expected returns what a host may be expected to lend: one repeat if nothing is known of it.
+// expected returns the whole repeats that a host may be expected to lend: one if nothing is known of it.
 func (x *peer) expected() float64 {
 	if math.IsNaN(x.left) {
 		return 1
 	}
-	return x.left
+	return math.Floor(x.left)
 }
 
 // Lend lends a part of this process's budget: at most what is asked for, and what it is not about to
@@ -274,7 +283,8 @@
 	}
 	delete(a.round.open, reply.Peer)
 	x := a.peers[reply.Peer]
-	x.left = reply.Left
+	x.left, x.repliedAt = reply.Left, now
+	b.asks.giveBack(reply.Amount)
 	b.learnSize(now, reply.Sharing)
 	x.empty = nextEmptyBackoff(x.empty, reply.Left < minLoan)
 	x.backoffEnd = now.Add(x.empty)
