--- a/resumer/resumer_test.go
+++ b/resumer/resumer_test.go
@@ -128,6 +128,7 @@
 	},
 		Entry("that has the same start", time.Second, true, listed, true),
 		Entry("too early to have another start", 20*time.Millisecond, true, listed, false),
+		Entry("too early to have one that registers late", 350*time.Millisecond, true, listed, false),
 		Entry("while workers write their entries again", time.Second, false, listed, false),
 		Entry("that has another start", time.Second, true, []resumer.Worker{v1, {Service: service, Name: "b", Incarnation: "2", Version: "v2"}}, false),
 		Entry("that has the start at another version", time.Second, true, []resumer.Worker{v1, worker("b", "v3")}, false),
--- a/resumer/settle.go
+++ b/resumer/settle.go
@@ -2,8 +2,22 @@
 
 import "time"
 
-// entryDelay is how long after the start of a worker its entry is at the source of the list.
-const entryDelay = 50 * time.Millisecond
+// entryDelay is how long after the start of a worker its entry is at the source of the list, while that
+// is up. restartedEntryDelay is the same for a worker that may start again under its name: it may take
+// connections before it has registered, and the source may be slow.
+const (
+	entryDelay          = 50 * time.Millisecond
+	restartedEntryDelay = 400 * time.Millisecond
+)
+
+// EntryDelay returns how long after it took connections the entry of a worker is at the source of the
+// list.
+func (w Worker) EntryDelay() time.Duration {
+	if w.Incarnation == "" {
+		return entryDelay
+	}
+	return restartedEntryDelay
+}
 
 // StartsListed records that the whole list was read, and has each start of a worker up to a time:
 // its source did not fail for the time in which workers write their entries again.
@@ -33,7 +47,7 @@
 	if x == nil || !x.Worker.IsUncertain() || x.Listed.Version == "" && x.Listed.Incarnation == "" {
 		return x
 	}
-	if r.history.startsAt.Sub(x.At) >= entryDelay && r.history.starts[x.Listed.Name] == x.Listed {
+	if r.history.startsAt.Sub(x.At) >= x.Listed.EntryDelay() && r.history.starts[x.Listed.Name] == x.Listed {
 		x.Worker = x.Listed
 	}
 	return x
--- a/runner/list_wait.go
+++ b/runner/list_wait.go
@@ -16,21 +16,10 @@
 // worker has started again: a slow answer of the store.
 const maxReplacedHold = 400 * time.Millisecond
 
-// entryDelay is how long after the start of a worker its entry is on the hosts' lists, while the
-// store is up. restartedEntryDelay is the same for a worker that may start again under its name: it
-// may take connections before it has registered, and the store may be slow.
-const (
-	entryDelay          = 50 * time.Millisecond
-	restartedEntryDelay = 400 * time.Millisecond
-)
-
 // entryDue returns when the list has the start of a worker that answers over a connection which was
 // made at openedAt.
 func entryDue(w resumer.Worker, openedAt time.Time) time.Time {
-	if w.Incarnation == "" {
-		return openedAt.Add(entryDelay)
-	}
-	return openedAt.Add(restartedEntryDelay)
+	return openedAt.Add(w.EntryDelay())
 }
 
 // maxGoneAge is the age of a list by which a stream may be refused for good as its version is gone.
