A restore of the store records what a host may not have seen before it

Cause: only lists of the same era were compared with the age of the known list (applyMissed was left out where restored, and never called for a list that another host tells). Ruled out: reading the changes of the earlier era, as the restored store has them no more.

Now the age of the known list counts for each full list: beyond maxUnseen the history begins anew.

go test ./runner, spec "is complete over a list of a store that was restored": before 2 of 4 entries red (read, and told by another host, after 4 s), after 4 of 4 green; whole of ./runner green.

--- a/runner/list_history_test.go
+++ b/runner/list_history_test.go
@@ -65,6 +65,27 @@
 		Entry("after the host stood still, or was cut off", 4*time.Second, false),
 	)
 
+	// Guards against a version that came and went unseen before the store was restored from an older snapshot, whose list lacks it.
+	DescribeTable("is complete over a list of a store that was restored", func(after time.Duration, told, complete bool) {
+		x := newHost()
+		at := now.Add(time.Minute)
+		x.StoreAnswered(at, at, false, relayer.Update{After: 2, Upto: 2})
+		at = at.Add(after)
+		restored := workerEvent(storer.NewVersion(1, 2), "a", "1", "v1")
+		if told {
+			x.Receive(at, "w", messenger.ListSnapshot{Upto: uint64(restored.Version), All: []messenger.Change{{Key: restored.Key, Value: restored.Value, Version: uint64(restored.Version)}}})
+		} else {
+			x.StoreAnswered(at, at, true, relayer.Update{Upto: restored.Version, Changed: []storer.Object{restored}})
+		}
+		Expect(x.Software(at, "s")).To(ConsistOf("version v1"))
+		Expect(x.Complete(at, "s")).To(Equal(complete))
+	},
+		Entry("read soon after the last one", 2*time.Second, false, true),
+		Entry("told by another host soon after the last one", 2*time.Second, true, true),
+		Entry("read after the host stood still, or was cut off", 4*time.Second, false, false),
+		Entry("told by another host after this one stood still, or was cut off", 4*time.Second, true, false),
+	)
+
 	// Guards against a version that came and went within one update that other hosts pass on.
 	It("has each version in another host's update", func() {
 		x := newHost()
--- a/runner/worker_entries.go
+++ b/runner/worker_entries.go
@@ -125,9 +125,7 @@
 	if overtaken {
 		p.confirmation.at = e.sentAt
 	}
-	if !restored {
-		p.applyMissed(now, e)
-	}
+	p.applyMissed(now, e)
 	p.applyList(now, w.Changed, restored)
 	p.loaded.Store(true)
 	if restored && p.relay.Watching() {
@@ -142,7 +140,13 @@
 		p.origins.served(now, append(d.replaced, d.changed...))
 		return
 	}
-	if age := e.sentAt.Sub(p.updatedAt); !p.updatedAt.IsZero() && age > maxUnseen {
+	p.noteUnseen(now, e.sentAt)
+}
+
+// noteUnseen records that changes may have been missed before a full list of a time, if the known
+// list is much older.
+func (p *selector) noteUnseen(now, listedAt time.Time) {
+	if age := listedAt.Sub(p.updatedAt); !p.updatedAt.IsZero() && age > maxUnseen {
 		p.log.Warn("changes of workers were missed", zap.Duration("age", age))
 		p.origins.resumer.Missed(now)
 	}
@@ -173,6 +177,7 @@
 	if p.onEra != nil {
 		p.onEra(upto.Era(), e.from)
 	}
+	p.noteUnseen(now, now)
 	p.applyList(now, objects, restored)
 }
 
