A store that refuses calls as too many does not count as silent

A host that is out of step and that gets 429 from the store took it for silent: more than half of the hosts asked decided at once whether one version served, and its own old list vouched for the listed start of a worker that does not start again under its name. But the store is up, and hosts that get its list may use a version which none of those that answered knows: a stream nobody knows could go on at another version.

Cause: the client told 429 and silence by the same error, and the host recorded both as a call without an answer. Ruled out: 503, by which the store says that it is down as well as that it rejects a host; that stays as it was.

Now the error tells it (storer.ErrThrottled). Where a version seems gone, or a worker may have started again, the list is awaited as while the store answers. Entries that are missing after such refusals don't count as expired in an outage.

--- a/resumer/doubts_test.go
+++ b/resumer/doubts_test.go
@@ -63,6 +63,28 @@
 		Expect(r.NeedsList()).To(BeFalse())
 	})
 
+	// Guards against a guess while the store is up, and other hosts may use a version that those which answer don't see.
+	It("is refused if the store accepts no call of the host, though all others agree, and goes on once it accepts one", func() {
+		for _, accepted := range []bool{false, true} {
+			r, other := newResumer("h-1", true, v1), newResumer("h-2", true, v1)
+			var answers []resumer.Answer
+			r.Resolve(start, resumer.TakenUp{Stream: stream, Services: []string{service}}, true, func(a resumer.Answer) { answers = append(answers, a) })
+			ask := r.DrainAsks([]string{"h-2"})[0]
+			r.ListThrottled(start, start)
+			r.ReceiveTold(start, "h-2", other.Tell(start, ask))
+			Expect(answers).To(BeEmpty())
+			Expect(r.NeedsList()).To(BeTrue())
+			end := start.Add(resumer.ListTimeout())
+			if accepted {
+				r.ListConfirmed(end, start)
+				Expect(answers).To(HaveExactElements(HaveField("Result", resumer.OneVersion)))
+				continue
+			}
+			r.Expire(end)
+			Expect(answers).To(HaveExactElements(And(HaveField("Result", resumer.Unknown), HaveField("Reason", resumer.ListNotCurrent))))
+		}
+	})
+
 	// Guards against an answer to an earlier call that is applied after that to a later one.
 	It("stays decided by the latest call if answers arrive in another order", func() {
 		r := newResumer("h-1", true, v1)
--- a/resumer/lookup.go
+++ b/resumer/lookup.go
@@ -80,6 +80,8 @@
 	histories  map[string][]History
 	question   Key  // of the request to other hosts; their answers have it
 	listFailed bool // the list can't be had
+
+	listThrottled bool // its source is up, but accepts no call of this host for now
 }
 
 // heard reports whether the hosts have been heard, or had the time to answer.
@@ -154,7 +156,7 @@
 // service's software, of so many that were asked. One of them must know all of a stream's life.
 // The list must be current, as of after the stream was taken up: a host that stood still or was
 // cut off does not see a version that the others use, and finds nobody who does if they failed
-// meanwhile. If it can't be had, as the store is down, more than half of them must have answered.
+// meanwhile. If it can't be had, as the store is silent, more than half of them must have answered.
 func conclude(own History, others []History, asked int, current bool) (Result, Reason) {
 	switch len(own.Software) {
 	case 0:
@@ -297,7 +299,12 @@
 		others = append(others, list...)
 	}
 	service := l.Services[0]
-	return r.answer(now, r.history.view(now, service, r.life(service)), others, l.asked, current)
+	a := r.answer(now, r.history.view(now, service, r.life(service)), others, l.asked, current)
+	if a.Result == OneVersion && !current && l.listThrottled {
+		// Hosts that get the list may use a version that none of those which answered knows.
+		a.Result, a.Reason, a.Worker = Unknown, ListNotCurrent, Worker{}
+	}
+	return a
 }
 
 // NeedsList reports whether a lookup waits for a list of the workers that is read from now on.
@@ -337,6 +344,15 @@
 	r.concludeAll(now)
 }
 
+// ListThrottled records that the source of the list refused a call, as there are too many, that was
+// sent at a time: it is up, and other hosts may know of changes.
+func (r *Resumer) ListThrottled(now, sentAt time.Time) {
+	for _, l := range r.pending {
+		l.listThrottled = l.listThrottled || !l.askedAt.After(sentAt)
+	}
+	r.concludeAll(now)
+}
+
 // Expire answers the lookups that have waited too long.
 func (r *Resumer) Expire(now time.Time) { r.concludeAll(now) }
 
--- a/runner/export_test.go
+++ b/runner/export_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -244,6 +245,11 @@
 // StoreFailed applies that a call of the store got no answer.
 func (x Selector) StoreFailed(now time.Time) { x.c.handle(now, storeResult{failed: true}) }
 
+// StoreThrottled applies that the store refused a call, as there are too many.
+func (x Selector) StoreThrottled(now time.Time) {
+	x.c.handle(now, failedResult(fmt.Errorf("%w: %w", storer.ErrUnavailable, storer.ErrThrottled)))
+}
+
 // TakeUp asks where a stream that is taken up may go on. The channel has the answer, once there is
 // one.
 func (x Selector) TakeUp(now time.Time, t resumer.TakenUp) <-chan resumer.Answer {
--- a/runner/list_confirm.go
+++ b/runner/list_confirm.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"errors"
 	"time"
 
 	"go.uber.org/zap"
@@ -14,6 +15,10 @@
 // list of workers: a call then answers for all streams that are taken up meanwhile.
 const confirmInterval = 25 * time.Millisecond
 
+// throttledInterval is the same after a call that the store refused as too many: a few calls within
+// the time that streams wait for the list.
+const throttledInterval = 100 * time.Millisecond
+
 // minCertaintyInterval is the minimum time between two such calls for those who wait to know which
 // start of a worker runs, and certaintyPerHost that time for each host of the fleet, if it is
 // longer: each host may make them all the time, and all share the store's rate of calls.
@@ -40,6 +45,8 @@
 	sentAt   time.Time // of the last call
 	at       time.Time // the list has all changes until then, by the store's answers to this host
 	failedAt time.Time // when a call of this host last got no answer; zero since an answer
+
+	throttled bool // that call was refused as too many: the store is up
 }
 
 // answered records an answer of the store to a call that was sent at a time.
@@ -50,11 +57,19 @@
 	}
 }
 
-// failing reports whether the store does not answer this host.
+// failed records a call that failed.
+func (c *listConfirmation) failed(now time.Time, throttled bool) {
+	c.failedAt, c.throttled = now, throttled
+}
+
+// failing reports whether this host gets no list from the store.
 func (c *listConfirmation) failing(now time.Time) bool {
 	return !c.failedAt.IsZero() && now.Sub(c.failedAt) < failureExpiry
 }
 
+// silent reports whether the store does not answer this host at all.
+func (c *listConfirmation) silent(now time.Time) bool { return c.failing(now) && !c.throttled }
+
 // knownUntil returns the time up to which the list has all changes. While the store does not answer
 // this host, that is what other hosts passed on until receivedAt, which may be as old as a
 // watcher's last answer.
@@ -96,15 +111,30 @@
 
 // listWasRead applies the result of a call that confirms the list.
 func (p *selector) listWasRead(now time.Time, e listRead) {
+	next := confirmInterval
 	if e.err == nil {
 		p.handleStoreResult(now, e.result)
 	} else {
 		p.log.Info("list of workers not confirmed", zap.Duration("after", now.Sub(e.sentAt)), zap.Error(e.err))
-		p.confirmation.failedAt = now
-		p.origins.resumer.ListFailed(now, e.sentAt)
+		if p.listNotRead(now, e) {
+			next = throttledInterval
+		}
 		p.retryWaiting(now)
 	}
-	time.AfterFunc(confirmInterval, func() { p.post(listReadRequested{}) })
+	time.AfterFunc(next, func() { p.post(listReadRequested{}) })
+}
+
+// listNotRead applies that a call to confirm the list failed. It reports whether the store refused it
+// as too many.
+func (p *selector) listNotRead(now time.Time, e listRead) (throttled bool) {
+	throttled = errors.Is(e.err, storer.ErrThrottled)
+	p.confirmation.failed(now, throttled)
+	if throttled {
+		p.origins.resumer.ListThrottled(now, e.sentAt)
+	} else {
+		p.origins.resumer.ListFailed(now, e.sentAt)
+	}
+	return throttled
 }
 
 // waitsForList reports whether a list that is read now can show which start of a worker answers
@@ -150,7 +180,7 @@
 		return false
 	}
 	fresh := now.Sub(p.updatedAt) <= resumer.MaxListAge() && !p.doubtsList(now)
-	return fresh || p.confirmation.failing(now) || !p.directory.Settled(now)
+	return fresh || p.confirmation.silent(now) || !p.directory.Settled(now)
 }
 
 func (listReadRequested) event() {}
--- a/runner/list_wait.go
+++ b/runner/list_wait.go
@@ -88,7 +88,7 @@
 // awaitsList reports whether the list is too old to show that a version is gone, and the store can
 // be asked.
 func (p *selector) awaitsList(now time.Time) bool {
-	return now.Sub(p.confirmation.at) > maxGoneAge && !p.confirmation.failing(now)
+	return now.Sub(p.confirmation.at) > maxGoneAge && !p.confirmation.silent(now)
 }
 
 // retryWaiting handles again what waits for the list.
@@ -143,7 +143,7 @@
 func (p *selector) checkReplaced(now time.Time, e replacedRequested) {
 	listed, ok := p.view.Worker(e.worker.Name)
 	replaced := ok && listed.Software() != e.worker
-	if !replaced && p.doubtsList(now) && !p.confirmation.failing(now) && !now.After(e.until) {
+	if !replaced && p.doubtsList(now) && !p.confirmation.silent(now) && !now.After(e.until) {
 		p.waiting.replaced = append(p.waiting.replaced, e)
 		p.confirmList(now)
 		return
--- a/runner/list_wait_test.go
+++ b/runner/list_wait_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"fmt"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -113,6 +115,45 @@
 		Expect(x.Certain(old, worker, old)).NotTo(Receive())
 	})
 
+	// Guards against a host with an old list that believes it, as it takes a store for silent that refuses its calls as too many.
+	Context("while the store refuses calls as too many", func() {
+		unnamed := resumer.Worker{Service: "s", Name: "b", Version: "v1"}
+		now := time.Now()
+
+		BeforeEach(func() {
+			now = time.Now()
+			then, known := now.Add(-time.Minute), now.Add(-10*time.Second)
+			all := relayer.Update{Upto: 3, Changed: []storer.Object{unnamedStart(3, "b", "v1")}}
+			x = runner.NewSelectorOf(then, loader.Host{Name: "h", Zone: "z"}, nil, func(string, messenger.Message) {})
+			x.StoreAnswered(then, then, true, all)
+			x.StoreAnswered(known, known, false, relayer.Update{After: 3, Upto: 3})
+			x.StoreAnswered(known, known, true, all)
+		})
+
+		It("is not guessed, other than while it is silent", func() {
+			x.StoreThrottled(now)
+			Expect(x.Certain(now, unnamed, now)).NotTo(Receive())
+			x.StoreFailed(now)
+			Expect(x.Certain(now, unnamed, now)).To(Receive(BeTrue()))
+		})
+
+		It("is not guessed because a call to confirm the list is refused", func() {
+			var calls atomic.Int64
+			x.SetListReader(func(storer.Version) (relayer.Update, error) {
+				calls.Add(1)
+				return relayer.Update{}, fmt.Errorf("%w: %w", storer.ErrUnavailable, storer.ErrThrottled)
+			})
+			x.TakeUp(now, resumer.TakenUp{Stream: resumer.KeyOf("o", "try-1"), Services: []string{"s"}})
+			answer := x.Certain(now, unnamed, now)
+			Eventually(func() int64 {
+				x.HandlePosted()
+				return calls.Load()
+			}, time.Second, time.Millisecond).Should(BeNumerically(">", 1))
+			Expect(answer).NotTo(Receive())
+			Expect(x.Certain(now, unnamed, now)).NotTo(Receive())
+		})
+	})
+
 	// Guards against the first worker of a second version, which starts again under its name and registers later.
 	It("is guessed by a young list of one version only where workers don't start again under their names", func() {
 		x = runner.NewSelectorOf(listed, loader.Host{Name: "h", Zone: "z"}, nil, func(string, messenger.Message) {})
--- a/runner/store_watch.go
+++ b/runner/store_watch.go
@@ -45,11 +45,13 @@
 
 // storeResult is the result of a call for the workers' entries.
 type storeResult struct {
-	failed bool           // the call failed; nothing else is set
+	failed bool           // the call failed; nothing else but throttled is set
 	full   bool           // the update is the full list, each entry at its last revision
 	update relayer.Update // the changed entries
 	sentAt time.Time      // when the call was sent: the update has all changes until then
 	missed missedChanges  // that led to a full list
+
+	throttled bool // the store is up, and refused the call as there are too many
 }
 
 // missedChanges are the changes between the list that a host knew and a full list.
@@ -174,7 +176,12 @@
 		l.failingSince = time.Now()
 		l.log.Warn("workers can't be listed", zap.Error(err))
 	}
-	l.report(storeResult{failed: true})
+	l.report(failedResult(err))
+}
+
+// failedResult returns the result of a call that failed.
+func failedResult(err error) storeResult {
+	return storeResult{failed: true, throttled: errors.Is(err, storer.ErrThrottled)}
 }
 
 // watch watches the entries while the host has to call the store, until a call fails.
--- a/runner/worker_entries.go
+++ b/runner/worker_entries.go
@@ -79,11 +79,12 @@
 	}
 	switch {
 	case e.failed:
-		p.confirmation.failedAt = now
+		p.confirmation.failed(now, e.throttled)
 		p.relay.Failed()
 		p.sendHeartbeat(now)
-		// While a watcher sends heartbeats, the store is available, though not to this host.
-		if !p.relay.HasWatcher(now) {
+		// While a watcher sends heartbeats, or the store refuses calls as too many, it is available,
+		// though not to this host.
+		if !e.throttled && !p.relay.HasWatcher(now) {
 			p.directory.Failed()
 		}
 	case e.full:
--- a/storer/storer.go
+++ b/storer/storer.go
@@ -22,6 +22,9 @@
 	ErrConflict = errors.New("condition failed")
 	// ErrUnavailable reports that the call failed and certainly had no effect.
 	ErrUnavailable = errors.New("object api unavailable")
+	// ErrThrottled reports, beside ErrUnavailable, that the store is up but accepts no more calls for
+	// now.
+	ErrThrottled = errors.New("too many calls")
 	// ErrUnknown reports that the reply to a write was lost: the write may have taken
 	// effect. Callers must read the object back to find out.
 	ErrUnknown = errors.New("write outcome unknown")
