An outage of the store is measured from its last answer, not from its last change

One failed call of a host for which no other watches, after a time in which no worker's entry changed, counted as an outage since that change: a worker whose entry was removed meanwhile was kept for the 2 s in which entries come back, and got requests for longer than it serves after it left (DRAIN), though the store had answered 0.4 s before.

Cause: Directory.noteRead was called for lists and changes only, so that readAt, from which an outage counts, and the end of an earlier outage stayed as of the last change. Ruled out: entries that expire meanwhile; the store had answered within less than their three heartbeats.

Now an answer without changes counts too: the host's own as it arrives, what a watcher passes on as of 1.15 s before (the store's answer to it may be that old), and neither while what arrives may have waited as the host stood still.

--- a/observer/directory.go
+++ b/observer/directory.go
@@ -104,6 +104,13 @@
 	}
 }
 
+// Answered records that the source answered at a time, and had no changes.
+func (d *Directory) Answered(at time.Time) {
+	if d.loaded && !d.unavailable && at.After(d.readAt) {
+		d.noteRead(at)
+	}
+}
+
 // Changed applies one new or changed entry.
 func (d *Directory) Changed(now time.Time, e Entry) {
 	d.noteRead(now)
--- a/runner/worker_entries.go
+++ b/runner/worker_entries.go
@@ -90,6 +90,7 @@
 	case e.full:
 		p.applyStoreList(now, e)
 	default:
+		p.noteAnswer(now, now)
 		p.applyChanges(now, p.relay.Watched(now, e.update))
 		if p.relay.Watching() && e.update.Upto > e.update.After {
 			p.broadcastChanges(e.update)
@@ -191,10 +192,19 @@
 	}
 	w := relayer.Update{After: storer.Version(e.update.After), Upto: storer.Version(e.update.Upto), Changed: decodeChanges(e.update.Changed)}
 	if changes, complete := p.relay.Received(now, e.from, w); complete {
+		p.noteAnswer(now, now.Add(-relayer.MaxAnswerAge))
 		p.applyChanges(now, changes)
 	}
 }
 
+// noteAnswer records that the store answered at a time, by which an outage is measured: not by what
+// may have waited while this host stood still.
+func (p *selector) noteAnswer(now, at time.Time) {
+	if !p.doubtsList(now) {
+		p.directory.Answered(at)
+	}
+}
+
 // applyChanges applies changed entries, only those that are new to this host.
 func (p *selector) applyChanges(now time.Time, objects []storer.Object) {
 	p.received(now)
