Router: a spec that names transaction.mayPass in one answer

The spec that names it is of a stream that its caller takes up. Where a worker crashes in the midst of an answer and the host goes on at another one that may have started again, mayPass could be left out unseen.

--- a/router/router_test.go
+++ b/router/router_test.go
@@ -608,6 +608,36 @@
 		Expect(fakePlacer.ended()).To(Equal([]placer.Outcome{placer.Canceled, placer.Answered}))
 	})
 
+	// Guards against the same in one answer, whose first worker crashed.
+	It("passes no event of a worker that may have started again since the first event of its answer", func() {
+		o := &restartedOrigins{}
+		origins = o
+		registry = prometheus.NewRegistry()
+		serve(reserver.New(64 << 20))
+		events := func(number int, text string, then func()) http.HandlerFunc {
+			return func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Content-Type", "text/event-stream")
+				w.Header().Set("Seal", "1")
+				_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", number, text)
+				_ = http.NewResponseController(w).Flush()
+				then()
+			}
+		}
+		worker("w", events(1, "same", func() { panic(http.ErrAbortHandler) })) // the connection is aborted
+		worker("w-2", events(2, "other", func() {}))
+		req, err := http.NewRequestWithContext(bg, http.MethodGet, url+"/flow/x", nil)
+		Expect(err).NotTo(HaveOccurred())
+		req.Host = "h.example"
+		req.Header = http.Header{"Id": {"1"}, "Key": {"s"}}
+		resp, err := http.DefaultClient.Do(req)
+		Expect(err).NotTo(HaveOccurred())
+		defer resp.Body.Close()
+		body, err := io.ReadAll(resp.Body)
+		Expect(err).To(MatchError(io.ErrUnexpectedEOF))
+		Expect(string(body)).To(Equal("id: 1\ndata: same\n\n"))
+		Expect(o.asked.Load()).To(BeEquivalentTo(1))
+	})
+
 	// Guards against events that a caller gets twice, as a worker begins before the one after its last.
 	DescribeTable("passes on only what follows the last event of the caller that takes a stream up", func(last, want string, answers ...string) {
 		for i, events := range answers {
