--- a/runner/worker_entries.go
+++ b/runner/worker_entries.go
@@ -79,16 +79,18 @@
 	}
 	switch {
 	case e.failed:
-		p.confirmation.failedAt = now
+		p.confirmation.failed(now, e.throttled)
 		p.relay.Failed()
 		p.sendHeartbeat(now)
-		// While a watcher sends heartbeats, the store is available, though not to this host.
-		if !p.relay.HasWatcher(now) {
+		// While a watcher sends heartbeats, or the store refuses calls as too many, it is available,
+		// though not to this host.
+		if !e.throttled && !p.relay.HasWatcher(now) {
 			p.directory.Failed()
 		}
 	case e.full:
 		p.applyStoreList(now, e)
 	default:
+		p.noteAnswer(now, now)
 		p.applyChanges(now, p.relay.Watched(now, e.update))
 		if p.relay.Watching() && e.update.Upto > e.update.After {
 			p.broadcastChanges(e.update)
@@ -125,9 +127,7 @@
 	if overtaken {
 		p.confirmation.at = e.sentAt
 	}
-	if !restored {
-		p.applyMissed(now, e)
-	}
+	p.applyMissed(now, e)
 	p.applyList(now, w.Changed, restored)
 	p.loaded.Store(true)
 	if restored && p.relay.Watching() {
@@ -142,7 +142,13 @@
 		p.origins.served(now, append(d.replaced, d.changed...))
 		return
 	}
-	if age := e.sentAt.Sub(p.updatedAt); !p.updatedAt.IsZero() && age > maxUnseen {
+	p.noteUnseen(now, e.sentAt)
+}
+
+// noteUnseen records that changes may have been missed before a full list of a time, if the known
+// list is much older.
+func (p *selector) noteUnseen(now, listedAt time.Time) {
+	if age := listedAt.Sub(p.updatedAt); !p.updatedAt.IsZero() && age > maxUnseen {
 		p.log.Warn("changes of workers were missed", zap.Duration("age", age))
 		p.origins.resumer.Missed(now)
 	}
@@ -173,6 +179,7 @@
 	if p.onEra != nil {
 		p.onEra(upto.Era(), e.from)
 	}
+	p.noteUnseen(now, now)
 	p.applyList(now, objects, restored)
 }
 
@@ -185,10 +192,19 @@
 	}
 	w := relayer.Update{After: storer.Version(e.update.After), Upto: storer.Version(e.update.Upto), Changed: decodeChanges(e.update.Changed)}
 	if changes, complete := p.relay.Received(now, e.from, w); complete {
+		p.noteAnswer(now, now.Add(-relayer.MaxAnswerAge))
 		p.applyChanges(now, changes)
 	}
 }
 
+// noteAnswer records that the store answered at a time, by which an outage is measured: not by what
+// may have waited while this host stood still.
+func (p *selector) noteAnswer(now, at time.Time) {
+	if !p.doubtsList(now) {
+		p.directory.Answered(at)
+	}
+}
+
 // applyChanges applies changed entries, only those that are new to this host.
 func (p *selector) applyChanges(now time.Time, objects []storer.Object) {
 	p.received(now)
