Settings that are nested too deep are refused before they are parsed

Cause: the parser of JSON with comments recurses without a limit, and the bound on the unpacked text (32 MiB) allows millions of levels. encoding/json, which refuses over 10,000, comes only after it.

Ruled out: a smaller bound on the text (the stack was used up within 616 KB, real folders may have that); recovering (the Go runtime ends the process).

Brackets in strings and comments don't count.

--- a/loader/document.go
+++ b/loader/document.go
@@ -68,11 +68,15 @@
 }
 
 func newDocument(file string, text []byte) (*document, error) {
+	d := &document{file: file, text: text}
+	if at := tooDeep(text); at >= 0 {
+		return nil, d.problem(at, "", fmt.Sprintf("nested over %d deep", maxDepth))
+	}
 	tree, err := hujson.Parse(bytes.Clone(text))
 	if err != nil {
 		return nil, Problem{File: file, Line: parseLine(err), Reason: strings.TrimPrefix(err.Error(), "hujson: ")}
 	}
-	d := &document{file: file, text: text, tree: tree}
+	d.tree = tree
 	// Standardize replaces comments and trailing commas by blanks, so offsets stay the same.
 	d.tree.Standardize()
 	d.standard = d.tree.Pack()
--- a/loader/fuzz_test.go
+++ b/loader/fuzz_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 
 	"github.com/cicadawood/cicadawood/loader"
@@ -23,7 +24,7 @@
 		}
 		f.Add(string(text))
 	}
-	for _, text := range []string{"", "{", "null", "[]", `{"classes":{"":null}}`, "{\"a\x00\": 1}", `{"classes":{"x":{"whole":"1s","tier":1e400}}}`, "{/*", `{"zones":{"a":{"latency":{"a/b~":"1s"}}}}`} {
+	for _, text := range []string{"", "{", "null", "[]", `{"classes":{"":null}}`, "{\"a\x00\": 1}", `{"classes":{"x":{"whole":"1s","tier":1e400}}}`, "{/*", strings.Repeat("[", 100_000), `{"zones":{"a":{"region":"[\"[//"}}} // [`, `{"callers":{"header":99999999999999999999}}`, `{"zones":{"a":{"latency":{"a/b~":"1s"}}}}`} {
 		f.Add(text)
 	}
 	f.Fuzz(func(t *testing.T, text string) {
