An object that can't be decoded is no store that does not answer

What would be seen: a host whose own record in the store is one that the adapter can't decode (nested too deep, a number that is none, no base64) never writes its record or lease again; a dead host with such a lease stays on the roster for good; hosts that read such a configuration by their poll report the platform as down, and an operator who pushes is told so.

Cause: Store.Get answered ErrUnavailable, which readers take for a store that does not answer, and rightly change nothing then.

Ruled out: returning the object without an error and without a value, as lists do: who reads one object would have to know that an empty value means an odd one.

Change: storer.ErrUnreadable, with the object's version. The recorder replaces its own record by that version, and takes an unreadable lease for one that is not renewed while its version stays; the follower handles it as an invalid head (the last good one stays in force and confirmed); a push names it; calls of the store count it as "unreadable". Keepers handle it as before.

Tests: platform "can be read and replaced" asked for ErrUnavailable of a deep spec; it now asks for ErrUnreadable, and a table beside it asks that this is not ErrUnavailable, and for the version: that is stricter.

--- a/publisher/follower.go
+++ b/publisher/follower.go
@@ -237,6 +237,10 @@
 		f.enqueue(ctx, HeadRead{})
 		return
 	}
+	if errors.Is(err, storer.ErrUnreadable) {
+		f.enqueue(ctx, HeadInvalid{Err: err})
+		return
+	}
 	if err != nil {
 		f.enqueue(ctx, HeadReadFailed{Err: err})
 		return
--- a/publisher/head.go
+++ b/publisher/head.go
@@ -158,6 +158,9 @@
 	if errors.Is(err, storer.ErrNotFound) {
 		return Head{}, nil
 	}
+	if errors.Is(err, storer.ErrUnreadable) {
+		return Head{}, fmt.Errorf("%w: %v", ErrInvalidObject, err)
+	}
 	if err != nil {
 		return Head{}, fmt.Errorf("%w: %v", ErrUnreadable, err)
 	}
--- a/registrar/recorder.go
+++ b/registrar/recorder.go
@@ -194,7 +194,7 @@
 		}
 	}
 	o, err := c.store.Get(ctx, Prefix+self.Name)
-	if err != nil && !errors.Is(err, storer.ErrNotFound) {
+	if unreachable(err) {
 		return fmt.Errorf("read record: %w", err)
 	}
 	stored, _ := decodeRecord(o)
@@ -271,7 +271,7 @@
 		if errors.Is(err, storer.ErrNotFound) {
 			continue
 		}
-		if err != nil {
+		if unreachable(err) {
 			return fmt.Errorf("remove %s: %w", name, err)
 		}
 		var v struct {
@@ -299,28 +299,3 @@
 		c.log.Warn("remove record", zap.Error(err))
 	}
 }
-
-// leaseExpired observes a host's lease for one lease duration by the local clock, and
-// reports whether it was not renewed. It returns false while the store can't be read: an
-// outage must not make hosts look dead. A missing lease counts as one that was not renewed
-// yet, not as expired: a host that joined during an outage writes its lease only when the
-// store is available again, and would be declared dead by a host that looks just before.
-func (c *recorder) leaseExpired(ctx context.Context, name string) bool {
-	var version storer.Version
-	var since time.Time
-	for ctx.Err() == nil {
-		o, err := c.store.Get(ctx, LeasePrefix+name) // the version is 0 if there is no lease
-		switch {
-		case err != nil && !errors.Is(err, storer.ErrNotFound):
-			return false
-		case since.IsZero():
-			version, since = o.Version, time.Now()
-		case o.Version != version:
-			return false
-		case time.Since(since) >= c.leaseDuration:
-			return true
-		}
-		sleep(ctx, c.leaseDuration/4)
-	}
-	return false
-}
--- a/runner/once_store.go
+++ b/runner/once_store.go
@@ -35,7 +35,7 @@
 		return keeper.Missing
 	case errors.Is(err, storer.ErrConflict):
 		return keeper.Conflict
-	case errors.Is(err, storer.ErrUnavailable):
+	case errors.Is(err, storer.ErrUnavailable), errors.Is(err, storer.ErrUnreadable):
 		return keeper.Down
 	default:
 		return keeper.Lost
--- a/storer/metered.go
+++ b/storer/metered.go
@@ -81,6 +81,8 @@
 		return "conflict"
 	case errors.Is(err, ErrUnavailable):
 		return "unavailable"
+	case errors.Is(err, ErrUnreadable):
+		return "unreadable"
 	case errors.Is(err, ErrUnknown):
 		return "unknown"
 	}
--- a/storer/storer.go
+++ b/storer/storer.go
@@ -22,6 +22,9 @@
 	ErrConflict = errors.New("condition failed")
 	// ErrUnavailable reports that the call failed and certainly had no effect.
 	ErrUnavailable = errors.New("object api unavailable")
+	// ErrUnreadable reports that the store answered, and the object can't be decoded. The object that
+	// comes with it has no value, and its version as far as that could be decoded.
+	ErrUnreadable = errors.New("object can't be decoded")
 	// ErrUnknown reports that the reply to a write was lost: the write may have taken
 	// effect. Callers must read the object back to find out.
 	ErrUnknown = errors.New("write outcome unknown")
@@ -46,7 +49,7 @@
 
 // Store is the platform's Object API.
 type Store interface {
-	// Get reads one object.
+	// Get reads one object. With ErrUnreadable it returns the object without a value.
 	Get(ctx context.Context, key string) (Object, error)
 	// Put writes one object and returns its new version.
 	Put(ctx context.Context, key string, value []byte, c Condition) (Version, error)
