A body's number of tokens or choices out of range is refused

What would be seen: one request with max_tokens and max_completion_tokens of -2^63 gives its organisation's account that many tokens, and once it has ended takes them off an account that was capped meanwhile: by the code the organisation is refused for good. One with 2^63 - 1 has a sum that wraps to a negative estimate, with n of 2^62 a product that wraps to 0. A number of 1 MB comes back to its caller as an error of 1 MB.

Cause: numbers of bodies were added and multiplied as they came; only encoding/json's bounds of an int applied.

Ruled out: clamping in place of refusing: a body is checked before anything runs, and its caller can be told.

Change: max_tokens, max_completion_tokens and n outside 0 to 2^30 get 400 "bad_number" with the field's name. The reason of "bad_json" is cut at 255 bytes.

--- a/server/request.go
+++ b/server/request.go
@@ -24,6 +24,11 @@
 	bytesPerToken       = 4    // rough estimate for prompts
 	prefixBytes         = 1024 // of a prompt, used for its prefix hash
 	defaultOutputTokens = 256  // assumed if the caller states no limit
+
+	// maxStatedNumber bounds the tokens and the choices that a caller asks for, so that neither their
+	// product nor sums over callers overflow.
+	maxStatedNumber = 1 << 30
+	maxReasonBytes  = 255 // of a parser's reason: it quotes the text that it can't decode
 )
 
 // request is one caller's request after it was checked.
@@ -151,6 +156,19 @@
 	} `json:"stream_options"`
 }
 
+// oddNumber returns the name of a field whose number is out of range, if there is one.
+func (c completion) oddNumber() (string, bool) {
+	for _, f := range []struct {
+		name   string
+		number int
+	}{{"max_tokens", c.MaxTokens}, {"max_completion_tokens", c.MaxComplete}, {"n", c.Choices}} {
+		if f.number < 0 || f.number > maxStatedNumber {
+			return f.name, true
+		}
+	}
+	return "", false
+}
+
 // parseCompletion parses an engine request's body and finds its service.
 func (q *request) parseCompletion(x *index, body []byte) (loader.Route, *failure) {
 	bad := func(code, message string) (loader.Route, *failure) {
@@ -158,7 +176,11 @@
 	}
 	var c completion
 	if err := json.Unmarshal(body, &c); err != nil {
-		return bad("bad_json", "the body is not a completion request: "+err.Error())
+		reason := err.Error()
+		return bad("bad_json", "the body is not a completion request: "+strings.ToValidUTF8(reason[:min(len(reason), maxReasonBytes)], ""))
+	}
+	if name, ok := c.oddNumber(); ok {
+		return bad("bad_number", fmt.Sprintf("%s is not from 0 to %d", name, maxStatedNumber))
 	}
 	if len(c.Messages) == 0 && len(c.Prompt) == 0 {
 		return bad("no_prompt", "messages or prompt is missing")
