The length that an engine states counts as not stated if it is out of range

What would be seen: one answer that states completion_tokens of 2^63 - 1 charges its organisation that many tokens (with a prompt the sum wraps and gives them back), and the policy learns from it how long answers of this kind are; a negative one does the same the other way.

Cause: the number was used as it came.

Ruled out: failing the answer: its text is whole, and the tokens that were passed on are counted anyway.

Change: a number below 0 or over 2^24 counts as not stated.

--- a/forwarder/events.go
+++ b/forwarder/events.go
@@ -16,6 +16,7 @@
 const (
 	eventBufferBytes = 2 << 10
 	maxEventBytes    = 1 << 20 // maximum size of one event
+	maxUsage         = 1 << 24 // tokens; more than any answer has
 )
 
 // ErrEvent means that an event of a stream can't be parsed.
@@ -139,6 +140,14 @@
 	Error json.RawMessage `json:"error"`
 }
 
+// usage returns the tokens that an engine states; a number out of range counts as not stated.
+func (c *chunk) usage() int {
+	if c.Usage.Completion < 0 || c.Usage.Completion > maxUsage {
+		return 0
+	}
+	return c.Usage.Completion
+}
+
 func (e *Events) parse() (Event, error) {
 	v, data := Event{Raw: e.raw}, e.data
 	if len(data) == 0 {
@@ -159,7 +168,7 @@
 	if err := e.checkID(c.ID); err != nil {
 		return Event{}, err
 	}
-	v.Usage = c.Usage.Completion
+	v.Usage = c.usage()
 	v.Failed = len(c.Error) > 0 && string(c.Error) != "null"
 	for _, choice := range c.Choices {
 		if choice.Text != "" || choice.Delta.Content != "" {
@@ -245,7 +254,7 @@
 	if c.ID != "" && !a.ownsID(c.ID) {
 		return 0, fmt.Errorf("%w: %w: %s", ErrUnknown, ErrMismatched, c.ID)
 	}
-	return c.Usage.Completion, nil
+	return c.usage(), nil
 }
 
 // Drain reads a complete answer to its end, so that its connection can be reused.
