A generation that no later one can follow is invalid

What would be seen: a configuration of generation 2^64 - 1, from the store or a peer, comes into force and stays for good: the next push has a smaller one (the sum wraps), and hosts never go back. A frame with such a number makes the host that gets it unready after the time to confirm, as long as such frames arrive: a newer generation counts as announced that nobody can get.

Cause: generations were used as they came.

Ruled out: wrapping around as a newer one: hosts of different ages would disagree on which is newer.

Change: heads over 2^62 are invalid objects, as those without a generation (the last good one stays in force, it is reported once); a frame's number over that is ignored and logged once. The same holds for the operator's version, which becomes a head.

--- a/publisher/follower.go
+++ b/publisher/follower.go
@@ -67,6 +67,7 @@
 	active       atomic.Pointer[Enforce]
 	status       atomic.Pointer[Status]
 	confirmation atomic.Pointer[confirmation] // newest one that Run has not handled yet
+	oddPeer      atomic.Bool                  // a generation over maxGeneration was logged
 
 	mu      sync.Mutex
 	version storer.Version // of the object read last
@@ -118,6 +119,12 @@
 // called for each frame, from any goroutine, and never blocks: in the usual case, the
 // generation in force, it only stores the time.
 func (f *Follower) ReceiveGeneration(peer string, generation uint64, now time.Time) {
+	if generation > maxGeneration {
+		if f.oddPeer.CompareAndSwap(false, true) {
+			f.log.Warn("invalid generation from peer", zap.String("peer", peer), zap.Uint64("generation", generation))
+		}
+		return
+	}
 	have := f.Head().Generation
 	if generation == have {
 		f.confirmation.Store(&confirmation{generation: generation, at: now})
--- a/publisher/head.go
+++ b/publisher/head.go
@@ -28,6 +28,8 @@
 	// maxPushRecords is the number of pushes that the object lists. The outcome of a push
 	// whose reply was lost can be determined until that many others landed on top of it.
 	maxPushRecords = 64
+	// maxGeneration leaves room for later ones: none could follow the largest number.
+	maxGeneration = 1 << 62
 )
 
 // Errors of this package.
@@ -84,6 +86,9 @@
 // NewHead returns a head of files that were not pushed but read from another source,
 // with the generation that they have there.
 func NewHead(f loader.Files, generation uint64) (Head, error) {
+	if err := checkGeneration(generation); err != nil {
+		return Head{}, err
+	}
 	h := Head{Files: f, Generation: generation}
 	packed, err := h.pack()
 	h.packed = packed
@@ -127,12 +132,22 @@
 	if err := json.Unmarshal(text, &v); err != nil {
 		return Head{}, fmt.Errorf("%w: %v", ErrInvalidObject, err)
 	}
-	if v.Generation == 0 {
-		return Head{}, fmt.Errorf("%w: no generation", ErrInvalidObject)
+	if err := checkGeneration(v.Generation); err != nil {
+		return Head{}, err
 	}
 	return Head{Files: v.Files, Generation: v.Generation, pushes: v.Pushes, packed: packed}, nil
 }
 
+func checkGeneration(generation uint64) error {
+	switch {
+	case generation == 0:
+		return fmt.Errorf("%w: no generation", ErrInvalidObject)
+	case generation > maxGeneration:
+		return fmt.Errorf("%w: generation %d is over %d", ErrInvalidObject, generation, uint64(maxGeneration))
+	}
+	return nil
+}
+
 // generationOf returns the generation of the push with the given ID, if it is listed.
 func (h Head) generationOf(id string) (uint64, bool) {
 	for _, r := range h.pushes {
--- a/publisher/odd_head_test.go
+++ b/publisher/odd_head_test.go
@@ -1,8 +1,13 @@
 package publisher_test
 
 import (
+	"bytes"
+	"compress/gzip"
 	"context"
+	"fmt"
+	"math"
 	"net/http/httptest"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -57,3 +62,57 @@
 		Expect(push(store)).To(MatchError(publisher.ErrInvalidObject))
 	})
 })
+
+var _ = Describe("A generation beyond any", func() {
+	const beyond = 1<<62 + 1
+
+	// Guards against a generation that no later one can follow: no push would come into force any more.
+	It("makes a head invalid", func() {
+		for _, generation := range []uint64{beyond, math.MaxUint64} {
+			_, err := publisher.NewHead(loader.Files{}, generation)
+			Expect(err).To(MatchError(publisher.ErrInvalidObject))
+			_, err = publisher.Unpack(pack(fmt.Sprintf(`{"generation":%d,"files":{}}`, generation)))
+			Expect(err).To(MatchError(publisher.ErrInvalidObject))
+		}
+	})
+
+	// Guards against a packed head of few bytes that costs its reader the memory of many, or ends its process.
+	DescribeTable("as other odd fields, makes a head invalid", func(text string) {
+		_, err := publisher.Unpack(pack(text))
+		Expect(err).To(MatchError(publisher.ErrInvalidObject))
+	},
+		Entry("beyond any number", `{"generation":1e400,"files":{}}`),
+		Entry("of 20 digits", `{"generation":99999999999999999999,"files":{}}`),
+		Entry("negative", `{"generation":-1,"files":{}}`),
+		Entry("files nested too deep", `{"generation":7,"files":`+strings.Repeat("[", 20_000)+strings.Repeat("]", 20_000)+`}`),
+		Entry("a field nested too deep that nobody reads", `{"generation":7,"files":{},"x":`+strings.Repeat("[", 20_000)+strings.Repeat("]", 20_000)+`}`),
+		Entry("a text over its bound", `{"generation":7,"files":{},"x":"`+strings.Repeat("x", 32<<20)+`"}`),
+		Entry("a text that is cut off", `{"generation":7,"files":{}`),
+	)
+
+	// Guards against hosts that all leave the load balancer for the number that one of them sends.
+	It("that a peer sends leaves the configuration in force confirmed", func() {
+		server := httptest.NewServer(faker.NewPlatform().Handler())
+		DeferCleanup(server.Close)
+		DeferCleanup(server.CloseClientConnections)
+		store, clean := adapter.NewStore(server.URL)
+		DeferCleanup(clean)
+		_, err := publisher.Pusher{Store: store}.Push(context.Background(), publisher.Change{Files: loader.Files{"a.json": class("a", 0)}})
+		Expect(err).NotTo(HaveOccurred())
+		f := runFollower(store, publisher.Timing{GatherTimeout: 10 * time.Millisecond, PollInterval: 50 * time.Millisecond, ConfirmTimeout: 300 * time.Millisecond})
+		Eventually(f.ready.Load, 5*time.Second).Should(BeTrue())
+		Consistently(func() bool {
+			f.ReceiveGeneration("odd", math.MaxUint64, time.Now())
+			return f.ready.Load()
+		}, time.Second).Should(BeTrue())
+	})
+})
+
+// pack returns a text as a stored head has it.
+func pack(text string) []byte {
+	var b bytes.Buffer
+	z := gzip.NewWriter(&b)
+	_, _ = z.Write([]byte(text))
+	_ = z.Close()
+	return b.Bytes()
+}
