A record of a host whose numbers or texts are out of range costs only itself

What would be seen, for one odd record in the store or one fact of a frame: with the largest incarnation and another host's address that host takes the incarnation after it, which wraps to 0, and counts as older than all it was; with another host's name that host counts itself as superseded and leaves; in its place in the store it keeps that host from writing its record and lease. With the largest weight it counts as the one large host in every role (twice the weight wraps). A text of 1 MiB goes to the other hosts in each list of all facts, which is then larger than a frame and dropped whole.

Cause: records and facts were used as they were decoded.

Ruled out: clamping: a clamped incarnation still outranks the true one.

A record that can't be used is logged and counted once a version (cicadawood_host_odd_records).

--- a/registrar/follow.go
+++ b/registrar/follow.go
@@ -78,8 +78,14 @@
 func (r *Registrar) handleObjects(objects []storer.Object, restored bool) {
 	var records []Record
 	for _, o := range objects {
-		if h, ok := decodeRecord(o); ok && !o.Deleted {
+		if o.Deleted {
+			delete(r.oddRecords, o.Key)
+			continue
+		}
+		if h, ok := decodeRecord(o); ok {
 			records = append(records, h)
+		} else {
+			r.noteOdd(o)
 		}
 	}
 	switch {
@@ -91,11 +97,24 @@
 	}
 }
 
+// noteOdd logs and counts a record that can't be used, once for each of its versions.
+func (r *Registrar) noteOdd(o storer.Object) {
+	if seen, ok := r.oddRecords[o.Key]; ok && seen == o.Version {
+		return
+	}
+	r.oddRecords[o.Key] = o.Version
+	r.odd.Add(1)
+	r.config.Log.Warn("record can't be used", zap.String("key", o.Key), zap.Stringer("version", o.Version))
+}
+
+// decodeRecord returns a record, or false if the object has none that can be used.
 func decodeRecord(o storer.Object) (Record, bool) {
 	var h Record
-	err := json.Unmarshal(o.Value, &h)
+	if err := json.Unmarshal(o.Value, &h); err != nil || Prefix+h.Name != o.Key || !inRange(factOf(h)) {
+		return Record{}, false
+	}
 	h.Unreachable = false
-	return h, err == nil && h.Name != "" && Prefix+h.Name == o.Key
+	return h, true
 }
 
 // jitter returns a random duration from d/2 to 3d/2, so that the hosts of a fleet don't
--- a/registrar/members.go
+++ b/registrar/members.go
@@ -270,12 +270,13 @@
 }
 
 // merge applies facts from a host, or from the store if from is empty, and forwards those
-// that are new. A fact is only ever replaced by a newer one, so connected hosts converge
+// that are new. Those out of range are skipped. A fact is only ever replaced by a newer one, so connected hosts converge
 // regardless of the order in which they receive facts.
 func (m *Members) merge(now time.Time, from string, facts []messenger.Fact) {
 	changed := false
 	for _, f := range facts {
 		switch x := m.members[f.Name]; {
+		case !inRange(f):
 		case x == m.self:
 			m.mergeOwnFact(now, from, f)
 		case x == nil && f.Status == gone: // ignored, otherwise hosts would send each other tombstones forever
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -56,6 +56,7 @@
 	Suspicions  uint64 `json:"suspicions"`
 	Deaths      uint64 `json:"deaths"` // hosts that this host declared dead
 	Rejoins     uint64 `json:"rejoins"`
+	Odd         uint64 `json:"odd"` // records that can't be used, each version once
 }
 
 // Registrar runs Members. One goroutine owns them; others call the Object API, so that a
@@ -74,14 +75,16 @@
 
 	peersAsked time.Time // when the configured peers were last asked
 
-	suspicions, deaths, rejoins atomic.Uint64
+	suspicions, deaths, rejoins, odd atomic.Uint64
+
+	oddRecords map[string]storer.Version // that were counted, by key; used by follow's goroutine only
 }
 
 // New returns a Registrar; Run starts it.
 func New(c Config) *Registrar {
 	r := &Registrar{
 		config: c, members: NewMembers(time.Now(), c.Self, c.HeartbeatInterval), inputs: make(chan func(time.Time) []Output, maxQueuedInputs),
-		done: make(chan struct{}), leaseChecks: map[string]bool{},
+		done: make(chan struct{}), leaseChecks: map[string]bool{}, oddRecords: map[string]storer.Version{},
 	}
 	r.recorder = newRecorder(c.Store, c.Self, c.LeaseDuration, c.Log)
 	r.recorder.onFirstWrite = c.OnFirstWrite
@@ -170,7 +173,7 @@
 
 // Counts returns the current statistics.
 func (r *Registrar) Counts() Counts {
-	c := Counts{Suspicions: r.suspicions.Load(), Deaths: r.deaths.Load(), Rejoins: r.rejoins.Load()}
+	c := Counts{Suspicions: r.suspicions.Load(), Deaths: r.deaths.Load(), Rejoins: r.rejoins.Load(), Odd: r.odd.Load()}
 	for _, h := range r.Roster().hosts {
 		c.Alive++
 		if h.Unreachable {
--- a/runner/metrics.go
+++ b/runner/metrics.go
@@ -40,6 +40,7 @@
 	membership("cicadawood_host_suspicions", "Suspicions begun by this host.", func(c registrar.Counts) float64 { return float64(c.Suspicions) })
 	membership("cicadawood_host_deaths", "Deaths concluded by this host.", func(c registrar.Counts) float64 { return float64(c.Deaths) })
 	membership("cicadawood_host_rejoins", "Times that this host was declared dead and came back.", func(c registrar.Counts) float64 { return float64(c.Rejoins) })
+	membership("cicadawood_host_odd_records", "Records of hosts in the store that can't be used, each version once.", func(c registrar.Counts) float64 { return float64(c.Odd) })
 	connection := func(name, help string, value func(messenger.Counts) uint64) {
 		r.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help}, func() float64 { return float64(value(h.messenger.Counts())) }))
 	}
