An object of the quarantine that is out of range is left out

Cause: entries were used as they were decoded.

Ruled out: removing such objects from the store: who wrote them is not known.

Change: an entry must have a fingerprint, which is its object's name, a duration over 0, and at most 32 workers of 255 bytes; others are left out and logged with their reason, as those that can't be decoded. The tracker's bound of six hours applies to long durations as before.

--- a/persister/quarantine.go
+++ b/persister/quarantine.go
@@ -23,6 +23,16 @@
 	minOwnership = time.Second
 	// storeRetryDelay is the pause after a failed call.
 	storeRetryDelay = time.Second
+	// maxWorkers and maxNameBytes bound the workers of an entry: hosts send them to one another.
+	maxWorkers   = 32
+	maxNameBytes = 255
+)
+
+// Reasons why an object describes no entry that can be used.
+var (
+	errName    = errors.New("not the object of its fingerprint")
+	errSpan    = errors.New("no duration")
+	errWorkers = fmt.Errorf("over %d workers, or a name of over %d bytes", maxWorkers, maxNameBytes)
 )
 
 // Quarantine keeps quarantined requests in the platform's store, one call at a time.
@@ -189,12 +199,30 @@
 		return nil, nil, err
 	}
 	for _, o := range objects {
-		var h storedEntry
-		if err := json.Unmarshal(o.Value, &h); err != nil {
+		entry, err := decodeEntry(o)
+		if err != nil {
 			malformed = errors.Join(malformed, fmt.Errorf("%s: %w", o.Key, err))
 			continue
 		}
-		entries = append(entries, quarantiner.Entry{Fingerprint: h.Fingerprint, Remaining: h.Span, Duration: h.Span, Workers: h.Workers})
+		entries = append(entries, entry)
 	}
 	return entries, malformed, nil
 }
+
+// decodeEntry decodes an object, and checks what hosts keep of it and send to one another.
+func decodeEntry(o storer.Object) (quarantiner.Entry, error) {
+	var h storedEntry
+	if err := json.Unmarshal(o.Value, &h); err != nil {
+		return quarantiner.Entry{}, err
+	}
+	tooLong := func(name string) bool { return len(name) > maxNameBytes }
+	switch {
+	case h.Fingerprint == 0 || o.Key != prefix+h.Fingerprint.String():
+		return quarantiner.Entry{}, errName
+	case h.Span <= 0:
+		return quarantiner.Entry{}, errSpan
+	case len(h.Workers) > maxWorkers || slices.ContainsFunc(h.Workers, tooLong):
+		return quarantiner.Entry{}, errWorkers
+	}
+	return quarantiner.Entry{Fingerprint: h.Fingerprint, Remaining: h.Span, Duration: h.Span, Workers: h.Workers}, nil
+}
--- a/persister/quarantine_test.go
+++ b/persister/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http/httptest"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -110,4 +111,27 @@
 		Expect(read).To(HaveLen(1))
 		Expect(malformed).To(MatchError(ContainSubstring("quarantine/x")))
 	})
+
+	// Guards against a store that is read without a pause, or lists too large to send, for one odd object.
+	DescribeTable("leaves out an object out of range, and reads the store once", func(name, spec string) {
+		fake.Put("quarantine", entry.Fingerprint.String(), map[string]any{"fingerprint": entry.Fingerprint, "span": time.Minute})
+		fake.PutRaw("quarantine", name, spec)
+		sweep(0, true)
+		now = now.Add(time.Second)
+		read, malformed, err, _ := q.SweepAndCall(now, true, nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(read).To(Equal([]quarantiner.Entry{{Fingerprint: entry.Fingerprint, Remaining: time.Minute, Duration: time.Minute}}))
+		Expect(malformed).To(MatchError(ContainSubstring("quarantine/" + name)))
+		_, called := sweep(time.Second, true, read...)
+		Expect(called).To(BeFalse(), "no change")
+	},
+		Entry("without a fingerprint", quarantiner.Fingerprint(0).String(), `{"fingerprint":"0000000000000000","span":1}`),
+		Entry("under another's name", quarantiner.Fingerprint(9).String(), `{"fingerprint":"0000000000000008","span":1}`),
+		Entry("with a negative duration", quarantiner.Fingerprint(9).String(), `{"fingerprint":"0000000000000009","span":-1}`),
+		Entry("with a duration of 20 digits", quarantiner.Fingerprint(9).String(), `{"fingerprint":"0000000000000009","span":99999999999999999999}`),
+		Entry("with a duration beyond any", quarantiner.Fingerprint(9).String(), `{"fingerprint":"0000000000000009","span":1e400}`),
+		Entry("with a worker of 1 MB", quarantiner.Fingerprint(9).String(), `{"fingerprint":"0000000000000009","span":1,"workers":["`+strings.Repeat("x", 1_000_000)+`"]}`),
+		Entry("with 100,000 workers", quarantiner.Fingerprint(9).String(), `{"fingerprint":"0000000000000009","span":1,"workers":["x"`+strings.Repeat(`,"x"`, 100_000)+`]}`),
+		Entry("that has no value", quarantiner.Fingerprint(9).String(), `"%"`),
+	)
 })
