An element of the host list out of range is skipped, and so is such a report

What would be seen: one worker listed with 2^63 - 1 slots makes the sum of a dispatcher's slots wrap (dispatcher/place.go); one with a port out of range, or a name of 1 MiB, becomes a worker that requests are sent to, though none can arrive, or that states and logs carry whole.

Cause: listings were used as they were decoded; only what couldn't be decoded was skipped, without a trace.

Ruled out: refusing the whole list: it would be followed no more for one element.

Change: a listing with slots outside 0 to 100,000, an address that is no IP:port or a text over 255 bytes is skipped, as those that can't be decoded; how many were is logged when that changes, and a gauge (cicadawood_host_list_skipped). A load report whose numbers are negative or over 2^30 counts as none, and none is returned in part.

A list stated longer than it is, cut off or over its bound is an error, before and after.

--- a/observer/client.go
+++ b/observer/client.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"strings"
 	"time"
 
@@ -20,8 +21,15 @@
 	listTimeout    = 3 * time.Second
 	maxReportBytes = 64 << 10
 	maxListBytes   = 4 << 20
+
+	// Limits of a listing and of a report; sums over all workers don't overflow.
+	maxTextBytes = 255
+	maxSlots     = 100_000
+	maxReported  = 1 << 30 // requests
 )
 
+var errReport = fmt.Errorf("a number that is not from 0 to %d", maxReported)
+
 // ErrUnavailable is wrapped by errors about a list or report that could not be read.
 var ErrUnavailable = errors.New("not available")
 
@@ -34,8 +42,12 @@
 	dialer   connector.Dialer
 	http     *http.Client // for the platform
 	workers  *http.Client
+	skipped  int // elements of the last list
 }
 
+// Skipped returns the number of elements of the last host list that can't be used.
+func (c *Client) Skipped() int { return c.skipped }
+
 // NewClient returns a client that connects to workers by d, and a function that closes its
 // idle connections.
 func NewClient(platform string, d connector.Dialer) (*Client, func()) {
@@ -56,31 +68,58 @@
 	}
 }
 
-// List returns the platform's host list.
+// List returns the platform's host list but for the elements that can't be used. It is not safe for
+// concurrent use.
 func (c *Client) List(ctx context.Context) ([]Listing, error) {
 	var list []Listing
-	decode := func(text []byte) (err error) { list, err = decodeList(text); return err }
+	decode := func(text []byte) (err error) { list, c.skipped, err = decodeList(text); return err }
 	if err := get(ctx, c.http, c.platform+"/hosts", listTimeout, maxListBytes, false, decode); err != nil {
 		return nil, fmt.Errorf("host list: %w", err)
 	}
 	return list, nil
 }
 
-// decodeList decodes the host list but for the elements that can't be decoded.
-func decodeList(text []byte) ([]Listing, error) {
+// decodeList decodes the host list but for the elements that can't be used, and returns their number.
+func decodeList(text []byte) (list []Listing, skipped int, err error) {
 	fields, err := splitter.Object(text)
 	if err != nil || fields["hosts"] == nil {
-		return nil, err
+		return nil, 0, err
 	}
 	elements, err := splitter.Array(fields["hosts"])
-	var list []Listing
 	for _, element := range elements {
 		var l Listing
-		if json.Unmarshal(element, &l) == nil {
+		if json.Unmarshal(element, &l) == nil && l.inRange() {
 			list = append(list, l)
+		} else {
+			skipped++
+		}
+	}
+	return list, skipped, err
+}
+
+// inRange reports whether a listing can be used.
+func (l Listing) inRange() bool {
+	for _, text := range []string{l.Service, l.Name, l.Address, l.Zone} {
+		if len(text) > maxTextBytes {
+			return false
 		}
 	}
-	return list, err
+	if _, err := netip.ParseAddrPort(l.Address); err != nil && l.Address != "" {
+		return false
+	}
+	return l.Slots >= 0 && l.Slots <= maxSlots
+}
+
+// decodeReport decodes a load report; one that can't be used is an error.
+func decodeReport(text []byte) (Report, error) {
+	var r Report
+	if err := json.Unmarshal(text, &r); err != nil {
+		return Report{}, err
+	}
+	if min(r.Running, r.Waiting) < 0 || max(r.Running, r.Waiting) > maxReported {
+		return Report{}, errReport
+	}
+	return r, nil
 }
 
 // Report returns the load report of the worker at address. If the worker answers, but has no
@@ -89,7 +128,8 @@
 	var r Report
 	// A connection through another host is not kept: it would keep that host from stopping.
 	once := c.dialer.Lost(address)
-	if err := get(ctx, c.workers, "http://"+address+"/load", reportTimeout, maxReportBytes, once, func(text []byte) error { return json.Unmarshal(text, &r) }); err != nil {
+	decode := func(text []byte) (err error) { r, err = decodeReport(text); return err }
+	if err := get(ctx, c.workers, "http://"+address+"/load", reportTimeout, maxReportBytes, once, decode); err != nil {
 		return r, fmt.Errorf("load report of %s: %w", address, err)
 	}
 	return r, nil
--- a/runner/metrics.go
+++ b/runner/metrics.go
@@ -53,4 +53,5 @@
 	connection("cicadawood_messenger_unknown_total", "Frames of kinds that only later versions know.", func(c messenger.Counts) uint64 { return c.Unknown })
 	connection("cicadawood_messenger_duplicates_total", "Frames that had come before.", func(c messenger.Counts) uint64 { return c.Duplicates })
 	r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "cicadawood_workers_leaving", Help: "Backend servers that get nothing new because they are leaving."}, func() float64 { return float64(h.poller.leavingCount()) }))
+	r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "cicadawood_host_list_skipped", Help: "Elements of the last host list that can't be used."}, func() float64 { return float64(h.poller.skippedCount()) }))
 }
--- a/runner/worker_poller.go
+++ b/runner/worker_poller.go
@@ -60,6 +60,7 @@
 	dialer      connector.Dialer
 	log         *zap.Logger
 	unavailable atomic.Int64
+	skipped     atomic.Int64 // elements of the last host list that can't be used
 }
 
 func newWorkerPoller(c *control, platform string, d connector.Dialer, log *zap.Logger) *workerPoller {
@@ -71,6 +72,9 @@
 // leavingCount returns the number of workers that get no new work.
 func (o *workerPoller) leavingCount() int64 { return o.unavailable.Load() }
 
+// skippedCount returns the number of elements of the last host list that can't be used.
+func (o *workerPoller) skippedCount() int64 { return o.skipped.Load() }
+
 // postRefusal passes on that a worker refused a call of this host's entry.
 func (o *workerPoller) postRefusal(address string, retryAfter time.Duration) {
 	o.control.post(workerRefused{address: address, retryAfter: retryAfter})
@@ -136,6 +140,9 @@
 		o.log.Warn("host list", zap.Error(err))
 		return
 	}
+	if n := int64(client.Skipped()); o.skipped.Swap(n) != n {
+		o.log.Warn("host list", zap.Int64("skipped", n))
+	}
 	o.control.post(workersListed{list: list})
 }
 
