An answer of another host to a tunnel can't end the process

What would be seen: a host that asks another for a tunnel and gets a reason that is no UTF-8 ends ("label value ... is not valid UTF-8"); any other unknown reason makes a new series of metrics, of up to 16 KB each, and its host is asked again at each connection. A stated wait of 2^63 - 1 ns keeps a host from being asked for good, a negative one has it asked at once.

Cause: the reason became a metric's label, and the wait a time, as they came.

Ruled out: refusing answers with unknown reasons as unreadable: a later version may have more reasons, and they say that it does not help.

Change: a reason that this version does not know counts as "unknown" (the worker isn't known there); waits are bounded to a minute, negative ones count as none stated.

--- a/reacher/helpers.go
+++ b/reacher/helpers.go
@@ -112,6 +112,18 @@
 	Silent:    2 * time.Second,
 }
 
+// maxWait bounds the time that a host states for which it is not asked.
+const maxWait = time.Minute
+
+// Known returns the reason, or Unknown for one that only other versions know: a reason is a label
+// of metrics, and decides for how long the host is not asked.
+func (r Reason) Known() Reason {
+	if _, ok := avoidTimes[r]; ok || r == "" || r == Foreign {
+		return r
+	}
+	return Unknown
+}
+
 // Declined records that a host did not help to connect to a worker. A wait that it stated
 // takes the place of the usual time for which it is not asked.
 func (t *Table) Declined(now time.Time, host, address string, r Reason, wait time.Duration) {
@@ -119,7 +131,7 @@
 	if h == nil {
 		return
 	}
-	until := now.Add(cmp.Or(wait, avoidTimes[r]))
+	until := now.Add(cmp.Or(min(max(wait, 0), maxWait), avoidTimes[r]))
 	switch r {
 	case Foreign:
 		h.foreign = true
--- a/reacher/reacher_test.go
+++ b/reacher/reacher_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -192,6 +193,9 @@
 		Entry("it is full", reacher.Full, time.Duration(0), 500*time.Millisecond, false),
 		Entry("it does not answer", reacher.Silent, time.Duration(0), 2*time.Second, false),
 		Entry("it stops", reacher.Stopping, time.Duration(0), 10*time.Second, false),
+		Entry("it states the longest time", reacher.Resting, time.Duration(math.MaxInt64), time.Minute, true),
+		Entry("it states a negative time", reacher.Resting, time.Duration(math.MinInt64), time.Second, true),
+		Entry("it states a reason of its own", reacher.Reason("\xff").Known(), time.Duration(0), time.Second, true),
 	)
 
 	It("does not ask a host again that does not know tunnels, until it has restarted", func() {
--- a/tunneler/open.go
+++ b/tunneler/open.go
@@ -61,6 +61,7 @@
 	_, err := messenger.ReadFrame(raw, &answer)
 	switch {
 	case err == nil:
+		answer.Reason = answer.Reason.Known()
 		return answer, nil
 	case connector.ClosedByPeer(err):
 		return reply{Reason: reacher.Foreign}, err
