--- a/runner/metrics.go
+++ b/runner/metrics.go
@@ -40,6 +40,7 @@
 	membership("cicadawood_host_suspicions", "Suspicions begun by this host.", func(c registrar.Counts) float64 { return float64(c.Suspicions) })
 	membership("cicadawood_host_deaths", "Deaths concluded by this host.", func(c registrar.Counts) float64 { return float64(c.Deaths) })
 	membership("cicadawood_host_rejoins", "Times that this host was declared dead and came back.", func(c registrar.Counts) float64 { return float64(c.Rejoins) })
+	membership("cicadawood_host_odd_records", "Records of hosts in the store that can't be used, each version once.", func(c registrar.Counts) float64 { return float64(c.Odd) })
 	connection := func(name, help string, value func(messenger.Counts) uint64) {
 		r.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help}, func() float64 { return float64(value(h.messenger.Counts())) }))
 	}
@@ -52,4 +53,5 @@
 	connection("cicadawood_messenger_unknown_total", "Frames of kinds that only later versions know.", func(c messenger.Counts) uint64 { return c.Unknown })
 	connection("cicadawood_messenger_duplicates_total", "Frames that had come before.", func(c messenger.Counts) uint64 { return c.Duplicates })
 	r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "cicadawood_workers_leaving", Help: "Backend servers that get nothing new because they are leaving."}, func() float64 { return float64(h.poller.leavingCount()) }))
+	r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "cicadawood_host_list_skipped", Help: "Elements of the last host list that can't be used."}, func() float64 { return float64(h.poller.skippedCount()) }))
 }
