The faker's worker sends a second answer after a stream and serves on; no stream gets a piece of it

No logic is changed.

A faker's worker that is stopped or crashes now also ends the answers whose connections its server knows no more (those without a length): they went on to their end before.

--- a/faker/worker.go
+++ b/faker/worker.go
@@ -51,6 +51,9 @@
 	seq        int
 	crash      func() // closes the listener and all connections, as a crash does
 	hung       bool   // it answers nothing any more
+	ended      bool   // its process has ended: connections that its server does not know any more are closed, too
+	returned   *returnListener
+	crossed    int // second answers sent after the next request had arrived
 }
 
 // defaultVersion is the software version of a worker that states none.
@@ -71,22 +74,28 @@
 	Endless         Endless       // part of its answers that has no end
 	CutAfterByte    int           // writes so many bytes of an answer and closes the connection; 0 cuts none
 	HangAfterEvent  int           // with Unframed, hangs as Hang does after the event with this number; 0 is never
+	Second          SecondAnswer  // that follows each stream
 	EndAfterEvent   int           // with Unframed, ends as a killed process does after the event with this number; 0 is never
 }
 
 // Start serves on a loopback port and returns a function that stops it.
 func (k *Worker) Start() func() {
 	k.runs, k.headers = map[string]int{}, map[string]http.Header{}
-	s := httptest.NewServer(http.HandlerFunc(k.serve))
+	s := httptest.NewUnstartedServer(http.HandlerFunc(k.serve))
+	k.returned = newReturnListener(s.Listener)
+	s.Listener = k.returned
+	s.Start()
 	k.Address = strings.TrimPrefix(s.URL, "http://")
 	k.crash = sync.OnceFunc(func() {
 		_ = s.Listener.Close()
+		k.setEnded()
 		s.CloseClientConnections()
 		if k.OnCrash != nil {
 			k.OnCrash()
 		}
 	})
 	return func() {
+		k.setEnded()
 		s.CloseClientConnections()
 		s.Close()
 	}
@@ -298,6 +307,8 @@
 		w.WriteHeader(http.StatusInternalServerError)
 	case f.Unframed:
 		k.answerUnframed(w, r, f, leave)
+	case k.Events > 0 && f.Second.Request != "":
+		k.streamThenSecond(w, r, f.Second, leave)
 	case k.Events > 0:
 		k.stream(w, r, f, leave)
 	case f.ExtraAnswer:
--- a/faker/worker_unframed.go
+++ b/faker/worker_unframed.go
@@ -45,7 +45,7 @@
 		if i == f.HangAfterEvent {
 			k.Hang()
 		}
-		if k.isHung() {
+		if k.isOver() {
 			return
 		}
 		if i == f.EndAfterEvent {
@@ -70,6 +70,19 @@
 	return k.hung
 }
 
+func (k *Worker) setEnded() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.ended = true
+}
+
+// isOver reports whether the worker's process hangs or has ended.
+func (k *Worker) isOver() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.hung || k.ended
+}
+
 // reset closes a connection so that the other end sees a reset.
 func reset(conn net.Conn) {
 	if tcp, ok := conn.(*net.TCPConn); ok {
