A stream that ended with its connection is whole only if the start of its worker that confirms it began it

Cause: the call by which a host asks whether the worker goes on is answered by the later start, and the list, read at once, still has the earlier one; what left. While the store failed the list of before decided, too.

Change: for a stream without a length of a worker that may start again under its name, the host makes a connection as the answer begins and asks over it at the end: who answers runs since then. Then the list decides that has the start of that time (400 ms after the connection was made): no wait for streams that last longer, at most that for others. If no such list is read (the store fails) the answer is whole only if who confirmed it began it. Where each start has an id of its own, nothing changes: another process answers 421. Bodies that are no streams are judged as before.

--- a/connector/answer.go
+++ b/connector/answer.go
@@ -23,6 +23,10 @@
 	closeAfter bool // the connection must not be reused
 	readToEnd  bool // the body was read to its end
 	finished   bool
+
+	witness        *witness // nil unless WatchStart was called
+	confirmedSince time.Time
+	byWitness      bool // ConfirmEnd was answered over the witness
 }
 
 // Reused reports whether the request was sent on a connection that had served another
--- a/connector/confirm.go
+++ b/connector/confirm.go
@@ -30,7 +30,9 @@
 	}
 	ctx, cancel := context.WithTimeout(a.ctx, confirmTimeout)
 	defer cancel()
-	err := a.conn.pool.confirm(ctx, a.conn.address, probe)
+	made := a.witness.take()
+	since, err := a.conn.pool.confirm(ctx, a.conn.address, made, probe)
+	a.confirmedSince, a.byWitness = since, made != nil && since.Equal(made.openedAt)
 	switch {
 	case err == nil:
 		return nil
@@ -45,15 +47,26 @@
 	return errors.Is(err, ErrNotSent) && !errors.Is(err, ErrNoPath) && !errors.Is(err, ErrUnanswered) && !errors.Is(err, context.DeadlineExceeded) && !errors.Is(err, context.Canceled)
 }
 
-// confirm has a backend server answer a probe, on an idle connection if there is one.
-func (p *Pool) confirm(ctx context.Context, address string, probe Call) error {
+// confirm has a backend server answer a probe, on a connection that was made for it or on an idle one
+// if there is one. It returns since when the process that answers runs at least.
+func (p *Pool) confirm(ctx context.Context, address string, made *conn, probe Call) (time.Time, error) {
+	if made != nil && (probe.Target == "" || !made.nothingReceived()) {
+		made.close()
+		made = nil
+	}
 	if probe.Target == "" {
-		return p.connect(ctx, address)
+		return time.Now(), p.connect(ctx, address)
+	}
+	if made != nil {
+		since, err := probeOn(ctx, made, probe)
+		if err == nil || !errors.Is(err, ErrClosedByPeer) {
+			return since, err
+		}
 	}
 	idle := p.HasIdle(address)
-	err := p.probe(ctx, address, probe)
+	since, err := p.probe(ctx, address, probe)
 	if err == nil || !idle || !errors.Is(err, ErrClosedByPeer) {
-		return err
+		return since, err
 	}
 	// It may have been about to close that connection.
 	p.CloseIdle(address)
@@ -61,11 +74,26 @@
 }
 
 // probe sends a probe and reads its answer.
-func (p *Pool) probe(ctx context.Context, address string, probe Call) error {
+func (p *Pool) probe(ctx context.Context, address string, probe Call) (time.Time, error) {
 	a, err := p.Do(ctx, address, probe)
 	if err != nil {
-		return err
+		return time.Time{}, err
 	}
+	return a.OpenedAt(), a.endProbe()
+}
+
+// probeOn is probe on a connection.
+func probeOn(ctx context.Context, c *conn, probe Call) (time.Time, error) {
+	a, err := c.exchange(ctx, probe)
+	if err != nil {
+		c.close()
+		return time.Time{}, err
+	}
+	return a.OpenedAt(), a.endProbe()
+}
+
+// endProbe reads the answer to a probe.
+func (a *Answer) endProbe() error {
 	defer a.Close()
 	if a.Status == http.StatusMisdirectedRequest {
 		return errGone
--- a/connector/confirm_test.go
+++ b/connector/confirm_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -158,3 +159,64 @@
 	close(completed)
 	return <-answers
 }
+
+// Guards against a later start of a server that answers, at its end, for the one that began the answer.
+var _ = Describe("A connection made as an answer begins that ends with its connection", func() {
+	alive := connector.Call{Method: http.MethodGet, Target: "/alive", Host: "h"}
+	// begin returns half an answer, and the connection that was made as it began.
+	begin := func(e *ending) (*connector.Answer, net.Conn) {
+		served := make(chan net.Conn, 1)
+		go func() {
+			defer close(served)
+			c := e.accept()
+			if !request(c) {
+				return
+			}
+			_, _ = io.WriteString(c, unframedHalf)
+			served <- e.accept()
+			time.Sleep(50 * time.Millisecond) // until the other end has it, too
+			_ = c.Close()
+		}()
+		pool, clean := connector.New(connector.Direct{})
+		DeferCleanup(clean)
+		half, err := pool.Do(context.Background(), e.Addr().String(), connector.Call{Method: http.MethodGet, Target: "/", Host: "h"})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(half.Close)
+		DeferCleanup(half.WatchStart())
+		var made net.Conn
+		Eventually(served).Should(Receive(&made))
+		_, err = io.Copy(io.Discard, half)
+		Expect(err).NotTo(HaveOccurred())
+		return half, made
+	}
+
+	It("shows that the server runs since then", func() {
+		half, made := begin(newEnding())
+		ended := time.Now()
+		go func() {
+			if request(made) {
+				_, _ = io.WriteString(made, response("", "alive"))
+			}
+		}()
+		Expect(half.ConfirmEnd(alive)).To(Succeed())
+		since, fromStart := half.ConfirmedSince()
+		Expect(since).To(BeTemporally("<=", ended))
+		Expect(fromStart).To(BeTrue())
+	})
+
+	It("shows it only of a later time if the server has closed it", func() {
+		e := newEnding()
+		half, made := begin(e)
+		_ = made.Close()
+		ended := time.Now()
+		go func() {
+			if c := e.accept(); request(c) {
+				_, _ = io.WriteString(c, response("", "alive"))
+			}
+		}()
+		Expect(half.ConfirmEnd(alive)).To(Succeed())
+		since, fromStart := half.ConfirmedSince()
+		Expect(since).To(BeTemporally(">=", ended))
+		Expect(fromStart).To(BeFalse())
+	})
+})
--- a/router/port.go
+++ b/router/port.go
@@ -185,23 +185,31 @@
 	// Certain reports whether it is a worker that answers over a connection that was made at
 	// openedAt, and not another start of it. It may wait for the list of workers.
 	Certain(ctx context.Context, w resumer.Worker, openedAt time.Time) bool
-	// Replaced reports whether a worker is known to have started again. A host that stood still
-	// waits for the list of workers.
-	Replaced(ctx context.Context, w resumer.Worker) bool
+	// Replaced reports whether a worker has started again since it began an answer, by a list that has
+	// the start that confirmed the end, or whether no list shows it and that start need not be the one
+	// that began. Without a time in by, the list counts as it is. It may wait for the list, also where
+	// the host stood still.
+	Replaced(ctx context.Context, w resumer.Worker, by Confirmation) bool
 	// Finished reports that a stream was answered whole.
 	Finished(keys []resumer.Key)
 }
 
+// Confirmation is what is known of the process that confirmed the end of an answer.
+type Confirmation struct {
+	Since     time.Time // it runs since then at least
+	FromStart bool      // it runs since the answer began
+}
+
 // noOrigins is the Origins of a host that lets every stream go on at any worker.
 type noOrigins struct{}
 
 func (noOrigins) Resolve(context.Context, resumer.TakenUp) (resumer.Answer, error) {
 	return resumer.Answer{Result: resumer.OneVersion}, nil
 }
-func (noOrigins) Began([]resumer.Key, resumer.Worker, time.Time)          {}
-func (noOrigins) Certain(context.Context, resumer.Worker, time.Time) bool { return true }
-func (noOrigins) Replaced(context.Context, resumer.Worker) bool           { return false }
-func (noOrigins) Finished([]resumer.Key)                                  {}
+func (noOrigins) Began([]resumer.Key, resumer.Worker, time.Time)              {}
+func (noOrigins) Certain(context.Context, resumer.Worker, time.Time) bool     { return true }
+func (noOrigins) Replaced(context.Context, resumer.Worker, Confirmation) bool { return false }
+func (noOrigins) Finished([]resumer.Key)                                      {}
 
 // Reach is the port to the component that knows which workers this host reaches.
 type Reach interface {
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -166,7 +166,9 @@
 	return resumer.Answer{Result: resumer.Known, Worker: resumer.Worker{Service: "x", Name: "w", Version: "v1"}}, nil
 }
 func (*restartedOrigins) Began([]resumer.Key, resumer.Worker, time.Time) {}
-func (*restartedOrigins) Replaced(context.Context, resumer.Worker) bool  { return false }
+func (*restartedOrigins) Replaced(context.Context, resumer.Worker, router.Confirmation) bool {
+	return false
+}
 
 func (o *restartedOrigins) Certain(context.Context, resumer.Worker, time.Time) bool {
 	return o.asked.Add(1) > 1
--- a/router/stream.go
+++ b/router/stream.go
@@ -18,6 +18,9 @@
 // passStream passes events on as they arrive, whole events only: if the worker fails
 // inside an event, another worker could not continue it.
 func (t *transaction) passStream(ctx context.Context, p Placement, a *connector.Answer) error {
+	if p.Worker.Incarnation != "" { // another start may answer at its address
+		defer a.WatchStart()()
+	}
 	resumed := t.delivery.headSent || t.received() != ""
 	pending := partialEvent{reserved: t.router.Memory.Reserve(reserver.Event)}
 	defer pending.reserved.Release()
--- a/router/transaction.go
+++ b/router/transaction.go
@@ -322,8 +322,12 @@
 	if err := a.ConfirmEnd(t.probe(p)); err != nil || a.Framed {
 		return err
 	}
-	if t.router.Origins.Replaced(ctx, p.Worker.Software()) {
-		return fmt.Errorf("%w: %w: another start of it answers", connector.ErrLost, connector.ErrClosedByPeer)
+	var by Confirmation
+	if t.q.Stream {
+		by.Since, by.FromStart = a.ConfirmedSince()
+	}
+	if t.router.Origins.Replaced(ctx, p.Worker.Software(), by) {
+		return fmt.Errorf("%w: %w: another start of it may answer", connector.ErrLost, connector.ErrClosedByPeer)
 	}
 	return nil
 }
--- a/runner/export_test.go
+++ b/runner/export_test.go
@@ -292,6 +292,13 @@
 	return reply
 }
 
+// ReplacedBy asks whether a worker has started again whose start confirmed the end of an answer.
+func (x Selector) ReplacedBy(now time.Time, w resumer.Worker, by router.Confirmation) <-chan bool {
+	reply := make(chan bool, 1)
+	x.c.handle(now, newReplacedRequested(now, w, by, reply))
+	return reply
+}
+
 // Certain asks whether it is a worker that answers over a connection made at openedAt. The
 // channel has the answer, once there is one.
 func (x Selector) Certain(now time.Time, w resumer.Worker, openedAt time.Time) <-chan bool {
--- a/runner/list_wait.go
+++ b/runner/list_wait.go
@@ -6,6 +6,7 @@
 
 	"github.com/cicadawood/cicadawood/placer"
 	"github.com/cicadawood/cicadawood/resumer"
+	"github.com/cicadawood/cicadawood/router"
 )
 
 // maxHold is how long a stream waits for the list of workers to show whether those of its
@@ -51,6 +52,7 @@
 // any reports whether a condition holds for when the entry of something that waits is due.
 func (w *waitingForList) any(condition func(due time.Time) bool) bool {
 	return slices.ContainsFunc(w.certainties, func(e certaintyRequested) bool { return condition(entryDue(e.worker, e.openedAt)) }) ||
+		slices.ContainsFunc(w.replaced, func(e replacedRequested) bool { return !e.due.IsZero() && condition(e.due) }) ||
 		slices.ContainsFunc(w.beginnings, func(e streamBegan) bool { return condition(entryDue(e.worker, e.openedAt)) })
 }
 
@@ -138,17 +140,32 @@
 	p.confirmFor(now, entryDue(e.worker, e.openedAt))
 }
 
+// newReplacedRequested asks for a worker. Where each start has a name of its own, a worker answers for no
+// other start.
+func newReplacedRequested(now time.Time, w resumer.Worker, by router.Confirmation, reply chan<- bool) replacedRequested {
+	e := replacedRequested{worker: w, begun: by.FromStart, until: now.Add(maxReplacedHold), reply: reply}
+	if w.Incarnation != "" && !by.Since.IsZero() {
+		e.due = entryDue(w, by.Since)
+		e.until = e.until.Add(max(0, e.due.Sub(now)))
+	}
+	return e
+}
+
 // checkReplaced answers whether a worker is listed with another start. A host that stood still does not
 // answer by its list of before, while the store can be asked.
 func (p *selector) checkReplaced(now time.Time, e replacedRequested) {
 	listed, ok := p.view.Worker(e.worker.Name)
 	replaced := ok && listed.Software() != e.worker
-	if !replaced && p.doubtsList(now) && !p.confirmation.failing(now) && !now.After(e.until) {
+	early := p.waiting.listedAt.Before(e.due)
+	if !replaced && (early || p.doubtsList(now)) && !p.confirmation.failing(now) && !now.After(e.until) {
 		p.waiting.replaced = append(p.waiting.replaced, e)
+		if early {
+			p.confirmFor(now, e.due)
+		}
 		p.confirmList(now)
 		return
 	}
-	e.reply <- replaced
+	e.reply <- replaced || early && !e.begun
 }
 
 // isCertain reports whether it is a listed start of a worker that answers over a connection that
--- a/runner/origins.go
+++ b/runner/origins.go
@@ -64,10 +64,12 @@
 		until    time.Time // until when the list is awaited
 		reply    chan<- bool
 	}
-	// replacedRequested asks whether a worker has started again, by a list that is not of before a
-	// standstill of this host.
+	// replacedRequested asks whether a worker has started again, by a list that has its start and is
+	// not of before a standstill of this host.
 	replacedRequested struct {
 		worker resumer.Worker
+		due    time.Time // when the start that confirmed is listed; zero if any list will do
+		begun  bool      // that start began the answer
 		until  time.Time // until when such a list is awaited
 		reply  chan<- bool
 	}
--- a/runner/selector_origins.go
+++ b/runner/selector_origins.go
@@ -39,9 +39,9 @@
 }
 
 // Replaced implements router.Origins.
-func (p *selector) Replaced(ctx context.Context, w resumer.Worker) bool {
+func (p *selector) Replaced(ctx context.Context, w resumer.Worker, by router.Confirmation) bool {
 	return askSelector(ctx, p, func(reply chan<- bool) event {
-		return replacedRequested{worker: w, until: time.Now().Add(maxReplacedHold), reply: reply}
+		return newReplacedRequested(time.Now(), w, by, reply)
 	})
 }
 
--- a/runner/standstill_test.go
+++ b/runner/standstill_test.go
@@ -11,6 +11,7 @@
 	"github.com/cicadawood/cicadawood/registrar"
 	"github.com/cicadawood/cicadawood/relayer"
 	"github.com/cicadawood/cicadawood/resumer"
+	"github.com/cicadawood/cicadawood/router"
 	"github.com/cicadawood/cicadawood/runner"
 	"github.com/cicadawood/cicadawood/storer"
 )
@@ -106,6 +107,33 @@
 		Expect(restarted).To(Receive(BeTrue()))
 	})
 
+	// Guards against half an answer that counts as whole, as the start of its worker that answers has not registered yet.
+	It("waits for a list that has the start of a worker that runs since the answer began", func() {
+		earlier := x.ReplacedBy(known, worker, router.Confirmation{Since: known.Add(-time.Second)})
+		Expect(earlier).To(Receive(BeFalse()))
+		unnamed := resumer.Worker{Service: "s", Name: "unlisted", Version: "v1"}
+		Expect(x.ReplacedBy(known, unnamed, router.Confirmation{Since: known})).To(Receive(BeFalse()), "its starts have names of their own")
+		restarted, silent := x.ReplacedBy(known, worker, router.Confirmation{Since: known}), x.ReplacedBy(known, worker, router.Confirmation{Since: known.Add(300 * time.Millisecond)})
+		x.StoreAnswered(known.Add(200*time.Millisecond), known.Add(200*time.Millisecond), false, relayer.Update{After: 2, Upto: 2})
+		Expect(restarted).NotTo(Receive(), "its entry is not due")
+		x.StoreAnswered(known.Add(420*time.Millisecond), known.Add(410*time.Millisecond), false, relayer.Update{After: 2, Upto: 2})
+		Expect(restarted).To(Receive(BeFalse()))
+		Expect(silent).NotTo(Receive())
+		x.StoreAnswered(known.Add(720*time.Millisecond), known.Add(710*time.Millisecond), false, relayer.Update{After: 2, Upto: 3, Changed: []storer.Object{workerEvent(3, "a", "2", "v1")}})
+		Expect(silent).To(Receive(BeTrue()))
+	})
+
+	// Guards against half an answer that counts as whole, as the store does not say that its worker started again.
+	It("takes an answer for whole while no list is read only if who confirms it began it", func() {
+		by := router.Confirmation{Since: known}
+		unknown := x.ReplacedBy(known, worker, by)
+		by.FromStart = true
+		same := x.ReplacedBy(known, worker, by)
+		x.Sweep(known.Add(2 * time.Second))
+		Expect(unknown).To(Receive(BeTrue()))
+		Expect(same).To(Receive(BeFalse()))
+	})
+
 	// Guards against a host that the store does not answer and that believes nobody for good.
 	It("believes heartbeats again after a time in which it has read all that waited", func() {
 		now := known.Add(4 * time.Second)
