A call that failed as the host stood still does not show that the store is silent

The first that a host sees as it goes on after SIGSTOP is that its call of before ran out of time. It took the store for silent by that: its list of before vouched for the start of a worker that does not start again under its name (a stream joined from two versions), and an answer which ended with its connection passed as whole though its worker may have started again (half a stream as whole).

Cause: the failure was recorded as of when it was noticed (listConfirmation.failedAt), and servesOne guessed where the store is silent, or entries not settled, without asking whether the list is of before the standstill. Ruled out: heartbeats, which are doubted already.

Now a failed call has the time at which it was sent, and one in which the host stood still does not count; while the list is of before a standstill, for 5 s at most, one version is not guessed. It still counts as an outage for missing entries, as before: the store may have been down meanwhile.

runner/standstill_test.go "does not take the store for silent by a call of before": red before; with the guard in servesOne out red at the worker's start, with failed calls counted red at the answer's end; green after.

--- a/runner/export_test.go
+++ b/runner/export_test.go
@@ -243,11 +243,16 @@
 }
 
 // StoreFailed applies that a call of the store got no answer.
-func (x Selector) StoreFailed(now time.Time) { x.c.handle(now, storeResult{failed: true}) }
+func (x Selector) StoreFailed(now time.Time) { x.StoreFailedSince(now, now) }
+
+// StoreFailedSince applies that a call of the store that was sent at a time got no answer.
+func (x Selector) StoreFailedSince(now, sentAt time.Time) {
+	x.c.handle(now, failedResult(storer.ErrUnavailable, sentAt))
+}
 
 // StoreThrottled applies that the store refused a call, as there are too many.
 func (x Selector) StoreThrottled(now time.Time) {
-	x.c.handle(now, failedResult(fmt.Errorf("%w: %w", storer.ErrUnavailable, storer.ErrThrottled)))
+	x.c.handle(now, failedResult(fmt.Errorf("%w: %w", storer.ErrUnavailable, storer.ErrThrottled), now))
 }
 
 // TakeUp asks where a stream that is taken up may go on. The channel has the answer, once there is
--- a/runner/list_confirm.go
+++ b/runner/list_confirm.go
@@ -128,7 +128,7 @@
 // as too many.
 func (p *selector) listNotRead(now time.Time, e listRead) (throttled bool) {
 	throttled = errors.Is(e.err, storer.ErrThrottled)
-	p.confirmation.failed(now, throttled)
+	p.listCallFailed(now, e.sentAt, throttled)
 	if throttled {
 		p.origins.resumer.ListThrottled(now, e.sentAt)
 	} else {
@@ -174,12 +174,16 @@
 }
 
 // servesOne reports whether a single software served in a service. An old list does not show that,
-// as the host may have stood still or be cut off, unless the store can't be asked.
+// as the host may be cut off, unless the store can't be asked; one of before a standstill shows
+// nothing.
 func (p *selector) servesOne(now time.Time, service string) bool {
 	if !p.origins.resumer.One(service) {
 		return false
 	}
-	fresh := now.Sub(p.updatedAt) <= resumer.MaxListAge() && !p.doubtsList(now)
+	if p.doubtsList(now) {
+		return false
+	}
+	fresh := now.Sub(p.updatedAt) <= resumer.MaxListAge()
 	return fresh || p.confirmation.silent(now) || !p.directory.Settled(now)
 }
 
--- a/runner/list_wait_test.go
+++ b/runner/list_wait_test.go
@@ -128,6 +128,9 @@
 			x.StoreAnswered(then, then, true, all)
 			x.StoreAnswered(known, known, false, relayer.Update{After: 3, Upto: 3})
 			x.StoreAnswered(known, known, true, all)
+			for at := known; at.Before(now); at = at.Add(200 * time.Millisecond) {
+				x.Sweep(at) // it is cut off and does not stand still
+			}
 		})
 
 		It("is not guessed, other than while it is silent", func() {
--- a/runner/standstill.go
+++ b/runner/standstill.go
@@ -36,6 +36,9 @@
 	return stood, max(counted-steady, 0)
 }
 
+// spans reports whether the process stood still after a time.
+func (s *standstill) spans(since time.Time) bool { return since.Before(s.endedAt) }
+
 // doubts reports whether what is not known as of after the last standstill may be of before it.
 // knownAt is the time as of which the host itself has asked.
 func (s *standstill) doubts(now, knownAt time.Time) bool {
@@ -78,6 +81,14 @@
 	return p.standstill.doubts(now, p.confirmation.at)
 }
 
+// listCallFailed records that a call for the list that was sent at a time failed. One in which this
+// host stood still says nothing of the store.
+func (p *selector) listCallFailed(now, sentAt time.Time, throttled bool) {
+	if !p.standstill.spans(sentAt) {
+		p.confirmation.failed(now, throttled)
+	}
+}
+
 // received records that the list was received, or found to have no changes.
 func (p *selector) received(now time.Time) {
 	if !p.doubtsList(now) {
--- a/runner/standstill_test.go
+++ b/runner/standstill_test.go
@@ -106,6 +106,23 @@
 		Expect(restarted).To(Receive(BeTrue()))
 	})
 
+	// Guards against half an answer that counts as whole, and an old list that counts as the present one, as a call of before ran out of time.
+	It("does not take the store for silent by a call of before", func() {
+		x.StoreAnswered(known, known, false, relayer.Update{After: 2, Upto: 3, Changed: []storer.Object{unnamedStart(3, "b", "v1")}})
+		unnamed := resumer.Worker{Service: "s", Name: "b", Version: "v1"}
+		now := known.Add(4 * time.Second)
+		x.StoreFailedSince(now, known.Add(100*time.Millisecond))
+		Expect(x.StoreFails(now)).To(BeFalse())
+		certain, restarted := x.Certain(now, unnamed, now), x.Replaced(now, worker, now.Add(400*time.Millisecond))
+		Expect(certain).NotTo(Receive())
+		Expect(restarted).NotTo(Receive())
+		x.StoreFailedSince(now.Add(20*time.Millisecond), now.Add(10*time.Millisecond))
+		Expect(x.StoreFails(now.Add(20 * time.Millisecond))).To(BeTrue())
+		x.Sweep(now.Add(30 * time.Millisecond))
+		Expect(restarted).To(Receive(BeFalse()), "nobody can say so")
+		Expect(certain).NotTo(Receive())
+	})
+
 	// Guards against a host that the store does not answer and that believes nobody for good.
 	It("believes heartbeats again after a time in which it has read all that waited", func() {
 		now := known.Add(4 * time.Second)
--- a/runner/store_watch.go
+++ b/runner/store_watch.go
@@ -41,11 +41,12 @@
 	report       func(storeResult)
 	nextCall     func(context.Context) storeCall
 	failingSince time.Time // when the store stopped answering; zero while it answers
+	calledAt     time.Time // when run's last call was sent
 }
 
 // storeResult is the result of a call for the workers' entries.
 type storeResult struct {
-	failed bool           // the call failed; nothing else but throttled is set
+	failed bool           // the call failed; nothing else but sentAt and throttled is set
 	full   bool           // the update is the full list, each entry at its last revision
 	update relayer.Update // the changed entries
 	sentAt time.Time      // when the call was sent: the update has all changes until then
@@ -119,6 +120,7 @@
 // listAfter reads all entries, and the changes since the version that the host knows if the store
 // still has them: a worker that came and went meanwhile is in no list.
 func (l *storeWatch) listAfter(ctx context.Context, known storer.Version, gone bool) error {
+	l.calledAt = time.Now()
 	r, err := l.readAll(ctx)
 	if err != nil {
 		return err
@@ -176,12 +178,12 @@
 		l.failingSince = time.Now()
 		l.log.Warn("workers can't be listed", zap.Error(err))
 	}
-	l.report(failedResult(err))
+	l.report(failedResult(err, l.calledAt))
 }
 
-// failedResult returns the result of a call that failed.
-func failedResult(err error) storeResult {
-	return storeResult{failed: true, throttled: errors.Is(err, storer.ErrThrottled)}
+// failedResult returns the result of a call that was sent at a time and failed.
+func failedResult(err error, sentAt time.Time) storeResult {
+	return storeResult{failed: true, throttled: errors.Is(err, storer.ErrThrottled), sentAt: sentAt}
 }
 
 // watch watches the entries while the host has to call the store, until a call fails.
@@ -192,6 +194,7 @@
 			pause(ctx, watchCheckInterval)
 			continue
 		}
+		l.calledAt = time.Now()
 		r, err := l.readChanges(ctx, n.after, n.wait)
 		if err != nil {
 			return err
--- a/runner/worker_entries.go
+++ b/runner/worker_entries.go
@@ -79,7 +79,7 @@
 	}
 	switch {
 	case e.failed:
-		p.confirmation.failed(now, e.throttled)
+		p.listCallFailed(now, e.sentAt, e.throttled)
 		p.relay.Failed()
 		p.sendHeartbeat(now)
 		// While a watcher sends heartbeats, or the store refuses calls as too many, it is available,
