Hosts that were lost count as silent where most hosts decide

While the store is silent to a host, more than half of the hosts that it asks decide whether one version served. Two hosts of nine that were cut off together declare the seven others dead within seconds; then one answer of one that was asked was most, and a stream nobody knows went on at the version of their old lists though the seven used another.

Cause: the hosts asked are those of the roster as it is, not those that served within the life of the stream. Ruled out: hosts that can't be reached but live stay on the roster and are asked.

Now hosts that could be asked and have left the roster count as asked and silent for the longest life of a stream, unless they are asked again under their name. What it costs: while the store is silent, after a loss of half of the hosts or more, streams nobody knows are refused until those are back; not measured.

--- a/resumer/lookup.go
+++ b/resumer/lookup.go
@@ -65,7 +65,7 @@
 type Basis struct {
 	Software []string      // that served in the service, as far as the host knows
 	ListAge  time.Duration // of its list of workers
-	Asked    int           // hosts that were asked
+	Asked    int           // hosts that were asked, and those that are lost
 	Answered int           // of them
 }
 
@@ -76,6 +76,7 @@
 	reply      func(Answer)
 	askedAt    time.Time
 	asked      int             // hosts that were asked
+	names      map[string]bool // of them
 	waiting    map[string]bool // hosts that were asked and have not answered; nil before they were asked
 	histories  map[string][]History
 	question   Key  // of the request to other hosts; their answers have it
@@ -84,6 +85,26 @@
 	listThrottled bool // its source is up, but accepts no call of this host for now
 }
 
+// HostsLost records that hosts which could be asked can't be any more: they failed, or this host is
+// cut off from them. Within the life of a stream they count as asked and silent.
+func (r *Resumer) HostsLost(now time.Time, hosts []string) {
+	for _, h := range hosts {
+		r.lost[h] = now
+	}
+}
+
+// askable returns the number of hosts that were asked for a lookup, or would have been if they were
+// not lost.
+func (r *Resumer) askable(l *lookup) int {
+	n := l.asked
+	for h := range r.lost {
+		if !l.names[h] {
+			n++
+		}
+	}
+	return n
+}
+
 // heard reports whether the hosts have been heard, or had the time to answer.
 func (l *lookup) heard(now time.Time) bool {
 	return l.waiting != nil && len(l.waiting) == 0 || now.Sub(l.askedAt) >= askTimeout
@@ -195,9 +216,9 @@
 			if l == nil {
 				continue
 			}
-			l.waiting, l.asked, l.question = map[string]bool{}, len(hosts), question
+			l.names, l.waiting, l.asked, l.question = map[string]bool{}, map[string]bool{}, len(hosts), question
 			for _, h := range hosts {
-				l.waiting[h] = true
+				l.names[h], l.waiting[h] = true, true
 			}
 			if l.Stream != 0 {
 				a.Keys = append(a.Keys, l.Stream)
@@ -299,7 +320,7 @@
 		others = append(others, list...)
 	}
 	service := l.Services[0]
-	a := r.answer(now, r.history.view(now, service, r.life(service)), others, l.asked, current)
+	a := r.answer(now, r.history.view(now, service, r.life(service)), others, r.askable(l), current)
 	if a.Result == OneVersion && !current && l.listThrottled {
 		// Hosts that get the list may use a version that none of those which answered knows.
 		a.Result, a.Reason, a.Worker = Unknown, ListNotCurrent, Worker{}
--- a/resumer/resumer.go
+++ b/resumer/resumer.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -27,6 +28,7 @@
 	pending  map[uint64]*lookup        // by number
 	numbers  uint64                    // of lookups
 	queued   []uint64                  // lookups that were not sent yet, by number
+	lost     map[string]time.Time      // hosts that were asked before and can't be any more, by name, and since when
 }
 
 // earlierTimeout is a timeout that was longer than the current one.
@@ -38,7 +40,7 @@
 // New returns the Resumer of a host that knows no workers. first states that the whole system
 // starts for the first time: no stream began before.
 func New(self string, first bool) *Resumer {
-	return &Resumer{self: self, history: history{always: first}, one: map[string]bool{}, earlier: map[string]earlierTimeout{}, pending: map[uint64]*lookup{}}
+	return &Resumer{self: self, history: history{always: first}, one: map[string]bool{}, earlier: map[string]earlierTimeout{}, pending: map[uint64]*lookup{}, lost: map[string]time.Time{}}
 }
 
 // SetFirst states whether the whole system starts for the first time, if that becomes known later.
@@ -212,4 +214,5 @@
 	before := now.Add(-r.longestLife())
 	r.records.expire(before)
 	r.history.expire(before)
+	maps.DeleteFunc(r.lost, func(_ string, at time.Time) bool { return !at.After(before) })
 }
--- a/resumer/unknown_stream_test.go
+++ b/resumer/unknown_stream_test.go
@@ -85,6 +85,26 @@
 		}
 	})
 
+	// Guards against hosts that were cut off together and that take the others, which use another version, for gone.
+	It("is refused while the store is silent if more than half of the hosts of a stream's life are lost", func() {
+		stale := start.Add(time.Minute)
+		taker, same := newResumer("h-1", true, v1), newResumer("h-2", true, v1)
+		taker.HostsLost(stale, []string{"h-3"})
+		Expect(resolveBlind(stale, taker, 0, same).Result).To(Equal(resumer.Unknown))
+		Expect(resolveBlind(stale, taker, 0, same, same).Result).To(Equal(resumer.OneVersion))
+		Expect(resolve(stale, taker, 0, same).Result).To(Equal(resumer.OneVersion), "its list is current")
+		over := stale.Add(2*15*time.Second + time.Second) // of any service
+		taker.Sweep(over)
+		Expect(resolveBlind(over, taker, 0, same).Result).To(Equal(resumer.OneVersion), "no stream is so old")
+	})
+
+	// Guards against a host that came back and counts twice, as one that is lost too.
+	It("counts a host that is asked again no more as lost", func() {
+		taker, same := newResumer("h-1", true, v1), newResumer("h-2", true, v1)
+		taker.HostsLost(start, []string{"other 0"})
+		Expect(resolveBlind(start, taker, 0, same).Result).To(Equal(resumer.OneVersion))
+	})
+
 	// Guards against an answer to an earlier call that is applied after that to a later one.
 	It("stays decided by the latest call if answers arrive in another order", func() {
 		r := newResumer("h-1", true, v1)
--- a/runner/origins.go
+++ b/runner/origins.go
@@ -281,7 +281,8 @@
 
 // setRoster applies a new roster with the hosts that receive flight updates. A host that is
 // notified announces that it reads the messages, to each start of every other host.
-func (o *originSync) setRoster(r registrar.Roster, listeners []registrar.Record) {
+func (o *originSync) setRoster(now time.Time, r registrar.Roster, listeners []registrar.Record) {
+	o.noteLost(now, r)
 	self, known := r.Find(o.self)
 	if known {
 		o.reply = self.Control
@@ -309,6 +310,17 @@
 	}
 }
 
+// noteLost records which hosts that could be asked are not on a new roster.
+func (o *originSync) noteLost(now time.Time, r registrar.Roster) {
+	var lost []string
+	for _, h := range o.readable() {
+		if _, ok := r.Find(h.Name); !ok {
+			lost = append(lost, h.Name)
+		}
+	}
+	o.resumer.HostsLost(now, lost)
+}
+
 // setEra applies the store's era: a later one is a restore from an older snapshot.
 func (o *originSync) setEra(era uint64) {
 	if era != o.era {
--- a/runner/selector.go
+++ b/runner/selector.go
@@ -277,7 +277,7 @@
 	p.relay.SetHosts(r)
 	p.tunnels.SetHosts(helpersOf(r, p.self))
 	p.deciderSet.setRoster(r)
-	p.origins.setRoster(r, p.flightListeners())
+	p.origins.setRoster(now, r, p.flightListeners())
 	p.catchUp(now, previousRoster, previousListeners)
 	p.quarantine.setRoster(now, r)
 	p.view.SetDeciders(len(p.deciderSet.deciders), p.deciderSet.index(p.self))
