--- a/runner/list_history_test.go
+++ b/runner/list_history_test.go
@@ -15,9 +15,9 @@
 	"github.com/cicadawood/cicadawood/storer"
 )
 
-// unnamedStart is the entry of a worker that does not state its start.
-func unnamedStart(at storer.Version, name, version string) storer.Object {
-	value := fmt.Sprintf(`{"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,"state":"ready","version":%q}`, version)
+// unnamedStart is the entry of a worker of version v1 that does not state its start.
+func unnamedStart(at storer.Version, name string) storer.Object {
+	value := `{"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,"state":"ready","version":"v1"}`
 	return storer.Object{Key: platform.WorkersPrefix + name, Value: []byte(value), Version: at}
 }
 
--- a/runner/list_wait_test.go
+++ b/runner/list_wait_test.go
@@ -103,7 +103,7 @@
 	// Guards against a host that stood still, or was cut off, and takes its old list of one version for the present.
 	It("is not guessed where an old list has one version", func() {
 		x = runner.NewSelectorOf(listed, loader.Host{Name: "h", Zone: "z"}, nil, func(string, messenger.Message) {})
-		all := relayer.Update{Upto: 3, Changed: []storer.Object{workerEvent(2, "a", "1", "v1"), unnamedStart(3, "b", "v1")}}
+		all := relayer.Update{Upto: 3, Changed: []storer.Object{workerEvent(2, "a", "1", "v1"), unnamedStart(3, "b")}}
 		x.StoreAnswered(listed, listed, true, all)
 		known := listed.Add(time.Minute)
 		x.StoreAnswered(known, known, false, relayer.Update{After: 3, Upto: 3})
@@ -123,7 +123,7 @@
 		BeforeEach(func() {
 			now = time.Now()
 			then, known := now.Add(-time.Minute), now.Add(-10*time.Second)
-			all := relayer.Update{Upto: 3, Changed: []storer.Object{unnamedStart(3, "b", "v1")}}
+			all := relayer.Update{Upto: 3, Changed: []storer.Object{unnamedStart(3, "b")}}
 			x = runner.NewSelectorOf(then, loader.Host{Name: "h", Zone: "z"}, nil, func(string, messenger.Message) {})
 			x.StoreAnswered(then, then, true, all)
 			x.StoreAnswered(known, known, false, relayer.Update{After: 3, Upto: 3})
@@ -160,7 +160,7 @@
 	// Guards against the first worker of a second version, which starts again under its name and registers later.
 	It("is guessed by a young list of one version only where workers don't start again under their names", func() {
 		x = runner.NewSelectorOf(listed, loader.Host{Name: "h", Zone: "z"}, nil, func(string, messenger.Message) {})
-		all := relayer.Update{Upto: 3, Changed: []storer.Object{workerEvent(2, "a", "1", "v1"), unnamedStart(3, "b", "v1")}}
+		all := relayer.Update{Upto: 3, Changed: []storer.Object{workerEvent(2, "a", "1", "v1"), unnamedStart(3, "b")}}
 		x.StoreAnswered(listed, listed, true, all)
 		known := listed.Add(time.Minute)
 		x.StoreAnswered(known, known, false, relayer.Update{After: 3, Upto: 3})
--- a/runner/standstill_test.go
+++ b/runner/standstill_test.go
@@ -108,8 +108,8 @@
 
 	// Guards against half an answer that counts as whole, and an old list that counts as the present one, as a call of before ran out of time.
 	It("does not take the store for silent by a call of before", func() {
-		x.StoreAnswered(known, known, false, relayer.Update{After: 2, Upto: 4, Changed: []storer.Object{unnamedStart(4, "b", "v1")}})
-		unnamed := resumer.Worker{Service: "s", Name: "b", Version: "v1"}
+		x.StoreAnswered(known, known, false, relayer.Update{After: 2, Upto: 4, Changed: []storer.Object{unnamedStart(4, "u")}})
+		unnamed := resumer.Worker{Service: "s", Name: "u", Version: "v1"}
 		now := known.Add(4 * time.Second)
 		x.StoreFailedSince(now, known.Add(100*time.Millisecond))
 		Expect(x.StoreFails(now)).To(BeFalse())
