The reason of another host's refusal can't end the process

What would be seen: a refusal whose reason is no UTF-8 ends the host that gets it, as the reason becomes a label of metrics (the panic was seen at a tunnel's reason, of the same class); a long one makes a series for itself.

Cause and change: refusals of deciders, dispatchers and keepers are taken over with their reason as it came; one that is no UTF-8 or over 64 bytes now counts as "unknown".

Ruled out: a list of the known reasons: a later version may have more.

--- a/runner/calls.go
+++ b/runner/calls.go
@@ -97,7 +97,7 @@
 		return
 	}
 	delete(c.calls, m.Request)
-	k.reply <- placeReply{refusal: &server.Refusal{Reason: m.Reason, RetryAfter: m.RetryAfter}}
+	k.reply <- placeReply{refusal: &server.Refusal{Reason: reasonOf(m.Reason), RetryAfter: m.RetryAfter}}
 }
 
 func (c *control) handlePreempt(m messenger.Preempt) {
--- a/runner/deciders.go
+++ b/runner/deciders.go
@@ -254,7 +254,7 @@
 	available = available && p.sendsTo(now, w) && (!known || p.view.MayContinue(w, x.requested.request))
 	switch {
 	case s.Flight == 0 && waiting:
-		p.answerOrHold(now, x.requested, refusedBy(e.from, placer.Refusal{Reason: s.Reason, RetryAfter: s.RetryAfter}, decodeBasis(s.Basis)))
+		p.answerOrHold(now, x.requested, refusedBy(e.from, placer.Refusal{Reason: reasonOf(s.Reason), RetryAfter: s.RetryAfter}, decodeBasis(s.Basis)))
 	case s.Flight == 0:
 	case waiting && available:
 		p.answer(x.requested, workerReply{placement: router.Placement{
--- a/runner/deciders_test.go
+++ b/runner/deciders_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -67,6 +68,18 @@
 		Eventually(got).Should(Receive(Equal("refused overload")))
 	})
 
+	// Guards against a process that ends as it counts the reason of another host's refusal.
+	DescribeTable("counts a reason that no version has as unknown", func(reason string) {
+		c := newHost(names[10], roster)
+		got := c.Ask(now, quote)
+		to, s := lastRequest()
+		c.Receive(now, to.to, messenger.PlacementReply{ID: s.ID, Reason: reason, RetryAfter: time.Second})
+		Eventually(got).Should(Receive(Equal("refused unknown")))
+	},
+		Entry("that is no UTF-8", "\xff"),
+		Entry("of 10 KB", strings.Repeat("x", 10_000)),
+	)
+
 	It("decides for itself in a small fleet, and if it is a decider", func() {
 		small := registrar.NewRoster(roster.Hosts()[:16]...)
 		Eventually(newHost("h-03", small).Ask(now, quote)).Should(Receive(HaveSuffix(" by ")))
--- a/runner/once_entry.go
+++ b/runner/once_entry.go
@@ -129,7 +129,7 @@
 	if c == nil {
 		return // late or duplicate
 	}
-	v, final := c.waiter.Resolve(keeper.Verdict{Kind: keeper.Kind(m.Kind), Reason: m.Reason, RetryAfter: m.RetryAfter, Order: m.Order})
+	v, final := c.waiter.Resolve(keeper.Verdict{Kind: keeper.Kind(m.Kind), Reason: reasonOf(m.Reason), RetryAfter: m.RetryAfter, Order: m.Order})
 	if !final {
 		c.nextSend, c.moved = now.Add(movedDelay), true
 		return
