Limits and slots out of range are refused where settings are read

What would be seen, of a host's settings: with 2^44 MiB of memory its share in bytes wraps; with a beat of 1 ns the host ends as it makes a timer of a third of it or less (by the code: time.NewTicker panics at 0); a region of 1 MiB goes to each host. Of a pushed configuration: slots of 2^63 - 1 make the sum of a dispatcher's slots wrap.

Cause: numbers were only checked for negative values.

Ruled out: clamping: the operator can be told, with file, line and field.

Change: limits over 2^40, over 100,000 cores, times under 1 ms or over 30 days, a region over 255 bytes, and a worker's slots over 100,000 are Problems. The last good configuration stays in force, as with others.

--- a/loader/checks.go
+++ b/loader/checks.go
@@ -175,6 +175,9 @@
 		if w.Slots <= 0 {
 			m.report("must be positive", at("slots")...)
 		}
+		if w.Slots > maxSlots {
+			m.report(fmt.Sprintf("must not be over %d", maxSlots), at("slots")...)
+		}
 		names[w.Name], addresses[w.Address] = true, true
 	}
 }
--- a/loader/host.go
+++ b/loader/host.go
@@ -233,6 +233,9 @@
 	if _, err := netip.ParseAddrPort(h.Ready); h.Ready != "" && err != nil {
 		report(fmt.Sprintf("%q is not IP:port", h.Ready), "ready")
 	}
+	if len(h.Region) > maxTextBytes {
+		report(fmt.Sprintf("is longer than %d bytes", maxTextBytes), "region")
+	}
 	if h.Dialect != DialectOwn && h.Dialect != DialectPlatform {
 		report(fmt.Sprintf("%q is neither empty nor %q", h.Dialect, DialectPlatform), "dialect")
 	}
@@ -254,15 +257,14 @@
 	return append(found, h.Limits.problems(d)...)
 }
 
-// problems reports negative limits; zero means the default.
+// problems reports limits out of range; zero means the default.
 func (l Limits) problems(d *document) []error {
 	var found []error
 	v := reflect.ValueOf(l)
 	for _, f := range reflect.VisibleFields(v.Type()) {
 		name := f.Tag.Get("json")
-		x := v.FieldByIndex(f.Index)
-		if x.CanInt() && x.Int() < 0 || x.CanFloat() && x.Float() < 0 {
-			found = append(found, Problem{File: d.file, Line: d.lineOf("limits", name), Field: "limits/" + name, Reason: "must not be negative"})
+		if reason := rangeProblem(v.FieldByIndex(f.Index)); reason != "" {
+			found = append(found, Problem{File: d.file, Line: d.lineOf("limits", name), Field: "limits/" + name, Reason: reason})
 		}
 	}
 	return found
