Limits of calls once are checked as the others are

A host's limits "once" were not checked: 2^63 - 1 operations, or more partitions than a host accepts of a layout in the store, were taken over, and the host that creates the layout would write one that none uses. Negative numbers counted as not given; they are refused now, as in the other limits.

Change: the check of ranges goes into nested limits, and moves to limits.go; the bound of partitions is loader.MaxPartitions.

--- a/loader/host.go
+++ b/loader/host.go
@@ -6,7 +6,6 @@
 	"net/netip"
 	"net/url"
 	"os"
-	"reflect"
 	"strconv"
 	"strings"
 	"time"
@@ -256,16 +255,3 @@
 	}
 	return append(found, h.Limits.problems(d)...)
 }
-
-// problems reports limits out of range; zero means the default.
-func (l Limits) problems(d *document) []error {
-	var found []error
-	v := reflect.ValueOf(l)
-	for _, f := range reflect.VisibleFields(v.Type()) {
-		name := f.Tag.Get("json")
-		if reason := rangeProblem(v.FieldByIndex(f.Index)); reason != "" {
-			found = append(found, Problem{File: d.file, Line: d.lineOf("limits", name), Field: "limits/" + name, Reason: reason})
-		}
-	}
-	return found
-}
--- a/runner/once_store.go
+++ b/runner/once_store.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cicadawood/cicadawood/keeper"
+	"github.com/cicadawood/cicadawood/loader"
 	"github.com/cicadawood/cicadawood/storer"
 )
 
@@ -19,8 +20,6 @@
 	layoutRetryInterval = 500 * time.Millisecond // between attempts to read the layout
 	// layoutRewriteSpread is the time over which hosts spread their rewrites of the layout.
 	layoutRewriteSpread = 2 * time.Second
-	// maxPartitions bounds the layout: each host goes through all partitions with each roster.
-	maxPartitions = 4096
 )
 
 // layoutRead reports how keys are divided into partitions.
@@ -151,7 +150,7 @@
 		return layout{}, fmt.Errorf("read layout: %w", err)
 	}
 	var l layout
-	if err := json.Unmarshal(object.Value, &l); err != nil || l.Partitions <= 0 || l.Partitions > maxPartitions {
+	if err := json.Unmarshal(object.Value, &l); err != nil || l.Partitions <= 0 || l.Partitions > loader.MaxPartitions {
 		return layout{}, fmt.Errorf("read layout: %q", object.Value)
 	}
 	return l, nil
