--- a/runner/once_store.go
+++ b/runner/once_store.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cicadawood/cicadawood/keeper"
+	"github.com/cicadawood/cicadawood/loader"
 	"github.com/cicadawood/cicadawood/storer"
 )
 
@@ -149,7 +150,7 @@
 		return layout{}, fmt.Errorf("read layout: %w", err)
 	}
 	var l layout
-	if err := json.Unmarshal(object.Value, &l); err != nil || l.Partitions <= 0 {
+	if err := json.Unmarshal(object.Value, &l); err != nil || l.Partitions <= 0 || l.Partitions > loader.MaxPartitions {
 		return layout{}, fmt.Errorf("read layout: %q", object.Value)
 	}
 	return l, nil
