A short request is refused for slots only where more urgent ones want them while it has one

Cause: a slot was kept against a request as if it held it for good: `wanted` asked for the whole steady state of the more urgent routes, whatever the request's length. Now it asks for what they bring in, less what ends, while the request takes slots' time: its wait, its stream, and its reading times the more urgent streams beside it, which get a token per chunk meanwhile. That share is 1 for the least urgent route, as before, and for all that take as long as one of the more urgent.

--- a/placer/basis.go
+++ b/placer/basis.go
@@ -13,7 +13,7 @@
 	Bound   time.Duration // maximum of the queue, or of a plain service's wait
 	End     time.Duration // expected time to the last event
 	Free    int           // free slots of all engines of the service
-	Wanted  int           // slots that more urgent routes will want besides those that they have
+	Wanted  int           // slots that more urgent routes will want while the worker has the request
 	Offered float64       // requests of more urgent routes per second
 	Held    time.Duration // expected time for which one of those takes a slot
 	Age     time.Duration // time since another host last reported what it sent; 0 if none ever did
@@ -22,7 +22,7 @@
 // basis returns what the refusal of a request was based on.
 func (v *View) basis(now time.Time, req Request, best *candidate) Basis {
 	b := Basis{
-		Free: v.reservation.free, Offered: v.reservation.rate, Held: milliseconds(v.reservation.holdTime), Wanted: int(max(v.reservation.wanted(), 0)),
+		Free: v.reservation.free, Offered: v.reservation.rate, Held: milliseconds(v.reservation.holdTime),
 	}
 	if !v.lastReceived.IsZero() {
 		b.Age = now.Sub(v.lastReceived)
@@ -32,7 +32,7 @@
 	}
 	b.Worker, b.Slots, b.Taken, b.Kept = best.Name, best.Slots, len(best.flights), best.reserved
 	b.Queue, b.Wait, b.End = milliseconds(best.urgentBacklog), milliseconds(best.wait), best.expectedEnd(req)
-	b.Bound = milliseconds(v.bound(best, req))
+	b.Bound, b.Wanted = milliseconds(v.bound(best, req)), int(max(v.reservation.wanted(best), 0))
 	return b
 }
 
--- a/placer/refusal.go
+++ b/placer/refusal.go
@@ -35,7 +35,7 @@
 		// An engine whose slots are taken only runs one more request by preempting another,
 		// which it has to prefill again.
 		return newRefusal("slots", req.Target/2)
-	case c.CacheTokens > 0 && v.reservation.exhausted():
+	case c.CacheTokens > 0 && v.reservation.exhausted(c):
 		return newRefusal("slots", max(req.Target/2, milliseconds(v.reservation.holdTime)))
 	case c.CacheTokens == 0 && req.Target > 0 && c.wait > maxQueue:
 		// Without this, a queue beyond the service's capacity grows to the longest time that
--- a/placer/reservation.go
+++ b/placer/reservation.go
@@ -22,6 +22,9 @@
 	holdTime float64 // milliseconds for which one of them takes a slot
 	present  int     // such requests at the engines
 	free     int     // slots that are not taken
+
+	streamTime float64 // expected milliseconds from the request's first event to its last
+	delayShare float64 // part of its prefill for which it delays streams beside it
 }
 
 // reserve sets the slots reserved for more urgent routes. Without it, in a flood of every kind,
@@ -47,7 +50,11 @@
 	tokens, prefill := r.addDemand(now, v.offered[req.Service], req.Tier)
 	if r.rate > 0 {
 		f := candidates[0].fit
-		r.holdTime = f.overhead() + tokens/r.rate*f.tokenTime(float64(heldTokens)/n, prefill/n/1000)
+		hold := float64(heldTokens) / n
+		tokenTime := f.tokenTime(hold, prefill/n/1000)
+		r.holdTime = f.overhead() + tokens/r.rate*tokenTime
+		r.streamTime = v.expectedOutput(req) * tokenTime
+		r.delayShare = 1 - f.tokenTime(hold, 0)/f.tokenTime(hold, 1)
 	}
 	r.reservePerEngine(candidates)
 	return r
@@ -72,6 +79,15 @@
 	return tokens, prefill
 }
 
+// expectedOutput returns the output tokens of a request, corrected by recent answers. Without a
+// bound for the least urgent route, its prompts would take what others are refused.
+func (v *View) expectedOutput(req Request) float64 {
+	if v.recentTargets.leastUrgent(req) {
+		return math.Inf(1)
+	}
+	return float64(req.Output) * v.offered.tier(req.Service, req.Tier).outputRatio()
+}
+
 // tokenTime returns the milliseconds per token of a stream at an engine that holds so many
 // tokens and prefills for the given part of its time. While it prefills, a token takes as long
 // as a chunk, otherwise as long as a step.
@@ -103,14 +119,29 @@
 	return c.CacheTokens == 0 || len(c.flights)+max(c.reserved, c.margin, c.resumable) < c.Slots
 }
 
-// wanted returns the slots that more urgent routes will want besides those that they have.
-func (r reservation) wanted() float64 {
+// wanted returns the slots that more urgent routes will want, besides those that they have,
+// while a candidate has the request.
+func (r reservation) wanted(c *candidate) float64 {
 	need := r.rate * r.holdTime / 1000
-	return need + reserveDeviations*math.Sqrt(need) - float64(r.present)
+	share := r.share(c)
+	return share*(need-float64(r.present)) + reserveDeviations*math.Sqrt(share*need)
+}
+
+// share returns the part of their time for which more urgent requests find a slot less: the
+// request's own, and those of the streams that it delays at the candidate. Without it, short
+// requests are refused for slots that are wanted after their end.
+func (r reservation) share(c *candidate) float64 {
+	if r.holdTime <= 0 {
+		return 1
+	}
+	slotTime := c.wait + r.streamTime + r.delayShare*float64(c.urgentCount)*c.ownTime
+	return min(slotTime/r.holdTime, 1)
 }
 
 // exhausted reports whether more urgent routes will want all free slots.
-func (r reservation) exhausted() bool { return r.rate > 0 && float64(r.free) <= r.wanted() }
+func (r reservation) exhausted(c *candidate) bool {
+	return r.rate > 0 && float64(r.free) <= r.wanted(c)
+}
 
 // offeredLoad returns a request as offered load. Its prefill is that at the best candidate.
 func (req Request) offeredLoad(c *candidate) OfferedLoad {
