--- a/placer/reservation.go
+++ b/placer/reservation.go
@@ -79,8 +79,9 @@
 	return tokens, prefill
 }
 
-// expectedOutput returns the output tokens of a request, corrected by recent answers. Without a
-// bound for the least urgent route, its prompts would take what others are refused.
+// expectedOutput returns the output tokens of a request, corrected by recent answers. Requests of
+// the least urgent route count as endless: otherwise their short ones take the slots that more
+// urgent requests are refused.
 func (v *View) expectedOutput(req Request) float64 {
 	if v.recentTargets.leastUrgent(req) {
 		return math.Inf(1)
--- a/placer/reservation_test.go
+++ b/placer/reservation_test.go
@@ -23,7 +23,10 @@
 	at time.Time
 }
 
-const urgentHold = 2 * time.Second
+const (
+	urgentSlots = 48
+	urgentHold  = 2 * time.Second
+)
 
 // place sends a request, and has its first event come at once.
 func (c *urgentFlood) place(req placer.Request) *placer.Refusal {
@@ -40,10 +43,14 @@
 			c.view.Ended(c.now, c.ends[0].id, placer.Answered)
 			c.ends = c.ends[1:]
 		}
-		if c.place(urgentChat) == nil {
-			c.view.Begun(c.now.Add(20*time.Millisecond), c.next)
-			c.ends = append(c.ends, urgentEnd{c.next, c.now.Add(urgentHold)})
-		}
+		c.chat()
+	}
+}
+
+func (c *urgentFlood) chat() {
+	if c.place(urgentChat) == nil {
+		c.view.Begun(c.now.Add(20*time.Millisecond), c.next)
+		c.ends = append(c.ends, urgentEnd{c.next, c.now.Add(urgentHold)})
 	}
 }
 
@@ -59,31 +66,59 @@
 	return req
 }
 
-// Guards against refusing a short request for slots that more urgent ones want after its end.
-var _ = DescribeTable("A flood of urgent streams", func(count, rank int) {
-	const slots = 48
-	c := &urgentFlood{view: placer.New("a"), now: start}
+// newUrgentFlood returns a flood that has not begun, at a number of engines.
+func newUrgentFlood(count int) *urgentFlood {
 	var names []string
 	for i := range count {
 		names = append(names, fmt.Sprintf("e-%03d", i))
 	}
 	workers := engines(names...)
 	for i := range workers {
-		workers[i].Slots = slots
+		workers[i].Slots = urgentSlots
 	}
+	c := &urgentFlood{view: placer.New("a"), now: start}
 	c.view.SetWorkers(c.now, workers)
-	c.chats(1.2*float64(count*slots)/urgentHold.Seconds(), time.Second)
-	c.place(promptOfTier(2, 100)) // so that tier 1 is not the least urgent
-	short, long := promptOfTier(1, 8), promptOfTier(1, 800)
-	short.Rank, long.Rank = short.Rank+rank, long.Rank+rank
-	refusal := c.place(long)
-	Expect(refusal).NotTo(BeNil())
-	Expect(refusal.Reason).To(Equal("slots"))
-	Expect(c.place(short)).To(BeNil())
-	Expect(c.place(promptOfTier(2, 8))).NotTo(BeNil())
-},
-	Entry("lets in short requests, not long ones, at 7 engines", 7, 0),
-	Entry("at 60", 60, 0),
-	Entry("at 117", 117, 0),
-	Entry("of organisations whose ranks cross those of the routes", 7, 3),
-)
+	return c
+}
+
+// Guards against refusing a short request for slots that more urgent ones want after its end.
+var _ = Describe("A flood of urgent streams", func() {
+	DescribeTable("lets in short requests, not long ones nor the least urgent", func(count, rank int) {
+		c := newUrgentFlood(count)
+		c.chats(1.2*float64(count*urgentSlots)/urgentHold.Seconds(), time.Second)
+		c.place(promptOfTier(2, 100)) // so that tier 1 is not the least urgent
+		short, long := promptOfTier(1, 8), promptOfTier(1, 800)
+		short.Rank, long.Rank = short.Rank+rank, long.Rank+rank
+		refusal := c.place(long)
+		Expect(refusal).NotTo(BeNil())
+		Expect(refusal.Reason).To(Equal("slots"))
+		Expect(c.place(short)).To(BeNil())
+		Expect(c.place(promptOfTier(2, 8))).NotTo(BeNil())
+	},
+		Entry("at 7 engines", 7, 0),
+		Entry("at 60", 60, 0),
+		Entry("at 117", 117, 0),
+		Entry("of organisations whose ranks cross those of the routes", 7, 3),
+	)
+
+	DescribeTable("lets in short requests after a jam was released at once", func(count int) {
+		const jam = 1.3 // seconds
+		c := newUrgentFlood(count)
+		rate := 0.4 * float64(count*urgentSlots) / urgentHold.Seconds()
+		c.chats(rate, 2*urgentHold)
+		c.place(promptOfTier(2, 100))
+		for range int(jam * rate) {
+			c.chat()
+		}
+		Expect(c.place(promptOfTier(1, 8))).To(BeNil())
+	}, Entry("at 7 engines", 7), Entry("at 60", 60), Entry("at 117", 117))
+
+	It("alone refuses nobody while a slot is free", func() {
+		const count = 7
+		c := newUrgentFlood(count)
+		for range count * urgentSlots {
+			Expect(c.place(promptOfTier(1, 8))).To(BeNil())
+		}
+		Expect(c.place(promptOfTier(1, 8))).NotTo(BeNil())
+	})
+})
