Soak of hosts out of step: answers without a length, second answers, late entries, half-closed callers

A third of the workers answer without a length, a third send second answers (some cut); workers start again in place, their entry 0 to 350 ms late with the store up, also at a first of a second version, while a host stands still or the worker's link holds bytes back; a sixth of the callers half-close. The soak of releases has the same without cut ones. A new sentence, "a piece is of another answer", may be broken by none.

Faults of the soak that were found in tracing, mended: a worker whose process has ended registered itself as draining (an entry of an earlier start); a stopped worker still answered probes after its streams had ended; a link closed connections in order where it is said to reset them, and passed a reset on as an orderly end (an answer without a length then looks whole). Links now reset and pass resets on: no check is weaker. What was done to workers stands in the report of a broken run.

--- a/faker/link.go
+++ b/faker/link.go
@@ -1,7 +1,9 @@
 package faker
 
 import (
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -28,6 +30,7 @@
 const (
 	Pass         LinkMode = "pass"        // forwards all bytes as they arrive
 	Cut          LinkMode = "cut"         // closes every connection, and new ones immediately
+	Reset        LinkMode = "reset"       // resets every connection, and new ones immediately
 	SilenceOpen  LinkMode = "silent-open" // drops the bytes of the connections open now; new ones work
 	ForwardOnly  LinkMode = "forward"     // forwards bytes towards the target only
 	BackwardOnly LinkMode = "backward"    // forwards bytes from the target only
@@ -86,6 +89,9 @@
 		case Cut, RefuseAll:
 			_ = c.client.Close()
 			_ = c.server.Close()
+		case Reset:
+			reset(c.client)
+			reset(c.server)
 		case SilenceOpen:
 			c.silenced = true
 		}
@@ -107,11 +113,15 @@
 
 func (k *Link) connect(near net.Conn) {
 	k.mu.Lock()
-	cut, target := k.mode == Cut, k.target
+	mode, target := k.mode, k.target
 	k.mu.Unlock()
-	if cut {
+	switch mode {
+	case Cut:
 		_ = near.Close()
 		return
+	case Reset:
+		reset(near)
+		return
 	}
 	far, err := net.DialTimeout("tcp", target, time.Second)
 	if err != nil {
@@ -149,6 +159,9 @@
 				return
 			}
 		}
+		if err != nil && !errors.Is(err, io.EOF) {
+			reset(dst) // a reset is passed on: closed in order, it would end an answer without a length
+		}
 		if err != nil {
 			return
 		}
--- a/faker/worker.go
+++ b/faker/worker.go
@@ -88,15 +88,16 @@
 	k.Address = strings.TrimPrefix(s.URL, "http://")
 	k.crash = sync.OnceFunc(func() {
 		_ = s.Listener.Close()
-		k.setEnded()
 		s.CloseClientConnections()
+		k.setEnded()
 		if k.OnCrash != nil {
 			k.OnCrash()
 		}
 	})
 	return func() {
-		k.setEnded()
+		_ = s.Listener.Close() // nobody answers in place of the process once its streams end
 		s.CloseClientConnections()
+		k.setEnded()
 		s.Close()
 	}
 }
--- a/soaker/cluster_test.go
+++ b/soaker/cluster_test.go
@@ -111,6 +111,8 @@
 	timeoutMs    int           // of each route; 0 is defaultTimeoutMs
 	slots        int           // of each worker of a release; 0 is defaultSlots
 	linkPeers    bool          // hosts reach one another through links
+	mixedAnswers bool          // workers of a release frame streams in several ways, and some send second answers
+	cutAnswers   bool          // with mixedAnswers, some second answers are cut
 }
 
 func newClusterOf(config clusterConfig) *cluster {
--- a/soaker/order_test.go
+++ b/soaker/order_test.go
@@ -9,6 +9,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/cicadawood/cicadawood/faker"
 )
 
 // Sentences of rule ORDER.
@@ -17,10 +19,11 @@
 	pieceMissing   = "a piece is missing"
 	pieceTwice     = "a piece comes twice, or a number goes back"
 	endsEarly      = "ends as complete before its last piece"
+	foreignPiece   = "a piece is of another answer"
 )
 
 // maxBroken is how many streams may break each sentence.
-var maxBroken = map[string]int{joinedVersions: maxMixedStreams, pieceMissing: 0, pieceTwice: 0, endsEarly: 0}
+var maxBroken = map[string]int{joinedVersions: maxMixedStreams, pieceMissing: 0, pieceTwice: 0, endsEarly: 0, foreignPiece: 0}
 
 // judge notes the sentences that an answer breaks, after the events that its caller has.
 func (x *releaseStream) judge(text string, complete bool) {
@@ -34,6 +37,9 @@
 		if versions = append(versions, m[2]); m[2] != versions[0] {
 			x.wrong[joinedVersions] = true
 		}
+		if m[2] == faker.SecondVersion {
+			x.wrong[foreignPiece] = true
+		}
 		switch {
 		case number <= last:
 			x.wrong[pieceTwice] = true
@@ -51,6 +57,11 @@
 // checks that no sentence is broken by more streams than may be.
 func (r *release) checkOrder() {
 	broken := map[string]int{}
+	defer func() {
+		if len(broken) > 0 {
+			AddReportEntry("steps", strings.Join(r.steps, ""))
+		}
+	}()
 	for _, x := range r.streams {
 		if len(x.wrong) == 0 {
 			continue
--- a/soaker/out_of_step_test.go
+++ b/soaker/out_of_step_test.go
@@ -93,6 +93,7 @@
 	engines := r.engines()
 	older, newer := engines[:len(engines)/2], engines[len(engines)/2:]
 	how := random.IntN(3)
+	r.note("fail half, way", how)
 	if how == 0 {
 		for _, x := range newer {
 			r.retire(x)
@@ -104,7 +105,7 @@
 		r.disturb(x)
 		links = append(links, x.link)
 	}
-	return cutLinks(links, faker.Cut)
+	return cutLinks(links, faker.Reset)
 }
 
 // leaveBehind replaces half of the workers while some hosts are out of step, and then has half of
@@ -124,6 +125,7 @@
 	if random.IntN(4) == 0 {
 		others = nil
 	}
+	r.note("half of the workers failed; hosts behind", order[:behind], "killed", others)
 	for _, i := range others {
 		r.hosts[i].signal(syscall.SIGKILL)
 	}
@@ -149,7 +151,7 @@
 		if random.IntN(anyHostShare) > 0 && !h.isReady() {
 			continue
 		}
-		x, patience := &releaseStream{}, callPatience
+		x, patience := &releaseStream{halfCloses: random.IntN(halfCloseShare) == 0}, callPatience
 		if random.IntN(leaveShare) == 0 {
 			patience = randomDuration(random, 100, 600)
 		}
@@ -174,7 +176,7 @@
 		seed := *firstSeed + i
 		It("keeps each stream whole and at its version, seed "+itoa(seed), func() {
 			first := seed%2 == 1
-			r := newRelease(clusterConfig{seed: seed, repeatSlack: defaultRepeatSlack, first: first, timeoutMs: outOfStepTimeout, slots: outOfStepSlots, linkPeers: true})
+			r := newRelease(clusterConfig{seed: seed, repeatSlack: defaultRepeatSlack, first: first, timeoutMs: outOfStepTimeout, slots: outOfStepSlots, linkPeers: true, mixedAnswers: true, cutAnswers: true})
 			r.waitForVersion("v1")
 			ctx, stop := context.WithCancel(context.Background())
 			var tasks, faults sync.WaitGroup
@@ -192,11 +194,17 @@
 			}
 			for {
 				seed := r.random.Uint64()
-				faults.Go(func() { r.leaveBehind(rand.New(rand.NewPCG(seed, 6))) })
+				inject := r.leaveBehind
+				if r.random.IntN(3) == 0 {
+					inject = r.restartSome
+				}
+				faults.Go(func() { inject(rand.New(rand.NewPCG(seed, 6))) })
 				if r.random.IntN(3) == 0 { // overlaps
 					time.Sleep(randomDuration(r.random, 0, 1500))
-					noise := slices.Concat(workerFaults, hostFaults)
-					noise[r.random.IntN(len(noise))](r, rand.New(rand.NewPCG(seed, 7)))
+					noise := slices.Concat(workerFaults, hostFaults, restartsInPlace)
+					kind := r.random.IntN(len(noise))
+					r.note("beside it, kind", kind)
+					noise[kind](r, rand.New(rand.NewPCG(seed, 7)))
 				}
 				faults.Wait()
 				if time.Now().Add(streamLife).After(deadline) {
--- a/soaker/rejoined_test.go
+++ b/soaker/rejoined_test.go
@@ -10,7 +10,6 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/cicadawood/cicadawood/platform"
 	"github.com/cicadawood/cicadawood/prover"
 	"github.com/cicadawood/cicadawood/runner"
 )
@@ -31,7 +30,7 @@
 		r.startVersion(fmt.Sprint("v", r.version))
 	}
 	for _, x := range old {
-		x.Register(r.store, platform.StateDraining)
+		r.drain(x)
 		r.retire(x)
 	}
 }
--- a/soaker/versions_test.go
+++ b/soaker/versions_test.go
@@ -47,6 +47,7 @@
 	next    int // number of the next worker
 
 	disturbed map[*worker]time.Time // when a fault of the worker last began or ended
+	steps     []string              // what was done to workers, with the times
 }
 
 // releaseStream is what a caller has of a stream, over all its tries.
@@ -56,6 +57,8 @@
 	ids   []string        // of all tries
 	tries []string        // hosts, with status
 	wrong map[string]bool // sentences of rule ORDER that its answers break
+
+	halfCloses bool // its caller closes its side once the request is sent
 }
 
 // attempts counts tries at calm hosts, and those that brought an event.
@@ -98,22 +101,41 @@
 func (r *release) startVersion(version string) {
 	r.mu.Lock()
 	r.next++
-	id := fmt.Sprintf("w-%d", r.next)
+	n := r.next
+	id := fmt.Sprintf("w-%d", n)
 	r.mu.Unlock()
-	r.startWorker(&faker.Worker{ID: id, Service: "engine", Slots: r.slots, Events: releaseEvents, Delay: releaseDelay, Version: version})
+	f := &faker.Worker{ID: id, Service: "engine", Slots: r.slots, Events: releaseEvents, Delay: releaseDelay, Version: version}
+	f.SetFaults(r.answerFaults(n))
+	r.startWorker(f)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.disturbed[r.workers[len(r.workers)-1]] = time.Now()
 }
 
+// drain registers a worker as draining, unless its process has ended: another start may be registered.
+func (r *release) drain(x *worker) {
+	if !r.isStopped(x) {
+		x.Register(r.store, platform.StateDraining)
+	}
+}
+
 // retire stops a worker and removes its entry.
 func (r *release) retire(x *worker) {
 	r.disturb(x)
+	r.note("retire", x.ID)
 	if r.stopWorker(x) {
+		r.note("stopped", x.ID)
 		r.store.Delete("servers", x.ID)
 	}
 }
 
+// note records what is done to a worker.
+func (r *release) note(step ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.steps = append(r.steps, fmt.Sprint(time.Now().UTC().Format("15:04:05.000 "), fmt.Sprintln(step...)))
+}
+
 func (r *release) disturb(x *worker) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -153,7 +175,7 @@
 	old := r.engines()
 	for _, x := range old[:(len(old)+1)/2] {
 		r.startVersion(fmt.Sprint("v", r.version))
-		x.Register(r.store, platform.StateDraining)
+		r.drain(x)
 		r.disturb(x)
 		time.Sleep(randomDuration(random, 100, 800))
 		r.retire(x)
@@ -164,10 +186,12 @@
 // Its entry follows after a delay, as the store may be silent.
 func (r *release) restartInPlace(x *worker, version string, delay time.Duration) {
 	r.disturb(x)
+	r.note("restart in place", x.ID, "at", version, "entry after", delay)
 	if !r.stopWorker(x) {
 		return
 	}
 	f := &faker.Worker{ID: x.ID, Service: x.Service, Slots: x.Slots, Events: x.Events, Delay: x.Delay, Incarnation: x.Incarnation + 1, Version: version}
+	f.SetFaults(r.answerFaults(x.Incarnation + 1))
 	y := &worker{Worker: f, link: x.link, hostLinks: x.hostLinks, stop: f.Start()}
 	DeferCleanup(y.stopOnce)
 	x.link.SetTarget(f.Address)
@@ -176,8 +200,10 @@
 	r.workers = append(r.workers, y)
 	r.disturbed[y] = time.Now()
 	r.mu.Unlock()
+	r.note("listens", x.ID)
 	time.Sleep(delay)
 	if !r.isStopped(y) {
+		r.note("register", x.ID)
 		f.Register(r.store, platform.StateReady)
 	}
 	r.disturb(y)
@@ -206,7 +232,8 @@
 		list := r.engines()
 		x := list[random.IntN(len(list))]
 		r.disturb(x)
-		x.link.Set(faker.Cut, 0)
+		r.note("reset", x.ID)
+		x.link.Set(faker.Reset, 0)
 		time.Sleep(randomDuration(random, 5, 300))
 		x.link.Set(faker.Pass, 0)
 		r.disturb(x)
@@ -261,7 +288,7 @@
 			req.Header.Set(platform.HeaderResumes, x.id)
 		}
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := x.client().Do(req)
 	if err != nil {
 		x.tries = append(x.tries, fmt.Sprint(id, " ", h.name, " ", err))
 		return false
@@ -301,7 +328,7 @@
 		if !h.pollReady() {
 			continue
 		}
-		x, calm := &releaseStream{}, h.undisturbedSince(time.Now().Add(-calmTime))
+		x, calm := &releaseStream{halfCloses: random.IntN(halfCloseShare) == 0}, h.undisturbedSince(time.Now().Add(-calmTime))
 		patience := callPatience
 		if random.IntN(leaveShare) == 0 {
 			patience = randomDuration(random, 100, 600)
@@ -331,7 +358,7 @@
 	for i := range uint64(*seedCount) {
 		seed := *firstSeed + i
 		It("keeps each stream at its version, and goes on with those that are taken up, seed "+itoa(seed), func() {
-			r := newRelease(clusterConfig{seed: seed, repeatSlack: defaultRepeatSlack})
+			r := newRelease(clusterConfig{seed: seed, repeatSlack: defaultRepeatSlack, mixedAnswers: true})
 			ctx, stop := context.WithCancel(context.Background())
 			var begun, takenUp attempts
 			var callers, faults sync.WaitGroup
@@ -341,7 +368,7 @@
 					r.call(ctx, caller, &begun, &takenUp)
 				})
 			}
-			kinds := slices.Clone(workerFaults)
+			kinds := slices.Concat(workerFaults, restartsInPlace)
 			if seed%2 == 1 {
 				kinds = append(kinds, hostFaults...)
 			}
