A host vouches for one version only by a list that it reads after it was asked

By its logs: v2 joined and was taken back within 0.6 s, three of four hosts were killed 1 ms later; the fourth, cut off, had a list of 1.135 s before, which counts as current up to 1.5 s, and said that v1 alone had served; a host that had just started, whose list has no v2 any more, went by it. Change: where it would say so, a host that is asked has the store confirm its list first (one call for the requests of 25 ms), 60 ms at most; else it says that its list is not current, which a host with a short history does not go by. What it knows of single streams is sent at once. Messages are as before. Ruled out: a smaller age (any leaves a gap); the taker reading changes of before its start (no message has the version of the other's list).

--- a/resumer/lookup.go
+++ b/resumer/lookup.go
@@ -236,6 +236,18 @@
 	return t
 }
 
+// Vouches reports whether a host with a short history would go by this one's: it knows all of the
+// life of the streams of a service, and of one version.
+func (r *Resumer) Vouches(now time.Time, services []string) bool {
+	return slices.ContainsFunc(services, func(s string) bool {
+		h := r.history.view(now, s, r.life(s))
+		return h.one() && h.Complete
+	})
+}
+
+// ConfirmedAt returns the time up to which the list is known to hold all changes.
+func (r *Resumer) ConfirmedAt() time.Time { return r.history.confirmedAt }
+
 // ReceiveTold applies another host's answer, and answers the lookups that it decides.
 func (r *Resumer) ReceiveTold(now time.Time, from string, t Told) {
 	for _, x := range t.Records {
--- a/runner/list_confirm.go
+++ b/runner/list_confirm.go
@@ -98,7 +98,7 @@
 // confirmList has the store confirm the list, if somebody waits for it.
 func (p *selector) confirmList(now time.Time) {
 	c := &p.confirmation
-	if c.reading || c.read == nil || !p.origins.resumer.NeedsList() && !p.waitsForList(now) {
+	if c.reading || c.read == nil || len(p.origins.held) == 0 && !p.origins.resumer.NeedsList() && !p.waitsForList(now) {
 		return
 	}
 	sentAt, after := time.Now(), p.relay.Version()
--- a/runner/origins.go
+++ b/runner/origins.go
@@ -24,22 +24,25 @@
 // selector's goroutine owns it. Where each host decides for itself, all hosts are notified; in a
 // larger fleet those that receive the flight updates are, as every host has connections to them.
 type originSync struct {
-	self      string
-	sender    sender
-	log       *zap.Logger
-	post      func(event) bool
-	confirm   func(now time.Time) // has the list of workers confirmed, if a lookup waits for it
-	resumer   *resumer.Resumer
-	knowers   []registrar.Record   // hosts that are notified and asked, without this one
-	readers   map[string]bool      // hosts known to read the messages about origins, by name
-	announced map[string]uint64    // incarnation of each host that was notified that this one does
-	reply     string               // control address of this host; "" before it is on the roster
-	askDue    bool                 // an originsDue is on its way
-	uncertain []streamTakenUp      // that wait for their beginning to be certain
-	workers   *prometheus.GaugeVec // by service and version
-	count     atomic.Int64         // of records
-	first     firstStart
-	era       uint64 // of the store, by the list of workers
+	self    string
+	sender  sender
+	log     *zap.Logger
+	post    func(event) bool
+	confirm func(now time.Time) // has the list of workers confirmed, if a lookup waits for it
+
+	confirmable func() bool // the list can be confirmed by the store
+	resumer     *resumer.Resumer
+	held        []heldRequest        // of other hosts, that wait for the list
+	knowers     []registrar.Record   // hosts that are notified and asked, without this one
+	readers     map[string]bool      // hosts known to read the messages about origins, by name
+	announced   map[string]uint64    // incarnation of each host that was notified that this one does
+	reply       string               // control address of this host; "" before it is on the roster
+	askDue      bool                 // an originsDue is on its way
+	uncertain   []streamTakenUp      // that wait for their beginning to be certain
+	workers     *prometheus.GaugeVec // by service and version
+	count       atomic.Int64         // of records
+	first       firstStart
+	era         uint64 // of the store, by the list of workers
 }
 
 // Events of originSync.
@@ -148,7 +151,9 @@
 		}
 		o.retryUncertain(now)
 	case originRequested:
-		o.answer(now, e)
+		o.receive(now, e)
+	case requestsDue:
+		o.answerHeld(now, o.resumer.ConfirmedAt())
 	case originReplied:
 		o.readers[e.from] = true
 		o.resumer.ReceiveTold(now, e.from, decodeTold(now, e.reply))
@@ -235,23 +240,6 @@
 	}
 }
 
-// answer answers another host's request.
-func (o *originSync) answer(now time.Time, e originRequested) {
-	o.readers[e.from] = true
-	a := resumer.Ask{Services: e.request.Services}
-	for _, k := range e.request.Keys {
-		a.Keys = append(a.Keys, resumer.Key(k))
-	}
-	t := o.resumer.Tell(now, a)
-	err := o.sender.Send(e.request.Reply, encodeTold(now, t))
-	if m, ok := encodeListed(now, t.Records); ok && err == nil {
-		err = o.sender.Send(e.request.Reply, m)
-	}
-	if err != nil {
-		o.log.Debug("origins", zap.String("peer", e.from), zap.Error(err))
-	}
-}
-
 // tell sends the records that other hosts have not received yet.
 func (o *originSync) tell(now time.Time) {
 	list := o.resumer.Drain()
--- a/runner/selector.go
+++ b/runner/selector.go
@@ -109,6 +109,7 @@
 	c.view.SetTries(c.tries)
 	c.origins = newOriginSync(self, s, h.First, log, c.post)
 	c.origins.confirm = c.confirmList
+	c.origins.confirmable = func() bool { return c.confirmation.read != nil }
 	c.quarantine.report = func(e quarantineStored) { c.post(e) }
 	return c
 }
--- a/runner/worker_entries.go
+++ b/runner/worker_entries.go
@@ -95,6 +95,7 @@
 	if !e.failed {
 		p.startsRead(now, e)
 		p.origins.resumer.ListConfirmed(now, e.sentAt)
+		p.origins.answerHeld(now, e.sentAt)
 	}
 }
 
