Red spec: an answer without an event ends a stream that goes on, whoever gave it

Callers would see: a stream taken up after a break, or gone on with in one answer, ends with status 200 and in order before its last event (ORDER, ends early), where its worker has started again at another version whose answer has nothing after the caller's last event. Which start answers is asked at the first event only (passStream, mayPass); finishStream, and passWhole for another content type, never ask.

--- a/router/router_test.go
+++ b/router/router_test.go
@@ -640,6 +640,50 @@
 		Expect(o.asked.Load()).To(BeEquivalentTo(1))
 	})
 
+	// Guards against a stream that ends as complete before its last event, as another start of its worker, whose
+	// answer has no event after the caller's last, is believed without asking which start it is.
+	DescribeTable("takes no answer without an event for the end of a stream that goes on while its worker may have started again", func(contentType string, midStream bool) {
+		o := &restartedOrigins{}
+		origins = o
+		registry = prometheus.NewRegistry()
+		serve(reserver.New(64 << 20))
+		header := http.Header{"Id": {"1"}, "Key": {"s"}}
+		if midStream {
+			worker("first", func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Content-Type", "text/event-stream")
+				w.Header().Set("Seal", "1")
+				_, _ = io.WriteString(w, "id: 1\ndata: same\n\n")
+				_ = http.NewResponseController(w).Flush()
+				panic(http.ErrAbortHandler) // the connection is aborted
+			})
+		} else {
+			header.Set("After", "1")
+		}
+		worker("other", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", contentType)
+			w.Header().Set("Seal", "1")
+		})
+		worker("same", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", "text/event-stream")
+			w.Header().Set("Seal", "1")
+			_, _ = io.WriteString(w, "id: 2\ndata: same\n\n")
+		})
+		req, err := http.NewRequestWithContext(bg, http.MethodGet, url+"/flow/x", nil)
+		Expect(err).NotTo(HaveOccurred())
+		req.Host, req.Header = "h.example", header
+		resp, err := http.DefaultClient.Do(req)
+		Expect(err).NotTo(HaveOccurred())
+		defer resp.Body.Close()
+		body, err := io.ReadAll(resp.Body)
+		whole := err == nil && resp.StatusCode == http.StatusOK
+		Expect(whole && !strings.HasSuffix(string(body), "id: 2\ndata: same\n\n")).To(BeFalse(), "%d %q", resp.StatusCode, body)
+		Expect(o.asked.Load()).To(BeNumerically(">", 0))
+	},
+		Entry("an event stream that a caller took up", "text/event-stream", false),
+		Entry("another kind of answer to a caller that took a stream up", "application/json", false),
+		Entry("an event stream in place of one that broke", "text/event-stream", true),
+	)
+
 	// Guards against events that a caller gets twice, as a worker begins before the one after its last.
 	DescribeTable("passes on only what follows the last event of the caller that takes a stream up", func(last, want string, answers ...string) {
 		for i, events := range answers {
