Red spec: a connection made after the answer had ended counts as made as it began

Callers would see: half a stream with status 200 and an orderly end (ORDER, ends early), where a host stood still or was busy while the worker sent its head, ended and started again at its address, and where the list does not show the later start (the store is silent, or the entry later than 400 ms): WatchStart connects when the head is read, not when the answer began, and what answers over that connection counts as running since the beginning.

--- a/connector/confirm_test.go
+++ b/connector/confirm_test.go
@@ -214,6 +214,44 @@
 		Entry("which is not if the body had begun before", true),
 	)
 
+	// Guards against a host that stood still or was busy while the server ended and another start took its address,
+	// and that reads the beginning of the answer, and connects, only then.
+	It("shows nothing of the beginning if the answer's connection had ended before it was made", func() {
+		e := newEnding()
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			c := e.accept()
+			if request(c) {
+				_, _ = io.WriteString(c, unframedHalf)
+				_ = c.Close()
+			}
+		}()
+		pool, clean := connector.New(connector.Direct{})
+		DeferCleanup(clean)
+		half, err := pool.Do(context.Background(), e.Addr().String(), connector.Call{Method: http.MethodGet, Target: "/", Host: "h"})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(half.Close)
+		Eventually(ended).Should(BeClosed())
+		time.Sleep(50 * time.Millisecond) // until this end has it, too
+		later := make(chan net.Conn, 1)
+		go func() { later <- e.accept() }() // by the other start
+		DeferCleanup(half.WatchStart())
+		var c net.Conn
+		Eventually(later).Should(Receive(&c))
+		time.Sleep(50 * time.Millisecond) // until this end has it, too
+		go func() {
+			for ; request(c); c = e.accept() {
+				_, _ = io.WriteString(c, response("", "alive"))
+			}
+		}()
+		_, err = io.Copy(io.Discard, half)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(half.ConfirmEnd(alive)).To(Succeed())
+		_, fromStart := half.ConfirmedSince()
+		Expect(fromStart).To(BeFalse())
+	})
+
 	It("shows it only of a later time if the server has closed it", func() {
 		e := newEnding()
 		half, made := begin(e, false)
