Red spec: an answer whose time ends while the list is awaited counts as whole

Callers would see: half a stream with status 200 and an orderly end (ORDER, ends early), where the deadline passes, or the selector has ended at a shutdown, while Replaced waits: askSelector returns the zero value, false, and that means that the worker did not start again.

--- a/runner/export_test.go
+++ b/runner/export_test.go
@@ -310,6 +310,12 @@
 	return reply
 }
 
+// ReplacedWithin asks whether a worker has started again, as the transaction does whose time ends
+// with ctx.
+func (x Selector) ReplacedWithin(ctx context.Context, w resumer.Worker, by router.Confirmation) bool {
+	return x.c.Replaced(ctx, w, by)
+}
+
 // Certain asks whether it is a worker that answers over a connection made at openedAt. The
 // channel has the answer, once there is one.
 func (x Selector) Certain(now time.Time, w resumer.Worker, openedAt time.Time) <-chan bool {
--- a/runner/standstill_test.go
+++ b/runner/standstill_test.go
@@ -1,6 +1,7 @@
 package runner_test
 
 import (
+	"context"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -134,6 +135,14 @@
 		Expect(same).To(Receive(BeFalse()))
 	})
 
+	// Guards against half an answer that counts as whole, as the time of its request ends before the list shows that its
+	// worker started again.
+	It("takes no answer for whole whose time ends while the list is awaited", func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+		defer cancel()
+		Expect(x.ReplacedWithin(ctx, worker, router.Confirmation{Since: time.Now()})).To(BeTrue())
+	})
+
 	// Guards against half an answer that counts as whole, and an old list that counts as the present one, as a call of before ran out of time.
 	It("does not take the store for silent by a call of before", func() {
 		x.StoreAnswered(known, known, false, relayer.Update{After: 2, Upto: 4, Changed: []storer.Object{unnamedStart(4, "u")}})
