Red spec: a heartbeat that was held up hides the changes that a host missed

Callers would see: a stream of a version that came and went while the host was cut off is joined with the one that is left (ORDER): a heartbeat of before, delivered as the links are back, sets updatedAt by its arrival, so that the list read or told next seems to follow without a gap (noteUnseen), and the history counts as complete. Where the store dropped its history or was restored; a standstill is noticed, a cut is not.

--- a/runner/list_history_test.go
+++ b/runner/list_history_test.go
@@ -65,6 +65,33 @@
 		Entry("after the host stood still, or was cut off", 4*time.Second, false),
 	)
 
+	// Guards against a version that came and went while a host was cut off, as a heartbeat of before, which the network
+	// held up and delivers as the links are back, makes its list count as young just before the list is read anew.
+	DescribeTable("is not complete over a list that was read anew after a cut, by a heartbeat that was held up", func(told bool) {
+		x := newHost()
+		at := now.Add(time.Minute)
+		x.Sweep(at)
+		x.StoreAnswered(at.Add(100*time.Millisecond), at, false, relayer.Update{After: 2, Upto: 2})
+		x.StoreAnswered(at.Add(100*time.Millisecond), at.Add(100*time.Millisecond), true, relayer.Update{Upto: 2, Changed: first})
+		for range 30 {
+			at = at.Add(200 * time.Millisecond)
+			x.Sweep(at) // it is cut off and does not stand still
+		}
+		x.ReceiveList(at, "w", messenger.ListUpdate{After: 2, Upto: 2})
+		at = at.Add(100 * time.Millisecond)
+		if told {
+			restored := workerEvent(storer.NewVersion(1, 2), "a", "1", "v1")
+			x.Receive(at, "w-2", messenger.ListSnapshot{Upto: uint64(restored.Version), All: []messenger.Change{{Key: restored.Key, Value: restored.Value, Version: uint64(restored.Version)}}})
+		} else {
+			x.StoreAnswered(at, at, true, relayer.Update{Upto: 6, Changed: first})
+		}
+		Expect(x.Software(at, "s")).To(ConsistOf("version v1"))
+		Expect(x.Complete(at, "s")).To(BeFalse())
+	},
+		Entry("read from the store, whose changes are gone", false),
+		Entry("told by another host after a restore", true),
+	)
+
 	// Guards against a version that came and went unseen before the store was restored from an older snapshot, whose list lacks it.
 	DescribeTable("is complete over a list of a store that was restored", func(after time.Duration, told, complete bool) {
 		x := newHost()
