Red spec: in a large fleet sound ends are broken off before the list may be read

Callers would see: whole streams without a length that end as cut, and are taken up in vain, in fleets of 360 hosts, where the connection made at the beginning is gone (a worker that closes idle connections): two ends within 0.7 s share one call of the store (certaintyInterval, 720 ms), and the second waits for 400 ms after its entry is due only (maxReplacedHold).

--- a/runner/list_wait_test.go
+++ b/runner/list_wait_test.go
@@ -11,8 +11,10 @@
 
 	"github.com/cicadawood/cicadawood/loader"
 	"github.com/cicadawood/cicadawood/messenger"
+	"github.com/cicadawood/cicadawood/registrar"
 	"github.com/cicadawood/cicadawood/relayer"
 	"github.com/cicadawood/cicadawood/resumer"
+	"github.com/cicadawood/cicadawood/router"
 	"github.com/cicadawood/cicadawood/runner"
 	"github.com/cicadawood/cicadawood/storer"
 )
@@ -171,6 +173,38 @@
 		Expect(x.Certain(now, worker, known.Add(-time.Second))).To(Receive(BeTrue()), "its connection is older than the list")
 	})
 
+	// Guards against sound answers that are broken off at their end in a large fleet, as the call that would show it is
+	// put off, for the store's rate of calls, until nobody waits any more.
+	DescribeTable("is asked of the store in time for each answer that ends with its connection", func(hosts int) {
+		var records []registrar.Record
+		for i := range hosts {
+			name := fmt.Sprintf("h-%03d", i)
+			records = append(records, registrar.Record{Name: name, Control: name, Incarnation: 1})
+		}
+		x.SetRoster(time.Now(), registrar.NewRoster(records...))
+		x.SetListReader(func(after storer.Version) (relayer.Update, error) {
+			return relayer.Update{After: after, Upto: after}, nil
+		})
+		ask := func() <-chan bool {
+			now := time.Now()
+			return x.ReplacedBy(now, worker, router.Confirmation{Since: now})
+		}
+		first := ask()
+		time.Sleep(50 * time.Millisecond)
+		second := ask()
+		for _, answer := range []<-chan bool{first, second} {
+			Eventually(func() <-chan bool {
+				x.HandlePosted()
+				x.Sweep(time.Now())
+				return answer
+			}, 2*time.Second, 20*time.Millisecond).Should(Receive(BeFalse()))
+		}
+	},
+		Entry("9 hosts", 9),
+		Entry("84 hosts", 84),
+		Entry("360 hosts", 360),
+	)
+
 	// Guards against a large fleet that spends the store's rate of calls on certainty while two versions serve.
 	It("is asked of the store by all hosts together at a quarter of its 2,000 reads a second at most", func() {
 		for _, hosts := range []int{2, 9, 84, 195, 360} {
