An answer without an event ends a stream that goes on only if its worker has not started again

Callers would see an early end: a stream that goes on, sent to a worker that started again in place and has nothing after the last event, got its orderly end, in one answer and over a caller's tries; so did an answer of another kind. Cause: who answers was asked only at the first event.

--- a/router/stream.go
+++ b/router/stream.go
@@ -57,7 +57,7 @@
 		case errors.Is(err, io.EOF) && len(pending.bytes) > 0:
 			return t.recordFailure(errTruncatedEvent)
 		case errors.Is(err, io.EOF):
-			return t.finishStream(ctx, p, a)
+			return t.finishStream(ctx, p, a, first)
 		case err != nil:
 			return t.recordFailure(err)
 		}
@@ -65,8 +65,11 @@
 }
 
 // finishStream completes a stream after its last event. An answer without any event is
-// passed on unchanged.
-func (t *transaction) finishStream(ctx context.Context, p Placement, a *connector.Answer) error {
+// passed on unchanged; it ends a stream that goes on as its first event would go on with it.
+func (t *transaction) finishStream(ctx context.Context, p Placement, a *connector.Answer, empty bool) error {
+	if empty && !t.mayPass(ctx, p, a.OpenedAt()) {
+		return t.recordFailure(errOtherStart)
+	}
 	if err := t.confirmEnd(ctx, p, a); err != nil {
 		return t.recordFailure(err)
 	}
--- a/router/transaction.go
+++ b/router/transaction.go
@@ -303,6 +303,9 @@
 		a.Discard()
 		return t.recordFailure(fmt.Errorf("%w: status %d in place of a stream", errWorkerFailed, a.Status))
 	}
+	if ok && t.q.Stream && !t.mayPass(ctx, p, a.OpenedAt()) {
+		return t.recordFailure(errOtherStart)
+	}
 	return t.passWhole(ctx, p, a, v)
 }
 
