An answer is not whole whose time ends while it is awaited whether its worker started again

Callers would see half a stream as whole where the deadline, or the selector at a shutdown, ends while the host waits. Cause: the zero value of the question meant that it did not start again.

--- a/runner/selector_origins.go
+++ b/runner/selector_origins.go
@@ -40,9 +40,17 @@
 
 // Replaced implements router.Origins.
 func (p *selector) Replaced(ctx context.Context, w resumer.Worker, by router.Confirmation) bool {
-	return askSelector(ctx, p, func(reply chan<- bool) event {
-		return newReplacedRequested(time.Now(), w, by, reply)
-	})
+	reply := make(chan bool, 1)
+	if !p.post(newReplacedRequested(time.Now(), w, by, reply)) {
+		return true
+	}
+	select {
+	case replaced := <-reply:
+		return replaced
+	case <-p.ended:
+	case <-ctx.Done():
+	}
+	return true
 }
 
 // Finished implements router.Origins.
