In a large fleet the end of an answer waits until the list may be read

Cause: calls that confirm the list are 720 ms apart there, and the end waited for 400 ms. Change: it waits longer by as much as calls are further apart than in a small fleet. Red before: the entry for 360 hosts; green after. Workers without a stated start: nothing changes.

--- a/runner/list_wait.go
+++ b/runner/list_wait.go
@@ -146,7 +146,7 @@
 	listed, ok := p.view.Worker(e.worker.Name)
 	replaced := ok && listed.Software() != e.worker
 	early := p.waiting.listedAt.Before(e.due)
-	if !replaced && (early || p.doubtsList(now)) && !p.confirmation.silent(now) && !now.After(e.until) {
+	if !replaced && (early || p.doubtsList(now)) && !p.confirmation.silent(now) && !now.After(e.until.Add(p.callDelay())) {
 		p.waiting.replaced = append(p.waiting.replaced, e)
 		if early {
 			p.confirmFor(now, e.due)
@@ -157,6 +157,11 @@
 	e.reply <- replaced || early && !e.begun
 }
 
+// callDelay returns by how much later than in a small fleet the list may be confirmed.
+func (p *selector) callDelay() time.Duration {
+	return certaintyInterval(p.roster.Len()) - minCertaintyInterval
+}
+
 // isCertain reports whether it is a listed start of a worker that answers over a connection that
 // was made at openedAt: the list was current afterwards, also if other connections to the
 // worker had just broken, and has that start, or none as it is leaving. decided is false while the list was not. Where one version served and
