--- a/runner/list_wait_test.go
+++ b/runner/list_wait_test.go
@@ -205,6 +205,20 @@
 		Entry("360 hosts", 360),
 	)
 
+	// Guards against streams of the only version that go on nowhere while the store is down.
+	It("is the listed worker of the only version while the store does not answer, though it may start again under its name", func() {
+		x = runner.NewSelectorOf(listed, loader.Host{Name: "h", Zone: "z"}, nil, func(string, messenger.Message) {})
+		all := relayer.Update{Upto: 2, Changed: []storer.Object{workerEvent(2, "a", "1", "v1")}}
+		x.StoreAnswered(listed, listed, true, all)
+		known := listed.Add(time.Minute)
+		x.StoreAnswered(known, known, false, relayer.Update{After: 2, Upto: 2})
+		x.StoreAnswered(known, known, true, all)
+		now := known.Add(500 * time.Millisecond)
+		Expect(x.Certain(now, worker, now)).NotTo(Receive())
+		x.StoreFailed(now)
+		Expect(x.Certain(now, worker, now)).To(Receive(BeTrue()))
+	})
+
 	// Guards against a large fleet that spends the store's rate of calls on certainty while two versions serve.
 	It("is asked of the store by all hosts together at a quarter of its 2,000 reads a second at most", func() {
 		for _, hosts := range []int{2, 9, 84, 195, 360} {
