While the store is silent a worker that can start again is not taken for the listed one

By the logs: a host that was cut from the store went on with streams of v1 at a worker that had started again at v2; its call for the list ran out of time 4 ms before.

--- a/runner/list_wait.go
+++ b/runner/list_wait.go
@@ -164,11 +164,10 @@
 
 // isCertain reports whether it is a listed start of a worker that answers over a connection that
 // was made at openedAt: the list was current afterwards, also if other connections to the
-// worker had just broken, and has that start, or none as it is leaving. decided is false while the list was not. Where one version served it
-// makes no difference if workers don't start again under their names, or no list can show it.
+// worker had just broken, and has that start, or none as it is leaving. decided is false while the list was not. Where one version served and
+// workers don't start again under their names it makes no difference.
 func (p *selector) isCertain(now time.Time, w resumer.Worker, openedAt time.Time) (certain, decided bool) {
-	unlisted := w.Incarnation == "" || p.confirmation.silent(now) || !p.directory.Settled(now)
-	if unlisted && p.servesOne(now, w.Service) {
+	if w.Incarnation == "" && p.servesOne(now, w.Service) {
 		return true, true
 	}
 	listed, ok := p.view.Worker(w.Name)
