The fake worker makes the heads of its own answers in one place

Four formats of the same head stood in worker_cut, worker_second, worker_unframed and worker. No change of behaviour; what is to come sends heads with faults.

--- a/faker/worker.go
+++ b/faker/worker.go
@@ -363,10 +363,7 @@
 	if err != nil {
 		return
 	}
-	response := func(id, body string) string {
-		return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s",
-			platform.HeaderRequestID, id, platform.HeaderSeal, k.ID, len(body), body)
-	}
+	response := func(id, body string) string { return k.headOf(id, contentLength(body)) + body }
 	_, _ = io.WriteString(conn, response(w.Header().Get(platform.HeaderRequestID), "own")+response("another", "foreign"))
 	holdOpen(conn)
 }
--- a/faker/worker_cut.go
+++ b/faker/worker_cut.go
@@ -4,8 +4,6 @@
 	"fmt"
 	"io"
 	"net/http"
-
-	"github.com/cicadawood/cicadawood/platform"
 )
 
 // answerCut writes the first bytes of an answer with a length, as many as the fault says, and closes the
@@ -26,6 +24,5 @@
 	if k.Events > 0 {
 		body, contentType = k.event(1), "text/event-stream"
 	}
-	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nContent-Type: %s\r\nContent-Length: %d\r\n\r\n%s",
-		platform.HeaderRequestID, r.Header.Get(platform.HeaderRequestID), platform.HeaderSeal, k.ID, contentType, len(body), body)
+	return k.head(r, "Content-Type: "+contentType, contentLength(body)) + body
 }
--- a/faker/worker_second.go
+++ b/faker/worker_second.go
@@ -124,15 +124,14 @@
 		chunks.WriteString(chunk(event))
 	}
 	if second.Sized {
-		return k.streamHead(id, fmt.Sprint("Content-Length: ", body.Len())) + body.String()
+		return k.streamHead(id, contentLength(body.String())) + body.String()
 	}
 	return k.streamHead(id, "Transfer-Encoding: chunked") + chunks.String() + chunk("")
 }
 
 // streamHead returns the head of a stream with a header line for its framing.
 func (k *Worker) streamHead(id, framing string) string {
-	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nContent-Type: text/event-stream\r\n%s\r\n\r\n",
-		platform.HeaderRequestID, id, platform.HeaderSeal, k.ID, framing)
+	return k.headOf(id, "Content-Type: text/event-stream", framing)
 }
 
 // chunk returns a text as one chunk. The empty one ends an answer.
--- a/faker/worker_unframed.go
+++ b/faker/worker_unframed.go
@@ -24,9 +24,7 @@
 	}
 	defer conn.Close()
 	defer leave()
-	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nContent-Type: %s\r\n\r\n",
-		platform.HeaderRequestID, r.Header.Get(platform.HeaderRequestID), platform.HeaderSeal, k.ID, contentType)
-	_, _ = io.WriteString(conn, head)
+	_, _ = io.WriteString(conn, k.head(r, "Content-Type: "+contentType))
 	if f.ResetBody {
 		_, _ = io.WriteString(conn, body[:len(body)/2])
 		sleep(r, k.Delay)
