An answer that is reset beside its upload does not end in order

Cause: the kernel keeps the failure of a connection in one place and gives it to the first call that comes, once. A host writes the request and reads the answer at the same time. Where the write comes first, it takes ECONNRESET, and the read finds a connection without an error at its end: io.EOF. Of an answer that its connection bounds, that is the mark of the whole. The write's error went unread.

The store's client was not misled: a part of a JSON object is none; specs keep that, no change. `observer` and probes send no body. Calls with a key on the own interface count an answer without a length as unknown, as before.

Change: package `checker`. `checker.Conn` keeps the failure that a write was told of, and its Read gives it in place of io.EOF. A write that has not returned yet is waited for only if the kernel says that the connection is closed (TCP_INFO): then it returns at once. In a connection whose peer closed only its own direction, nothing is waited for, and the upload goes on. EPIPE is no failure: the peer had closed in order before its reset. All connections to workers are made by `connector.Direct`, which returns a Conn; connector, tunneler, forwarder and observer need nothing of their own.

forwarder/keepalive_test.go reads the options of the connection below a Conn now; what it expects is unchanged.

--- a/connector/dialer.go
+++ b/connector/dialer.go
@@ -8,6 +8,8 @@
 	"os"
 	"syscall"
 	"time"
+
+	"github.com/cicadawood/cicadawood/checker"
 )
 
 // Target is a backend server to connect to, and the request that needs the connection.
@@ -52,7 +54,10 @@
 	if d.Observe != nil {
 		d.Observe(ConnectResultOf(err))
 	}
-	return conn, err
+	if err != nil {
+		return nil, err
+	}
+	return checker.NewConn(conn), nil
 }
 
 // Lost implements Dialer: without other hosts, there is no telling.
--- a/faker/worker.go
+++ b/faker/worker.go
@@ -75,6 +75,7 @@
 	CutAfterByte    int           // writes so many bytes of an answer and closes the connection; 0 cuts none
 	HangAfterEvent  int           // with Unframed, hangs as Hang does after the event with this number; 0 is never
 	Second          SecondAnswer  // that follows each stream
+	Early           EarlyAnswer   // in place of all others
 	EndAfterEvent   int           // with Unframed, ends as a killed process does after the event with this number; 0 is never
 }
 
@@ -228,6 +229,10 @@
 	if isProbe(r) {
 		return
 	}
+	if early := k.beginEarly(r, id); early.End != "" {
+		k.answerEarly(w, r, early)
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return // the caller broke off the request
--- a/faker/worker_unframed.go
+++ b/faker/worker_unframed.go
@@ -81,14 +81,6 @@
 	return k.hung || k.ended
 }
 
-// reset closes a connection so that the other end sees a reset.
-func reset(conn net.Conn) {
-	if tcp, ok := conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
-	}
-	_ = conn.Close()
-}
-
 // endInOrder ends the worker's process as far as one of its connections shows: its listener is
 // gone, and the connection is closed in order. Nobody answers from the close on.
 func (k *Worker) endInOrder(conn net.Conn) {
--- a/forwarder/backend.go
+++ b/forwarder/backend.go
@@ -65,6 +65,9 @@
 
 // setTimeouts has the system close a connection whose packets are dropped.
 func setTimeouts(conn net.Conn, bound time.Duration) error {
+	if below, ok := conn.(interface{ NetConn() net.Conn }); ok {
+		conn = below.NetConn()
+	}
 	c, ok := conn.(*net.TCPConn)
 	if !ok {
 		return nil // a connection through another host has time-outs of its own
--- a/forwarder/keepalive_test.go
+++ b/forwarder/keepalive_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/cicadawood/cicadawood/checker"
 	"github.com/cicadawood/cicadawood/connector"
 	"github.com/cicadawood/cicadawood/forwarder"
 )
@@ -28,7 +29,7 @@
 func (d *recordingDialer) Dial(ctx context.Context, t connector.Target) (net.Conn, error) {
 	c, err := d.Direct.Dial(ctx, t)
 	if err == nil {
-		d.last = c.(*net.TCPConn)
+		d.last = c.(*checker.Conn).NetConn().(*net.TCPConn)
 	}
 	return c, err
 }
