An answer with a status below 100 is none

Callers got "forged", the text inside the body of an answer whose status was 000, with status 200 (host routes); on the own interface the host's handler panicked on statuses 000 and 099 and the caller's connection was closed without an answer; a write to the store that was answered 000 counted as done, and a value that came so was believed.

Cause: net/http reads any three digits as a status. `connector` skipped all that are below 200 as informational, and took what follows, the body of the 000, for the head of the answer. `forwarder` passed the status on; net/http's server panics on one below 100. The store's client took all below 300 for success.

Ruled out by the tests: that the probe or the seal lets it through (connector alone does the same), and that a status alone is taken (000 and 099 without a further answer were errors over `connector` before: kept as rows, by which nothing changed).

Label `malformed` in the metrics of failed sends and tries.

Why it works: the head is refused before its status or length is used, so nothing is read by it. Statuses from 600 on and 101 are left as they are.

`observer` refused all but 200 and 404 before: rows kept, no change. Sound answers, after 100 and 103, or without a reason, are whole before and now.

--- a/connector/conn.go
+++ b/connector/conn.go
@@ -14,6 +14,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cicadawood/cicadawood/checker"
 	"github.com/cicadawood/cicadawood/reserver"
 )
 
@@ -121,10 +122,10 @@
 	if ctx.Err() != nil {
 		return fmt.Errorf("%w: %w", ErrLost, context.Cause(ctx))
 	}
-	if errors.Is(err, ErrMismatched) {
-		return fmt.Errorf("%w: %w", ErrLost, err)
+	if errors.Is(err, checker.ErrMalformed) {
+		return fmt.Errorf("%w: %w: %v", ErrLost, ErrMalformed, err)
 	}
-	if errors.Is(err, ErrDetour) {
+	if errors.Is(err, ErrMismatched) || errors.Is(err, ErrDetour) {
 		return fmt.Errorf("%w: %w", ErrLost, err)
 	}
 	if ClosedByPeer(err) {
@@ -163,8 +164,14 @@
 	for range maxInformational {
 		c.limiter.begin(c.pool.maxHead)
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-		if err != nil || resp.StatusCode >= http.StatusOK {
-			return resp, err
+		if err != nil {
+			return nil, err
+		}
+		if err := checker.Head(resp); err != nil {
+			return nil, err
+		}
+		if resp.StatusCode >= http.StatusOK {
+			return resp, nil
 		}
 	}
 	return nil, errInformational
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -43,6 +43,9 @@
 	ErrClosedByPeer = errors.New("the backend server closed the connection")
 	// ErrMismatched means that the backend server's answer belongs to another request.
 	ErrMismatched = errors.New("the answer belongs to another request")
+	// ErrMalformed means that the head or the trailer of the backend server's answer is none
+	// of HTTP's. It is wrapped together with ErrLost.
+	ErrMalformed = errors.New("the answer is malformed")
 )
 
 const (
--- a/faker/worker.go
+++ b/faker/worker.go
@@ -75,6 +75,7 @@
 	CutAfterByte    int           // writes so many bytes of an answer and closes the connection; 0 cuts none
 	HangAfterEvent  int           // with Unframed, hangs as Hang does after the event with this number; 0 is never
 	Second          SecondAnswer  // that follows each stream
+	Head            OddHead       // fault of the heads of its answers
 	Early           EarlyAnswer   // in place of all others
 	EndAfterEvent   int           // with Unframed, ends as a killed process does after the event with this number; 0 is never
 }
@@ -307,6 +308,8 @@
 	switch {
 	case f.CutAfterByte > 0:
 		k.answerCut(w, r, f)
+	case f.Head != "":
+		k.answerOddly(w, r, f.Head)
 	case f.Endless != "":
 		k.answerEndless(w, r, f.Endless)
 	case f.AnswerError:
--- a/forwarder/backend.go
+++ b/forwarder/backend.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cicadawood/cicadawood/checker"
 	"github.com/cicadawood/cicadawood/connector"
 )
 
@@ -60,7 +61,7 @@
 		ReadBufferSize:         connBufferBytes,
 		WriteBufferSize:        connBufferBytes,
 	}
-	return &backend{address: address, dialer: d, transport: t, client: &http.Client{Transport: t, CheckRedirect: noRedirect}}
+	return &backend{address: address, dialer: d, transport: t, client: &http.Client{Transport: checker.Transport{Base: t}, CheckRedirect: noRedirect}}
 }
 
 // setTimeouts has the system close a connection whose packets are dropped.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"time"
 
+	"github.com/cicadawood/cicadawood/checker"
 	"github.com/cicadawood/cicadawood/connector"
 )
 
@@ -41,6 +42,9 @@
 	// ErrMismatched means that the answer belongs to another request. It is wrapped
 	// together with ErrUnknown.
 	ErrMismatched = errors.New("answer belongs to another request")
+	// ErrMalformed means that the head or the trailer of the answer is none of HTTP's. It is
+	// wrapped together with ErrUnknown.
+	ErrMalformed = errors.New("malformed answer")
 	// ErrClosedByPeer means that the backend server closed or reset the connection
 	// during the call. It is wrapped together with ErrUnknown.
 	ErrClosedByPeer = errors.New("the backend server closed the connection")
@@ -198,6 +202,9 @@
 	if errors.Is(err, errDial) {
 		return b.markPath(err, fmt.Errorf("%w: %v", ErrNotRun, err))
 	}
+	if errors.Is(err, checker.ErrMalformed) {
+		return fmt.Errorf("%w: %w: %v", ErrUnknown, ErrMalformed, err)
+	}
 	b.dialer.Suspect(b.address)
 	if errors.Is(context.Cause(ctx), ErrSilent) {
 		b.transport.CloseIdleConnections()
--- a/router/metrics.go
+++ b/router/metrics.go
@@ -151,6 +151,7 @@
 		{errImpliesNotRun, "false_promise"},
 		{errTruncatedEvent, "short"},
 		{errEncoded, "encoded"},
+		{connector.ErrMalformed, "malformed"},
 		{connector.ErrClosedByPeer, "ended"},
 		{context.Canceled, "caller"},
 		{context.DeadlineExceeded, "timeout"},
--- a/server/tries.go
+++ b/server/tries.go
@@ -90,6 +90,7 @@
 		{forwarder.ErrPath, "path"},
 		{forwarder.ErrSilent, "silent"},
 		{forwarder.ErrMismatched, "crossed"},
+		{forwarder.ErrMalformed, "malformed"},
 		{forwarder.ErrNotRun, "notrun"},
 		{forwarder.ErrClosedByPeer, "ended"},
 		{context.DeadlineExceeded, "deadline"},
