An answer with a name of a field that HTTP has not is none

Callers got the body of an answer with chunk heads in it, or bytes beyond its length, as the whole, with status 200: `Transfer-Encoding : chunked` and `Content-Length : 2` were passed over, so that the body ended with the connection. `X Odd: 1` was passed on as it came. On the own interface a 503 with such a line and `X-Run: no` was believed to be not run; a load report answered 404 so counted as "no report"; `Store-Era : 7` was passed over.

Cause: net/http accepts a blank in the name of a field, keeps the name as it is, and looks its own fields up by their exact names. Nobody below looked at the names.

Ruled out: that other bytes are accepted too (a control byte, a tab, NUL, DEL, a bare return, a high byte, an empty name, a line without a colon, a control byte in a value were errors before, in `connector` and, those tried, in `forwarder`; the rows stay, nothing changed for them).

Change: the check of heads, now `checker.Answer`, refuses names that are no token of RFC 9110 (golang.org/x/net/http/httpguts, which net/http uses for requests; it was an indirect module). The names of a trailer are checked as the body of chunks is read to its end. `observer` reads through `checker.Transport` now, too; so all readers share one check: host routes, their probes, skipped and informational answers, tunnels, the own interface, calls with a key, the store, host list and load reports. net/http's own skipping of informational answers (own interface, store, observer) is left: nothing of them is used.

Why it works: a name with a blank is the only thing of that kind that net/http lets through (all 256 bytes are rows of a spec), and the head is refused as a whole.

Sound answers (all bytes of a token, blanks around a value, empty values, fields that come twice, trailers announced or not) are whole before and now.

--- a/checker/transport.go
+++ b/checker/transport.go
@@ -14,7 +14,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := Head(resp); err != nil {
+	if err := Answer(resp); err != nil {
 		_ = resp.Body.Close()
 		return nil, err
 	}
--- a/connector/conn.go
+++ b/connector/conn.go
@@ -167,7 +167,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if err := checker.Head(resp); err != nil {
+		if err := checker.Answer(resp); err != nil {
 			return nil, err
 		}
 		if resp.StatusCode >= http.StatusOK {
--- a/observer/client.go
+++ b/observer/client.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"github.com/cicadawood/cicadawood/checker"
 	"github.com/cicadawood/cicadawood/connector"
 	"github.com/cicadawood/cicadawood/splitter"
 )
@@ -60,7 +61,8 @@
 	})
 	c := &Client{
 		platform: strings.TrimRight(platform, "/"), dialer: d,
-		http: &http.Client{Transport: toPlatform}, workers: &http.Client{Transport: toWorkers},
+		http:    &http.Client{Transport: checker.Transport{Base: toPlatform}},
+		workers: &http.Client{Transport: checker.Transport{Base: toWorkers}},
 	}
 	return c, func() {
 		toPlatform.CloseIdleConnections()
--- a/observer/malformed_test.go
+++ b/observer/malformed_test.go
@@ -33,6 +33,10 @@
 	},
 	Entry("with status 000", "HTTP/1.1 000 Odd\r\nContent-Length: 2\r\n\r\n{}"),
 	Entry("with status 099", "HTTP/1.1 099 Odd\r\nContent-Length: 2\r\n\r\n{}"),
+	Entry("with a blank before the colon of its length", "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\n{}"),
+	Entry("with a blank in a name", "HTTP/1.1 200 OK\r\nX Odd: 1\r\nContent-Length: 2\r\n\r\n{}"),
+	Entry("with a blank in a name, and status 404", "HTTP/1.1 404 None\r\nX Odd: 1\r\nContent-Length: 2\r\n\r\n{}"),
+	Entry("with a control byte in a name", "HTTP/1.1 200 OK\r\nX\x01Odd: 1\r\nContent-Length: 2\r\n\r\n{}"),
 )
 
 var _ = It("An answer without a reason is a list and a report", func() {
--- a/server/malformed_test.go
+++ b/server/malformed_test.go
@@ -34,6 +34,11 @@
 	},
 	Entry("with status 000", "HTTP/1.1 000 Odd\r\nContent-Length: 2\r\n\r\nok"),
 	Entry("with status 099", "HTTP/1.1 099 Odd\r\nContent-Length: 2\r\n\r\nok"),
+	Entry("with a blank before the colon of its length", "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nok"),
+	Entry("with a blank before the colon of the length of an event stream", "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length : 9\r\n\r\ndata: 1\n\nmore"),
+	Entry("with a blank before the colon of the encoding of an event stream", "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding : chunked\r\n\r\n9\r\ndata: 1\n\n\r\n0\r\n\r\n"),
+	Entry("with a blank in a name", "HTTP/1.1 200 OK\r\nX Odd: 1\r\nContent-Length: 2\r\n\r\nok"),
+	Entry("with a control byte in a name", "HTTP/1.1 200 OK\r\nX\x01Odd: 1\r\nContent-Length: 2\r\n\r\nok"),
 )
 
 var _ = It("An answer without a reason is passed on", func() {
