The fake link passes on the reset of a connection that it writes to

The rig had the fault of the incident itself: its pump towards the worker took the error of the reset, and the other one, or the pump's own close, ended the caller's side in order. A soak of broken answers would have blamed hosts for it. A pump whose write fails leaves the end to the pump that reads there: what was under way in the other direction is not cut off.

--- a/faker/link.go
+++ b/faker/link.go
@@ -7,6 +7,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/cicadawood/cicadawood/checker"
 )
 
 // Link is a TCP link that can fail: it listens on an address and forwards bytes to a
@@ -132,20 +134,22 @@
 	k.mu.Lock()
 	k.conns[c] = true
 	k.mu.Unlock()
+	client, server := checker.NewConn(near), checker.NewConn(far)
 	var ends sync.WaitGroup
-	ends.Go(func() { k.pump(c, far, near, BackwardOnly) })
-	ends.Go(func() { k.pump(c, near, far, ForwardOnly) })
+	ends.Go(func() { k.pump(c, server, client, BackwardOnly) })
+	ends.Go(func() { k.pump(c, client, server, ForwardOnly) })
 	ends.Wait()
+	_ = near.Close()
+	_ = far.Close()
 	k.mu.Lock()
 	delete(k.conns, c)
 	k.mu.Unlock()
 }
 
-// pump copies until either end closes. A silenced connection drops bytes without an error,
-// like a middlebox that has lost the state of the connection.
-func (k *Link) pump(c *conn, dst, src net.Conn, blocked LinkMode) {
-	defer dst.Close()
-	defer src.Close()
+// pump copies until either end closes, and passes the end of src on; the pump of the other direction passes
+// that of dst on. A silenced connection drops bytes without an error, like a middlebox that has lost the
+// state of the connection.
+func (k *Link) pump(c *conn, dst, src *checker.Conn, blocked LinkMode) {
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := src.Read(buf)
@@ -160,9 +164,11 @@
 			}
 		}
 		if err != nil && !errors.Is(err, io.EOF) {
-			reset(dst) // a reset is passed on: closed in order, it would end an answer without a length
+			reset(dst.NetConn()) // closed in order, it would end an answer without a length
 		}
 		if err != nil {
+			_ = dst.Close()
+			_ = src.Close()
 			return
 		}
 	}
