Soak: workers that break their answers to uploads

Bodies of plain answers are compared to their end now ("d-1forged" passed before); the check is stricter in all runs.

Tried: `cut hosts from all workers` and `fail a worker's link` as they are.

--- a/faker/worker.go
+++ b/faker/worker.go
@@ -53,6 +53,7 @@
 	hung       bool   // it answers nothing any more
 	ended      bool   // its process has ended: connections that its server does not know any more are closed, too
 	returned   *returnListener
+	broken     int // answers broken by an EarlyAnswer or an OddHead
 	crossed    int // second answers sent after the next request had arrived
 }
 
--- a/faker/worker_early.go
+++ b/faker/worker_early.go
@@ -26,6 +26,9 @@
 	}
 	k.runs[id]++
 	k.headers[id] = r.Header.Clone()
+	if k.faults.Early.End != EndHalf {
+		k.broken++
+	}
 	return k.faults.Early
 }
 
--- a/faker/worker_odd_head.go
+++ b/faker/worker_odd_head.go
@@ -28,6 +28,9 @@
 
 // answerOddly answers with a head that has a fault.
 func (k *Worker) answerOddly(w http.ResponseWriter, r *http.Request, odd OddHead) {
+	k.mu.Lock()
+	k.broken++
+	k.mu.Unlock()
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		return
@@ -65,3 +68,10 @@
 func withLine(line, answer string) string {
 	return strings.Replace(answer, statusLine, statusLine+"\r\n"+line, 1)
 }
+
+// Broken returns the number of answers that the worker broke by an EarlyAnswer or an OddHead.
+func (k *Worker) Broken() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.broken
+}
--- a/soaker/check_test.go
+++ b/soaker/check_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -127,7 +128,8 @@
 		if e.body == "own" {
 			return true // from a worker that sends the answer of another request after this one (faker.WorkerFaults.ExtraAnswer)
 		}
-		return strings.HasPrefix(e.body, "/"+e.route+"/"+e.id+" of d-")
+		worker, ok := strings.CutPrefix(e.body, "/"+e.route+"/"+e.id+" of d-")
+		return ok && isWorkerNumber(worker)
 	}
 	var b strings.Builder
 	for i := 1; i <= eventsPerStream; i++ {
@@ -135,3 +137,9 @@
 	}
 	return e.body == b.String()
 }
+
+// isWorkerNumber reports whether a text is what the ID of a worker of service desk ends with.
+func isWorkerNumber(text string) bool {
+	_, err := strconv.ParseUint(strings.TrimPrefix(text, "new-"), 10, 64)
+	return err == nil
+}
--- a/soaker/cluster_test.go
+++ b/soaker/cluster_test.go
@@ -29,6 +29,8 @@
 	// defaultCallPause is the time between two requests of a caller.
 	defaultCallPause = 10 * time.Millisecond
 	defaultTimeoutMs = 3000
+	// defaultMaxBody is the operator's limit on bodies, in bytes.
+	defaultMaxBody = 2000
 	// waitTimeout bounds each wait for an event that must occur.
 	waitTimeout = 20 * time.Second
 )
@@ -107,6 +109,7 @@
 	callPause    time.Duration // between two requests of a caller; 0 is defaultCallPause
 	callers      int           // requests in flight at a time; 0 is defaultCallers
 	memoryMB     int           // of each host, in MiB; 0 has no limit
+	bodyBytes    int           // of callers' requests; 0 has no body
 	first        bool          // the hosts' settings say, at each start, that the system starts for the first time
 	timeoutMs    int           // of each route; 0 is defaultTimeoutMs
 	slots        int           // of each worker of a release; 0 is defaultSlots
@@ -218,7 +221,7 @@
 			route("hold", "non_idempotent", "desk", 1), route("quote", "idempotent", "desk", 2),
 		},
 		"services": []any{map[string]any{"name": "engine", "engine": map[string]any{"kvCacheTokens": 100000, "stride": 4}}, map[string]any{"name": "desk", "healthPath": faker.HealthPath}},
-		"limits":   map[string]any{"maxHeaderBytes": 4000, "maxBodyBytes": 2000, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"limits":   map[string]any{"maxHeaderBytes": 4000, "maxBodyBytes": max(defaultMaxBody, c.bodyBytes), "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 		"tenants":  []any{map[string]any{"name": "large", "apiKeys": c.keys}},
 	})
 	return time.Now()
--- a/soaker/exchange_test.go
+++ b/soaker/exchange_test.go
@@ -84,7 +84,7 @@
 	}
 	c.mu.Unlock()
 	route := []string{"chat", "plan", "hold", "quote"}[r.IntN(4)]
-	return send(h, id, route, key, id, "")
+	return send(h, id, route, key, id, strings.Repeat("b", c.bodyBytes))
 }
 
 // send sends a request with an ID to a route, for the resource called name. header alternates names
