--- a/checker/answer.go
+++ b/checker/answer.go
@@ -11,7 +11,7 @@
 
 // ErrMalformed means that the head or the trailer of an answer can't be one of HTTP: neither what it states nor
 // where its body ends can be believed.
-var ErrMalformed = errors.New("malformed answer")
+var ErrMalformed = errors.New("invalid head or trailer")
 
 // maxShownBytes is how much of a name an error shows.
 const maxShownBytes = 64
