--- a/faker/worker.go
+++ b/faker/worker.go
@@ -60,27 +60,6 @@
 // defaultVersion is the software version of a worker that states none.
 const defaultVersion = "v1"
 
-// WorkerFaults are the faults of a Worker.
-type WorkerFaults struct {
-	Reject          bool          // refuses the request and reports that it was not run
-	RetryAfter      time.Duration // reported with a refusal; 0 reports none
-	BreakConnection bool          // runs the request and breaks the connection
-	NeverAnswer     bool          // runs the request and never answers
-	Unsealed        bool          // answers without its seal
-	AnswerError     bool          // answers with status 500
-	CutAtEvent      int           // breaks the connection inside the event with this number; 0 breaks none
-	ExtraAnswer     bool          // sends a second answer, of another request, after each
-	Unframed        bool          // answers with neither a length nor chunks
-	ResetBody       bool          // with Unframed, resets the connection within a body
-	Endless         Endless       // part of its answers that has no end
-	CutAfterByte    int           // writes so many bytes of an answer and closes the connection; 0 cuts none
-	HangAfterEvent  int           // with Unframed, hangs as Hang does after the event with this number; 0 is never
-	Second          SecondAnswer  // that follows each stream
-	Head            OddHead       // fault of the heads of its answers
-	Early           EarlyAnswer   // in place of all others
-	EndAfterEvent   int           // with Unframed, ends as a killed process does after the event with this number; 0 is never
-}
-
 // Start serves on a loopback port and returns a function that stops it.
 func (k *Worker) Start() func() {
 	k.runs, k.headers = map[string]int{}, map[string]http.Header{}
@@ -117,13 +96,6 @@
 	p.Put(strings.TrimSuffix(platform.WorkersPrefix, "/"), k.ID, e)
 }
 
-// SetFaults replaces the faults in force.
-func (k *Worker) SetFaults(f WorkerFaults) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.faults = f
-}
-
 // SetLeaving makes the worker report in all answers from now on that it is leaving, or no
 // longer. It serves in either case.
 func (k *Worker) SetLeaving(leaving bool) {
@@ -158,46 +130,6 @@
 // that a request ends.
 func (k *Worker) waitWhileSilent() { time.Sleep(time.Until(k.SilentUntil())) }
 
-// LimitSince returns when the worker began to report a limit.
-func (k *Worker) LimitSince() time.Time {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.limitSince
-}
-
-// RunsOf returns how often the worker ran a request.
-func (k *Worker) RunsOf(request string) int {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.runs[request]
-}
-
-// Runs returns the number of runs of all requests.
-func (k *Worker) Runs() int {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	n := 0
-	for _, r := range k.runs {
-		n += r
-	}
-	return n
-}
-
-// Canceled returns how many requests were canceled before a worker with NeverAnswer
-// answered them.
-func (k *Worker) Canceled() int {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.canceled
-}
-
-// RequestHeader returns the header of the last run of a request.
-func (k *Worker) RequestHeader(request string) http.Header {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.headers[request]
-}
-
 func (k *Worker) serve(w http.ResponseWriter, r *http.Request) {
 	k.waitWhileSilent()
 	if k.isHung() {
@@ -330,53 +262,9 @@
 	}
 }
 
-// stream sends the events after the one that the request's Last-Event-Id names.
-func (k *Worker) stream(w http.ResponseWriter, r *http.Request, f WorkerFaults, leave func()) {
-	after, _ := strconv.Atoi(r.Header.Get(platform.HeaderLastEvent))
-	w.Header().Set("Content-Type", "text/event-stream")
-	for i := after + 1; i <= k.Events; i++ {
-		if !sleep(r, k.Delay) {
-			return
-		}
-		k.waitWhileSilent()
-		event := k.event(i)
-		if i == f.CutAtEvent {
-			_, _ = io.WriteString(w, event[:len(event)/2])
-			flush(w)
-			panic(http.ErrAbortHandler)
-		}
-		if i == k.Events {
-			leave()
-		}
-		_, _ = io.WriteString(w, event)
-		flush(w)
-	}
-}
-
-// event returns the event with a number. It names the worker's version, so that who reads a
-// stream sees whose events it has.
-func (k *Worker) event(number int) string {
-	if k.Version == "" {
-		return fmt.Sprintf("id: %d\ndata: piece %d\n\n", number, number)
-	}
-	return fmt.Sprintf("id: %d\ndata: piece %d\nversion: %s\n\n", number, number, k.Version)
-}
-
 // Crash closes the listener and all connections, as a process that ends does.
 func (k *Worker) Crash() { k.crash() }
 
-// answerTwice answers the request, and then sends an answer to a request that did not arrive
-// on this connection.
-func (k *Worker) answerTwice(w http.ResponseWriter) {
-	conn, _, err := http.NewResponseController(w).Hijack()
-	if err != nil {
-		return
-	}
-	response := func(id, body string) string { return k.headOf(id, contentLength(body)) + body }
-	_, _ = io.WriteString(conn, response(w.Header().Get(platform.HeaderRequestID), "own")+response("another", "foreign"))
-	holdOpen(conn)
-}
-
 // holdOpen keeps a connection open until the other end closes it.
 func holdOpen(conn net.Conn) {
 	_, _ = io.Copy(io.Discard, conn)
--- a/faker/worker_odd_head.go
+++ b/faker/worker_odd_head.go
@@ -68,10 +68,3 @@
 func withLine(line, answer string) string {
 	return strings.Replace(answer, statusLine, statusLine+"\r\n"+line, 1)
 }
-
-// Broken returns the number of answers that the worker broke by an EarlyAnswer or an OddHead.
-func (k *Worker) Broken() int {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.broken
-}
--- a/faker/worker_second.go
+++ b/faker/worker_second.go
@@ -104,14 +104,6 @@
 	return err == nil
 }
 
-// Crossed returns how many second answers the worker sent after the next request on their connection
-// had arrived.
-func (k *Worker) Crossed() int {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.crossed
-}
-
 // secondAnswer returns the bytes of a second answer.
 func (k *Worker) secondAnswer(id string, second SecondAnswer) string {
 	if second.Request == SecondOfOther {
