--- a/soaker/check_test.go
+++ b/soaker/check_test.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 	"net/http"
-	"strconv"
+	"regexp"
 	"strings"
 	"time"
 
@@ -122,14 +122,17 @@
 	return n
 }
 
+// deskWorkerID matches the IDs of service desk's workers: those from the start, those added, and those that start again after a crash.
+var deskWorkerID = regexp.MustCompile(`^d-(new-)?\d+(\.\d+)*$`)
+
 // isOwnAnswer reports whether an answer is complete and belongs to its request.
 func isOwnAnswer(e exchange) bool {
 	if e.route == "hold" || e.route == "quote" {
 		if e.body == "own" {
 			return true // from a worker that sends the answer of another request after this one (faker.WorkerFaults.ExtraAnswer)
 		}
-		worker, ok := strings.CutPrefix(e.body, "/"+e.route+"/"+e.id+" of d-")
-		return ok && isWorkerNumber(worker)
+		worker, ok := strings.CutPrefix(e.body, "/"+e.route+"/"+e.id+" of ")
+		return ok && deskWorkerID.MatchString(worker)
 	}
 	var b strings.Builder
 	for i := 1; i <= eventsPerStream; i++ {
@@ -137,9 +140,3 @@
 	}
 	return e.body == b.String()
 }
-
-// isWorkerNumber reports whether a text is what the ID of a worker of service desk ends with.
-func isWorkerNumber(text string) bool {
-	_, err := strconv.ParseUint(strings.TrimPrefix(text, "new-"), 10, 64)
-	return err == nil
-}
