--- a/checker/answer_test.go
+++ b/checker/answer_test.go
@@ -12,7 +12,7 @@
 	"github.com/cicadawood/cicadawood/checker"
 )
 
-// Guards against an answer that is believed though what it states, or where it ends, can't be told.
+// Guards against an answer that is believed though what it states, or where it ends, is uncertain.
 var _ = DescribeTable("An answer with a byte in the name of a field",
 	func(sound string) {
 		for b := range 256 {
--- a/checker/conn.go
+++ b/checker/conn.go
@@ -12,9 +12,9 @@
 
 // Errors of a connection that can't be taken for closed in order.
 var (
-	// ErrBroken means that the connection failed, and that only a write was told of it.
+	// ErrBroken means that the connection failed, and that only a write got the error.
 	ErrBroken = errors.New("the connection failed while the request was written")
-	// errStateUnknown means that the system does not tell whether the connection has failed.
+	// errStateUnknown means that it is unknown whether the connection has failed.
 	errStateUnknown = errors.New("the state of the connection is unknown")
 )
 
@@ -55,7 +55,7 @@
 }
 
 // isFailure reports whether the error of a write is the failure of its connection. EPIPE is none: the peer had
-// closed the connection in order before it reset it, or a read was told of the failure.
+// closed the connection in order before it reset it, or a read got the error.
 func isFailure(err error) bool {
 	switch {
 	case err == nil, errors.Is(err, syscall.EPIPE), errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, net.ErrClosed):
@@ -76,7 +76,7 @@
 	return n, err
 }
 
-// writeFailure returns the failure that a write was told of, also by one that has not returned yet.
+// writeFailure returns the failure that a write got, also one that has not returned yet.
 func (c *Conn) writeFailure() error {
 	if !c.writing.TryLock() {
 		closed, err := isClosed(c.Conn)
--- a/checker/conn_test.go
+++ b/checker/conn_test.go
@@ -30,12 +30,12 @@
 
 func (c endedConn) Write([]byte) (int, error) { return 0, c.failure }
 
-// Guards against an end that passes for orderly because a write was told of the failure.
+// Guards against an end that passes for orderly because a write got the error of the failure.
 var _ = DescribeTable("A connection that ends for its reader, after a write",
 	func(failure error, inOrder bool) {
 		c := checker.NewConn(endedConn{failure: failure})
 		_, err := c.Write([]byte("x"))
-		Expect(errors.Is(err, failure)).To(BeTrue(), "the writer is told, too: %v", err)
+		Expect(errors.Is(err, failure)).To(BeTrue(), "the writer gets it, too: %v", err)
 		_, err = c.Read(make([]byte, 1))
 		if inOrder {
 			Expect(err).To(Equal(io.EOF))
@@ -48,9 +48,9 @@
 	Entry("has ended in order if the write succeeded", error(nil), true),
 	Entry("has ended in order if the write came after the end", error(&net.OpError{Op: "write", Err: os.NewSyscallError("write", syscall.EPIPE)}), true),
 	Entry("has ended in order if the write was ended by its deadline", error(&net.OpError{Op: "write", Err: os.ErrDeadlineExceeded}), true),
-	Entry("is broken if the write was told of a reset", error(&net.OpError{Op: "write", Err: os.NewSyscallError("write", syscall.ECONNRESET)}), false),
-	Entry("is broken if the write was told that sent bytes stay unacknowledged", error(&net.OpError{Op: "write", Err: os.NewSyscallError("write", syscall.ETIMEDOUT)}), false),
-	Entry("is broken if the write was told that the host is unreachable", error(&net.OpError{Op: "write", Err: os.NewSyscallError("write", syscall.EHOSTUNREACH)}), false),
+	Entry("is broken if the write got a reset", error(&net.OpError{Op: "write", Err: os.NewSyscallError("write", syscall.ECONNRESET)}), false),
+	Entry("is broken if the write got a time-out of sent bytes", error(&net.OpError{Op: "write", Err: os.NewSyscallError("write", syscall.ETIMEDOUT)}), false),
+	Entry("is broken if the write got that the host is unreachable", error(&net.OpError{Op: "write", Err: os.NewSyscallError("write", syscall.EHOSTUNREACH)}), false),
 )
 
 // pendingConn is a connection that is at its end for who reads, and whose state is unknown, while a write lasts.
@@ -66,7 +66,7 @@
 }
 
 var _ = Describe("A connection that ends for its reader while a write is under way", func() {
-	It("is broken if the system does not tell its state", func() {
+	It("is broken if its state is unknown", func() {
 		pending := pendingConn{begun: make(chan struct{}), goOn: make(chan struct{})}
 		DeferCleanup(func() { close(pending.goOn) })
 		c := checker.NewConn(pending)
--- a/connector/reset_test.go
+++ b/connector/reset_test.go
@@ -46,8 +46,8 @@
 	return string(body), err
 }
 
-// Guards against a part of an answer that is taken for the whole because the write of the request was told of
-// the connection's reset, and not the read of the answer.
+// Guards against a part of an answer that is taken for the whole because the write of the request got the
+// connection's reset, and not the read of the answer.
 var _ = Describe("An answer without a length whose connection is reset beside the upload", func() {
 	isNotWhole := func(status string, end faker.ConnEnd, delay time.Duration, size int) {
 		It(fmt.Sprintf("is not whole: %s, %s after %s, %d MiB", status, end, delay, size/mib), func() {
--- a/faker/conn_end.go
+++ b/faker/conn_end.go
@@ -23,7 +23,7 @@
 func (e ConnEnd) end(conn net.Conn, delay time.Duration) {
 	tcp, ok := conn.(*net.TCPConn)
 	if ok && e == EndHalf {
-		_ = tcp.CloseWrite()
+		_ = tcp.CloseWrite() // fails only where the other end has reset the connection
 	}
 	time.Sleep(delay)
 	switch {
@@ -42,7 +42,7 @@
 // reset closes a connection so that the other end sees a reset.
 func reset(conn net.Conn) {
 	if tcp, ok := conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
+		_ = tcp.SetLinger(0) // fails only on a closed connection
 	}
 	_ = conn.Close()
 }
@@ -53,7 +53,7 @@
 	if err != nil {
 		return
 	}
-	_ = conn.SetReadDeadline(time.Now().Add(unreadTimeout))
+	_ = conn.SetReadDeadline(time.Now().Add(unreadTimeout)) // fails only on a closed connection, whose read fails, too
 	_ = raw.Read(func(fd uintptr) bool {
 		var b [1]byte
 		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
--- a/forwarder/reset_test.go
+++ b/forwarder/reset_test.go
@@ -43,7 +43,7 @@
 	return string(body), err
 }
 
-// Guards against a part of an answer that is taken for the whole because the write of the call was told of the
+// Guards against a part of an answer that is taken for the whole because the write of the call got the
 // connection's reset, and not the read of the answer.
 var _ = Describe("An answer without a length whose connection is reset beside the upload", func() {
 	for _, end := range []faker.ConnEnd{faker.EndReset, faker.EndUnread} {
--- a/server/reset_test.go
+++ b/server/reset_test.go
@@ -37,7 +37,7 @@
 var _ = Describe("An event stream without a length to an upload, of a plain service,", func() {
 	const answer = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\ndata: {\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\n\n"
 
-	// Guards against a part of a stream that is passed on as whole because the write of the call was told of the
+	// Guards against a part of a stream that is passed on as whole because the write of the call got the
 	// connection's reset, and not the read of the answer.
 	DescribeTable("is broken off if its connection is reset",
 		func(end faker.ConnEnd, delay time.Duration) {
--- a/tunneler/reset_test.go
+++ b/tunneler/reset_test.go
@@ -59,7 +59,7 @@
 var _ = Describe("An answer without a length to an upload through another host", func() {
 	const answer = "HTTP/1.1 200 OK\r\n\r\npart"
 
-	// Guards against a part of an answer that is taken for the whole because the helper's write was told of the
+	// Guards against a part of an answer that is taken for the whole because the helper's write got the
 	// reset, and not its read.
 	for _, end := range []faker.ConnEnd{faker.EndReset, faker.EndUnread} {
 		for _, delay := range []time.Duration{0, time.Millisecond, 20 * time.Millisecond} {
